--- a/Libraries/Base/endpoint.h
+++ b/Libraries/Base/endpoint.h
@@ -9,7 +9,8 @@
 namespace vetchpost {
 
 /// An IP number and a port.
-struct endpoint {
+struct endpoint
+{
     std::string host;
     std::uint16_t port = 0;
 
--- a/Libraries/Base/error_kind.h
+++ b/Libraries/Base/error_kind.h
@@ -48,14 +48,11 @@
 constexpr std::size_t errorKindCount = static_cast<std::size_t>(error_kind::count);
 
 /// Whether the request that met an error has been acted on by a backend server.
-enum class run_state {
-    not_run,
-    may_have_run,
-    ran
-};
+enum class run_state { not_run, may_have_run, ran };
 
 /// What a caller is told for one kind of error.
-struct error_answer {
+struct error_answer
+{
     error_kind kind;
     /// The name in the answer's body and in the counter's label.
     std::string_view name;
@@ -73,7 +70,8 @@
 std::string_view runStateName(run_state state);
 
 /// Why the last call gave no value.
-struct reason {
+struct reason
+{
     error_kind kind = error_kind::internal;
     std::string text;
 };
--- a/Libraries/Base/identifier.h
+++ b/Libraries/Base/identifier.h
@@ -10,7 +10,7 @@
 namespace vetchpost {
 
 /// A name that cannot be mistaken for another kind of name. The empty value means "none".
-template<class Tag>
+template <class Tag>
 class identifier
 {
 public:
@@ -37,7 +37,7 @@
 };
 
 /// A counter that cannot be mistaken for another kind of counter. It starts at 0, which means "never".
-template<class Tag>
+template <class Tag>
 class sequence
 {
 public:
@@ -84,8 +84,9 @@
 
 } // namespace vetchpost
 
-template<class Tag>
-struct std::hash<vetchpost::identifier<Tag>> {
+template <class Tag>
+struct std::hash<vetchpost::identifier<Tag>>
+{
     std::size_t operator()(const vetchpost::identifier<Tag> &id) const noexcept
     {
         return std::hash<std::string>()(id.value());
--- a/Libraries/Base/instant.h
+++ b/Libraries/Base/instant.h
@@ -6,7 +6,8 @@
 namespace vetchpost {
 
 /// The clock of all decisions. Only the shells read the real one; tests and benchmarks supply their own.
-struct decision_clock {
+struct decision_clock
+{
     using rep = std::int64_t;
     using period = std::milli;
     using duration = std::chrono::milliseconds;
--- a/Libraries/Base/log.cpp
+++ b/Libraries/Base/log.cpp
@@ -46,7 +46,8 @@
     constexpr std::int64_t millisecondsPerSecond = 1000;
     const auto now = calendarMilliseconds();
     const auto seconds = static_cast<std::time_t>(now / millisecondsPerSecond);
-    const auto line = fmt::format("{:%FT%T}.{:03}Z {:<7} {}: {}\n", fmt::gmtime(seconds), now % millisecondsPerSecond, levelName(level), part, message);
+    const auto line
+        = fmt::format("{:%FT%T}.{:03}Z {:<7} {}: {}\n", fmt::gmtime(seconds), now % millisecondsPerSecond, levelName(level), part, message);
     // One write a line, so that the lines of several threads do not mix.
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
--- a/Libraries/Base/log.h
+++ b/Libraries/Base/log.h
@@ -7,12 +7,7 @@
 
 namespace vetchpost {
 
-enum class log_level {
-    debug,
-    info,
-    warning,
-    error
-};
+enum class log_level { debug, info, warning, error };
 
 /// Sets the lowest level that is written. The default is info.
 void setLogLevel(log_level level);
@@ -30,32 +25,32 @@
     {
     }
 
-    template<class... Arguments>
+    template <class... Arguments>
     void debug(fmt::format_string<Arguments...> format, Arguments &&...arguments) const
     {
         write(log_level::debug, format, std::forward<Arguments>(arguments)...);
     }
 
-    template<class... Arguments>
+    template <class... Arguments>
     void info(fmt::format_string<Arguments...> format, Arguments &&...arguments) const
     {
         write(log_level::info, format, std::forward<Arguments>(arguments)...);
     }
 
-    template<class... Arguments>
+    template <class... Arguments>
     void warning(fmt::format_string<Arguments...> format, Arguments &&...arguments) const
     {
         write(log_level::warning, format, std::forward<Arguments>(arguments)...);
     }
 
-    template<class... Arguments>
+    template <class... Arguments>
     void error(fmt::format_string<Arguments...> format, Arguments &&...arguments) const
     {
         write(log_level::error, format, std::forward<Arguments>(arguments)...);
     }
 
 private:
-    template<class... Arguments>
+    template <class... Arguments>
     void write(log_level level, fmt::format_string<Arguments...> format, Arguments &&...arguments) const
     {
         if (isLogged(level)) {
--- a/Libraries/Base/metrics.cpp
+++ b/Libraries/Base/metrics.cpp
@@ -37,7 +37,8 @@
     return result;
 }
 
-const prometheus::Histogram::BucketBoundaries timeBuckets = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.55, 1, 2.5, 5, 14, 30, 60, 300};
+const prometheus::Histogram::BucketBoundaries timeBuckets
+    = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.55, 1, 2.5, 5, 14, 30, 60, 300};
 
 } // namespace
 
@@ -66,7 +67,8 @@
     unwrap(d).Observe(value);
 }
 
-struct metrics::private_data {
+struct metrics::private_data
+{
     prometheus::Registry registry;
     std::vector<counter> refusals;
 };
--- a/Libraries/Base/metrics.h
+++ b/Libraries/Base/metrics.h
@@ -59,7 +59,8 @@
     private_data *d;
 };
 
-struct metric_label {
+struct metric_label
+{
     std::string name;
     std::string value;
 };
--- a/Libraries/Base/rcu_snapshot.cpp
+++ b/Libraries/Base/rcu_snapshot.cpp
@@ -20,7 +20,8 @@
 std::atomic<unsigned> currentGeneration = 0;
 std::mutex waiters;
 
-struct reader_state {
+struct reader_state
+{
     unsigned depth = 0;
     unsigned generation = 0;
 };
@@ -50,8 +51,7 @@
     // A reader may have read the generation before a flip and counted itself after it: two flips cover both.
     for (int flip = 0; flip < 2; ++flip) {
         const auto previous = currentGeneration.fetch_add(1) & 1U;
-        while (readers[previous].load() != 0) {
-        }
+        while (readers[previous].load() != 0) { }
     }
 }
 
@@ -59,7 +59,8 @@
 
 namespace {
 
-struct registered_thread {
+struct registered_thread
+{
     registered_thread()
     {
         rcu_register_thread();
--- a/Libraries/Base/rcu_snapshot.h
+++ b/Libraries/Base/rcu_snapshot.h
@@ -21,7 +21,7 @@
 void waitForRcuReaders();
 
 /// A value that many threads read without waiting and few replace as a whole.
-template<class Value>
+template <class Value>
 class rcu_snapshot
 {
 public:
@@ -39,7 +39,7 @@
     rcu_snapshot &operator=(const rcu_snapshot &) = delete;
 
     /// Calls \a query with the present value. The value stays as it is until the query returns.
-    template<class Query>
+    template <class Query>
     auto read(Query &&query) const
     {
         const rcu_read_guard guard;
--- a/Libraries/Base/timer_service.cpp
+++ b/Libraries/Base/timer_service.cpp
@@ -17,7 +17,8 @@
 constexpr part_log timerLog("timer");
 constexpr duration idleWait(1000);
 
-struct subscription {
+struct subscription
+{
     std::string name;
     duration period{};
     std::function<void(instant)> callback;
@@ -26,7 +27,8 @@
 
 } // namespace
 
-struct timer_service::private_data {
+struct timer_service::private_data
+{
     std::mutex mutex;
     std::condition_variable wake;
     std::vector<std::shared_ptr<subscription>> subscriptions;
--- a/Libraries/Base/worker_pool.cpp
+++ b/Libraries/Base/worker_pool.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-struct worker_pool::private_data {
+struct worker_pool::private_data
+{
     mutable std::mutex mutex;
     std::condition_variable wake;
     std::deque<std::function<void()>> jobs;
--- a/Libraries/Configuration/configuration.cpp
+++ b/Libraries/Configuration/configuration.cpp
@@ -92,10 +92,10 @@
 class configuration_reader
 {
 public:
-    configuration_reader(YAML::Node root, std::string file, std::vector<yaml_problem> &problems)
+    configuration_reader(const YAML::Node &root, std::string file, std::vector<yaml_problem> &problems)
         : m_file(file)
         , m_problems(problems)
-        , m_root(std::move(root), std::move(file), "", problems)
+        , m_root(root, std::move(file), "", problems)
     {
     }
 
--- a/Libraries/Configuration/configuration.h
+++ b/Libraries/Configuration/configuration.h
@@ -12,7 +12,8 @@
 namespace vetchpost {
 
 /// An organisation whose callers are served.
-struct organisation {
+struct organisation
+{
     organisation_id id;
     /// The SHA-256 digests of its bearer keys, in hexadecimal; the keys themselves stand nowhere.
     std::vector<std::string> keyDigests;
@@ -24,13 +25,11 @@
     double tokensPerSecond = 0;
 };
 
-enum class deployment_kind {
-    model,
-    service
-};
+enum class deployment_kind { model, service };
 
 /// One deployment with its template's parameters filled in.
-struct deployment {
+struct deployment
+{
     deployment_id id;
     deployment_kind kind = deployment_kind::model;
     std::vector<organisation_id> organisations;
@@ -61,7 +60,8 @@
 };
 
 /// What the operators want, checked as a whole.
-struct configuration {
+struct configuration
+{
     std::vector<organisation> organisations;
     std::vector<deployment> deployments;
 
--- a/Libraries/Configuration/configuration_head.cpp
+++ b/Libraries/Configuration/configuration_head.cpp
@@ -78,7 +78,9 @@
 std::vector<accepted_edit> editsSince(const configuration_head &head, revision base)
 {
     std::vector<accepted_edit> newer;
-    std::copy_if(head.history.begin(), head.history.end(), std::back_inserter(newer), [&](const accepted_edit &edit) { return edit.accepted > base; });
+    std::copy_if(head.history.begin(), head.history.end(), std::back_inserter(newer), [&](const accepted_edit &edit) {
+        return edit.accepted > base;
+    });
     return newer;
 }
 
--- a/Libraries/Configuration/configuration_head.h
+++ b/Libraries/Configuration/configuration_head.h
@@ -15,7 +15,8 @@
 constexpr auto configurationHeadKey = "vetchpost/configuration/head";
 
 /// One accepted edit, as the history tells it.
-struct accepted_edit {
+struct accepted_edit
+{
     edit_id edit;
     revision accepted;
     std::string author;
@@ -24,14 +25,16 @@
 };
 
 /// The value of the head: the configuration in force and the edits that led to it, newest first.
-struct configuration_head {
+struct configuration_head
+{
     revision current;
     std::string text;
     std::vector<accepted_edit> history;
 };
 
 /// An edit that an operator sends.
-struct proposed_edit {
+struct proposed_edit
+{
     edit_id edit;
     /// The revision that the operator saw.
     revision base;
--- a/Libraries/Configuration/template_parameters.h
+++ b/Libraries/Configuration/template_parameters.h
@@ -9,15 +9,11 @@
 
 namespace vetchpost {
 
-enum class parameter_type {
-    text,
-    integer,
-    number,
-    flag
-};
+enum class parameter_type { text, integer, number, flag };
 
 /// One typed parameter of a template.
-struct template_parameter {
+struct template_parameter
+{
     std::string name;
     parameter_type type = parameter_type::text;
     bool isRequired = false;
@@ -29,7 +25,8 @@
 };
 
 /// A template: its parameters, and the values of a deployment in which "${name}" stands for a parameter.
-struct deployment_template {
+struct deployment_template
+{
     std::vector<template_parameter> parameters;
     YAML::Node values;
 };
--- a/Libraries/Daemon/admission.cpp
+++ b/Libraries/Daemon/admission.cpp
@@ -18,14 +18,16 @@
 constexpr double leastRamp = 0.1;
 
 /// One request that waits on its own thread.
-struct waiting_thread {
+struct waiting_thread
+{
     const admission_request &request;
     std::condition_variable wake;
     std::optional<replica_route> route;
     bool isExpired = false;
 };
 
-struct deployment_queue {
+struct deployment_queue
+{
     std::mutex mutex;
     fair_queue queue;
     retry_budget retries;
@@ -42,7 +44,8 @@
     load.sentSince = runtime.sentSinceReport;
     load.inFlight = runtime.inFlight;
     load.firstTokenMilliseconds = runtime.firstTokenMilliseconds;
-    load.ramp = std::clamp(static_cast<double>(now.time_since_epoch().count() - runtime.servingSince) / static_cast<double>(rampTime.count()), leastRamp, 1.0);
+    load.ramp = std::clamp(
+        static_cast<double>(now.time_since_epoch().count() - runtime.servingSince) / static_cast<double>(rampTime.count()), leastRamp, 1.0);
     load.isExcluded = runtime.avoidUntil > now.time_since_epoch().count() || request.tried.contains(route.group);
     const std::lock_guard lock(runtime.mutex);
     load.limit = static_cast<int>(std::ceil(runtime.limit.value));
@@ -51,7 +54,8 @@
 
 } // namespace
 
-struct admission::private_data {
+struct admission::private_data
+{
     const rcu_snapshot<routing_snapshot> &routing;
     mutable std::mutex mutex;
     std::map<deployment_id, std::unique_ptr<deployment_queue>> queues;
@@ -174,7 +178,8 @@
             return route;
         }
     }
-    const queued_request entry{d->nextTicket(), request.organisation, request.priority, request.weight, request.cost, arrived, request.deadline};
+    const queued_request entry{
+        d->nextTicket(), request.organisation, request.priority, request.weight, request.cost, arrived, request.deadline};
     const auto wait = expectedWait(queue.queue, entry);
     if (wait && arrived + *wait > request.deadline) {
         lastReason = {error_kind::queue_deadline, "the queue is longer than the deadline allows"};
@@ -186,7 +191,8 @@
     }
     waiting_thread thread{request, {}, {}, false};
     queue.threads.emplace(entry.ticket, &thread);
-    thread.wake.wait_until(lock, std::chrono::steady_clock::time_point(request.deadline.time_since_epoch()), [&] { return thread.route || thread.isExpired; });
+    thread.wake.wait_until(
+        lock, std::chrono::steady_clock::time_point(request.deadline.time_since_epoch()), [&] { return thread.route || thread.isExpired; });
     removeTicket(queue.queue, entry.ticket);
     queue.threads.erase(entry.ticket);
     d->waits.observe(std::chrono::duration<double>(monotonicNow() - arrived).count());
--- a/Libraries/Daemon/admission.h
+++ b/Libraries/Daemon/admission.h
@@ -15,7 +15,8 @@
 
 namespace vetchpost {
 
-struct admission_request {
+struct admission_request
+{
     deployment_id deployment;
     organisation_id organisation;
     int priority = 0;
@@ -30,7 +31,8 @@
 };
 
 /// What a queue looks like to an operator.
-struct queue_status {
+struct queue_status
+{
     deployment_id deployment;
     std::size_t waiting = 0;
     double drainRate = 0;
--- a/Libraries/Daemon/answer_sink.cpp
+++ b/Libraries/Daemon/answer_sink.cpp
@@ -28,13 +28,13 @@
         m_exchange.beginStream(200, "text/event-stream");
     }
     const auto finish = finishReason.empty() ? std::string("null") : toJsonText(finishReason);
-    return m_exchange.write(
-        fmt::format(R"(data: {{"id":{},"object":"chat.completion.chunk","model":{},"choices":[{{"index":0,"delta":{{"content":{}}},"finish_reason":{}}}]}})"
-                    "\n\n",
-                    toJsonText(m_request.id.value()),
-                    toJsonText(m_request.target.id.value()),
-                    toJsonText(text),
-                    finish));
+    return m_exchange.write(fmt::format(
+        R"(data: {{"id":{},"object":"chat.completion.chunk","model":{},"choices":[{{"index":0,"delta":{{"content":{}}},"finish_reason":{}}}]}})"
+        "\n\n",
+        toJsonText(m_request.id.value()),
+        toJsonText(m_request.target.id.value()),
+        toJsonText(text),
+        finish));
 }
 
 bool answer_sink::complete()
--- a/Libraries/Daemon/caller_interface.cpp
+++ b/Libraries/Daemon/caller_interface.cpp
@@ -30,7 +30,8 @@
 
 } // namespace
 
-struct caller_interface::private_data {
+struct caller_interface::private_data
+{
     gateway_context &context;
     service_gateway services;
     organisation_limits limits;
--- a/Libraries/Daemon/caller_request.h
+++ b/Libraries/Daemon/caller_request.h
@@ -13,7 +13,8 @@
 namespace vetchpost {
 
 /// One request of a caller, after its organisation and deployment are known.
-struct caller_request {
+struct caller_request
+{
     request_id id;
     organisation owner;
     deployment target;
--- a/Libraries/Daemon/claim_service.cpp
+++ b/Libraries/Daemon/claim_service.cpp
@@ -16,8 +16,10 @@
 
 } // namespace
 
-struct claim_service::private_data {
-    struct waiting_asker {
+struct claim_service::private_data
+{
+    struct waiting_asker
+    {
         std::condition_variable wake;
         std::optional<claim_answer> answer;
     };
--- a/Libraries/Daemon/claim_service.h
+++ b/Libraries/Daemon/claim_service.h
@@ -15,7 +15,8 @@
 namespace vetchpost {
 
 /// An answer that a second asker with the same key may get.
-struct kept_answer {
+struct kept_answer
+{
     int status = 0;
     std::string contentType;
     std::string body;
--- a/Libraries/Daemon/claimed_run.cpp
+++ b/Libraries/Daemon/claimed_run.cpp
@@ -9,7 +9,8 @@
 constexpr duration keptAnswerTimeout(2000);
 constexpr duration longestClaim(5000);
 
-std::optional<kept_answer> askForAnswer(const claim_record &record, claim_service &claims, const cluster_state &cluster, peer_service &peers)
+std::optional<kept_answer>
+askForAnswer(const claim_record &record, claim_service &claims, const cluster_state &cluster, peer_service &peers)
 {
     if (auto own = claims.answerOf(record.owner)) {
         return own;
--- a/Libraries/Daemon/claimed_run.h
+++ b/Libraries/Daemon/claimed_run.h
@@ -10,7 +10,8 @@
 namespace vetchpost {
 
 /// What a keyed request may do after its key was looked at.
-struct claim_permission {
+struct claim_permission
+{
     /// It may run, once.
     bool mayRun = false;
     /// The first asker's answer, where it is still kept.
@@ -26,7 +27,8 @@
 bool admitClaim(gateway_context &context, http_exchange &exchange, const caller_request &request, const claim_record &record);
 
 /// How a request that was let run ended.
-struct run_end {
+struct run_end
+{
     /// Its whole answer; nothing where there is none.
     std::optional<kept_answer> answer;
     bool mayHaveRun = false;
--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -23,13 +23,15 @@
 constexpr duration lostDataCentreAfter(900000);
 
 /// When a data centre was last heard of.
-struct heard_data_centre {
+struct heard_data_centre
+{
     instant advanced;
 };
 
 } // namespace
 
-struct cluster_state::private_data {
+struct cluster_state::private_data
+{
     daemon_settings settings;
     mutable std::mutex mutex;
     exchange_state exchange;
@@ -66,7 +68,8 @@
         const auto read = readConfiguration(next->text, "configuration", problems);
         if (!read) {
             // Only a daemon of another version can have accepted it; the last good one stays in force.
-            clusterLog.error("The accepted configuration cannot be read. revision={} problem={}", next->current.value(), problems.front().text());
+            clusterLog.error(
+                "The accepted configuration cannot be read. revision={} problem={}", next->current.value(), problems.front().text());
             return;
         }
         head = *next;
@@ -113,7 +116,8 @@
     {
         // Rendezvous hashing: a daemon that comes or goes moves only its own share.
         const auto weight = [&](const daemon_id &daemon) { return hashOf(daemon.value(), hashOf(instance.value())); };
-        return *std::max_element(live.begin(), live.end(), [&](const daemon_id &left, const daemon_id &right) { return weight(left) < weight(right); });
+        return *std::max_element(
+            live.begin(), live.end(), [&](const daemon_id &left, const daemon_id &right) { return weight(left) < weight(right); });
     }
 
     /// The word on an instance that counts: its observer's, else that of any live daemon, else that of one that died a
@@ -415,7 +419,8 @@
     const auto live = liveMembers(d->exchange, now);
     return std::any_of(live.begin(), live.end(), [&](const daemon_id &daemon) {
         const auto about = d->aboutOf(daemon);
-        return daemon != d->settings.daemon && about && about->isCoordinator && livenessOf(d->exchange, daemon, now) == peer_liveness::alive;
+        return daemon != d->settings.daemon && about && about->isCoordinator
+            && livenessOf(d->exchange, daemon, now) == peer_liveness::alive;
     });
 }
 
--- a/Libraries/Daemon/cluster_state.h
+++ b/Libraries/Daemon/cluster_state.h
@@ -31,17 +31,19 @@
 constexpr auto instanceList = "local/instances";
 constexpr auto summaryPrefix = "summary/";
 constexpr auto alivePrefix = "alive/";
-}
+} // namespace exchange_names
 
 /// One daemon as the operators see it.
-struct member_status {
+struct member_status
+{
     daemon_id daemon;
     about_daemon about;
     peer_liveness liveness = peer_liveness::unproven;
 };
 
 /// One group as the operators see it.
-struct group_status {
+struct group_status
+{
     allotted_group group;
     group_standing standing = group_standing::broken;
     /// What is awaited of each member that has not confirmed.
--- a/Libraries/Daemon/configuration_service.cpp
+++ b/Libraries/Daemon/configuration_service.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-struct configuration_service::private_data {
+struct configuration_service::private_data
+{
     cluster_state &cluster;
     key_value_client &keyValue;
     std::function<bool()> isCoordinating;
@@ -54,7 +55,8 @@
     void take(const key_value_entry &entry)
     {
         const auto head = configurationHeadFrom(entry.value);
-        if (head && head->current > revision() && cluster.publishRegister({exchange_names::configuration, head->current.value(), 0, entry.value})) {
+        if (head && head->current > revision()
+            && cluster.publishRegister({exchange_names::configuration, head->current.value(), 0, entry.value})) {
             didChange();
         }
     }
--- a/Libraries/Daemon/configuration_service.h
+++ b/Libraries/Daemon/configuration_service.h
@@ -12,7 +12,8 @@
 namespace vetchpost {
 
 /// The outcome of an edit.
-struct edit_result {
+struct edit_result
+{
     bool isAccepted = false;
     revision accepted;
     reason why;
@@ -27,7 +28,10 @@
 class configuration_service
 {
 public:
-    configuration_service(cluster_state &cluster, key_value_client &keyValue, std::function<bool()> isCoordinating, std::function<void()> didChange);
+    configuration_service(cluster_state &cluster,
+                          key_value_client &keyValue,
+                          std::function<bool()> isCoordinating,
+                          std::function<void()> didChange);
     ~configuration_service();
     configuration_service(const configuration_service &) = delete;
     configuration_service &operator=(const configuration_service &) = delete;
--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -34,7 +34,8 @@
 
 } // namespace
 
-struct coordinator_runner::private_data {
+struct coordinator_runner::private_data
+{
     const daemon_settings &settings;
     cluster_state &cluster;
     key_value_client &keyValue;
@@ -107,12 +108,13 @@
         for (const auto &decision : coordinator.lastDecisions) {
             const bool isRepeated = decision.action == plan_action::wait
                 && std::any_of(decisions.begin(), decisions.end(), [&](const planning_decision &kept) {
-                       return kept.group == decision.group && kept.action == plan_action::wait;
-                   });
+                                        return kept.group == decision.group && kept.action == plan_action::wait;
+                                    });
             if (isRepeated) {
                 continue;
             }
-            coordinatorLog.info("A group's plan. group={} action={} why=\"{}\"", decision.group.value(), planActionName(decision.action), decision.why);
+            coordinatorLog.info(
+                "A group's plan. group={} action={} why=\"{}\"", decision.group.value(), planActionName(decision.action), decision.why);
             decisions.push_back(decision);
         }
         coordinator.lastDecisions.clear();
@@ -127,7 +129,8 @@
         const bool isNowActive = isActive(coordinator, now);
         if (isNowActive != wasActive) {
             wasActive = isNowActive;
-            coordinatorLog.info("This daemon {} coordination. epoch={}", isNowActive ? "took" : "gave up", coordinator.accepted.current.value());
+            coordinatorLog.info(
+                "This daemon {} coordination. epoch={}", isNowActive ? "took" : "gave up", coordinator.accepted.current.value());
             if (isNowActive) {
                 takeovers.increment();
             }
--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -48,7 +48,8 @@
 
 } // namespace
 
-struct vetchpost_daemon::private_data {
+struct vetchpost_daemon::private_data
+{
     daemon_settings settings;
     incarnation run = newIncarnation();
     metrics counters;
@@ -80,10 +81,7 @@
         , context{settings, cluster, admissions, claims, peers, counters, request_counters(counters)}
         , coordinator(settings, cluster, keyValue, counters, controlWorkers, [this] { peers.spreadNow(); })
         , configurations(
-              cluster,
-              keyValue,
-              [this] { return coordinator.isCoordinating(); },
-              [this] { peers.spreadNow(); })
+              cluster, keyValue, [this] { return coordinator.isCoordinating(); }, [this] { peers.spreadNow(); })
         , observations(settings, cluster, counters, observerWorkers, [this] { peers.spreadNow(); })
         , callers(context, run)
         , operators(context, configurations, coordinator)
--- a/Libraries/Daemon/data_centre_summary.cpp
+++ b/Libraries/Daemon/data_centre_summary.cpp
@@ -140,7 +140,8 @@
     summary.dataCentre = data_centre_id(jsonString(*json, "data_centre"));
     for (const auto &entry : jsonArray(*json, "members")) {
         if (auto about = aboutFrom(entry)) {
-            summary.members.push_back({daemon_id(jsonString(entry, "daemon")), std::move(*about), static_cast<int>(jsonNumber(entry, "liveness"))});
+            summary.members.push_back(
+                {daemon_id(jsonString(entry, "daemon")), std::move(*about), static_cast<int>(jsonNumber(entry, "liveness"))});
         }
     }
     for (const auto &entry : jsonArray(*json, "groups")) {
--- a/Libraries/Daemon/data_centre_summary.h
+++ b/Libraries/Daemon/data_centre_summary.h
@@ -12,7 +12,8 @@
 namespace vetchpost {
 
 /// What a daemon says of itself, in its fact "about".
-struct about_daemon {
+struct about_daemon
+{
     data_centre_id dataCentre;
     endpoint callers;
     endpoint operators;
@@ -25,14 +26,16 @@
 std::string toText(const about_daemon &about);
 std::optional<about_daemon> aboutDaemonFrom(const std::string &text);
 
-struct summarised_member {
+struct summarised_member
+{
     daemon_id daemon;
     about_daemon about;
     /// As livenessOf() of the coordinator that wrote the summary.
     int liveness = 0;
 };
 
-struct summarised_group {
+struct summarised_group
+{
     group_id group;
     deployment_id deployment;
     generation expected;
@@ -40,7 +43,8 @@
 };
 
 /// What a data centre's coordinator tells the other data centres.
-struct data_centre_summary {
+struct data_centre_summary
+{
     data_centre_id dataCentre;
     std::vector<summarised_member> members;
     /// The serving groups.
--- a/Libraries/Daemon/gateway_context.h
+++ b/Libraries/Daemon/gateway_context.h
@@ -10,7 +10,8 @@
 namespace vetchpost {
 
 /// Counts what becomes of requests.
-struct request_counters {
+struct request_counters
+{
     explicit request_counters(metrics &counters);
 
     counter accepted;
@@ -25,7 +26,8 @@
 };
 
 /// What the gateways share.
-struct gateway_context {
+struct gateway_context
+{
     const daemon_settings &settings;
     cluster_state &cluster;
     admission &admissions;
--- a/Libraries/Daemon/model_gateway.cpp
+++ b/Libraries/Daemon/model_gateway.cpp
@@ -21,7 +21,7 @@
 constexpr duration longestFirstToken(15000);
 constexpr duration avoidAfterTrouble(1000);
 constexpr std::uint64_t defaultMaximumTokens = 256;
-constexpr std::size_t bytesPerToken = 4;
+constexpr double bytesPerToken = 4;
 constexpr int httpOk = 200;
 
 std::string promptOf(const Json::Value &body)
@@ -39,11 +39,12 @@
 double expectedTokens(const Json::Value &body, std::size_t bodySize)
 {
     const auto asked = jsonNumber(body, "max_tokens");
-    return static_cast<double>(bodySize / bytesPerToken + (asked == 0 ? defaultMaximumTokens : asked));
+    return static_cast<double>(bodySize) / bytesPerToken + static_cast<double>(asked == 0 ? defaultMaximumTokens : asked);
 }
 
 /// How one try went.
-struct try_result {
+struct try_result
+{
     bool isComplete = false;
     bool hasCallerLeft = false;
     try_failure failure = try_failure::not_sent;
@@ -127,14 +128,8 @@
         m_answer.group = route.group;
         m_answer.expected = route.expected;
         m_context.requests.accepted.increment();
-        const completion_call completion{route.leader,
-                                         m_request.id,
-                                         route.group,
-                                         route.expected,
-                                         m_admission.priority,
-                                         m_body,
-                                         m_sink.text(),
-                                         m_answer.nextIndex};
+        const completion_call completion{
+            route.leader, m_request.id, route.group, route.expected, m_admission.priority, m_body, m_sink.text(), m_answer.nextIndex};
         auto result = follow(makeCompletionCall(completion, longestFirstToken), route);
         while (!result.isComplete && !result.hasCallerLeft) {
             const auto next = afterFailure(m_progress, result.failure, false, monotonicNow());
--- a/Libraries/Daemon/observer.cpp
+++ b/Libraries/Daemon/observer.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-struct observer::private_data {
+struct observer::private_data
+{
     const daemon_settings &settings;
     cluster_state &cluster;
     worker_pool &workers;
@@ -69,7 +70,8 @@
     }
 };
 
-observer::observer(const daemon_settings &settings, cluster_state &cluster, metrics &counters, worker_pool &workers, std::function<void()> didSeeChange)
+observer::observer(
+    const daemon_settings &settings, cluster_state &cluster, metrics &counters, worker_pool &workers, std::function<void()> didSeeChange)
     : d(new private_data{settings,
                          cluster,
                          workers,
--- a/Libraries/Daemon/observer.h
+++ b/Libraries/Daemon/observer.h
@@ -16,7 +16,11 @@
 {
 public:
     /// \a didSeeChange is called when others should hear at once.
-    observer(const daemon_settings &settings, cluster_state &cluster, metrics &counters, worker_pool &workers, std::function<void()> didSeeChange);
+    observer(const daemon_settings &settings,
+             cluster_state &cluster,
+             metrics &counters,
+             worker_pool &workers,
+             std::function<void()> didSeeChange);
     ~observer();
     observer(const observer &) = delete;
     observer &operator=(const observer &) = delete;
--- a/Libraries/Daemon/operator_interface.cpp
+++ b/Libraries/Daemon/operator_interface.cpp
@@ -101,7 +101,8 @@
 
 } // namespace
 
-struct operator_interface::private_data {
+struct operator_interface::private_data
+{
     gateway_context &context;
     configuration_service &configurations;
     coordinator_runner &coordinator;
@@ -291,7 +292,8 @@
 operator_interface::operator_interface(gateway_context &context, configuration_service &configurations, coordinator_runner &coordinator)
     : d(new private_data{context, configurations, coordinator})
 {
-    context.peers.addMethod(decisionsMethod, [this](const Json::Value &parameters) { return d->ownDecisions(jsonString(parameters, "group")); });
+    context.peers.addMethod(decisionsMethod,
+                            [this](const Json::Value &parameters) { return d->ownDecisions(jsonString(parameters, "group")); });
 }
 
 operator_interface::~operator_interface() = default;
--- a/Libraries/Daemon/organisation_limits.h
+++ b/Libraries/Daemon/organisation_limits.h
@@ -19,7 +19,8 @@
     bool take(const organisation &organisation, double tokens);
 
 private:
-    struct organisation_use {
+    struct organisation_use
+    {
         token_bucket bucket;
         double asked = 0;
         instant since;
--- a/Libraries/Daemon/peer_service.cpp
+++ b/Libraries/Daemon/peer_service.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-struct peer_service::private_data {
+struct peer_service::private_data
+{
     const daemon_settings &settings;
     cluster_state &cluster;
     worker_pool &workers;
@@ -44,7 +45,8 @@
         , exchanges(counters.addCounter("vetchpost_peer_calls_total", "Calls to other daemons."))
         , failures(counters.addCounter("vetchpost_peer_failures_total", "Calls to other daemons without a usable reply."))
         , sentBytes(counters.addCounter("vetchpost_peer_bytes_total", "Bytes of messages between daemons.", {{"direction", "sent"}}))
-        , receivedBytes(counters.addCounter("vetchpost_peer_bytes_total", "Bytes of messages between daemons.", {{"direction", "received"}}))
+        , receivedBytes(
+              counters.addCounter("vetchpost_peer_bytes_total", "Bytes of messages between daemons.", {{"direction", "received"}}))
     {
     }
 
@@ -81,7 +83,8 @@
     Json::Value answerExchange(const Json::Value &parameters)
     {
         const auto digest = exchangeDigestFrom(parameters["digest"]);
-        const auto scope = jsonString(parameters, "data_centre") == settings.dataCentre.value() ? scopeFrom(parameters) : exchange_scope::wide;
+        const auto scope
+            = jsonString(parameters, "data_centre") == settings.dataCentre.value() ? scopeFrom(parameters) : exchange_scope::wide;
         cluster.takeDigest(digest, monotonicNow());
         Json::Value result;
         result["delta"] = toJson(cluster.delta(digest, scope));
@@ -113,7 +116,8 @@
     d->rpc = std::make_unique<peer_rpc_server>(d->methods);
 }
 
-std::optional<Json::Value> peer_service::call(const endpoint &peer, const std::string &method, const Json::Value &parameters, duration timeout)
+std::optional<Json::Value>
+peer_service::call(const endpoint &peer, const std::string &method, const Json::Value &parameters, duration timeout)
 {
     Json::Value result;
     const auto transport = [&](const std::string &message, std::string &reply) { return d->transport(peer, timeout, message, reply); };
--- a/Libraries/Daemon/routing_snapshot.h
+++ b/Libraries/Daemon/routing_snapshot.h
@@ -15,7 +15,8 @@
 namespace vetchpost {
 
 /// What this daemon has learned of one replica by its own requests. Outlives the snapshots that name the replica.
-struct replica_runtime {
+struct replica_runtime
+{
     std::atomic<int> inFlight = 0;
     std::atomic<int> sentSinceReport = 0;
     std::atomic<double> firstTokenMilliseconds = 0;
@@ -28,7 +29,8 @@
 };
 
 /// One replica that may be sent work.
-struct replica_route {
+struct replica_route
+{
     group_id group;
     generation expected;
     endpoint leader;
@@ -38,19 +40,22 @@
 };
 
 /// One instance of a plain service that may be sent work.
-struct service_route {
+struct service_route
+{
     instance_id instance;
     endpoint address;
 };
 
-struct deployment_routes {
+struct deployment_routes
+{
     deployment_id deployment;
     std::vector<replica_route> replicas;
     std::vector<service_route> services;
 };
 
 /// All that a request needs to know, in one value.
-struct routing_snapshot {
+struct routing_snapshot
+{
     revision inForce;
     std::shared_ptr<const configuration> wanted;
     std::vector<deployment_routes> deployments;
--- a/Libraries/Daemon/service_gateway.cpp
+++ b/Libraries/Daemon/service_gateway.cpp
@@ -24,7 +24,8 @@
 constexpr int serviceUnavailable = 503;
 
 /// What this daemon has learned of one instance of a service.
-struct service_runtime {
+struct service_runtime
+{
     int inFlight = 0;
     instant avoidUntil;
 };
@@ -65,7 +66,8 @@
 
 } // namespace
 
-struct service_gateway::private_data {
+struct service_gateway::private_data
+{
     gateway_context &context;
     std::mutex mutex;
     std::map<instance_id, service_runtime> runtimes;
@@ -120,7 +122,8 @@
         for (;;) {
             const auto route = choose(request.target.id, tried);
             if (!route) {
-                why = {progress.mayHaveRun ? error_kind::backend_lost : error_kind::backend_unreachable, "no instance of the service is left to try"};
+                why = {progress.mayHaveRun ? error_kind::backend_lost : error_kind::backend_unreachable,
+                       "no instance of the service is left to try"};
                 return std::nullopt;
             }
             ++progress.tries;
@@ -136,7 +139,9 @@
             const auto next = afterFailure(progress, failureOf(reply, request, why), true, monotonicNow());
             serviceLog.info("A try failed. request={} instance={} why=\"{}\"", request.id.value(), route->instance.value(), why.text);
             if (next.step != recovery_step::retry || !context.admissions.takeRetryFor(request.target.id)) {
-                why.kind = next.step == recovery_step::retry ? afterFailure(progress, failureOf(reply, request, why), false, monotonicNow()).kind : next.kind;
+                why.kind = next.step == recovery_step::retry
+                    ? afterFailure(progress, failureOf(reply, request, why), false, monotonicNow()).kind
+                    : next.kind;
                 return std::nullopt;
             }
             context.requests.retries.increment();
--- a/Libraries/Daemon/snapshot_builder.h
+++ b/Libraries/Daemon/snapshot_builder.h
@@ -12,7 +12,8 @@
 
 namespace vetchpost {
 
-struct snapshot_input {
+struct snapshot_input
+{
     revision inForce;
     std::shared_ptr<const configuration> wanted;
     const allotment &allotted;
--- a/Libraries/Engines/engine_client.h
+++ b/Libraries/Engines/engine_client.h
@@ -12,7 +12,8 @@
 namespace vetchpost {
 
 /// One streamed completion, as the engine is asked for it.
-struct completion_call {
+struct completion_call
+{
     endpoint leader;
     request_id request;
     group_id group;
--- a/Libraries/Engines/engine_messages.h
+++ b/Libraries/Engines/engine_messages.h
@@ -12,7 +12,8 @@
 namespace vetchpost {
 
 /// What a model engine is to load.
-struct model_choice {
+struct model_choice
+{
     std::string model;
     std::string adapter;
     std::string version;
@@ -22,7 +23,8 @@
 
 /// An order to one instance: become this rank of this group. An empty group releases the instance.
 /// The generation is the fencing number: it rises over the whole data centre with every change.
-struct engine_order {
+struct engine_order
+{
     instance_id instance;
     group_id group;
     generation ordered;
@@ -43,15 +45,11 @@
     unknown
 };
 
-enum class engine_phase {
-    idle,
-    loading,
-    ready,
-    failed
-};
+enum class engine_phase { idle, loading, ready, failed };
 
 /// How busy an engine says it is; some moments old.
-struct engine_load {
+struct engine_load
+{
     int running = 0;
     int queued = 0;
     /// Of its memory for the prompt cache, in per cent.
@@ -61,7 +59,8 @@
 };
 
 /// What one instance says of itself.
-struct engine_state {
+struct engine_state
+{
     instance_id instance;
     /// The number of this run of the engine's process.
     incarnation run;
--- a/Libraries/Groups/allotment.h
+++ b/Libraries/Groups/allotment.h
@@ -13,7 +13,8 @@
 namespace vetchpost {
 
 /// One instance's place in a group; its rank is its place in the list.
-struct allotted_member {
+struct allotted_member
+{
     instance_id instance;
     endpoint address;
     fabric_domain_id domain;
@@ -22,7 +23,8 @@
 };
 
 /// One replica group as it is meant to be.
-struct allotted_group {
+struct allotted_group
+{
     group_id id;
     deployment_id deployment;
     /// The fencing number of this group's last change.
@@ -37,7 +39,8 @@
 };
 
 /// An instance that an old order may still reach and whose engine would obey it.
-struct withheld_instance {
+struct withheld_instance
+{
     instance_id instance;
     /// The epoch in which it was withheld. The wait is counted by the coordinator's own clock from when it learned of it.
     epoch since;
@@ -46,7 +49,8 @@
 };
 
 /// Which instances make up the groups of one data centre: the value in the key-value service that all else follows.
-struct allotment {
+struct allotment
+{
     /// Rises with every coordinator that takes over.
     epoch current;
     daemon_id coordinator;
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -66,6 +66,9 @@
     actions operator()(const renewal_answer &event)
     {
         m_state.isCalling = false;
+        if (m_state.phase == coordinator_phase::follower) {
+            return {};
+        }
         if (!event.isRenewed) {
             pause();
             return {};
@@ -82,6 +85,9 @@
     actions operator()(const allotment_answer &event)
     {
         m_state.isCalling = false;
+        if (m_state.phase == coordinator_phase::follower) {
+            return {};
+        }
         const auto value = event.isRead ? allotmentFrom(event.entry.value) : std::nullopt;
         if (!value) {
             pause();
@@ -102,6 +108,10 @@
     actions operator()(const write_answer &event)
     {
         m_state.isCalling = false;
+        if (!m_state.pending) {
+            // The lease ended while the write was under way: whatever came of it, it is no longer this daemon's to use.
+            return {};
+        }
         switch (event.result.outcome) {
         case swap_outcome::applied:
             accept(*m_state.pending, event.result.changed);
@@ -214,7 +224,8 @@
 
     actions plan()
     {
-        const planning_input input{m_state.accepted, m_view.tracker, m_view.wants, m_view.store, m_state.notBefore, m_view.now, m_view.calendarNow};
+        const planning_input input{
+            m_state.accepted, m_view.tracker, m_view.wants, m_view.store, m_state.notBefore, m_view.now, m_view.calendarNow};
         auto result = planGroups(input, m_state.settings.policy);
         m_state.lastDecisions = std::move(result.decisions);
         if (!result.hasChanged || allotmentProblem(result.next)) {
@@ -224,13 +235,14 @@
         return write(std::move(result.next));
     }
 
-    void accept(const allotment &value, key_revision changed)
+    /// Takes the value itself: it may be the pending one, which ends here.
+    void accept(allotment value, key_revision changed)
     {
-        m_state.accepted = value;
+        m_state.accepted = std::move(value);
         m_state.acceptedRevision = changed;
         m_state.pending.reset();
         const auto wait = m_view.now + m_state.settings.orderTimeout + m_state.settings.margin;
-        for (const auto &entry : value.withheld) {
+        for (const auto &entry : m_state.accepted.withheld) {
             m_state.notBefore.emplace(entry.instance, wait);
         }
         std::erase_if(m_state.notBefore, [&](const auto &entry) { return entry.second + m_state.settings.leaseTime < m_view.now; });
--- a/Libraries/Groups/coordinator.h
+++ b/Libraries/Groups/coordinator.h
@@ -13,7 +13,8 @@
 /// The decisions of the coordinator of one data centre. docs/design/GROUPS.md.
 namespace vetchpost {
 
-struct coordinator_settings {
+struct coordinator_settings
+{
     daemon_id self;
     data_centre_id dataCentre;
     duration leaseTime{9000};
@@ -30,11 +31,13 @@
 
 // What may happen to a coordinator.
 
-struct coordinator_tick {
+struct coordinator_tick
+{
 };
 
 /// The answer to acquire_coordination.
-struct acquisition_answer {
+struct acquisition_answer
+{
     /// When the call was about to be made.
     instant asked;
     bool isAcquired = false;
@@ -42,24 +45,28 @@
 };
 
 /// The answer to renew_coordination.
-struct renewal_answer {
+struct renewal_answer
+{
     instant asked;
     /// False where the lease has lapsed; nothing where the service did not answer.
     std::optional<bool> isRenewed;
 };
 
 /// The answer to read_allotment.
-struct allotment_answer {
+struct allotment_answer
+{
     bool isRead = false;
     key_value_entry entry;
 };
 
 /// The answer to write_allotment.
-struct write_answer {
+struct write_answer
+{
     swap_result result;
 };
 
-struct order_answer {
+struct order_answer
+{
     instance_id instance;
     generation ordered;
     order_outcome outcome = order_outcome::unknown;
@@ -70,23 +77,28 @@
 // What a coordinator wants done. Of the calls to the key-value service one is under way at a time.
 
 /// Take a lease and create the coordinator's key under it.
-struct acquire_coordination {
+struct acquire_coordination
+{
 };
 
-struct renew_coordination {
+struct renew_coordination
+{
     lease_number lease;
 };
 
-struct read_allotment {
+struct read_allotment
+{
 };
 
-struct write_allotment {
+struct write_allotment
+{
     key_revision expected;
     std::string text;
 };
 
 /// Send an order, after one more look that it may still be sent.
-struct send_order {
+struct send_order
+{
     endpoint to;
     engine_order order;
 };
@@ -103,13 +115,15 @@
     active
 };
 
-struct outstanding_order {
+struct outstanding_order
+{
     generation ordered;
     instant sent;
     bool isUnderWay = false;
 };
 
-struct coordinator_state {
+struct coordinator_state
+{
     coordinator_settings settings;
     coordinator_phase phase = coordinator_phase::follower;
     lease_number lease;
@@ -131,7 +145,8 @@
 };
 
 /// What the coordinator sees beside its events.
-struct coordinator_view {
+struct coordinator_view
+{
     const instance_tracker &tracker;
     const std::vector<deployment_want> &wants;
     weight_store_state store;
--- a/Libraries/Groups/instance_tracker.cpp
+++ b/Libraries/Groups/instance_tracker.cpp
@@ -78,7 +78,8 @@
 
 bool isHeld(const tracked_instance &tracked, const tracker_limits &limits, instant now)
 {
-    const auto recent = std::count_if(tracked.losses.begin(), tracked.losses.end(), [&](instant loss) { return now - loss <= limits.flapWindow; });
+    const auto recent
+        = std::count_if(tracked.losses.begin(), tracked.losses.end(), [&](instant loss) { return now - loss <= limits.flapWindow; });
     return recent >= limits.flapsUntilHeld && tracked.returnedAt && now - *tracked.returnedAt < limits.holdTime;
 }
 
--- a/Libraries/Groups/instance_tracker.h
+++ b/Libraries/Groups/instance_tracker.h
@@ -12,13 +12,15 @@
 namespace vetchpost {
 
 /// What was last observed of an instance.
-struct instance_observation {
+struct instance_observation
+{
     instance_id instance;
     /// The instance's own word; nothing where it did not answer.
     std::optional<engine_state> state;
 };
 
-struct tracker_limits {
+struct tracker_limits
+{
     /// So many losses within the window hold an instance back ...
     int flapsUntilHeld = 3;
     duration flapWindow{900000};
@@ -27,7 +29,8 @@
 };
 
 /// What is known of one instance over time.
-struct tracked_instance {
+struct tracked_instance
+{
     listed_instance listed;
     /// Its last word; kept while it is missing.
     std::optional<engine_state> lastState;
@@ -51,7 +54,8 @@
     }
 };
 
-struct instance_tracker {
+struct instance_tracker
+{
     std::map<instance_id, tracked_instance> instances;
     tracker_limits limits;
 };
--- a/Libraries/Groups/planning.cpp
+++ b/Libraries/Groups/planning.cpp
@@ -200,7 +200,8 @@
         const auto &want = *wantOf(table, *findPlannedGroup(table, entry.id));
         return std::tuple(-want.wanted.priority, entry.lostRanks.size(), entry.id);
     };
-    std::stable_sort(broken.begin(), broken.end(), [&](const broken_group &left, const broken_group &right) { return order(left) < order(right); });
+    std::stable_sort(
+        broken.begin(), broken.end(), [&](const broken_group &left, const broken_group &right) { return order(left) < order(right); });
     while (!broken.empty()) {
         const auto group = broken.front();
         broken.erase(broken.begin());
@@ -224,7 +225,8 @@
                 continue;
             }
         }
-        const auto why = fmt::format("{} of {} members lost, expected {} s", group.lostRanks.size(), planned->members.size(), chosen->expectedTime.count() / 1000);
+        const auto why = fmt::format(
+            "{} of {} members lost, expected {} s", group.lostRanks.size(), planned->members.size(), chosen->expectedTime.count() / 1000);
         applyRepair(table, group, *chosen);
         std::erase_if(broken, [&](const broken_group &other) { return other.id == chosen->source; });
         note(table, group.id, chosen->action, why, options);
--- a/Libraries/Groups/planning.h
+++ b/Libraries/Groups/planning.h
@@ -15,13 +15,15 @@
 namespace vetchpost {
 
 /// How many replicas of a deployment this data centre is to run.
-struct deployment_want {
+struct deployment_want
+{
     deployment wanted;
     int replicas = 0;
 };
 
 /// The numbers that planning weighs with. docs/design/GROUPS.md gives their sources.
-struct planning_policy {
+struct planning_policy
+{
     /// A member that is missing for less is only waited for.
     duration missingGrace{3000};
     /// So long a domain of which most is missing at once is waited for before its groups are built elsewhere.
@@ -47,7 +49,8 @@
     duration drainTimeout{600000};
 };
 
-struct planning_input {
+struct planning_input
+{
     const allotment &current;
     const instance_tracker &tracker;
     const std::vector<deployment_want> &wants;
@@ -75,7 +78,8 @@
 std::string_view planActionName(plan_action action);
 
 /// One way to make a broken group whole.
-struct repair_option {
+struct repair_option
+{
     plan_action action = plan_action::wait;
     duration expectedTime{};
     double cost = 0;
@@ -86,14 +90,16 @@
 };
 
 /// What was decided of one group, and why.
-struct planning_decision {
+struct planning_decision
+{
     group_id group;
     plan_action action = plan_action::wait;
     std::string why;
     std::vector<repair_option> alternatives;
 };
 
-struct planning_result {
+struct planning_result
+{
     allotment next;
     bool hasChanged = false;
     std::vector<planning_decision> decisions;
--- a/Libraries/Groups/planning_table.cpp
+++ b/Libraries/Groups/planning_table.cpp
@@ -46,8 +46,7 @@
         }
     }
     for (auto &[id, domain] : table.domains) {
-        domain.isDark = domain.missing >= table.policy.darkDomainInstances
-            && domain.missing >= table.policy.darkDomainShare * domain.listed
+        domain.isDark = domain.missing >= table.policy.darkDomainInstances && domain.missing >= table.policy.darkDomainShare * domain.listed
             && input.now - domain.lastLoss < table.policy.darkDomainGrace;
     }
 }
--- a/Libraries/Groups/planning_table.h
+++ b/Libraries/Groups/planning_table.h
@@ -11,7 +11,8 @@
 namespace vetchpost {
 
 /// One fabric domain during a planning round.
-struct planned_domain {
+struct planned_domain
+{
     /// Instances that may be placed, in the order of their names.
     std::set<instance_id> free;
     int listed = 0;
@@ -22,7 +23,8 @@
 };
 
 /// The working state of one planning round.
-struct planning_table {
+struct planning_table
+{
     const planning_input &input;
     const planning_policy &policy;
     allotment next;
--- a/Libraries/Groups/repair_choice.cpp
+++ b/Libraries/Groups/repair_choice.cpp
@@ -50,7 +50,10 @@
     return chosen;
 }
 
-int loadsFor(const planning_table &table, const model_choice &choice, const std::vector<std::size_t> &ranks, const std::vector<instance_id> &chosen)
+int loadsFor(const planning_table &table,
+             const model_choice &choice,
+             const std::vector<std::size_t> &ranks,
+             const std::vector<instance_id> &chosen)
 {
     int loads = 0;
     for (std::size_t place = 0; place < ranks.size(); ++place) {
@@ -81,7 +84,9 @@
         addRebuild();
         addSpan();
         addPreemption();
-        std::stable_sort(m_options.begin(), m_options.end(), [](const repair_option &left, const repair_option &right) { return left.cost < right.cost; });
+        std::stable_sort(m_options.begin(), m_options.end(), [](const repair_option &left, const repair_option &right) {
+            return left.cost < right.cost;
+        });
         return std::move(m_options);
     }
 
--- a/Libraries/Groups/repair_choice.h
+++ b/Libraries/Groups/repair_choice.h
@@ -8,7 +8,8 @@
 namespace vetchpost {
 
 /// A group with members that must be replaced.
-struct broken_group {
+struct broken_group
+{
     group_id id;
     std::vector<std::size_t> lostRanks;
     /// How long the longest missing member has been away.
--- a/Libraries/Groups/replica_shares.cpp
+++ b/Libraries/Groups/replica_shares.cpp
@@ -18,8 +18,10 @@
 std::vector<data_centre_share> shareReplicas(int replicas, std::vector<data_centre_offer> offers)
 {
     std::sort(offers.begin(), offers.end(), [](const auto &left, const auto &right) { return left.dataCentre < right.dataCentre; });
-    const auto totalRoom = std::accumulate(offers.begin(), offers.end(), std::int64_t(0), [](std::int64_t sum, const auto &offer) { return sum + offer.room; });
+    const auto totalRoom = std::accumulate(
+        offers.begin(), offers.end(), std::int64_t(0), [](std::int64_t sum, const auto &offer) { return sum + offer.room; });
     std::vector<data_centre_share> shares;
+    shares.reserve(offers.size());
     for (const auto &offer : offers) {
         shares.push_back({offer.dataCentre, 0});
     }
--- a/Libraries/Groups/replica_shares.h
+++ b/Libraries/Groups/replica_shares.h
@@ -8,13 +8,15 @@
 namespace vetchpost {
 
 /// What one data centre offers to one deployment.
-struct data_centre_offer {
+struct data_centre_offer
+{
     data_centre_id dataCentre;
     /// How many whole replicas its listed instances have room for.
     int room = 0;
 };
 
-struct data_centre_share {
+struct data_centre_share
+{
     data_centre_id dataCentre;
     int replicas = 0;
 };
--- a/Libraries/Http/http_client.cpp
+++ b/Libraries/Http/http_client.cpp
@@ -138,8 +138,10 @@
     return exchange(*session, call, false, lastReason);
 }
 
-struct http_connection_pool::private_data {
-    struct kept_connection {
+struct http_connection_pool::private_data
+{
+    struct kept_connection
+    {
         session_pointer session;
         instant since;
     };
@@ -202,7 +204,8 @@
     return reply;
 }
 
-struct http_stream::private_data {
+struct http_stream::private_data
+{
     session_pointer session;
     Poco::Net::HTTPResponse response;
     std::istream *body = nullptr;
--- a/Libraries/Http/http_client.h
+++ b/Libraries/Http/http_client.h
@@ -34,13 +34,7 @@
 };
 
 /// What came of waiting for the next line of a streamed answer.
-enum class stream_wait {
-    line,
-    end,
-    lost,
-    timeout,
-    caller_left
-};
+enum class stream_wait { line, end, lost, timeout, caller_left };
 
 /// A streamed answer that is read line by line on a connection of its own.
 class http_stream
--- a/Libraries/Http/http_message.h
+++ b/Libraries/Http/http_message.h
@@ -10,13 +10,15 @@
 
 namespace vetchpost {
 
-struct http_header {
+struct http_header
+{
     std::string name;
     std::string value;
 };
 
 /// One call to another process.
-struct http_call {
+struct http_call
+{
     endpoint to;
     std::string method = "GET";
     /// The path with the query.
@@ -30,7 +32,8 @@
 };
 
 /// The whole answer to a call.
-struct http_reply {
+struct http_reply
+{
     int status = 0;
     std::vector<http_header> headers;
     std::string body;
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -32,7 +32,8 @@
 
 } // namespace
 
-struct http_exchange::private_data {
+struct http_exchange::private_data
+{
     Poco::Net::HTTPServerRequest &request;
     Poco::Net::HTTPServerResponse &response;
     Poco::URI uri;
@@ -271,7 +272,8 @@
 
 } // namespace
 
-struct http_server::private_data {
+struct http_server::private_data
+{
     handler handle;
     std::atomic<int> active = 0;
     Poco::ThreadPool threads;
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -53,7 +53,8 @@
     private_data &d;
 };
 
-struct http_server_limits {
+struct http_server_limits
+{
     int maximumThreads = 64;
     int maximumQueued = 64;
     std::size_t threadStackBytes = 256U * 1024U;
--- a/Libraries/Peers/exchange.cpp
+++ b/Libraries/Peers/exchange.cpp
@@ -210,7 +210,8 @@
             }
             const auto theirVersion = isSameRun ? known->second->version : 0;
             if (!isSameRun || theirVersion < origin.version) {
-                delta.origins.push_back({daemon, origin.run, origin.heartbeat, theirVersion, origin.version, factsAfter(origin, theirVersion)});
+                delta.origins.push_back(
+                    {daemon, origin.run, origin.heartbeat, theirVersion, origin.version, factsAfter(origin, theirVersion)});
             }
         }
     }
@@ -220,8 +221,8 @@
     }
     for (const auto &[name, value] : state.registers) {
         const auto known = theirRegisters.find(name);
-        const bool isKnown = known != theirRegisters.end()
-            && std::tie(known->second->major, known->second->minor) >= std::tie(value.major, value.minor);
+        const bool isKnown
+            = known != theirRegisters.end() && std::tie(known->second->major, known->second->minor) >= std::tie(value.major, value.minor);
         if (isInScope(name, scope) && !isKnown) {
             delta.registers.push_back(value);
         }
@@ -237,8 +238,7 @@
     };
     const auto isRegisterNewer = [&](const register_digest &entry) {
         const auto known = state.registers.find(entry.name);
-        return known == state.registers.end()
-            || std::tie(entry.major, entry.minor) > std::tie(known->second.major, known->second.minor);
+        return known == state.registers.end() || std::tie(entry.major, entry.minor) > std::tie(known->second.major, known->second.minor);
     };
     return std::any_of(digest.origins.begin(), digest.origins.end(), isOriginNewer)
         || std::any_of(digest.registers.begin(), digest.registers.end(), isRegisterNewer);
--- a/Libraries/Peers/exchange.h
+++ b/Libraries/Peers/exchange.h
@@ -13,14 +13,16 @@
 namespace vetchpost {
 
 /// One named value that a daemon says of itself or of what it observes. An empty value means that it was withdrawn.
-struct peer_fact {
+struct peer_fact
+{
     std::string name;
     std::string value;
     std::uint64_t version = 0;
 };
 
 /// A value with one order over all daemons: of two, the one with the higher order holds. Its origin does not matter.
-struct shared_register {
+struct shared_register
+{
     std::string name;
     std::uint64_t major = 0;
     std::uint64_t minor = 0;
@@ -31,7 +33,8 @@
 constexpr auto localRegisterPrefix = "local/";
 
 /// All that is known of one daemon of the own data centre.
-struct peer_origin {
+struct peer_origin
+{
     incarnation run;
     std::uint64_t heartbeat = 0;
     std::uint64_t version = 0;
@@ -42,7 +45,8 @@
     instant heard;
 };
 
-struct liveness_limits {
+struct liveness_limits
+{
     duration suspectAfter{6000};
     duration deadAfter{15000};
     /// A dead daemon is forgotten after this time.
@@ -59,7 +63,8 @@
     dead
 };
 
-struct exchange_state {
+struct exchange_state
+{
     daemon_id self;
     std::map<daemon_id, peer_origin> origins;
     std::map<std::string, shared_register> registers;
@@ -67,26 +72,30 @@
     std::optional<instant> lastTick;
 };
 
-struct origin_digest {
+struct origin_digest
+{
     daemon_id daemon;
     incarnation run;
     std::uint64_t heartbeat = 0;
     std::uint64_t version = 0;
 };
 
-struct register_digest {
+struct register_digest
+{
     std::string name;
     std::uint64_t major = 0;
     std::uint64_t minor = 0;
 };
 
 /// What a daemon knows, without the values.
-struct exchange_digest {
+struct exchange_digest
+{
     std::vector<origin_digest> origins;
     std::vector<register_digest> registers;
 };
 
-struct origin_delta {
+struct origin_delta
+{
     daemon_id daemon;
     incarnation run;
     std::uint64_t heartbeat = 0;
@@ -98,7 +107,8 @@
 };
 
 /// What one daemon knows and another does not.
-struct exchange_delta {
+struct exchange_delta
+{
     std::vector<origin_delta> origins;
     std::vector<shared_register> registers;
 
@@ -109,7 +119,8 @@
 };
 
 /// What a delta changed.
-struct exchange_changes {
+struct exchange_changes
+{
     bool haveFactsChanged = false;
     std::vector<std::string> registers;
 
@@ -120,10 +131,7 @@
 };
 
 /// Which part of the state goes to a peer: all of it inside a data centre, only wide registers outside.
-enum class exchange_scope {
-    data_centre,
-    wide
-};
+enum class exchange_scope { data_centre, wide };
 
 exchange_state makeExchange(const daemon_id &self, incarnation run, const liveness_limits &limits);
 
--- a/Libraries/Peers/exchange_codec.cpp
+++ b/Libraries/Peers/exchange_codec.cpp
@@ -41,8 +41,7 @@
 {
     Json::Value origins(Json::arrayValue);
     for (const auto &entry : digest.origins) {
-        origins.append(
-            arrayOf({entry.daemon.value(), numberOf(entry.run.value()), numberOf(entry.heartbeat), numberOf(entry.version)}));
+        origins.append(arrayOf({entry.daemon.value(), numberOf(entry.run.value()), numberOf(entry.heartbeat), numberOf(entry.version)}));
     }
     Json::Value registers(Json::arrayValue);
     for (const auto &entry : digest.registers) {
@@ -56,7 +55,8 @@
     exchange_digest digest;
     for (const auto &entry : arrayAt(json, 0)) {
         if (!stringAt(entry, 0).empty()) {
-            digest.origins.push_back({daemon_id(stringAt(entry, 0)), incarnation(numberAt(entry, 1)), numberAt(entry, 2), numberAt(entry, 3)});
+            digest.origins.push_back(
+                {daemon_id(stringAt(entry, 0)), incarnation(numberAt(entry, 1)), numberAt(entry, 2), numberAt(entry, 3)});
         }
     }
     for (const auto &entry : arrayAt(json, 1)) {
@@ -96,7 +96,8 @@
         if (stringAt(entry, 0).empty()) {
             continue;
         }
-        origin_delta origin{daemon_id(stringAt(entry, 0)), incarnation(numberAt(entry, 1)), numberAt(entry, 2), numberAt(entry, 3), numberAt(entry, 4), {}};
+        origin_delta origin{
+            daemon_id(stringAt(entry, 0)), incarnation(numberAt(entry, 1)), numberAt(entry, 2), numberAt(entry, 3), numberAt(entry, 4), {}};
         for (const auto &fact : arrayAt(entry, 5)) {
             origin.facts.push_back({stringAt(fact, 0), stringAt(fact, 1), numberAt(fact, 2)});
         }
--- a/Libraries/Peers/exchange_targets.h
+++ b/Libraries/Peers/exchange_targets.h
@@ -10,13 +10,15 @@
 namespace vetchpost {
 
 /// A peer that could be called.
-struct peer_address {
+struct peer_address
+{
     endpoint address;
     exchange_scope scope = exchange_scope::data_centre;
 };
 
 /// All peers that a round of exchanges chooses from.
-struct peer_candidates {
+struct peer_candidates
+{
     /// Live daemons of the own data centre, without the own one.
     std::vector<endpoint> local;
     /// Daemons of other data centres, one list each.
--- a/Libraries/Peers/peer_rpc.cpp
+++ b/Libraries/Peers/peer_rpc.cpp
@@ -77,7 +77,8 @@
 
 } // namespace
 
-struct peer_rpc_server::private_data {
+struct peer_rpc_server::private_data
+{
     message_connector connector;
     method_server server;
 
--- a/Libraries/Peers/peer_rpc.h
+++ b/Libraries/Peers/peer_rpc.h
@@ -14,7 +14,8 @@
 namespace vetchpost {
 
 /// One method of the interface between daemons.
-struct peer_method {
+struct peer_method
+{
     std::string name;
     std::function<Json::Value(const Json::Value &parameters)> call;
 };
--- a/Libraries/Platform/instance_list_client.cpp
+++ b/Libraries/Platform/instance_list_client.cpp
@@ -6,7 +6,8 @@
 
 namespace vetchpost {
 
-struct instance_list_client::private_data {
+struct instance_list_client::private_data
+{
     endpoint address;
     http_connection_pool connections;
 };
--- a/Libraries/Platform/instance_list_client.h
+++ b/Libraries/Platform/instance_list_client.h
@@ -13,7 +13,8 @@
 namespace vetchpost {
 
 /// One backend server instance, as the platform's lagging list tells it.
-struct listed_instance {
+struct listed_instance
+{
     instance_id id;
     endpoint address;
     data_centre_id dataCentre;
--- a/Libraries/Platform/key_value_client.cpp
+++ b/Libraries/Platform/key_value_client.cpp
@@ -42,7 +42,8 @@
 
 } // namespace
 
-struct key_value_client::private_data {
+struct key_value_client::private_data
+{
     endpoint address;
     http_connection_pool connections;
     counter reads;
--- a/Libraries/Platform/key_value_client.h
+++ b/Libraries/Platform/key_value_client.h
@@ -19,7 +19,8 @@
 /// A lease of the key-value service; 0 means none.
 using lease_number = sequence<struct lease_tag>;
 
-struct key_value_entry {
+struct key_value_entry
+{
     std::string key;
     std::string value;
     key_revision changed;
@@ -36,14 +37,16 @@
     not_sent
 };
 
-struct swap_result {
+struct swap_result
+{
     swap_outcome outcome = swap_outcome::not_sent;
     /// The revision after the write; only where it was applied.
     key_revision changed;
 };
 
 /// What a waiting watch saw.
-struct watch_result {
+struct watch_result
+{
     /// The service's revision up to which this answer tells all changes.
     std::uint64_t upTo = 0;
     std::vector<key_value_entry> changes;
--- a/Libraries/Platform/weight_store_client.cpp
+++ b/Libraries/Platform/weight_store_client.cpp
@@ -6,7 +6,8 @@
 
 namespace vetchpost {
 
-struct weight_store_client::private_data {
+struct weight_store_client::private_data
+{
     endpoint address;
     http_connection_pool connections;
 };
--- a/Libraries/Platform/weight_store_client.h
+++ b/Libraries/Platform/weight_store_client.h
@@ -10,7 +10,8 @@
 namespace vetchpost {
 
 /// How busy the weight store is.
-struct weight_store_state {
+struct weight_store_state
+{
     /// Loads of one instance that it can feed at full rate at the same time.
     int concurrentLoads = 0;
     /// Loads that it feeds at this moment.
--- a/Libraries/Requests/answer_check.cpp
+++ b/Libraries/Requests/answer_check.cpp
@@ -18,7 +18,8 @@
     if (piece.request != progress.request) {
         return piece_verdict::foreign;
     }
-    const bool isOfGroup = progress.group.isEmpty() || piece.group.isEmpty() || (piece.group == progress.group && piece.sender == progress.expected);
+    const bool isOfGroup
+        = progress.group.isEmpty() || piece.group.isEmpty() || (piece.group == progress.group && piece.sender == progress.expected);
     if (!isOfGroup) {
         return piece_verdict::foreign;
     }
--- a/Libraries/Requests/answer_check.h
+++ b/Libraries/Requests/answer_check.h
@@ -10,7 +10,8 @@
 namespace vetchpost {
 
 /// One line of an engine's streamed answer.
-struct answer_piece {
+struct answer_piece
+{
     request_id request;
     group_id group;
     generation sender;
@@ -23,7 +24,8 @@
 };
 
 /// How far an answer has come to its caller.
-struct answer_progress {
+struct answer_progress
+{
     request_id request;
     /// Where the piece must come from; an empty group accepts any.
     group_id group;
--- a/Libraries/Requests/claim_batcher.h
+++ b/Libraries/Requests/claim_batcher.h
@@ -11,14 +11,16 @@
 /// Writes the claims of one shard in batches. docs/design/CLAIMS.md.
 namespace vetchpost {
 
-struct pending_claim {
+struct pending_claim
+{
     claim_operation operation;
     /// When the asker stops waiting; a claim only.
     instant deadline;
 };
 
 /// The final word on a claim.
-struct claim_answer {
+struct claim_answer
+{
     request_id owner;
     /// Nothing: it could not be claimed and will not be, so that the request must not run.
     std::optional<claim_verdict> verdict;
@@ -26,17 +28,20 @@
     claim_record decidedBy;
 };
 
-struct read_shard {
+struct read_shard
+{
 };
 
-struct write_shard {
+struct write_shard
+{
     key_revision expected;
     std::string text;
 };
 
 using claim_action = std::variant<read_shard, write_shard, claim_answer>;
 
-struct claim_batcher {
+struct claim_batcher
+{
     unsigned shard = 0;
     duration batchPeriod{50};
     duration retryPause{500};
--- a/Libraries/Requests/claim_shard.cpp
+++ b/Libraries/Requests/claim_shard.cpp
@@ -36,7 +36,8 @@
 claim_verdict applyClaim(claim_shard &shard, const claim_operation &operation, claim_record &decidedBy)
 {
     const auto &asked = operation.record;
-    const auto found = std::find_if(shard.claims.begin(), shard.claims.end(), [&](const claim_record &known) { return known.key == asked.key; });
+    const auto found
+        = std::find_if(shard.claims.begin(), shard.claims.end(), [&](const claim_record &known) { return known.key == asked.key; });
     if (operation.change == claim_change::claim) {
         if (found == shard.claims.end()) {
             shard.claims.push_back(asked);
--- a/Libraries/Requests/claim_shard.h
+++ b/Libraries/Requests/claim_shard.h
@@ -21,7 +21,8 @@
 };
 
 /// One keyed request that was claimed.
-struct claim_record {
+struct claim_record
+{
     /// The fingerprint of organisation, deployment and key.
     std::string key;
     /// The fingerprint of the request's body: the same key with another body is a mistake of the caller.
@@ -35,7 +36,8 @@
 };
 
 /// The claims of one part of all keys: one value of the key-value service.
-struct claim_shard {
+struct claim_shard
+{
     std::vector<claim_record> claims;
 };
 
@@ -60,7 +62,8 @@
     withdraw
 };
 
-struct claim_operation {
+struct claim_operation
+{
     claim_change change = claim_change::claim;
     claim_record record;
 };
--- a/Libraries/Requests/fair_queue.cpp
+++ b/Libraries/Requests/fair_queue.cpp
@@ -90,7 +90,8 @@
 {
     for (auto &[priority, level] : queue.levels) {
         for (auto &[organisation, flow] : level.flows) {
-            const auto removed = flow.waiting.remove_if([&](const fair_queue::waiting_request &waiting) { return waiting.request.ticket == ticket; });
+            const auto removed
+                = flow.waiting.remove_if([&](const fair_queue::waiting_request &waiting) { return waiting.request.ticket == ticket; });
             if (removed != 0) {
                 --queue.length;
                 return true;
--- a/Libraries/Requests/fair_queue.h
+++ b/Libraries/Requests/fair_queue.h
@@ -13,7 +13,8 @@
 namespace vetchpost {
 
 /// One waiting request.
-struct queued_request {
+struct queued_request
+{
     std::uint64_t ticket = 0;
     organisation_id organisation;
     int priority = 0;
@@ -24,25 +25,30 @@
     instant deadline;
 };
 
-struct fair_queue_limits {
+struct fair_queue_limits
+{
     std::size_t longest = 1000;
 };
 
 /// Requests that wait for a place at a deployment: strictly by priority, and within one priority by start-time fair
 /// queueing, so that each organisation gets tokens in proportion to its weight.
-struct fair_queue {
-    struct waiting_request {
+struct fair_queue
+{
+    struct waiting_request
+    {
         queued_request request;
         double startTag = 0;
     };
 
     /// One organisation at one priority, with its requests in the order of arrival.
-    struct flow {
+    struct flow
+    {
         std::list<waiting_request> waiting;
         double lastFinish = 0;
     };
 
-    struct priority_level {
+    struct priority_level
+    {
         std::map<organisation_id, flow> flows;
         double virtualTime = 0;
     };
--- a/Libraries/Requests/limit_split.h
+++ b/Libraries/Requests/limit_split.h
@@ -15,7 +15,8 @@
 };
 
 /// What one daemon was asked for by one organisation of late.
-struct daemon_demand {
+struct daemon_demand
+{
     double tokensPerSecond = 0;
     /// The urgency of that demand, as the paper's weight; 1 for the usual.
     double weight = 1;
@@ -25,7 +26,8 @@
 std::vector<double> splitLimit(double limit, const std::vector<daemon_demand> &demands, limit_split rule);
 
 /// A limit that lets tokens through as they come in, with a burst of one second.
-struct token_bucket {
+struct token_bucket
+{
     double rate = 0;
     double available = 0;
     std::int64_t filledAt = 0;
--- a/Libraries/Requests/recovery.h
+++ b/Libraries/Requests/recovery.h
@@ -25,7 +25,8 @@
 };
 
 /// What is known of a request between two tries.
-struct request_progress {
+struct request_progress
+{
     /// It may run more than once.
     bool isRepeatable = true;
     /// The engine can take up a stream that it still has.
@@ -49,7 +50,8 @@
     give_up
 };
 
-struct recovery {
+struct recovery
+{
     recovery_step step = recovery_step::give_up;
     /// The final answer's kind where it is given up.
     error_kind kind = error_kind::internal;
--- a/Libraries/Requests/replica_limit.h
+++ b/Libraries/Requests/replica_limit.h
@@ -6,7 +6,8 @@
 namespace vetchpost {
 
 /// How many requests this daemon keeps at one replica at a time: learned, additive increase and multiplicative decrease.
-struct replica_limit {
+struct replica_limit
+{
     double value = 8;
     double least = 1;
     double most = 512;
--- a/Libraries/Requests/retry_budget.h
+++ b/Libraries/Requests/retry_budget.h
@@ -6,7 +6,8 @@
 namespace vetchpost {
 
 /// Bounds the retries of a deployment to a share of its first tries, so that a brown-out is not fed by retries.
-struct retry_budget {
+struct retry_budget
+{
     /// What each first try adds.
     double share = 0.1;
     double most = 20;
--- a/Libraries/Requests/router.cpp
+++ b/Libraries/Requests/router.cpp
@@ -67,9 +67,11 @@
 
 /// The replica where this prefix is most likely cached: the first two in the prefix's own order of all, so that its cache
 /// stands in few places and one of them can still be passed over.
-std::optional<std::size_t> bestForPrefix(const std::vector<replica_load> &replicas, std::uint64_t prefix, double bound, double median, const routing_policy &policy)
+std::optional<std::size_t>
+bestForPrefix(const std::vector<replica_load> &replicas, std::uint64_t prefix, double bound, double median, const routing_policy &policy)
 {
-    struct ranked_replica {
+    struct ranked_replica
+    {
         std::uint64_t rank = 0;
         std::size_t place = 0;
     };
--- a/Libraries/Requests/router.h
+++ b/Libraries/Requests/router.h
@@ -14,7 +14,8 @@
 namespace vetchpost {
 
 /// What a choice needs to know of one replica.
-struct replica_load {
+struct replica_load
+{
     /// A hash of the group's name, for the rendezvous of prefixes.
     std::uint64_t place = 0;
     /// What the engine reported last: running and queued.
@@ -33,7 +34,8 @@
     bool isExcluded = false;
 };
 
-struct routing_policy {
+struct routing_policy
+{
     /// How far above the mean load a replica may be and still be chosen for its cache.
     double affinityBound = 1.25;
     /// Replicas slower than this multiple of the median get less.
--- a/Libraries/Settings/daemon_settings.h
+++ b/Libraries/Settings/daemon_settings.h
@@ -14,7 +14,8 @@
 namespace vetchpost {
 
 /// What one daemon is told at its start. Every key is described in docs/OPERATING.md.
-struct daemon_settings {
+struct daemon_settings
+{
     daemon_id daemon;
     data_centre_id dataCentre;
     endpoint callers;
--- a/Libraries/Settings/yaml_reader.cpp
+++ b/Libraries/Settings/yaml_reader.cpp
@@ -23,8 +23,8 @@
     return fmt::format("{}:{}: {}: expected {}", file, line, key.empty() ? "(root)" : key, expected);
 }
 
-yaml_reader::yaml_reader(YAML::Node node, std::string file, std::string path, std::vector<yaml_problem> &problems)
-    : m_node(std::move(node))
+yaml_reader::yaml_reader(const YAML::Node &node, std::string file, std::string path, std::vector<yaml_problem> &problems)
+    : m_node(node)
     , m_file(std::move(file))
     , m_path(std::move(path))
     , m_problems(&problems)
@@ -79,7 +79,7 @@
 
 std::string yaml_reader::choice(const std::string &key, const std::vector<std::string> &choices, const std::string &defaultValue)
 {
-    const auto value = scalar(key).value_or(defaultValue);
+    auto value = scalar(key).value_or(defaultValue);
     if (std::find(choices.begin(), choices.end(), value) == choices.end()) {
         report(key, fmt::format("one of {}", fmt::join(choices, ", ")));
         return defaultValue;
--- a/Libraries/Settings/yaml_reader.h
+++ b/Libraries/Settings/yaml_reader.h
@@ -12,7 +12,8 @@
 namespace vetchpost {
 
 /// One thing that is wrong with a YAML file.
-struct yaml_problem {
+struct yaml_problem
+{
     std::string file;
     /// Counted from 1; 0 where the problem has no place.
     int line = 0;
@@ -29,7 +30,7 @@
 class yaml_reader
 {
 public:
-    yaml_reader(YAML::Node node, std::string file, std::string path, std::vector<yaml_problem> &problems);
+    yaml_reader(const YAML::Node &node, std::string file, std::string path, std::vector<yaml_problem> &problems);
 
     bool has(const std::string &key) const;
     std::string requiredString(const std::string &key);
--- a/Services/vetchpostd/main.cpp
+++ b/Services/vetchpostd/main.cpp
@@ -31,11 +31,7 @@
 
 constexpr auto version = "vetchpostd 0.1.0";
 
-enum exit_code {
-    exit_good = 0,
-    exit_cannot_bind = 1,
-    exit_bad_settings = 2
-};
+enum exit_code { exit_good = 0, exit_cannot_bind = 1, exit_bad_settings = 2 };
 
 } // namespace
 
--- a/Tests/Fakes/fake_key_value_store.h
+++ b/Tests/Fakes/fake_key_value_store.h
@@ -12,14 +12,17 @@
 
 /// The platform's key-value service as a plain struct: keys with revisions, leases that lapse. Used by the fuzzers and by the
 /// stand-in process.
-struct fake_key_value_store {
-    struct stored_entry {
+struct fake_key_value_store
+{
+    struct stored_entry
+    {
         std::string value;
         key_revision changed;
         lease_number lease;
     };
 
-    struct stored_lease {
+    struct stored_lease
+    {
         duration time{};
         instant ends;
     };
--- /dev/null
+++ b/Tests/Groups/groupWorld.cpp
@@ -0,0 +1,431 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Tests/Groups/groupWorld.h"
+
+#include <fmt/format.h>
+
+namespace vetchpost::test {
+
+namespace {
+
+constexpr int domains = 3;
+constexpr int enginesPerDomain = 6;
+constexpr int groupSize = 2;
+constexpr int coordinators = 3;
+constexpr duration tick(200);
+constexpr duration loadTime(1500);
+const data_centre_id dataCentre("ikeja");
+
+deployment makeDeployment(const std::string &name, int priority, bool checksFencing)
+{
+    deployment wanted;
+    wanted.id = deployment_id(name);
+    wanted.model = "large";
+    wanted.version = "1";
+    wanted.instancesPerReplica = groupSize;
+    wanted.priority = priority;
+    wanted.enginesCheckFencing = checksFencing;
+    wanted.keptPercent = 50;
+    wanted.loadTime = loadTime;
+    wanted.restartTime = std::chrono::seconds(10);
+    return wanted;
+}
+
+/// What an order's acceptance rests on: this placement was written before.
+std::string placementName(const group_id &group, generation ordered, int rank, const instance_id &instance)
+{
+    return fmt::format("{} {} {} {}", group.value(), ordered.value(), rank, instance.value());
+}
+
+} // namespace
+
+group_world::group_world(bool checksFencing, std::uint64_t seed)
+    : m_randomState(seed)
+{
+    for (int i = 0; i < domains * enginesPerDomain; ++i) {
+        fake_engine engine;
+        engine.listed.id = instance_id(fmt::format("e{:02}", i));
+        engine.listed.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + i)};
+        engine.listed.dataCentre = dataCentre;
+        engine.listed.fabricDomain = fabric_domain_id(fmt::format("rack{}", i / enginesPerDomain));
+        engine.checksFencing = checksFencing;
+        engine.state.instance = engine.listed.id;
+        engine.state.run = incarnation(1);
+        m_engines.push_back(std::move(engine));
+    }
+    m_wants.push_back({makeDeployment("filing", 5, checksFencing), 4});
+    m_wants.push_back({makeDeployment("notes", 1, checksFencing), 2});
+    for (int i = 0; i < coordinators; ++i) {
+        coordinator_settings settings;
+        settings.self = daemon_id(fmt::format("d{}", i));
+        settings.dataCentre = dataCentre;
+        settings.policy.drainSettle = duration(400);
+        settings.policy.drainTimeout = duration(5000);
+        fake_coordinator coordinator;
+        coordinator.state = makeCoordinator(settings);
+        m_coordinators.push_back(std::move(coordinator));
+    }
+}
+
+std::uint64_t group_world::random()
+{
+    return m_randomState = hashOf(fmt::format("{}", m_randomState));
+}
+
+duration group_world::randomDelay(duration most)
+{
+    return duration(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(most.count() + 1)));
+}
+
+void group_world::breakRule(const std::string &what)
+{
+    if (m_violation.empty()) {
+        m_violation = what;
+    }
+}
+
+bool group_world::isServiceReachable(const fake_coordinator &coordinator) const
+{
+    return m_now >= m_serviceDownUntil && !coordinator.isCutFromService;
+}
+
+void group_world::apply(const world_step &step)
+{
+    auto &engine = m_engines[static_cast<std::size_t>(step.subject) % m_engines.size()];
+    auto &coordinator = m_coordinators[static_cast<std::size_t>(step.subject) % m_coordinators.size()];
+    switch (step.kind) {
+    case 0:
+        engine.isAlive = false;
+        break;
+    case 1:
+        if (!engine.isAlive) {
+            engine.isAlive = true;
+            engine.loadedAt.reset();
+            engine.state = {};
+            engine.state.instance = engine.listed.id;
+            engine.state.run = incarnation(++engine.runs);
+        }
+        break;
+    case 2:
+        // It was only cut off: it comes back as it was.
+        engine.isAlive = true;
+        break;
+    case 3:
+        coordinator.isPaused = !coordinator.isPaused;
+        break;
+    case 4:
+        coordinator.isCutFromService = !coordinator.isCutFromService;
+        break;
+    case 5:
+        coordinator.isCutFromEngines = !coordinator.isCutFromEngines;
+        break;
+    case 6:
+        m_serviceDownUntil = m_now + duration(step.amount % 60000);
+        break;
+    case 7:
+        m_repliesToLose += 1 + step.amount % 3;
+        break;
+    case 8:
+        m_wants[0].replicas = 2 + step.amount % 4;
+        break;
+    case 9:
+        m_wants[0].wanted.version = std::to_string(1 + step.amount % 3);
+        break;
+    case 10:
+        engine.listed.isLeaving = !engine.listed.isLeaving;
+        break;
+    case 11: {
+        // A whole fabric domain goes dark, or comes back.
+        const auto &domain = engine.listed.fabricDomain;
+        const bool isAlive = !engine.isAlive;
+        for (auto &other : m_engines) {
+            other.isAlive = other.listed.fabricDomain == domain ? isAlive : other.isAlive;
+        }
+        break;
+    }
+    default:
+        break;
+    }
+    advance(duration(step.amount % 4000));
+}
+
+void group_world::heal(duration time)
+{
+    m_serviceDownUntil = m_now;
+    m_repliesToLose = 0;
+    for (auto &coordinator : m_coordinators) {
+        coordinator.isPaused = false;
+        coordinator.isCutFromService = false;
+        coordinator.isCutFromEngines = false;
+    }
+    for (auto &engine : m_engines) {
+        engine.isAlive = true;
+        engine.listed.isLeaving = false;
+    }
+    const auto end = m_now + time;
+    while (m_now < end && m_violation.empty() && servingGroups() != wantedGroups()) {
+        advance(std::chrono::seconds(1));
+    }
+}
+
+void group_world::advance(duration time)
+{
+    const auto end = m_now + time;
+    while (m_now < end && m_violation.empty()) {
+        m_now += tick;
+        m_store.expire(m_now);
+        applyLateWrites();
+        deliverOrders();
+        tickAll();
+        check();
+    }
+}
+
+void group_world::tickAll()
+{
+    for (auto &coordinator : m_coordinators) {
+        if (coordinator.isPaused) {
+            continue;
+        }
+        for (const auto &action : std::exchange(coordinator.held, {})) {
+            sendNow(coordinator, action);
+        }
+        observe(coordinator);
+        while (!coordinator.answers.empty() && coordinator.answers.front().first <= m_now) {
+            const auto event = coordinator.answers.front().second;
+            coordinator.answers.pop_front();
+            run(coordinator, event);
+        }
+        run(coordinator, coordinator_tick{});
+    }
+}
+
+void group_world::observe(fake_coordinator &coordinator)
+{
+    std::vector<listed_instance> list;
+    for (auto &engine : m_engines) {
+        if (engine.loadedAt && *engine.loadedAt <= m_now) {
+            engine.loadedAt.reset();
+            engine.state.phase = engine_phase::ready;
+        }
+        list.push_back(engine.listed);
+    }
+    takeList(coordinator.tracker, list);
+    for (const auto &engine : m_engines) {
+        const bool isHeard = engine.isAlive && !coordinator.isCutFromEngines;
+        takeObservation(coordinator.tracker, {engine.listed.id, isHeard ? std::optional(engine.state) : std::nullopt}, m_now);
+    }
+}
+
+void group_world::run(fake_coordinator &coordinator, const coordinator_event &event)
+{
+    coordinator_view view{coordinator.tracker, m_wants, {8, 0}, false, m_now, m_now.time_since_epoch().count()};
+    for (const auto &action : step(coordinator.state, event, view)) {
+        perform(coordinator, action);
+    }
+}
+
+void group_world::perform(fake_coordinator &coordinator, const coordinator_action &action)
+{
+    // A call may be answered late, so that its answer finds another world.
+    const auto answerAt = m_now + randomDelay(duration(3000));
+    const bool isReachable = isServiceReachable(coordinator);
+    const auto answer = [&](const coordinator_event &event) { coordinator.answers.emplace_back(answerAt, event); };
+    if (std::holds_alternative<acquire_coordination>(action)) {
+        acquisition_answer result{m_now, false, {}};
+        if (isReachable) {
+            result.lease = m_store.grant(coordinator.state.settings.leaseTime, m_now);
+            const auto written = m_store.swap(coordinatorKey(dataCentre), {}, coordinator.state.settings.self.value(), result.lease);
+            result.isAcquired = written.outcome == swap_outcome::applied;
+        }
+        answer(result);
+    } else if (const auto *renewal = std::get_if<renew_coordination>(&action)) {
+        answer(renewal_answer{m_now, isReachable ? std::optional(m_store.renew(renewal->lease, m_now)) : std::nullopt});
+    } else if (std::holds_alternative<read_allotment>(action)) {
+        answer(allotment_answer{isReachable, m_store.get(allotmentKey(dataCentre))});
+    } else if (const auto *write = std::get_if<write_allotment>(&action)) {
+        if (!isReachable) {
+            answer(write_answer{{swap_outcome::not_sent, {}}});
+        } else if (m_repliesToLose > 0) {
+            // The reply is lost; the write takes effect, at once or a while later.
+            --m_repliesToLose;
+            m_lateWrites.push_back({m_now + randomDelay(duration(4000)), write->expected, write->text});
+            answer(write_answer{{swap_outcome::unknown, {}}});
+        } else {
+            answer(write_answer{m_store.swap(allotmentKey(dataCentre), write->expected, write->text)});
+            checkStored();
+        }
+    } else if (const auto *order = std::get_if<send_order>(&action)) {
+        // One order in eight waits on its thread, which may be paused before it sends.
+        if (random() % 8 == 0) {
+            coordinator.held.push_back(*order);
+        } else {
+            sendNow(coordinator, *order);
+        }
+    }
+}
+
+void group_world::sendNow(fake_coordinator &coordinator, const send_order &action)
+{
+    if (!mayOrder(coordinator.state, m_now)) {
+        coordinator.answers.emplace_back(m_now, order_answer{action.order.instance, action.order.ordered, order_outcome::not_sent});
+        return;
+    }
+    const auto &order = action.order;
+    const bool isRelease = order.group.isEmpty();
+    if (!isRelease && !m_written.contains(placementName(order.group, order.ordered, order.rank, order.instance))) {
+        breakRule("an order went out before its placement was written: " + order.instance.value());
+    }
+    const auto travel = randomDelay(coordinator.state.settings.orderTimeout);
+    if (!coordinator.isCutFromEngines) {
+        m_orders.push_back({order, m_now + travel});
+    }
+    coordinator.answers.emplace_back(m_now + travel, order_answer{order.instance, order.ordered, order_outcome::accepted});
+}
+
+void group_world::deliverOrders()
+{
+    auto due = std::exchange(m_orders, {});
+    for (const auto &travelling : due) {
+        if (travelling.arrives > m_now) {
+            m_orders.push_back(travelling);
+            continue;
+        }
+        for (auto &engine : m_engines) {
+            if (engine.listed.id == travelling.order.instance && engine.isAlive) {
+                obey(engine, travelling.order);
+            }
+        }
+    }
+}
+
+void group_world::obey(fake_engine &engine, const engine_order &order)
+{
+    if (order.ordered < engine.state.confirmed) {
+        if (engine.checksFencing) {
+            return;
+        }
+        if (order.group != engine.state.group && !engine.state.group.isEmpty() && !order.group.isEmpty()) {
+            ++m_obeyedStale;
+        }
+    }
+    const bool hasWeights = engine.state.phase != engine_phase::idle && engine.state.choice == order.choice && engine.state.rank == order.rank;
+    engine.state.group = order.group;
+    engine.state.confirmed = order.ordered;
+    if (!order.group.isEmpty() && !hasWeights) {
+        engine.state.rank = order.rank;
+        engine.state.choice = order.choice;
+        engine.state.phase = engine_phase::loading;
+        engine.loadedAt = m_now + loadTime;
+    }
+}
+
+void group_world::applyLateWrites()
+{
+    auto late = std::exchange(m_lateWrites, {});
+    for (const auto &write : late) {
+        if (write.at > m_now) {
+            m_lateWrites.push_back(write);
+        } else {
+            m_store.swap(allotmentKey(dataCentre), write.expected, write.value);
+            checkStored();
+        }
+    }
+}
+
+void group_world::checkStored()
+{
+    const auto stored = allotmentFrom(m_store.get(allotmentKey(dataCentre)).value);
+    if (!stored) {
+        breakRule("the stored allotment cannot be read");
+        return;
+    }
+    if (const auto problem = allotmentProblem(*stored)) {
+        breakRule(*problem);
+    }
+    if (stored->current < m_lastStored.current || stored->lastGeneration < m_lastStored.lastGeneration) {
+        breakRule("the epoch or the last generation fell");
+    }
+    m_lastStored = *stored;
+    for (const auto &group : stored->groups) {
+        for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
+            m_written.insert(placementName(group.id, group.current, static_cast<int>(rank), group.members[rank].instance));
+        }
+    }
+}
+
+void group_world::check()
+{
+    int ordering = 0;
+    for (const auto &coordinator : m_coordinators) {
+        ordering += mayOrder(coordinator.state, m_now) ? 1 : 0;
+        if (!coordinator.isPaused && !coordinator.isCutFromEngines) {
+            checkServing(coordinator);
+        }
+    }
+    if (ordering > 1) {
+        breakRule("two coordinators may order at the same time");
+    }
+    if (m_obeyedStale > 0) {
+        breakRule("an engine that ignores fencing numbers obeyed an order of the past");
+    }
+}
+
+/// A group that is sent work must be whole, by the word of the engines themselves and not only by what was observed.
+void group_world::checkServing(const fake_coordinator &coordinator)
+{
+    std::set<instance_id> inUse;
+    for (const auto &group : coordinator.state.accepted.groups) {
+        if (standingOf(group, coordinator.tracker) != group_standing::serving) {
+            continue;
+        }
+        for (const auto &member : group.members) {
+            if (!inUse.insert(member.instance).second) {
+                breakRule("an instance serves in two groups: " + member.instance.value());
+            }
+            for (const auto &engine : m_engines) {
+                const auto &state = engine.state;
+                const bool isMember = engine.listed.id == member.instance;
+                if (isMember && (!engine.isAlive || state.group != group.id || state.confirmed != group.current || state.phase != engine_phase::ready)) {
+                    breakRule("a group serves although a member has not confirmed: " + group.id.value());
+                }
+            }
+        }
+    }
+}
+
+const std::string &group_world::violation() const
+{
+    return m_violation;
+}
+
+int group_world::servingGroups() const
+{
+    std::map<std::pair<group_id, generation>, int> ready;
+    for (const auto &engine : m_engines) {
+        if (engine.isAlive && engine.state.phase == engine_phase::ready && !engine.state.group.isEmpty()) {
+            ++ready[{engine.state.group, engine.state.confirmed}];
+        }
+    }
+    int serving = 0;
+    for (const auto &group : m_lastStored.groups) {
+        const auto found = ready.find({group.id, group.current});
+        serving += found != ready.end() && found->second == groupSize ? 1 : 0;
+    }
+    return serving;
+}
+
+int group_world::wantedGroups() const
+{
+    int wanted = 0;
+    for (const auto &want : m_wants) {
+        wanted += want.replicas;
+    }
+    return wanted;
+}
+
+int group_world::obeyedStaleOrders() const
+{
+    return m_obeyedStale;
+}
+
+} // namespace vetchpost::test
--- a/Tests/StandIns/engineModel.cpp
+++ b/Tests/StandIns/engineModel.cpp
@@ -74,8 +74,8 @@
 {
     const auto present = state(now);
     const std::lock_guard lock(m_mutex);
-    const bool isExpected = present.group.value() == jsonString(call, "group") && present.confirmed.value() == jsonNumber(call, "generation")
-        && present.phase == engine_phase::ready;
+    const bool isExpected = present.group.value() == jsonString(call, "group")
+        && present.confirmed.value() == jsonNumber(call, "generation") && present.phase == engine_phase::ready;
     if (!isExpected || m_running >= m_options.mostRunning) {
         whyNot = isExpected ? "too many requests" : "another group or generation";
         return std::nullopt;
--- a/Tests/StandIns/engineModel.h
+++ b/Tests/StandIns/engineModel.h
@@ -14,14 +14,16 @@
 namespace vetchpost::test {
 
 /// One answer that a stand-in engine makes: its words come one after another, and it stays for a while to be taken up.
-struct made_answer {
+struct made_answer
+{
     std::vector<std::string> words;
     std::uint64_t firstIndex = 0;
     instant begun;
     bool isCancelled = false;
 };
 
-struct engine_options {
+struct engine_options
+{
     bool checksFencing = true;
     duration loadTime{500};
     duration firstToken{30};
--- a/Tests/StandIns/fault_switches.h
+++ b/Tests/StandIns/fault_switches.h
@@ -11,7 +11,8 @@
 namespace vetchpost::test {
 
 /// Faults that a stand-in can be told to show, by POST /faults.
-struct fault_switches {
+struct fault_switches
+{
     /// Every call waits so long first.
     std::atomic<std::uint64_t> delayMs = 0;
     /// Every call is refused with this status; 0 for none.
@@ -40,8 +41,7 @@
     bool shouldLoseReply()
     {
         auto left = loseReplies.load();
-        while (left > 0 && !loseReplies.compare_exchange_weak(left, left - 1)) {
-        }
+        while (left > 0 && !loseReplies.compare_exchange_weak(left, left - 1)) { }
         return left > 0;
     }
 };
--- a/Tests/StandIns/standInEngine.cpp
+++ b/Tests/StandIns/standInEngine.cpp
@@ -29,7 +29,8 @@
 constexpr int serviceUnavailable = 503;
 
 /// Faults of streams, set by POST /faults beside the usual ones.
-struct stream_faults {
+struct stream_faults
+{
     /// The connection breaks after so many tokens; 0 for never.
     std::atomic<std::uint64_t> breakAfter = 0;
     /// The end marker is left out.
@@ -159,15 +160,15 @@
                 return;
             }
             const bool isLast = index + 1 == made.words.size();
-            const auto piece = fmt::format(
-                R"(data: {{"request_id":"{}","group":"{}","generation":{},"index":{},"text":{},"finish_reason":"{}"}})"
-                "\n\n",
-                id,
-                present.group.value(),
-                present.confirmed.value(),
-                index,
-                toJsonText(made.words[index]),
-                isLast ? "stop" : "");
+            const auto piece
+                = fmt::format(R"(data: {{"request_id":"{}","group":"{}","generation":{},"index":{},"text":{},"finish_reason":"{}"}})"
+                              "\n\n",
+                              id,
+                              present.group.value(),
+                              present.confirmed.value(),
+                              index,
+                              toJsonText(made.words[index]),
+                              isLast ? "stop" : "");
             if (!exchange.write(piece)) {
                 return;
             }
--- a/Utilities/vetchpost/commands.h
+++ b/Utilities/vetchpost/commands.h
@@ -6,16 +6,11 @@
 
 namespace vetchpost {
 
-enum exit_code {
-    exit_done = 0,
-    exit_refused = 1,
-    exit_bad_arguments = 2,
-    exit_conflict = 3,
-    exit_no_daemon = 4
-};
+enum exit_code { exit_done = 0, exit_refused = 1, exit_bad_arguments = 2, exit_conflict = 3, exit_no_daemon = 4 };
 
 /// The command line's options; empty where not given.
-struct command_options {
+struct command_options
+{
     std::string file;
     std::string group;
     std::string key;
@@ -31,7 +26,8 @@
     bool asJson = false;
 };
 
-struct command {
+struct command
+{
     const char *name;
     exit_code (*run)(const command_options &options);
 };
--- a/Utilities/vetchpost/configuration_commands.cpp
+++ b/Utilities/vetchpost/configuration_commands.cpp
@@ -105,7 +105,11 @@
     }
     const auto edit = options.editId.empty() ? newEditId() : options.editId;
     const auto author = options.author.empty() ? userName() : options.author;
-    const auto reply = callDaemon(options, "PUT", "/v1/configuration", *text, {{"If-Match", base}, {"X-Edit-Id", edit}, {"X-Author", author}, {"Content-Type", "application/yaml"}});
+    const auto reply = callDaemon(options,
+                                  "PUT",
+                                  "/v1/configuration",
+                                  *text,
+                                  {{"If-Match", base}, {"X-Edit-Id", edit}, {"X-Author", author}, {"Content-Type", "application/yaml"}});
     if (!reply) {
         fmt::print(stderr, "vetchpost: it is not known whether the edit was accepted; settle it with --edit-id {}\n", edit);
         return exit_no_daemon;
--- a/Utilities/vetchpost/operator_client.cpp
+++ b/Utilities/vetchpost/operator_client.cpp
@@ -22,8 +22,11 @@
 
 } // namespace
 
-std::optional<http_reply>
-callDaemon(const command_options &options, const std::string &method, const std::string &target, const std::string &body, const std::vector<http_header> &headers)
+std::optional<http_reply> callDaemon(const command_options &options,
+                                     const std::string &method,
+                                     const std::string &target,
+                                     const std::string &body,
+                                     const std::vector<http_header> &headers)
 {
     const auto address = parseEndpoint(options.daemon);
     if (!address) {
@@ -72,7 +75,11 @@
         fmt::print(stderr, "  {}\n", problem.asString());
     }
     for (const auto &edit : jsonArray(*json, "other_edits")) {
-        fmt::print(stderr, "  accepted meanwhile: revision {} by {} (edit {})\n", jsonNumber(edit, "revision"), jsonString(edit, "author"), jsonString(edit, "edit"));
+        fmt::print(stderr,
+                   "  accepted meanwhile: revision {} by {} (edit {})\n",
+                   jsonNumber(edit, "revision"),
+                   jsonString(edit, "author"),
+                   jsonString(edit, "edit"));
     }
 }
 
--- a/Utilities/vetchpost/operator_client.h
+++ b/Utilities/vetchpost/operator_client.h
@@ -11,7 +11,11 @@
 namespace vetchpost {
 
 /// Calls the operators' interface of the daemon that the options name; what went wrong is printed.
-std::optional<http_reply> callDaemon(const command_options &options, const std::string &method, const std::string &target, const std::string &body = {}, const std::vector<http_header> &headers = {});
+std::optional<http_reply> callDaemon(const command_options &options,
+                                     const std::string &method,
+                                     const std::string &target,
+                                     const std::string &body = {},
+                                     const std::vector<http_header> &headers = {});
 /// As callDaemon() for a JSON answer; nothing, with the refusal printed, where it was refused.
 std::optional<Json::Value> fetchJson(const command_options &options, const std::string &target);
 /// Prints the error of a reply.
--- a/Utilities/vetchpost/view_commands.cpp
+++ b/Utilities/vetchpost/view_commands.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Fetches a view and prints it as JSON, or as \a print makes it.
-template<class Print>
+template <class Print>
 exit_code show(const command_options &options, const std::string &target, Print print)
 {
     const auto json = fetchJson(options, target);
@@ -61,7 +61,10 @@
         fmt::print("queue {}: {} waiting\n", jsonString(queue, "deployment"), jsonNumber(queue, "waiting"));
     }
     for (const auto &shortage : jsonArray(status, "shortages")) {
-        fmt::print("short: {} serves {} of {} replicas here\n", jsonString(shortage, "deployment"), jsonNumber(shortage, "serving_here"), jsonNumber(shortage, "wanted_here"));
+        fmt::print("short: {} serves {} of {} replicas here\n",
+                   jsonString(shortage, "deployment"),
+                   jsonNumber(shortage, "serving_here"),
+                   jsonNumber(shortage, "wanted_here"));
     }
 }
 
@@ -84,7 +87,10 @@
     for (const auto &decision : decisions) {
         fmt::print("{}: {}: {}\n", jsonString(decision, "group"), jsonString(decision, "action"), jsonString(decision, "why"));
         for (const auto &option : jsonArray(decision, "alternatives")) {
-            fmt::print("    {:<18} {:>6} s  cost {:.0f}\n", jsonString(option, "action"), jsonNumber(option, "expected_seconds"), option["cost"].asDouble());
+            fmt::print("    {:<18} {:>6} s  cost {:.0f}\n",
+                       jsonString(option, "action"),
+                       jsonNumber(option, "expected_seconds"),
+                       option["cost"].asDouble());
         }
     }
 }
