--- a/Libraries/Configuration/template_parameters.cpp
+++ b/Libraries/Configuration/template_parameters.cpp
@@ -111,18 +111,15 @@
     }
     parameters.refuseUnknownKeys();
 
-    auto result = YAML::Clone(filled.values);
-    for (auto entry : result) {
-        if (!entry.second.IsScalar()) {
-            continue;
-        }
-        const auto name = parameterNameIn(entry.second.Scalar());
+    YAML::Node result(YAML::NodeType::Map);
+    for (const auto &entry : filled.values) {
+        const auto name = entry.second.IsScalar() ? parameterNameIn(entry.second.Scalar()) : std::nullopt;
         if (!name) {
-            continue;
+            result[entry.first.Scalar()] = YAML::Clone(entry.second);
+        } else if (const auto value = values.find(*name); value != values.end()) {
+            result[entry.first.Scalar()] = value->second;
         }
-        const auto value = values.find(*name);
         // A parameter that is neither given nor defaulted leaves its key out, so that the deployment's own default holds.
-        entry.second = value == values.end() ? YAML::Node() : YAML::Node(value->second);
     }
     return result;
 }
--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -10,6 +10,7 @@
 #include "Libraries/Daemon/observer.h"
 #include "Libraries/Daemon/operator_interface.h"
 
+#include <random>
 #include <thread>
 
 namespace vetchpost {
@@ -28,7 +29,7 @@
 
 incarnation newIncarnation()
 {
-    return incarnation(static_cast<std::uint64_t>(calendarMilliseconds()));
+    return makeIncarnation(static_cast<std::uint64_t>(calendarMilliseconds()), std::random_device()());
 }
 
 http_server_limits callerLimits(const daemon_settings &settings)
--- a/Libraries/Peers/exchange.cpp
+++ b/Libraries/Peers/exchange.cpp
@@ -55,13 +55,14 @@
     return &known;
 }
 
-/// Somebody told of this daemon as of a later incarnation: an old self whose clock ran ahead. Going above it lets the
-/// present self be heard.
-void outrank(exchange_state &state, incarnation told)
+/// Somebody told of an old self of this daemon that stands above the present one, because its clock ran ahead or because both
+/// began in the same moment. Going above it lets the present self be heard. The low part of the number stays: another old self
+/// may have gone above the same one before.
+void outrank(exchange_state &state, incarnation toldRun, std::uint64_t toldHeartbeat)
 {
     auto &own = state.origins.at(state.self);
-    if (told > own.run) {
-        own.run = told.next();
+    if (std::tie(toldRun, toldHeartbeat) > std::tie(own.run, own.heartbeat)) {
+        own.run = makeIncarnation(toldRun.value() / incarnationStride + 1, own.run.value());
     }
 }
 
@@ -78,6 +79,11 @@
 
 } // namespace
 
+incarnation makeIncarnation(std::uint64_t startedAt, std::uint64_t unique)
+{
+    return incarnation(startedAt * incarnationStride + unique % incarnationStride);
+}
+
 exchange_state makeExchange(const daemon_id &self, incarnation run, const liveness_limits &limits)
 {
     exchange_state state;
@@ -129,7 +135,7 @@
 {
     for (const auto &entry : digest.origins) {
         if (entry.daemon == state.self) {
-            outrank(state, entry.run);
+            outrank(state, entry.run, entry.heartbeat);
         } else if (const auto known = state.origins.find(entry.daemon); known != state.origins.end() && known->second.run == entry.run) {
             takeHeartbeat(known->second, entry.heartbeat, now);
         }
@@ -141,7 +147,7 @@
     exchange_changes changes;
     for (const auto &told : delta.origins) {
         if (told.daemon == state.self) {
-            outrank(state, told.run);
+            outrank(state, told.run, told.heartbeat);
             continue;
         }
         auto *origin = originFor(state, told.daemon, told.run, told.heartbeat, now);
--- a/Libraries/Peers/exchange.h
+++ b/Libraries/Peers/exchange.h
@@ -133,6 +133,10 @@
 /// Which part of the state goes to a peer: all of it inside a data centre, only wide registers outside.
 enum class exchange_scope { data_centre, wide };
 
+/// The number of one run of a daemon: when it started in its high part, and a number of its own in its low part.
+constexpr std::uint64_t incarnationStride = 65536;
+incarnation makeIncarnation(std::uint64_t startedAt, std::uint64_t unique);
+
 exchange_state makeExchange(const daemon_id &self, incarnation run, const liveness_limits &limits);
 
 // Commands.
--- a/Tests/Groups/groupWorld.cpp
+++ b/Tests/Groups/groupWorld.cpp
@@ -142,6 +142,14 @@
         }
         break;
     }
+    case 12:
+    case 13:
+        // Two operators race: replicas come and go faster than orders travel.
+        for (const auto replicas : {5, 2, 5, 1, 4}) {
+            m_wants[0].replicas = replicas;
+            advance(duration(200 + step.amount % 1000));
+        }
+        break;
     default:
         break;
     }
--- a/Tests/Settings/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// SPDX-License-Identifier: Apache-2.0
