--- /dev/null
+++ b/Benchmarks/benchRelay.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- a/Libraries/Daemon/admission.cpp
+++ b/Libraries/Daemon/admission.cpp
@@ -35,11 +35,10 @@
     std::mt19937_64 random{std::random_device()()};
 };
 
-replica_load loadOf(const replica_route &route, const admission_request &request, instant now)
+replica_load loadOf(const replica_route &route, const admission_request &request, double reserved, instant now)
 {
     auto &runtime = *route.runtime;
     replica_load load;
-    load.place = route.place;
     load.reported = route.reported.running + route.reported.queued;
     load.sentSince = runtime.sentSinceReport;
     load.inFlight = runtime.inFlight;
@@ -48,7 +47,7 @@
         static_cast<double>(now.time_since_epoch().count() - runtime.servingSince) / static_cast<double>(rampTime.count()), leastRamp, 1.0);
     load.isExcluded = runtime.avoidUntil > now.time_since_epoch().count() || request.tried.contains(route.group);
     const std::lock_guard lock(runtime.mutex);
-    load.limit = static_cast<int>(std::ceil(runtime.limit.value));
+    load.limit = std::max(1, static_cast<int>(std::ceil(runtime.limit.value * (1 - reserved))));
     return load;
 }
 
@@ -93,12 +92,10 @@
             if (routes == nullptr) {
                 return std::nullopt;
             }
-            std::vector<replica_load> loads;
-            loads.reserve(routes->replicas.size());
-            for (const auto &route : routes->replicas) {
-                loads.push_back(loadOf(route, request, now));
-            }
-            const auto chosen = chooseReplica(loads, request.prefix, policy, queue.random);
+            const auto reserved = reservedShare(queue.queue, request.priority);
+            const replica_choices choices{routes->places,
+                                          [&](std::size_t place) { return loadOf(routes->replicas[place], request, reserved, now); }};
+            const auto chosen = chooseReplica(choices, request.prefix, policy, queue.random);
             if (!chosen) {
                 return std::nullopt;
             }
@@ -134,10 +131,11 @@
             thread.wake.notify_one();
         }
         while (queue.queue.length > 0) {
-            // A free place is looked for on behalf of any request; only then the one whose turn it is leaves the queue.
+            // A free place is looked for before the one whose turn it is leaves the queue.
             admission_request anyone = queue.threads.begin()->second->request;
             anyone.tried.clear();
             anyone.prefix = 0;
+            anyone.priority = *nextPriority(queue.queue);
             const auto probe = choose(queue, anyone, now);
             if (!probe) {
                 return;
--- a/Libraries/Daemon/routing_snapshot.h
+++ b/Libraries/Daemon/routing_snapshot.h
@@ -49,7 +49,10 @@
 struct deployment_routes
 {
     deployment_id deployment;
+    /// In the order of their places.
     std::vector<replica_route> replicas;
+    /// The replicas' places on the ring of prefixes.
+    std::vector<std::uint64_t> places;
     std::vector<service_route> services;
 };
 
--- a/Libraries/Daemon/snapshot_builder.cpp
+++ b/Libraries/Daemon/snapshot_builder.cpp
@@ -4,6 +4,8 @@
 #include "Libraries/Base/digest.h"
 #include "Libraries/Groups/group_standing.h"
 
+#include <algorithm>
+
 namespace vetchpost {
 
 namespace {
@@ -24,6 +26,16 @@
     }
 }
 
+void orderByPlace(deployment_routes &routes)
+{
+    std::sort(routes.replicas.begin(), routes.replicas.end(), [](const replica_route &left, const replica_route &right) {
+        return left.place < right.place;
+    });
+    for (const auto &route : routes.replicas) {
+        routes.places.push_back(route.place);
+    }
+}
+
 } // namespace
 
 std::shared_ptr<replica_runtime> snapshot_builder::runtimeOf(const group_id &group, generation expected, instant now)
@@ -47,6 +59,12 @@
         route.reported = findInstance(input.tracker, group.members.front().instance)->lastState->load;
         route.runtime = runtimeOf(group.id, group.current, input.now);
         route.runtime->sentSinceReport = 0;
+        {
+            const std::lock_guard lock(route.runtime->mutex);
+            const auto there = std::max(1, route.reported.running + route.reported.queued);
+            const auto ownShare = std::min(1.0, static_cast<double>(route.runtime->inFlight) / there);
+            noteReport(route.runtime->limit, route.reported.running, route.reported.queued, ownShare, input.now);
+        }
         routes.replicas.push_back(std::move(route));
     }
     for (const auto &summary : input.remote) {
@@ -76,6 +94,7 @@
         routes.deployment = wanted.id;
         if (wanted.kind == deployment_kind::model) {
             addModelRoutes(routes, input);
+            orderByPlace(routes);
         } else {
             addServiceRoutes(routes, wanted, input);
         }
--- a/Libraries/Requests/fair_queue.cpp
+++ b/Libraries/Requests/fair_queue.cpp
@@ -28,25 +28,40 @@
 {
     fair_queue::flow *next = nullptr;
     for (auto &[organisation, flow] : level.flows) {
-        if (!flow.waiting.empty() && (next == nullptr || flow.waiting.front().startTag < next->waiting.front().startTag)) {
+        if (!flow.waiting.empty() && (next == nullptr || flow.startTag < next->startTag)) {
             next = &flow;
         }
     }
     return next;
 }
 
+void noteAsked(fair_queue::priority_level &level, double cost, instant now)
+{
+    level.asked += cost;
+    const auto window = now - level.askedSince;
+    if (window < rateWindow) {
+        return;
+    }
+    const auto rate = level.asked * millisecondsPerSecond / static_cast<double>(window.count());
+    level.askedRate = newestShare * rate + (1 - newestShare) * level.askedRate;
+    level.askedSince = now;
+    level.asked = 0;
+}
+
 } // namespace
 
 bool enqueue(fair_queue &queue, const queued_request &request)
 {
+    auto &level = queue.levels[request.priority];
+    noteAsked(level, request.cost, request.arrived);
     if (queue.length >= queue.limits.longest) {
         return false;
     }
-    auto &level = queue.levels[request.priority];
     auto &flow = level.flows[request.organisation];
-    const auto start = std::max(level.virtualTime, flow.lastFinish);
-    flow.lastFinish = start + request.cost / request.weight;
-    flow.waiting.push_back({request, start});
+    if (flow.waiting.empty()) {
+        flow.startTag = std::max(level.virtualTime, flow.startTag);
+    }
+    flow.waiting.push_back(request);
     ++queue.length;
     return true;
 }
@@ -61,9 +76,10 @@
         const auto taken = flow->waiting.front();
         flow->waiting.pop_front();
         --queue.length;
-        level.virtualTime = std::max(level.virtualTime, taken.startTag);
-        noteDrained(queue, taken.request.cost, now);
-        return taken.request;
+        level.virtualTime = std::max(level.virtualTime, flow->startTag);
+        flow->startTag += taken.cost / taken.weight;
+        noteDrained(queue, taken.cost, now);
+        return taken;
     }
     return std::nullopt;
 }
@@ -73,12 +89,12 @@
     std::vector<queued_request> expired;
     for (auto &[priority, level] : queue.levels) {
         for (auto &[organisation, flow] : level.flows) {
-            flow.waiting.remove_if([&](const fair_queue::waiting_request &waiting) {
-                if (waiting.request.deadline > now) {
-                    return false;
+            flow.waiting.remove_if([&](const queued_request &waiting) {
+                const bool isExpired = waiting.deadline <= now;
+                if (isExpired) {
+                    expired.push_back(waiting);
                 }
-                expired.push_back(waiting.request);
-                return true;
+                return isExpired;
             });
         }
     }
@@ -90,8 +106,7 @@
 {
     for (auto &[priority, level] : queue.levels) {
         for (auto &[organisation, flow] : level.flows) {
-            const auto removed
-                = flow.waiting.remove_if([&](const fair_queue::waiting_request &waiting) { return waiting.request.ticket == ticket; });
+            const auto removed = flow.waiting.remove_if([&](const queued_request &waiting) { return waiting.ticket == ticket; });
             if (removed != 0) {
                 --queue.length;
                 return true;
@@ -101,6 +116,33 @@
     return false;
 }
 
+std::optional<int> nextPriority(const fair_queue &queue)
+{
+    for (const auto &[priority, level] : queue.levels) {
+        for (const auto &[organisation, flow] : level.flows) {
+            if (!flow.waiting.empty()) {
+                return priority;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+double reservedShare(const fair_queue &queue, int priority)
+{
+    constexpr double headroom = 1.5;
+    constexpr double most = 0.3;
+    double above = 0;
+    double total = 0;
+    for (const auto &[levelPriority, level] : queue.levels) {
+        total += level.askedRate;
+        above += levelPriority > priority ? level.askedRate : 0;
+    }
+    // Above what is served, more asking of the lower priorities does not make the share of the higher ones smaller.
+    const auto served = queue.drainRate > 0 ? std::min(total, queue.drainRate) : total;
+    return served <= 0 ? 0 : std::min(most, headroom * above / served);
+}
+
 std::optional<duration> expectedWait(const fair_queue &queue, const queued_request &request)
 {
     if (queue.drainRate <= 0) {
@@ -117,13 +159,13 @@
         for (const auto &[organisation, flow] : level.flows) {
             double waiting = 0;
             for (const auto &entry : flow.waiting) {
-                waiting += entry.request.cost;
+                waiting += entry.cost;
             }
             total += waiting;
             if (priority == request.priority && organisation == request.organisation) {
                 own += waiting;
             } else if (!flow.waiting.empty()) {
-                totalWeight += flow.waiting.front().request.weight;
+                totalWeight += flow.waiting.front().weight;
             }
         }
         // Within its own priority an organisation's work goes through at its weight's share, never slower than all of it.
--- a/Libraries/Requests/fair_queue.h
+++ b/Libraries/Requests/fair_queue.h
@@ -34,23 +34,23 @@
 /// queueing, so that each organisation gets tokens in proportion to its weight.
 struct fair_queue
 {
-    struct waiting_request
-    {
-        queued_request request;
-        double startTag = 0;
-    };
-
-    /// One organisation at one priority, with its requests in the order of arrival.
+    /// One organisation at one priority, with its requests in the order of arrival. Only what is served is charged: a request
+    /// that expires or gives up leaves the tags as they were.
     struct flow
     {
-        std::list<waiting_request> waiting;
-        double lastFinish = 0;
+        std::list<queued_request> waiting;
+        /// The start tag of the first one that waits; where none waits, the finish tag of the last one that was served.
+        double startTag = 0;
     };
 
     struct priority_level
     {
         std::map<organisation_id, flow> flows;
         double virtualTime = 0;
+        /// Tokens a second that were asked for lately.
+        double askedRate = 0;
+        double asked = 0;
+        instant askedSince;
     };
 
     fair_queue_limits limits;
@@ -76,6 +76,10 @@
 
 // Queries.
 
+/// The priority of the request whose turn is next; nothing where none waits.
+std::optional<int> nextPriority(const fair_queue &queue);
+/// The share of all places that is kept free of requests of this priority, since those above it will want them.
+double reservedShare(const fair_queue &queue, int priority);
 /// How long a request of this priority and cost would wait, from what left the queue lately; nothing while unknown.
 std::optional<duration> expectedWait(const fair_queue &queue, const queued_request &request);
 
--- a/Libraries/Requests/router.cpp
+++ b/Libraries/Requests/router.cpp
@@ -13,17 +13,6 @@
 /// Prompts of one use share their instructions; what follows is their own.
 constexpr std::size_t prefixLength = 512;
 
-std::uint64_t mix(std::uint64_t left, std::uint64_t right)
-{
-    // The finaliser of MurmurHash3: enough to spread two hashes that are already uniform.
-    auto value = left ^ (right + 0x9e3779b97f4a7c15ULL + (left << 6U) + (left >> 2U));
-    value ^= value >> 33U;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33U;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33U);
-}
-
 double loadOf(const replica_load &replica)
 {
     // The report lags: own work that it cannot show yet is added, and own work is a lower bound in any case.
@@ -35,24 +24,42 @@
     return !replica.isExcluded && replica.inFlight < replica.limit;
 }
 
-double medianFirstToken(const std::vector<replica_load> &replicas)
+/// What a few replicas show of all.
+struct load_sample
 {
-    // A few samples are enough, and keep the cost from growing with the fleet.
-    constexpr std::size_t samples = 32;
+    double meanLoad = 0;
+    double medianFirstToken = 0;
+};
+
+load_sample sampleLoads(const replica_choices &replicas, std::mt19937_64 &random)
+{
+    constexpr std::size_t samples = 12;
+    const auto total = replicas.places.size();
+    const auto count = std::min(samples, total);
+    const auto first = random() % total;
+    const auto stride = std::max<std::size_t>(1, total / count);
     std::array<double, samples> times{};
-    std::size_t count = 0;
-    const auto stride = std::max<std::size_t>(1, replicas.size() / samples);
-    for (std::size_t i = 0; i < replicas.size() && count < samples; i += stride) {
-        if (replicas[i].firstTokenMilliseconds > 0) {
-            times[count++] = replicas[i].firstTokenMilliseconds;
+    std::size_t timed = 0;
+    std::size_t available = 0;
+    double load = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto replica = replicas.loadAt((first + i * stride) % total);
+        if (replica.firstTokenMilliseconds > 0) {
+            times[timed++] = replica.firstTokenMilliseconds;
+        }
+        if (isAvailable(replica)) {
+            load += loadOf(replica);
+            ++available;
         }
     }
-    if (count == 0) {
-        return 0;
+    load_sample sample;
+    sample.meanLoad = available == 0 ? 0 : load / static_cast<double>(available);
+    if (timed > 0) {
+        auto *const middle = times.data() + timed / 2;
+        std::nth_element(times.data(), middle, times.data() + timed);
+        sample.medianFirstToken = *middle;
     }
-    auto *const middle = times.data() + count / 2;
-    std::nth_element(times.data(), middle, times.data() + count);
-    return *middle;
+    return sample;
 }
 
 /// The lower the better.
@@ -65,31 +72,40 @@
     return score;
 }
 
-/// The replica where this prefix is most likely cached: the first two in the prefix's own order of all, so that its cache
-/// stands in few places and one of them can still be passed over.
+/// The replica where this prefix is most likely cached: the first two on the ring from the prefix on, so that its cache stands
+/// in few places and one of them can still be passed over.
 std::optional<std::size_t>
-bestForPrefix(const std::vector<replica_load> &replicas, std::uint64_t prefix, double bound, double median, const routing_policy &policy)
+bestForPrefix(const replica_choices &replicas, std::uint64_t prefix, const load_sample &sample, const routing_policy &policy)
+{
+    constexpr std::size_t candidates = 2;
+    const auto &places = replicas.places;
+    const auto bound = policy.affinityBound * (sample.meanLoad + 1) + 1;
+    const auto first = static_cast<std::size_t>(std::lower_bound(places.begin(), places.end(), prefix) - places.begin());
+    for (std::size_t i = 0; i < std::min(candidates, places.size()); ++i) {
+        const auto place = (first + i) % places.size();
+        const auto replica = replicas.loadAt(place);
+        if (isAvailable(replica) && scoreOf(replica, sample.medianFirstToken, policy) <= bound) {
+            return place;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Any available replica: a few random ones are tried, then all from the last one on.
+std::optional<std::size_t> anyAvailable(const replica_choices &replicas, std::mt19937_64 &random)
 {
-    struct ranked_replica
-    {
-        std::uint64_t rank = 0;
-        std::size_t place = 0;
-    };
-    ranked_replica first;
-    ranked_replica second;
-    for (std::size_t i = 0; i < replicas.size(); ++i) {
-        const ranked_replica candidate{mix(prefix, replicas[i].place), i};
-        if (candidate.rank > first.rank) {
-            second = first;
-            first = candidate;
-        } else if (candidate.rank > second.rank) {
-            second = candidate;
+    constexpr int randomTries = 4;
+    const auto total = replicas.places.size();
+    std::size_t place = 0;
+    for (int i = 0; i < randomTries; ++i) {
+        place = random() % total;
+        if (isAvailable(replicas.loadAt(place))) {
+            return place;
         }
     }
-    for (const auto &candidate : {first, second}) {
-        const auto &replica = replicas[candidate.place];
-        if (candidate.rank != 0 && isAvailable(replica) && scoreOf(replica, median, policy) <= bound) {
-            return candidate.place;
+    for (std::size_t i = 1; i < total; ++i) {
+        if (isAvailable(replicas.loadAt((place + i) % total))) {
+            return (place + i) % total;
         }
     }
     return std::nullopt;
@@ -98,39 +114,25 @@
 } // namespace
 
 std::optional<std::size_t>
-chooseReplica(const std::vector<replica_load> &replicas, std::uint64_t prefix, const routing_policy &policy, std::mt19937_64 &random)
+chooseReplica(const replica_choices &replicas, std::uint64_t prefix, const routing_policy &policy, std::mt19937_64 &random)
 {
-    double total = 0;
-    std::size_t available = 0;
-    for (const auto &replica : replicas) {
-        if (isAvailable(replica)) {
-            total += loadOf(replica);
-            ++available;
-        }
-    }
-    if (available == 0) {
+    if (replicas.places.empty()) {
         return std::nullopt;
     }
-    const auto median = medianFirstToken(replicas);
-    const auto bound = policy.affinityBound * (total / static_cast<double>(available) + 1) + 1;
+    const auto sample = sampleLoads(replicas, random);
     if (prefix != 0) {
-        if (const auto cached = bestForPrefix(replicas, prefix, bound, median, policy)) {
+        if (const auto cached = bestForPrefix(replicas, prefix, sample, policy)) {
             return cached;
         }
     }
-    // Two random ones, the better of them; where few are available, the scan goes on from the random place.
-    std::uniform_int_distribution<std::size_t> anyPlace(0, replicas.size() - 1);
-    std::optional<std::size_t> chosen;
-    for (int choice = 0; choice < 2; ++choice) {
-        auto place = anyPlace(random);
-        while (!isAvailable(replicas[place])) {
-            place = (place + 1) % replicas.size();
-        }
-        if (!chosen || scoreOf(replicas[place], median, policy) < scoreOf(replicas[*chosen], median, policy)) {
-            chosen = place;
-        }
+    // Two random ones, the better of them.
+    const auto first = anyAvailable(replicas, random);
+    const auto second = first ? anyAvailable(replicas, random) : std::nullopt;
+    if (!second) {
+        return first;
     }
-    return chosen;
+    const auto scoreAt = [&](std::size_t place) { return scoreOf(replicas.loadAt(place), sample.medianFirstToken, policy); };
+    return scoreAt(*second) < scoreAt(*first) ? second : first;
 }
 
 std::uint64_t prefixHash(std::string_view prompt)
--- a/Libraries/Requests/router.h
+++ b/Libraries/Requests/router.h
@@ -6,6 +6,7 @@
 #include "Libraries/Base/instant.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string_view>
@@ -16,8 +17,6 @@
 /// What a choice needs to know of one replica.
 struct replica_load
 {
-    /// A hash of the group's name, for the rendezvous of prefixes.
-    std::uint64_t place = 0;
     /// What the engine reported last: running and queued.
     int reported = 0;
     /// What this daemon has sent there since that report.
@@ -42,10 +41,20 @@
     double slowFactor = 2;
 };
 
-/// Chooses a replica for a prompt whose prefix hashes to \a prefix; the place in the list. Nothing where every replica is
+/// The replicas to choose from. Their loads are asked for one at a time, so that a choice looks at a number of them that does
+/// not grow with the fleet.
+struct replica_choices
+{
+    /// The replicas' places on the ring of prefixes, in rising order.
+    const std::vector<std::uint64_t> &places;
+    /// The load of the replica at this index.
+    std::function<replica_load(std::size_t)> loadAt;
+};
+
+/// Chooses a replica for a prompt whose prefix hashes to \a prefix, 0 for none; its index. Nothing where every replica is
 /// excluded or at its limit.
 std::optional<std::size_t>
-chooseReplica(const std::vector<replica_load> &replicas, std::uint64_t prefix, const routing_policy &policy, std::mt19937_64 &random);
+chooseReplica(const replica_choices &replicas, std::uint64_t prefix, const routing_policy &policy, std::mt19937_64 &random);
 
 /// The hash of the part of a prompt that requests are likely to share.
 std::uint64_t prefixHash(std::string_view prompt);
--- a/Tests/Requests/testFairQueue.cpp
+++ b/Tests/Requests/testFairQueue.cpp
@@ -106,6 +106,43 @@
     CHECK(served.at(organisation_id("o2")) / served.at(organisation_id("o0")) == Approx(3).epsilon(0.02));
 }
 
+TEST_CASE("An organisation is not charged for requests that expired before their turn")
+{
+    fair_queue queue;
+    std::uint64_t ticket = 0;
+    for (int i = 0; i < 100; ++i) {
+        auto doomed = requestOf(++ticket, 0, 1, 1000);
+        doomed.deadline = instant(duration(10));
+        enqueue(queue, doomed);
+    }
+    removeExpired(queue, instant(duration(20)));
+    enqueue(queue, requestOf(++ticket, 1, 1, 100));
+    enqueue(queue, requestOf(++ticket, 1, 1, 100));
+    enqueue(queue, requestOf(++ticket, 0, 1, 1));
+    const auto first = dequeue(queue, instant(duration(21)))->organisation;
+    const auto second = dequeue(queue, instant(duration(22)))->organisation;
+    CHECK((first == organisation_id("o0") || second == organisation_id("o0")));
+}
+
+TEST_CASE("Places are kept for the priorities above, as far as they have asked for them")
+{
+    fair_queue queue;
+    std::uint64_t ticket = 0;
+    for (int second = 1; second < 20; ++second) {
+        auto high = requestOf(++ticket, 0, 5, 100);
+        auto low = requestOf(++ticket, 0, 1, 900);
+        high.arrived = instant(duration(second * 1000));
+        low.arrived = high.arrived;
+        enqueue(queue, high);
+        enqueue(queue, low);
+        dequeue(queue, high.arrived);
+        dequeue(queue, high.arrived);
+    }
+    CHECK(reservedShare(queue, 5) == 0);
+    CHECK(reservedShare(queue, 1) > 0.1);
+    CHECK(reservedShare(queue, 1) < 0.2);
+}
+
 TEST_CASE("A higher priority always goes first, and expired requests leave the queue")
 {
     fair_queue queue;
--- a/Tests/Requests/testRouter.cpp
+++ b/Tests/Requests/testRouter.cpp
@@ -5,6 +5,7 @@
 #include "Libraries/Requests/router.h"
 #include "Tests/Fakes/fuzz.h"
 
+#include <algorithm>
 #include <numeric>
 
 using namespace vetchpost;
@@ -17,7 +18,6 @@
     std::vector<replica_load> replicas;
     for (std::size_t i = 0; i < loads.size(); ++i) {
         replica_load replica;
-        replica.place = hashOf("group" + std::to_string(i));
         replica.reported = loads[i];
         replica.inFlight = loads[i] / 2;
         replica.limit = 40;
@@ -26,6 +26,16 @@
     return replicas;
 }
 
+std::optional<std::size_t> choose(const std::vector<replica_load> &replicas, std::uint64_t prefix, std::mt19937_64 &random)
+{
+    std::vector<std::uint64_t> places;
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+        places.push_back(hashOf("group" + std::to_string(i)));
+    }
+    std::sort(places.begin(), places.end());
+    return chooseReplica({places, [&](std::size_t place) { return replicas[place]; }}, prefix, {}, random);
+}
+
 } // namespace
 
 TEST_CASE("A choice is never excluded or full, and there is one whenever the naive search finds one", "[fuzz]")
@@ -41,7 +51,7 @@
             hasAny = hasAny || (!replicas[i].isExcluded && replicas[i].inFlight < replicas[i].limit);
         }
         std::mt19937_64 random(7);
-        const auto chosen = chooseReplica(replicas, prefix, {}, random);
+        const auto chosen = choose(replicas, prefix, random);
         RC_ASSERT(chosen.has_value() == hasAny);
         RC_ASSERT(!chosen || (!replicas[*chosen].isExcluded && replicas[*chosen].inFlight < replicas[*chosen].limit));
     };
@@ -52,10 +62,10 @@
 {
     auto replicas = replicasOf(std::vector<int>(20, 4));
     std::mt19937_64 random(7);
-    const auto first = chooseReplica(replicas, 42, {}, random);
-    CHECK(chooseReplica(replicas, 42, {}, random) == first);
+    const auto first = choose(replicas, 42, random);
+    CHECK(choose(replicas, 42, random) == first);
     replicas[*first].reported = 30;
-    CHECK(chooseReplica(replicas, 42, {}, random) != first);
+    CHECK(choose(replicas, 42, random) != first);
 }
 
 TEST_CASE("A slow replica gets less than its share of new work")
@@ -68,7 +78,7 @@
     std::mt19937_64 random(7);
     int toSlow = 0;
     for (int i = 0; i < 1000; ++i) {
-        toSlow += chooseReplica(replicas, 0, {}, random) == std::size_t(3) ? 1 : 0;
+        toSlow += choose(replicas, 0, random) == std::size_t(3) ? 1 : 0;
     }
     // Only where both random choices fall on it: one in a hundred.
     CHECK(toSlow < 30);
@@ -80,16 +90,30 @@
     const auto start = limit.value;
     noteFirstToken(limit, duration(100), 1, instant(duration(5000)));
     CHECK(limit.value == start);
-    noteFirstToken(limit, duration(100), 8, instant(duration(5000)));
+    noteFirstToken(limit, duration(100), 16, instant(duration(5000)));
     CHECK(limit.value > start);
     noteFirstToken(limit, duration(900), 8, instant(duration(6000)));
     const auto lowered = limit.value;
     CHECK(lowered < start);
+    noteReport(limit, 8, 0, 1, instant(duration(9000)));
+    CHECK(limit.value == lowered);
     // The answers to the same burst of work lower it once.
     noteFirstToken(limit, duration(900), 8, instant(duration(6100)));
     CHECK(limit.value == lowered);
 }
 
+TEST_CASE("What queues at a replica is taken back, each daemon its part")
+{
+    replica_limit limit;
+    noteReport(limit, 20, 4, 0.5, instant(duration(5000)));
+    CHECK(limit.value == 14);
+    // The same queue in the next reports does not take it below what runs there.
+    for (int second = 7; second < 20; ++second) {
+        noteReport(limit, 20, 4, 0.5, instant(duration(second * 1000)));
+    }
+    CHECK(limit.value == 10);
+}
+
 TEST_CASE("The parts of a split limit add up to it under every rule", "[fuzz]")
 {
     const auto property = [] {
