Peers: Learn of the own data centre's daemons by its summary, and name groups by their data centre

Ruled out: a flapping plan (no write was repeated); renewals (one every three seconds a data centre). Change: the summary of the own data centre is read for contacts; a group's name holds its data centre.

--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -42,6 +42,8 @@
     std::shared_ptr<const configuration> wanted;
     std::map<data_centre_id, data_centre_summary> summaries;
     std::map<data_centre_id, heard_data_centre> heard;
+    /// The daemons of the own data centre by its coordinator's summary.
+    std::vector<summarised_member> neighbours;
     snapshot_builder builder;
     rcu_snapshot<routing_snapshot> snapshot;
     std::map<group_id, std::pair<group_standing, instant>> standings;
@@ -89,10 +91,16 @@
     void takeSummary(const shared_register &value, instant now)
     {
         auto summary = dataCentreSummaryFrom(value.value);
-        if (summary && summary->dataCentre != settings.dataCentre) {
-            heard[summary->dataCentre].advanced = now;
-            summaries[summary->dataCentre] = std::move(*summary);
+        if (!summary) {
+            return;
+        }
+        if (summary->dataCentre == settings.dataCentre) {
+            // It tells of daemons of the own data centre, which a daemon whose first contacts are elsewhere learns in no other way.
+            neighbours = summary->members;
+            return;
         }
+        heard[summary->dataCentre].advanced = now;
+        summaries[summary->dataCentre] = std::move(*summary);
     }
 
     void takeRegister(const std::string &name, instant now)
@@ -325,8 +333,12 @@
             known.insert(member.about.peers);
         }
     }
-    for (const auto &address : d->settings.firstPeers) {
-        if (!known.contains(address)) {
+    auto contacts = d->settings.firstPeers;
+    for (const auto &member : d->neighbours) {
+        contacts.push_back(member.about.peers);
+    }
+    for (const auto &address : contacts) {
+        if (known.insert(address).second) {
             result.lost.push_back(address);
         }
     }
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -228,8 +228,14 @@
 
     actions plan()
     {
-        const planning_input input{
-            m_state.accepted, m_view.tracker, m_view.wants, m_view.store, m_state.notBefore, m_view.now, m_view.calendarNow};
+        const planning_input input{m_state.accepted,
+                                   m_view.tracker,
+                                   m_view.wants,
+                                   m_view.store,
+                                   m_state.notBefore,
+                                   m_view.now,
+                                   m_view.calendarNow,
+                                   m_state.settings.dataCentre};
         auto result = planGroups(input, m_state.settings.policy);
         m_state.lastDecisions = std::move(result.decisions);
         if (allotmentProblem(result.next)) {
--- a/Libraries/Groups/planning.cpp
+++ b/Libraries/Groups/planning.cpp
@@ -255,7 +255,7 @@
     group.choice = choiceOf(want.wanted);
     group.enginesCheckFencing = want.wanted.enginesCheckFencing;
     group.current = takeGeneration(table);
-    group.id = group_id(fmt::format("{}-{}", want.wanted.id.value(), group.current.value()));
+    group.id = group_id(fmt::format("{}-{}-{}", want.wanted.id.value(), table.input.dataCentre.value(), group.current.value()));
     const auto size = static_cast<std::size_t>(want.wanted.instancesPerReplica);
     // Instances that hold a rank's weights already keep that rank.
     auto pool = table.domains[domain].free;
--- a/Libraries/Groups/planning.h
+++ b/Libraries/Groups/planning.h
@@ -59,6 +59,8 @@
     const std::map<instance_id, instant> &notBefore;
     instant now;
     std::int64_t calendarNow = 0;
+    /// Part of the names of new groups: they are unique over all data centres.
+    data_centre_id dataCentre;
 };
 
 enum class plan_action {
--- a/Meta/bench.sh
+++ b/Meta/bench.sh
@@ -29,10 +29,10 @@
     apply_example
     wait_for 60 "serving groups" has_serving 1 2
     local streams
-    for streams in 300 1100; do
-        local suffix=_$streams
-        [ $streams != 1100 ] || suffix=
-        "$build/Benchmarks/benchRelay" "$(callers_of 1)" "${pids[daemon-1]}" "$okonjo_key" --streams $streams --name "$suffix"
+    for streams in 300 700 1100; do
+        local suffix=(--name "_$streams")
+        [ $streams != 1100 ] || suffix=()
+        "$build/Benchmarks/benchRelay" "$(callers_of 1)" "${pids[daemon-1]}" "$okonjo_key" --streams $streams "${suffix[@]}"
         sleep 20
     done
 }
