Requests: Take up a stream again as long as it comes on; Groups: back off from coordination

Tokens now renew the right to resume; two in a row that bring nothing are enough to give up. - model gateway: how a request ends without another try was asked for after the next try had begun. - coordinator: a follower tried once a second for ever; at the target 350 daemons would meet a returning service with 700 calls in a second. Change: as above; tries double to 16 s, spread by the daemon's name. Figures: 50 followers try under 12 times in a minute each (60 before), last tries at more than 15 different moments.

--- a/Libraries/Daemon/model_gateway.cpp
+++ b/Libraries/Daemon/model_gateway.cpp
@@ -226,6 +226,8 @@
     {
         noteTrouble(route, avoidAfterTrouble);
         m_admission.tried.insert(route.group);
+        // How it ends if there is no other try is worked out first: asking for one begins it.
+        const auto end = afterFailure(m_progress, result.failure, false, monotonicNow());
         const auto next = afterFailure(m_progress, result.failure, true, monotonicNow());
         const bool wantsAnother = next.step == recovery_step::retry || next.step == recovery_step::continue_elsewhere;
         requestLog.info("A try failed. request={} group={} why=\"{}\" delivered={} goes_on={}",
@@ -237,7 +239,7 @@
         if (!wantsAnother) {
             return giveUp({next.kind, result.why});
         }
-        m_lastFailure = reason{afterFailure(m_progress, result.failure, false, monotonicNow()).kind, result.why};
+        m_lastFailure = reason{end.kind, result.why};
         if (!m_context.admissions.takeRetryFor(m_request.target.id)) {
             return giveUp({m_lastFailure->kind, result.why + "; the retry budget is used up"});
         }
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Groups/coordinator.h"
 
+#include "Libraries/Base/digest.h"
 #include "Libraries/Groups/group_standing.h"
 
 #include <algorithm>
@@ -53,9 +54,10 @@
         m_state.isCalling = false;
         if (!event.isAcquired) {
             m_state.phase = coordinator_phase::follower;
-            pause();
+            pauseLonger();
             return {};
         }
+        m_state.failedTries = 0;
         m_state.lease = event.lease;
         m_state.leaseUntil = event.asked + m_state.settings.leaseTime;
         m_state.phase = coordinator_phase::reading;
@@ -166,6 +168,18 @@
         m_state.nextTry = m_view.now + m_state.settings.retryPause;
     }
 
+    /// After a failed try to become coordinator: twice as long each time and not in step with the others, so that the service is not
+    /// met by all daemons at once when it comes back.
+    void pauseLonger()
+    {
+        constexpr int mostDoublings = 4;
+        const auto longest = m_state.settings.retryPause * (1 << std::min(m_state.failedTries, mostDoublings));
+        ++m_state.failedTries;
+        const auto spread = hashOf(m_state.settings.self.value(), static_cast<std::uint64_t>(m_state.failedTries));
+        m_state.nextTry
+            = m_view.now + longest / 2 + duration(static_cast<std::int64_t>(spread % static_cast<std::uint64_t>(longest.count() / 2 + 1)));
+    }
+
     void stepDown()
     {
         m_state.phase = coordinator_phase::follower;
@@ -187,6 +201,7 @@
     actions acquire()
     {
         if (m_view.isAnotherActive) {
+            m_state.failedTries = 0;
             pause();
             return {};
         }
--- a/Libraries/Groups/coordinator.h
+++ b/Libraries/Groups/coordinator.h
@@ -130,6 +130,8 @@
     /// Until when the lease holds for certain: counted from before the call that took or renewed it.
     instant leaseUntil;
     instant nextTry;
+    /// Tries to become coordinator that failed, one after another.
+    int failedTries = 0;
     /// A call to the key-value service is under way.
     bool isCalling = false;
     /// The last allotment that is known to be the service's, with its revision.
--- a/Libraries/Requests/recovery.cpp
+++ b/Libraries/Requests/recovery.cpp
@@ -31,17 +31,23 @@
     if (now >= progress.deadline) {
         return {recovery_step::give_up, progress.mayHaveRun ? error_kind::deadline_exceeded : error_kind::queue_deadline};
     }
-    const bool mayResume = progress.isResumable && progress.resumes < mostResumesPerTry * progress.tries
+    if (progress.delivered > progress.deliveredAtResume) {
+        // A stream that is slow and breaks often still comes on.
+        progress.resumes = 0;
+    }
+    const bool mayResume = progress.isResumable && progress.resumes < mostIdleResumes
         && (failure == try_failure::no_answer || failure == try_failure::broke_off);
     if (mayResume) {
         // Taking up a stream is no second run: it is allowed for requests that may run only once.
         ++progress.resumes;
+        progress.deliveredAtResume = progress.delivered;
         return {recovery_step::resume};
     }
     const bool mayTryAgain = progress.isRepeatable || !progress.mayHaveRun;
     if (!mayTryAgain || !hasBudget || progress.tries >= mostTries) {
         return {recovery_step::give_up, kindOf(progress, failure)};
     }
+    progress.resumes = 0;
     return {progress.delivered > 0 ? recovery_step::continue_elsewhere : recovery_step::retry};
 }
 
--- a/Libraries/Requests/recovery.h
+++ b/Libraries/Requests/recovery.h
@@ -34,7 +34,9 @@
     /// Some try may have run.
     bool mayHaveRun = false;
     int tries = 0;
+    /// Resumptions since the last one that brought a token.
     int resumes = 0;
+    std::uint64_t deliveredAtResume = 0;
     /// Tokens that have reached the caller.
     std::uint64_t delivered = 0;
     instant deadline;
@@ -58,7 +60,8 @@
 };
 
 constexpr int mostTries = 4;
-constexpr int mostResumesPerTry = 2;
+/// Resumptions one after another that bring nothing.
+constexpr int mostIdleResumes = 2;
 
 /// Takes in how a try ended, and says what comes next. \a hasBudget tells whether the deployment's retry budget allows one
 /// more try. It never says that a request did not run when any of its tries may have.
--- a/Tests/Groups/testPlanning.cpp
+++ b/Tests/Groups/testPlanning.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Benchmarks/naivePlanner.h"
+#include "Libraries/Groups/coordinator.h"
 #include "Libraries/Groups/group_standing.h"
 #include "Libraries/Groups/planning.h"
 #include "Libraries/Groups/replica_shares.h"
@@ -359,6 +360,34 @@
     CHECK_FALSE(isHeld(*tracked, tracker_limits(), fleet.now + std::chrono::minutes(20)));
 }
 
+TEST_CASE("Followers try ever more rarely, and not in step, while the service does not let them")
+{
+    const instance_tracker tracker;
+    const std::vector<deployment_want> wants;
+    int tries = 0;
+    std::set<instant> lastTries;
+    for (int daemon = 0; daemon < 50; ++daemon) {
+        coordinator_settings settings;
+        settings.self = daemon_id(fmt::format("d{}", daemon));
+        auto state = makeCoordinator(settings);
+        instant last;
+        for (instant now(duration(1000)); now < instant(duration(61000)); now += duration(200)) {
+            const coordinator_view view{tracker, wants, {}, false, now, 0};
+            for (const auto &action : step(state, coordinator_tick{}, view)) {
+                REQUIRE(std::holds_alternative<acquire_coordination>(action));
+                ++tries;
+                last = now;
+                step(state, acquisition_answer{now, false, {}}, view);
+            }
+        }
+        lastTries.insert(last);
+    }
+    // A try a second would be sixty each.
+    CHECK(tries < 50 * 12);
+    CHECK(tries >= 50 * 5);
+    CHECK(lastTries.size() > 15);
+}
+
 TEST_CASE("An engine that goes back to a lower fencing number is counted")
 {
     instance_tracker tracker;
--- a/Tests/Requests/testLifecycleFuzz.cpp
+++ b/Tests/Requests/testLifecycleFuzz.cpp
@@ -223,6 +223,22 @@
     WARN("steps: " << steps);
 }
 
+TEST_CASE("A stream that breaks often but comes on is taken up every time")
+{
+    request_progress progress;
+    progress.isRepeatable = false;
+    progress.isResumable = true;
+    progress.tries = 1;
+    progress.deadline = instant(duration(100000));
+    for (int piece = 1; piece < 20; ++piece) {
+        ++progress.delivered;
+        CHECK(afterFailure(progress, try_failure::broke_off, false, instant()).step == recovery_step::resume);
+    }
+    CHECK(afterFailure(progress, try_failure::broke_off, false, instant()).step == recovery_step::resume);
+    // Two in a row that bring nothing are enough.
+    CHECK(afterFailure(progress, try_failure::broke_off, false, instant()).step == recovery_step::give_up);
+}
+
 TEST_CASE("A request that has run its deadline out is refused as not run only if no try was sent")
 {
     request_progress progress;
