Peers: Tell a load that only goes on every five seconds

Ruled out: shortening the state (230 bytes, of which the load is 40). Change: an observer tells all else at once, also whether an instance has work at all, since a drained group is changed by that; a load that goes on waits. The router takes the same report twice for one report. Conclusion: to be measured under traffic.

--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -22,6 +22,14 @@
 /// A data centre that is not heard of for so long gives its replicas to the others. Regions lose each other for minutes.
 constexpr duration lostDataCentreAfter(900000);
 
+constexpr duration loadPeriod(5000);
+
+/// What this daemon last told of an instance.
+struct told_state {
+    std::optional<engine_state> state;
+    instant at;
+};
+
 /// When a data centre was last heard of.
 struct heard_data_centre
 {
@@ -47,6 +55,7 @@
     snapshot_builder builder;
     rcu_snapshot<routing_snapshot> snapshot;
     std::map<group_id, std::pair<group_standing, instant>> standings;
+    std::map<instance_id, told_state> toldStates;
     bool isDirty = true;
     instant lastMembershipCheck;
 
@@ -120,6 +129,20 @@
         isDirty = true;
     }
 
+    /// Tells the others what this daemon saw. A load that only goes on is told every few seconds: at the target it would be most of
+    /// the traffic between daemons.
+    void tell(const instance_observation &observation, instant now)
+    {
+        auto &told = toldStates[observation.instance];
+        const bool isSilent = observation.state && told.state && !isNews(*told.state, *observation.state) && now - told.at < loadPeriod;
+        if (isSilent) {
+            return;
+        }
+        told = {observation.state, now};
+        const auto text = observation.state ? toJsonText(toJson(*observation.state)) : std::string(missingText);
+        setFact(exchange, exchange_names::instancePrefix + observation.instance.value(), text);
+    }
+
     const daemon_id &observerOf(const instance_id &instance, const std::vector<daemon_id> &live) const
     {
         // Rendezvous hashing: a daemon that comes or goes moves only its own share.
@@ -243,11 +266,10 @@
 bool cluster_state::observe(const instance_observation &observation, instant now)
 {
     const std::lock_guard lock(d->mutex);
-    const auto text = observation.state ? toJsonText(toJson(*observation.state)) : std::string(missingText);
-    const bool isNews = takeObservation(d->tracker, observation, now);
-    setFact(d->exchange, exchange_names::instancePrefix + observation.instance.value(), text);
+    const bool hasChanged = takeObservation(d->tracker, observation, now);
+    d->tell(observation, now);
     d->isDirty = true;
-    return isNews;
+    return hasChanged;
 }
 
 void cluster_state::setCoordinator(bool isCoordinator)
--- a/Libraries/Daemon/routing_snapshot.h
+++ b/Libraries/Daemon/routing_snapshot.h
@@ -26,6 +26,8 @@
     std::int64_t servingSince = 0;
     std::mutex mutex;
     replica_limit limit;
+    /// The engine's last report, of the last snapshot.
+    engine_load reported;
 };
 
 /// One replica that may be sent work.
--- a/Libraries/Daemon/snapshot_builder.cpp
+++ b/Libraries/Daemon/snapshot_builder.cpp
@@ -26,6 +26,20 @@
     }
 }
 
+/// Takes in an engine's report where it is a new one: the same load twice may be the same report.
+void takeReport(replica_runtime &runtime, const engine_load &report, instant now)
+{
+    const std::lock_guard lock(runtime.mutex);
+    if (report == runtime.reported) {
+        return;
+    }
+    runtime.reported = report;
+    runtime.sentSinceReport = 0;
+    const auto there = std::max(1, report.running + report.queued);
+    const auto ownShare = std::min(1.0, static_cast<double>(runtime.inFlight) / there);
+    noteReport(runtime.limit, report.running, report.queued, ownShare, now);
+}
+
 void orderByPlace(deployment_routes &routes)
 {
     std::sort(routes.replicas.begin(), routes.replicas.end(), [](const replica_route &left, const replica_route &right) {
@@ -58,13 +72,7 @@
         replica_route route{group.id, group.current, group.members.front().address, hashOf(group.id.value()), {}, nullptr};
         route.reported = findInstance(input.tracker, group.members.front().instance)->lastState->load;
         route.runtime = runtimeOf(group.id, group.current, input.now);
-        route.runtime->sentSinceReport = 0;
-        {
-            const std::lock_guard lock(route.runtime->mutex);
-            const auto there = std::max(1, route.reported.running + route.reported.queued);
-            const auto ownShare = std::min(1.0, static_cast<double>(route.runtime->inFlight) / there);
-            noteReport(route.runtime->limit, route.reported.running, route.reported.queued, ownShare, input.now);
-        }
+        takeReport(*route.runtime, route.reported, input.now);
         routes.replicas.push_back(std::move(route));
     }
     for (const auto &summary : input.remote) {
--- a/Libraries/Groups/instance_tracker.cpp
+++ b/Libraries/Groups/instance_tracker.cpp
@@ -74,6 +74,13 @@
     return true;
 }
 
+bool isNews(const engine_state &told, const engine_state &newer)
+{
+    const auto isIdle = [](const engine_state &state) { return state.load.running == 0 && state.load.queued == 0; };
+    // Whether it has work at all decides when a drained group may be changed.
+    return differs(told, newer) || isIdle(told) != isIdle(newer);
+}
+
 const tracked_instance *findInstance(const instance_tracker &tracker, const instance_id &id)
 {
     const auto found = tracker.instances.find(id);
--- a/Libraries/Groups/instance_tracker.h
+++ b/Libraries/Groups/instance_tracker.h
@@ -73,6 +73,8 @@
 
 // Queries.
 
+/// Whether a newer word of an instance must be told to others at once: all but a load that goes on, which may wait.
+bool isNews(const engine_state &told, const engine_state &newer);
 const tracked_instance *findInstance(const instance_tracker &tracker, const instance_id &id);
 /// Whether an instance that keeps failing is held back from new groups.
 bool isHeld(const tracked_instance &tracked, const tracker_limits &limits, instant now);
--- a/Tests/Groups/testPlanning.cpp
+++ b/Tests/Groups/testPlanning.cpp
@@ -360,6 +360,23 @@
     CHECK_FALSE(isHeld(*tracked, tracker_limits(), fleet.now + std::chrono::minutes(20)));
 }
 
+TEST_CASE("Only a load that goes on may wait before it is told")
+{
+    engine_state told;
+    told.load.running = 3;
+    auto newer = told;
+    newer.load.running = 9;
+    CHECK_FALSE(isNews(told, newer));
+    newer.load.running = 0;
+    CHECK(isNews(told, newer));
+    newer = told;
+    newer.isLeaving = true;
+    CHECK(isNews(told, newer));
+    newer = told;
+    newer.phase = engine_phase::failed;
+    CHECK(isNews(told, newer));
+}
+
 TEST_CASE("Followers try ever more rarely, and not in step, while the service does not let them")
 {
     const instance_tracker tracker;
