--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -25,7 +25,8 @@
 constexpr duration loadPeriod(5000);
 
 /// What this daemon last told of an instance.
-struct told_state {
+struct told_state
+{
     std::optional<engine_state> state;
     instant at;
 };
--- a/Tests/Groups/testPlanning.cpp
+++ b/Tests/Groups/testPlanning.cpp
@@ -86,7 +86,7 @@
     /// One round; the decisions that it took.
     std::vector<planning_decision> round(const planner &plan, bool doesLoad = true)
     {
-        const planning_input input{allotted, m_tracker, wants, {1000, 0}, m_notBefore, now, now.time_since_epoch().count(), dataCentre};
+        const planning_input input{allotted, m_tracker, wants, {1000, 0}, notBefore, now, now.time_since_epoch().count(), dataCentre};
         auto result = plan(input);
         REQUIRE_FALSE(allotmentProblem(result.next));
         allotted = result.next;
@@ -133,6 +133,7 @@
     allotment allotted;
     data_centre_id dataCentre{"ikeja"};
     instant now{duration(1000000)};
+    std::map<instance_id, instant> notBefore;
 
 private:
     void observeAll()
@@ -143,7 +144,6 @@
     }
 
     std::map<instance_id, engine_state> m_states;
-    std::map<instance_id, instant> m_notBefore;
     instance_tracker m_tracker;
     std::uint64_t m_runs = 1;
 };
@@ -360,6 +360,30 @@
     CHECK_FALSE(isHeld(*tracked, tracker_limits(), fleet.now + std::chrono::minutes(20)));
 }
 
+TEST_CASE("Where engines ignore fencing numbers an instance that leaves a group is withheld before it is used again")
+{
+    planned_fleet fleet(1, 4, 4, 1);
+    fleet.wants.front().wanted.enginesCheckFencing = false;
+    fleet.settle(ours(), 2);
+    REQUIRE(fleet.serving() == 1);
+    fleet.wants.front().replicas = 0;
+    fleet.settle(ours(), 2);
+    REQUIRE(fleet.allotted.groups.empty());
+    CHECK(fleet.allotted.withheld.size() == 4);
+    // The coordinator waits for them; until then nothing is formed from them, afterwards it is and they are withheld no more.
+    for (const auto &entry : fleet.allotted.withheld) {
+        fleet.notBefore[entry.instance] = fleet.now + duration(3000);
+    }
+    fleet.wants.front().replicas = 1;
+    fleet.now += duration(1000);
+    fleet.round(ours());
+    CHECK(fleet.allotted.groups.empty());
+    fleet.now += duration(3000);
+    fleet.round(ours());
+    CHECK(fleet.allotted.groups.size() == 1);
+    CHECK(fleet.allotted.withheld.empty());
+}
+
 TEST_CASE("Only a load that goes on may wait before it is told")
 {
     engine_state told;
