Requests: Let a limit rise by the replica's own report while it is used up

Ruled out: the processor (half a core used), the engines (full rate on a daemon that had learned before). Change: where nothing queues at the replica and the limit is used, it rises by a tenth a report. What a daemon sees itself of an instance goes before what it has told; who observes and whose word counts stands in a file of its own.

--- a/Benchmarks/requestModel.cpp
+++ b/Benchmarks/requestModel.cpp
@@ -124,7 +124,7 @@
         for (auto &replica : m_replicas) {
             replica.reported = replica.running + static_cast<int>(replica.queue.size());
             replica.sentSince = 0;
-            noteReport(replica.limit, replica.running, static_cast<int>(replica.queue.size()), 1, m_now);
+            noteReport(replica.limit, {replica.running, static_cast<int>(replica.queue.size()), 1, replica.inFlight}, m_now);
         }
         after(m_options.reportLag, [this] { report(); });
     }
--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Daemon/cluster_state.h"
 
-#include "Libraries/Base/digest.h"
 #include "Libraries/Base/log.h"
+#include "Libraries/Daemon/instance_words.h"
 #include "Libraries/Daemon/snapshot_builder.h"
 #include "Libraries/Groups/replica_shares.h"
 
@@ -16,21 +16,9 @@
 namespace {
 
 constexpr part_log clusterLog("cluster");
-constexpr auto missingText = "missing";
-/// A dead observer's word holds for so long, until its successor has looked for itself.
-constexpr duration observerGrace(10000);
 /// A data centre that is not heard of for so long gives its replicas to the others. Regions lose each other for minutes.
 constexpr duration lostDataCentreAfter(900000);
 
-constexpr duration loadPeriod(5000);
-
-/// What this daemon last told of an instance.
-struct told_state
-{
-    std::optional<engine_state> state;
-    instant at;
-};
-
 /// When a data centre was last heard of.
 struct heard_data_centre
 {
@@ -130,57 +118,21 @@
         isDirty = true;
     }
 
-    /// Tells the others what this daemon saw. A load that only goes on is told every few seconds: at the target it would be most of
-    /// the traffic between daemons.
-    void tell(const instance_observation &observation, instant now)
-    {
-        auto &told = toldStates[observation.instance];
-        const bool isSilent = observation.state && told.state && !isNews(*told.state, *observation.state) && now - told.at < loadPeriod;
-        if (isSilent) {
-            return;
-        }
-        told = {observation.state, now};
-        const auto text = observation.state ? toJsonText(toJson(*observation.state)) : std::string(missingText);
-        setFact(exchange, exchange_names::instancePrefix + observation.instance.value(), text);
-    }
-
-    const daemon_id &observerOf(const instance_id &instance, const std::vector<daemon_id> &live) const
-    {
-        // Rendezvous hashing: a daemon that comes or goes moves only its own share.
-        const auto weight = [&](const daemon_id &daemon) { return hashOf(daemon.value(), hashOf(instance.value())); };
-        return *std::max_element(
-            live.begin(), live.end(), [&](const daemon_id &left, const daemon_id &right) { return weight(left) < weight(right); });
-    }
-
-    /// The word on an instance that counts: its observer's, else that of any live daemon, else that of one that died a
-    /// moment ago.
-    std::string wordOn(const instance_id &instance, const std::vector<daemon_id> &live, instant now) const
-    {
-        const auto name = exchange_names::instancePrefix + instance.value();
-        auto word = factOf(exchange, observerOf(instance, live), name);
-        for (auto daemon = live.begin(); word.empty() && daemon != live.end(); ++daemon) {
-            word = factOf(exchange, *daemon, name);
-        }
-        for (auto origin = exchange.origins.begin(); word.empty() && origin != exchange.origins.end(); ++origin) {
-            const auto &advanced = origin->second.advanced;
-            if (advanced && now - *advanced < exchange.limits.deadAfter + observerGrace) {
-                word = factOf(exchange, origin->first, name);
-            }
-        }
-        return word;
-    }
-
     void takeWords(instant now)
     {
         const auto live = liveMembers(exchange, now);
         std::vector<instance_observation> observations;
         for (const auto &[id, tracked] : tracker.instances) {
-            const auto word = wordOn(id, live, now);
-            if (word.empty() && !tracked.lastState) {
+            if (toldStates.contains(id) && observerOf(id, live) == settings.daemon) {
+                // What this daemon sees itself is newer than what it has told.
                 continue;
             }
-            const auto json = word.empty() || word == missingText ? std::nullopt : parseJson(word);
-            observations.push_back({id, json ? engineStateFrom(*json) : std::nullopt});
+            if (auto word = wordOn(exchange, id, live, now)) {
+                observations.push_back(std::move(*word));
+            } else if (tracked.lastState) {
+                // Whoever saw it last is gone, and nobody has seen it since.
+                observations.push_back({id, std::nullopt});
+            }
         }
         for (const auto &observation : observations) {
             takeObservation(tracker, observation, now);
@@ -268,7 +220,7 @@
 {
     const std::lock_guard lock(d->mutex);
     const bool hasChanged = takeObservation(d->tracker, observation, now);
-    d->tell(observation, now);
+    tellObservation(d->exchange, d->toldStates, observation, now);
     d->isDirty = true;
     return hasChanged;
 }
@@ -374,7 +326,7 @@
     const auto live = liveMembers(d->exchange, now);
     std::vector<listed_instance> share;
     for (const auto &[id, tracked] : d->tracker.instances) {
-        if (tracked.listed.service.empty() && d->observerOf(id, live) == d->settings.daemon) {
+        if (tracked.listed.service.empty() && observerOf(id, live) == d->settings.daemon) {
             share.push_back(tracked.listed);
         }
     }
--- a/Libraries/Daemon/routing_snapshot.h
+++ b/Libraries/Daemon/routing_snapshot.h
@@ -26,8 +26,9 @@
     std::int64_t servingSince = 0;
     std::mutex mutex;
     replica_limit limit;
-    /// The engine's last report, of the last snapshot.
+    /// The engine's last report, and when it was last taken in.
     engine_load reported;
+    instant reportTaken;
 };
 
 /// One replica that may be sent work.
--- a/Libraries/Daemon/snapshot_builder.cpp
+++ b/Libraries/Daemon/snapshot_builder.cpp
@@ -26,18 +26,22 @@
     }
 }
 
-/// Takes in an engine's report where it is a new one: the same load twice may be the same report.
+/// Takes in an engine's report: a new one at once, the same load again once a second.
 void takeReport(replica_runtime &runtime, const engine_load &report, instant now)
 {
+    constexpr duration reportPeriod(1000);
     const std::lock_guard lock(runtime.mutex);
-    if (report == runtime.reported) {
+    const bool isNew = report != runtime.reported;
+    if (!isNew && now - runtime.reportTaken < reportPeriod) {
         return;
     }
+    runtime.sentSinceReport = isNew ? 0 : runtime.sentSinceReport.load();
     runtime.reported = report;
-    runtime.sentSinceReport = 0;
+    runtime.reportTaken = now;
     const auto there = std::max(1, report.running + report.queued);
-    const auto ownShare = std::min(1.0, static_cast<double>(runtime.inFlight) / there);
-    noteReport(runtime.limit, report.running, report.queued, ownShare, now);
+    const auto inFlight = runtime.inFlight.load();
+    const auto ownShare = std::min(1.0, static_cast<double>(inFlight) / there);
+    noteReport(runtime.limit, {report.running, report.queued, ownShare, inFlight}, now);
 }
 
 void orderByPlace(deployment_routes &routes)
--- a/Libraries/Requests/replica_limit.cpp
+++ b/Libraries/Requests/replica_limit.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double decrease = 0.85;
+constexpr double growth = 1.1;
 /// Nearly all of it: what is kept for higher priorities must not let the limit rise for the lower ones.
 constexpr double usedShare = 0.95;
 /// One decrease covers all the answers of the work that caused it.
@@ -37,15 +38,20 @@
     }
 }
 
-void noteReport(replica_limit &limit, int running, int queued, double ownShare, instant now)
+void noteReport(replica_limit &limit, const replica_report &report, instant now)
 {
-    if (queued <= 0 || now - limit.lastDecrease < decreasePause) {
+    if (report.queued <= 0) {
+        const bool isUsed = report.inFlight >= usedShare * limit.value;
+        limit.value = isUsed ? std::min(limit.most, limit.value * growth) : limit.value;
+        return;
+    }
+    if (now - limit.lastDecrease < decreasePause) {
         return;
     }
     limit.lastDecrease = now;
     limit.hasBeenLowered = true;
     // Never below what runs there: the same queue shows in several reports while it drains.
-    limit.value = std::max({limit.least, running * ownShare, limit.value - queued * ownShare});
+    limit.value = std::max({limit.least, report.running * report.ownShare, limit.value - report.queued * report.ownShare});
 }
 
 void noteRefusal(replica_limit &limit, instant now)
--- a/Libraries/Requests/replica_limit.h
+++ b/Libraries/Requests/replica_limit.h
@@ -18,11 +18,22 @@
     bool hasBeenLowered = false;
 };
 
+/// What a replica said of itself, beside what this daemon has there.
+struct replica_report
+{
+    int running = 0;
+    int queued = 0;
+    /// This daemon's part of it, from 0 to 1.
+    double ownShare = 1;
+    int inFlight = 0;
+};
+
 /// Takes in the first-token time of a request that was sent while \a inFlight were there.
 void noteFirstToken(replica_limit &limit, duration firstToken, int inFlight, instant now);
 /// Takes in the replica's own report, some moments old: what queues there waits where this daemon can no longer choose. The
 /// daemon takes back its part of it, \a ownShare of 1.
-void noteReport(replica_limit &limit, int running, int queued, double ownShare, instant now);
+/// Where nothing queues and the limit is used up, it rises by a tenth a report: long streams give first tokens too rarely to learn by.
+void noteReport(replica_limit &limit, const replica_report &report, instant now);
 /// Takes in that the replica refused for want of room.
 void noteRefusal(replica_limit &limit, instant now);
 
--- a/Tests/Requests/testRouter.cpp
+++ b/Tests/Requests/testRouter.cpp
@@ -95,7 +95,7 @@
     noteFirstToken(limit, duration(900), 8, instant(duration(6000)));
     const auto lowered = limit.value;
     CHECK(lowered < start);
-    noteReport(limit, 8, 0, 1, instant(duration(9000)));
+    noteReport(limit, {8, 0, 1, 8}, instant(duration(9000)));
     CHECK(limit.value == lowered);
     // The answers to the same burst of work lower it once.
     noteFirstToken(limit, duration(900), 8, instant(duration(6100)));
@@ -105,15 +105,29 @@
 TEST_CASE("What queues at a replica is taken back, each daemon its part")
 {
     replica_limit limit;
-    noteReport(limit, 20, 4, 0.5, instant(duration(5000)));
+    noteReport(limit, {20, 4, 0.5, 10}, instant(duration(5000)));
     CHECK(limit.value == 14);
     // The same queue in the next reports does not take it below what runs there.
     for (int second = 7; second < 20; ++second) {
-        noteReport(limit, 20, 4, 0.5, instant(duration(second * 1000)));
+        noteReport(limit, {20, 4, 0.5, 10}, instant(duration(second * 1000)));
     }
     CHECK(limit.value == 10);
 }
 
+TEST_CASE("A limit that long streams fill rises while nothing queues at the replica")
+{
+    replica_limit limit;
+    noteFirstToken(limit, duration(900), 16, instant(duration(1000)));
+    const auto lowered = limit.value;
+    noteReport(limit, {13, 0, 1, 2}, instant(duration(2000)));
+    CHECK(limit.value == lowered);
+    for (int second = 3; second < 33; ++second) {
+        const auto used = static_cast<int>(limit.value + 1);
+        noteReport(limit, {used, 0, 1, used}, instant(duration(second * 1000)));
+    }
+    CHECK(limit.value > 10 * lowered);
+}
+
 TEST_CASE("The parts of a split limit add up to it under every rule", "[fuzz]")
 {
     const auto property = [] {
