Daemon: Keep calls to peers, platform and instances on threads of their own

Cause: read as a newcomer: exchanges with peers that do not answer (2 s each, up to 38 in a data centre) and orders to frozen engines shared twelve threads with the renewal of the lease, which could be held up until it lapsed. Ruled out: the timer thread (it only starts calls). Change: pools for peers (12), platform calls (8), orders and lists (16), observations (8).

--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -40,7 +40,8 @@
     const daemon_settings &settings;
     cluster_state &cluster;
     key_value_client &keyValue;
-    worker_pool &workers;
+    worker_pool &callWorkers;
+    worker_pool &orderWorkers;
     std::function<void()> didChange;
     instance_list_client instanceList;
     weight_store_client weightStore;
@@ -64,12 +65,14 @@
                  cluster_state &clusterState,
                  key_value_client &client,
                  metrics &counters,
-                 worker_pool &pool,
+                 worker_pool &calls,
+                 worker_pool &orderPool,
                  std::function<void()> changed)
         : settings(daemonSettings)
         , cluster(clusterState)
         , keyValue(client)
-        , workers(pool)
+        , callWorkers(calls)
+        , orderWorkers(orderPool)
         , didChange(std::move(changed))
         , instanceList(daemonSettings.instanceList)
         , weightStore(daemonSettings.weightStore)
@@ -148,6 +151,7 @@
 
     void start(coordinator_action action)
     {
+        auto &workers = std::holds_alternative<send_order>(action) ? orderWorkers : callWorkers;
         workers.run([this, started = std::move(action)] { std::visit([this](const auto &call) { perform(call); }, started); });
     }
 
@@ -261,9 +265,10 @@
                                        cluster_state &cluster,
                                        key_value_client &keyValue,
                                        metrics &counters,
-                                       worker_pool &workers,
+                                       worker_pool &callWorkers,
+                                       worker_pool &orderWorkers,
                                        std::function<void()> didChange)
-    : d(std::make_unique<private_data>(settings, cluster, keyValue, counters, workers, std::move(didChange)))
+    : d(std::make_unique<private_data>(settings, cluster, keyValue, counters, callWorkers, orderWorkers, std::move(didChange)))
 {
 }
 
@@ -274,7 +279,7 @@
     timers.subscribe("coordinator", tickPeriod, [this](instant /*now*/) { d->handle(coordinator_tick{}); });
     timers.subscribe("platform", listPeriod, [this](instant /*now*/) {
         if (isCoordinating() && !d->isListing.exchange(true)) {
-            d->workers.run([this] { d->readPlatform(); });
+            d->orderWorkers.run([this] { d->readPlatform(); });
         }
     });
     timers.subscribe("summary", summaryPeriod, [this](instant now) {
--- a/Libraries/Daemon/coordinator_runner.h
+++ b/Libraries/Daemon/coordinator_runner.h
@@ -19,11 +19,13 @@
 class coordinator_runner
 {
 public:
+    /// Orders go out on threads of their own: a frozen engine must not hold up the renewal of the lease.
     coordinator_runner(const daemon_settings &settings,
                        cluster_state &cluster,
                        key_value_client &keyValue,
                        metrics &counters,
-                       worker_pool &workers,
+                       worker_pool &callWorkers,
+                       worker_pool &orderWorkers,
                        std::function<void()> didChange);
     ~coordinator_runner();
     coordinator_runner(const coordinator_runner &) = delete;
--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -18,7 +18,9 @@
 namespace {
 
 constexpr part_log daemonLog("daemon");
-constexpr int controlThreads = 12;
+constexpr int peerCallThreads = 12;
+constexpr int platformThreads = 8;
+constexpr int orderThreads = 16;
 constexpr int observerThreads = 8;
 constexpr int operatorThreads = 8;
 constexpr int peerThreads = 48;
@@ -56,7 +58,10 @@
     metrics counters;
     cluster_state cluster;
     key_value_client keyValue;
-    worker_pool controlWorkers{controlThreads};
+    // Pools of their own, so that peers or engines that do not answer hold up neither the lease nor each other.
+    worker_pool peerWorkers{peerCallThreads};
+    worker_pool platformWorkers{platformThreads};
+    worker_pool orderWorkers{orderThreads};
     worker_pool observerWorkers{observerThreads};
     peer_service peers;
     admission admissions;
@@ -76,11 +81,11 @@
         : settings(given)
         , cluster(settings, run)
         , keyValue(settings.keyValue, counters)
-        , peers(settings, cluster, counters, controlWorkers)
+        , peers(settings, cluster, counters, peerWorkers)
         , admissions(cluster.routing(), counters)
-        , claims(settings, keyValue, counters, controlWorkers)
+        , claims(settings, keyValue, counters, platformWorkers)
         , context{settings, cluster, admissions, claims, peers, counters, request_counters(counters)}
-        , coordinator(settings, cluster, keyValue, counters, controlWorkers, [this] { peers.spreadNow(); })
+        , coordinator(settings, cluster, keyValue, counters, platformWorkers, orderWorkers, [this] { peers.spreadNow(); })
         , configurations(
               cluster, keyValue, [this] { return coordinator.isCoordinating(); }, [this] { peers.spreadNow(); })
         , observations(settings, cluster, counters, observerWorkers, [this] { peers.spreadNow(); })
@@ -141,7 +146,9 @@
     d->configurations.stop();
     d->timers.stop();
     d->observerWorkers.stop();
-    d->controlWorkers.stop();
+    d->orderWorkers.stop();
+    d->platformWorkers.stop();
+    d->peerWorkers.stop();
 }
 
 } // namespace vetchpost
