--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -19,10 +19,11 @@
 /// A data centre that is not heard of for so long gives its replicas to the others. Regions lose each other for minutes.
 constexpr duration lostDataCentreAfter(900000);
 
-/// When a data centre was last heard of.
-struct heard_data_centre
+/// How a group stood when it was last looked at, and since when.
+struct seen_standing
 {
-    instant advanced;
+    group_standing standing = group_standing::broken;
+    instant since;
 };
 
 } // namespace
@@ -38,12 +39,13 @@
     configuration_head head;
     std::shared_ptr<const configuration> wanted;
     std::map<data_centre_id, data_centre_summary> summaries;
-    std::map<data_centre_id, heard_data_centre> heard;
+    /// When each other data centre was last heard of.
+    std::map<data_centre_id, instant> heard;
     /// The daemons of the own data centre by its coordinator's summary.
     std::vector<summarised_member> neighbours;
     snapshot_builder builder;
     rcu_snapshot<routing_snapshot> snapshot;
-    std::map<group_id, std::pair<group_standing, instant>> standings;
+    std::map<group_id, seen_standing> standings;
     std::map<instance_id, told_state> toldStates;
     bool isDirty = true;
     instant lastMembershipCheck;
@@ -97,7 +99,7 @@
             neighbours = summary->members;
             return;
         }
-        heard[summary->dataCentre].advanced = now;
+        heard[summary->dataCentre] = now;
         summaries[summary->dataCentre] = std::move(*summary);
     }
 
@@ -113,7 +115,7 @@
         } else if (name.starts_with(exchange_names::summaryPrefix)) {
             takeSummary(value, now);
         } else if (name.starts_with(exchange_names::alivePrefix)) {
-            heard[data_centre_id(name.substr(std::string(exchange_names::alivePrefix).size()))].advanced = now;
+            heard[data_centre_id(name.substr(std::string(exchange_names::alivePrefix).size()))] = now;
         }
         isDirty = true;
     }
@@ -145,12 +147,12 @@
         for (const auto &group : allotted.groups) {
             present.insert(group.id);
             const auto standing = standingOf(group, tracker);
-            const auto [known, isNew] = standings.try_emplace(group.id, standing, now);
-            if (!isNew && known->second.first != standing) {
+            const auto [known, isNew] = standings.try_emplace(group.id, seen_standing{standing, now});
+            if (!isNew && known->second.standing != standing) {
                 clusterLog.info("A group changed its standing. group={} generation={} from={} to={}",
                                 group.id.value(),
                                 group.current.value(),
-                                groupStandingName(known->second.first),
+                                groupStandingName(known->second.standing),
                                 groupStandingName(standing));
                 known->second = {standing, now};
             }
@@ -161,7 +163,7 @@
     bool isLost(const data_centre_id &dataCentre, instant now) const
     {
         const auto known = heard.find(dataCentre);
-        return known == heard.end() || now - known->second.advanced > lostDataCentreAfter;
+        return known == heard.end() || now - known->second > lostDataCentreAfter;
     }
 };
 
@@ -366,7 +368,7 @@
             }
         }
         const auto since = d->standings.find(group.id);
-        status.standingFor = since == d->standings.end() ? duration() : now - since->second.second;
+        status.standingFor = since == d->standings.end() ? duration() : now - since->second.since;
         result.push_back(std::move(status));
     }
     return result;
--- a/Libraries/Groups/planning.cpp
+++ b/Libraries/Groups/planning.cpp
@@ -86,6 +86,7 @@
     std::stable_sort(
         ranked.begin(), ranked.end(), [](const ranked_group &left, const ranked_group &right) { return left.rank < right.rank; });
     std::vector<group_id> ids;
+    ids.reserve(ranked.size());
     for (const auto &entry : ranked) {
         ids.push_back(entry.id);
     }
