Tests: Mend what the address sanitizer found

Causes, found by the first run of testGroups and testRequests with the address and undefined-behaviour sanitizers: - takeInstance() used a reference into the set that it had just erased from (heap-use-after-free, by the naive planner); the planner itself passes copies. - two properties read an empty optional: RC_ASSERT captures its expression, so that an 'or' in it evaluates both sides. Change: the member is made before the erasure; the conditions are worked out before the assertion, as strict as before.

--- a/Libraries/Groups/planning_table.cpp
+++ b/Libraries/Groups/planning_table.cpp
@@ -106,8 +106,10 @@
 allotted_member takeInstance(planning_table &table, const instance_id &instance)
 {
     const auto &listed = findInstance(table.input.tracker, instance)->listed;
-    table.domains[listed.fabricDomain].free.erase(instance);
-    return {instance, listed.address, listed.fabricDomain};
+    // The id may be the very one that stands among the free ones: it is copied before it is taken out.
+    allotted_member member{instance, listed.address, listed.fabricDomain};
+    table.domains[listed.fabricDomain].free.erase(member.instance);
+    return member;
 }
 
 void releaseInstance(planning_table &table, const allotted_member &member, bool enginesCheckFencing)
--- a/Tests/Requests/testFairQueue.cpp
+++ b/Tests/Requests/testFairQueue.cpp
@@ -82,7 +82,9 @@
             const auto taken = dequeue(queue, instant(duration(1)));
             const auto expected = naive.next();
             RC_ASSERT(taken.has_value() == expected.has_value());
-            RC_ASSERT(!taken || taken->ticket == *expected);
+            // RC_ASSERT evaluates both sides of an "or": the tickets are compared outside of it.
+            const bool isSame = !taken || taken->ticket == *expected;
+            RC_ASSERT(isSame);
         }
     };
     checkProperty("fair queue", fuzzSteps(10000) / stepsPerCase, property);
--- a/Tests/Requests/testRouter.cpp
+++ b/Tests/Requests/testRouter.cpp
@@ -53,7 +53,9 @@
         std::mt19937_64 random(7);
         const auto chosen = choose(replicas, prefix, random);
         RC_ASSERT(chosen.has_value() == hasAny);
-        RC_ASSERT(!chosen || (!replicas[*chosen].isExcluded && replicas[*chosen].inFlight < replicas[*chosen].limit));
+        // RC_ASSERT evaluates both sides of an "or": the choice is looked at outside of it.
+        const bool isGood = !chosen || (!replicas[*chosen].isExcluded && replicas[*chosen].inFlight < replicas[*chosen].limit);
+        RC_ASSERT(isGood);
     };
     checkProperty("router", 300, property);
 }
