Daemon: Say ready only with the routes at hand, and do not take a restarted observer's share for missing

Read beside it: the facts of a daemon that is started anew vanish with its old self, and its share of the instances was missing, their groups out of service, until somebody had looked again. Ruled out: the exchange (the daemon had heard of every member); the engines (they ran all the time).

--- a/Libraries/Daemon/caller_interface.cpp
+++ b/Libraries/Daemon/caller_interface.cpp
@@ -62,13 +62,18 @@
         return context.cluster.routing().read([](const routing_snapshot &snapshot) { return snapshot.wanted; });
     }
 
+    bool hasAllRoutes() const
+    {
+        return context.cluster.routing().read([](const routing_snapshot &snapshot) { return snapshot.hasHeardOfGroups; });
+    }
+
     void answerReady(http_exchange &exchange)
     {
         if (!isReady) {
             exchange.sendError({error_kind::stopping, "this daemon is stopping"});
         } else if (!wanted()) {
             exchange.sendError({error_kind::no_configuration, "this daemon knows no configuration yet"});
-        } else if (!context.cluster.hasHeardOfGroups() && monotonicNow() - started < longestLearning) {
+        } else if (!hasAllRoutes() && monotonicNow() - started < longestLearning) {
             exchange.sendError({error_kind::no_serving_group, "this daemon has not heard of all groups yet"});
         } else {
             exchange.send(200, "text/plain", "ready\n");
--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -19,6 +19,9 @@
 /// A data centre that is not heard of for so long gives its replicas to the others. Regions lose each other for minutes.
 constexpr duration lostDataCentreAfter(900000);
 
+/// An instance without any word is missing only after this time: its observer may have been started anew a moment ago.
+constexpr duration wordGrace(5000);
+
 /// How a group stood when it was last looked at, and since when.
 struct seen_standing
 {
@@ -47,6 +50,8 @@
     rcu_snapshot<routing_snapshot> snapshot;
     std::map<group_id, seen_standing> standings;
     std::map<instance_id, told_state> toldStates;
+    /// When anybody's word on an instance was last known.
+    std::map<instance_id, instant> lastWords;
     bool isDirty = true;
     instant lastMembershipCheck;
 
@@ -130,9 +135,10 @@
                 continue;
             }
             if (auto word = wordOn(exchange, id, live, now)) {
+                lastWords[id] = now;
                 observations.push_back(std::move(*word));
-            } else if (tracked.lastState) {
-                // Whoever saw it last is gone, and nobody has seen it since.
+            } else if (tracked.lastState && now - lastWords[id] > wordGrace) {
+                // Whoever saw it last is gone, or was started anew, and nobody has seen it since.
                 observations.push_back({id, std::nullopt});
             }
         }
@@ -141,6 +147,23 @@
         }
     }
 
+    /// Whether the groups are known and every member has been heard of.
+    bool hasHeardOfGroups() const
+    {
+        if (findRegister(exchange, exchange_names::allotment) == nullptr) {
+            return false;
+        }
+        for (const auto &group : allotted.groups) {
+            for (const auto &member : group.members) {
+                const auto *tracked = findInstance(tracker, member.instance);
+                if (tracked == nullptr || (!tracked->lastState && !tracked->missingSince)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
     void noteStandings(instant now)
     {
         std::set<group_id> present;
@@ -260,6 +283,7 @@
             remote.push_back(summary);
         }
         next = d->builder.build({d->head.current, d->wanted, d->allotted, d->tracker, remote, now});
+        next.hasHeardOfGroups = d->hasHeardOfGroups();
     }
     d->snapshot.replace(std::move(next));
 }
@@ -444,23 +468,6 @@
     return summary;
 }
 
-bool cluster_state::hasHeardOfGroups() const
-{
-    const std::lock_guard lock(d->mutex);
-    if (findRegister(d->exchange, exchange_names::allotment) == nullptr) {
-        return false;
-    }
-    for (const auto &group : d->allotted.groups) {
-        for (const auto &member : group.members) {
-            const auto *tracked = findInstance(d->tracker, member.instance);
-            if (tracked == nullptr || (!tracked->lastState && !tracked->missingSince)) {
-                return false;
-            }
-        }
-    }
-    return true;
-}
-
 std::vector<deployment_want> cluster_state::wants(instant now) const
 {
     const auto own = ownSummary(now);
--- a/Libraries/Daemon/cluster_state.h
+++ b/Libraries/Daemon/cluster_state.h
@@ -95,8 +95,7 @@
     bool isAnotherCoordinator(instant now) const;
     /// What the coordinator of this data centre tells the others.
     data_centre_summary ownSummary(instant now) const;
-    /// Whether this daemon has heard of the groups and of every member's state, so that it can route.
-    bool hasHeardOfGroups() const;
+
     /// What this data centre is to run: its share of every deployment.
     std::vector<deployment_want> wants(instant now) const;
     /// What each live daemon of the data centre was asked for by an organisation, in tokens a second; the own part first.
--- a/Libraries/Daemon/routing_snapshot.h
+++ b/Libraries/Daemon/routing_snapshot.h
@@ -65,6 +65,8 @@
     revision inForce;
     std::shared_ptr<const configuration> wanted;
     std::vector<deployment_routes> deployments;
+    /// The groups are known, and every member has been heard of: these routes are all there are.
+    bool hasHeardOfGroups = false;
 
     const deployment_routes *find(const deployment_id &id) const
     {
