Daemon: Count published registers from two threads safely, and take out dead code

Cause: read once more: the coordinator's register counter is raised by the timer's thread (summaries) and by a worker (the instance list) without a lock; worker_pool::waiting() and the groups' fuzzer's obeyedStaleOrders() are called by nobody. Ruled out: the shapes that look alike in the fuzzers and benchmarks (declarations of different worlds, no shared logic).

--- a/Libraries/Base/worker_pool.cpp
+++ b/Libraries/Base/worker_pool.cpp
@@ -85,10 +85,4 @@
     d->wake.notify_one();
 }
 
-std::size_t worker_pool::waiting() const
-{
-    const std::lock_guard lock(d->mutex);
-    return d->jobs.size();
-}
-
 } // namespace vetchpost
--- a/Libraries/Base/worker_pool.h
+++ b/Libraries/Base/worker_pool.h
@@ -18,8 +18,6 @@
     void run(std::function<void()> job);
     /// Drops the jobs that have not begun and waits for those that have; later jobs are dropped too.
     void stop();
-    /// Jobs that wait for a thread.
-    std::size_t waiting() const;
 
 private:
     struct private_data;
--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -51,7 +51,8 @@
     std::deque<planning_decision> decisions;
     std::vector<listed_instance> lastList;
     std::string lastSummary;
-    std::uint64_t registerCounter = 0;
+    /// Counts what the timer's and the platform's threads publish.
+    std::atomic<std::uint64_t> registerCounter = 0;
     int summariesSinceAlive = 0;
     std::atomic<bool> isListing = false;
     bool wasActive = false;
--- a/Tests/Groups/groupWorld.cpp
+++ b/Tests/Groups/groupWorld.cpp
@@ -474,9 +474,4 @@
     return text;
 }
 
-int group_world::obeyedStaleOrders() const
-{
-    return m_obeyedStale;
-}
-
 } // namespace vetchpost::test
--- a/Tests/Groups/groupWorld.h
+++ b/Tests/Groups/groupWorld.h
@@ -79,8 +79,6 @@
     int wantedGroups() const;
     /// The whole world in words, for a failure's report.
     std::string describe() const;
-    /// How often an order reached an engine that had moved on, and was obeyed.
-    int obeyedStaleOrders() const;
 
 private:
     void advance(duration time);
