Groups: Plan nothing before the view is whole, and cap what a surplus takes down

Ruled out: load (it failed alone as well), the test itself, the configuration (revision 3 was in force 0.1 s before the removal).

Change: "not known" is a value of its own: wants that were not read, a share that cannot be reckoned yet, a tracker without a list. planGroups does nothing until configuration and list are there and every member has been heard of, or five seconds have passed since the takeover. Shares need the own list and three seconds in which other data centres can be heard of; no summary is published without the list. Of a deployment's groups at most a quarter is out of service at a time because of a surplus. The fuzzer restarts coordinators with a view that comes piece by piece, and its oracle refuses the removal of a healthy wanted group.

Conclusion: closes the fault on the own interfaces; the platform's coordinator lists anew at each takeover.

--- a/Benchmarks/benchGroups.cpp
+++ b/Benchmarks/benchGroups.cpp
@@ -96,7 +96,7 @@
     wanted.id = deployment_id("model");
     wanted.instancesPerReplica = size;
     wanted.enginesCheckFencing = true;
-    const std::vector<deployment_want> wants = {{wanted, groups}};
+    const std::optional<std::vector<deployment_want>> wants = {{{wanted, groups}}};
     instance_tracker tracker;
     takeList(tracker, list);
     const auto at = [](int seconds) { return instant(std::chrono::seconds(seconds)); };
--- a/Benchmarks/groupTrace.cpp
+++ b/Benchmarks/groupTrace.cpp
@@ -61,7 +61,7 @@
         wanted.strandedWeight = profile.strandedWeight;
         wanted.loadTime = loadTime;
         wanted.restartTime = duration(static_cast<std::int64_t>(meanRestartSeconds * 1000));
-        m_wants.push_back({wanted, replicas});
+        m_wants.emplace({deployment_want{wanted, replicas}});
         std::vector<listed_instance> list;
         for (int domain = 0; domain < size.domainsPerDataCentre; ++domain) {
             for (int i = 0; i < size.instancesPerDomain; ++i) {
@@ -224,7 +224,7 @@
         }
         order();
         startLoads();
-        if (servingGroups() < m_wants.front().replicas && !m_isReplanDue) {
+        if (servingGroups() < *m_wants->front().replicas && !m_isReplanDue) {
             m_isReplanDue = true;
             push(m_now + replanPeriod, trace_kind::replan);
         }
@@ -286,7 +286,7 @@
             return;
         }
         const auto serving = servingGroups();
-        const auto missing = std::max(0, m_wants.front().replicas - serving);
+        const auto missing = std::max(0, *m_wants->front().replicas - serving);
         if (missing > 0) {
             std::map<fabric_domain_id, int> healthy;
             int healthyInstances = 0;
@@ -304,7 +304,7 @@
             m_result.downtimeGroupHours += hours * missing;
             m_result.strandedAcceleratorHours
                 += hours * std::min(idle, missing * m_size.instancesPerReplica) * m_size.acceleratorsPerInstance;
-            m_result.boundGroupHours += hours * std::max(0, m_wants.front().replicas - room);
+            m_result.boundGroupHours += hours * std::max(0, *m_wants->front().replicas - room);
         }
         m_now = until;
     }
@@ -312,7 +312,7 @@
     const trace_size &m_size;
     const planner &m_plan;
     std::mt19937_64 m_random;
-    std::vector<deployment_want> m_wants;
+    std::optional<std::vector<deployment_want>> m_wants;
     std::vector<instance_id> m_ids;
     std::vector<engine_state> m_states;
     std::vector<std::uint64_t> m_losses;
--- a/Benchmarks/naivePlanner.cpp
+++ b/Benchmarks/naivePlanner.cpp
@@ -60,14 +60,14 @@
             group.current = takeGeneration(table);
         }
     }
-    for (const auto &want : input.wants) {
+    for (const auto &want : *input.wants) {
         int present = 0;
         for (const auto &group : table.next.groups) {
             present += group.deployment == want.wanted.id ? 1 : 0;
         }
         const auto size = static_cast<std::size_t>(want.wanted.instancesPerReplica);
         for (auto &[id, domain] : table.domains) {
-            while (present < want.replicas && domain.free.size() >= size) {
+            while (present < want.replicas.value_or(0) && domain.free.size() >= size) {
                 allotted_group group;
                 group.deployment = want.wanted.id;
                 group.choice = {want.wanted.model, want.wanted.adapter, want.wanted.version};
--- a/Libraries/Daemon/cluster_state.cpp
+++ b/Libraries/Daemon/cluster_state.cpp
@@ -22,6 +22,9 @@
 /// An instance without any word is missing only after this time: its observer may have been started anew a moment ago.
 constexpr duration wordGrace(5000);
 
+/// A fresh daemon waits so long for word of other data centres before it reckons shares: three rounds of the exchange.
+constexpr duration shareSettleTime(3000);
+
 /// How a group stood when it was last looked at, and since when.
 struct seen_standing
 {
@@ -54,6 +57,8 @@
     std::map<instance_id, instant> lastWords;
     bool isDirty = true;
     instant lastMembershipCheck;
+    /// The first beat of this run.
+    std::optional<instant> startedAt;
 
     void publishAbout()
     {
@@ -183,6 +188,29 @@
         std::erase_if(standings, [&](const auto &entry) { return !present.contains(entry.first); });
     }
 
+    /// Shares are reckoned only with the own instances at hand, and after the other data centres had time to be heard of.
+    bool areSharesKnown(instant now) const
+    {
+        return tracker.hasList && startedAt && now - *startedAt >= shareSettleTime;
+    }
+
+    int shareOf(const deployment &wantedDeployment, const data_centre_summary &own, instant now) const
+    {
+        const auto size = wantedDeployment.instancesPerReplica;
+        std::vector<data_centre_offer> offers = {{own.dataCentre, wholeGroupRoom(own.domainSizes, size)}};
+        for (const auto &[dataCentre, summary] : summaries) {
+            if (!isLost(dataCentre, now)) {
+                offers.push_back({dataCentre, wholeGroupRoom(summary.domainSizes, size)});
+            }
+        }
+        for (const auto &share : shareReplicas(wantedDeployment.replicas, offers)) {
+            if (share.dataCentre == own.dataCentre) {
+                return share.replicas;
+            }
+        }
+        return 0;
+    }
+
     bool isLost(const data_centre_id &dataCentre, instant now) const
     {
         const auto known = heard.find(dataCentre);
@@ -205,6 +233,9 @@
 {
     const std::lock_guard lock(d->mutex);
     beat(d->exchange, now);
+    if (!d->startedAt) {
+        d->startedAt = now;
+    }
     forgetDead(d->exchange, now);
 }
 
@@ -468,28 +499,18 @@
     return summary;
 }
 
-std::vector<deployment_want> cluster_state::wants(instant now) const
+std::optional<std::vector<deployment_want>> cluster_state::wants(instant now) const
 {
     const auto own = ownSummary(now);
     const std::lock_guard lock(d->mutex);
-    std::vector<deployment_want> result;
     if (!d->wanted) {
-        return result;
+        return std::nullopt;
     }
+    const bool areSharesKnown = d->areSharesKnown(now);
+    std::vector<deployment_want> result;
     for (const auto &deployment : d->wanted->deployments) {
-        if (deployment.kind != deployment_kind::model) {
-            continue;
-        }
-        std::vector<data_centre_offer> offers = {{own.dataCentre, wholeGroupRoom(own.domainSizes, deployment.instancesPerReplica)}};
-        for (const auto &[dataCentre, summary] : d->summaries) {
-            if (!d->isLost(dataCentre, now)) {
-                offers.push_back({dataCentre, wholeGroupRoom(summary.domainSizes, deployment.instancesPerReplica)});
-            }
-        }
-        for (const auto &share : shareReplicas(deployment.replicas, offers)) {
-            if (share.dataCentre == own.dataCentre) {
-                result.push_back({deployment, share.replicas});
-            }
+        if (deployment.kind == deployment_kind::model) {
+            result.push_back({deployment, areSharesKnown ? std::optional(d->shareOf(deployment, own, now)) : std::nullopt});
         }
     }
     return result;
--- a/Libraries/Daemon/cluster_state.h
+++ b/Libraries/Daemon/cluster_state.h
@@ -97,7 +97,8 @@
     data_centre_summary ownSummary(instant now) const;
 
     /// What this data centre is to run: its share of every deployment.
-    std::vector<deployment_want> wants(instant now) const;
+    /// Nothing while no configuration is in force here.
+    std::optional<std::vector<deployment_want>> wants(instant now) const;
     /// What each live daemon of the data centre was asked for by an organisation, in tokens a second; the own part first.
     std::vector<double> demands(const organisation_id &organisation, instant now) const;
     std::size_t dataCentreCount() const;
--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -248,6 +248,10 @@
 
     void publishSummary(instant now)
     {
+        if (!cluster.tracker().hasList) {
+            // Without the list it would tell the other data centres that there is no room here, and they would take the replicas over.
+            return;
+        }
         const auto text = toText(cluster.ownSummary(now));
         const auto name = settings.dataCentre.value();
         if (text != lastSummary) {
--- a/Libraries/Daemon/group_metrics.cpp
+++ b/Libraries/Daemon/group_metrics.cpp
@@ -67,7 +67,7 @@
 }
 
 void group_metrics::update(const std::vector<group_status> &groups,
-                           const std::vector<deployment_want> &wants,
+                           const std::optional<std::vector<deployment_want>> &wants,
                            const instance_tracker &tracker,
                            instant now)
 {
@@ -79,8 +79,9 @@
     }
     int missing = 0;
     int missingInstances = 0;
-    for (const auto &want : wants) {
-        const auto lacking = std::max(0, want.replicas - serving[want.wanted.id]);
+    for (const auto &want : wants.value_or(std::vector<deployment_want>())) {
+        // A share that is not known yet lacks nothing that could be counted.
+        const auto lacking = std::max(0, want.replicas.value_or(0) - serving[want.wanted.id]);
         missing += lacking;
         missingInstances += lacking * want.wanted.instancesPerReplica;
     }
--- a/Libraries/Daemon/group_metrics.h
+++ b/Libraries/Daemon/group_metrics.h
@@ -18,7 +18,7 @@
 
     /// Takes in how things stand now; what held since the last call is added up.
     void update(const std::vector<group_status> &groups,
-                const std::vector<deployment_want> &wants,
+                const std::optional<std::vector<deployment_want>> &wants,
                 const instance_tracker &tracker,
                 instant now);
 
--- a/Libraries/Daemon/operator_interface.cpp
+++ b/Libraries/Daemon/operator_interface.cpp
@@ -212,15 +212,16 @@
     {
         json["shortages"] = Json::Value(Json::arrayValue);
         const auto groups = context.cluster.groups(monotonicNow());
-        for (const auto &want : context.cluster.wants(monotonicNow())) {
+        const auto wants = context.cluster.wants(monotonicNow());
+        for (const auto &want : wants.value_or(std::vector<deployment_want>())) {
             int serving = 0;
             for (const auto &status : groups) {
                 serving += status.group.deployment == want.wanted.id && status.standing == group_standing::serving ? 1 : 0;
             }
-            if (serving < want.replicas) {
+            if (want.replicas && serving < *want.replicas) {
                 Json::Value entry;
                 entry["deployment"] = want.wanted.id.value();
-                entry["wanted_here"] = want.replicas;
+                entry["wanted_here"] = *want.replicas;
                 entry["serving_here"] = serving;
                 json["shortages"].append(entry);
             }
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -119,6 +119,9 @@
         case swap_outcome::applied:
             accept(*m_state.pending, event.result.changed);
             m_state.isInDoubt = false;
+            if (m_state.phase != coordinator_phase::active) {
+                m_state.activeSince = m_view.now;
+            }
             m_state.phase = coordinator_phase::active;
             return sendOrders();
         case swap_outcome::conflict:
@@ -250,7 +253,8 @@
                                    m_state.notBefore,
                                    m_view.now,
                                    m_view.calendarNow,
-                                   m_state.settings.dataCentre};
+                                   m_state.settings.dataCentre,
+                                   m_state.activeSince};
         auto result = planGroups(input, m_state.settings.policy);
         m_state.lastDecisions = std::move(result.decisions);
         if (allotmentProblem(result.next)) {
--- a/Libraries/Groups/coordinator.h
+++ b/Libraries/Groups/coordinator.h
@@ -145,6 +145,8 @@
     bool isInDoubt = false;
     std::map<instance_id, outstanding_order> orders;
     std::map<instance_id, instant> notBefore;
+    /// When this daemon last became active: from then on it waits for word of the members.
+    instant activeSince;
     std::vector<planning_decision> lastDecisions;
 };
 
@@ -152,7 +154,8 @@
 struct coordinator_view
 {
     const instance_tracker &tracker;
-    const std::vector<deployment_want> &wants;
+    /// Nothing while no configuration has been read.
+    const std::optional<std::vector<deployment_want>> &wants;
     weight_store_state store;
     /// Whether another daemon is known to coordinate; then there is no haste to try.
     bool isAnotherActive = false;
--- a/Libraries/Groups/instance_tracker.cpp
+++ b/Libraries/Groups/instance_tracker.cpp
@@ -26,6 +26,7 @@
 
 void takeList(instance_tracker &tracker, const std::vector<listed_instance> &list)
 {
+    tracker.hasList = true;
     for (auto &[id, tracked] : tracker.instances) {
         tracked.isListed = false;
     }
--- a/Libraries/Groups/instance_tracker.h
+++ b/Libraries/Groups/instance_tracker.h
@@ -57,6 +57,8 @@
 struct instance_tracker
 {
     std::map<instance_id, tracked_instance> instances;
+    /// Whether the platform's list was taken in at all. Before that, no instances means none known, not none there.
+    bool hasList = false;
     /// How often an instance was seen to go back to a lower fencing number in one run: its engine ignores them, and an order of the
     /// past reached it.
     int staleOrdersObeyed = 0;
--- a/Libraries/Groups/planning.cpp
+++ b/Libraries/Groups/planning.cpp
@@ -93,7 +93,31 @@
     return ids;
 }
 
-/// 1. Groups that nobody wants any more drain and go.
+/// How many more groups of a deployment may be taken out of service in this round because there are more than wanted.
+std::size_t surplusAllowance(const planning_table &table, const std::vector<group_id> &ids)
+{
+    std::size_t draining = 0;
+    for (const auto &group : table.next.groups) {
+        const bool isOfDeployment = std::find(ids.begin(), ids.end(), group.id) != ids.end();
+        draining += isOfDeployment && group.drainingSince != 0 ? 1U : 0U;
+    }
+    const auto share = static_cast<std::size_t>(static_cast<double>(ids.size()) * table.policy.surplusShare);
+    const auto most = std::max<std::size_t>(1, share);
+    return most > draining ? most - draining : 0;
+}
+
+/// How many replicas are wanted; nothing where the share of this data centre is not known.
+std::optional<std::size_t> wantedReplicas(const planning_table &table, const deployment_id &deployment)
+{
+    const auto want = table.wants.find(deployment);
+    if (want == table.wants.end()) {
+        return 0;
+    }
+    const auto replicas = want->second->replicas;
+    return replicas ? std::optional(static_cast<std::size_t>(*replicas)) : std::nullopt;
+}
+
+/// 1. Groups that nobody wants any more drain and go, a share of them at a time.
 void removeUnwanted(planning_table &table, std::vector<group_id> &kept)
 {
     std::set<deployment_id> deployments;
@@ -101,15 +125,22 @@
         deployments.insert(group.deployment);
     }
     for (const auto &deployment : deployments) {
-        const auto want = table.wants.find(deployment);
-        const auto wanted = want == table.wants.end() ? 0 : static_cast<std::size_t>(want->second->replicas);
         auto ids = inOrderOfRemoval(table, deployment);
+        const auto wanted = wantedReplicas(table, deployment).value_or(ids.size());
         const auto surplus = ids.size() > wanted ? ids.size() - wanted : 0;
+        auto allowance = surplusAllowance(table, ids);
         for (std::size_t i = 0; i < ids.size(); ++i) {
             auto &group = *findPlannedGroup(table, ids[i]);
+            const bool isStillServing = group.drainingSince == 0 && standingIn(table, group) == group_standing::serving;
             if (i >= surplus) {
                 kept.push_back(ids[i]);
-            } else if (drain(table, group, "more replicas than wanted")) {
+                continue;
+            }
+            if (isStillServing && allowance == 0) {
+                continue;
+            }
+            allowance -= isStillServing ? 1 : 0;
+            if (drain(table, group, "more replicas than wanted")) {
                 note(table, ids[i], plan_action::remove, "more replicas than wanted");
                 removeGroup(table, ids[i]);
             }
@@ -125,8 +156,11 @@
         const auto &group = *findPlannedGroup(table, id);
         serving += standingIn(table, group) == group_standing::serving && group.drainingSince == 0 ? 1 : 0;
     }
+    if (!want.replicas) {
+        return false;
+    }
     constexpr int wholePercent = 100;
-    const auto kept = (want.replicas * want.wanted.keptPercent + wholePercent - 1) / wholePercent;
+    const auto kept = (*want.replicas * want.wanted.keptPercent + wholePercent - 1) / wholePercent;
     return serving - 1 >= kept;
 }
 
@@ -309,7 +343,7 @@
     for (const auto *want : wants) {
         const auto size = static_cast<std::size_t>(want->wanted.instancesPerReplica);
         auto present = static_cast<int>(groupsOf(table, want->wanted.id).size());
-        for (; present < want->replicas; ++present) {
+        for (; present < want->replicas.value_or(0); ++present) {
             const auto domain = domainFor(table, size);
             if (!domain || (static_cast<int>(size) > loadsLeft(table) && table.loads > 0)) {
                 break;
@@ -338,8 +372,33 @@
     return actionNames.at(static_cast<std::size_t>(action));
 }
 
+std::optional<std::string> viewGap(const planning_input &input, const planning_policy &policy)
+{
+    if (!input.wants) {
+        return "the configuration has not been read";
+    }
+    if (!input.tracker.hasList) {
+        return "the instance list has not been read";
+    }
+    if (input.now - input.viewSince >= policy.viewGrace) {
+        return std::nullopt;
+    }
+    for (const auto &group : input.current.groups) {
+        for (const auto &member : group.members) {
+            const auto *tracked = findInstance(input.tracker, member.instance);
+            if (tracked == nullptr || (!tracked->lastState && !tracked->missingSince)) {
+                return fmt::format("nothing has been heard of {} yet", member.instance.value());
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 planning_result planGroups(const planning_input &input, const planning_policy &policy)
 {
+    if (const auto gap = viewGap(input, policy)) {
+        return {input.current, false, {{{}, plan_action::wait, *gap, {}}}};
+    }
     auto table = makePlanningTable(input, policy);
     std::vector<group_id> kept;
     removeUnwanted(table, kept);
--- a/Libraries/Groups/planning.h
+++ b/Libraries/Groups/planning.h
@@ -8,6 +8,7 @@
 #include "Libraries/Platform/weight_store_client.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,7 +19,8 @@
 struct deployment_want
 {
     deployment wanted;
-    int replicas = 0;
+    /// Nothing while this data centre's share cannot be told yet, which is not the same as none.
+    std::optional<int> replicas;
 };
 
 /// The numbers that planning weighs with. docs/design/GROUPS.md gives their sources.
@@ -47,13 +49,20 @@
     /// A drained group must have been draining for so long, so that every gateway has heard of it.
     duration drainSettle{3000};
     duration drainTimeout{600000};
+    /// A coordinator that has just taken over waits so long for word of members that it has not heard of. An instance whose observer was
+    /// replaced counts as missing after the same time (cluster_state's wordGrace).
+    duration viewGrace{5000};
+    /// Of a deployment's groups at most this share (at least one group) is out of service at a time because there are more than wanted, so
+    /// that a wrong count is noticed before everything is down.
+    double surplusShare = 0.25;
 };
 
 struct planning_input
 {
     const allotment &current;
     const instance_tracker &tracker;
-    const std::vector<deployment_want> &wants;
+    /// Nothing while no configuration has been read.
+    const std::optional<std::vector<deployment_want>> &wants;
     weight_store_state store;
     /// Instances that an old order may still reach, with the time from which they may be used again.
     const std::map<instance_id, instant> &notBefore;
@@ -61,6 +70,8 @@
     std::int64_t calendarNow = 0;
     /// Part of the names of new groups: they are unique over all data centres.
     data_centre_id dataCentre;
+    /// Since when the planning daemon has been collecting what it knows of the members.
+    instant viewSince;
 };
 
 enum class plan_action {
@@ -107,7 +118,10 @@
     std::vector<planning_decision> decisions;
 };
 
+/// What the view lacks before anything may be planned on it; nothing where it is whole.
+std::optional<std::string> viewGap(const planning_input &input, const planning_policy &policy);
 /// Plans one round: what the allotment should become. Pure; docs/design/GROUPS.md numbers its steps.
+/// Plans nothing while the view is not whole.
 planning_result planGroups(const planning_input &input, const planning_policy &policy);
 
 } // namespace vetchpost
--- a/Libraries/Groups/planning_table.cpp
+++ b/Libraries/Groups/planning_table.cpp
@@ -79,7 +79,7 @@
 {
     planning_table table{input, policy, input.current, {}, {}, 0, {}, {}, {}};
     std::erase_if(table.next.withheld, [&](const withheld_instance &entry) { return isReusable(input, entry.instance); });
-    for (const auto &want : input.wants) {
+    for (const auto &want : *input.wants) {
         table.wants.emplace(want.wanted.id, &want);
     }
     for (const auto &group : input.current.groups) {
--- a/Tests/Groups/groupWorld.cpp
+++ b/Tests/Groups/groupWorld.cpp
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace vetchpost::test {
 
 namespace {
@@ -13,6 +15,8 @@
 constexpr int coordinators = 3;
 constexpr duration tick(200);
 constexpr duration loadTime(1500);
+/// A plan made before a change may be written so much later: a lost reply, a late write, a long pause of the fuzzer's steps.
+constexpr duration quietTime(8000);
 const data_centre_id dataCentre("ikeja");
 
 deployment makeDeployment(const std::string &name, int priority, bool checksFencing)
@@ -92,6 +96,10 @@
 {
     auto &engine = m_engines[static_cast<std::size_t>(step.subject) % m_engines.size()];
     auto &coordinator = m_coordinators[static_cast<std::size_t>(step.subject) % m_coordinators.size()];
+    constexpr int firstRestart = 14;
+    if (step.kind < firstRestart) {
+        m_quietSince = m_now;
+    }
     switch (step.kind) {
     case 0:
         engine.isAlive = false;
@@ -142,6 +150,11 @@
         }
         break;
     }
+    case 14:
+    case 15:
+    case 16:
+        restart(coordinator, duration(step.amount % 8000));
+        break;
     case 12:
     case 13:
         // Two operators race: replicas come and go faster than orders travel.
@@ -149,6 +162,7 @@
             m_wants[0].replicas = replicas;
             advance(duration(200 + step.amount % 1000));
         }
+        m_quietSince = m_now;
         break;
     default:
         break;
@@ -188,6 +202,21 @@
     }
 }
 
+/// The daemon stops, ends its own lease, and is started anew: it knows nothing, and its view comes piece by piece.
+void group_world::restart(fake_coordinator &coordinator, duration longestDelay)
+{
+    m_store.leases.erase(coordinator.state.lease);
+    m_store.expire(m_now);
+    coordinator.state = makeCoordinator(coordinator.state.settings);
+    coordinator.tracker = {};
+    coordinator.answers.clear();
+    coordinator.held.clear();
+    coordinator.isPaused = false;
+    coordinator.configurationKnownFrom = m_now + randomDelay(longestDelay);
+    coordinator.listKnownFrom = m_now + randomDelay(longestDelay);
+    coordinator.membersKnownFrom = coordinator.listKnownFrom + randomDelay(duration(4000));
+}
+
 void group_world::tickAll()
 {
     for (auto &coordinator : m_coordinators) {
@@ -217,7 +246,12 @@
         }
         list.push_back(engine.listed);
     }
-    takeList(coordinator.tracker, list);
+    if (m_now >= coordinator.listKnownFrom) {
+        takeList(coordinator.tracker, list);
+    }
+    if (m_now < coordinator.membersKnownFrom) {
+        return;
+    }
     for (const auto &engine : m_engines) {
         const bool isHeard = engine.isAlive && !coordinator.isCutFromEngines;
         takeObservation(coordinator.tracker, {engine.listed.id, isHeard ? std::optional(engine.state) : std::nullopt}, m_now);
@@ -226,7 +260,14 @@
 
 void group_world::run(fake_coordinator &coordinator, const coordinator_event &event)
 {
-    coordinator_view view{coordinator.tracker, m_wants, {8, 0}, false, m_now, m_now.time_since_epoch().count()};
+    auto wants = m_now >= coordinator.configurationKnownFrom ? std::optional(m_wants) : std::nullopt;
+    if (wants && m_now < coordinator.listKnownFrom) {
+        // A share is reckoned from the own instances: without their list it is not known.
+        for (auto &want : *wants) {
+            want.replicas.reset();
+        }
+    }
+    coordinator_view view{coordinator.tracker, wants, {8, 0}, false, m_now, m_now.time_since_epoch().count()};
     for (const auto &action : step(coordinator.state, event, view)) {
         perform(coordinator, action);
     }
@@ -354,6 +395,7 @@
     if (stored->current < m_lastStored.current || stored->lastGeneration < m_lastStored.lastGeneration) {
         breakRule("the epoch or the last generation fell");
     }
+    checkNothingHealthyRemoved(*stored);
     m_lastStored = *stored;
     for (const auto &group : stored->groups) {
         for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
@@ -362,6 +404,43 @@
     }
 }
 
+std::set<group_id> group_world::healthyGroups() const
+{
+    std::set<group_id> healthy;
+    for (const auto &group : m_lastStored.groups) {
+        const bool isHealthy = std::all_of(group.members.begin(), group.members.end(), [&](const allotted_member &member) {
+            return std::any_of(m_engines.begin(), m_engines.end(), [&](const fake_engine &engine) {
+                return engine.listed.id == member.instance && engine.isAlive && !engine.listed.isLeaving && engine.state.group == group.id
+                    && engine.state.confirmed == group.current && engine.state.phase == engine_phase::ready;
+            });
+        });
+        if (isHealthy) {
+            healthy.insert(group.id);
+        }
+    }
+    return healthy;
+}
+
+/// While nothing but coordinators changes, no healthy group that is wanted may be taken down. The deployment of the highest priority is
+/// looked at: groups of the others may have to give way to it.
+void group_world::checkNothingHealthyRemoved(const allotment &stored)
+{
+    const auto &first = m_wants.front();
+    const auto isOfFirst = [&](const allotted_group &group) { return group.deployment == first.wanted.id; };
+    const auto present = std::count_if(m_lastStored.groups.begin(), m_lastStored.groups.end(), isOfFirst);
+    if (m_now - m_quietSince < quietTime || present > *first.replicas) {
+        return;
+    }
+    const auto healthy = healthyGroups();
+    for (const auto &group : m_lastStored.groups) {
+        const bool isLeft
+            = std::any_of(stored.groups.begin(), stored.groups.end(), [&](const allotted_group &other) { return other.id == group.id; });
+        if (isOfFirst(group) && healthy.contains(group.id) && !isLeft) {
+            breakRule("a healthy group that is wanted was removed: " + group.id.value());
+        }
+    }
+}
+
 void group_world::check()
 {
     int ordering = 0;
@@ -429,7 +508,7 @@
 {
     int wanted = 0;
     for (const auto &want : m_wants) {
-        wanted += want.replicas;
+        wanted += *want.replicas;
     }
     return wanted;
 }
@@ -450,7 +529,7 @@
         }
     }
     for (const auto &want : m_wants) {
-        text += fmt::format("{}: {} of version {}\n", want.wanted.id.value(), want.replicas, want.wanted.version);
+        text += fmt::format("{}: {} of version {}\n", want.wanted.id.value(), *want.replicas, want.wanted.version);
     }
     for (const auto &group : m_lastStored.groups) {
         text += fmt::format(
--- a/Tests/Groups/groupWorld.h
+++ b/Tests/Groups/groupWorld.h
@@ -46,6 +46,10 @@
 {
     coordinator_state state;
     instance_tracker tracker;
+    /// When the parts of its view come to it after it was started anew.
+    instant configurationKnownFrom;
+    instant listKnownFrom;
+    instant membersKnownFrom;
     bool isPaused = false;
     bool isCutFromService = false;
     bool isCutFromEngines = false;
@@ -82,6 +86,7 @@
 
 private:
     void advance(duration time);
+    void restart(fake_coordinator &coordinator, duration longestDelay);
     void tickAll();
     void observe(fake_coordinator &coordinator);
     void run(fake_coordinator &coordinator, const coordinator_event &event);
@@ -92,6 +97,8 @@
     void applyLateWrites();
     void check();
     void checkStored();
+    void checkNothingHealthyRemoved(const allotment &stored);
+    std::set<group_id> healthyGroups() const;
     void checkServing(const fake_coordinator &coordinator);
     void breakRule(const std::string &what);
     bool isServiceReachable(const fake_coordinator &coordinator) const;
@@ -108,6 +115,8 @@
     allotment m_lastStored;
     instant m_now{duration(1000000)};
     instant m_serviceDownUntil;
+    /// Since when no operator changed what is wanted, no engine failed and nothing was cut off.
+    instant m_quietSince;
     int m_repliesToLose = 0;
     int m_obeyedStale = 0;
     std::uint64_t m_randomState;
--- a/Tests/Groups/testCoordinatorFuzz.cpp
+++ b/Tests/Groups/testCoordinatorFuzz.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr int kinds = 16;
+constexpr int kinds = 17;
 constexpr int stepsPerCase = 60;
 constexpr int casesInCi = 200;
 
--- a/Tests/Groups/testPlanning.cpp
+++ b/Tests/Groups/testPlanning.cpp
@@ -86,7 +86,8 @@
     /// One round; the decisions that it took.
     std::vector<planning_decision> round(const planner &plan, bool doesLoad = true)
     {
-        const planning_input input{allotted, m_tracker, wants, {1000, 0}, notBefore, now, now.time_since_epoch().count(), dataCentre};
+        const std::optional known(wants);
+        const planning_input input{allotted, m_tracker, known, {1000, 0}, notBefore, now, now.time_since_epoch().count(), dataCentre};
         auto result = plan(input);
         REQUIRE_FALSE(allotmentProblem(result.next));
         allotted = result.next;
@@ -404,7 +405,7 @@
 TEST_CASE("Followers try ever more rarely, and not in step, while the service does not let them")
 {
     const instance_tracker tracker;
-    const std::vector<deployment_want> wants;
+    const std::optional<std::vector<deployment_want>> wants;
     int tries = 0;
     std::set<instant> lastTries;
     for (int daemon = 0; daemon < 50; ++daemon) {
--- /dev/null
+++ b/Tests/Groups/testTakeover.cpp
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Groups/coordinator.h"
+#include "Libraries/Groups/group_standing.h"
+#include "Tests/Fakes/fake_key_value_store.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+
+namespace {
+
+enum class view_part { configuration, share, list, members };
+
+const data_centre_id dataCentre("ikeja");
+constexpr int replicas = 4;
+constexpr int groupSize = 2;
+constexpr duration tick(200);
+
+deployment filingDeployment()
+{
+    deployment wanted;
+    wanted.id = deployment_id("filing");
+    wanted.model = "large";
+    wanted.version = "1";
+    wanted.instancesPerReplica = groupSize;
+    wanted.priority = 5;
+    wanted.keptPercent = 75;
+    wanted.loadTime = std::chrono::seconds(60);
+    wanted.restartTime = std::chrono::seconds(240);
+    return wanted;
+}
+
+/// Four healthy groups that a coordinator before formed, and a successor whose view comes to it part by part.
+class takeover
+{
+public:
+    takeover()
+    {
+        m_allotted.current = epoch(1);
+        m_allotted.coordinator = daemon_id("before");
+        m_allotted.lastGeneration = generation(replicas);
+        for (int i = 0; i < replicas; ++i) {
+            allotted_group group;
+            group.id = group_id(fmt::format("filing-{}", i));
+            group.deployment = deployment_id("filing");
+            group.choice = {"large", {}, "1"};
+            group.current = generation(static_cast<std::uint64_t>(i + 1));
+            group.enginesCheckFencing = true;
+            for (int rank = 0; rank < groupSize; ++rank) {
+                addMember(group, i * groupSize + rank, rank);
+            }
+            m_allotted.groups.push_back(std::move(group));
+        }
+        m_store.swap(allotmentKey(dataCentre), {}, toText(m_allotted));
+        coordinator_settings settings;
+        settings.self = daemon_id("successor");
+        settings.dataCentre = dataCentre;
+        m_state = makeCoordinator(settings);
+    }
+
+    void tell(view_part part)
+    {
+        switch (part) {
+        case view_part::configuration:
+            m_wants = {{filingDeployment(), m_isShareKnown ? std::optional(replicas) : std::nullopt}};
+            break;
+        case view_part::share:
+            m_isShareKnown = true;
+            if (m_wants) {
+                m_wants->front().replicas = replicas;
+            }
+            break;
+        case view_part::list:
+            takeList(m_tracker, m_listed);
+            break;
+        case view_part::members:
+            m_areMembersHeard = true;
+            break;
+        }
+    }
+
+    void run(duration time)
+    {
+        const auto end = m_now + time;
+        for (; m_now < end; m_now += tick) {
+            for (const auto &state : m_states) {
+                if (m_areMembersHeard) {
+                    takeObservation(m_tracker, {state.instance, state}, m_now);
+                }
+            }
+            handle(coordinator_tick{});
+        }
+    }
+
+    std::size_t healthyGroups() const
+    {
+        const auto stored = allotmentFrom(m_store.get(allotmentKey(dataCentre)).value);
+        return static_cast<std::size_t>(std::count_if(m_allotted.groups.begin(), m_allotted.groups.end(), [&](const allotted_group &group) {
+            return std::find(stored->groups.begin(), stored->groups.end(), group) != stored->groups.end();
+        }));
+    }
+
+    bool hasTakenOver() const
+    {
+        return isActive(m_state, m_now);
+    }
+
+    const std::vector<planning_decision> &decisions() const
+    {
+        return m_state.lastDecisions;
+    }
+
+private:
+    void addMember(allotted_group &group, int number, int rank)
+    {
+        listed_instance listed;
+        listed.id = instance_id(fmt::format("e{}", number));
+        listed.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + number)};
+        listed.dataCentre = dataCentre;
+        listed.fabricDomain = fabric_domain_id("rack");
+        m_listed.push_back(listed);
+        group.members.push_back({listed.id, listed.address, listed.fabricDomain});
+        engine_state state;
+        state.instance = listed.id;
+        state.run = incarnation(1);
+        state.group = group.id;
+        state.confirmed = group.current;
+        state.rank = rank;
+        state.choice = group.choice;
+        state.phase = engine_phase::ready;
+        m_states.push_back(state);
+    }
+
+    void handle(const coordinator_event &event)
+    {
+        const coordinator_view view{m_tracker, m_wants, {8, 0}, false, m_now, m_now.time_since_epoch().count()};
+        for (const auto &action : step(m_state, event, view)) {
+            perform(action);
+        }
+    }
+
+    void perform(const coordinator_action &action)
+    {
+        if (std::holds_alternative<acquire_coordination>(action)) {
+            handle(acquisition_answer{m_now, true, m_store.grant(m_state.settings.leaseTime, m_now)});
+        } else if (const auto *renewal = std::get_if<renew_coordination>(&action)) {
+            handle(renewal_answer{m_now, m_store.renew(renewal->lease, m_now)});
+        } else if (std::holds_alternative<read_allotment>(action)) {
+            handle(allotment_answer{true, m_store.get(allotmentKey(dataCentre))});
+        } else if (const auto *writing = std::get_if<write_allotment>(&action)) {
+            handle(write_answer{m_store.swap(allotmentKey(dataCentre), writing->expected, writing->text)});
+        }
+    }
+
+    fake_key_value_store m_store;
+    allotment m_allotted;
+    std::vector<listed_instance> m_listed;
+    std::vector<engine_state> m_states;
+    coordinator_state m_state;
+    instance_tracker m_tracker;
+    std::optional<std::vector<deployment_want>> m_wants;
+    bool m_isShareKnown = false;
+    bool m_areMembersHeard = false;
+    instant m_now{duration(1000000)};
+};
+
+} // namespace
+
+TEST_CASE("A successor leaves healthy groups alone in whatever order its view comes to it")
+{
+    std::array order = {view_part::configuration, view_part::share, view_part::list, view_part::members};
+    do {
+        takeover world;
+        for (const auto part : order) {
+            world.run(std::chrono::seconds(1));
+            world.tell(part);
+        }
+        world.run(std::chrono::seconds(30));
+        CHECK(world.hasTakenOver());
+        CHECK(world.healthyGroups() == replicas);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("A successor to whom one part of its view never comes takes nothing down")
+{
+    for (const auto missing : {view_part::configuration, view_part::share, view_part::list}) {
+        takeover world;
+        for (const auto part : {view_part::configuration, view_part::share, view_part::list, view_part::members}) {
+            if (part != missing) {
+                world.tell(part);
+            }
+        }
+        world.run(std::chrono::minutes(2));
+        CHECK(world.hasTakenOver());
+        CHECK(world.healthyGroups() == replicas);
+    }
+}
+
+TEST_CASE("Members that nobody hears of are given their time, and are repaired after it")
+{
+    takeover world;
+    for (const auto part : {view_part::configuration, view_part::share, view_part::list}) {
+        world.tell(part);
+    }
+    world.run(std::chrono::seconds(4));
+    CHECK(world.healthyGroups() == replicas);
+    REQUIRE(world.decisions().size() == 1);
+    CHECK(world.decisions().front().action == plan_action::wait);
+    world.run(std::chrono::seconds(3));
+    // The time is over: the groups are planned for as broken ones, of which none is removed.
+    CHECK((world.decisions().empty() || world.decisions().front().group != group_id()));
+}
