Assembly: Load by need, and let leaving members stay while their group serves

Change: after the start groups form of replicas only that hold the weights; free replicas load what completes a group of their domain soonest, at most as many at a time as the store feeds. A leaving member that is not the head stays until a replacement is ready or for six seconds.

--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -143,6 +143,8 @@
     duration refusalPause{2000};
     /// A head that is silent and no longer listed may still hold its group for so long; set from the engines' stall time.
     duration silentHeadWait{5000};
+    /// A group with a leaving member serves on for so long at most; the member itself stays for ten seconds while there is work.
+    duration leavingStay{6000};
     /// A group that does not come together in its loading time and this much more is given up.
     duration joinSlack{20000};
     /// Of the weight store's rate the part that is used, so that a predecessor's last loads find room in the same window.
@@ -164,6 +166,8 @@
     std::map<instance_id, std::uint64_t> ordersTaken;
     std::map<group_id, planned_group> groups;
     std::map<instance_id, instant> avoidedUntil;
+    /// Since when each leaving replica is known to leave.
+    std::map<instance_id, instant> drainingSince;
     /// Loads from the weight store that were ordered within the window.
     std::deque<instant> loads;
     struct staging
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -12,6 +12,8 @@
 
 /// Terms are far apart in the numbers of formations, so that a successor's are always higher.
 constexpr std::uint64_t formationsPerTerm = 100000;
+/// With fewer loads than this under way, loads that only prepare for a loss get their turn.
+constexpr std::size_t idleStoreLoads = 2;
 
 /// How soon a replica could serve a model: it ran it last, it has it staged, or it must load it.
 enum class readiness { same_model, staged, must_load };
@@ -29,6 +31,7 @@
         while (!m_state.loads.empty() && m_view.now - m_state.loads.front() >= m_state.policy.loadWindow) {
             m_state.loads.pop_front();
         }
+        noteDraining();
         std::erase_if(m_state.stagings, [&](const auto &entry) { return isStagingOver(entry.first, entry.second); });
     }
 
@@ -56,6 +59,16 @@
     }
 
 private:
+    void noteDraining()
+    {
+        for (const auto &[id, replica] : m_view.directory.replicas) {
+            if (replica.isDraining) {
+                m_state.drainingSince.try_emplace(id, m_view.now);
+            }
+        }
+        std::erase_if(m_state.drainingSince, [&](const auto &entry) { return find(entry.first) == nullptr; });
+    }
+
     // 1. What a predecessor left.
 
     /// Takes over the groups that are whole, and those that must be closed. Replicas of all others are free.
@@ -416,7 +429,7 @@
             for (const auto *model : modelsBySize()) {
                 const auto size = static_cast<std::size_t>(model->size);
                 const bool isNeedyElsewhere = presentPart(*model) < 1;
-                if (free.size() >= size && !isNeedyElsewhere && mayLoad(size)) {
+                if (free.size() >= size && !isNeedyElsewhere && quickCount(free, model->id) >= model->size) {
                     formIn(*model, domain);
                     break;
                 }
@@ -484,7 +497,8 @@
             const auto loads = static_cast<std::size_t>(std::count_if(chosen.begin(), chosen.end(), [&](const served_replica *replica) {
                 return readinessOf(*replica, model.id) == readiness::must_load;
             }));
-            if (loads > 0 && !mayLoad(loads)) {
+            // Later a replica loads beside all else and joins once it has the weights, so that the others need not wait for it.
+            if (loads > 0 && !m_view.isBeforeTraffic) {
                 continue;
             }
             const std::pair cost(loads, SIZE_MAX - replicas.size());
@@ -544,23 +558,80 @@
 
     // 4. Spares.
 
-    /// Spares of a domain hold the models in turn, the one with the largest groups first: it loses members most often.
+    /// What a domain lacks for one more group of a model.
+    struct load_need
+    {
+        fabric_domain_id domain;
+        const group_model *model = nullptr;
+        /// Replicas that must still load the weights.
+        int lacking = 0;
+        /// The part of the model's wanted groups that is there.
+        double part = 0;
+    };
+
+    /// Free replicas load what the next group of their domain lacks. The weight store feeds few loads at a time, so that those come first
+    /// which complete a group soonest.
     void stageSpares()
     {
         if (m_view.engine.stagedPerHost < 1) {
             return;
         }
-        const auto models = modelsBySize();
+        for (const auto &need : loadNeeds()) {
+            auto lacking = need.lacking;
+            for (const auto *replica : m_free.at(need.domain)) {
+                const bool isUsable = !m_state.stagings.contains(replica->id) && !m_claimed.contains(replica->id)
+                    && readinessOf(*replica, need.model->id) == readiness::must_load;
+                if (lacking > 0 && isUsable && mayLoad(1)) {
+                    stage(*replica, need.model->id);
+                    --lacking;
+                }
+            }
+        }
+    }
+
+    /// The needs of all domains, the most pressing first. Replicas that are ready for a need are claimed by it.
+    std::vector<load_need> loadNeeds()
+    {
+        std::vector<load_need> needs;
         for (const auto &[domain, replicas] : m_free) {
-            stageDomain(replicas, models);
+            for (const auto *model : modelsBySize()) {
+                const bool hasRoom = static_cast<int>(replicas.size()) >= model->size;
+                const auto ready = readyOrStaging(replicas, model->id);
+                const auto lacking = hasRoom ? model->size - ready : std::min<int>(1, static_cast<int>(replicas.size()) - ready);
+                if (lacking > 0) {
+                    needs.push_back({domain, model, lacking, presentPart(*model) + (hasRoom ? 0 : 1)});
+                }
+            }
         }
+        std::stable_sort(needs.begin(), needs.end(), [](const load_need &left, const load_need &right) {
+            return std::pair(std::min(left.part, 1.0) + left.lacking, left.part)
+                < std::pair(std::min(right.part, 1.0) + right.lacking, right.part);
+        });
+        for (const auto &need : needs) {
+            for (const auto *replica : m_free.at(need.domain)) {
+                if (need.part < 1 && readinessOf(*replica, need.model->id) != readiness::must_load) {
+                    m_claimed.insert(replica->id);
+                }
+            }
+        }
+        return needs;
+    }
+
+    int readyOrStaging(const std::vector<const served_replica *> &replicas, const model_id &model) const
+    {
+        return static_cast<int>(std::count_if(replicas.begin(), replicas.end(), [&](const served_replica *replica) {
+            const auto staging = m_state.stagings.find(replica->id);
+            const bool isStaging = staging != m_state.stagings.end() && staging->second.model == model;
+            return isStaging || readinessOf(*replica, model) != readiness::must_load;
+        }));
     }
 
     /// Hosts of the smaller models' groups get the largest model's weights; what runs needs the host's copy no more.
     void stageServing()
     {
         const auto models = modelsBySize();
-        if (models.empty() || m_view.engine.stagedPerHost < 1) {
+        const bool isStoreIdle = m_view.isBeforeTraffic || m_state.stagings.size() < idleStoreLoads;
+        if (models.empty() || m_view.engine.stagedPerHost < 1 || !isStoreIdle) {
             return;
         }
         const auto &largest = *models.front();
@@ -572,7 +643,8 @@
             for (const auto &member : group.members) {
                 const auto *replica = find(member.instance);
                 const bool isStaged = replica == nullptr || readinessOf(*replica, largest.id) != readiness::must_load;
-                if (!isStaged && !m_state.stagings.contains(member.instance) && !isAvoided(member.instance) && mayLoad(1)) {
+                const bool isStoreFree = m_view.isBeforeTraffic || m_state.stagings.size() < idleStoreLoads;
+                if (!isStaged && isStoreFree && !m_state.stagings.contains(member.instance) && !isAvoided(member.instance) && mayLoad(1)) {
                     stage(*replica, largest.id);
                 }
             }
@@ -587,32 +659,6 @@
         m_orders.push_back({order_kind::stage, replica.id, replica.address, {}, {}, model, {}, {}});
     }
 
-    void stageDomain(const std::vector<const served_replica *> &spares, const std::vector<const group_model *> &models)
-    {
-        std::map<model_id, int> held;
-        std::vector<const served_replica *> empty;
-        for (const auto *spare : spares) {
-            const auto staging = m_state.stagings.find(spare->id);
-            if (staging != m_state.stagings.end()) {
-                ++held[staging->second.model];
-            } else if (!spare->staged.empty()) {
-                ++held[spare->staged.front()];
-            } else {
-                empty.push_back(spare);
-            }
-        }
-        for (const auto *spare : empty) {
-            const auto scarcest = std::min_element(models.begin(), models.end(), [&](const group_model *left, const group_model *right) {
-                return held[left->id] < held[right->id];
-            });
-            if (scarcest == models.end() || !mayLoad(1)) {
-                return;
-            }
-            ++held[(*scarcest)->id];
-            stage(*spare, (*scarcest)->id);
-        }
-    }
-
     // Queries.
 
     const served_replica *find(const instance_id &instance) const
@@ -672,7 +718,7 @@
             if (replica == nullptr) {
                 return "a member is gone: " + member.instance.value();
             }
-            if (replica->isDraining) {
+            if (replica->isDraining && mustReplaceNow(group, *replica)) {
                 return "a member is about to leave: " + member.instance.value();
             }
             if (m_view.suspects.contains(member.instance)) {
@@ -686,6 +732,35 @@
         return {};
     }
 
+    /// A leaving member stays while its head has work, for some seconds: its group serves on until a replacement is ready, or until shortly
+    /// before the end. A leaving head takes nothing new.
+    bool mustReplaceNow(const planned_group &group, const served_replica &leaving) const
+    {
+        if (leaving.id == group.members.front().instance || group.stage != assembly_stage::serving) {
+            return true;
+        }
+        const auto since = m_state.drainingSince.find(leaving.id);
+        if (since == m_state.drainingSince.end() || m_view.now - since->second >= m_state.policy.leavingStay) {
+            return true;
+        }
+        return std::any_of(m_view.directory.replicas.begin(), m_view.directory.replicas.end(), [&](const auto &entry) {
+            const auto &other = entry.second;
+            return other.service == m_view.service && other.domain == leaving.domain && isUnused(other)
+                && readinessOf(other, group.model) != readiness::must_load;
+        });
+    }
+
+    /// Whether a live replica stands in no planned group.
+    bool isUnused(const served_replica &replica) const
+    {
+        return isAlive(replica.id) && !isAvoided(replica.id)
+            && std::none_of(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
+                   const auto &members = entry.second.members;
+                   return std::any_of(
+                       members.begin(), members.end(), [&](const planned_member &member) { return member.instance == replica.id; });
+               });
+    }
+
     bool isAnyoneLost(const planned_group &group) const
     {
         return std::any_of(group.members.begin(), group.members.end(), [&](const planned_member &member) {
@@ -725,6 +800,9 @@
         if (m_view.isBeforeTraffic) {
             return true;
         }
+        if (m_state.stagings.size() + count > static_cast<std::size_t>(m_view.engine.concurrentLoads)) {
+            return false;
+        }
         const auto window = std::chrono::duration<double>(m_state.policy.loadWindow).count();
         // A predecessor's loads may have begun in the same window.
         const auto share = m_state.policy.loadRateShare * (m_view.now - m_state.since < m_state.policy.loadWindow ? 0.5 : 1);
@@ -800,6 +878,8 @@
     std::map<fabric_domain_id, std::vector<const served_replica *>> m_free;
     int m_usable = 0;
     std::map<model_id, int> m_targets;
+    /// Free replicas that the next group of their domain needs as they are.
+    std::set<instance_id> m_claimed;
 };
 
 } // namespace
--- a/Libraries/Routing/replica_directory.cpp
+++ b/Libraries/Routing/replica_directory.cpp
@@ -52,11 +52,11 @@
 bool takesRequests(const seen_group &group, int size)
 {
     const auto *head = group.head();
-    if (head == nullptr || head->membership->state != member_state::open || static_cast<int>(group.members.size()) != size) {
+    const bool isOpen = head != nullptr && head->membership->state == member_state::open && !head->isDraining;
+    if (!isOpen || static_cast<int>(group.members.size()) != size) {
         return false;
     }
-    return std::all_of(
-        group.members.begin(), group.members.end(), [](const served_replica *member) { return member != nullptr && !member->isDraining; });
+    return std::none_of(group.members.begin(), group.members.end(), [](const served_replica *member) { return member == nullptr; });
 }
 
 } // namespace vetchpost
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -84,7 +84,8 @@
 /// The groups of a service, each under its latest formation alone.
 std::vector<seen_group> groupsOf(const replica_directory &directory, const service_id &service);
 
-/// Whether a group takes requests: an open head, all members of its model's size present and none about to leave.
+/// Whether a group takes requests: an open head that does not leave, and all members of its model's size present. A member that leaves
+/// stays while its head has work; the coordinator closes the head before it ends.
 bool takesRequests(const seen_group &group, int size);
 
 } // namespace vetchpost
--- a/Tests/Routing/testReplicaDirectory.cpp
+++ b/Tests/Routing/testReplicaDirectory.cpp
@@ -39,7 +39,7 @@
     CHECK_FALSE(takesRequests(groups.front(), 4));
 }
 
-TEST_CASE("A group takes none once a member is gone, leaves, or stands in another formation")
+TEST_CASE("A group takes none once a member is gone, its head leaves, or a member stands in another formation")
 {
     auto gone = openGroup();
     gone.replicas.erase(instance_id("second"));
@@ -47,6 +47,9 @@
 
     auto leaving = openGroup();
     leaving.replicas[instance_id("second")].isDraining = true;
+    // A leaving member stays while the head has work; a leaving head must get nothing new.
+    CHECK(takesRequests(groupsOf(leaving, service).front(), 2));
+    leaving.replicas[instance_id("head")].isDraining = true;
     CHECK_FALSE(takesRequests(groupsOf(leaving, service).front(), 2));
 
     auto elsewhere = openGroup();
