Assembly: Use the survivors of a dead head at once, and list at takeover without waiting for a watch

Change: confirmed heads count as closed, the listing at takeover runs on the coordinator's own thread with words ordered by the service's revision, targets always fit, ready replicas are kept three seconds for a group that lacks members.

--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -27,8 +27,22 @@
 {
     std::map<model_id, int> targets;
     const auto usable = static_cast<double>(replicas) * (1 - spareShare);
+    auto left = static_cast<int>(usable);
+    std::vector<std::pair<double, const group_model *>> remainders;
     for (const auto &model : engine.models) {
-        targets[model.id] = static_cast<int>(std::lround(usable * model.share / std::max(1, model.size)));
+        const auto exact = usable * model.share / std::max(1, model.size);
+        const auto whole = static_cast<int>(exact);
+        targets[model.id] = whole;
+        left -= whole * model.size;
+        remainders.emplace_back(exact - whole, &model);
+    }
+    // What is left over goes to the models that are furthest below their share, as far as it makes whole groups.
+    std::stable_sort(remainders.begin(), remainders.end(), [](const auto &one, const auto &other) { return one.first > other.first; });
+    for (const auto &[remainder, model] : remainders) {
+        if (left >= model->size && remainder > 0) {
+            ++targets[model->id];
+            left -= model->size;
+        }
     }
     return targets;
 }
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -143,6 +143,8 @@
     duration refusalPause{2000};
     /// A head that is silent and no longer listed may still hold its group for so long; set from the engines' stall time.
     duration silentHeadWait{5000};
+    /// A replica that is ready for a group which cannot be formed yet is given to another model after this time.
+    duration idleGrace{3000};
     /// A group with a leaving member serves on for so long at most; the member itself stays for ten seconds while there is work.
     duration leavingStay{6000};
     /// A group that does not come together in its loading time and this much more is given up.
@@ -168,6 +170,10 @@
     std::map<instance_id, instant> avoidedUntil;
     /// Since when each leaving replica is known to leave.
     std::map<instance_id, instant> drainingSince;
+    /// Heads that were confirmed dead while the directory still lists them as open.
+    std::set<instance_id> deadHeads;
+    /// Since when each free replica is free.
+    std::map<instance_id, instant> idleSince;
     /// Loads from the weight store that were ordered within the window.
     std::deque<instant> loads;
     struct staging
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -32,6 +32,7 @@
             m_state.loads.pop_front();
         }
         noteDraining();
+        std::erase_if(m_state.deadHeads, [&](const instance_id &id) { return find(id) == nullptr; });
         std::erase_if(m_state.stagings, [&](const auto &entry) { return isStagingOver(entry.first, entry.second); });
     }
 
@@ -118,7 +119,7 @@
     {
         for (const auto &seen : m_seen) {
             const auto *head = seen.head();
-            if (head == nullptr || head->membership->state != member_state::open || isAvoided(head->id)) {
+            if (head == nullptr || !isHoldingRequests(*head) || isAvoided(head->id)) {
                 continue;
             }
             const auto planned = m_state.groups.find(seen.id);
@@ -247,7 +248,9 @@
             group.headLostSince = m_view.now;
         }
         const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= m_state.policy.silentHeadWait;
-        if (isWaitOver || (group.headLostSince && (group.hasTakenClose || m_view.confirmedDead.contains(head.instance)))) {
+        const bool isDead = m_view.confirmedDead.contains(head.instance);
+        if (isWaitOver || (group.headLostSince && (group.hasTakenClose || isDead))) {
+            m_state.deadHeads.insert(head.instance);
             dissolve(group, "its head is gone");
             return;
         }
@@ -280,6 +283,7 @@
             return;
         }
         enter(group, assembly_stage::leaving, why);
+        group.members.front().nextOrder = m_view.now;
         leave(group);
     }
 
@@ -317,8 +321,12 @@
             }
             if (isAlive(id) && !used.contains(id) && !isAvoided(id)) {
                 m_free[replica.domain].push_back(&replica);
+                m_state.idleSince.try_emplace(id, m_view.now);
+            } else {
+                m_state.idleSince.erase(id);
             }
         }
+        std::erase_if(m_state.idleSince, [&](const auto &entry) { return find(entry.first) == nullptr; });
     }
 
     bool isSettled()
@@ -607,14 +615,24 @@
             return std::pair(std::min(left.part, 1.0) + left.lacking, left.part)
                 < std::pair(std::min(right.part, 1.0) + right.lacking, right.part);
         });
-        for (const auto &need : needs) {
-            for (const auto *replica : m_free.at(need.domain)) {
-                if (need.part < 1 && readinessOf(*replica, need.model->id) != readiness::must_load) {
+        claimReady();
+        return needs;
+    }
+
+    /// Free replicas that are ready for a model whose groups are missing stay so for a while: a member that completes them may come.
+    void claimReady()
+    {
+        for (const auto &[domain, replicas] : m_free) {
+            for (const auto *replica : replicas) {
+                const bool isIdleLong = m_view.now - m_state.idleSince.at(replica->id) > m_state.policy.idleGrace;
+                const bool isNeeded = std::any_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &model) {
+                    return presentPart(model) < 1 && readinessOf(*replica, model.id) != readiness::must_load;
+                });
+                if (isNeeded && !isIdleLong) {
                     m_claimed.insert(replica->id);
                 }
             }
         }
-        return needs;
     }
 
     int readyOrStaging(const std::vector<const served_replica *> &replicas, const model_id &model) const
@@ -685,9 +703,9 @@
         return found == models.end() ? nullptr : &*found;
     }
 
-    static bool isHoldingRequests(const served_replica &head)
+    bool isHoldingRequests(const served_replica &head) const
     {
-        return head.membership->rank == 0
+        return head.membership->rank == 0 && !m_state.deadHeads.contains(head.id)
             && (head.membership->state == member_state::open || head.membership->state == member_state::closing);
     }
 
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -5,12 +5,27 @@
 
 namespace vetchpost {
 
-void takeListing(replica_entries &entries, const std::vector<served_replica> &replicas, duration outage, instant now)
+namespace {
+
+/// Notes a revision; false where a newer one is known.
+bool isNewer(replica_entries &entries, const instance_id &replica, std::uint64_t revision)
+{
+    auto &known = entries.revisions[replica];
+    if (revision < known) {
+        return false;
+    }
+    known = revision;
+    return true;
+}
+
+} // namespace
+
+void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, duration outage, instant now)
 {
     std::set<instance_id> present;
-    for (const auto &replica : replicas) {
-        present.insert(replica.id);
-        takeEntry(entries, replica);
+    for (const auto &entry : replicas) {
+        present.insert(entry.replica.id);
+        takeEntry(entries, entry);
     }
     for (auto known = entries.directory.replicas.begin(); known != entries.directory.replicas.end();) {
         const bool isMissing = !present.contains(known->first);
@@ -22,14 +37,21 @@
     }
 }
 
-void takeEntry(replica_entries &entries, const served_replica &replica)
+void takeEntry(replica_entries &entries, const replica_entry &entry)
 {
-    entries.directory.replicas[replica.id] = replica;
-    entries.lapsed.erase(replica.id);
+    const auto &id = entry.replica.id;
+    if (!isNewer(entries, id, entry.revision)) {
+        return;
+    }
+    entries.directory.replicas[id] = entry.replica;
+    entries.lapsed.erase(id);
 }
 
-void takeRemoval(replica_entries &entries, const instance_id &replica)
+void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision)
 {
+    if (!isNewer(entries, replica, revision)) {
+        return;
+    }
     entries.directory.replicas.erase(replica);
     entries.lapsed.erase(replica);
 }
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -16,6 +16,15 @@
     replica_directory directory;
     /// Replicas that were not there when the service came back, with when they are given up.
     std::map<instance_id, instant> lapsed;
+    /// The service's revision of each replica's last change, removals too: an older word never replaces a newer one.
+    std::map<instance_id, std::uint64_t> revisions;
+};
+
+/// A replica's entry with the service's revision of its last change.
+struct replica_entry
+{
+    served_replica replica;
+    std::uint64_t revision = 0;
 };
 
 /// After an absence of the key-value service of at least this time, entries may have lapsed though their replicas live ...
@@ -24,11 +33,11 @@
 constexpr duration lapsedGrace(2200);
 
 /// Takes in a whole listing. \a outage is how long the service had not answered before.
-void takeListing(replica_entries &entries, const std::vector<served_replica> &replicas, duration outage, instant now);
+void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, duration outage, instant now);
 /// Takes in one entry as it was written.
-void takeEntry(replica_entries &entries, const served_replica &replica);
+void takeEntry(replica_entries &entries, const replica_entry &entry);
 /// Takes in that an entry was removed.
-void takeRemoval(replica_entries &entries, const instance_id &replica);
+void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision);
 /// Gives up lapsed entries whose time is over; whether there were any.
 bool dropLapsed(replica_entries &entries, instant now);
 
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -37,7 +37,6 @@
     mutable std::mutex mutex;
     std::condition_variable wake;
     bool isStopping = false;
-    std::atomic<bool> mustList = false;
     std::atomic<bool> isUrgent = false;
     std::shared_ptr<const route_table> table;
     key_revision configurationRevision;
@@ -149,10 +148,10 @@
     {
         std::optional<std::uint64_t> upTo;
         do {
-            if (!upTo || mustList.exchange(false)) {
+            if (!upTo) {
                 upTo = list();
             }
-            if (upTo && !mustList) {
+            if (upTo) {
                 upTo = watch(*upTo);
             }
         } while (pause(!upTo ? retryPause : isUrgent ? duration() : watchPause));
@@ -167,10 +166,10 @@
         if (!listing) {
             return std::nullopt;
         }
-        std::vector<served_replica> replicas;
+        std::vector<replica_entry> replicas;
         for (const auto &entry : listing->entries) {
             if (auto replica = decode(entry)) {
-                replicas.push_back(std::move(*replica));
+                replicas.push_back({std::move(*replica), entry.changed.value()});
             }
         }
         {
@@ -203,11 +202,11 @@
             if (entry.value.empty()) {
                 const std::lock_guard lock(mutex);
                 const auto id = idOf(entry);
-                takeRemoval(entries, id);
+                takeRemoval(entries, id, entry.changed.value());
                 storeLog.write("replica_removed", {{"replica", id.value()}, {"revision", entry.changed.value()}});
             } else if (const auto replica = decode(entry)) {
                 const std::lock_guard lock(mutex);
-                takeEntry(entries, *replica);
+                takeEntry(entries, {*replica, entry.changed.value()});
             }
         }
         {
@@ -286,7 +285,7 @@
 
 void store_follower::listAgain()
 {
-    d->mustList = true;
+    d->list();
 }
 
 std::shared_ptr<const route_table> store_follower::routes() const
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -26,7 +26,7 @@
     void stop();
     /// Whether changes of the replicas are told one by one, or gathered for a moment.
     void setUrgent(bool isUrgent);
-    /// Asks for a whole new listing of the replicas.
+    /// Reads a whole new listing of the replicas before it returns.
     void listAgain();
 
     /// nullptr before the first configuration.
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -9,11 +9,12 @@
 
 const instant now(duration(100000));
 
-served_replica replica(const std::string &id)
+replica_entry replica(const std::string &id, std::uint64_t revision = 1)
 {
-    served_replica result;
-    result.id = instance_id(id);
-    return result;
+    replica_entry entry;
+    entry.replica.id = instance_id(id);
+    entry.revision = revision;
+    return entry;
 }
 
 replica_entries known()
@@ -30,7 +31,7 @@
     auto entries = known();
     takeListing(entries, {replica("a")}, duration(300), now);
     CHECK(entries.directory.replicas.size() == 1);
-    takeRemoval(entries, instance_id("a"));
+    takeRemoval(entries, instance_id("a"), 2);
     CHECK(entries.directory.replicas.empty());
 }
 
@@ -63,3 +64,18 @@
     CHECK(entries.directory.replicas.size() == 2);
     CHECK(dropLapsed(entries, now + lapsedGrace));
 }
+
+TEST_CASE("An older word of a replica never replaces a newer one, also after its removal")
+{
+    auto entries = known();
+    auto newer = replica("a", 7);
+    newer.replica.isDraining = true;
+    takeEntry(entries, newer);
+    takeEntry(entries, replica("a", 6));
+    CHECK(entries.directory.replicas.at(instance_id("a")).isDraining);
+    takeRemoval(entries, instance_id("a"), 8);
+    takeEntry(entries, replica("a", 7));
+    CHECK_FALSE(entries.directory.replicas.contains(instance_id("a")));
+    takeRemoval(entries, instance_id("b"), 0);
+    CHECK(entries.directory.replicas.contains(instance_id("b")));
+}
