Assembly: Let a smaller group give way only for a gain

Cause: each loss of a member of a large group took a healthy small one down as well, though the small model's requests have the tighter objective and both models then lacked one group in eight. Change: preemption needs a gain of a tenth in the part of wanted groups.

--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -143,6 +143,8 @@
     duration refusalPause{2000};
     /// A head that is silent and no longer listed may still hold its group for so long; set from the engines' stall time.
     duration silentHeadWait{5000};
+    /// A smaller group gives way only where its model then still has so much more of its groups than the larger one.
+    double preemptionGain = 0.1;
     /// A replica that is ready for a group which cannot be formed yet is given to another model after this time.
     duration idleGrace{3000};
     /// A group with a leaving member serves on for so long at most; the member itself stays for ten seconds while there is work.
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -462,7 +462,7 @@
         for (auto &[id, group] : m_state.groups) {
             const auto *smaller = findModel(group.model);
             const bool isCandidate = group.stage == assembly_stage::serving && smaller != nullptr && smaller->size < model.size
-                && presentPart(*smaller, -1) >= presentPart(model);
+                && presentPart(*smaller, -1) >= presentPart(model) + m_state.policy.preemptionGain;
             const auto *head = find(group.members.front().instance);
             if (!isCandidate || head == nullptr || isBusy(head->domain)) {
                 continue;
