Entry: Keep a group's member whose entry is gone as draining while it answers, and end the process with its stop

Change: a member without an entry is treated as one that drains, with direct looks by the coordinator; entry daemons exit right after the stop.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -33,6 +33,8 @@
 constexpr duration lookTimeout(200);
 /// A replica that did not answer is believed dead for so long, unless it answers or its entry goes.
 constexpr duration suspicionTime(10000);
+/// How often a member without an entry is looked at.
+constexpr duration unlistedLookPeriod(800);
 constexpr int orderThreads = 12;
 constexpr int noticeThreads = 3;
 /// A daemon tells of the same group again after this time.
@@ -213,6 +215,7 @@
             }
             number = term->number;
             dropOldSuspicions(*directory, now);
+            lookAtUnlisted(*directory, now);
             for (const auto &service : routes->configuration().services) {
                 if (service.engine) {
                     planService(service, *directory, now, planned);
@@ -299,6 +302,19 @@
 
     // Direct looks.
 
+    /// A member without an entry is believed as long as it answers.
+    void lookAtUnlisted(const replica_directory &directory, instant now)
+    {
+        for (const auto &[id, replica] : directory.replicas) {
+            auto &last = lastLooks[id];
+            if (replica.isUnlisted && now - last >= unlistedLookPeriod && !suspects.contains(id)) {
+                last = now;
+                orderWorkers.run([this, looked = replica] { look(looked); });
+            }
+        }
+        std::erase_if(lastLooks, [&](const auto &entry) { return !directory.replicas.contains(entry.first); });
+    }
+
     void lookAtGroup(const instance_id &head)
     {
         const auto directory = store.directory();
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -18,6 +18,23 @@
     return true;
 }
 
+/// Takes a replica out, or keeps a member of a group as one that drains.
+void unlist(replica_entries &entries, const instance_id &replica, instant now)
+{
+    entries.lapsed.erase(replica);
+    const auto known = entries.directory.replicas.find(replica);
+    if (known == entries.directory.replicas.end()) {
+        return;
+    }
+    if (!known->second.membership) {
+        entries.directory.replicas.erase(known);
+        return;
+    }
+    known->second.isDraining = true;
+    known->second.isUnlisted = true;
+    entries.unlisted.try_emplace(replica, now + unlistedStay);
+}
+
 } // namespace
 
 void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, duration outage, instant now)
@@ -27,13 +44,18 @@
         present.insert(entry.replica.id);
         takeEntry(entries, entry);
     }
-    for (auto known = entries.directory.replicas.begin(); known != entries.directory.replicas.end();) {
-        const bool isMissing = !present.contains(known->first);
-        if (isMissing && outage >= lapsingOutage) {
-            entries.lapsed.try_emplace(known->first, now + lapsedGrace);
+    std::vector<instance_id> missing;
+    for (const auto &[id, replica] : entries.directory.replicas) {
+        if (!present.contains(id) && !replica.isUnlisted) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        if (outage >= lapsingOutage) {
+            entries.lapsed.try_emplace(id, now + lapsedGrace);
+        } else if (!entries.lapsed.contains(id)) {
+            unlist(entries, id, now);
         }
-        const bool isBelieved = !isMissing || entries.lapsed.contains(known->first);
-        known = isBelieved ? std::next(known) : entries.directory.replicas.erase(known);
     }
 }
 
@@ -45,29 +67,39 @@
     }
     entries.directory.replicas[id] = entry.replica;
     entries.lapsed.erase(id);
+    entries.unlisted.erase(id);
 }
 
-void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision)
+void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision, instant now)
 {
-    if (!isNewer(entries, replica, revision)) {
-        return;
+    if (isNewer(entries, replica, revision)) {
+        unlist(entries, replica, now);
     }
-    entries.directory.replicas.erase(replica);
-    entries.lapsed.erase(replica);
 }
 
 bool dropLapsed(replica_entries &entries, instant now)
 {
-    const auto before = entries.directory.replicas.size();
+    bool hasChanged = false;
     for (auto lapsed = entries.lapsed.begin(); lapsed != entries.lapsed.end();) {
         if (lapsed->second > now) {
             ++lapsed;
             continue;
         }
-        entries.directory.replicas.erase(lapsed->first);
+        const auto replica = lapsed->first;
         lapsed = entries.lapsed.erase(lapsed);
+        unlist(entries, replica, now);
+        hasChanged = true;
+    }
+    for (auto unlisted = entries.unlisted.begin(); unlisted != entries.unlisted.end();) {
+        if (unlisted->second > now) {
+            ++unlisted;
+            continue;
+        }
+        entries.directory.replicas.erase(unlisted->first);
+        unlisted = entries.unlisted.erase(unlisted);
+        hasChanged = true;
     }
-    return entries.directory.replicas.size() != before;
+    return hasChanged;
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -16,6 +16,8 @@
     replica_directory directory;
     /// Replicas that were not there when the service came back, with when they are given up.
     std::map<instance_id, instant> lapsed;
+    /// Members of groups without an entry, with when they are given up.
+    std::map<instance_id, instant> unlisted;
     /// The service's revision of each replica's last change, removals too: an older word never replaces a newer one.
     std::map<instance_id, std::uint64_t> revisions;
 };
@@ -36,9 +38,12 @@
 void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, duration outage, instant now);
 /// Takes in one entry as it was written.
 void takeEntry(replica_entries &entries, const replica_entry &entry);
-/// Takes in that an entry was removed.
-void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision);
-/// Gives up lapsed entries whose time is over; whether there were any.
+/// A member of a group whose entry is gone is kept as draining for so long: it stays for ten seconds while its head has work.
+constexpr duration unlistedStay(12000);
+
+/// Takes in that an entry was removed. A member of a group is kept for a while as one that drains.
+void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision, instant now);
+/// Gives up lapsed and unlisted replicas whose time is over; whether there were any.
 bool dropLapsed(replica_entries &entries, instant now);
 
 } // namespace vetchpost
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -187,7 +187,7 @@
         bool hasLapsed = false;
         {
             const std::lock_guard lock(mutex);
-            hasLapsed = !entries.lapsed.empty();
+            hasLapsed = !entries.lapsed.empty() || !entries.unlisted.empty();
         }
         reason why;
         const auto wait = hasLapsed ? lapsedGrace / 2 : watchWait;
@@ -202,7 +202,7 @@
             if (entry.value.empty()) {
                 const std::lock_guard lock(mutex);
                 const auto id = idOf(entry);
-                takeRemoval(entries, id, entry.changed.value());
+                takeRemoval(entries, id, entry.changed.value(), monotonicNow());
                 storeLog.write("replica_removed", {{"replica", id.value()}, {"revision", entry.changed.value()}});
             } else if (const auto replica = decode(entry)) {
                 const std::lock_guard lock(mutex);
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -51,6 +51,9 @@
     int slots = 0;
     /// It is about to end and takes no new work.
     bool isDraining = false;
+    /// Its entry is gone though nothing says that it has ended: it may be cut off from the key-value service, or end unannounced. It is
+    /// treated as draining.
+    bool isUnlisted = false;
     fabric_domain_id domain;
     /// Models whose weights lie on its host.
     std::vector<model_id> staged;
--- a/Services/vetchpostd/main.cpp
+++ b/Services/vetchpostd/main.cpp
@@ -114,7 +114,9 @@
     const auto signals = blockSignals();
     const auto makeStore = [](const endpoint &address, metrics &counters) { return std::make_unique<platform_store>(address, counters); };
     entry_daemon daemon(*settings, std::make_unique<platform_dialect>(), makeStore);
-    return runUntilStopped(daemon, signals);
+    const auto code = runUntilStopped(daemon, signals);
+    // Threads that still wait for the key-value service hold nothing that could be lost, and the stop grace does not wait for them.
+    std::_Exit(code);
 }
 
 std::string entrySettingsPath(const std::map<std::string, docopt::value> &arguments)
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -31,7 +31,7 @@
     auto entries = known();
     takeListing(entries, {replica("a")}, duration(300), now);
     CHECK(entries.directory.replicas.size() == 1);
-    takeRemoval(entries, instance_id("a"), 2);
+    takeRemoval(entries, instance_id("a"), 2, now);
     CHECK(entries.directory.replicas.empty());
 }
 
@@ -73,9 +73,31 @@
     takeEntry(entries, newer);
     takeEntry(entries, replica("a", 6));
     CHECK(entries.directory.replicas.at(instance_id("a")).isDraining);
-    takeRemoval(entries, instance_id("a"), 8);
+    takeRemoval(entries, instance_id("a"), 8, now);
     takeEntry(entries, replica("a", 7));
     CHECK_FALSE(entries.directory.replicas.contains(instance_id("a")));
-    takeRemoval(entries, instance_id("b"), 0);
+    takeRemoval(entries, instance_id("b"), 0, now);
     CHECK(entries.directory.replicas.contains(instance_id("b")));
 }
+
+TEST_CASE("A member of a group without an entry is kept as one that drains, until it is listed again or its time is over")
+{
+    auto entries = known();
+    auto member = replica("a", 2);
+    member.replica.membership = {group_id("g"), formation(1), 1, member_state::ready};
+    takeEntry(entries, member);
+    takeRemoval(entries, instance_id("a"), 3, now);
+    REQUIRE(entries.directory.replicas.contains(instance_id("a")));
+    CHECK(entries.directory.replicas.at(instance_id("a")).isDraining);
+    CHECK(entries.directory.replicas.at(instance_id("a")).isUnlisted);
+    // A listing without it changes nothing.
+    takeListing(entries, {replica("b")}, duration(0), now + duration(500));
+    CHECK(entries.directory.replicas.contains(instance_id("a")));
+    member.revision = 4;
+    takeEntry(entries, member);
+    CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).isDraining);
+    CHECK_FALSE(dropLapsed(entries, now + unlistedStay));
+    takeRemoval(entries, instance_id("a"), 5, now + unlistedStay);
+    CHECK(dropLapsed(entries, now + 2 * unlistedStay));
+    CHECK_FALSE(entries.directory.replicas.contains(instance_id("a")));
+}
