Assembly: Let every serving host hold the other model's weights

Change: before the first request, when loads are quick, each host of a serving group stages the other model; survivors then form a group of either model within a second or two. A dead head is not asked to leave. Doubt about orders to open ends thirteen seconds after takeover.

--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -139,6 +139,8 @@
     duration conflictPause{120};
     /// So many conflicts of one join mean that somebody else orders the replica.
     int mostConflicts = 8;
+    /// No order comes later than this after it was sent (the platform's orders come up to twelve seconds late).
+    duration latestOrder{13000};
     /// A replica that refused an order is left alone for so long.
     duration refusalPause{2000};
     /// A head that is silent and no longer listed may still hold its group for so long; set from the engines' stall time.
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -206,6 +206,9 @@
 
     void watch(planned_group &group)
     {
+        if (group.isOpenInDoubt && m_view.now - group.stageSince > m_state.policy.latestOrder) {
+            group.isOpenInDoubt = false;
+        }
         const auto problem = memberProblem(group);
         if (!problem.empty()) {
             beginClose(group, isAnyoneLost(group) ? close_method::cut : close_method::finish, problem);
@@ -269,7 +272,8 @@
     void leave(planned_group &group)
     {
         auto &head = group.members.front();
-        if (group.hasLeft || !stateOf(group, head)) {
+        const bool isGone = m_state.deadHeads.contains(head.instance) || m_view.confirmedDead.contains(head.instance);
+        if (group.hasLeft || isGone || !stateOf(group, head)) {
             erase(group, "its head has left");
         } else if (mayOrder(head)) {
             send(group, head, order_kind::leave);
@@ -644,31 +648,54 @@
         }));
     }
 
-    /// Hosts of the smaller models' groups get the largest model's weights; what runs needs the host's copy no more.
+    /// Hosts of serving groups get another model's weights: what runs needs the host's copy no more, and the survivors of a loss can then
+    /// form a group of that model within a second. First one host of every group, then the next.
     void stageServing()
     {
-        const auto models = modelsBySize();
-        const bool isStoreIdle = m_view.isBeforeTraffic || m_state.stagings.size() < idleStoreLoads;
-        if (models.empty() || m_view.engine.stagedPerHost < 1 || !isStoreIdle) {
-            return;
-        }
-        const auto &largest = *models.front();
+        std::size_t largest = 0;
         for (const auto &[id, group] : m_state.groups) {
-            const auto *model = findModel(group.model);
-            if (group.stage != assembly_stage::serving || model == nullptr || model->size >= largest.size) {
-                continue;
-            }
-            for (const auto &member : group.members) {
-                const auto *replica = find(member.instance);
-                const bool isStaged = replica == nullptr || readinessOf(*replica, largest.id) != readiness::must_load;
-                const bool isStoreFree = m_view.isBeforeTraffic || m_state.stagings.size() < idleStoreLoads;
-                if (!isStaged && isStoreFree && !m_state.stagings.contains(member.instance) && !isAvoided(member.instance) && mayLoad(1)) {
-                    stage(*replica, largest.id);
+            largest = std::max(largest, group.members.size());
+        }
+        for (std::size_t rank = 0; rank < largest && m_view.engine.stagedPerHost > 0; ++rank) {
+            for (const auto &[id, group] : m_state.groups) {
+                if (group.stage == assembly_stage::serving && rank < group.members.size() && isStoreIdle()) {
+                    stageAnother(group, group.members[rank].instance);
                 }
             }
         }
     }
 
+    /// Whether a load that only prepares for a loss may begin: all that the store feeds at a time before the first request, few later.
+    bool isStoreIdle() const
+    {
+        const auto most = m_view.isBeforeTraffic ? static_cast<std::size_t>(m_view.engine.concurrentLoads) : idleStoreLoads;
+        return m_state.stagings.size() < most;
+    }
+
+    void stageAnother(const planned_group &group, const instance_id &instance)
+    {
+        const auto *replica = find(instance);
+        const auto *other = otherModel(group.model);
+        if (replica == nullptr || replica->isDraining || other == nullptr || m_state.stagings.contains(instance) || isAvoided(instance)) {
+            return;
+        }
+        if (readinessOf(*replica, other->id) == readiness::must_load && mayLoad(1)) {
+            stage(*replica, other->id);
+        }
+    }
+
+    /// Of the other models the one with the largest share of the work.
+    const group_model *otherModel(const model_id &model) const
+    {
+        const group_model *best = nullptr;
+        for (const auto &entry : m_view.engine.models) {
+            if (entry.id != model && (best == nullptr || entry.share > best->share)) {
+                best = &entry;
+            }
+        }
+        return best;
+    }
+
     void stage(const served_replica &replica, const model_id &model)
     {
         m_state.loads.push_back(m_view.now);
