Entry: Gather the replicas' changes for half a second, and read the configuration every 1.3 s

Change: watches of daemons that do not coordinate pause 0.5 s between answers (1.5 s before the first request), the configuration is read every 1.3 s (it has to be in force within 2 s).

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -71,6 +71,7 @@
     void serveCaller(http_exchange &exchange)
     {
         assembly.noteTraffic();
+        store.noteTraffic();
         request_run(relay, exchange).serve();
     }
 
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -15,7 +15,7 @@
 
 constexpr event_log storeLog("store");
 /// A configuration has to be in force within two seconds of its acceptance.
-constexpr duration configurationPeriod(1000);
+constexpr duration configurationPeriod(1300);
 /// Before the first configuration; these reads may be stale and cost a tenth.
 constexpr duration firstConfigurationPeriod(250);
 /// After a failed call.
@@ -24,7 +24,9 @@
 constexpr duration watchWait(3000);
 /// Between the answers of two watches, so that changes which come together cost one call. The coordinator goes without: each order
 /// waits for what the order before it changed.
-constexpr duration watchPause(300);
+constexpr duration watchPause(500);
+/// Before the first request nothing is routed yet.
+constexpr duration idleWatchPause(1500);
 
 } // namespace
 
@@ -38,6 +40,7 @@
     std::condition_variable wake;
     bool isStopping = false;
     std::atomic<bool> isUrgent = false;
+    std::atomic<bool> hasTraffic = false;
     std::shared_ptr<const route_table> table;
     key_revision configurationRevision;
     std::optional<instant> currentAt;
@@ -154,7 +157,15 @@
             if (upTo) {
                 upTo = watch(*upTo);
             }
-        } while (pause(!upTo ? retryPause : isUrgent ? duration() : watchPause));
+        } while (pause(upTo ? changePause() : retryPause));
+    }
+
+    duration changePause() const
+    {
+        if (isUrgent) {
+            return {};
+        }
+        return hasTraffic ? watchPause : idleWatchPause;
     }
 
     std::optional<std::uint64_t> list()
@@ -283,6 +294,11 @@
     d->isUrgent = isUrgent;
 }
 
+void store_follower::noteTraffic()
+{
+    d->hasTraffic = true;
+}
+
 void store_follower::listAgain()
 {
     d->list();
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -26,6 +26,8 @@
     void stop();
     /// Whether changes of the replicas are told one by one, or gathered for a moment.
     void setUrgent(bool isUrgent);
+    /// The first request has come.
+    void noteTraffic();
     /// Reads a whole new listing of the replicas before it returns.
     void listAgain();
 
