--- /dev/null
+++ b/Libraries/Assembly/assembly_round.h
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Assembly/assembly_state.h"
+
+namespace vetchpost {
+
+/// Terms are far apart in the numbers of formations, so that a successor's are always higher.
+constexpr std::uint64_t formationsPerTerm = 100000;
+/// With fewer loads than this under way, loads that only prepare for a loss get their turn.
+constexpr std::size_t idleStoreLoads = 2;
+
+/// How soon a replica could serve a model: it ran it last, it has it staged, or it must load it.
+enum class readiness { same_model, staged, must_load };
+
+/// One round of planAssembly(). Its parts stand in plan_assembly, group_steps, group_forming, weight_staging and round_queries.
+class assembly_round
+{
+public:
+    assembly_round(assembly_state &state, const assembly_view &view);
+    std::vector<replica_order> run();
+
+private:
+    void noteDraining();
+
+    // What a predecessor left.
+
+    void adopt();
+    void closeStrays();
+
+    // One step of each group.
+
+    void advance(planned_group &group);
+    void join(planned_group &group);
+    void open(planned_group &group);
+    void watch(planned_group &group);
+    void beginClose(planned_group &group, close_method method, const std::string &why);
+    void close(planned_group &group);
+    void leave(planned_group &group);
+    void dissolve(planned_group &group, const std::string &why);
+    void erase(planned_group &group, const std::string &why);
+
+    // New groups out of free replicas.
+
+    void collectFree();
+    bool isSettled();
+    void formGroups();
+    std::vector<const group_model *> modelsBySize() const;
+    double presentPart(const group_model &model, int more = 0) const;
+    bool isEnoughFree() const;
+    const group_model *neediestModel() const;
+    int presentGroups(const model_id &model) const;
+    void preemptForLarger();
+    void formExtra();
+    bool isBusy(const fabric_domain_id &domain) const;
+    planned_group *victimFor(const group_model &model);
+    static int quickCount(const std::vector<const served_replica *> &replicas, const model_id &model);
+    const fabric_domain_id *bestDomain(const group_model &model) const;
+    std::vector<const served_replica *> soonest(std::vector<const served_replica *> replicas, const group_model &model) const;
+    bool formOne(const group_model &model);
+    void formIn(const group_model &model, const fabric_domain_id &domain);
+
+    // Weights that are loaded beforehand.
+
+    /// What a domain lacks for one more group of a model.
+    struct load_need
+    {
+        fabric_domain_id domain;
+        const group_model *model = nullptr;
+        /// Replicas that must still load the weights.
+        int lacking = 0;
+        /// The part of the model's wanted groups that is there.
+        double part = 0;
+    };
+
+    void stageSpares();
+    std::vector<load_need> loadNeeds();
+    void claimReady();
+    int readyOrStaging(const std::vector<const served_replica *> &replicas, const model_id &model) const;
+    void stageServing();
+    bool isStoreIdle() const;
+    void stageAnother(const planned_group &group, const instance_id &instance);
+    const group_model *otherModel(const model_id &model) const;
+    void stage(const served_replica &replica, const model_id &model);
+
+    // Queries.
+
+    const served_replica *find(const instance_id &instance) const;
+    bool isAlive(const instance_id &instance) const;
+    bool isAvoided(const instance_id &instance) const;
+    const group_model *findModel(const model_id &id) const;
+    bool isHoldingRequests(const served_replica &head) const;
+    static bool wasHead(const served_replica &replica);
+    /// The member's state where it says that it stands in this formation; nothing otherwise.
+    std::optional<member_state> stateOf(const planned_group &group, const planned_member &member) const;
+    bool isReady(const planned_group &group, const planned_member &member) const;
+    /// Why a group cannot go on with these members; empty where it can.
+    std::string memberProblem(const planned_group &group) const;
+    /// A leaving member stays while its head has work, for some seconds: its group serves on until a replacement is ready, or until shortly
+    /// before the end. A leaving head takes nothing new.
+    bool mustReplaceNow(const planned_group &group, const served_replica &leaving) const;
+    /// Whether a live replica stands in no planned group.
+    bool isUnused(const served_replica &replica) const;
+    bool isAnyoneLost(const planned_group &group) const;
+    static readiness readinessOf(const served_replica &replica, const model_id &model);
+    duration joinPatience(const planned_group &group) const;
+    bool isStagingOver(const instance_id &instance, const assembly_state::staging &staging) const;
+    /// Whether so many more loads keep within the weight store's rate.
+    bool mayLoad(std::size_t count) const;
+    /// How many orders a replica has taken: none where it has nothing to show for one.
+    std::optional<std::uint64_t> ordersTaken(const instance_id &instance);
+    bool mayOrder(const planned_member &member) const;
+
+    // Commands.
+
+    void enter(planned_group &group, assembly_stage stage, const std::string &why);
+    void decide(const planned_group &group, const std::string &what);
+    void sendJoin(planned_group &group, planned_member &member);
+    void send(planned_group &group, planned_member &member, order_kind kind);
+
+    assembly_state &m_state;
+    const assembly_view &m_view;
+    std::vector<seen_group> m_seen;
+    std::vector<replica_order> m_orders;
+    std::map<fabric_domain_id, std::vector<const served_replica *>> m_free;
+    int m_usable = 0;
+    std::map<model_id, int> m_targets;
+    /// Free replicas that the next group of their domain needs as they are.
+    std::set<instance_id> m_claimed;
+};
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Assembly/group_forming.cpp
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Assembly/assembly_round.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace vetchpost {
+
+void assembly_round::collectFree()
+{
+    std::set<instance_id> used;
+    for (const auto &[id, group] : m_state.groups) {
+        for (const auto &member : group.members) {
+            used.insert(member.instance);
+        }
+    }
+    for (const auto &seen : m_seen) {
+        // Whatever the plan says: a replica whose head holds requests is not to be ordered elsewhere.
+        if (seen.head() != nullptr && isHoldingRequests(*seen.head())) {
+            for (const auto *member : seen.members) {
+                used.insert(member == nullptr ? instance_id() : member->id);
+            }
+        }
+    }
+    for (const auto &[id, replica] : m_view.directory.replicas) {
+        if (replica.service != m_view.service) {
+            continue;
+        }
+        if (!replica.isDraining && !m_view.suspects.contains(id)) {
+            ++m_usable;
+        }
+        if (isAlive(id) && !used.contains(id) && !isAvoided(id)) {
+            m_free[replica.domain].push_back(&replica);
+            m_state.idleSince.try_emplace(id, m_view.now);
+        } else {
+            m_state.idleSince.erase(id);
+        }
+    }
+    std::erase_if(m_state.idleSince, [&](const auto &entry) { return find(entry.first) == nullptr; });
+}
+
+bool assembly_round::isSettled()
+{
+    if (m_usable != m_state.usable) {
+        m_state.usable = m_usable;
+        m_state.usableSince = m_view.now;
+    }
+    m_targets = groupTargets(m_view.engine, m_usable, m_state.policy.spareShare);
+    return !m_view.isBeforeTraffic || m_view.now - m_state.usableSince >= m_state.policy.settleTime;
+}
+
+void assembly_round::formGroups()
+{
+    for (;;) {
+        const auto *model = neediestModel();
+        if (model == nullptr || !formOne(*model)) {
+            return;
+        }
+    }
+}
+
+/// The models, those of the largest groups first: they are the hardest to find room for.
+std::vector<const group_model *> assembly_round::modelsBySize() const
+{
+    std::vector<const group_model *> models;
+    for (const auto &model : m_view.engine.models) {
+        models.push_back(&model);
+    }
+    std::stable_sort(
+        models.begin(), models.end(), [](const group_model *left, const group_model *right) { return left->size > right->size; });
+    return models;
+}
+
+/// The part of a model's wanted groups that is there, counting \a more besides.
+double assembly_round::presentPart(const group_model &model, int more) const
+{
+    const auto target = m_targets.at(model.id);
+    return target == 0 ? 1.0 : static_cast<double>(presentGroups(model.id) + more) / target;
+}
+
+/// Whether there are replicas for all groups that are missing.
+bool assembly_round::isEnoughFree() const
+{
+    std::size_t free = 0;
+    for (const auto &[domain, replicas] : m_free) {
+        free += replicas.size();
+    }
+    std::size_t missing = 0;
+    for (const auto &model : m_view.engine.models) {
+        const auto groups = std::max(0, m_targets.at(model.id) - presentGroups(model.id));
+        missing += static_cast<std::size_t>(groups * model.size);
+    }
+    return missing <= free;
+}
+
+/// The model to form next: the largest groups first where there is room for all, since they need the most in one domain; else the model
+/// that has the smallest part of its groups.
+const group_model *assembly_round::neediestModel() const
+{
+    const group_model *neediest = nullptr;
+    const bool isEnough = isEnoughFree();
+    double smallest = 1;
+    for (const auto *model : modelsBySize()) {
+        const auto part = presentPart(*model);
+        if (part < smallest && bestDomain(*model) != nullptr) {
+            if (isEnough) {
+                return model;
+            }
+            neediest = model;
+            smallest = part;
+        }
+    }
+    return neediest;
+}
+
+int assembly_round::presentGroups(const model_id &model) const
+{
+    return static_cast<int>(std::count_if(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
+        const bool isEnding = entry.second.stage == assembly_stage::closing || entry.second.stage == assembly_stage::leaving;
+        const bool isThere = !isEnding || m_view.now - entry.second.stageSince < m_state.policy.closingGrace;
+        return entry.second.model == model && isThere;
+    }));
+}
+
+/// Takes a group of a smaller model apart where its members have a larger model staged that lacks a few members there.
+void assembly_round::preemptForLarger()
+{
+    for (const auto *model : modelsBySize()) {
+        if (presentPart(*model) >= 1 || bestDomain(*model) != nullptr) {
+            continue;
+        }
+        if (auto *victim = victimFor(*model)) {
+            beginClose(*victim, close_method::finish, "its members complete a group of " + model->id.value());
+            return;
+        }
+    }
+}
+
+/// Replicas that no wanted group can use serve as a group of a smaller model, more than wanted, rather than idle; where the larger
+/// model can use them later, they give way to it.
+void assembly_round::formExtra()
+{
+    for (auto &[domain, free] : m_free) {
+        if (isBusy(domain)) {
+            continue;
+        }
+        for (const auto *model : modelsBySize()) {
+            const auto size = static_cast<std::size_t>(model->size);
+            const bool isNeedyElsewhere = presentPart(*model) < 1;
+            if (free.size() >= size && !isNeedyElsewhere && quickCount(free, model->id) >= model->size) {
+                formIn(*model, domain);
+                break;
+            }
+        }
+    }
+}
+
+/// Whether a group of the domain is being formed or closed, after which its replicas may be used better.
+bool assembly_round::isBusy(const fabric_domain_id &domain) const
+{
+    return std::any_of(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
+        return entry.second.stage != assembly_stage::serving
+            && std::any_of(entry.second.members.begin(), entry.second.members.end(), [&](const planned_member &member) {
+                   const auto *replica = find(member.instance);
+                   return replica != nullptr && replica->domain == domain;
+               });
+    });
+}
+
+planned_group *assembly_round::victimFor(const group_model &model)
+{
+    for (auto &[id, group] : m_state.groups) {
+        const auto *smaller = findModel(group.model);
+        const bool isCandidate = group.stage == assembly_stage::serving && smaller != nullptr && smaller->size < model.size
+            && presentPart(*smaller, -1) >= presentPart(model) + m_state.policy.preemptionGain;
+        const auto *head = find(group.members.front().instance);
+        if (!isCandidate || head == nullptr || isBusy(head->domain)) {
+            continue;
+        }
+        const auto free = m_free.find(head->domain);
+        auto quick = free == m_free.end() ? 0 : quickCount(free->second, model.id);
+        const bool isUseful = quick > 0;
+        std::vector<const served_replica *> members;
+        for (const auto &member : group.members) {
+            if (const auto *replica = find(member.instance)) {
+                members.push_back(replica);
+            }
+        }
+        quick += quickCount(members, model.id);
+        if (isUseful && quick >= model.size) {
+            return &group;
+        }
+    }
+    return nullptr;
+}
+
+int assembly_round::quickCount(const std::vector<const served_replica *> &replicas, const model_id &model)
+{
+    return static_cast<int>(std::count_if(replicas.begin(), replicas.end(), [&](const served_replica *replica) {
+        return readinessOf(*replica, model) != readiness::must_load;
+    }));
+}
+
+/// Where a group would serve soonest; of equals, where most replicas are left over.
+const fabric_domain_id *assembly_round::bestDomain(const group_model &model) const
+{
+    const fabric_domain_id *best = nullptr;
+    std::pair<std::size_t, std::size_t> bestCost;
+    for (const auto &[domain, replicas] : m_free) {
+        const auto size = static_cast<std::size_t>(model.size);
+        if (replicas.size() < size) {
+            continue;
+        }
+        const auto chosen = soonest(replicas, model);
+        const auto loads = static_cast<std::size_t>(std::count_if(chosen.begin(), chosen.end(), [&](const served_replica *replica) {
+            return readinessOf(*replica, model.id) == readiness::must_load;
+        }));
+        // Later a replica loads beside all else and joins once it has the weights, so that the others need not wait for it.
+        if (loads > 0 && !m_view.isBeforeTraffic) {
+            continue;
+        }
+        const std::pair cost(loads, SIZE_MAX - replicas.size());
+        if (best == nullptr || cost < bestCost) {
+            best = &domain;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::vector<const served_replica *> assembly_round::soonest(std::vector<const served_replica *> replicas, const group_model &model) const
+{
+    std::stable_sort(replicas.begin(), replicas.end(), [&](const served_replica *left, const served_replica *right) {
+        return readinessOf(*left, model.id) < readinessOf(*right, model.id);
+    });
+    replicas.resize(static_cast<std::size_t>(model.size));
+    // A replica that was a head stays one: an old order to open it then meets the new formation.
+    std::stable_sort(replicas.begin(), replicas.end(), [](const served_replica *left, const served_replica *right) {
+        return wasHead(*left) > wasHead(*right);
+    });
+    return replicas;
+}
+
+bool assembly_round::formOne(const group_model &model)
+{
+    const auto *domain = bestDomain(model);
+    if (domain == nullptr) {
+        return false;
+    }
+    formIn(model, *domain);
+    return true;
+}
+
+void assembly_round::formIn(const group_model &model, const fabric_domain_id &domain)
+{
+    auto &free = m_free.at(domain);
+    planned_group group;
+    group.formed = formation(m_state.term * formationsPerTerm + ++m_state.lastNumber);
+    group.id = group_id(fmt::format("g{}", group.formed.value()));
+    group.model = model.id;
+    group.stageSince = m_view.now;
+    for (const auto *replica : soonest(free, model)) {
+        planned_member member;
+        member.instance = replica->id;
+        member.address = replica->address;
+        group.members.push_back(member);
+        if (readinessOf(*replica, model.id) == readiness::must_load) {
+            m_state.loads.push_back(m_view.now);
+        }
+        std::erase(free, replica);
+    }
+    auto &planned = m_state.groups[group.id] = std::move(group);
+    decide(planned, fmt::format("forming in domain={}", domain.value()));
+    join(planned);
+}
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Assembly/assembly_round.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace vetchpost {
+
+/// Free replicas load what the next group of their domain lacks. The weight store feeds few loads at a time, so that those come first
+/// which complete a group soonest.
+void assembly_round::stageSpares()
+{
+    if (m_view.engine.stagedPerHost < 1) {
+        return;
+    }
+    for (const auto &need : loadNeeds()) {
+        auto lacking = need.lacking;
+        for (const auto *replica : m_free.at(need.domain)) {
+            const bool isUsable = !m_state.stagings.contains(replica->id) && !m_claimed.contains(replica->id)
+                && readinessOf(*replica, need.model->id) == readiness::must_load;
+            if (lacking > 0 && isUsable && mayLoad(1)) {
+                stage(*replica, need.model->id);
+                --lacking;
+            }
+        }
+    }
+}
+
+/// The needs of all domains, the most pressing first. Replicas that are ready for a need are claimed by it.
+std::vector<assembly_round::load_need> assembly_round::loadNeeds()
+{
+    std::vector<load_need> needs;
+    for (const auto &[domain, replicas] : m_free) {
+        for (const auto *model : modelsBySize()) {
+            const bool hasRoom = static_cast<int>(replicas.size()) >= model->size;
+            const auto ready = readyOrStaging(replicas, model->id);
+            const auto lacking = hasRoom ? model->size - ready : std::min<int>(1, static_cast<int>(replicas.size()) - ready);
+            if (lacking > 0) {
+                needs.push_back({domain, model, lacking, presentPart(*model) + (hasRoom ? 0 : 1)});
+            }
+        }
+    }
+    std::stable_sort(needs.begin(), needs.end(), [](const load_need &left, const load_need &right) {
+        return std::pair(std::min(left.part, 1.0) + left.lacking, left.part)
+            < std::pair(std::min(right.part, 1.0) + right.lacking, right.part);
+    });
+    claimReady();
+    return needs;
+}
+
+/// Free replicas that are ready for a model whose groups are missing stay so for a while: a member that completes them may come.
+void assembly_round::claimReady()
+{
+    for (const auto &[domain, replicas] : m_free) {
+        for (const auto *replica : replicas) {
+            const bool isIdleLong = m_view.now - m_state.idleSince.at(replica->id) > m_state.policy.idleGrace;
+            const bool isNeeded = std::any_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &model) {
+                return presentPart(model) < 1 && readinessOf(*replica, model.id) != readiness::must_load;
+            });
+            if (isNeeded && !isIdleLong) {
+                m_claimed.insert(replica->id);
+            }
+        }
+    }
+}
+
+int assembly_round::readyOrStaging(const std::vector<const served_replica *> &replicas, const model_id &model) const
+{
+    return static_cast<int>(std::count_if(replicas.begin(), replicas.end(), [&](const served_replica *replica) {
+        const auto staging = m_state.stagings.find(replica->id);
+        const bool isStaging = staging != m_state.stagings.end() && staging->second.model == model;
+        return isStaging || readinessOf(*replica, model) != readiness::must_load;
+    }));
+}
+
+/// Hosts of serving groups get another model's weights: what runs needs the host's copy no more, and the survivors of a loss can then
+/// form a group of that model within a second. First one host of every group, then the next.
+void assembly_round::stageServing()
+{
+    std::size_t largest = 0;
+    for (const auto &[id, group] : m_state.groups) {
+        largest = std::max(largest, group.members.size());
+    }
+    for (std::size_t rank = 0; rank < largest && m_view.engine.stagedPerHost > 0; ++rank) {
+        for (const auto &[id, group] : m_state.groups) {
+            if (group.stage == assembly_stage::serving && rank < group.members.size() && isStoreIdle()) {
+                stageAnother(group, group.members[rank].instance);
+            }
+        }
+    }
+}
+
+/// Whether a load that only prepares for a loss may begin: all that the store feeds at a time before the first request, few later.
+bool assembly_round::isStoreIdle() const
+{
+    const auto most = m_view.isBeforeTraffic ? static_cast<std::size_t>(m_view.engine.concurrentLoads) : idleStoreLoads;
+    return m_state.stagings.size() < most;
+}
+
+void assembly_round::stageAnother(const planned_group &group, const instance_id &instance)
+{
+    const auto *replica = find(instance);
+    const auto *other = otherModel(group.model);
+    if (replica == nullptr || replica->isDraining || other == nullptr || m_state.stagings.contains(instance) || isAvoided(instance)) {
+        return;
+    }
+    if (readinessOf(*replica, other->id) == readiness::must_load && mayLoad(1)) {
+        stage(*replica, other->id);
+    }
+}
+
+/// Of the other models the one with the largest share of the work.
+const group_model *assembly_round::otherModel(const model_id &model) const
+{
+    const group_model *best = nullptr;
+    for (const auto &entry : m_view.engine.models) {
+        if (entry.id != model && (best == nullptr || entry.share > best->share)) {
+            best = &entry;
+        }
+    }
+    return best;
+}
+
+void assembly_round::stage(const served_replica &replica, const model_id &model)
+{
+    m_state.loads.push_back(m_view.now);
+    m_state.stagings[replica.id] = {model, m_view.now};
+    m_state.decisions.push_back(fmt::format("staging: instance={} model={}", replica.id.value(), model.value()));
+    m_orders.push_back({order_kind::stage, replica.id, replica.address, {}, {}, model, {}, {}});
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -40,6 +40,7 @@
 /// A daemon tells of the same group again after this time.
 constexpr duration noticePeriod(400);
 constexpr auto stallPath = "/stalled";
+constexpr auto metricsPath = "/metrics";
 
 } // namespace
 
@@ -49,6 +50,7 @@
     key_value_service &keyValue;
     const entry_dialect &dialect;
     store_follower &store;
+    metrics &counters;
     worker_pool orderWorkers{orderThreads};
     worker_pool noticeWorkers{noticeThreads};
     http_connection_pool peers;
@@ -76,11 +78,12 @@
                  key_value_service &service,
                  const entry_dialect &words,
                  store_follower &follower,
-                 metrics &counters)
+                 metrics &allCounters)
         : settings(entrySettings)
         , keyValue(service)
         , dialect(words)
         , store(follower)
+        , counters(allCounters)
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , hasTraffic(!entrySettings.isFirstStart)
@@ -339,13 +342,24 @@
         }
     }
 
-    void look(const served_replica &replica)
+    /// Whether the replica itself answers this daemon.
+    bool answers(const served_replica &replica, reason &why) const
     {
-        auto call = dialect.livenessCall(replica.address);
+        auto call = dialect.livenessCall(replica.id, replica.address);
         call.connectTimeout = lookTimeout;
         call.receiveTimeout = lookTimeout;
+        const auto reply = sendOnFreshConnection(call, why);
+        if (reply && !dialect.isLivenessAnswer(*reply)) {
+            why.text = "another replica has its address";
+            return false;
+        }
+        return reply.has_value();
+    }
+
+    void look(const served_replica &replica)
+    {
         reason why;
-        const bool hasAnswered = sendOnFreshConnection(call, why).has_value();
+        const bool hasAnswered = answers(replica, why);
         assemblyLog.write("looked", {{"replica", replica.id.value()}, {"answers", hasAnswered}, {"why", why.text}});
         {
             const std::lock_guard lock(mutex);
@@ -375,11 +389,8 @@
         if (found == directory->replicas.end()) {
             return false;
         }
-        auto call = dialect.livenessCall(found->second.address);
-        call.connectTimeout = lookTimeout;
-        call.receiveTimeout = lookTimeout;
         reason why;
-        return sendOnFreshConnection(call, why).has_value();
+        return answers(found->second, why);
     }
 
     void takeStall(const instance_id &head)
@@ -425,7 +436,8 @@
             wake.notify_all();
             lookAtGroup(head);
         }
-        exchange.send(200, "text/plain", "");
+        constexpr int found = 200;
+        exchange.send(found, "text/plain", exchange.path() == metricsPath ? counters.text() : std::string());
     }
 };
 
--- a/Libraries/Entry/entry_dialect.h
+++ b/Libraries/Entry/entry_dialect.h
@@ -78,8 +78,9 @@
 
     virtual http_call orderCall(const replica_order &order) const = 0;
     virtual order_answer readOrderAnswer(const replica_order &order, const http_reply &reply) const = 0;
-    /// A call to which every replica that lives answers at once.
-    virtual http_call livenessCall(const endpoint &address) const = 0;
+    /// A call to which a live replica answers at once, and another one at its address that it is not meant.
+    virtual http_call livenessCall(const instance_id &replica, const endpoint &address) const = 0;
+    virtual bool isLivenessAnswer(const http_reply &reply) const = 0;
 };
 
 } // namespace vetchpost
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -327,6 +327,7 @@
     head.timeLeft = timeLeft();
     head.organisation = m_organisation == nullptr ? organisation_id() : m_organisation->id;
     head.lastEvent = m_events.lastId().empty() ? m_head.lastEvent : m_events.lastId();
+    head.priority = m_organisation != nullptr && m_organisation->priority ? m_organisation->priority : m_route->priority;
     http_call call;
     call.to = target.address;
     call.method = m_exchange.method();
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -95,7 +95,6 @@
     bool m_mayHaveRun = false;
     /// The client has an answer's head.
     bool m_hasBegun = false;
-    bool m_hasCallerLeft = false;
     instant m_tryStart;
     event_splitter m_events;
     std::optional<whole_answer> m_failure;
--- a/Services/vetchpostd/main.cpp
+++ b/Services/vetchpostd/main.cpp
@@ -34,6 +34,7 @@
 The form with SETTINGS runs on the product's own interfaces; docs/OPERATING.md describes the keys of SETTINGS, a YAML file.
 The form "entry" runs on a platform whose replicas report themselves; docs/OPERATIONS.md describes its keys.
 SIGTERM stops the daemon as planned: it says not-ready, serves what it holds to the end, then ends.
+SIGHUP reads the settings again: the log level changes at once, all else with the next start.
 
 Exit codes: 0 stopped as planned, or the settings are good; 1 an address cannot be bound; 2 the settings or arguments are
 wrong.
@@ -61,13 +62,29 @@
     return settings;
 }
 
+/// After SIGHUP the settings are read and checked again. The log level changes at once, all else with the next start; settings with
+/// problems change nothing.
+template <class Settings>
+void reloadLogLevel(const std::optional<Settings> &settings)
+{
+    constexpr part_log mainLog("main");
+    if (!settings) {
+        mainLog.error("The settings have problems; those at hand stay.");
+        return;
+    }
+    setLogLevel(settings->lowestLogLevel);
+    mainLog.info("The settings were read again.");
+}
+
 /// Starts the daemon, waits for a signal to stop, and stops it.
-template <class Daemon>
-int runUntilStopped(Daemon &daemon, const sigset_t &signals)
+template <class Daemon, class Reload>
+int runUntilStopped(Daemon &daemon, const sigset_t &signals, const Reload &reload)
 {
     daemon.start();
     int signal = 0;
-    sigwait(&signals, &signal);
+    for (sigwait(&signals, &signal); signal == SIGHUP; sigwait(&signals, &signal)) {
+        reload();
+    }
     daemon.stop();
     return exit_good;
 }
@@ -79,6 +96,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -97,7 +115,7 @@
     setLogLevel(settings->lowestLogLevel);
     const auto signals = blockSignals();
     vetchpost_daemon daemon(*settings);
-    return runUntilStopped(daemon, signals);
+    return runUntilStopped(daemon, signals, [&] { reloadLogLevel(readSettings(path, readDaemonSettings)); });
 }
 
 int runEntry(const std::string &path, bool isCheck)
@@ -114,7 +132,7 @@
     const auto signals = blockSignals();
     const auto makeStore = [](const endpoint &address, metrics &counters) { return std::make_unique<platform_store>(address, counters); };
     entry_daemon daemon(*settings, std::make_unique<platform_dialect>(), makeStore);
-    const auto code = runUntilStopped(daemon, signals);
+    const auto code = runUntilStopped(daemon, signals, [&] { reloadLogLevel(readSettings(path, readEntrySettings)); });
     // Threads that still wait for the key-value service hold nothing that could be lost, and the stop grace does not wait for them.
     std::_Exit(code);
 }
--- a/Tests/PlatformAdapter/testPlatformDialect.cpp
+++ b/Tests/PlatformAdapter/testPlatformDialect.cpp
@@ -193,6 +193,11 @@
     CHECK(dialect.readOrderAnswer(order, {503, {}, {}}).result == order_result::unknown);
     order.kind = order_kind::look;
     CHECK(dialect.orderCall(order).target == "/report");
+    CHECK(has(dialect.orderCall(order).headers, "Expect-Instance", "i-1"));
+    // Another replica at the address of one that has ended.
+    CHECK(dialect.readOrderAnswer(order, {421, {}, {}}).result == order_result::gone);
+    CHECK_FALSE(dialect.isLivenessAnswer({421, {}, {}}));
+    CHECK(dialect.isLivenessAnswer({503, {}, {}}));
     const auto looked = dialect.readOrderAnswer(order, {200, {}, R"({"Phase":"combined","Seq":5})"});
     CHECK(looked.result == order_result::taken);
     CHECK(looked.ordersTaken == 5);
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -25,6 +25,7 @@
     std::vector<yaml_problem> problems;
     const auto settings = readEntrySettings(text, "entry.yaml", problems);
     std::vector<std::string> result;
+    result.reserve(problems.size());
     for (const auto &problem : problems) {
         result.push_back(problem.text());
     }
