Tests: Prove the relay with a whole daemon before scripted replicas, and the closing of connections

Change: testRelay (keys, routes, runs once whatever becomes of the answer, truthful refusals, streams resumed under the first head, a broken stream never whole), testHttpServer (a server that finishes answers what it has read).

--- /dev/null
+++ b/Tests/Http/testHttpServer.cpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Http/http_client.h"
+#include "Libraries/Http/http_server.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <iterator>
+#include <thread>
+
+using namespace vetchpost;
+
+namespace {
+
+endpoint freePort()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return {"127.0.0.1", socket.address().port()};
+}
+
+/// The status of an answer on a kept connection; 0 where there is none.
+int askOn(Poco::Net::HTTPClientSession &session, const std::string &path)
+{
+    try {
+        Poco::Net::HTTPRequest request("GET", path, Poco::Net::HTTPMessage::HTTP_1_1);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        auto &body = session.receiveResponse(response);
+        const std::string text{std::istreambuf_iterator<char>(body), std::istreambuf_iterator<char>()};
+        return response.getStatus();
+    } catch (const Poco::Exception &) {
+        return 0;
+    }
+}
+
+} // namespace
+
+TEST_CASE("A server that finishes answers what it has read and reads nothing more")
+{
+    constexpr duration slowTime(400);
+    std::atomic<int> handled = 0;
+    const auto address = freePort();
+    http_server server(address, http_server_limits(), [&](http_exchange &exchange) {
+        ++handled;
+        if (exchange.path() == "/slow") {
+            std::this_thread::sleep_for(slowTime);
+        }
+        exchange.send(200, "text/plain", "whole");
+    });
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(address.host, address.port));
+    Poco::Net::HTTPClientSession idle(socket);
+    idle.setKeepAlive(true);
+    REQUIRE(askOn(idle, "/quick") == 200);
+
+    std::optional<http_reply> slowReply;
+    std::thread asking([&] {
+        http_call call;
+        call.to = address;
+        call.target = "/slow";
+        reason why;
+        slowReply = sendOnFreshConnection(call, why);
+    });
+    std::this_thread::sleep_for(slowTime / 4);
+    server.finish();
+    // It came back only after the request at hand had its answer.
+    CHECK(handled == 2);
+    CHECK(server.activeRequests() == 0);
+    asking.join();
+    REQUIRE(slowReply);
+    CHECK(slowReply->body == "whole");
+    CHECK(askOn(idle, "/quick") == 0);
+    CHECK(handled == 2);
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Tests/PlatformAdapter/scriptedReplica.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+
+namespace vetchpost::test {
+
+namespace {
+
+constexpr int readSize = 4096;
+const Poco::Timespan pollTime(0, 20000);
+
+/// Whether head and body are there.
+bool isWhole(const std::string &request)
+{
+    const auto end = request.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return false;
+    }
+    const auto length = headerOf(request, "Content-Length");
+    return request.size() >= end + 4 + (length.empty() ? 0 : std::stoul(length));
+}
+
+} // namespace
+
+std::string headerOf(const std::string &request, const std::string &name)
+{
+    const auto start = request.find("\r\n" + name + ": ");
+    if (start == std::string::npos) {
+        return {};
+    }
+    const auto value = start + name.size() + 4;
+    return request.substr(value, request.find("\r\n", value) - value);
+}
+
+scripted_replica::scripted_replica(script answer)
+    : m_answer(std::move(answer))
+    , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , m_thread([this] { run(); })
+{
+}
+
+scripted_replica::~scripted_replica()
+{
+    m_isStopping = true;
+    m_thread.join();
+}
+
+std::string scripted_replica::address() const
+{
+    return m_socket.address().toString();
+}
+
+std::vector<std::string> scripted_replica::requests() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_requests;
+}
+
+void scripted_replica::run()
+{
+    while (!m_isStopping) {
+        if (m_socket.poll(pollTime, Poco::Net::Socket::SELECT_READ)) {
+            auto connection = m_socket.acceptConnection();
+            serve(connection);
+        }
+    }
+}
+
+void scripted_replica::serve(Poco::Net::StreamSocket &connection)
+{
+    std::string request;
+    std::array<char, readSize> bytes{};
+    try {
+        while (!isWhole(request)) {
+            const auto count = connection.receiveBytes(bytes.data(), readSize);
+            if (count <= 0) {
+                return;
+            }
+            request.append(bytes.data(), static_cast<std::size_t>(count));
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            m_requests.push_back(request);
+        }
+        const auto answer = m_answer(request);
+        if (!answer.empty()) {
+            connection.sendBytes(answer.data(), static_cast<int>(answer.size()));
+        }
+        connection.shutdownSend();
+    } catch (const Poco::Exception &) {
+        // The daemon has gone away, which some scripts are there to cause.
+        return;
+    }
+}
+
+} // namespace vetchpost::test
--- /dev/null
+++ b/Tests/PlatformAdapter/scriptedReplica.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+namespace vetchpost::test {
+
+/// A replica on a loopback port that answers each request with the bytes of a script, then closes the connection.
+class scripted_replica
+{
+public:
+    using script = std::function<std::string(const std::string &request)>;
+
+    explicit scripted_replica(script answer);
+    ~scripted_replica();
+    scripted_replica(const scripted_replica &) = delete;
+    scripted_replica &operator=(const scripted_replica &) = delete;
+
+    std::string address() const;
+    /// The requests that came, with their heads and bodies.
+    std::vector<std::string> requests() const;
+
+private:
+    void run();
+    void serve(Poco::Net::StreamSocket &connection);
+
+    script m_answer;
+    Poco::Net::ServerSocket m_socket;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::atomic<bool> m_isStopping = false;
+    std::thread m_thread;
+};
+
+/// The value of a header in a request's text; empty where there is none.
+std::string headerOf(const std::string &request, const std::string &name);
+
+} // namespace vetchpost::test
--- /dev/null
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -0,0 +1,415 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/entry_daemon.h"
+#include "Libraries/Http/http_client.h"
+#include "Libraries/Http/http_upstream.h"
+#include "Tests/PlatformAdapter/scriptedReplica.h"
+#include "platform/platform_dialect.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+
+namespace {
+
+constexpr auto configurationText = R"({"Version":1,
+ "Routes":[{"Name":"once","Host":"a.example","PathPrefix":"/once/","RouteType":"non_idempotent","Service":"plain","MaxAttempts":2,
+            "TimeoutMs":3000,"SloMs":100},
+           {"Name":"again","Host":"a.example","PathPrefix":"/again/","RouteType":"idempotent","Service":"plain","MaxAttempts":2,
+            "TimeoutMs":3000,"SloMs":100},
+           {"Name":"stream","Host":"a.example","PathPrefix":"/stream/","RouteType":"streaming","Service":"large","MaxAttempts":2,
+            "TimeoutMs":5000,"SloMs":100,"Resumable":true}],
+ "Services":[{"Name":"plain","HealthPath":"/healthz","MaxConns":10},
+             {"Name":"large","HealthPath":"/healthz","MaxConns":10,
+              "Engine":{"Slots":4,"Models":[{"Name":"m","size":1,"Share":1.0,"pace":1.0,"LoadS":1.0,"WarmS":0.1}]}}],
+ "Tenants":[{"Name":"t1","ApiKeys":["good"],"Priority":1}]})";
+
+/// A key-value service in memory that lets nobody coordinate.
+class memory_store : public key_value_service
+{
+public:
+    explicit memory_store(std::map<std::string, std::string> &values, std::atomic<bool> &isUp)
+        : m_values(values)
+        , m_isUp(isUp)
+    {
+    }
+
+    std::optional<key_value_entry> get(const std::string &key, read_freshness /*freshness*/, reason &lastReason) override
+    {
+        if (!m_isUp) {
+            lastReason = {error_kind::platform_unavailable, "down"};
+            return std::nullopt;
+        }
+        const auto found = m_values.find(key);
+        return found == m_values.end() ? key_value_entry{key, {}, {}} : key_value_entry{key, found->second, key_revision(1)};
+    }
+
+    std::optional<key_value_listing> list(const std::string &prefix, reason & /*lastReason*/) override
+    {
+        key_value_listing listing;
+        for (const auto &[key, value] : m_values) {
+            if (key.starts_with(prefix)) {
+                listing.entries.push_back({key, value, key_revision(1)});
+            }
+        }
+        return listing;
+    }
+
+    swap_result
+    compareAndSwap(const std::string & /*key*/, key_revision /*expected*/, const std::string & /*value*/, lease_number /*lease*/) override
+    {
+        return {};
+    }
+
+    std::optional<lease_number> grantLease(duration /*time*/, reason & /*lastReason*/) override
+    {
+        return std::nullopt;
+    }
+
+    std::optional<bool> renewLease(lease_number /*lease*/, reason & /*lastReason*/) override
+    {
+        return std::nullopt;
+    }
+
+    void endLease(lease_number /*lease*/) override
+    {
+    }
+
+    std::optional<watch_result>
+    watch(const std::string & /*prefix*/, std::uint64_t after, duration /*wait*/, reason & /*lastReason*/) override
+    {
+        std::this_thread::sleep_for(duration(50));
+        return watch_result{after, {}, false};
+    }
+
+private:
+    std::map<std::string, std::string> &m_values;
+    std::atomic<bool> &m_isUp;
+};
+
+endpoint freePort()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return {"127.0.0.1", socket.address().port()};
+}
+
+/// What a client received.
+struct client_answer
+{
+    int status = 0;
+    std::vector<http_header> headers;
+    std::string body;
+    /// The answer has its end.
+    bool isWhole = false;
+
+    std::string header(std::string_view name) const
+    {
+        return headerValue(headers, name);
+    }
+};
+
+client_answer exchange(const http_call &call)
+{
+    constexpr duration patience(5000);
+    client_answer answer;
+    http_upstream connection;
+    reason why;
+    if (!connection.send(call, why) || connection.waitForAnswer(monotonicNow() + patience, -1) != upstream_wait::data) {
+        return answer;
+    }
+    const auto head = connection.readHead(why);
+    if (!head) {
+        return answer;
+    }
+    answer.status = head->status;
+    answer.headers = head->headers;
+    std::string piece;
+    auto wait = upstream_wait::data;
+    while (wait == upstream_wait::data) {
+        wait = connection.nextPiece(piece, monotonicNow() + patience, -1);
+        answer.body += piece;
+    }
+    answer.isWhole = wait == upstream_wait::end;
+    return answer;
+}
+
+/// One entry daemon before scripted replicas.
+class relay_world
+{
+public:
+    void addPlain(const std::string &id, const scripted_replica &replica)
+    {
+        m_values["servers/" + id]
+            = fmt::format(R"({{"Service":"plain","Address":"{}","Zone":"z","Slots":4,"State":"ready"}})", replica.address());
+    }
+
+    void addHead(const std::string &id, const scripted_replica &replica)
+    {
+        m_values["servers/" + id] = fmt::format(
+            R"({{"Service":"large","Address":"{}","Zone":"z","Slots":4,"State":"ready","Models":[{{"Name":"m","Version":1}}],
+                "group":{{"Name":"g-{}","epoch":1,"rank":0,"State":"open"}}}})",
+            replica.address(),
+            id);
+    }
+
+    void start(bool hasConfiguration = true)
+    {
+        if (hasConfiguration) {
+            m_values["op/config"] = configurationText;
+        }
+        entry_settings settings;
+        settings.daemon = daemon_id("d1");
+        settings.dataCentre = data_centre_id("z");
+        settings.callers = freePort();
+        settings.readiness = freePort();
+        settings.peers = freePort();
+        settings.maximumConnections = 16;
+        settings.keyRevocation = duration(1500);
+        settings.stopGrace = duration(3000);
+        settings.leaseTime = duration(2000);
+        settings.stallTime = duration(5000);
+        settings.retryShare = 0.2;
+        settings.retrySlack = 160;
+        m_callers = settings.callers;
+        m_daemon = std::make_unique<entry_daemon>(
+            settings, std::make_unique<platform_dialect>(), [this](const endpoint & /*address*/, metrics & /*counters*/) {
+                return std::make_unique<memory_store>(m_values, m_isUp);
+            });
+        m_daemon->start();
+        for (int i = 0; i < 100 && hasConfiguration && !isReady(settings.readiness); ++i) {
+            std::this_thread::sleep_for(duration(20));
+        }
+    }
+
+    void stopStore()
+    {
+        m_isUp = false;
+    }
+
+    client_answer ask(const std::string &path, const std::string &key = "good", const std::string &attempt = "a1") const
+    {
+        http_call call;
+        call.to = m_callers;
+        call.method = "POST";
+        call.target = path;
+        call.body = "question";
+        call.headers
+            = {{"Host", "a.example"}, {"Attempt-Id", attempt}, {"Deadline-Ms", "2500"}, {"Model", "m"}, {"Authorization", "Bearer " + key}};
+        return exchange(call);
+    }
+
+private:
+    static bool isReady(const endpoint &address)
+    {
+        http_call call;
+        call.to = address;
+        call.target = "/readyz";
+        reason why;
+        const auto reply = sendOnFreshConnection(call, why);
+        return reply && reply->isSuccess();
+    }
+
+    std::map<std::string, std::string> m_values;
+    std::atomic<bool> m_isUp = true;
+    endpoint m_callers;
+    std::unique_ptr<entry_daemon> m_daemon;
+};
+
+std::string answerTo(const std::string &request, const std::string &body, const std::string &status = "200 OK")
+{
+    return fmt::format("HTTP/1.1 {}\r\nAttempt-Id: {}\r\nServer-Stamp: s\r\nContent-Length: {}\r\n\r\n{}",
+                       status,
+                       headerOf(request, "Attempt-Id"),
+                       body.size(),
+                       body);
+}
+
+std::string refusalTo(const std::string &request)
+{
+    return fmt::format("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                       headerOf(request, "Attempt-Id"));
+}
+
+std::string event(int number)
+{
+    return fmt::format("id: {}\ndata: piece {}\n\n", number, number);
+}
+
+std::string streamHead(const std::string &request, const std::string &stamp)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nServer-Stamp: {}\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n",
+                       headerOf(request, "Attempt-Id"),
+                       stamp);
+}
+
+std::string chunk(const std::string &bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string good(const std::string &request)
+{
+    return answerTo(request, "answer");
+}
+
+std::string closed(const std::string & /*request*/)
+{
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("A request goes on with its organisation and without its key, and the answer comes back unchanged")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    world.start();
+    const auto reply = world.ask("/once/x?y=%20z");
+    CHECK(reply.status == 200);
+    CHECK(reply.body == "answer");
+    CHECK(reply.header("Server-Stamp") == "s");
+    REQUIRE(replica.requests().size() == 1);
+    const auto request = replica.requests().front();
+    CHECK(request.starts_with("POST /once/x?y=%20z HTTP/1.1\r\n"));
+    CHECK(request.ends_with("question"));
+    CHECK(headerOf(request, "Host") == "a.example");
+    CHECK(headerOf(request, "Tenant") == "t1");
+    CHECK(headerOf(request, "Expect-Instance") == "i-1");
+    CHECK(headerOf(request, "Authorization").empty());
+    CHECK(std::stoi(headerOf(request, "Deadline-Ms")) <= 2500);
+}
+
+TEST_CASE("Unknown routes and keys are refused, and nothing is served without a configuration or with keys out of date")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    world.start();
+    CHECK(world.ask("/nowhere/").status == 404);
+    CHECK(world.ask("/once/", "bad").status == 401);
+    CHECK(world.ask("/once/", "").status == 401);
+    CHECK(world.ask("/once/").status == 200);
+    world.stopStore();
+    std::this_thread::sleep_for(duration(1600));
+    const auto refused = world.ask("/once/");
+    CHECK(refused.status == 503);
+    CHECK_FALSE(refused.header("Retry-After").empty());
+    CHECK(replica.requests().size() == 1);
+
+    relay_world blank;
+    blank.start(false);
+    CHECK(blank.ask("/once/").status == 503);
+}
+
+TEST_CASE("A request that may run once is sent once, whatever becomes of its answer")
+{
+    const auto cutShort = [](const std::string &request) {
+        return fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nServer-Stamp: s\r\nContent-Length: 99\r\n\r\nans",
+                           headerOf(request, "Attempt-Id"));
+    };
+    const auto foreign = [](const std::string & /*request*/) {
+        return std::string("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Stamp: s\r\nContent-Length: 3\r\n\r\nfig");
+    };
+    const auto unsignedSuccess = [](const std::string &request) {
+        return fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nContent-Length: 2\r\n\r\nno", headerOf(request, "Attempt-Id"));
+    };
+    const auto garbage = [](const std::string & /*request*/) { return std::string("this is no answer\r\n\r\n"); };
+    for (const scripted_replica::script &script : {scripted_replica::script(closed),
+                                                   scripted_replica::script(cutShort),
+                                                   scripted_replica::script(foreign),
+                                                   scripted_replica::script(unsignedSuccess),
+                                                   scripted_replica::script(garbage)}) {
+        const scripted_replica first(script);
+        const scripted_replica second(script);
+        relay_world world;
+        world.addPlain("i-1", first);
+        world.addPlain("i-2", second);
+        world.start();
+        CHECK(world.ask("/once/").status == 502);
+        CHECK(first.requests().size() + second.requests().size() == 1);
+    }
+}
+
+TEST_CASE("An idempotent request goes to another replica after a lost answer or a failure")
+{
+    for (const scripted_replica::script &script :
+         {scripted_replica::script(closed),
+          scripted_replica::script([](const std::string &request) { return answerTo(request, "broken", "500 Internal Server Error"); })}) {
+        const scripted_replica bad(script);
+        const scripted_replica fine(good);
+        relay_world world;
+        world.addPlain("i-1", bad);
+        world.addPlain("i-2", fine);
+        world.start();
+        for (int i = 0; i < 4; ++i) {
+            CHECK(world.ask("/again/").status == 200);
+        }
+        CHECK(fine.requests().size() == 4);
+    }
+}
+
+TEST_CASE("A request that a replica did not run goes to another one, and is refused as not run where none takes it")
+{
+    const scripted_replica full(refusalTo);
+    const scripted_replica fine(good);
+    relay_world world;
+    world.addPlain("i-1", full);
+    world.addPlain("i-2", fine);
+    world.start();
+    for (int i = 0; i < 4; ++i) {
+        CHECK(world.ask("/once/").status == 200);
+    }
+    const scripted_replica alsoFull(refusalTo);
+    relay_world crowded;
+    crowded.addPlain("i-1", full);
+    crowded.addPlain("i-2", alsoFull);
+    crowded.start();
+    const auto refused = crowded.ask("/once/");
+    CHECK(refused.status == 503);
+    CHECK_FALSE(refused.header("Retry-After").empty());
+}
+
+TEST_CASE("A stream that breaks off inside an event goes on at another replica under the first head, without losing or doubling a piece")
+{
+    const auto breaking = [](const std::string &request) {
+        if (headerOf(request, "Last-Event-Id") == "2") {
+            return streamHead(request, "second") + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n";
+        }
+        // The third event is cut, and the connection closes without the last chunk.
+        return streamHead(request, "first") + chunk(event(1) + event(2) + "id: 3\nda");
+    };
+    const scripted_replica one(breaking);
+    const scripted_replica two(breaking);
+    relay_world world;
+    world.addHead("h-1", one);
+    world.addHead("h-2", two);
+    world.start();
+    const auto reply = world.ask("/stream/");
+    CHECK(reply.status == 200);
+    CHECK(reply.header("Server-Stamp") == "first");
+    CHECK(reply.body == event(1) + event(2) + event(3) + event(4));
+    CHECK(reply.isWhole);
+    CHECK(one.requests().size() == 1);
+    CHECK(two.requests().size() == 1);
+}
+
+TEST_CASE("A stream that nobody can go on with does not look complete")
+{
+    const auto breaking = [](const std::string &request) {
+        return headerOf(request, "Last-Event-Id").empty() ? streamHead(request, "first") + chunk(event(1)) : refusalTo(request);
+    };
+    const scripted_replica one(breaking);
+    const scripted_replica two(breaking);
+    relay_world world;
+    world.addHead("h-1", one);
+    world.addHead("h-2", two);
+    world.start();
+    const auto reply = world.ask("/stream/");
+    CHECK(reply.body == event(1));
+    CHECK_FALSE(reply.isWhole);
+}
