Assembly: Leave the survivors of a needier model alone for three seconds

Ruled out: slow replicas, the store, the change of coordinator. Change: a model may use replicas that ran another one only where that one does not lack a tenth more of its groups, or after three seconds; a smaller group gives way before new groups form. The stop of a daemon ends within its grace also where a stream outlasts it. The new test fails with the forming of the commit before.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -55,6 +55,8 @@
     bool isBusy(const fabric_domain_id &domain) const;
     planned_group *victimFor(const group_model &model);
     static int quickCount(const std::vector<const served_replica *> &replicas, const model_id &model);
+    double partWithoutEnding(const group_model &model) const;
+    std::vector<const served_replica *> availableFor(const group_model &model, const fabric_domain_id &domain) const;
     const fabric_domain_id *bestDomain(const group_model &model) const;
     std::vector<const served_replica *> soonest(std::vector<const served_replica *> replicas, const group_model &model) const;
     bool formOne(const group_model &model);
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -148,7 +148,8 @@
         for (const auto *model : modelsBySize()) {
             const auto size = static_cast<std::size_t>(model->size);
             const bool isNeedyElsewhere = presentPart(*model) < 1;
-            if (free.size() >= size && !isNeedyElsewhere && quickCount(free, model->id) >= model->size) {
+            const auto replicas = availableFor(*model, domain);
+            if (replicas.size() >= size && !isNeedyElsewhere && quickCount(replicas, model->id) >= model->size) {
                 formIn(*model, domain);
                 break;
             }
@@ -203,12 +204,42 @@
 }
 
 /// Where a group would serve soonest; of equals, where most replicas are left over.
+/// The part of a model's wanted groups that is there, without those that are about to end.
+double assembly_round::partWithoutEnding(const group_model &model) const
+{
+    const auto target = m_targets.at(model.id);
+    const auto count = std::count_if(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
+        const auto stage = entry.second.stage;
+        return entry.second.model == model.id && stage != assembly_stage::closing && stage != assembly_stage::leaving;
+    });
+    return target == 0 ? 1.0 : static_cast<double>(count) / target;
+}
+
+/// The free replicas of a domain that a model may use: not those that are ready for a model which lacks more of its groups, as long as a
+/// member that completes them may come.
+std::vector<const served_replica *> assembly_round::availableFor(const group_model &model, const fabric_domain_id &domain) const
+{
+    auto replicas = m_free.at(domain);
+    if (m_view.isBeforeTraffic) {
+        return replicas;
+    }
+    const auto part = presentPart(model);
+    std::erase_if(replicas, [&](const served_replica *replica) {
+        const bool isIdleLong = m_view.now - m_state.idleSince.at(replica->id) > m_state.policy.idleGrace;
+        return !isIdleLong && std::any_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &other) {
+            return other.id != model.id && partWithoutEnding(other) + m_state.policy.preemptionGain < part && replica->model == other.id;
+        });
+    });
+    return replicas;
+}
+
 const fabric_domain_id *assembly_round::bestDomain(const group_model &model) const
 {
     const fabric_domain_id *best = nullptr;
     std::pair<std::size_t, std::size_t> bestCost;
-    for (const auto &[domain, replicas] : m_free) {
+    for (const auto &[domain, free] : m_free) {
         const auto size = static_cast<std::size_t>(model.size);
+        const auto replicas = availableFor(model, domain);
         if (replicas.size() < size) {
             continue;
         }
@@ -260,7 +291,7 @@
     group.id = group_id(fmt::format("g{}", group.formed.value()));
     group.model = model.id;
     group.stageSince = m_view.now;
-    for (const auto *replica : soonest(free, model)) {
+    for (const auto *replica : soonest(availableFor(model, domain), model)) {
         planned_member member;
         member.instance = replica->id;
         member.address = replica->address;
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -36,8 +36,8 @@
     if (!isSettled()) {
         return std::move(m_orders);
     }
-    formGroups();
     preemptForLarger();
+    formGroups();
     formExtra();
     stageSpares();
     stageServing();
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include "Libraries/Entry/assembly_runner.h"
 #include "Libraries/Entry/request_run.h"
 
+#include <atomic>
 #include <thread>
 
 namespace vetchpost {
@@ -117,8 +118,14 @@
     d->assembly.stop();
     // New connections come until the balancer has noticed; idle ones are closed only after it, so that nothing is sent into a close.
     std::this_thread::sleep_for(balancerNotice);
-    d->callers->finish();
-    while (d->callers->activeRequests() > 0 && monotonicNow() < latest) {
+    // What is still at work then is cut by the end of the process, a moment before the platform would do it; so nobody waits for this
+    // thread.
+    const auto isFinished = std::make_shared<std::atomic<bool>>(false);
+    std::thread([this, isFinished] {
+        d->callers->finish();
+        *isFinished = true;
+    }).detach();
+    while (!*isFinished && monotonicNow() < latest) {
         std::this_thread::sleep_for(stopPollPeriod);
     }
     daemonLog.write("stopped", {{"active", d->callers->activeRequests()}, {"log_lines_left_out", droppedLogLines()}});
--- a/Libraries/Entry/entry_daemon.h
+++ b/Libraries/Entry/entry_daemon.h
@@ -25,7 +25,8 @@
 
     /// Binds the listeners and starts. Throws where an address cannot be bound.
     void start();
-    /// Says not-ready, serves what it holds to the end within the stop grace, then returns.
+    /// Says not-ready, serves what it holds to the end within the stop grace, then returns. The process has to end after it: requests that
+    /// outlast the grace are still on their threads.
     void stop();
 
 private:
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -488,6 +488,23 @@
     return {};
 }
 
+std::vector<std::vector<instance_id>> assembly_world::openGroups(const model_id &wanted) const
+{
+    std::vector<std::vector<instance_id>> groups;
+    for (const auto &[id, replica] : m_replicas) {
+        const auto &membership = replica.said.membership;
+        if (replica.isAlive && replica.said.model == wanted && membership && membership->state == member_state::open) {
+            groups.push_back(replica.members);
+        }
+    }
+    return groups;
+}
+
+std::size_t assembly_world::groupSizeOf(const instance_id &replica) const
+{
+    return m_replicas.at(replica).members.size();
+}
+
 std::vector<instance_id> assembly_world::membersBesideSmallGroup() const
 {
     std::set<fabric_domain_id> domainsOfSmall;
--- a/Tests/Assembly/assemblyWorld.h
+++ b/Tests/Assembly/assemblyWorld.h
@@ -61,6 +61,10 @@
     int servingGroups(const model_id &model) const;
     int wantedGroups(const model_id &model) const;
     std::vector<instance_id> membersOfSomeGroup(const model_id &model) const;
+    /// The members of each open group of a model.
+    std::vector<std::vector<instance_id>> openGroups(const model_id &model) const;
+    /// The size of the group that a replica stands in; 0 where it stands in none.
+    std::size_t groupSizeOf(const instance_id &replica) const;
     /// Of a group of the larger model in whose domain a group of the smaller one serves.
     std::vector<instance_id> membersBesideSmallGroup() const;
     const engine_description &engine() const;
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -79,6 +79,27 @@
     CHECK(world.loadsBegun() - loads <= 2);
 }
 
+TEST_CASE("A model that lacks fewer groups leaves the survivors of one that lacks more alone for a while")
+{
+    auto world = assembledWorld();
+    const auto bigGroups = world.openGroups(big);
+    REQUIRE(bigGroups.size() == 8);
+    std::vector<instance_id> survivors;
+    for (std::size_t i = 0; i < 3; ++i) {
+        world.lose(bigGroups[i].back());
+        survivors.insert(survivors.end(), bigGroups[i].begin(), bigGroups[i].end() - 1);
+    }
+    for (int i = 0; i < 4; ++i) {
+        world.advance(duration(250));
+        for (const auto &survivor : survivors) {
+            CHECK(world.groupSizeOf(survivor) != 2);
+        }
+    }
+    CHECK(world.violation().empty());
+    world.advance(std::chrono::seconds(30));
+    CHECK(world.servingGroups(big) >= 6);
+}
+
 TEST_CASE("A member that is about to leave is replaced without cutting off what its group holds")
 {
     auto world = assembledWorld();
