Assembly: Do not take a leaving head's silence for its death; Log: Never block on a full pipe

Ruled out: a late order (the joins' numbers fitted), a second coordinator (one term). The new testEventLog hung: the writer wrote 256 KB into a full pipe, and the stop waited for it. Change: a leaving head keeps its group until it says that it has closed, or for ten seconds; a close that was taken counts at once only if it cuts. The log writes at most PIPE_BUF at a time.

--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -133,8 +133,8 @@
     } else if (order.kind == order_kind::close) {
         // A head that refuses to close is not open.
         group.hasTakenClose = group.hasTakenClose || (result != order_result::unknown && result != order_result::gone);
-        if (result == order_result::gone) {
-            group.headLostSince = now - state.policy.silentHeadWait;
+        if (result == order_result::gone && !group.headLostSince) {
+            group.headLostSince = now;
         }
     }
 }
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -151,6 +151,8 @@
     duration idleGrace{3000};
     /// A group with a leaving member serves on for so long at most; the member itself stays for ten seconds while there is work.
     duration leavingStay{6000};
+    /// A leaving head that no longer listens may still finish requests for so long: their longest deadline and two seconds.
+    duration leavingHeadWait{10000};
     /// A group that does not come together in its loading time and this much more is given up.
     duration joinSlack{20000};
     /// Of the weight store's rate the part that is used, so that a predecessor's last loads find room in the same window.
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -119,9 +119,13 @@
     } else if (!group.headLostSince) {
         group.headLostSince = m_view.now;
     }
-    const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= m_state.policy.silentHeadWait;
-    const bool isDead = m_view.confirmedDead.contains(head.instance);
-    if (isWaitOver || (group.headLostSince && (group.hasTakenClose || isDead))) {
+    // A leaving head stops listening before it has finished: that nobody reaches it is no sign of its end.
+    const bool isLeaving = listed != nullptr && listed->isDraining;
+    const auto patience = isLeaving ? m_state.policy.leavingHeadWait : m_state.policy.silentHeadWait;
+    const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience;
+    const bool isCut = group.hasTakenClose && group.closing == close_method::cut;
+    const bool isDead = m_view.confirmedDead.contains(head.instance) && !isLeaving;
+    if (isWaitOver || (group.headLostSince && (isCut || isDead))) {
         m_state.deadHeads.insert(head.instance);
         dissolve(group, "its head is gone");
         return;
--- a/Libraries/Base/event_log.cpp
+++ b/Libraries/Base/event_log.cpp
@@ -9,8 +9,10 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <climits>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -59,7 +61,8 @@
             }
             continue;
         }
-        const auto count = ::write(STDOUT_FILENO, text.data(), text.size());
+        // A pipe that can be written to takes so much without blocking.
+        const auto count = ::write(STDOUT_FILENO, text.data(), std::min<std::size_t>(text.size(), PIPE_BUF));
         if (count < 0 && errno != EINTR && errno != EAGAIN) {
             // The reader is gone: nobody is left to tell.
             return;
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -124,6 +124,48 @@
     CHECK(world.loadsBegun() == loads);
 }
 
+TEST_CASE("A leaving head that no longer listens keeps its group until it has finished")
+{
+    const instant now(duration(1000000));
+    replica_directory directory;
+    for (const auto *id : {"head", "member", "spare"}) {
+        served_replica replica;
+        replica.id = instance_id(id);
+        replica.service = service_id("large");
+        replica.domain = fabric_domain_id("rack");
+        replica.model = small;
+        replica.membership = {group_id("g"), formation(1), replica.id.value() == "head" ? 0 : 1, member_state::ready};
+        directory.replicas[replica.id] = replica;
+    }
+    auto &head = directory.replicas[instance_id("head")];
+    head.isDraining = true;
+    head.isUnlisted = true;
+    head.membership->state = member_state::open;
+    directory.replicas[instance_id("spare")].membership.reset();
+
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> silent = {instance_id("head")};
+    assembly_state state;
+    state.term = 2;
+    const auto ordersAt = [&](instant when) {
+        const auto silentThen = when == now ? std::set<instance_id>() : silent;
+        return planAssembly(state, {directory, service_id("large"), world.engine(), silentThen, silentThen, false, when});
+    };
+    // It has taken the order to finish; from then on nobody reaches it.
+    for (const auto &order : ordersAt(now)) {
+        noteOrderResult(state, order, {order_result::taken, 0}, now);
+    }
+    for (int i = 1; i < 9; ++i) {
+        for (const auto &order : ordersAt(now + duration(1000) * i)) {
+            CHECK(order.kind != order_kind::join);
+            noteOrderResult(state, order, {order_result::gone, 0}, now + duration(1000) * i);
+        }
+        CHECK(state.groups.contains(group_id("g")));
+    }
+    ordersAt(now + state.policy.leavingHeadWait + duration(2000));
+    CHECK_FALSE(state.groups.contains(group_id("g")));
+}
+
 TEST_CASE("No fault lets a replica serve in two groups or a group serve in part, and all groups come back", "[fuzz]")
 {
     int steps = 0;
--- /dev/null
+++ b/Tests/Base/testEventLog.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Base/event_log.h"
+#include "Libraries/Base/instant.h"
+#include "Libraries/Base/json.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <iostream>
+#include <sstream>
+
+using namespace vetchpost;
+
+namespace {
+
+constexpr event_log testLog("test");
+
+/// Standard output led into a pipe for the time of one test.
+class captured_output
+{
+public:
+    captured_output()
+    {
+        std::cout.flush();
+        m_saved = dup(STDOUT_FILENO);
+        REQUIRE(pipe(m_ends.data()) == 0);
+        fcntl(m_ends[0], F_SETFL, O_NONBLOCK);
+        dup2(m_ends[1], STDOUT_FILENO);
+    }
+
+    ~captured_output()
+    {
+        dup2(m_saved, STDOUT_FILENO);
+        close(m_saved);
+        close(m_ends[0]);
+        close(m_ends[1]);
+    }
+
+    captured_output(const captured_output &) = delete;
+    captured_output &operator=(const captured_output &) = delete;
+
+    std::string read() const
+    {
+        std::string text;
+        std::array<char, 4096> bytes{};
+        for (;;) {
+            const auto count = ::read(m_ends[0], bytes.data(), bytes.size());
+            if (count <= 0) {
+                return text;
+            }
+            text.append(bytes.data(), static_cast<std::size_t>(count));
+        }
+    }
+
+private:
+    int m_saved = -1;
+    std::array<int, 2> m_ends{};
+};
+
+} // namespace
+
+TEST_CASE("Each event is one JSON object on a line, whatever its values hold")
+{
+    std::string text;
+    {
+        const captured_output output;
+        setEventLogDaemon("d1");
+        startEventLog();
+        testLog.write("happened",
+                      {{"quoted", "a \"b\"\nc"}, {"number", 42}, {"flag", true}, {"share", 0.5}, {"odd", std::string("\x01\x7f")}});
+        testLog.write("again", {});
+        stopEventLog();
+        text = output.read();
+    }
+    std::istringstream lines(text);
+    std::string line;
+    REQUIRE(std::getline(lines, line));
+    const auto json = parseJson(line);
+    REQUIRE(json);
+    CHECK((*json)["event"].asString() == "happened");
+    CHECK((*json)["daemon"].asString() == "d1");
+    CHECK((*json)["quoted"].asString() == "a \"b\"\nc");
+    CHECK((*json)["number"].asInt() == 42);
+    CHECK((*json)["flag"].asBool());
+    REQUIRE(std::getline(lines, line));
+    CHECK((*parseJson(line))["event"].asString() == "again");
+    CHECK_FALSE(std::getline(lines, line));
+}
+
+TEST_CASE("A reader that takes nothing holds nobody up, and what is left out is counted")
+{
+    const auto before = droppedLogLines();
+    duration longest{};
+    {
+        const captured_output output;
+        startEventLog();
+        const std::string text(1000, 'x');
+        for (int i = 0; i < 2000; ++i) {
+            const auto started = monotonicNow();
+            testLog.write("much", {{"text", text}});
+            longest = std::max(longest, monotonicNow() - started);
+        }
+        stopEventLog();
+    }
+    CHECK(droppedLogLines() > before + 1000);
+    CHECK(longest < duration(200));
+}
