Assembly, Settings: Put two comments where they belong

Cause: the brief of bestDomain() stood above partWithoutEnding() since the last change there, and leaseTime carried the comment of a setting that was never added. Change: comments alone; no code.

--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -203,7 +203,6 @@
     }));
 }
 
-/// Where a group would serve soonest; of equals, where most replicas are left over.
 /// The part of a model's wanted groups that is there, without those that are about to end.
 double assembly_round::partWithoutEnding(const group_model &model) const
 {
@@ -233,6 +232,7 @@
     return replicas;
 }
 
+/// Where a group would serve soonest; of equals, where most replicas are left over.
 const fabric_domain_id *assembly_round::bestDomain(const group_model &model) const
 {
     const fabric_domain_id *best = nullptr;
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -41,7 +41,7 @@
     duration retryWindow{};
     /// ... and so many besides.
     int retrySlack = 0;
-    /// How many daemons share that budget at least.
+    /// How long the coordinator's lease holds without a renewal.
     duration leaseTime{};
     log_level lowestLogLevel = log_level::info;
 };
