Feed: Let the coordinator pass on what it reads from the key-value service

Cause: each daemon read the configuration each 1.3 s and watched all entries for itself. Stall notices went by HTTP to 16 threads that idle connections of 78 peers held: 660 of them were not told. Ruled out: a waiting HTTP call a follower (half of a 0.12 core at 78 followers, from the measured 0.24 ms a request).

--- /dev/null
+++ b/Benchmarks/benchAssembly.cpp
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+// What a planning round costs on a platform whose replicas report themselves, by the number of replicas; and what a daemon pays for each
+// change that it is told of. All replicas serve in groups at first; then every domain loses one.
+#include "Benchmarks/figure.h"
+#include "Libraries/Assembly/assembly_state.h"
+#include "Libraries/Entry/entry_view.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+
+namespace {
+
+using namespace vetchpost;
+
+constexpr int rounds = 200;
+
+engine_description makeEngine(int largeSize)
+{
+    engine_description engine;
+    engine.slots = 25;
+    engine.loadsPerSecond = 19;
+    engine.concurrentLoads = 28;
+    engine.formTime = duration(300);
+    engine.models = {{model_id("large"), largeSize, 0.5, 1.0, duration(16000), duration(1600)},
+                     {model_id("small"), largeSize / 2, 0.5, 0.6, duration(12000), duration(1100)}};
+    return engine;
+}
+
+/// Domains of two large groups, a small one where there is room, and a free replica.
+replica_directory makeDirectory(const engine_description &engine, int replicas, int perDomain)
+{
+    replica_directory directory;
+    std::uint64_t formed = 0;
+    for (int first = 0; first < replicas; first += perDomain) {
+        int place = 0;
+        while (place < perDomain) {
+            const auto &model = engine.models[place + engine.models[0].size <= perDomain ? 0 : 1];
+            const bool isGroup = place + model.size <= perDomain;
+            formed += isGroup ? 1 : 0;
+            for (int rank = 0; rank < (isGroup ? model.size : 1); ++rank, ++place) {
+                served_replica replica;
+                replica.id = instance_id(fmt::format("i-{:010x}", (first + place) * 7919));
+                replica.service = service_id("service");
+                replica.address = {"10.1.64.7", 8261};
+                replica.dataCentre = data_centre_id("centre");
+                replica.domain = fabric_domain_id(fmt::format("domain-{}", first / perDomain));
+                replica.model = model.id;
+                replica.staged = {engine.models[1].id};
+                if (isGroup) {
+                    replica.membership = {group_id(fmt::format("g{}", formed)),
+                                          formation(formed),
+                                          rank,
+                                          rank == 0 ? member_state::open : member_state::ready};
+                }
+                directory.replicas[replica.id] = replica;
+            }
+        }
+    }
+    return directory;
+}
+
+template <class Work>
+double millisecondsOf(const Work &work)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < rounds; ++i) {
+        work(i);
+    }
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count() / rounds;
+}
+
+void measure(int replicas, int perDomain, int largeSize)
+{
+    const auto engine = makeEngine(largeSize);
+    const service_id service("service");
+    auto directory = makeDirectory(engine, replicas, perDomain);
+    const std::set<instance_id> none;
+    assembly_state state;
+    state.term = 1;
+    const auto plan = [&](int i) {
+        const assembly_view view{directory, service, engine, none, none, false, instant(duration(1000000 + i * 150))};
+        planAssembly(state, view);
+        state.decisions.clear();
+    };
+    plan(-1);
+    const auto steady = millisecondsOf(plan);
+    int position = 0;
+    std::erase_if(directory.replicas, [&](const auto & /*entry*/) { return position++ % perDomain == 1; });
+    const auto afterLosses = millisecondsOf([&](int i) { plan(rounds + i); });
+    std::size_t copied = 0;
+    const auto copy = millisecondsOf([&](int /*i*/) { copied += replica_directory(directory).replicas.size(); });
+    served_configuration configuration;
+    configuration.services = {{service, "/health", 100, engine}};
+    const auto routes = std::make_shared<const route_table>(configuration);
+    entry_view_builder views;
+    const auto view = millisecondsOf([&](int /*i*/) { copied += views.build(routes, directory, data_centre_id("centre"))->groups.size(); });
+    fmt::print("{:>8} {:>8} {:>10.3f} {:>14.3f} {:>10.3f} {:>10.3f}\n", replicas, largeSize, steady, afterLosses, copy, view);
+}
+
+} // namespace
+
+int main()
+{
+    fmt::print("milliseconds of one core\n");
+    fmt::print("{:>8} {:>8} {:>10} {:>14} {:>10} {:>10}\n", "replicas", "size", "a round", "after losses", "directory", "view");
+    measure(48, 8, 4);
+    measure(228, 19, 8);
+    measure(1400, 40, 16);
+    measure(5600, 160, 16);
+    return 0;
+}
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -7,7 +7,6 @@
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
 #include "Libraries/Http/http_client.h"
-#include "Libraries/Http/http_server.h"
 
 #include <fmt/format.h>
 
@@ -24,7 +23,7 @@
 constexpr auto coordinatorKey = "vetchpost/coordinator";
 /// How often the coordinator looks at its lease, and plans without being asked to.
 constexpr duration coordinatorPeriod(150);
-/// How often another daemon looks whether anybody coordinates; spread, so that not all try at once.
+/// How often a daemon that hears no coordinator looks whether there is one; spread, so that not all try at once.
 constexpr duration followerPeriod(500);
 constexpr duration followerSpread(300);
 /// An order is answered at once or never.
@@ -39,8 +38,6 @@
 constexpr int noticeThreads = 3;
 /// A daemon tells of the same group again after this time.
 constexpr duration noticePeriod(400);
-constexpr auto stallPath = "/stalled";
-constexpr auto metricsPath = "/metrics";
 
 } // namespace
 
@@ -50,11 +47,9 @@
     key_value_service &keyValue;
     const entry_dialect &dialect;
     store_follower &store;
-    metrics &counters;
+    peer_feed &feed;
     worker_pool orderWorkers{orderThreads};
     worker_pool noticeWorkers{noticeThreads};
-    http_connection_pool peers;
-    std::unique_ptr<http_server> listener;
     counter orders;
     counter takeovers;
 
@@ -69,8 +64,6 @@
     std::map<instance_id, instant> lastLooks;
     std::map<instance_id, instant> lastNotices;
     death_witnesses witnesses;
-    /// The peers' address of the coordinator, where another daemon is.
-    std::optional<endpoint> coordinator;
     std::atomic<bool> hasTraffic = false;
     std::thread thread;
 
@@ -78,12 +71,13 @@
                  key_value_service &service,
                  const entry_dialect &words,
                  store_follower &follower,
-                 metrics &allCounters)
+                 peer_feed &peers,
+                 metrics &counters)
         : settings(entrySettings)
         , keyValue(service)
         , dialect(words)
         , store(follower)
-        , counters(allCounters)
+        , feed(peers)
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , hasTraffic(!entrySettings.isFirstStart)
@@ -104,8 +98,10 @@
                 plan();
             } else if (now >= nextTry) {
                 giveUpTerm();
-                tryToCoordinate();
-                nextTry = monotonicNow() + pauseOfFollower;
+                if (!feed.isSourceHeard()) {
+                    tryToCoordinate();
+                    nextTry = monotonicNow() + pauseOfFollower;
+                }
             }
             std::unique_lock lock(mutex);
             wake.wait_for(lock, coordinatorPeriod, [this] { return isStopping || mustPlan; });
@@ -129,21 +125,23 @@
             assemblyLog.write("coordination_lost", {{"term", term->number}});
             term.reset();
             assemblies.clear();
-            store.setUrgent(false);
+            feed.setSource(false);
         }
     }
 
     void tryToCoordinate()
     {
         reason why;
-        const auto entry = keyValue.get(coordinatorKey, read_freshness::may_be_stale, why);
-        if (!entry) {
-            return;
-        }
-        if (entry->changed != key_revision()) {
-            const std::lock_guard lock(mutex);
-            coordinator = parseEndpoint(entry->value);
-            return;
+        // A stale look costs a tenth; only a current one says that there is nobody.
+        for (const auto freshness : {read_freshness::may_be_stale, read_freshness::current}) {
+            const auto entry = keyValue.get(coordinatorKey, freshness, why);
+            if (!entry) {
+                return;
+            }
+            if (entry->changed != key_revision()) {
+                followCoordinator(entry->value);
+                return;
+            }
         }
         const auto asked = monotonicNow();
         const auto lease = keyValue.grantLease(settings.leaseTime, why);
@@ -159,6 +157,16 @@
         takeTerm({result.changed.value(), *lease, asked + settings.leaseTime});
     }
 
+    void followCoordinator(const std::string &address)
+    {
+        const auto peer = parseEndpoint(address);
+        if (!peer) {
+            assemblyLog.write("coordinator_unreadable", {{"value", address}});
+        } else if (*peer != settings.peers) {
+            feed.follow(*peer);
+        }
+    }
+
     void takeTerm(const coordination_term &taken)
     {
         {
@@ -167,12 +175,11 @@
             termSince = monotonicNow();
             assemblies.clear();
             suspects.clear();
-            coordinator.reset();
         }
         takeovers.increment();
         assemblyLog.write("coordination_taken", {{"term", taken.number}});
         // Nothing is planned before a listing that began after the predecessor's term had ended.
-        store.setUrgent(true);
+        feed.setSource(true);
         store.listAgain();
     }
 
@@ -399,51 +406,39 @@
             lookAtGroup(head);
             return;
         }
-        std::optional<endpoint> to;
-        {
-            const std::lock_guard lock(mutex);
-            to = coordinator;
-        }
-        if (!to) {
+        // The coordinator looks at once; whether the head answers this daemon follows, for a head that is cut off from the coordinator
+        // alone.
+        stall_notice notice{settings.daemon, head, std::nullopt};
+        if (!feed.tellStall(notice)) {
+            assemblyLog.write("stall_not_told", {{"head", head.value()}, {"why", "no coordinator is known"}});
             return;
         }
-        http_call call;
-        call.to = *to;
-        call.method = "POST";
-        call.target
-            = fmt::format("{}?head={}&from={}&answers={}", stallPath, head.value(), settings.daemon.value(), answersHere(head) ? 1 : 0);
-        call.connectTimeout = orderTimeout;
-        call.receiveTimeout = orderTimeout;
-        reason why;
-        if (!peers.send(call, why)) {
-            assemblyLog.write("stall_not_told", {{"head", head.value()}, {"coordinator", to->text()}, {"why", why.text}});
-        }
+        notice.hasAnswered = answersHere(head);
+        feed.tellStall(notice);
     }
 
-    void answerPeer(http_exchange &exchange)
+    void hearStall(const stall_notice &notice)
     {
-        reason why;
-        constexpr std::size_t noBody = 64;
-        exchange.readBody(noBody, orderTimeout, why);
-        if (exchange.path() == stallPath && holdsTerm(monotonicNow())) {
-            const instance_id head(exchange.queryParameter("head"));
-            const bool hasAnswered = exchange.queryParameter("answers") == "1";
-            {
-                const std::lock_guard lock(mutex);
-                noteLook(witnesses, head, daemon_id(exchange.queryParameter("from")), {monotonicNow(), hasAnswered});
-                mustPlan = mustPlan || !hasAnswered;
-            }
-            wake.notify_all();
-            lookAtGroup(head);
+        if (!holdsTerm(monotonicNow())) {
+            return;
+        }
+        if (notice.hasAnswered) {
+            const std::lock_guard lock(mutex);
+            noteLook(witnesses, notice.head, notice.from, {monotonicNow(), *notice.hasAnswered});
+            mustPlan = mustPlan || !*notice.hasAnswered;
         }
-        constexpr int found = 200;
-        exchange.send(found, "text/plain", exchange.path() == metricsPath ? counters.text() : std::string());
+        wake.notify_all();
+        lookAtGroup(notice.head);
     }
 };
 
-assembly_runner::assembly_runner(
-    const entry_settings &settings, key_value_service &keyValue, const entry_dialect &dialect, store_follower &store, metrics &counters)
-    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, counters))
+assembly_runner::assembly_runner(const entry_settings &settings,
+                                 key_value_service &keyValue,
+                                 const entry_dialect &dialect,
+                                 store_follower &store,
+                                 peer_feed &feed,
+                                 metrics &counters)
+    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, counters))
 {
 }
 
@@ -454,11 +449,6 @@
 
 void assembly_runner::start()
 {
-    http_server_limits limits;
-    constexpr int peerThreads = 16;
-    limits.maximumThreads = peerThreads;
-    limits.threadStackBytes = 128U * 1024U;
-    d->listener = std::make_unique<http_server>(d->settings.peers, limits, [this](http_exchange &exchange) { d->answerPeer(exchange); });
     d->thread = std::thread([this] { d->run(); });
 }
 
@@ -482,6 +472,7 @@
         // A successor need not wait for the lease to lapse.
         d->keyValue.endLease(d->term->lease);
         d->term.reset();
+        d->feed.setSource(false);
     }
 }
 
@@ -499,6 +490,11 @@
     d->hasTraffic = true;
 }
 
+void assembly_runner::hearStall(const stall_notice &notice)
+{
+    d->hearStall(notice);
+}
+
 void assembly_runner::noteStall(const instance_id &head)
 {
     if (d->mayNotice(head)) {
--- a/Libraries/Entry/assembly_runner.h
+++ b/Libraries/Entry/assembly_runner.h
@@ -4,6 +4,7 @@
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Base/timer_service.h"
 #include "Libraries/Entry/entry_dialect.h"
+#include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Settings/entry_settings.h"
 
@@ -21,6 +22,7 @@
                     key_value_service &keyValue,
                     const entry_dialect &dialect,
                     store_follower &store,
+                    peer_feed &feed,
                     metrics &counters);
     ~assembly_runner();
     assembly_runner(const assembly_runner &) = delete;
@@ -34,6 +36,8 @@
     void noteTraffic();
     /// A group's requests stand still. The coordinator looks at its members directly; other daemons pass it on.
     void noteStall(const instance_id &head);
+    /// Another daemon tells of a group whose requests stand still.
+    void hearStall(const stall_notice &notice);
 
 private:
     struct private_data;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -22,6 +22,7 @@
 constexpr double readyShareOfRevocation = 0.7;
 constexpr std::size_t callerStackBytes = 128U * 1024U;
 constexpr int readinessThreads = 4;
+constexpr auto metricsPath = "/metrics";
 /// Clients use connections again that were idle for a little less than the configured idle time.
 constexpr duration keepAliveTimeout(20000);
 constexpr duration headerTimeout(6000);
@@ -38,18 +39,21 @@
     entry_view_builder views;
     entry_view_snapshot view;
     store_follower store;
+    peer_feed feed;
     assembly_runner assembly;
     relay_context relay;
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> readiness;
+    std::unique_ptr<http_server> figures;
 
     private_data(const entry_settings &entrySettings, std::unique_ptr<entry_dialect> words, const store_maker &makeStore)
         : settings(entrySettings)
         , dialect(std::move(words))
         , keyValue(makeStore(settings.keyValue, counters))
         , store(*keyValue, *dialect, counters, [this] { rebuildView(); })
-        , assembly(settings, *keyValue, *dialect, store, counters)
-        , relay(settings, *dialect, store, view, counters, [this](const instance_id &head) { assembly.noteStall(head); })
+        , feed(settings, store, counters, [this](const stall_notice &notice) { assembly.hearStall(notice); })
+        , assembly(settings, *keyValue, *dialect, store, feed, counters)
+        , relay(settings, *dialect, store, feed, view, counters, [this](const instance_id &head) { assembly.noteStall(head); })
     {
     }
 
@@ -73,9 +77,18 @@
     {
         assembly.noteTraffic();
         store.noteTraffic();
+        feed.noteTraffic();
         request_run(relay, exchange).serve();
     }
 
+    void answerMetrics(http_exchange &exchange)
+    {
+        constexpr int found = 200;
+        constexpr int notFound = 404;
+        const bool isKnown = exchange.path() == metricsPath;
+        exchange.send(isKnown ? found : notFound, "text/plain", isKnown ? counters.text() : std::string());
+    }
+
     void answerReadiness(http_exchange &exchange) const
     {
         constexpr int ready = 200;
@@ -105,6 +118,11 @@
     limits.maximumThreads = readinessThreads;
     d->readiness
         = std::make_unique<http_server>(d->settings.readiness, limits, [this](http_exchange &exchange) { d->answerReadiness(exchange); });
+    d->figures = std::make_unique<http_server>(d->settings.peers, limits, [this](http_exchange &exchange) { d->answerMetrics(exchange); });
+    if (!d->settings.isFirstStart) {
+        d->store.noteTraffic();
+    }
+    d->feed.start();
     d->assembly.start();
     d->store.start();
 }
--- /dev/null
+++ b/Libraries/Entry/peer_feed.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Base/metrics.h"
+#include "Libraries/Entry/store_follower.h"
+#include "Libraries/Settings/entry_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace vetchpost {
+
+/// The datagrams between daemons: the coordinator passes on what it reads from the key-value service, the others follow it and tell it of
+/// groups that stand still. Nothing depends on a datagram's arrival: a daemon that hears no source asks the service itself.
+class peer_feed
+{
+public:
+    /// \a didHearStall is called on the feed's thread.
+    peer_feed(const entry_settings &settings,
+              store_follower &store,
+              metrics &counters,
+              std::function<void(const stall_notice &)> didHearStall);
+    ~peer_feed();
+    peer_feed(const peer_feed &) = delete;
+    peer_feed &operator=(const peer_feed &) = delete;
+
+    void start();
+    /// A source tells its followers that it ends.
+    void stop();
+
+    /// Whether this daemon is the source.
+    void setSource(bool isSource);
+    /// Follows the source at this address.
+    void follow(const endpoint &source);
+    /// The first request has come: from now on the replicas' changes are wanted.
+    void noteTraffic();
+    /// Sends a notice to the source; false where none is known.
+    bool tellStall(const stall_notice &notice);
+
+    /// Whether the source answered lately.
+    bool isSourceHeard() const;
+    /// How many daemons there are, by the source's count; nothing where no source was heard yet.
+    std::optional<int> daemons() const;
+
+private:
+    struct private_data;
+    std::unique_ptr<private_data> d;
+};
+
+} // namespace vetchpost
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -7,19 +7,27 @@
 
 namespace {
 
-/// How many daemons share the budget of repeats at least: each takes its part without asking the others.
-constexpr int assumedDaemons = 16;
+/// How many daemons share the budget of repeats where the coordinator has not said it yet: more than there are anywhere today but for the
+/// largest deployment, which is told within a second.
+constexpr int assumedDaemons = 100;
 /// Of the share of repeats a part is left for the differences between the daemons' windows.
 constexpr double usedRetryShare = 0.8;
-constexpr double leastRepeats = 2;
+constexpr double leastRepeats = 1;
+
 /// Keys are refused a little before the bound, for the differences between two machines' clocks.
 constexpr duration keyMargin(200);
 
 } // namespace
 
+double repeatsAtOnce(int slack, std::optional<int> daemons)
+{
+    return std::max(leastRepeats, slack * usedRetryShare / std::max(1, daemons.value_or(assumedDaemons)));
+}
+
 relay_context::relay_context(const entry_settings &settings,
                              const entry_dialect &words,
                              const store_follower &store,
+                             const peer_feed &feed,
                              const entry_view_snapshot &view,
                              metrics &allCounters,
                              std::function<void(const instance_id &)> tellStall)
@@ -31,6 +39,7 @@
     , retried(allCounters.addCounter("vetchpost_requests_retried_total", "Requests that were sent to a second replica."))
     , m_settings(settings)
     , m_store(store)
+    , m_feed(feed)
     , m_view(view)
 {
 }
@@ -49,12 +58,11 @@
 retry_budget &relay_context::budgetOf(const service_id &service)
 {
     const auto [found, isNew] = m_budgets.try_emplace(service);
-    if (isNew) {
-        found->second.share = m_settings.retryShare * usedRetryShare;
-        found->second.most = std::max(leastRepeats, static_cast<double>(m_settings.retrySlack) / assumedDaemons);
-        found->second.available = found->second.most;
-    }
-    return found->second;
+    auto &budget = found->second;
+    budget.share = m_settings.retryShare * usedRetryShare;
+    budget.most = repeatsAtOnce(m_settings.retrySlack, m_feed.daemons());
+    budget.available = isNew ? budget.most : std::min(budget.available, budget.most);
+    return budget;
 }
 
 void relay_context::noteFirstTry(const service_id &service)
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -5,6 +5,7 @@
 #include "Libraries/Base/rcu_snapshot.h"
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
+#include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/retry_budget.h"
 #include "Libraries/Settings/entry_settings.h"
@@ -19,6 +20,9 @@
 
 using entry_view_snapshot = rcu_snapshot<std::shared_ptr<const entry_view>>;
 
+/// How many repeats one daemon may send at once, of the \a slack that all together have. Nothing where their number is not known.
+double repeatsAtOnce(int slack, std::optional<int> daemons);
+
 /// What the requests of one daemon share.
 class relay_context
 {
@@ -26,6 +30,7 @@
     relay_context(const entry_settings &settings,
                   const entry_dialect &dialect,
                   const store_follower &store,
+                  const peer_feed &feed,
                   const entry_view_snapshot &view,
                   metrics &counters,
                   std::function<void(const instance_id &)> noteStall);
@@ -53,6 +58,7 @@
 
     const entry_settings &m_settings;
     const store_follower &m_store;
+    const peer_feed &m_feed;
     const entry_view_snapshot &m_view;
     std::mutex m_budgetMutex;
     std::map<service_id, retry_budget> m_budgets;
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, duration outage, instant now)
+void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, std::uint64_t upTo, duration outage, instant now)
 {
     std::set<instance_id> present;
     for (const auto &entry : replicas) {
@@ -46,7 +46,8 @@
     }
     std::vector<instance_id> missing;
     for (const auto &[id, replica] : entries.directory.replicas) {
-        if (!present.contains(id) && !replica.isUnlisted) {
+        const bool isNewer = entries.revisions[id] > upTo;
+        if (!present.contains(id) && !replica.isUnlisted && !isNewer) {
             missing.push_back(id);
         }
     }
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -34,8 +34,9 @@
 /// ... and are back within this time of its return (the platform promises two seconds).
 constexpr duration lapsedGrace(2200);
 
-/// Takes in a whole listing. \a outage is how long the service had not answered before.
-void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, duration outage, instant now);
+/// Takes in a whole listing as of the service's revision \a upTo; what is known to be newer stays. \a outage is how long the service had
+/// not answered before.
+void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, std::uint64_t upTo, duration outage, instant now);
 /// Takes in one entry as it was written.
 void takeEntry(replica_entries &entries, const replica_entry &entry);
 /// A member of a group whose entry is gone is kept as draining for so long: it stays for ten seconds while its head has work.
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -14,19 +14,26 @@
 namespace {
 
 constexpr event_log storeLog("store");
-/// A configuration has to be in force within two seconds of its acceptance.
+/// A configuration has to be in force within two seconds of its acceptance; a daemon asks itself when it was not told for so long.
 constexpr duration configurationPeriod(1300);
+/// How often the source reads the configuration: with the followers' subscriptions it stays under the period above.
+constexpr duration sourceConfigurationPeriod(600);
 /// Before the first configuration; these reads may be stale and cost a tenth.
 constexpr duration firstConfigurationPeriod(250);
 /// After a failed call.
 constexpr duration retryPause(250);
 /// How long a watch waits: a silent service is noticed after this time at most.
 constexpr duration watchWait(3000);
-/// Between the answers of two watches, so that changes which come together cost one call. The coordinator goes without: each order
-/// waits for what the order before it changed.
+/// Between the answers of two watches of a daemon that is not told, so that changes which come together cost one call. The source goes
+/// nearly without: each order waits for what the order before it changed.
 constexpr duration watchPause(500);
+constexpr duration sourceWatchPause(40);
 /// Before the first request nothing is routed yet.
-constexpr duration idleWatchPause(1500);
+constexpr duration idleWatchPause(3000);
+/// How often a daemon that is told looks whether it still is, and gives up lapsed entries.
+constexpr duration toldPeriod(400);
+/// The source's contact with the service may be so old: its period and a late answer, and a follower's subscription that was lost.
+constexpr duration feedPatience(1600);
 
 } // namespace
 
@@ -39,14 +46,25 @@
     mutable std::mutex mutex;
     std::condition_variable wake;
     bool isStopping = false;
-    std::atomic<bool> isUrgent = false;
+    std::atomic<bool> isSource = false;
     std::atomic<bool> hasTraffic = false;
+    /// The source told of another configuration.
+    bool mustReadConfiguration = false;
+    /// The source was in contact with the service at this moment.
+    std::optional<instant> toldAt;
+    feed_source feed;
     std::shared_ptr<const route_table> table;
     key_revision configurationRevision;
     std::optional<instant> currentAt;
     replica_entries entries;
     std::shared_ptr<const replica_directory> published = std::make_shared<replica_directory>();
     std::optional<instant> lastListing;
+    /// The service's revision up to which the entries are known; 0 where they must be listed.
+    std::uint64_t replicasUpTo = 0;
+    /// A watch had no answer: only a listing, or the source, tells what was missed.
+    bool mustList = false;
+    /// When all changes of the replicas up to then were known.
+    std::optional<instant> replicasSeenAt;
     /// When the service last answered anything.
     instant lastAnswer = monotonicNow();
     bool isReachable = true;
@@ -67,8 +85,8 @@
         return !wake.wait_for(lock, time, [this] { return isStopping; });
     }
 
-    /// Notes that the service answered or not; returns how long it had been silent before.
-    duration noteAnswer(bool hasAnswered, const reason &why)
+    /// Notes that the service answered or not, for the log.
+    void noteAnswer(bool hasAnswered, const reason &why)
     {
         const std::lock_guard lock(mutex);
         const auto now = monotonicNow();
@@ -80,7 +98,20 @@
             isReachable = hasAnswered;
             storeLog.write(hasAnswered ? "store_regained" : "store_lost", {{"silent_ms", silence.count()}, {"why", why.text}});
         }
-        return silence;
+    }
+
+    /// How long changes of the replicas may have gone unseen.
+    duration replicasOutage() const
+    {
+        const std::lock_guard lock(mutex);
+        return replicasSeenAt ? monotonicNow() - *replicasSeenAt : duration();
+    }
+
+    /// Whether the source tells what the service holds, so that this daemon need not ask.
+    bool isTold() const
+    {
+        const std::lock_guard lock(mutex);
+        return !isSource && toldAt && monotonicNow() - *toldAt < feedPatience;
     }
 
     // The configuration.
@@ -89,8 +120,42 @@
     {
         bool isKnown = false;
         do {
-            isKnown = readConfiguration(isKnown) || isKnown;
-        } while (pause(isKnown ? configurationPeriod : firstConfigurationPeriod));
+            if (mustAskForConfiguration()) {
+                isKnown = readConfiguration(isKnown) || isKnown;
+            }
+        } while (pauseOfConfiguration(isKnown));
+    }
+
+    bool mustAskForConfiguration()
+    {
+        const std::lock_guard lock(mutex);
+        const bool isAsked = std::exchange(mustReadConfiguration, false);
+        const bool isCurrent = currentAt && monotonicNow() - *currentAt < configurationPeriod;
+        const bool isToldOfNone = !table && toldAt && monotonicNow() - *toldAt < feedPatience;
+        return isSource || isAsked || !(isCurrent || isToldOfNone);
+    }
+
+    /// False once the follower stops.
+    bool pauseOfConfiguration(bool isKnown)
+    {
+        std::unique_lock lock(mutex);
+        const auto now = monotonicNow();
+        auto until = now + firstConfigurationPeriod;
+        if (isKnown && isSource) {
+            until = now + sourceConfigurationPeriod;
+        } else if (isKnown && currentAt) {
+            until = std::max(now + retryPause, *currentAt + configurationPeriod);
+        }
+        wake.wait_for(lock, until - now, [this] { return isStopping || mustReadConfiguration; });
+        return !isStopping;
+    }
+
+    /// Notes for the followers which configuration a read found.
+    void noteConfigurationRead(key_revision found, instant asked)
+    {
+        const std::lock_guard lock(mutex);
+        feed.configuration = std::max(feed.configuration, found);
+        feed.configurationCurrentAt = asked;
     }
 
     /// Whether there is a configuration.
@@ -101,6 +166,9 @@
         const auto freshness = isKnown ? read_freshness::current : read_freshness::may_be_stale;
         const auto entry = keyValue.get(dialect.configurationKey(), freshness, why);
         noteAnswer(entry.has_value(), why);
+        if (entry && (freshness == read_freshness::current || entry->changed == key_revision())) {
+            noteConfigurationRead(entry->changed, asked);
+        }
         if (!entry || entry->changed == key_revision()) {
             return false;
         }
@@ -149,85 +217,188 @@
 
     void followReplicas()
     {
-        std::optional<std::uint64_t> upTo;
-        do {
-            if (!upTo) {
-                upTo = list();
-            }
-            if (upTo) {
-                upTo = watch(*upTo);
+        bool isFirst = true;
+        auto next = duration();
+        while (pause(next)) {
+            const bool isFed = isTold() && hasTraffic;
+            if (needsListing(isFed)) {
+                // The first listing may be old: the changes since then are asked for. Later ones follow on lost history.
+                const bool isListed = list(isFirst ? read_freshness::may_be_stale : read_freshness::current);
+                isFirst = isFirst && !isListed;
+                next = isListed ? duration() : retryPause;
+            } else if (isFed) {
+                giveUpLapsed();
+                next = toldPeriod;
+            } else {
+                next = watch() ? changePause() : retryPause;
             }
-        } while (pause(upTo ? changePause() : retryPause));
+        }
+    }
+
+    /// After a watch without an answer the source, where it is heard, tells what was missed.
+    bool needsListing(bool isFed) const
+    {
+        const std::lock_guard lock(mutex);
+        return replicasUpTo == 0 || (mustList && !isFed);
+    }
+
+    std::uint64_t upTo() const
+    {
+        const std::lock_guard lock(mutex);
+        return replicasUpTo;
     }
 
     duration changePause() const
     {
-        if (isUrgent) {
-            return {};
+        if (isSource) {
+            return sourceWatchPause;
         }
         return hasTraffic ? watchPause : idleWatchPause;
     }
 
-    std::optional<std::uint64_t> list()
+    bool list(read_freshness freshness)
     {
         const auto asked = monotonicNow();
         reason why;
-        const auto listing = keyValue.list(dialect.replicaPrefix(), why);
-        const auto outage = noteAnswer(listing.has_value(), why);
+        const auto listing = keyValue.list(dialect.replicaPrefix(), freshness, why);
+        noteAnswer(listing.has_value(), why);
         if (!listing) {
-            return std::nullopt;
+            return false;
         }
+        const auto outage = replicasOutage();
         std::vector<replica_entry> replicas;
-        for (const auto &entry : listing->entries) {
-            if (auto replica = decode(entry)) {
-                replicas.push_back({std::move(*replica), entry.changed.value()});
-            }
+        const auto changes = decodeAll(listing->entries);
+        for (const auto &change : changes) {
+            replicas.push_back({*change.replica, change.revision});
         }
         {
             const std::lock_guard lock(mutex);
-            takeListing(entries, replicas, outage, monotonicNow());
+            takeListing(entries, replicas, listing->upTo, outage, monotonicNow());
+            noteListing(feed, changes, listing->upTo, outage < lapsingOutage);
+            replicasUpTo = std::max(replicasUpTo, listing->upTo);
+            replicasSeenAt = monotonicNow();
+            mustList = false;
             lastListing = asked;
             storeLog.write("replicas_listed", {{"count", replicas.size()}, {"lapsed", entries.lapsed.size()}, {"revision", listing->upTo}});
         }
         publish();
-        return listing->upTo;
+        return true;
     }
 
-    std::optional<std::uint64_t> watch(std::uint64_t after)
+    /// False where the service did not answer, or no longer holds what has changed.
+    bool watch()
     {
         bool hasLapsed = false;
+        std::uint64_t after = 0;
         {
             const std::lock_guard lock(mutex);
             hasLapsed = !entries.lapsed.empty() || !entries.unlisted.empty();
+            after = replicasUpTo;
         }
         reason why;
         const auto wait = hasLapsed ? lapsedGrace / 2 : watchWait;
         const auto result = keyValue.watch(dialect.replicaPrefix(), after, wait, why);
         noteAnswer(result.has_value(), why);
         if (!result || result->isHistoryLost) {
-            return std::nullopt;
+            const std::lock_guard lock(mutex);
+            mustList = true;
+            return false;
         }
-        bool hasChanged = false;
-        for (const auto &entry : result->changes) {
-            hasChanged = true;
-            if (entry.value.empty()) {
-                const std::lock_guard lock(mutex);
-                const auto id = idOf(entry);
-                takeRemoval(entries, id, entry.changed.value(), monotonicNow());
-                storeLog.write("replica_removed", {{"replica", id.value()}, {"revision", entry.changed.value()}});
-            } else if (const auto replica = decode(entry)) {
-                const std::lock_guard lock(mutex);
-                takeEntry(entries, {*replica, entry.changed.value()});
+        const auto changes = decodeAll(result->changes);
+        bool hasChanged = takeChanges(changes);
+        {
+            const std::lock_guard lock(mutex);
+            replicasSeenAt = monotonicNow();
+            noteChanges(feed, changes, result->upTo);
+            replicasUpTo = std::max(replicasUpTo, result->upTo);
+            hasChanged = dropLapsed(entries, monotonicNow()) || hasChanged;
+        }
+        if (hasChanged) {
+            publish();
+        }
+        return true;
+    }
+
+    /// What can be read of the entries; of the others the last good one stays.
+    std::vector<replica_change> decodeAll(const std::vector<key_value_entry> &values)
+    {
+        std::vector<replica_change> changes;
+        for (const auto &entry : values) {
+            auto replica = entry.value.empty() ? std::nullopt : decode(entry);
+            if (replica || entry.value.empty()) {
+                changes.push_back({idOf(entry), entry.changed.value(), std::move(replica)});
             }
         }
+        return changes;
+    }
+
+    /// Whether there were any.
+    bool takeChanges(const std::vector<replica_change> &changes)
+    {
+        const std::lock_guard lock(mutex);
+        for (const auto &change : changes) {
+            if (change.replica) {
+                takeEntry(entries, {*change.replica, change.revision});
+            } else {
+                takeRemoval(entries, change.id, change.revision, monotonicNow());
+                storeLog.write("replica_removed", {{"replica", change.id.value()}, {"revision", change.revision}});
+            }
+        }
+        return !changes.empty();
+    }
+
+    void giveUpLapsed()
+    {
+        bool hasChanged = false;
         {
             const std::lock_guard lock(mutex);
-            hasChanged = dropLapsed(entries, monotonicNow()) || hasChanged;
+            hasChanged = dropLapsed(entries, monotonicNow());
         }
         if (hasChanged) {
             publish();
         }
-        return result->upTo;
+    }
+
+    // What the source tells.
+
+    void takeUpdate(const feed_update &update, std::optional<instant> asked)
+    {
+        if (asked && update.configurationAge) {
+            noteTold(update.configuration, *asked - *update.configurationAge);
+        }
+        const bool hasChanged = takeChanges(update.changes);
+        {
+            const std::lock_guard lock(mutex);
+            if (update.isHistoryLost) {
+                replicasUpTo = 0;
+            } else if (replicasUpTo != 0 && update.after <= replicasUpTo) {
+                noteChanges(feed, update.changes, update.upTo);
+                replicasUpTo = std::max(replicasUpTo, update.upTo);
+                mustList = false;
+                if (asked && update.replicasAge) {
+                    replicasSeenAt = std::max(replicasSeenAt.value_or(*asked), *asked - *update.replicasAge);
+                }
+            }
+        }
+        if (hasChanged) {
+            publish();
+        }
+    }
+
+    void noteTold(key_revision configuration, instant at)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            toldAt = std::max(toldAt.value_or(at), at);
+            if (configuration == configurationRevision && table) {
+                currentAt = std::max(currentAt.value_or(at), at);
+            }
+            if (configuration <= configurationRevision) {
+                return;
+            }
+            mustReadConfiguration = true;
+        }
+        wake.notify_all();
     }
 
     instance_id idOf(const key_value_entry &entry) const
@@ -289,9 +460,9 @@
     d->threads.clear();
 }
 
-void store_follower::setUrgent(bool isUrgent)
+void store_follower::setSource(bool isSource)
 {
-    d->isUrgent = isUrgent;
+    d->isSource = isSource;
 }
 
 void store_follower::noteTraffic()
@@ -301,7 +472,46 @@
 
 void store_follower::listAgain()
 {
-    d->list();
+    d->list(read_freshness::current);
+}
+
+void store_follower::takeUpdate(const feed_update &update, std::optional<instant> asked)
+{
+    d->takeUpdate(update, asked);
+}
+
+std::uint64_t store_follower::replicasUpTo() const
+{
+    return d->upTo();
+}
+
+std::vector<feed_datagram> store_follower::answerSubscription(const feed_subscription &subscription, const endpoint &from)
+{
+    const std::lock_guard lock(d->mutex);
+    d->feed.replicasSeenAt = d->replicasSeenAt;
+    return vetchpost::answerSubscription(d->feed, subscription, from, monotonicNow());
+}
+
+std::vector<feed_datagram> store_follower::pendingPushes()
+{
+    const std::lock_guard lock(d->mutex);
+    return vetchpost::pendingPushes(d->feed, monotonicNow());
+}
+
+std::vector<feed_datagram> store_follower::endOfFeed()
+{
+    const std::lock_guard lock(d->mutex);
+    std::vector<feed_datagram> datagrams;
+    for (const auto &[id, subscriber] : std::exchange(d->feed.subscribers, {})) {
+        datagrams.push_back({{subscriber.address}, feed_end()});
+    }
+    return datagrams;
+}
+
+int store_follower::daemonsHeard() const
+{
+    const std::lock_guard lock(d->mutex);
+    return countDaemons(d->feed, monotonicNow());
 }
 
 std::shared_ptr<const route_table> store_follower::routes() const
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Entry/entry_dialect.h"
+#include "Libraries/Feed/feed_source.h"
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Routing/route_table.h"
 
@@ -12,7 +13,8 @@
 
 namespace vetchpost {
 
-/// Keeps the configuration and the replicas' entries of the key-value service at hand, each on a thread of its own.
+/// Keeps the configuration and the replicas' entries of the key-value service at hand, each on a thread of its own. While the coordinator
+/// passes them on it is not asked; the coordinator itself, and a daemon that does not hear it, ask the service.
 class store_follower
 {
 public:
@@ -24,13 +26,24 @@
 
     void start();
     void stop();
-    /// Whether changes of the replicas are told one by one, or gathered for a moment.
-    void setUrgent(bool isUrgent);
+    /// Whether this daemon passes on what it reads: then it reads often, and changes of the replicas are told one by one.
+    void setSource(bool isSource);
     /// The first request has come.
     void noteTraffic();
     /// Reads a whole new listing of the replicas before it returns.
     void listAgain();
 
+    /// Takes in what the source passes on. \a asked is when the subscription was sent that it answers; nothing where it answers none.
+    void takeUpdate(const feed_update &update, std::optional<instant> asked);
+    /// The service's revision up to which the replicas' entries are known; 0 before the first listing.
+    std::uint64_t replicasUpTo() const;
+    std::vector<feed_datagram> answerSubscription(const feed_subscription &subscription, const endpoint &from);
+    std::vector<feed_datagram> pendingPushes();
+    /// Tells all followers that this daemon is no source any more, and forgets them.
+    std::vector<feed_datagram> endOfFeed();
+    /// Followers that were heard lately, and this daemon.
+    int daemonsHeard() const;
+
     /// nullptr before the first configuration.
     std::shared_ptr<const route_table> routes() const;
     std::shared_ptr<const replica_directory> directory() const;
--- /dev/null
+++ b/Libraries/Feed/feed_messages.cpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Feed/feed_messages.h"
+
+#include "Libraries/Base/json.h"
+#include "Libraries/Feed/replica_codec.h"
+
+namespace vetchpost {
+
+namespace {
+
+// Names are short: entries fill most of a datagram.
+constexpr auto kindField = "kind";
+constexpr auto subscriptionKind = "subscribe";
+constexpr auto updateKind = "update";
+constexpr auto stallKind = "stall";
+constexpr auto endKind = "end";
+constexpr auto fromField = "from";
+constexpr auto nonceField = "nonce";
+constexpr auto upToField = "up_to";
+constexpr auto wantsReplicasField = "wants";
+constexpr auto afterField = "after";
+constexpr auto daemonsField = "daemons";
+constexpr auto configurationField = "conf";
+constexpr auto configurationAgeField = "conf_age";
+constexpr auto replicasAgeField = "repl_age";
+constexpr auto changesField = "changes";
+constexpr auto historyLostField = "lost";
+constexpr auto headField = "head";
+constexpr auto answeredField = "answered";
+
+Json::Value number(std::uint64_t value)
+{
+    return Json::UInt64(value);
+}
+
+Json::Value encoded(const feed_subscription &message)
+{
+    Json::Value json;
+    json[kindField] = subscriptionKind;
+    json[fromField] = message.from.value();
+    json[nonceField] = number(message.nonce);
+    json[upToField] = number(message.replicasUpTo);
+    json[wantsReplicasField] = message.wantsReplicas;
+    return json;
+}
+
+Json::Value encoded(const feed_update &message)
+{
+    Json::Value json;
+    json[kindField] = updateKind;
+    json[nonceField] = number(message.nonce);
+    json[daemonsField] = message.daemons;
+    json[configurationField] = number(message.configuration.value());
+    if (message.configurationAge) {
+        json[configurationAgeField] = Json::Int64(message.configurationAge->count());
+    }
+    if (message.replicasAge) {
+        json[replicasAgeField] = Json::Int64(message.replicasAge->count());
+    }
+    json[afterField] = number(message.after);
+    json[upToField] = number(message.upTo);
+    json[historyLostField] = message.isHistoryLost;
+    for (const auto &change : message.changes) {
+        json[changesField].append(encodedChange(change));
+    }
+    return json;
+}
+
+Json::Value encoded(const stall_notice &message)
+{
+    Json::Value json;
+    json[kindField] = stallKind;
+    json[fromField] = message.from.value();
+    json[headField] = message.head.value();
+    if (message.hasAnswered) {
+        json[answeredField] = *message.hasAnswered;
+    }
+    return json;
+}
+
+Json::Value encoded(const feed_end & /*message*/)
+{
+    Json::Value json;
+    json[kindField] = endKind;
+    return json;
+}
+
+std::optional<feed_update> decodedUpdate(const Json::Value &json)
+{
+    feed_update update;
+    update.nonce = jsonNumber(json, nonceField);
+    update.daemons = static_cast<int>(jsonNumber(json, daemonsField));
+    update.configuration = key_revision(jsonNumber(json, configurationField));
+    if (json.isMember(configurationAgeField)) {
+        update.configurationAge = duration(static_cast<std::int64_t>(jsonNumber(json, configurationAgeField)));
+    }
+    if (json.isMember(replicasAgeField)) {
+        update.replicasAge = duration(static_cast<std::int64_t>(jsonNumber(json, replicasAgeField)));
+    }
+    update.after = jsonNumber(json, afterField);
+    update.upTo = jsonNumber(json, upToField);
+    update.isHistoryLost = jsonFlag(json, historyLostField);
+    for (const auto &entry : jsonArray(json, changesField)) {
+        auto change = decodedChange(entry);
+        if (!change) {
+            return std::nullopt;
+        }
+        update.changes.push_back(std::move(*change));
+    }
+    return update;
+}
+
+stall_notice decodedStall(const Json::Value &json)
+{
+    stall_notice notice{daemon_id(jsonString(json, fromField)), instance_id(jsonString(json, headField)), std::nullopt};
+    if (json.isMember(answeredField)) {
+        notice.hasAnswered = jsonFlag(json, answeredField);
+    }
+    return notice;
+}
+
+} // namespace
+
+std::string encodeFeedMessage(const feed_message &message)
+{
+    return toJsonText(std::visit([](const auto &body) { return encoded(body); }, message));
+}
+
+std::optional<feed_message> decodeFeedMessage(std::string_view bytes)
+{
+    const auto json = parseJson(std::string(bytes));
+    if (!json || !json->isObject()) {
+        return std::nullopt;
+    }
+    const auto kind = jsonString(*json, kindField);
+    if (kind == subscriptionKind) {
+        return feed_subscription{daemon_id(jsonString(*json, fromField)),
+                                 jsonNumber(*json, nonceField),
+                                 jsonNumber(*json, upToField),
+                                 jsonFlag(*json, wantsReplicasField)};
+    }
+    if (kind == updateKind) {
+        auto update = decodedUpdate(*json);
+        return update ? std::optional<feed_message>(std::move(*update)) : std::nullopt;
+    }
+    if (kind == stallKind) {
+        return decodedStall(*json);
+    }
+    if (kind == endKind) {
+        return feed_end();
+    }
+    return std::nullopt;
+}
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Feed/feed_messages.h
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Base/identifier.h"
+#include "Libraries/Base/instant.h"
+#include "Libraries/Platform/key_value_service.h"
+#include "Libraries/Routing/replica_directory.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// The datagrams by which the coordinator passes on what it reads from the key-value service (docs/design/FEED.md).
+namespace vetchpost {
+
+/// A follower tells how far it has come and asks for what is newer.
+struct feed_subscription
+{
+    daemon_id from;
+    /// Comes back in the answer, so that the follower knows when it had asked.
+    std::uint64_t nonce = 0;
+    /// The service's revision up to which the follower has the replicas' entries; 0 where it has none.
+    std::uint64_t replicasUpTo = 0;
+    /// Whether it wants the replicas' changes. Before the first request nothing is routed, and whole groups come at once: then each daemon
+    /// reads them from the service, a little late.
+    bool wantsReplicas = true;
+};
+
+/// A replica's entry as it was written or removed last.
+struct replica_change
+{
+    instance_id id;
+    /// The service's revision of the change.
+    std::uint64_t revision = 0;
+    /// Nothing where the entry was removed.
+    std::optional<served_replica> replica;
+};
+
+/// What the source has.
+struct feed_update
+{
+    /// Of the subscription that this answers; 0 where it was sent unasked.
+    std::uint64_t nonce = 0;
+    /// Daemons that the source has heard lately, itself included.
+    int daemons = 0;
+    /// Revision of the configuration that was the newest ...
+    key_revision configuration;
+    /// ... so long ago; nothing before the source has read it.
+    std::optional<duration> configurationAge;
+    /// How long ago the source knew all changes of replicas' entries; nothing before its first listing.
+    std::optional<duration> replicasAge;
+    /// Holds all changes of replicas' entries after this revision of the service ...
+    std::uint64_t after = 0;
+    /// ... up to this one.
+    std::uint64_t upTo = 0;
+    std::vector<replica_change> changes;
+    /// The source cannot tell all changes since the revision that was asked for: the follower must list.
+    bool isHistoryLost = false;
+};
+
+/// Requests of a group stand still at a daemon.
+struct stall_notice
+{
+    daemon_id from;
+    instance_id head;
+    /// Whether the head answered when the daemon looked at it directly; nothing before the look.
+    std::optional<bool> hasAnswered;
+};
+
+/// The sender is no source (any more).
+struct feed_end
+{
+};
+
+using feed_message = std::variant<feed_subscription, feed_update, stall_notice, feed_end>;
+
+std::string encodeFeedMessage(const feed_message &message);
+/// Nothing where the bytes are no message.
+std::optional<feed_message> decodeFeedMessage(std::string_view bytes);
+
+} // namespace vetchpost
--- a/Libraries/Platform/key_value_client.cpp
+++ b/Libraries/Platform/key_value_client.cpp
@@ -117,7 +117,7 @@
     return json ? std::optional(entryOf(*json)) : std::nullopt;
 }
 
-std::optional<key_value_listing> key_value_client::list(const std::string &prefix, reason &lastReason)
+std::optional<key_value_listing> key_value_client::list(const std::string &prefix, read_freshness /*freshness*/, reason &lastReason)
 {
     d->reads.increment();
     const auto reply = d->connections.send(d->callTo("GET", "/v1/keys?prefix=" + escaped(prefix)), lastReason);
--- a/Libraries/Platform/key_value_client.h
+++ b/Libraries/Platform/key_value_client.h
@@ -19,7 +19,7 @@
     key_value_client &operator=(const key_value_client &) = delete;
 
     std::optional<key_value_entry> get(const std::string &key, read_freshness freshness, reason &lastReason) override;
-    std::optional<key_value_listing> list(const std::string &prefix, reason &lastReason) override;
+    std::optional<key_value_listing> list(const std::string &prefix, read_freshness freshness, reason &lastReason) override;
     swap_result compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease = {}) override;
     std::optional<lease_number> grantLease(duration time, reason &lastReason) override;
     std::optional<bool> renewLease(lease_number lease, reason &lastReason) override;
--- a/Libraries/Platform/key_value_service.h
+++ b/Libraries/Platform/key_value_service.h
@@ -74,7 +74,7 @@
 
     /// The entry of a key; one with revision 0 where the key does not exist.
     virtual std::optional<key_value_entry> get(const std::string &key, read_freshness freshness, reason &lastReason) = 0;
-    virtual std::optional<key_value_listing> list(const std::string &prefix, reason &lastReason) = 0;
+    virtual std::optional<key_value_listing> list(const std::string &prefix, read_freshness freshness, reason &lastReason) = 0;
     /// Writes \a value if the key still has the revision \a expected. The key lives as long as \a lease, if one is given.
     virtual swap_result compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease = {})
         = 0;
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -20,7 +20,7 @@
 replica_entries known()
 {
     replica_entries entries;
-    takeListing(entries, {replica("a"), replica("b")}, duration(0), now);
+    takeListing(entries, {replica("a"), replica("b")}, 100, duration(0), now);
     return entries;
 }
 
@@ -29,16 +29,25 @@
 TEST_CASE("A replica that a listing no longer has is gone at once, while the service was there")
 {
     auto entries = known();
-    takeListing(entries, {replica("a")}, duration(300), now);
+    takeListing(entries, {replica("a")}, 100, duration(300), now);
     CHECK(entries.directory.replicas.size() == 1);
     takeRemoval(entries, instance_id("a"), 2, now);
     CHECK(entries.directory.replicas.empty());
 }
 
+TEST_CASE("A listing that is older than an entry does not take it out")
+{
+    auto entries = known();
+    takeEntry(entries, replica("c", 101));
+    takeListing(entries, {replica("a")}, 100, duration(0), now);
+    CHECK(entries.directory.replicas.contains(instance_id("c")));
+    CHECK_FALSE(entries.directory.replicas.contains(instance_id("b")));
+}
+
 TEST_CASE("After an absence of the service a missing replica has its time to come back")
 {
     auto entries = known();
-    takeListing(entries, {replica("a")}, duration(4000), now);
+    takeListing(entries, {replica("a")}, 100, duration(4000), now);
     CHECK(entries.directory.replicas.size() == 2);
     CHECK_FALSE(dropLapsed(entries, now + duration(2000)));
     CHECK(entries.directory.replicas.size() == 2);
@@ -50,7 +59,7 @@
 TEST_CASE("A replica that came back after an absence stays")
 {
     auto entries = known();
-    takeListing(entries, {replica("a")}, duration(4000), now);
+    takeListing(entries, {replica("a")}, 100, duration(4000), now);
     takeEntry(entries, replica("b"));
     CHECK_FALSE(dropLapsed(entries, now + duration(10000)));
     CHECK(entries.directory.replicas.size() == 2);
@@ -59,8 +68,8 @@
 TEST_CASE("A second listing within the time does not lengthen it")
 {
     auto entries = known();
-    takeListing(entries, {replica("a")}, duration(4000), now);
-    takeListing(entries, {replica("a")}, duration(0), now + duration(1000));
+    takeListing(entries, {replica("a")}, 100, duration(4000), now);
+    takeListing(entries, {replica("a")}, 100, duration(0), now + duration(1000));
     CHECK(entries.directory.replicas.size() == 2);
     CHECK(dropLapsed(entries, now + lapsedGrace));
 }
@@ -91,7 +100,7 @@
     CHECK(entries.directory.replicas.at(instance_id("a")).isDraining);
     CHECK(entries.directory.replicas.at(instance_id("a")).isUnlisted);
     // A listing without it changes nothing.
-    takeListing(entries, {replica("b")}, duration(0), now + duration(500));
+    takeListing(entries, {replica("b")}, 100, duration(0), now + duration(500));
     CHECK(entries.directory.replicas.contains(instance_id("a")));
     member.revision = 4;
     takeEntry(entries, member);
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -47,7 +47,7 @@
         return found == m_values.end() ? key_value_entry{key, {}, {}} : key_value_entry{key, found->second, key_revision(1)};
     }
 
-    std::optional<key_value_listing> list(const std::string &prefix, reason & /*lastReason*/) override
+    std::optional<key_value_listing> list(const std::string &prefix, read_freshness /*freshness*/, reason & /*lastReason*/) override
     {
         key_value_listing listing;
         for (const auto &[key, value] : m_values) {
@@ -172,7 +172,8 @@
         settings.leaseTime = duration(2000);
         settings.stallTime = duration(5000);
         settings.retryShare = 0.2;
-        settings.retrySlack = 160;
+        // Nobody coordinates here: the daemon takes its part of the repeats as one of a hundred.
+        settings.retrySlack = 1000;
         m_callers = settings.callers;
         m_daemon = std::make_unique<entry_daemon>(
             settings, std::make_unique<platform_dialect>(), [this](const endpoint & /*address*/, metrics & /*counters*/) {
