Assembly: Ask other daemons to look at a silent replica, and load by worth

Free replicas were loaded with one model and then the other for ever; a load on a replica that died kept its place among six. Ruled out: a better choice of which groups give way. Change: the coordinator asks eight followers to look at what it found silent; a head that was silent while it was listed is no leaving one; a free replica keeps what it alone is ready for; loads go where they bring most replicas into use. Logs: 'answered' tells the time to the first event and the longest pause, 'standing' what stands of each model once a second. Three new cases fail on the code before.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -22,6 +22,7 @@
 
 private:
     void noteDraining();
+    void noteSilence();
 
     // What a predecessor left.
 
@@ -71,11 +72,15 @@
         const group_model *model = nullptr;
         /// Replicas that must still load the weights.
         int lacking = 0;
-        /// The part of the model's wanted groups that is there.
-        double part = 0;
+        double worth = 0;
     };
 
     void stageSpares();
+    std::vector<const served_replica *> blankFirst(std::vector<const served_replica *> replicas) const;
+    bool isBlank(const served_replica &replica) const;
+    bool mayStage(const served_replica &replica, const group_model &model) const;
+    double worthOfLoad(const group_model &model, int lacking, bool hasRoom) const;
+    int idleBlanks(const std::vector<const served_replica *> &replicas) const;
     std::vector<load_need> loadNeeds();
     void claimReady();
     int readyOrStaging(const std::vector<const served_replica *> &replicas, const model_id &model) const;
--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -47,6 +47,25 @@
     return targets;
 }
 
+std::vector<model_standing> standingOf(const assembly_state &state, const engine_description &engine)
+{
+    const auto targets = groupTargets(engine, state.usable, state.policy.spareShare);
+    std::vector<model_standing> result;
+    for (const auto &model : engine.models) {
+        model_standing standing{model.id, targets.at(model.id)};
+        for (const auto &[id, group] : state.groups) {
+            if (group.model == model.id) {
+                const bool isForming = group.stage == assembly_stage::joining || group.stage == assembly_stage::opening;
+                standing.serving += group.stage == assembly_stage::serving ? 1 : 0;
+                standing.forming += isForming ? 1 : 0;
+                standing.ending += group.stage == assembly_stage::closing || group.stage == assembly_stage::leaving ? 1 : 0;
+            }
+        }
+        result.push_back(standing);
+    }
+    return result;
+}
+
 namespace {
 
 planned_member *findMember(planned_group &group, const instance_id &instance)
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -178,6 +178,9 @@
     std::map<instance_id, instant> drainingSince;
     /// Heads that were confirmed dead while the directory still lists them as open.
     std::set<instance_id> deadHeads;
+    /// Replicas that fell silent while they were listed and not leaving: they have crashed, or are cut off. One that is found silent only
+    /// after it began to leave may still finish requests.
+    std::set<instance_id> silentWhileListed;
     /// Since when each free replica is free.
     std::map<instance_id, instant> idleSince;
     /// Loads from the weight store that were ordered within the window.
@@ -214,6 +217,20 @@
 
 void noteOrderResult(assembly_state &state, const replica_order &order, const order_answer &answer, instant now);
 
+/// What stands of one model's groups, for the log.
+struct model_standing
+{
+    model_id model;
+    int wanted = 0;
+    int serving = 0;
+    /// Being formed or opened.
+    int forming = 0;
+    /// Being closed.
+    int ending = 0;
+};
+
+std::vector<model_standing> standingOf(const assembly_state &state, const engine_description &engine);
+
 /// How many groups of each model a number of usable replicas should make, by the models' shares, with spares held back.
 std::map<model_id, int> groupTargets(const engine_description &engine, int replicas, double spareShare);
 
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -120,7 +120,7 @@
         group.headLostSince = m_view.now;
     }
     // A leaving head stops listening before it has finished: that nobody reaches it is no sign of its end.
-    const bool isLeaving = listed != nullptr && listed->isDraining;
+    const bool isLeaving = listed != nullptr && listed->isDraining && !m_state.silentWhileListed.contains(head.instance);
     const auto patience = isLeaving ? m_state.policy.leavingHeadWait : m_state.policy.silentHeadWait;
     const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience;
     const bool isCut = group.hasTakenClose && group.closing == close_method::cut;
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -17,6 +17,7 @@
         m_state.loads.pop_front();
     }
     noteDraining();
+    noteSilence();
     std::erase_if(m_state.deadHeads, [&](const instance_id &id) { return find(id) == nullptr; });
     std::erase_if(m_state.stagings, [&](const auto &entry) { return isStagingOver(entry.first, entry.second); });
 }
@@ -54,6 +55,17 @@
     std::erase_if(m_state.drainingSince, [&](const auto &entry) { return find(entry.first) == nullptr; });
 }
 
+void assembly_round::noteSilence()
+{
+    std::erase_if(m_state.silentWhileListed, [&](const instance_id &id) { return find(id) == nullptr || !m_view.suspects.contains(id); });
+    for (const auto &id : m_view.suspects) {
+        const auto *replica = find(id);
+        if (replica != nullptr && !replica->isDraining) {
+            m_state.silentWhileListed.insert(id);
+        }
+    }
+}
+
 // What a predecessor left.
 
 /// Takes over the groups that are whole, and those that must be closed. Replicas of all others are free.
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -132,7 +132,7 @@
 bool assembly_round::isStagingOver(const instance_id &instance, const assembly_state::staging &staging) const
 {
     const auto *replica = find(instance);
-    if (replica == nullptr) {
+    if (replica == nullptr || replica->isDraining || m_view.suspects.contains(instance)) {
         return true;
     }
     const bool isThere = std::find(replica->staged.begin(), replica->staged.end(), staging.model) != replica->staged.end();
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -16,10 +16,8 @@
     }
     for (const auto &need : loadNeeds()) {
         auto lacking = need.lacking;
-        for (const auto *replica : m_free.at(need.domain)) {
-            const bool isUsable = !m_state.stagings.contains(replica->id) && !m_claimed.contains(replica->id)
-                && readinessOf(*replica, need.model->id) == readiness::must_load;
-            if (lacking > 0 && isUsable && mayLoad(1)) {
+        for (const auto *replica : blankFirst(m_free.at(need.domain))) {
+            if (lacking > 0 && mayStage(*replica, *need.model) && mayLoad(1)) {
                 stage(*replica, need.model->id);
                 --lacking;
             }
@@ -27,6 +25,31 @@
     }
 }
 
+/// Replicas that are ready for no model come first: a load takes nothing from them.
+std::vector<const served_replica *> assembly_round::blankFirst(std::vector<const served_replica *> replicas) const
+{
+    std::stable_partition(replicas.begin(), replicas.end(), [&](const served_replica *replica) { return isBlank(*replica); });
+    return replicas;
+}
+
+bool assembly_round::isBlank(const served_replica &replica) const
+{
+    return std::all_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &model) {
+        return readinessOf(replica, model.id) == readiness::must_load;
+    });
+}
+
+/// Whether a free replica may load a model. What its host holds goes with the load: it stays where that is all that the replica is ready
+/// for, and where it is of use.
+bool assembly_round::mayStage(const served_replica &replica, const group_model &model) const
+{
+    const bool isFit = !m_state.stagings.contains(replica.id) && !m_claimed.contains(replica.id)
+        && readinessOf(replica, model.id) == readiness::must_load;
+    return isFit && std::none_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &other) {
+               return readinessOf(replica, other.id) == readiness::staged && (presentPart(other) < 1 || other.size > model.size);
+           });
+}
+
 /// The needs of all domains, the most pressing first. Replicas that are ready for a need are claimed by it.
 std::vector<assembly_round::load_need> assembly_round::loadNeeds()
 {
@@ -35,20 +58,35 @@
         for (const auto *model : modelsBySize()) {
             const bool hasRoom = static_cast<int>(replicas.size()) >= model->size;
             const auto ready = readyOrStaging(replicas, model->id);
-            const auto lacking = hasRoom ? model->size - ready : std::min<int>(1, static_cast<int>(replicas.size()) - ready);
+            // Where there is no room for a group, a replica that is ready for nothing prepares for the survivors of a loss.
+            const auto lacking = hasRoom ? model->size - ready : std::min(1, idleBlanks(replicas));
             if (lacking > 0) {
-                needs.push_back({domain, model, lacking, presentPart(*model) + (hasRoom ? 0 : 1)});
+                needs.push_back({domain, model, lacking, worthOfLoad(*model, lacking, hasRoom)});
             }
         }
     }
-    std::stable_sort(needs.begin(), needs.end(), [](const load_need &left, const load_need &right) {
-        return std::pair(std::min(left.part, 1.0) + left.lacking, left.part)
-            < std::pair(std::min(right.part, 1.0) + right.lacking, right.part);
-    });
+    std::stable_sort(needs.begin(), needs.end(), [](const load_need &left, const load_need &right) { return left.worth > right.worth; });
     claimReady();
     return needs;
 }
 
+/// What a load of a model is worth: the replicas that come into use by it, more where more of the model's groups are missing. A load that
+/// only prepares for a loss comes after all others.
+double assembly_round::worthOfLoad(const group_model &model, int lacking, bool hasRoom) const
+{
+    constexpr double worthOfPreparing = 0.01;
+    constexpr double worthOfExtra = 0.02;
+    const auto missing = std::max(worthOfExtra, 1 - presentPart(model));
+    return hasRoom ? missing * model.size / lacking : worthOfPreparing * worthOfExtra;
+}
+
+int assembly_round::idleBlanks(const std::vector<const served_replica *> &replicas) const
+{
+    return static_cast<int>(std::count_if(replicas.begin(), replicas.end(), [&](const served_replica *replica) {
+        return isBlank(*replica) && !m_state.stagings.contains(replica->id);
+    }));
+}
+
 /// Free replicas that are ready for a model whose groups are missing stay so for a while: a member that completes them may come.
 void assembly_round::claimReady()
 {
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -34,6 +34,8 @@
 constexpr duration suspicionTime(10000);
 /// How often a member without an entry is looked at.
 constexpr duration unlistedLookPeriod(800);
+/// How often the coordinator logs what stands of each model.
+constexpr duration standingLogPeriod(1000);
 constexpr int orderThreads = 12;
 constexpr int noticeThreads = 3;
 /// A daemon tells of the same group again after this time.
@@ -57,6 +59,7 @@
     std::condition_variable wake;
     bool isStopping = false;
     bool mustPlan = false;
+    instant nextStandingLog;
     std::optional<coordination_term> term;
     instant termSince;
     std::map<service_id, assembly_state> assemblies;
@@ -254,9 +257,31 @@
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
         }
         assembly.decisions.clear();
+        logStanding(service, assembly, suspected.size(), now);
         std::move(next.begin(), next.end(), std::back_inserter(planned));
     }
 
+    void logStanding(const served_service &service, const assembly_state &assembly, std::size_t suspected, instant now)
+    {
+        if (now < nextStandingLog) {
+            return;
+        }
+        nextStandingLog = now + standingLogPeriod;
+        for (const auto &model : standingOf(assembly, *service.engine)) {
+            assemblyLog.write("standing",
+                              {{"service", service.id.value()},
+                               {"model", model.model.value()},
+                               {"wanted", model.wanted},
+                               {"serving", model.serving},
+                               {"forming", model.forming},
+                               {"ending", model.ending},
+                               {"usable", assembly.usable},
+                               {"free", assembly.idleSince.size()},
+                               {"suspected", suspected},
+                               {"loading", assembly.stagings.size()}});
+        }
+    }
+
     void dropOldSuspicions(const replica_directory &directory, instant now)
     {
         std::erase_if(suspects, [&](const auto &entry) { return entry.second <= now || !directory.replicas.contains(entry.first); });
@@ -317,7 +342,7 @@
     {
         for (const auto &[id, replica] : directory.replicas) {
             auto &last = lastLooks[id];
-            if (replica.isUnlisted && now - last >= unlistedLookPeriod && !suspects.contains(id)) {
+            if (replica.isUnlisted && now - last >= unlistedLookPeriod) {
                 last = now;
                 orderWorkers.run([this, looked = replica] { look(looked); });
             }
@@ -372,12 +397,14 @@
             const std::lock_guard lock(mutex);
             noteLook(witnesses, replica.id, settings.daemon, {monotonicNow(), hasAnswered});
             if (hasAnswered) {
+                suspects.erase(replica.id);
                 return;
             }
             suspects[replica.id] = monotonicNow() + suspicionTime;
             mustPlan = true;
         }
         wake.notify_all();
+        feed.askForLooks(replica.id);
     }
 
     bool mayNotice(const instance_id &head)
@@ -388,16 +415,15 @@
         return lastNotices.try_emplace(head, now).second;
     }
 
-    /// Whether the head answers this daemon; false also where it is not listed any more.
-    bool answersHere(const instance_id &head)
+    /// Tells the coordinator whether a replica answers this daemon; nothing where it is not listed any more.
+    void tellLook(const instance_id &id)
     {
         const auto directory = store.directory();
-        const auto found = directory->replicas.find(head);
-        if (found == directory->replicas.end()) {
-            return false;
+        const auto found = directory->replicas.find(id);
+        if (found != directory->replicas.end()) {
+            reason why;
+            feed.tellStall({settings.daemon, id, answers(found->second, why)});
         }
-        reason why;
-        return answers(found->second, why);
     }
 
     void takeStall(const instance_id &head)
@@ -408,13 +434,11 @@
         }
         // The coordinator looks at once; whether the head answers this daemon follows, for a head that is cut off from the coordinator
         // alone.
-        stall_notice notice{settings.daemon, head, std::nullopt};
-        if (!feed.tellStall(notice)) {
+        if (!feed.tellStall({settings.daemon, head, std::nullopt})) {
             assemblyLog.write("stall_not_told", {{"head", head.value()}, {"why", "no coordinator is known"}});
             return;
         }
-        notice.hasAnswered = answersHere(head);
-        feed.tellStall(notice);
+        tellLook(head);
     }
 
     void hearStall(const stall_notice &notice)
@@ -424,11 +448,14 @@
         }
         if (notice.hasAnswered) {
             const std::lock_guard lock(mutex);
-            noteLook(witnesses, notice.head, notice.from, {monotonicNow(), *notice.hasAnswered});
+            noteLook(witnesses, notice.replica, notice.from, {monotonicNow(), *notice.hasAnswered});
             mustPlan = mustPlan || !*notice.hasAnswered;
         }
-        wake.notify_all();
-        lookAtGroup(notice.head);
+        if (notice.hasAnswered) {
+            wake.notify_all();
+        } else {
+            lookAtGroup(notice.replica);
+        }
     }
 };
 
@@ -495,6 +522,11 @@
     d->hearStall(notice);
 }
 
+void assembly_runner::hearLook(const instance_id &replica)
+{
+    d->noticeWorkers.run([this, replica] { d->tellLook(replica); });
+}
+
 void assembly_runner::noteStall(const instance_id &head)
 {
     if (d->mayNotice(head)) {
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -51,7 +51,12 @@
         , dialect(std::move(words))
         , keyValue(makeStore(settings.keyValue, counters))
         , store(*keyValue, *dialect, counters, [this] { rebuildView(); })
-        , feed(settings, store, counters, [this](const stall_notice &notice) { assembly.hearStall(notice); })
+        , feed(
+              settings,
+              store,
+              counters,
+              [this](const stall_notice &notice) { assembly.hearStall(notice); },
+              [this](const look_request &request) { assembly.hearLook(request.replica); })
         , assembly(settings, *keyValue, *dialect, store, feed, counters)
         , relay(settings, *dialect, store, feed, view, counters, [this](const instance_id &head) { assembly.noteStall(head); })
     {
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -25,6 +25,8 @@
 constexpr duration pushPeriod(120);
 /// A thread without anything to send looks this often whether it should stop.
 constexpr duration idlePeriod(250);
+/// Followers that are asked to look at a replica: twice the witnesses that are needed, since some are cut off or slow.
+constexpr std::size_t witnessesAsked = 8;
 constexpr std::size_t largestDatagram = 65536;
 
 Poco::Timespan timespanOf(duration value)
@@ -45,6 +47,7 @@
     const entry_settings &settings;
     store_follower &store;
     std::function<void(const stall_notice &)> didHearStall;
+    std::function<void(const look_request &)> didHearLook;
     counter sent;
     counter received;
     counter unreadable;
@@ -58,16 +61,19 @@
     /// Set with the first request, or from the start where the system runs already.
     std::atomic<bool> wantsReplicas = false;
     std::atomic<bool> isStopping = false;
+    std::atomic<std::uint64_t> looksAsked = 0;
     Poco::Net::DatagramSocket socket;
     std::thread thread;
 
     private_data(const entry_settings &entrySettings,
                  store_follower &follows,
                  metrics &counters,
-                 std::function<void(const stall_notice &)> hearStall)
+                 std::function<void(const stall_notice &)> hearStall,
+                 std::function<void(const look_request &)> hearLook)
         : settings(entrySettings)
         , store(follows)
         , didHearStall(std::move(hearStall))
+        , didHearLook(std::move(hearLook))
         , sent(counters.addCounter("vetchpost_feed_datagrams_sent_total", "Datagrams sent to other daemons."))
         , received(counters.addCounter("vetchpost_feed_datagrams_received_total", "Datagrams received from other daemons."))
         , unreadable(counters.addCounter("vetchpost_feed_datagrams_unreadable_total", "Datagrams that are no message."))
@@ -154,6 +160,17 @@
         didHearStall(notice);
     }
 
+    void take(const look_request &request, const endpoint &from)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            if (from != source) {
+                return;
+            }
+        }
+        didHearLook(request);
+    }
+
     void take(const feed_end & /*message*/, const endpoint &from)
     {
         const std::lock_guard lock(mutex);
@@ -220,8 +237,9 @@
 peer_feed::peer_feed(const entry_settings &settings,
                      store_follower &store,
                      metrics &counters,
-                     std::function<void(const stall_notice &)> didHearStall)
-    : d(std::make_unique<private_data>(settings, store, counters, std::move(didHearStall)))
+                     std::function<void(const stall_notice &)> didHearStall,
+                     std::function<void(const look_request &)> didHearLook)
+    : d(std::make_unique<private_data>(settings, store, counters, std::move(didHearStall), std::move(didHearLook)))
 {
 }
 
@@ -287,6 +305,12 @@
     return to.has_value();
 }
 
+void peer_feed::askForLooks(const instance_id &replica)
+{
+    const auto asked = d->looksAsked.fetch_add(witnessesAsked);
+    d->send({d->store.someFollowers(witnessesAsked, asked), look_request{replica}});
+}
+
 bool peer_feed::isSourceHeard() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -15,11 +15,12 @@
 class peer_feed
 {
 public:
-    /// \a didHearStall is called on the feed's thread.
+    /// Both are called on the feed's thread.
     peer_feed(const entry_settings &settings,
               store_follower &store,
               metrics &counters,
-              std::function<void(const stall_notice &)> didHearStall);
+              std::function<void(const stall_notice &)> didHearStall,
+              std::function<void(const look_request &)> didHearLook);
     ~peer_feed();
     peer_feed(const peer_feed &) = delete;
     peer_feed &operator=(const peer_feed &) = delete;
@@ -36,6 +37,8 @@
     void noteTraffic();
     /// Sends a notice to the source; false where none is known.
     bool tellStall(const stall_notice &notice);
+    /// As the source: asks some followers to look at a replica, others each time.
+    void askForLooks(const instance_id &replica);
 
     /// Whether the source answered lately.
     bool isSourceHeard() const;
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -220,6 +220,8 @@
                           {"route", m_route->name},
                           {"tries", m_attempts},
                           {"held_ms", (monotonicNow() - m_arrival).count()},
+                          {"first_ms", m_firstSent ? (*m_firstSent - m_arrival).count() : -1},
+                          {"pause_ms", m_longestPause.count()},
                           {"last_event", m_events.lastId()}});
         return;
     }
@@ -465,9 +467,20 @@
         return true;
     }
     beginStream(head);
+    noteSent();
     return m_exchange.write(events);
 }
 
+void request_run::noteSent()
+{
+    const auto now = monotonicNow();
+    if (m_lastSent) {
+        m_longestPause = std::max(m_longestPause, now - *m_lastSent);
+    }
+    m_firstSent = m_firstSent.value_or(now);
+    m_lastSent = now;
+}
+
 /// The first replica's head is the answer's; a replica that goes on with the stream adds events alone.
 void request_run::beginStream(const upstream_head &head)
 {
@@ -481,6 +494,7 @@
 bool request_run::sendWhole(const whole_answer &answer)
 {
     m_hasBegun = true;
+    noteSent();
     m_exchange.beginAnswer(
         answer.head.status, answer.head.reasonPhrase, m_context.dialect.clientHeaders(answer.head.headers), answer.body.size());
     const bool isSent = m_exchange.write(answer.body);
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -69,6 +69,7 @@
     bool passPiece(const std::string &piece, const upstream_head &head);
     void beginStream(const upstream_head &head);
     bool sendWhole(const whole_answer &answer);
+    void noteSent();
 
     void noteProgress(const backend &target) const;
     void noteTrouble(const backend &target, try_end end) const;
@@ -96,6 +97,10 @@
     /// The client has an answer's head.
     bool m_hasBegun = false;
     instant m_tryStart;
+    /// When the client was first and last sent a part of its answer.
+    std::optional<instant> m_firstSent;
+    std::optional<instant> m_lastSent;
+    duration m_longestPause{};
     event_splitter m_events;
     std::optional<whole_answer> m_failure;
     std::string m_lastWhy;
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -508,6 +508,12 @@
     return datagrams;
 }
 
+std::vector<endpoint> store_follower::someFollowers(std::size_t count, std::uint64_t draw) const
+{
+    const std::lock_guard lock(d->mutex);
+    return vetchpost::someFollowers(d->feed, count, draw, monotonicNow());
+}
+
 int store_follower::daemonsHeard() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -13,6 +13,7 @@
 constexpr auto subscriptionKind = "subscribe";
 constexpr auto updateKind = "update";
 constexpr auto stallKind = "stall";
+constexpr auto lookKind = "look";
 constexpr auto endKind = "end";
 constexpr auto fromField = "from";
 constexpr auto nonceField = "nonce";
@@ -25,7 +26,7 @@
 constexpr auto replicasAgeField = "repl_age";
 constexpr auto changesField = "changes";
 constexpr auto historyLostField = "lost";
-constexpr auto headField = "head";
+constexpr auto replicaField = "replica";
 constexpr auto answeredField = "answered";
 
 Json::Value number(std::uint64_t value)
@@ -71,13 +72,21 @@
     Json::Value json;
     json[kindField] = stallKind;
     json[fromField] = message.from.value();
-    json[headField] = message.head.value();
+    json[replicaField] = message.replica.value();
     if (message.hasAnswered) {
         json[answeredField] = *message.hasAnswered;
     }
     return json;
 }
 
+Json::Value encoded(const look_request &message)
+{
+    Json::Value json;
+    json[kindField] = lookKind;
+    json[replicaField] = message.replica.value();
+    return json;
+}
+
 Json::Value encoded(const feed_end & /*message*/)
 {
     Json::Value json;
@@ -112,7 +121,7 @@
 
 stall_notice decodedStall(const Json::Value &json)
 {
-    stall_notice notice{daemon_id(jsonString(json, fromField)), instance_id(jsonString(json, headField)), std::nullopt};
+    stall_notice notice{daemon_id(jsonString(json, fromField)), instance_id(jsonString(json, replicaField)), std::nullopt};
     if (json.isMember(answeredField)) {
         notice.hasAnswered = jsonFlag(json, answeredField);
     }
@@ -146,6 +155,9 @@
     if (kind == stallKind) {
         return decodedStall(*json);
     }
+    if (kind == lookKind) {
+        return look_request{instance_id(jsonString(*json, replicaField))};
+    }
     if (kind == endKind) {
         return feed_end();
     }
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -60,21 +60,27 @@
     bool isHistoryLost = false;
 };
 
-/// Requests of a group stand still at a daemon.
+/// Requests at a replica stand still at a daemon, or the daemon was asked to look.
 struct stall_notice
 {
     daemon_id from;
-    instance_id head;
-    /// Whether the head answered when the daemon looked at it directly; nothing before the look.
+    instance_id replica;
+    /// Whether the replica answered when the daemon looked at it directly; nothing before the look.
     std::optional<bool> hasAnswered;
 };
 
+/// The source asks a follower to look at a replica directly and to tell what it found by a stall_notice.
+struct look_request
+{
+    instance_id replica;
+};
+
 /// The sender is no source (any more).
 struct feed_end
 {
 };
 
-using feed_message = std::variant<feed_subscription, feed_update, stall_notice, feed_end>;
+using feed_message = std::variant<feed_subscription, feed_update, stall_notice, look_request, feed_end>;
 
 std::string encodeFeedMessage(const feed_message &message);
 /// Nothing where the bytes are no message.
--- a/Libraries/Feed/feed_source.cpp
+++ b/Libraries/Feed/feed_source.cpp
@@ -168,6 +168,21 @@
     return datagrams;
 }
 
+std::vector<endpoint> someFollowers(const feed_source &source, std::size_t count, std::uint64_t draw, instant now)
+{
+    std::vector<endpoint> followers;
+    for (const auto &[id, subscriber] : source.subscribers) {
+        if (now - subscriber.lastHeard <= subscriberLifetime) {
+            followers.push_back(subscriber.address);
+        }
+    }
+    if (!followers.empty()) {
+        std::rotate(followers.begin(), followers.begin() + static_cast<std::ptrdiff_t>(draw % followers.size()), followers.end());
+    }
+    followers.resize(std::min(followers.size(), count));
+    return followers;
+}
+
 int countDaemons(const feed_source &source, instant now)
 {
     const auto heard = std::count_if(source.subscribers.begin(), source.subscribers.end(), [&](const auto &entry) {
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -22,6 +22,10 @@
 constexpr double loadsPerSecond = 4;
 constexpr std::size_t loadsAllowed = 25;
 constexpr duration loadWindow(5000);
+/// A replica's entry goes after three heartbeats; the daemons whose requests stand still find it silent much sooner.
+constexpr duration lapseTime(3600);
+constexpr duration suspicionTime(600);
+constexpr duration confirmationTime(800);
 
 } // namespace
 
@@ -144,6 +148,33 @@
 void assembly_world::lose(const instance_id &replica)
 {
     m_replicas.at(replica).isAlive = false;
+    m_died.try_emplace(replica, m_now);
+}
+
+void assembly_world::detectDeaths()
+{
+    m_detectsDeaths = true;
+}
+
+void assembly_world::drain(const instance_id &replica)
+{
+    m_replicas.at(replica).said.isDraining = true;
+}
+
+void assembly_world::loseDomain(int domain, duration time)
+{
+    const fabric_domain_id name(fmt::format("rack{}", domain));
+    for (auto &[id, replica] : m_replicas) {
+        if (replica.isAlive && replica.said.domain == name) {
+            lose(id);
+            m_darkHosts.push_back({domain, replica.said.staged, m_now + time});
+        }
+    }
+}
+
+void assembly_world::addEmpty(int domain)
+{
+    addReplica(domain, {});
 }
 
 void assembly_world::beginTraffic()
@@ -190,6 +221,12 @@
 void assembly_world::tick()
 {
     m_now += tickTime;
+    for (const auto &host : m_darkHosts) {
+        if (host.back <= m_now) {
+            addReplica(host.domain, host.staged);
+        }
+    }
+    std::erase_if(m_darkHosts, [&](const dark_host &host) { return host.back <= m_now; });
     deliver();
     for (auto &[id, replica] : m_replicas) {
         if (replica.isAlive) {
@@ -203,6 +240,12 @@
             present.replicas.emplace(id, replica.said);
         }
     }
+    std::erase_if(m_died, [&](const auto &entry) { return m_now - entry.second > lapseTime + 2 * directoryLag; });
+    for (const auto &[id, when] : m_died) {
+        if (m_detectsDeaths && m_now - when <= lapseTime) {
+            present.replicas.emplace(id, m_replicas.at(id).said);
+        }
+    }
     m_history.emplace_back(m_now, std::move(present));
     while (m_history.size() > 1 && m_history.front().first + directoryLag <= m_now) {
         m_directory = std::move(m_history.front().second);
@@ -220,8 +263,17 @@
 
 void assembly_world::plan()
 {
-    const std::set<instance_id> suspects;
-    const assembly_view view{m_directory, m_service, m_engine, suspects, suspects, !m_hasTraffic, m_now};
+    std::set<instance_id> suspects;
+    std::set<instance_id> confirmed;
+    for (const auto &[id, when] : m_died) {
+        if (m_detectsDeaths && m_now - when >= suspicionTime) {
+            suspects.insert(id);
+        }
+        if (m_detectsDeaths && m_now - when >= confirmationTime) {
+            confirmed.insert(id);
+        }
+    }
+    const assembly_view view{m_directory, m_service, m_engine, suspects, confirmed, !m_hasTraffic, m_now};
     for (auto &order : planAssembly(m_state, view)) {
         const bool isLate = m_now < m_ordersLateUntil && random() % 2 == 0;
         const bool isLost = isLate || (m_now < m_answersLostUntil && random() % 2 == 0);
@@ -488,6 +540,12 @@
     return {};
 }
 
+std::vector<instance_id> assembly_world::membersOfSomeGroup(const model_id &wanted, std::uint64_t draw) const
+{
+    const auto groups = openGroups(wanted);
+    return groups.empty() ? std::vector<instance_id>() : groups[draw % groups.size()];
+}
+
 std::vector<std::vector<instance_id>> assembly_world::openGroups(const model_id &wanted) const
 {
     std::vector<std::vector<instance_id>> groups;
@@ -540,6 +598,37 @@
     return found == m_downtime.end() ? duration() : found->second;
 }
 
+std::string assembly_world::summary() const
+{
+    std::map<fabric_domain_id, std::pair<std::string, std::string>> domains;
+    for (const auto &[id, replica] : m_replicas) {
+        auto &[groups, others] = domains[replica.said.domain];
+        if (!replica.isAlive) {
+            continue;
+        }
+        const auto head = replica.members.empty() ? m_replicas.end() : m_replicas.find(replica.members.front());
+        const bool isServing = head != m_replicas.end() && head->second.isAlive && head->second.said.membership && replica.said.membership
+            && head->second.said.membership->formed == replica.said.membership->formed
+            && head->second.said.membership->state == member_state::open && !head->second.standsStillSince;
+        if (isServing) {
+            groups += head->first == id ? fmt::format("{}", replica.members.size()) : "";
+            continue;
+        }
+        // The model that it ran last, the one that its host holds, and the one that it loads.
+        others += replica.said.isDraining ? "~" : "";
+        others += replica.said.model ? replica.said.model->value().substr(0, 1) : ".";
+        others += replica.said.staged.empty() ? "." : replica.said.staged.front().value().substr(0, 1);
+        others += replica.stagedAt ? replica.staging.value().substr(0, 1) + "!" : "";
+        others += replica.said.membership && replica.said.membership->state == member_state::joining ? "j" : "";
+        others += " ";
+    }
+    std::string line;
+    for (const auto &[domain, parts] : domains) {
+        line += fmt::format("{:<5}({}) | ", parts.first, parts.second);
+    }
+    return line;
+}
+
 std::string assembly_world::describe() const
 {
     std::string text;
--- a/Tests/Assembly/assemblyWorld.h
+++ b/Tests/Assembly/assemblyWorld.h
@@ -55,12 +55,20 @@
     /// The coordinator is replaced by one that knows nothing.
     void takeOver();
     void lose(const instance_id &replica);
+    void drain(const instance_id &replica);
+    /// All replicas of a domain are dark for so long, and come back as new lives with their hosts' weights.
+    void loseDomain(int domain, duration time);
+    void addEmpty(int domain);
     void beginTraffic();
+    /// From now on a dead replica stays listed until its heartbeats are missed, and daemons find it silent before.
+    void detectDeaths();
 
     const std::string &violation() const;
     int servingGroups(const model_id &model) const;
     int wantedGroups(const model_id &model) const;
     std::vector<instance_id> membersOfSomeGroup(const model_id &model) const;
+    /// Of the model's open groups the one that \a draw picks.
+    std::vector<instance_id> membersOfSomeGroup(const model_id &model, std::uint64_t draw) const;
     /// The members of each open group of a model.
     std::vector<std::vector<instance_id>> openGroups(const model_id &model) const;
     /// The size of the group that a replica stands in; 0 where it stands in none.
@@ -70,6 +78,8 @@
     const engine_description &engine() const;
     int loadsBegun() const;
     std::string describe() const;
+    /// One line: for each domain its open groups' sizes, then its other replicas by what they are ready for.
+    std::string summary() const;
     /// How long fewer groups of the model served than wanted, since beginTraffic().
     duration downtime(const model_id &model) const;
 
@@ -120,6 +130,16 @@
     instant m_answersLostUntil;
     instant m_ordersLateUntil;
     instant m_plansFrom;
+    struct dark_host
+    {
+        int domain = 0;
+        std::vector<model_id> staged;
+        instant back;
+    };
+    std::vector<dark_host> m_darkHosts;
+    bool m_detectsDeaths = false;
+    /// When each replica that stays listed has died.
+    std::map<instance_id, instant> m_died;
     std::deque<instant> m_loads;
     std::map<model_id, duration> m_downtime;
     bool m_hasTraffic = false;
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -124,9 +124,11 @@
     CHECK(world.loadsBegun() == loads);
 }
 
-TEST_CASE("A leaving head that no longer listens keeps its group until it has finished")
+namespace {
+
+/// A group of two with its head open, and a spare replica beside them.
+replica_directory groupOfTwo()
 {
-    const instant now(duration(1000000));
     replica_directory directory;
     for (const auto *id : {"head", "member", "spare"}) {
         served_replica replica;
@@ -137,11 +139,24 @@
         replica.membership = {group_id("g"), formation(1), replica.id.value() == "head" ? 0 : 1, member_state::ready};
         directory.replicas[replica.id] = replica;
     }
-    auto &head = directory.replicas[instance_id("head")];
-    head.isDraining = true;
-    head.isUnlisted = true;
-    head.membership->state = member_state::open;
+    directory.replicas[instance_id("head")].membership->state = member_state::open;
     directory.replicas[instance_id("spare")].membership.reset();
+    return directory;
+}
+
+void markUnlisted(served_replica &replica)
+{
+    replica.isDraining = true;
+    replica.isUnlisted = true;
+}
+
+} // namespace
+
+TEST_CASE("A leaving head that no longer listens keeps its group until it has finished")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    markUnlisted(directory.replicas[instance_id("head")]);
 
     const assembly_world world(1, 1, 1);
     const std::set<instance_id> silent = {instance_id("head")};
@@ -166,6 +181,96 @@
     CHECK_FALSE(state.groups.contains(group_id("g")));
 }
 
+TEST_CASE("A head that fell silent while it was listed has crashed, and does not keep its group for longer when its entry lapses")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    const std::set<instance_id> silent = {instance_id("head")};
+    assembly_state state;
+    state.term = 2;
+    const auto round = [&](const std::set<instance_id> &suspects, const std::set<instance_id> &dead, duration after) {
+        for (const auto &order :
+             planAssembly(state, {directory, service_id("large"), world.engine(), suspects, dead, false, now + after})) {
+            noteOrderResult(state, order, {order_result::unknown, 0}, now + after);
+        }
+    };
+    round(nobody, nobody, duration(0));
+    CHECK(state.groups.contains(group_id("g")));
+    round(silent, nobody, duration(600));
+    markUnlisted(directory.replicas[instance_id("head")]);
+    round(silent, nobody, duration(4000));
+    CHECK(state.groups.contains(group_id("g")));
+    round(silent, nobody, duration(600) + state.policy.silentHeadWait);
+    round(silent, nobody, duration(700) + state.policy.silentHeadWait);
+    CHECK_FALSE(state.groups.contains(group_id("g")));
+}
+
+TEST_CASE("A free replica is not loaded with one model after the other")
+{
+    const instant now(duration(1000000));
+    replica_directory directory;
+    served_replica replica;
+    replica.id = instance_id("lone");
+    replica.service = service_id("large");
+    replica.domain = fabric_domain_id("rack");
+    directory.replicas[replica.id] = replica;
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 1;
+    int loads = 0;
+    for (int i = 0; i < 40; ++i) {
+        for (const auto &order :
+             planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + duration(1000) * i})) {
+            REQUIRE(order.kind == order_kind::stage);
+            noteOrderResult(state, order, {order_result::taken, 0}, now + duration(1000) * i);
+            directory.replicas.at(replica.id).staged = {order.model};
+            ++loads;
+        }
+    }
+    CHECK(loads == 1);
+}
+
+TEST_CASE("A load on a replica that died makes room for another one")
+{
+    const instant now(duration(1000000));
+    replica_directory directory;
+    for (int i = 0; i < 12; ++i) {
+        served_replica replica;
+        replica.id = instance_id("r" + std::to_string(10 + i));
+        replica.service = service_id("large");
+        replica.domain = fabric_domain_id("rack");
+        directory.replicas[replica.id] = replica;
+    }
+    const assembly_world world(1, 1, 1);
+    std::set<instance_id> silent;
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 1;
+    const auto loadsAt = [&](duration after) {
+        std::vector<instance_id> loaded;
+        for (const auto &order :
+             planAssembly(state, {directory, service_id("large"), world.engine(), silent, nobody, false, now + after})) {
+            loaded.push_back(order.to);
+            noteOrderResult(state, order, {order_result::taken, 0}, now + after);
+        }
+        return loaded;
+    };
+    auto loaded = loadsAt(duration(0));
+    while (state.stagings.size() < 6) {
+        const auto more = loadsAt(duration(6000));
+        REQUIRE_FALSE(more.empty());
+        loaded.insert(loaded.end(), more.begin(), more.end());
+    }
+    CHECK(loadsAt(duration(11500)).empty());
+    silent.insert(loaded.front());
+    const auto instead = loadsAt(duration(11700));
+    REQUIRE(instead.size() == 1);
+    CHECK(instead.front() != loaded.front());
+}
+
 TEST_CASE("No fault lets a replica serve in two groups or a group serve in part, and all groups come back", "[fuzz]")
 {
     int steps = 0;
