Http: Close all idle connections at once when a server finishes; Assembly: Share replicas by the requests that are held

The hand-over of the coordination, before it, waited for a slow store. Change: the server knows its connections and shuts the reading side of all idle ones; daemons tell the coordinator what they hold of each model, and shares follow it, smoothed over four seconds, between half and one and a half of the configured ones. Replicas that hold the weights of a satisfied model may load those of a lacking one. 'domains' logs once a second what each domain's replicas do.

--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -23,14 +23,15 @@
     return "joining";
 }
 
-std::map<model_id, int> groupTargets(const engine_description &engine, int replicas, double spareShare)
+std::map<model_id, int>
+groupTargets(const engine_description &engine, const std::map<model_id, double> &shares, int replicas, double spareShare)
 {
     std::map<model_id, int> targets;
     const auto usable = static_cast<double>(replicas) * (1 - spareShare);
     auto left = static_cast<int>(usable);
     std::vector<std::pair<double, const group_model *>> remainders;
     for (const auto &model : engine.models) {
-        const auto exact = usable * model.share / std::max(1, model.size);
+        const auto exact = usable * shares.at(model.id) / std::max(1, model.size);
         const auto whole = static_cast<int>(exact);
         targets[model.id] = whole;
         left -= whole * model.size;
@@ -49,10 +50,12 @@
 
 std::vector<model_standing> standingOf(const assembly_state &state, const engine_description &engine)
 {
-    const auto targets = groupTargets(engine, state.usable, state.policy.spareShare);
+    const auto targets = groupTargets(engine, demandShares(state.demand, engine), state.usable, state.policy.spareShare);
     std::vector<model_standing> result;
     for (const auto &model : engine.models) {
-        model_standing standing{model.id, targets.at(model.id)};
+        const auto held = state.demand.outstanding.find(model.id);
+        model_standing standing{
+            model.id, targets.at(model.id), held == state.demand.outstanding.end() ? 0 : static_cast<int>(held->second)};
         for (const auto &[id, group] : state.groups) {
             if (group.model == model.id) {
                 const bool isForming = group.stage == assembly_stage::joining || group.stage == assembly_stage::opening;
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Assembly/demand_shares.h"
 #include "Libraries/Base/instant.h"
 #include "Libraries/Routing/replica_directory.h"
 
@@ -191,6 +192,7 @@
         instant since;
     };
     std::map<instance_id, staging> stagings;
+    smoothed_demand demand;
     /// The number of usable replicas, and since when it is so.
     int usable = 0;
     instant usableSince;
@@ -222,6 +224,8 @@
 {
     model_id model;
     int wanted = 0;
+    /// Held by all daemons, smoothed.
+    int requests = 0;
     int serving = 0;
     /// Being formed or opened.
     int forming = 0;
@@ -232,6 +236,7 @@
 std::vector<model_standing> standingOf(const assembly_state &state, const engine_description &engine);
 
 /// How many groups of each model a number of usable replicas should make, by the models' shares, with spares held back.
-std::map<model_id, int> groupTargets(const engine_description &engine, int replicas, double spareShare);
+std::map<model_id, int>
+groupTargets(const engine_description &engine, const std::map<model_id, double> &shares, int replicas, double spareShare);
 
 } // namespace vetchpost
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -46,7 +46,7 @@
         m_state.usable = m_usable;
         m_state.usableSince = m_view.now;
     }
-    m_targets = groupTargets(m_view.engine, m_usable, m_state.policy.spareShare);
+    m_targets = groupTargets(m_view.engine, demandShares(m_state.demand, m_view.engine), m_usable, m_state.policy.spareShare);
     return !m_view.isBeforeTraffic || m_view.now - m_state.usableSince >= m_state.policy.settleTime;
 }
 
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -39,14 +39,14 @@
     });
 }
 
-/// Whether a free replica may load a model. What its host holds goes with the load: it stays where that is all that the replica is ready
-/// for, and where it is of use.
+/// Whether a free replica may load a model. What its host holds goes with the load: it stays where it is of use, and where nobody lacks the
+/// other model.
 bool assembly_round::mayStage(const served_replica &replica, const group_model &model) const
 {
     const bool isFit = !m_state.stagings.contains(replica.id) && !m_claimed.contains(replica.id)
         && readinessOf(replica, model.id) == readiness::must_load;
     return isFit && std::none_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &other) {
-               return readinessOf(replica, other.id) == readiness::staged && (presentPart(other) < 1 || other.size > model.size);
+               return readinessOf(replica, other.id) == readiness::staged && (presentPart(other) < 1 || presentPart(model) >= 1);
            });
 }
 
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Assembly/coordination_term.h"
 #include "Libraries/Assembly/death_witnesses.h"
+#include "Libraries/Assembly/domain_summary.h"
 #include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
@@ -50,6 +51,7 @@
     const entry_dialect &dialect;
     store_follower &store;
     peer_feed &feed;
+    std::function<std::vector<model_demand>()> heldHere;
     worker_pool orderWorkers{orderThreads};
     worker_pool noticeWorkers{noticeThreads};
     counter orders;
@@ -75,12 +77,14 @@
                  const entry_dialect &words,
                  store_follower &follower,
                  peer_feed &peers,
-                 metrics &counters)
+                 metrics &counters,
+                 std::function<std::vector<model_demand>()> held)
         : settings(entrySettings)
         , keyValue(service)
         , dialect(words)
         , store(follower)
         , feed(peers)
+        , heldHere(std::move(held))
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , hasTraffic(!entrySettings.isFirstStart)
@@ -251,33 +255,48 @@
         }
         forgetOldLooks(witnesses, now);
         const auto dead = confirmedDead(witnesses, now);
+        noteDemand(assembly.demand, demandOf(service.id), now);
         const assembly_view view{directory, service.id, *service.engine, suspected, dead, !hasTraffic.load(), now};
         auto next = planAssembly(assembly, view);
         for (const auto &decision : assembly.decisions) {
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
         }
         assembly.decisions.clear();
-        logStanding(service, assembly, suspected.size(), now);
+        logStanding(view, assembly, now);
         std::move(next.begin(), next.end(), std::back_inserter(planned));
     }
 
-    void logStanding(const served_service &service, const assembly_state &assembly, std::size_t suspected, instant now)
+    /// Requests of each model that all daemons hold.
+    std::map<model_id, int> demandOf(const service_id &service) const
+    {
+        auto demand = store.followersDemand(service);
+        for (const auto &here : heldHere()) {
+            if (here.service == service) {
+                demand[here.model] += here.outstanding;
+            }
+        }
+        return demand;
+    }
+
+    void logStanding(const assembly_view &view, const assembly_state &assembly, instant now)
     {
         if (now < nextStandingLog) {
             return;
         }
         nextStandingLog = now + standingLogPeriod;
-        for (const auto &model : standingOf(assembly, *service.engine)) {
+        assemblyLog.write("domains", {{"service", view.service.value()}, {"what", summariseDomains(assembly, view)}});
+        for (const auto &model : standingOf(assembly, view.engine)) {
             assemblyLog.write("standing",
-                              {{"service", service.id.value()},
+                              {{"service", view.service.value()},
                                {"model", model.model.value()},
                                {"wanted", model.wanted},
+                               {"requests", model.requests},
                                {"serving", model.serving},
                                {"forming", model.forming},
                                {"ending", model.ending},
                                {"usable", assembly.usable},
                                {"free", assembly.idleSince.size()},
-                               {"suspected", suspected},
+                               {"suspected", view.suspects.size()},
                                {"loading", assembly.stagings.size()}});
         }
     }
@@ -464,8 +483,9 @@
                                  const entry_dialect &dialect,
                                  store_follower &store,
                                  peer_feed &feed,
-                                 metrics &counters)
-    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, counters))
+                                 metrics &counters,
+                                 std::function<std::vector<model_demand>()> heldHere)
+    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, counters, std::move(heldHere)))
 {
 }
 
--- a/Libraries/Entry/assembly_runner.h
+++ b/Libraries/Entry/assembly_runner.h
@@ -23,7 +23,8 @@
                     const entry_dialect &dialect,
                     store_follower &store,
                     peer_feed &feed,
-                    metrics &counters);
+                    metrics &counters,
+                    std::function<std::vector<model_demand>()> heldHere);
     ~assembly_runner();
     assembly_runner(const assembly_runner &) = delete;
     assembly_runner &operator=(const assembly_runner &) = delete;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -6,6 +6,8 @@
 #include "Libraries/Entry/request_run.h"
 
 #include <atomic>
+#include <functional>
+#include <memory>
 #include <thread>
 
 namespace vetchpost {
@@ -29,6 +31,46 @@
 
 } // namespace
 
+namespace {
+
+/// Work at the end of the process on a thread of its own. Nobody waits for it beyond the stop grace: what is still at work then is cut by
+/// the end of the process, a moment before the platform would do it.
+class last_work
+{
+public:
+    explicit last_work(std::function<void()> work)
+        : m_isDone(std::make_shared<std::atomic<bool>>(false))
+        , m_thread([work = std::move(work), isDone = m_isDone] {
+            work();
+            *isDone = true;
+        })
+    {
+    }
+
+    ~last_work()
+    {
+        if (*m_isDone) {
+            m_thread.join();
+        } else {
+            m_thread.detach();
+        }
+    }
+
+    last_work(const last_work &) = delete;
+    last_work &operator=(const last_work &) = delete;
+
+    bool isDone() const
+    {
+        return *m_isDone;
+    }
+
+private:
+    std::shared_ptr<std::atomic<bool>> m_isDone;
+    std::thread m_thread;
+};
+
+} // namespace
+
 struct entry_daemon::private_data
 {
     entry_settings settings;
@@ -55,9 +97,10 @@
               settings,
               store,
               counters,
+              [this] { return relay.held.counts(); },
               [this](const stall_notice &notice) { assembly.hearStall(notice); },
               [this](const look_request &request) { assembly.hearLook(request.replica); })
-        , assembly(settings, *keyValue, *dialect, store, feed, counters)
+        , assembly(settings, *keyValue, *dialect, store, feed, counters, [this] { return relay.held.counts(); })
         , relay(settings, *dialect, store, feed, view, counters, [this](const instance_id &head) { assembly.noteStall(head); })
     {
     }
@@ -138,17 +181,12 @@
     const auto latest = asked + d->settings.stopGrace - stopMargin;
     daemonLog.write("stopping", {{"active", d->callers->activeRequests()}});
     d->relay.isDraining = true;
-    d->assembly.stop();
+    // It hands the coordination over, which a slow key-value service may hold up; the callers' connections must not wait for that.
+    const last_work handingOver([this] { d->assembly.stop(); });
     // New connections come until the balancer has noticed; idle ones are closed only after it, so that nothing is sent into a close.
     std::this_thread::sleep_for(balancerNotice);
-    // What is still at work then is cut by the end of the process, a moment before the platform would do it; so nobody waits for this
-    // thread.
-    const auto isFinished = std::make_shared<std::atomic<bool>>(false);
-    std::thread([this, isFinished] {
-        d->callers->finish();
-        *isFinished = true;
-    }).detach();
-    while (!*isFinished && monotonicNow() < latest) {
+    const last_work finishing([this] { d->callers->finish(); });
+    while (!(finishing.isDone() && handingOver.isDone()) && monotonicNow() < latest) {
         std::this_thread::sleep_for(stopPollPeriod);
     }
     daemonLog.write("stopped", {{"active", d->callers->activeRequests()}, {"log_lines_left_out", droppedLogLines()}});
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -46,6 +46,7 @@
 {
     const entry_settings &settings;
     store_follower &store;
+    std::function<std::vector<model_demand>()> heldHere;
     std::function<void(const stall_notice &)> didHearStall;
     std::function<void(const look_request &)> didHearLook;
     counter sent;
@@ -68,10 +69,12 @@
     private_data(const entry_settings &entrySettings,
                  store_follower &follows,
                  metrics &counters,
+                 std::function<std::vector<model_demand>()> held,
                  std::function<void(const stall_notice &)> hearStall,
                  std::function<void(const look_request &)> hearLook)
         : settings(entrySettings)
         , store(follows)
+        , heldHere(std::move(held))
         , didHearStall(std::move(hearStall))
         , didHearLook(std::move(hearLook))
         , sent(counters.addCounter("vetchpost_feed_datagrams_sent_total", "Datagrams sent to other daemons."))
@@ -191,6 +194,7 @@
     void subscribeIfDue()
     {
         const auto upTo = store.replicasUpTo();
+        auto held = heldHere();
         feed_datagram datagram;
         {
             const std::lock_guard lock(mutex);
@@ -203,7 +207,9 @@
                 return;
             }
             nextSubscription = now + subscriptionPeriod;
-            datagram = {{*source}, subscribe(follower, settings.daemon, upTo, wantsReplicas, now)};
+            auto subscription = subscribe(follower, settings.daemon, upTo, wantsReplicas, now);
+            subscription.demand = std::move(held);
+            datagram = {{*source}, std::move(subscription)};
         }
         send(datagram);
     }
@@ -237,9 +243,10 @@
 peer_feed::peer_feed(const entry_settings &settings,
                      store_follower &store,
                      metrics &counters,
+                     std::function<std::vector<model_demand>()> heldHere,
                      std::function<void(const stall_notice &)> didHearStall,
                      std::function<void(const look_request &)> didHearLook)
-    : d(std::make_unique<private_data>(settings, store, counters, std::move(didHearStall), std::move(didHearLook)))
+    : d(std::make_unique<private_data>(settings, store, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearLook)))
 {
 }
 
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -15,10 +15,11 @@
 class peer_feed
 {
 public:
-    /// Both are called on the feed's thread.
+    /// \a heldHere tells how many requests of each model this daemon holds. All are called on the feed's thread.
     peer_feed(const entry_settings &settings,
               store_follower &store,
               metrics &counters,
+              std::function<std::vector<model_demand>()> heldHere,
               std::function<void(const stall_notice &)> didHearStall,
               std::function<void(const look_request &)> didHearLook);
     ~peer_feed();
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -5,6 +5,7 @@
 #include "Libraries/Base/rcu_snapshot.h"
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
+#include "Libraries/Entry/held_requests.h"
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/retry_budget.h"
@@ -49,6 +50,7 @@
     const std::function<void(const instance_id &)> noteStall;
     /// Connections end after the answer at hand.
     std::atomic<bool> isDraining = false;
+    held_requests held;
     counter served;
     counter resumed;
     counter retried;
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -53,6 +53,11 @@
     return generator();
 }
 
+bool isKnownModel(const engine_description &engine, const model_id &id)
+{
+    return std::any_of(engine.models.begin(), engine.models.end(), [&](const group_model &model) { return model.id == id; });
+}
+
 bool isSuccess(int status)
 {
     return status >= firstSuccess && status < firstRedirect;
@@ -174,6 +179,20 @@
         return;
     }
     m_context.noteFirstTry(m_service->id);
+    // Models that no service knows must not fill the counts.
+    const bool isCounted = m_service->engine && isKnownModel(*m_service->engine, m_head.model);
+    if (isCounted) {
+        m_context.held.begin(m_service->id, m_head.model);
+    }
+    const auto end = tryUntilDone();
+    if (isCounted) {
+        m_context.held.end(m_service->id, m_head.model);
+    }
+    finish(end);
+}
+
+try_end request_run::tryUntilDone()
+{
     auto end = try_end::not_sent;
     do {
         const auto target = choose();
@@ -183,7 +202,7 @@
         }
         end = tryOn(*target);
     } while (mayTryAnother(end));
-    finish(end);
+    return end;
 }
 
 std::optional<backend> request_run::choose() const
@@ -219,6 +238,7 @@
                          {{"request", m_head.attempt.value()},
                           {"route", m_route->name},
                           {"tries", m_attempts},
+                          {"replica", m_tried.empty() ? "" : m_tried.back().value()},
                           {"held_ms", (monotonicNow() - m_arrival).count()},
                           {"first_ms", m_firstSent ? (*m_firstSent - m_arrival).count() : -1},
                           {"pause_ms", m_longestPause.count()},
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -54,6 +54,7 @@
     bool findRoute();
     bool checkKey();
     void tryReplicas();
+    try_end tryUntilDone();
     bool mayTryAnother(try_end end);
     void finish(try_end end);
     void refuse(error_kind kind, const std::string &text, std::optional<duration> comeBackAfter = std::nullopt);
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -508,6 +508,12 @@
     return datagrams;
 }
 
+std::map<model_id, int> store_follower::followersDemand(const service_id &service) const
+{
+    const std::lock_guard lock(d->mutex);
+    return demandOf(d->feed, service, monotonicNow());
+}
+
 std::vector<endpoint> store_follower::someFollowers(std::size_t count, std::uint64_t draw) const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Feed/feed_follower.cpp
+++ b/Libraries/Feed/feed_follower.cpp
@@ -16,7 +16,7 @@
     if (follower.asked.size() > mostAsked) {
         follower.asked.erase(follower.asked.begin());
     }
-    return {from, follower.lastNonce, replicasUpTo, wantsReplicas};
+    return {from, follower.lastNonce, replicasUpTo, wantsReplicas, {}};
 }
 
 std::optional<instant> noteUpdate(feed_follower &follower, const feed_update &update, instant now)
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -19,6 +19,10 @@
 constexpr auto nonceField = "nonce";
 constexpr auto upToField = "up_to";
 constexpr auto wantsReplicasField = "wants";
+constexpr auto demandField = "demand";
+constexpr auto serviceField = "service";
+constexpr auto modelField = "model";
+constexpr auto outstandingField = "held";
 constexpr auto afterField = "after";
 constexpr auto daemonsField = "daemons";
 constexpr auto configurationField = "conf";
@@ -42,6 +46,13 @@
     json[nonceField] = number(message.nonce);
     json[upToField] = number(message.replicasUpTo);
     json[wantsReplicasField] = message.wantsReplicas;
+    for (const auto &demand : message.demand) {
+        Json::Value entry;
+        entry[serviceField] = demand.service.value();
+        entry[modelField] = demand.model.value();
+        entry[outstandingField] = demand.outstanding;
+        json[demandField].append(std::move(entry));
+    }
     return json;
 }
 
@@ -94,6 +105,21 @@
     return json;
 }
 
+feed_subscription decodedSubscription(const Json::Value &json)
+{
+    feed_subscription subscription{daemon_id(jsonString(json, fromField)),
+                                   jsonNumber(json, nonceField),
+                                   jsonNumber(json, upToField),
+                                   jsonFlag(json, wantsReplicasField),
+                                   {}};
+    for (const auto &entry : jsonArray(json, demandField)) {
+        subscription.demand.push_back({service_id(jsonString(entry, serviceField)),
+                                       model_id(jsonString(entry, modelField)),
+                                       static_cast<int>(jsonNumber(entry, outstandingField))});
+    }
+    return subscription;
+}
+
 std::optional<feed_update> decodedUpdate(const Json::Value &json)
 {
     feed_update update;
@@ -143,10 +169,7 @@
     }
     const auto kind = jsonString(*json, kindField);
     if (kind == subscriptionKind) {
-        return feed_subscription{daemon_id(jsonString(*json, fromField)),
-                                 jsonNumber(*json, nonceField),
-                                 jsonNumber(*json, upToField),
-                                 jsonFlag(*json, wantsReplicasField)};
+        return decodedSubscription(*json);
     }
     if (kind == updateKind) {
         auto update = decodedUpdate(*json);
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -15,6 +15,14 @@
 /// The datagrams by which the coordinator passes on what it reads from the key-value service (docs/design/FEED.md).
 namespace vetchpost {
 
+/// Requests for one model that a daemon holds.
+struct model_demand
+{
+    service_id service;
+    model_id model;
+    int outstanding = 0;
+};
+
 /// A follower tells how far it has come and asks for what is newer.
 struct feed_subscription
 {
@@ -26,6 +34,7 @@
     /// Whether it wants the replicas' changes. Before the first request nothing is routed, and whole groups come at once: then each daemon
     /// reads them from the service, a little late.
     bool wantsReplicas = true;
+    std::vector<model_demand> demand;
 };
 
 /// A replica's entry as it was written or removed last.
--- a/Libraries/Feed/feed_source.cpp
+++ b/Libraries/Feed/feed_source.cpp
@@ -120,6 +120,7 @@
     subscriber.address = from;
     subscriber.lastHeard = now;
     subscriber.wantsReplicas = subscription.wantsReplicas;
+    subscriber.demand = subscription.demand;
     std::vector<feed_update> updates;
     if (!subscription.wantsReplicas) {
         updates.push_back(emptyUpdate(source, now));
@@ -183,6 +184,19 @@
     return followers;
 }
 
+std::map<model_id, int> demandOf(const feed_source &source, const service_id &service, instant now)
+{
+    std::map<model_id, int> result;
+    for (const auto &[id, subscriber] : source.subscribers) {
+        for (const auto &demand : subscriber.demand) {
+            if (now - subscriber.lastHeard <= subscriberLifetime && demand.service == service) {
+                result[demand.model] += demand.outstanding;
+            }
+        }
+    }
+    return result;
+}
+
 int countDaemons(const feed_source &source, instant now)
 {
     const auto heard = std::count_if(source.subscribers.begin(), source.subscribers.end(), [&](const auto &entry) {
--- a/Libraries/Feed/feed_source.h
+++ b/Libraries/Feed/feed_source.h
@@ -29,6 +29,7 @@
     /// Changes up to this revision were sent.
     std::uint64_t sentUpTo = 0;
     bool wantsReplicas = false;
+    std::vector<model_demand> demand;
 };
 
 /// What one daemon has read from the key-value service, kept so that it can be passed on: the latest change of each replica's entry, and
@@ -61,6 +62,8 @@
 std::vector<feed_datagram> pendingPushes(feed_source &source, instant now);
 /// Followers that were heard lately, at most \a count of them, beginning at a place that \a draw picks.
 std::vector<endpoint> someFollowers(const feed_source &source, std::size_t count, std::uint64_t draw, instant now);
+/// Requests of each model of a service that the followers hold.
+std::map<model_id, int> demandOf(const feed_source &source, const service_id &service, instant now);
 /// How many daemons there are, this one included.
 int countDaemons(const feed_source &source, instant now);
 
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -7,16 +7,22 @@
 #include <Poco/Net/HTMLForm.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerConnection.h>
+#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
 #include <array>
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <set>
 
 namespace vetchpost {
 
@@ -236,18 +242,108 @@
 
 namespace {
 
+class tracked_connection;
+
+/// The connections of one server, so that all idle ones can be closed at once when it finishes.
+struct open_connections
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::set<tracked_connection *> all;
+    std::atomic<bool> isFinishing = false;
+    std::atomic<int> active = 0;
+};
+
+/// The connection whose request the present thread answers.
+thread_local tracked_connection *currentConnection = nullptr;
+
+class tracked_connection : public Poco::Net::HTTPServerConnection
+{
+public:
+    tracked_connection(const Poco::Net::StreamSocket &socket,
+                       Poco::Net::HTTPServerParams::Ptr parameters,
+                       Poco::Net::HTTPRequestHandlerFactory::Ptr factory,
+                       open_connections &connections)
+        : HTTPServerConnection(socket, std::move(parameters), std::move(factory))
+        , m_connections(connections)
+    {
+        const std::lock_guard lock(m_connections.mutex);
+        m_connections.all.insert(this);
+        if (m_connections.isFinishing) {
+            stopReading();
+        }
+    }
+
+    ~tracked_connection() override
+    {
+        const std::lock_guard lock(m_connections.mutex);
+        m_connections.all.erase(this);
+        m_connections.changed.notify_all();
+    }
+
+    tracked_connection(const tracked_connection &) = delete;
+    tracked_connection &operator=(const tracked_connection &) = delete;
+
+    void run() override
+    {
+        currentConnection = this;
+        HTTPServerConnection::run();
+    }
+
+    void setBusy(bool isBusy)
+    {
+        const std::lock_guard lock(m_connections.mutex);
+        m_isBusy = isBusy;
+        if (!isBusy && m_connections.isFinishing) {
+            stopReading();
+        }
+    }
+
+    bool isBusy() const
+    {
+        return m_isBusy;
+    }
+
+    /// What was read is still answered.
+    void stopReading()
+    {
+        try {
+            socket().shutdownReceive();
+        } catch (const Poco::Exception &error) {
+            httpLog.debug("A connection was already closed. error={}", error.displayText());
+        }
+    }
+
+    void cut()
+    {
+        try {
+            socket().shutdown();
+        } catch (const Poco::Exception &error) {
+            httpLog.debug("A connection was already closed. error={}", error.displayText());
+        }
+    }
+
+private:
+    open_connections &m_connections;
+    bool m_isBusy = false;
+};
+
 class exchange_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    exchange_handler(const http_server::handler &handle, std::atomic<int> &active)
+    exchange_handler(const http_server::handler &handle, open_connections &connections)
         : m_handle(handle)
-        , m_active(active)
+        , m_connections(connections)
     {
     }
 
     void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
     {
-        m_active.fetch_add(1);
+        m_connections.active.fetch_add(1);
+        currentConnection->setBusy(true);
+        if (m_connections.isFinishing) {
+            response.setKeepAlive(false);
+        }
         try {
             http_exchange::private_data data{request, response, Poco::URI(), {}};
             http_exchange exchange(data);
@@ -255,7 +351,8 @@
         } catch (const std::exception &error) {
             httpLog.warning("An answer could not be sent. error={}", error.what());
         }
-        m_active.fetch_sub(1);
+        currentConnection->setBusy(false);
+        m_connections.active.fetch_sub(1);
     }
 
 private:
@@ -281,26 +378,49 @@
     }
 
     const http_server::handler &m_handle;
-    std::atomic<int> &m_active;
+    open_connections &m_connections;
 };
 
 class exchange_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    exchange_handler_factory(const http_server::handler &handle, std::atomic<int> &active)
+    exchange_handler_factory(const http_server::handler &handle, open_connections &connections)
         : m_handle(handle)
-        , m_active(active)
+        , m_connections(connections)
     {
     }
 
     Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
     {
-        return new exchange_handler(m_handle, m_active);
+        return new exchange_handler(m_handle, m_connections);
     }
 
 private:
     const http_server::handler &m_handle;
-    std::atomic<int> &m_active;
+    open_connections &m_connections;
+};
+
+class tracked_connection_factory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    tracked_connection_factory(Poco::Net::HTTPServerParams::Ptr parameters,
+                               Poco::Net::HTTPRequestHandlerFactory::Ptr handlers,
+                               open_connections &connections)
+        : m_parameters(std::move(parameters))
+        , m_handlers(std::move(handlers))
+        , m_connections(connections)
+    {
+    }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new tracked_connection(socket, m_parameters, m_handlers, m_connections);
+    }
+
+private:
+    Poco::Net::HTTPServerParams::Ptr m_parameters;
+    Poco::Net::HTTPRequestHandlerFactory::Ptr m_handlers;
+    open_connections &m_connections;
 };
 
 } // namespace
@@ -308,9 +428,9 @@
 struct http_server::private_data
 {
     handler handle;
-    std::atomic<int> active = 0;
+    open_connections connections;
     Poco::ThreadPool threads;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    std::unique_ptr<Poco::Net::TCPServer> server;
 
     private_data(const http_server_limits &limits, handler handler)
         : handle(std::move(handler))
@@ -331,7 +451,9 @@
     parameters->setMaxQueued(limits.maximumQueued);
     parameters->setTimeout(timespanOf(limits.requestTimeout));
     parameters->setKeepAliveTimeout(timespanOf(limits.keepAliveTimeout));
-    d->server = std::make_unique<Poco::Net::HTTPServer>(new exchange_handler_factory(d->handle, d->active), d->threads, socket, parameters);
+    const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers = new exchange_handler_factory(d->handle, d->connections);
+    d->server = std::make_unique<Poco::Net::TCPServer>(
+        new tracked_connection_factory(parameters, handlers, d->connections), d->threads, socket, parameters);
     d->server->start();
 }
 
@@ -347,17 +469,32 @@
 
 void http_server::finish()
 {
-    d->server->stopAll(false);
+    d->server->stop();
+    std::unique_lock lock(d->connections.mutex);
+    d->connections.isFinishing = true;
+    for (auto *connection : d->connections.all) {
+        if (!connection->isBusy()) {
+            connection->stopReading();
+        }
+    }
+    d->connections.changed.wait(lock, [this] { return d->connections.all.empty(); });
 }
 
 int http_server::activeRequests() const
 {
-    return d->active.load();
+    return d->connections.active.load();
 }
 
 void http_server::stopAll()
 {
-    d->server->stopAll(true);
+    d->server->stop();
+    {
+        const std::lock_guard lock(d->connections.mutex);
+        d->connections.isFinishing = true;
+        for (auto *connection : d->connections.all) {
+            connection->cut();
+        }
+    }
     d->threads.joinAll();
 }
 
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -84,8 +84,8 @@
 
     /// Stops accepting connections; those that are open go on.
     void stopAccepting();
-    /// Stops accepting, lets each connection answer the request at hand, and closes it. Returns once all have; a request that was not read
-    /// yet is not read any more.
+    /// Stops accepting, closes all idle connections at once, and lets each other one answer the request at hand before it closes. Returns
+    /// once all have; a request that was not read yet is not read any more.
     void finish();
     /// Requests that are being answered at this moment.
     int activeRequests() const;
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -526,7 +526,7 @@
     for (const auto &[id, replica] : m_replicas) {
         usable += replica.isAlive && !replica.said.isDraining ? 1 : 0;
     }
-    return groupTargets(m_engine, usable, m_state.policy.spareShare).at(wanted);
+    return groupTargets(m_engine, demandShares({}, m_engine), usable, m_state.policy.spareShare).at(wanted);
 }
 
 std::vector<instance_id> assembly_world::membersOfSomeGroup(const model_id &wanted) const
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -46,13 +46,14 @@
 TEST_CASE("Groups are wanted in the proportion of the models' shares")
 {
     const assembly_world world(6, 8, 1);
-    const auto targets = groupTargets(world.engine(), 48, 0);
+    const auto configured = demandShares({}, world.engine());
+    const auto targets = groupTargets(world.engine(), configured, 48, 0);
     CHECK(targets.at(big) == 8);
     CHECK(targets.at(small) == 8);
-    const auto withSpares = groupTargets(world.engine(), 48, 0.25);
+    const auto withSpares = groupTargets(world.engine(), configured, 48, 0.25);
     CHECK(withSpares.at(big) == 6);
     CHECK(withSpares.at(small) == 6);
-    CHECK(groupTargets(world.engine(), 0, 0).at(big) == 0);
+    CHECK(groupTargets(world.engine(), configured, 0, 0).at(big) == 0);
 }
 
 TEST_CASE("Everything is assembled in the seconds before the first request")
--- /dev/null
+++ b/Tests/Assembly/testDemandShares.cpp
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Assembly/demand_shares.h"
+
+#include <catch2/catch.hpp>
+
+using namespace vetchpost;
+
+namespace {
+
+const model_id large("large");
+const model_id small("small");
+const instant start(duration(1000000));
+
+engine_description halves()
+{
+    engine_description engine;
+    engine.models = {{large, 8, 0.5, 1.0, duration(16000), duration(1600)}, {small, 4, 0.5, 0.6, duration(12000), duration(1100)}};
+    return engine;
+}
+
+std::map<model_id, double> sharesWith(int ofLarge, int ofSmall)
+{
+    smoothed_demand demand;
+    noteDemand(demand, {{large, ofLarge}, {small, ofSmall}}, start);
+    return demandShares(demand, halves());
+}
+
+} // namespace
+
+TEST_CASE("Without a measure, or with a few requests, the configured shares hold")
+{
+    CHECK(demandShares({}, halves()).at(large) == Approx(0.5));
+    CHECK(sharesWith(1, 5).at(small) == Approx(0.5));
+}
+
+TEST_CASE("Shares follow the requests that are held, so that groups hold equally many each")
+{
+    const auto shares = sharesWith(80, 240);
+    CHECK(shares.at(large) == Approx(0.4));
+    CHECK(shares.at(small) == Approx(0.6));
+}
+
+TEST_CASE("A model that serves nothing, and so holds nothing, keeps a part of its share")
+{
+    const auto shares = sharesWith(0, 400);
+    CHECK(shares.at(large) == Approx(0.25));
+    CHECK(shares.at(small) == Approx(0.75));
+}
+
+TEST_CASE("A short burst changes little, a lasting one much")
+{
+    smoothed_demand demand;
+    noteDemand(demand, {{large, 100}, {small, 200}}, start);
+    noteDemand(demand, {{large, 100}, {small, 800}}, start + duration(200));
+    CHECK(demand.outstanding.at(small) < 240);
+    for (int i = 1; i < 100; ++i) {
+        noteDemand(demand, {{large, 100}, {small, 800}}, start + duration(200) * i);
+    }
+    CHECK(demand.outstanding.at(small) > 780);
+}
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -122,6 +122,13 @@
     CHECK(again.changes[1].revision == 9);
     CHECK_FALSE(again.changes[1].replica);
 
+    const feed_subscription told{daemon_id("d3"), 4, 8, false, {{service_id("s"), model_id("m"), 17}}};
+    const auto heard = std::get<feed_subscription>(*decodeFeedMessage(encodeFeedMessage(told)));
+    CHECK_FALSE(heard.wantsReplicas);
+    REQUIRE(heard.demand.size() == 1);
+    CHECK(heard.demand[0].model == model_id("m"));
+    CHECK(heard.demand[0].outstanding == 17);
+
     const stall_notice unseen{daemon_id("d1"), instance_id("i-1"), std::nullopt};
     const auto stall = std::get<stall_notice>(*decodeFeedMessage(encodeFeedMessage(unseen)));
     CHECK(stall.replica == instance_id("i-1"));
@@ -241,6 +248,18 @@
     CHECK(someFollowers(source, 2, 0, start + subscriberLifetime + duration(1)).empty());
 }
 
+TEST_CASE("What the followers hold is added up by model")
+{
+    auto source = sourceWith(1);
+    const service_id service("s");
+    answerSubscription(source, {daemon_id("d1"), 1, 100, true, {{service, model_id("m"), 3}, {service, model_id("n"), 1}}}, there, start);
+    answerSubscription(
+        source, {daemon_id("d2"), 1, 100, true, {{service, model_id("m"), 4}, {service_id("t"), model_id("m"), 9}}}, there, start);
+    CHECK(demandOf(source, service, start).at(model_id("m")) == 7);
+    CHECK(demandOf(source, service, start).at(model_id("n")) == 1);
+    CHECK(demandOf(source, service, start + subscriberLifetime + duration(1)).empty());
+}
+
 TEST_CASE("Daemons are counted by their subscriptions, and forgotten after a while")
 {
     auto source = sourceWith(1);
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -75,3 +75,44 @@
     CHECK(askOn(idle, "/quick") == 0);
     CHECK(handled == 2);
 }
+
+TEST_CASE("A server that finishes closes idle connections at once, however many are busy")
+{
+    constexpr duration slowTime(600);
+    const auto address = freePort();
+    http_server server(address, http_server_limits(), [&](http_exchange &exchange) {
+        if (exchange.path() == "/slow") {
+            std::this_thread::sleep_for(slowTime);
+        }
+        exchange.send(200, "text/plain", "whole");
+    });
+    std::atomic<int> answered = 0;
+    std::vector<std::thread> asking;
+    for (int i = 0; i < 6; ++i) {
+        asking.emplace_back([&] {
+            http_call call;
+            call.to = address;
+            call.target = "/slow";
+            reason why;
+            answered += sendOnFreshConnection(call, why) ? 1 : 0;
+        });
+    }
+    std::vector<Poco::Net::StreamSocket> idle;
+    for (int i = 0; i < 6; ++i) {
+        idle.emplace_back(Poco::Net::SocketAddress(address.host, address.port));
+    }
+    std::this_thread::sleep_for(slowTime / 4);
+    const auto asked = monotonicNow();
+    std::thread finishing([&] { server.finish(); });
+    for (auto &socket : idle) {
+        socket.setReceiveTimeout(Poco::Timespan(2, 0));
+        char byte = 0;
+        CHECK(socket.receiveBytes(&byte, 1) == 0);
+    }
+    CHECK(monotonicNow() - asked < slowTime / 2);
+    finishing.join();
+    for (auto &thread : asking) {
+        thread.join();
+    }
+    CHECK(answered == 6);
+}
