--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -44,6 +44,7 @@
     Poco::Net::HTTPServerResponse &response;
     Poco::URI uri;
     std::string path;
+    bool canSeeCallerLeave = true;
     std::ostream *stream = nullptr;
 
     Poco::Net::StreamSocket &socket() const
@@ -237,7 +238,8 @@
 
 int http_exchange::socketDescriptor() const
 {
-    return d.socket().impl()->sockfd();
+    constexpr int none = -1;
+    return d.canSeeCallerLeave ? d.socket().impl()->sockfd() : none;
 }
 
 namespace {
@@ -304,11 +306,21 @@
         return m_isBusy;
     }
 
-    /// What was read is still answered.
+    /// Whether the reading side was closed here, which looks as if the caller had closed it.
+    bool hasStoppedReading() const
+    {
+        return m_hasStoppedReading;
+    }
+
+    /// What was read is still answered, and what has arrived is still read.
     void stopReading()
     {
         try {
-            socket().shutdownReceive();
+            const bool hasArrived = socket().poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
+            if (!hasArrived) {
+                m_hasStoppedReading = true;
+                socket().shutdownReceive();
+            }
         } catch (const Poco::Exception &error) {
             httpLog.debug("A connection was already closed. error={}", error.displayText());
         }
@@ -326,6 +338,7 @@
 private:
     open_connections &m_connections;
     bool m_isBusy = false;
+    bool m_hasStoppedReading = false;
 };
 
 class exchange_handler : public Poco::Net::HTTPRequestHandler
@@ -345,7 +358,7 @@
             response.setKeepAlive(false);
         }
         try {
-            http_exchange::private_data data{request, response, Poco::URI(), {}};
+            http_exchange::private_data data{request, response, Poco::URI(), {}, !currentConnection->hasStoppedReading()};
             http_exchange exchange(data);
             handle(data, exchange);
         } catch (const std::exception &error) {
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -54,7 +54,7 @@
     void abort();
     /// Whether the answer has begun.
     bool hasBegun() const;
-    /// The socket of the caller, to watch for its leaving.
+    /// The socket of the caller, to watch for its leaving; -1 where the server itself has stopped reading from it, which looks the same.
     int socketDescriptor() const;
 
 private:
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -8,6 +8,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
 
+#include <poll.h>
+
 #include <atomic>
 #include <iterator>
 #include <thread>
@@ -116,3 +118,41 @@
     }
     CHECK(answered == 6);
 }
+
+TEST_CASE("A request that was read as the server finishes does not look as if its caller had left, and has its answer")
+{
+    constexpr int rounds = 20;
+    constexpr int clients = 24;
+    std::atomic<int> seenLeaving = 0;
+    std::atomic<int> broken = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const auto address = freePort();
+        http_server server(address, http_server_limits(), [&](http_exchange &exchange) {
+            pollfd caller{exchange.socketDescriptor(), POLLRDHUP, 0};
+            poll(&caller, 1, 1);
+            seenLeaving += (caller.revents & POLLRDHUP) != 0 ? 1 : 0;
+            exchange.send(200, "text/plain", "whole");
+        });
+        std::vector<std::thread> asking;
+        for (int i = 0; i < clients; ++i) {
+            asking.emplace_back([&] {
+                try {
+                    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(address.host, address.port));
+                    Poco::Net::HTTPClientSession session(socket);
+                    session.setKeepAlive(true);
+                    while (askOn(session, "/quick") == 200 && session.connected()) {
+                    }
+                } catch (const Poco::Exception &) {
+                    // The connection ended between two requests, or the server is no more.
+                    ++broken;
+                }
+            });
+        }
+        std::this_thread::sleep_for(duration(10));
+        server.finish();
+        for (auto &thread : asking) {
+            thread.join();
+        }
+    }
+    CHECK(seenLeaving == 0);
+}
