Entry: Tell all daemons of a group that is likely to stand still, and pass over places where nothing comes

Each daemon had to find out by itself, and few have other requests there. Change: the coordinator tells all daemons as soon as its own look at a member has no answer; requests without an event leave at once, others as soon as they notice the pause. A place where requests wait and nothing came for 0.3 s is passed over. Stalls are told after 0.25 s (0.35 s).

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -393,6 +393,20 @@
         }
     }
 
+    /// The head of the group that a replica says it stands in.
+    std::optional<instance_id> headOfGroup(const served_replica &replica) const
+    {
+        const auto directory = store.directory();
+        for (const auto &[id, other] : directory->replicas) {
+            const bool isHead = replica.membership && other.membership && other.membership->group == replica.membership->group
+                && other.membership->formed == replica.membership->formed && other.membership->rank == 0;
+            if (isHead) {
+                return id;
+            }
+        }
+        return std::nullopt;
+    }
+
     /// Whether the replica itself answers this daemon.
     bool answers(const served_replica &replica, reason &why) const
     {
@@ -423,6 +437,9 @@
             mustPlan = true;
         }
         wake.notify_all();
+        if (const auto head = headOfGroup(replica)) {
+            feed.tellDoubt(*head);
+        }
         feed.askForLooks(replica.id);
     }
 
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -23,6 +23,17 @@
 
 } // namespace
 
+void avoid(backend_load &load, instant now)
+{
+    load.avoidedUntil = (now + avoidance).time_since_epoch().count();
+}
+
+bool isQuiet(const backend_load &load, instant now)
+{
+    const auto last = load.lastProgress.load();
+    return load.outstanding.load() > 0 && last > 0 && now.time_since_epoch().count() - last > quietPause.count();
+}
+
 const std::vector<backend> &entry_view::backends(const served_service &service, const model_id &model) const
 {
     static const std::vector<backend> none;
@@ -89,7 +100,7 @@
         if (std::find(tried.begin(), tried.end(), candidate.replica) != tried.end()) {
             continue;
         }
-        const bool isAvoided = candidate.load->avoidedUntil.load() > now.time_since_epoch().count();
+        const bool isAvoided = candidate.load->avoidedUntil.load() > now.time_since_epoch().count() || isQuiet(*candidate.load, now);
         const std::pair cost(isAvoided, costOf(candidate, dataCentre));
         if (best == nullptr || cost < bestCost) {
             best = &candidate;
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -22,8 +22,19 @@
     std::atomic<std::int64_t> avoidedUntil = 0;
     /// When bytes last came from there (milliseconds of the decision clock).
     std::atomic<std::int64_t> lastProgress = 0;
+    /// When the coordinator last told that the place is likely to stand still (milliseconds of the decision clock).
+    std::atomic<std::int64_t> doubtedAt = 0;
 };
 
+/// A place that stood still or broke off is passed over for so long, while there is another.
+constexpr duration avoidance(3000);
+/// A place where requests wait and nothing came for so long is passed over too: longer than the longest pause that keeps a stream in time.
+constexpr duration quietPause(300);
+
+void avoid(backend_load &load, instant now);
+/// Whether requests wait at a place that sent nothing for a while.
+bool isQuiet(const backend_load &load, instant now);
+
 /// One place that requests can be sent to: a replica of a plain service, or the head of a group.
 struct backend
 {
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -49,6 +49,7 @@
     std::function<std::vector<model_demand>()> heldHere;
     std::function<void(const stall_notice &)> didHearStall;
     std::function<void(const look_request &)> didHearLook;
+    std::function<void(const group_doubt &)> didHearDoubt;
     counter sent;
     counter received;
     counter unreadable;
@@ -71,12 +72,14 @@
                  metrics &counters,
                  std::function<std::vector<model_demand>()> held,
                  std::function<void(const stall_notice &)> hearStall,
-                 std::function<void(const look_request &)> hearLook)
+                 std::function<void(const look_request &)> hearLook,
+                 std::function<void(const group_doubt &)> hearDoubt)
         : settings(entrySettings)
         , store(follows)
         , heldHere(std::move(held))
         , didHearStall(std::move(hearStall))
         , didHearLook(std::move(hearLook))
+        , didHearDoubt(std::move(hearDoubt))
         , sent(counters.addCounter("vetchpost_feed_datagrams_sent_total", "Datagrams sent to other daemons."))
         , received(counters.addCounter("vetchpost_feed_datagrams_received_total", "Datagrams received from other daemons."))
         , unreadable(counters.addCounter("vetchpost_feed_datagrams_unreadable_total", "Datagrams that are no message."))
@@ -163,15 +166,24 @@
         didHearStall(notice);
     }
 
+    bool isFromSource(const endpoint &from) const
+    {
+        const std::lock_guard lock(mutex);
+        return from == source;
+    }
+
     void take(const look_request &request, const endpoint &from)
     {
-        {
-            const std::lock_guard lock(mutex);
-            if (from != source) {
-                return;
-            }
+        if (isFromSource(from)) {
+            didHearLook(request);
+        }
+    }
+
+    void take(const group_doubt &doubt, const endpoint &from)
+    {
+        if (isFromSource(from)) {
+            didHearDoubt(doubt);
         }
-        didHearLook(request);
     }
 
     void take(const feed_end & /*message*/, const endpoint &from)
@@ -245,8 +257,10 @@
                      metrics &counters,
                      std::function<std::vector<model_demand>()> heldHere,
                      std::function<void(const stall_notice &)> didHearStall,
-                     std::function<void(const look_request &)> didHearLook)
-    : d(std::make_unique<private_data>(settings, store, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearLook)))
+                     std::function<void(const look_request &)> didHearLook,
+                     std::function<void(const group_doubt &)> didHearDoubt)
+    : d(std::make_unique<private_data>(
+        settings, store, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearLook), std::move(didHearDoubt)))
 {
 }
 
@@ -318,6 +332,12 @@
     d->send({d->store.someFollowers(witnessesAsked, asked), look_request{replica}});
 }
 
+void peer_feed::tellDoubt(const instance_id &head)
+{
+    d->send({d->store.someFollowers(SIZE_MAX, 0), group_doubt{head}});
+    d->didHearDoubt({head});
+}
+
 bool peer_feed::isSourceHeard() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -21,7 +21,8 @@
               metrics &counters,
               std::function<std::vector<model_demand>()> heldHere,
               std::function<void(const stall_notice &)> didHearStall,
-              std::function<void(const look_request &)> didHearLook);
+              std::function<void(const look_request &)> didHearLook,
+              std::function<void(const group_doubt &)> didHearDoubt);
     ~peer_feed();
     peer_feed(const peer_feed &) = delete;
     peer_feed &operator=(const peer_feed &) = delete;
@@ -40,6 +41,8 @@
     bool tellStall(const stall_notice &notice);
     /// As the source: asks some followers to look at a replica, others each time.
     void askForLooks(const instance_id &replica);
+    /// As the source: tells all followers that a group is likely to stand still.
+    void tellDoubt(const instance_id &head);
 
     /// Whether the source answered lately.
     bool isSourceHeard() const;
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -55,6 +55,23 @@
     return currentAt && now - *currentAt < m_settings.keyRevocation - keyMargin;
 }
 
+void relay_context::doubt(const instance_id &head) const
+{
+    const auto view = currentView();
+    if (!view) {
+        return;
+    }
+    const auto now = monotonicNow();
+    for (const auto &[model, backends] : view->groups) {
+        for (const auto &backend : backends) {
+            if (backend.replica == head) {
+                backend.load->doubtedAt = now.time_since_epoch().count();
+                avoid(*backend.load, now);
+            }
+        }
+    }
+}
+
 retry_budget &relay_context::budgetOf(const service_id &service)
 {
     const auto [found, isNew] = m_budgets.try_emplace(service);
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -41,6 +41,9 @@
     /// Whether the keys at hand are new enough to be trusted.
     bool areKeysCurrent(instant now) const;
 
+    /// A group is likely to stand still: nothing new goes there for a while, and what waits there goes elsewhere.
+    void doubt(const instance_id &head) const;
+
     void noteFirstTry(const service_id &service);
     /// Takes one repeat out of this daemon's part of the budget; false where it is used up.
     bool takeRepeat(const service_id &service);
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -20,15 +20,15 @@
 /// A stream whose replica sends nothing for so long stands still: ten times the usual pause, under half of the two seconds after which
 /// clients give a stream up.
 constexpr duration stallPause(700);
-/// After a pause of so long the coordinator is asked to look at the group: longer than the longest pause that keeps a stream in time.
-constexpr duration lookPause(350);
+/// After a pause of so long the coordinator is asked to look at the group: four times the usual pause of a full group.
+constexpr duration lookPause(250);
 /// A first event takes at least so long before its group is looked at; twice the route's objective where that is more.
 constexpr duration leastFirstEventPatience(900);
 constexpr int objectivesUntilFirstEvent = 2;
 /// An idempotent call is tried elsewhere once it is late, but not before this.
 constexpr duration leastRetryPatience(200);
-/// A place that stood still or broke off is passed over for so long, while there is another.
-constexpr duration avoidance(3000);
+/// How often a request that waits looks whether its place was told to stand still.
+constexpr duration doubtLookPeriod(120);
 /// With less time left than this no replica can answer.
 constexpr duration leastTimeLeft(15);
 /// When to come back after a refusal: a group is repaired in about two seconds, a full place is free again much sooner.
@@ -299,7 +299,11 @@
 {
     m_tried.push_back(target.replica);
     m_tryStart = monotonicNow();
-    target.load->outstanding.fetch_add(1);
+    m_hasProgress = false;
+    if (target.load->outstanding.fetch_add(1) == 0) {
+        // Nothing was awaited there: the pause begins now.
+        target.load->lastProgress = m_tryStart.time_since_epoch().count();
+    }
     const auto end = runOn(target);
     target.load->outstanding.fetch_sub(1);
     noteTrouble(target, end);
@@ -364,8 +368,13 @@
 try_end request_run::awaitHead(http_upstream &upstream, const backend &target)
 {
     for (;;) {
+        const bool mayMove = m_attempts < m_route->maximumAttempts && m_route->mayRunAgain();
         const auto patience = firstAnswerPatience();
-        const auto wait = upstream.waitForAnswer(std::min(m_deadline, patience), m_exchange.socketDescriptor());
+        auto wait = upstream_wait::timeout;
+        do {
+            const auto until = mayMove && isStream() ? std::min(patience, monotonicNow() + doubtLookPeriod) : patience;
+            wait = upstream.waitForAnswer(std::min(m_deadline, until), m_exchange.socketDescriptor());
+        } while (wait == upstream_wait::timeout && monotonicNow() < std::min(m_deadline, patience) && !isDoubted(target));
         if (wait == upstream_wait::data) {
             return passAnswer(upstream, target);
         }
@@ -373,8 +382,7 @@
             m_lastWhy = "no answer before the deadline";
             return endOf(wait);
         }
-        const bool mayMove = m_attempts < m_route->maximumAttempts && m_route->mayRunAgain();
-        if (mayMove && (!isStream() || isStandingStill(target))) {
+        if (mayMove && (!isStream() || isStandingStill(target) || isDoubted(target))) {
             m_lastWhy = "the replica is silent";
             return try_end::silent;
         }
@@ -455,7 +463,10 @@
         auto wait = upstream.nextPiece(piece, std::min(m_deadline, pauseStart + lookPause), m_exchange.socketDescriptor());
         if (wait == upstream_wait::timeout && monotonicNow() < m_deadline) {
             m_context.noteStall(target.replica);
-            wait = upstream.nextPiece(piece, std::min(m_deadline, pauseStart + stallPause), m_exchange.socketDescriptor());
+            while (wait == upstream_wait::timeout && monotonicNow() < std::min(m_deadline, pauseStart + stallPause) && !isDoubted(target)) {
+                const auto until = std::min(pauseStart + stallPause, monotonicNow() + doubtLookPeriod);
+                wait = upstream.nextPiece(piece, std::min(m_deadline, until), m_exchange.socketDescriptor());
+            }
         }
         if (wait == upstream_wait::data) {
             noteProgress(target);
@@ -467,7 +478,8 @@
             m_context.served.increment();
             return try_end::answered;
         } else if (wait == upstream_wait::timeout && monotonicNow() < m_deadline) {
-            if (isStandingStill(target) && m_route->isResumable && m_attempts < m_route->maximumAttempts) {
+            const bool isStuck = isStandingStill(target) || isDoubted(target);
+            if (isStuck && m_route->isResumable && m_attempts < m_route->maximumAttempts) {
                 m_lastWhy = "the stream stands still";
                 return try_end::silent;
             }
@@ -526,12 +538,11 @@
 
 // What is learned of a place.
 
-void request_run::noteProgress(const backend &target) const
+void request_run::noteProgress(const backend &target)
 {
     const auto now = monotonicNow();
-    const auto previous = target.load->lastProgress.exchange(now.time_since_epoch().count());
-    const bool isFirst = previous < m_tryStart.time_since_epoch().count();
-    if (isFirst) {
+    target.load->lastProgress = now.time_since_epoch().count();
+    if (!std::exchange(m_hasProgress, true)) {
         const auto time = static_cast<double>((now - m_tryStart).count());
         const auto known = target.load->answerTime.load();
         target.load->answerTime = known > 0 ? known + newestWeight * (time - known) : time;
@@ -544,7 +555,7 @@
     if (!isTrouble) {
         return;
     }
-    target.load->avoidedUntil = (monotonicNow() + avoidance).time_since_epoch().count();
+    avoid(*target.load, monotonicNow());
     if (!target.group.isEmpty()) {
         m_context.noteStall(target.replica);
     }
@@ -555,6 +566,12 @@
     return monotonicNow().time_since_epoch().count() - target.load->lastProgress.load() >= stallPause.count();
 }
 
+/// Whether the coordinator has told, since this request was sent there, that the place is likely to stand still.
+bool request_run::isDoubted(const backend &target) const
+{
+    return target.load->doubtedAt.load() >= m_tryStart.time_since_epoch().count();
+}
+
 instant request_run::firstAnswerPatience() const
 {
     const auto objective = m_route->objective;
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -72,9 +72,10 @@
     bool sendWhole(const whole_answer &answer);
     void noteSent();
 
-    void noteProgress(const backend &target) const;
+    void noteProgress(const backend &target);
     void noteTrouble(const backend &target, try_end end) const;
     bool isStandingStill(const backend &target) const;
+    bool isDoubted(const backend &target) const;
     instant firstAnswerPatience() const;
     duration timeLeft() const;
     bool isStream() const;
@@ -98,6 +99,8 @@
     /// The client has an answer's head.
     bool m_hasBegun = false;
     instant m_tryStart;
+    /// Something has come in this try.
+    bool m_hasProgress = false;
     /// When the client was first and last sent a part of its answer.
     std::optional<instant> m_firstSent;
     std::optional<instant> m_lastSent;
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -14,6 +14,7 @@
 constexpr auto updateKind = "update";
 constexpr auto stallKind = "stall";
 constexpr auto lookKind = "look";
+constexpr auto doubtKind = "doubt";
 constexpr auto endKind = "end";
 constexpr auto fromField = "from";
 constexpr auto nonceField = "nonce";
@@ -98,6 +99,14 @@
     return json;
 }
 
+Json::Value encoded(const group_doubt &message)
+{
+    Json::Value json;
+    json[kindField] = doubtKind;
+    json[replicaField] = message.head.value();
+    return json;
+}
+
 Json::Value encoded(const feed_end & /*message*/)
 {
     Json::Value json;
@@ -181,6 +190,9 @@
     if (kind == lookKind) {
         return look_request{instance_id(jsonString(*json, replicaField))};
     }
+    if (kind == doubtKind) {
+        return group_doubt{instance_id(jsonString(*json, replicaField))};
+    }
     if (kind == endKind) {
         return feed_end();
     }
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -84,12 +84,18 @@
     instance_id replica;
 };
 
+/// The source found a member of a group silent: requests that wait at the group's head had better go elsewhere.
+struct group_doubt
+{
+    instance_id head;
+};
+
 /// The sender is no source (any more).
 struct feed_end
 {
 };
 
-using feed_message = std::variant<feed_subscription, feed_update, stall_notice, look_request, feed_end>;
+using feed_message = std::variant<feed_subscription, feed_update, stall_notice, look_request, group_doubt, feed_end>;
 
 std::string encodeFeedMessage(const feed_message &message);
 /// Nothing where the bytes are no message.
--- a/Tests/Entry/testEntryView.cpp
+++ b/Tests/Entry/testEntryView.cpp
@@ -107,3 +107,24 @@
     CHECK(second->backends(service, model_id("small")).front().load->answerTime == 0);
     CHECK(second->backends(service, model_id("big")).empty());
 }
+
+TEST_CASE("A place where requests wait and nothing comes is passed over, and taken again once something comes")
+{
+    const instant now(duration(1000000));
+    std::vector<backend> places(2);
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        places[i].replica = instance_id("r" + std::to_string(i));
+        places[i].load = std::make_shared<backend_load>();
+    }
+    auto &stuck = *places[0].load;
+    stuck.outstanding = 1;
+    places[1].load->outstanding = 5;
+    places[1].load->lastProgress = now.time_since_epoch().count();
+    stuck.lastProgress = (now - quietPause).time_since_epoch().count();
+    CHECK(chooseBackend(places, {}, data_centre_id("z"), now, 0)->replica == instance_id("r0"));
+    CHECK(chooseBackend(places, {}, data_centre_id("z"), now + duration(1), 0)->replica == instance_id("r1"));
+    // Where it is the only place it is still taken.
+    CHECK(chooseBackend(places, {instance_id("r1")}, data_centre_id("z"), now + duration(1), 0)->replica == instance_id("r0"));
+    stuck.lastProgress = now.time_since_epoch().count();
+    CHECK(chooseBackend(places, {}, data_centre_id("z"), now + duration(1), 0)->replica == instance_id("r0"));
+}
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -135,6 +135,7 @@
     CHECK_FALSE(stall.hasAnswered);
     CHECK(std::get<feed_subscription>(*decodeFeedMessage(encodeFeedMessage(feed_subscription{daemon_id("d2"), 4, 8}))).replicasUpTo == 8);
     CHECK(std::get<look_request>(*decodeFeedMessage(encodeFeedMessage(look_request{instance_id("i-2")}))).replica == instance_id("i-2"));
+    CHECK(std::get<group_doubt>(*decodeFeedMessage(encodeFeedMessage(group_doubt{instance_id("i-3")}))).head == instance_id("i-3"));
     CHECK(std::holds_alternative<feed_end>(*decodeFeedMessage(encodeFeedMessage(feed_end()))));
     for (const auto *bytes : {"",
                               "{",
