--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -44,6 +44,7 @@
     // New groups out of free replicas.
 
     void collectFree();
+    int smallestGroup() const;
     bool isSettled();
     void formGroups();
     std::vector<const group_model *> modelsBySize() const;
@@ -55,8 +56,11 @@
     void formExtra();
     bool isBusy(const fabric_domain_id &domain) const;
     planned_group *victimFor(const group_model &model);
+    void preemptSurplus();
+    planned_group *surplusFor(const group_model &model);
+    int readyWith(const planned_group &group, const model_id &model) const;
     static int quickCount(const std::vector<const served_replica *> &replicas, const model_id &model);
-    double partWithoutEnding(const group_model &model) const;
+    double partWithoutEnding(const group_model &model, int more = 0) const;
     std::vector<const served_replica *> availableFor(const group_model &model, const fabric_domain_id &domain) const;
     const fabric_domain_id *bestDomain(const group_model &model) const;
     std::vector<const served_replica *> soonest(std::vector<const served_replica *> replicas, const group_model &model) const;
@@ -85,7 +89,8 @@
     void claimReady();
     int readyOrStaging(const std::vector<const served_replica *> &replicas, const model_id &model) const;
     void stageServing();
-    bool isStoreIdle() const;
+    bool hasRoomToPrepare(const group_model &model) const;
+    std::vector<const planned_group *> groupsToPrepare() const;
     void stageAnother(const planned_group &group, const instance_id &instance);
     const group_model *otherModel(const model_id &model) const;
     void stage(const served_replica &replica, const model_id &model);
--- a/Libraries/Assembly/demand_shares.cpp
+++ b/Libraries/Assembly/demand_shares.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-/// A burst that lasts for less than a load of weights is not worth a change of groups.
-constexpr double smoothingSeconds = 4;
+/// A burst that lasts for less than a load of weights is not worth a change of groups: what a switch burns has to be loaded again.
+constexpr double smoothingSeconds = 8;
 /// With fewer requests than this the measure says little, and nothing is short.
 constexpr double leastRequests = 20;
-constexpr double leastOfConfigured = 0.5;
-constexpr double mostOfConfigured = 1.5;
+constexpr double leastOfConfigured = 0.75;
+constexpr double mostOfConfigured = 1.25;
 
 } // namespace
 
@@ -46,7 +46,8 @@
     double sum = 0;
     for (const auto &model : engine.models) {
         const bool isMeasured = requests >= leastRequests && measured > 0;
-        const auto share = isMeasured ? configured * needed.at(model.id) / measured : model.share;
+        // A model that is short holds more requests than its work accounts for, so that the measure is followed half the way.
+        const auto share = isMeasured ? std::sqrt(model.share * configured * needed.at(model.id) / measured) : model.share;
         shares[model.id] = std::clamp(share, leastOfConfigured * model.share, mostOfConfigured * model.share);
         sum += shares[model.id];
     }
--- a/Libraries/Assembly/demand_shares.h
+++ b/Libraries/Assembly/demand_shares.h
@@ -18,8 +18,8 @@
 
 /// Takes in how many requests of each model are held now.
 void noteDemand(smoothed_demand &demand, const std::map<model_id, int> &outstanding, instant now);
-/// The part of the replicas that each model should have: where its groups would hold equally many requests each. It stays within a half of
-/// the configured share more or less, since a model that serves nothing also holds nothing.
+/// The part of the replicas that each model should have: between the configured share and the one at which its groups would hold equally
+/// many requests each, and within a quarter of the configured one.
 std::map<model_id, double> demandShares(const smoothed_demand &demand, const engine_description &engine);
 
 } // namespace vetchpost
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -23,12 +23,13 @@
             }
         }
     }
+    std::map<fabric_domain_id, int> usable;
     for (const auto &[id, replica] : m_view.directory.replicas) {
         if (replica.service != m_view.service) {
             continue;
         }
         if (!replica.isDraining && !m_view.suspects.contains(id)) {
-            ++m_usable;
+            ++usable[replica.domain];
         }
         if (isAlive(id) && !used.contains(id) && !isAvoided(id)) {
             m_free[replica.domain].push_back(&replica);
@@ -38,6 +39,20 @@
         }
     }
     std::erase_if(m_state.idleSince, [&](const auto &entry) { return find(entry.first) == nullptr; });
+    // What a domain has over whole groups of the smallest size can only be spares.
+    const auto smallest = smallestGroup();
+    for (const auto &[domain, count] : usable) {
+        m_usable += count - count % smallest;
+    }
+}
+
+int assembly_round::smallestGroup() const
+{
+    int smallest = 0;
+    for (const auto &model : m_view.engine.models) {
+        smallest = smallest == 0 ? model.size : std::min(smallest, model.size);
+    }
+    return std::max(1, smallest);
 }
 
 bool assembly_round::isSettled()
@@ -137,6 +152,60 @@
     }
 }
 
+/// Takes a group apart of a model that has more than it needs, where its members are ready for a model that lacks much. The other way round
+/// than above it may also be the larger group that gives way: its model keeps what it needs.
+void assembly_round::preemptSurplus()
+{
+    for (const auto *model : modelsBySize()) {
+        if (presentPart(*model) >= m_state.policy.muchLacking || bestDomain(*model) != nullptr) {
+            continue;
+        }
+        if (auto *victim = surplusFor(*model)) {
+            beginClose(*victim, close_method::finish, "its model has more than it needs, and " + model->id.value() + " lacks much");
+            return;
+        }
+    }
+}
+
+/// Of the groups that can be spared the one whose members and free neighbours make the most groups of the model.
+planned_group *assembly_round::surplusFor(const group_model &model)
+{
+    planned_group *best = nullptr;
+    int mostReady = model.size - 1;
+    for (auto &[id, group] : m_state.groups) {
+        const auto *other = findModel(group.model);
+        const auto *head = find(group.members.front().instance);
+        const bool isSpare = group.stage == assembly_stage::serving && other != nullptr && other->id != model.id && head != nullptr
+            && partWithoutEnding(*other, -1) >= 1;
+        if (!isSpare || isBusy(head->domain)) {
+            continue;
+        }
+        const auto ready = readyWith(group, model.id);
+        if (ready > mostReady) {
+            best = &group;
+            mostReady = ready;
+        }
+    }
+    return best;
+}
+
+/// How many members of a group and free replicas of its domain are ready for a model.
+int assembly_round::readyWith(const planned_group &group, const model_id &model) const
+{
+    std::vector<const served_replica *> replicas;
+    for (const auto &member : group.members) {
+        if (const auto *replica = find(member.instance)) {
+            replicas.push_back(replica);
+        }
+    }
+    if (!replicas.empty()) {
+        if (const auto free = m_free.find(replicas.front()->domain); free != m_free.end()) {
+            replicas.insert(replicas.end(), free->second.begin(), free->second.end());
+        }
+    }
+    return quickCount(replicas, model);
+}
+
 /// Replicas that no wanted group can use serve as a group of a smaller model, more than wanted, rather than idle; where the larger
 /// model can use them later, they give way to it.
 void assembly_round::formExtra()
@@ -180,16 +249,8 @@
             continue;
         }
         const auto free = m_free.find(head->domain);
-        auto quick = free == m_free.end() ? 0 : quickCount(free->second, model.id);
-        const bool isUseful = quick > 0;
-        std::vector<const served_replica *> members;
-        for (const auto &member : group.members) {
-            if (const auto *replica = find(member.instance)) {
-                members.push_back(replica);
-            }
-        }
-        quick += quickCount(members, model.id);
-        if (isUseful && quick >= model.size) {
+        const bool isUseful = free != m_free.end() && quickCount(free->second, model.id) > 0;
+        if (isUseful && readyWith(group, model.id) >= model.size) {
             return &group;
         }
     }
@@ -204,14 +265,14 @@
 }
 
 /// The part of a model's wanted groups that is there, without those that are about to end.
-double assembly_round::partWithoutEnding(const group_model &model) const
+double assembly_round::partWithoutEnding(const group_model &model, int more) const
 {
     const auto target = m_targets.at(model.id);
     const auto count = std::count_if(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
         const auto stage = entry.second.stage;
         return entry.second.model == model.id && stage != assembly_stage::closing && stage != assembly_stage::leaving;
     });
-    return target == 0 ? 1.0 : static_cast<double>(count) / target;
+    return target == 0 ? 1.0 : static_cast<double>(count + more) / target;
 }
 
 /// The free replicas of a domain that a model may use: not those that are ready for a model which lacks more of its groups, as long as a
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -38,6 +38,7 @@
         return std::move(m_orders);
     }
     preemptForLarger();
+    preemptSurplus();
     formGroups();
     formExtra();
     stageSpares();
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -116,23 +116,45 @@
 /// form a group of that model within a second. First one host of every group, then the next.
 void assembly_round::stageServing()
 {
+    const auto groups = groupsToPrepare();
     std::size_t largest = 0;
-    for (const auto &[id, group] : m_state.groups) {
-        largest = std::max(largest, group.members.size());
+    for (const auto *group : groups) {
+        largest = std::max(largest, group->members.size());
     }
     for (std::size_t rank = 0; rank < largest && m_view.engine.stagedPerHost > 0; ++rank) {
-        for (const auto &[id, group] : m_state.groups) {
-            if (group.stage == assembly_stage::serving && rank < group.members.size() && isStoreIdle()) {
-                stageAnother(group, group.members[rank].instance);
+        for (const auto *group : groups) {
+            const auto *other = otherModel(group->model);
+            if (other != nullptr && rank < group->members.size() && hasRoomToPrepare(*other)) {
+                stageAnother(*group, group->members[rank].instance);
             }
         }
     }
 }
 
-/// Whether a load that only prepares for a loss may begin: all that the store feeds at a time before the first request, few later.
-bool assembly_round::isStoreIdle() const
+/// The serving groups, those first in whose domain a group of the other model lacks least.
+std::vector<const planned_group *> assembly_round::groupsToPrepare() const
+{
+    std::vector<std::pair<int, const planned_group *>> candidates;
+    for (const auto &[id, group] : m_state.groups) {
+        const auto *other = otherModel(group.model);
+        if (group.stage == assembly_stage::serving && other != nullptr) {
+            candidates.emplace_back(presentPart(*other) < 1 ? other->size - readyWith(group, other->id) : 0, &group);
+        }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::vector<const planned_group *> groups;
+    for (const auto &[lacking, group] : candidates) {
+        groups.push_back(group);
+    }
+    return groups;
+}
+
+/// Whether a load may begin that prepares hosts for a model: all that the store feeds at a time before the first request and where the
+/// model lacks groups, few otherwise.
+bool assembly_round::hasRoomToPrepare(const group_model &model) const
 {
-    const auto most = m_view.isBeforeTraffic ? static_cast<std::size_t>(m_view.engine.concurrentLoads) : idleStoreLoads;
+    const bool isWanted = m_view.isBeforeTraffic || presentPart(model) < m_state.policy.muchLacking;
+    const auto most = isWanted ? static_cast<std::size_t>(m_view.engine.concurrentLoads) : idleStoreLoads;
     return m_state.stagings.size() < most;
 }
 
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -35,6 +35,8 @@
 constexpr duration suspicionTime(10000);
 /// How often a member without an entry is looked at.
 constexpr duration unlistedLookPeriod(800);
+/// ... and one that did not answer: within the time for which it is suspected.
+constexpr duration silentLookPeriod(4000);
 /// How often the coordinator logs what stands of each model.
 constexpr duration standingLogPeriod(1000);
 constexpr int orderThreads = 12;
@@ -361,7 +363,8 @@
     {
         for (const auto &[id, replica] : directory.replicas) {
             auto &last = lastLooks[id];
-            if (replica.isUnlisted && now - last >= unlistedLookPeriod) {
+            const auto period = suspects.contains(id) ? silentLookPeriod : unlistedLookPeriod;
+            if (replica.isUnlisted && now - last >= period) {
                 last = now;
                 orderWorkers.run([this, looked = replica] { look(looked); });
             }
@@ -426,6 +429,7 @@
         reason why;
         const bool hasAnswered = answers(replica, why);
         assemblyLog.write("looked", {{"replica", replica.id.value()}, {"answers", hasAnswered}, {"why", why.text}});
+        bool isNew = false;
         {
             const std::lock_guard lock(mutex);
             noteLook(witnesses, replica.id, settings.daemon, {monotonicNow(), hasAnswered});
@@ -433,10 +437,14 @@
                 suspects.erase(replica.id);
                 return;
             }
+            isNew = !suspects.contains(replica.id);
             suspects[replica.id] = monotonicNow() + suspicionTime;
             mustPlan = true;
         }
         wake.notify_all();
+        if (!isNew) {
+            return;
+        }
         if (const auto head = headOfGroup(replica)) {
             feed.tellDoubt(*head);
         }
