--- /dev/null
+++ b/Libraries/Explain/request_story.cpp
@@ -0,0 +1,146 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Explain/request_story.h"
+
+#include "Libraries/Base/json.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace vetchpost {
+
+namespace {
+
+/// What happened to a request's groups so long before it and after it bears on it: the longest that a loss takes to be found and mended.
+constexpr std::int64_t millisecondsBefore = 8000;
+constexpr std::int64_t millisecondsAfter = 2000;
+/// Fields that are shown apart, or tell nothing.
+constexpr std::array<std::string_view, 5> leadingFields = {"ms", "steady_ms", "daemon", "part", "event"};
+/// Events of a daemon that bear on all of its requests.
+constexpr std::array<std::string_view, 11> daemonEvents = {"started",
+                                                           "stopping",
+                                                           "stopped",
+                                                           "store_lost",
+                                                           "store_regained",
+                                                           "configuration_in_force",
+                                                           "configuration_unreadable",
+                                                           "coordination_taken",
+                                                           "coordination_lost",
+                                                           "source_heard",
+                                                           "source_lost"};
+
+struct ending
+{
+    std::string_view event;
+    std::string_view meaning;
+};
+
+constexpr std::array<ending, 5> endings = {{{"answered", "was answered whole"},
+                                            {"refused", "was refused"},
+                                            {"broken_off", "was broken off after its answer had begun"},
+                                            {"failure_passed_on", "got the replica's own failure"},
+                                            {"caller_left", "was given up by its caller"}}};
+
+std::string shown(const Json::Value &value)
+{
+    return value.isString() ? value.asString() : toJsonText(value);
+}
+
+std::string detailsOf(const Json::Value &json)
+{
+    std::string details;
+    for (const auto &name : json.getMemberNames()) {
+        if (std::find(leadingFields.begin(), leadingFields.end(), name) == leadingFields.end()) {
+            details += fmt::format("{}{}={}", details.empty() ? "" : " ", name, shown(json[name]));
+        }
+    }
+    return details;
+}
+
+bool isDaemonEvent(const std::string &event)
+{
+    return std::find(daemonEvents.begin(), daemonEvents.end(), event) != daemonEvents.end();
+}
+
+bool namesAny(const std::string &text, const std::set<std::string> &names)
+{
+    return std::any_of(names.begin(), names.end(), [&](const std::string &name) { return text.find(name) != std::string::npos; });
+}
+
+std::string verdictOf(const std::vector<log_entry> &lines)
+{
+    for (auto line = lines.rbegin(); line != lines.rend(); ++line) {
+        for (const auto &end : endings) {
+            if (line->part == "request" && line->event == end.event) {
+                return fmt::format("It {} by {}: {}", end.meaning, line->daemon, line->details);
+            }
+        }
+    }
+    return lines.empty() ? std::string() : "No line tells how it ended: its daemon was killed, or left the line out.";
+}
+
+} // namespace
+
+void log_collector::take(std::istream &log)
+{
+    std::string text;
+    while (std::getline(log, text)) {
+        const auto begin = text.find('{');
+        const auto json = begin == std::string::npos ? std::nullopt : parseJson(text.substr(begin));
+        if (!json || !json->isObject() || !json->isMember("event")) {
+            m_unreadable += text.empty() ? 0 : 1;
+            continue;
+        }
+        collected line;
+        line.entry = {static_cast<std::int64_t>(jsonNumber(*json, "ms")),
+                      jsonString(*json, "daemon"),
+                      jsonString(*json, "part"),
+                      jsonString(*json, "event"),
+                      detailsOf(*json)};
+        line.request = jsonString(*json, "request");
+        line.replica = jsonString(*json, "replica");
+        line.group = jsonString(*json, "group");
+        m_lines.push_back(std::move(line));
+    }
+}
+
+request_story log_collector::storyOf(const std::string &request) const
+{
+    request_story story;
+    story.unreadable = m_unreadable;
+    std::set<std::string> places;
+    std::set<std::string> daemons;
+    std::vector<log_entry> own;
+    for (const auto &line : m_lines) {
+        if (line.request != request || request.empty()) {
+            continue;
+        }
+        own.push_back(line.entry);
+        daemons.insert(line.entry.daemon);
+        for (const auto &place : {line.replica, line.group}) {
+            if (!place.empty()) {
+                places.insert(place);
+            }
+        }
+    }
+    const auto byTime = [](const log_entry &left, const log_entry &right) { return left.milliseconds < right.milliseconds; };
+    std::stable_sort(own.begin(), own.end(), byTime);
+    story.verdict = verdictOf(own);
+    story.entries = own;
+    for (const auto &line : m_lines) {
+        const auto &entry = line.entry;
+        const bool isNear = !own.empty() && entry.milliseconds >= own.front().milliseconds - millisecondsBefore
+            && entry.milliseconds <= own.back().milliseconds + millisecondsAfter;
+        const bool bears = (entry.part == "assembly" && namesAny(entry.details, places))
+            || (daemons.contains(entry.daemon) && isDaemonEvent(entry.event));
+        if (line.request.empty() && isNear && bears) {
+            story.entries.push_back(entry);
+        }
+    }
+    std::stable_sort(story.entries.begin(), story.entries.end(), byTime);
+    return story;
+}
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Explain/request_story.h
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <istream>
+#include <string>
+#include <vector>
+
+/// Tells what became of one request, from the daemons' logs.
+namespace vetchpost {
+
+/// One line of a daemon's log.
+struct log_entry
+{
+    /// Calendar time; daemons' clocks may differ.
+    std::int64_t milliseconds = 0;
+    std::string daemon;
+    std::string part;
+    std::string event;
+    /// The other fields, as "name=value".
+    std::string details;
+};
+
+struct request_story
+{
+    /// All daemons' lines of the request, and those that bear on it: decisions and looks at its replicas and groups, and changes of the
+    /// daemons that held it, around its time. In the order of time.
+    std::vector<log_entry> entries;
+    /// What became of it, in a sentence; empty where no line names the request.
+    std::string verdict;
+    /// Lines that could not be read: cut off, or of another program.
+    std::size_t unreadable = 0;
+};
+
+/// Collects lines from several logs. Anything before a line's first brace is passed over.
+class log_collector
+{
+public:
+    void take(std::istream &log);
+    request_story storyOf(const std::string &request) const;
+
+private:
+    struct collected
+    {
+        log_entry entry;
+        std::string request;
+        std::string replica;
+        std::string group;
+    };
+
+    std::vector<collected> m_lines;
+    std::size_t m_unreadable = 0;
+};
+
+} // namespace vetchpost
--- /dev/null
+++ b/Tests/Explain/testRequestStory.cpp
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Explain/request_story.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace vetchpost;
+
+namespace {
+
+constexpr auto entryLog = R"(  1.2 d1 {"ms":900,"daemon":"d1","part":"store","event":"store_lost","why":"timeout"}
+{"ms":1000,"daemon":"d1","part":"request","event":"try_ended","request":"r1","replica":"i-1","group":"g7","end":"silent"}
+{"ms":1400,"daemon":"d1","part":"request","event":"broken_off","request":"r1","why":"the stream broke off"}
+{"ms":1450,"daemon":"d1","part":"request","event":"answered","request":"r2","replica":"i-1"}
+{"ms":1500,"daemon":"d1","part":"request","event":"answ)";
+
+constexpr auto coordinatorLog
+    = R"({"ms":700,"daemon":"d2","part":"assembly","event":"decided","what":"group=g7 closing: a member does not answer: i-4"}
+{"ms":800,"daemon":"d2","part":"assembly","event":"decided","what":"group=g8 serving"}
+{"ms":850,"daemon":"d2","part":"store","event":"store_lost"}
+not a line of ours
+{"ms":90000,"daemon":"d2","part":"assembly","event":"looked","replica":"i-1"})";
+
+request_story storyOf(const std::string &request)
+{
+    log_collector collector;
+    for (const auto *text : {entryLog, coordinatorLog}) {
+        std::istringstream log(text);
+        collector.take(log);
+    }
+    return collector.storyOf(request);
+}
+
+} // namespace
+
+TEST_CASE("A request's story holds its own lines, what became of its group, and what befell its daemon, in the order of time")
+{
+    const auto story = storyOf("r1");
+    REQUIRE(story.entries.size() == 4);
+    CHECK(story.entries[0].event == "decided");
+    CHECK(story.entries[0].daemon == "d2");
+    CHECK(story.entries[1].event == "store_lost");
+    CHECK(story.entries[1].daemon == "d1");
+    CHECK(story.entries[2].event == "try_ended");
+    CHECK(story.entries[3].event == "broken_off");
+    CHECK(story.verdict.find("broken off") != std::string::npos);
+}
+
+TEST_CASE("Lines that are cut off or of another program are counted and passed over")
+{
+    CHECK(storyOf("r1").unreadable == 2);
+}
+
+TEST_CASE("A request that nobody names has no story")
+{
+    CHECK(storyOf("r9").entries.empty());
+    CHECK(storyOf("r9").verdict.empty());
+    CHECK(storyOf("").entries.empty());
+}
--- a/Utilities/vetchpost/commands.h
+++ b/Utilities/vetchpost/commands.h
@@ -22,6 +22,8 @@
     std::string author;
     std::string editId;
     std::string tokens;
+    std::string request;
+    std::vector<std::string> logFiles;
     bool isStreamed = false;
     bool asJson = false;
 };
@@ -45,5 +47,6 @@
 exit_code showDecisions(const command_options &options);
 exit_code printDigest(const command_options &options);
 exit_code askModel(const command_options &options);
+exit_code explainRequest(const command_options &options);
 
 } // namespace vetchpost
--- a/Utilities/vetchpost/main.cpp
+++ b/Utilities/vetchpost/main.cpp
@@ -20,6 +20,7 @@
   vetchpost why GROUP [--daemon ADDRESS] [--json]
   vetchpost digest KEY
   vetchpost ask MODEL TEXT [--callers ADDRESS] [--stream] [--tokens N]
+  vetchpost explain REQUEST [LOGFILE...]
   vetchpost (-h | --help)
   vetchpost --version
 
@@ -34,6 +35,7 @@
   why      Show the last decisions on a group, with the alternatives that were weighed.
   digest   Print the digest of a caller's key, for the configuration.
   ask      Send a request as a caller.
+  explain  Tell what became of a request, from the logs of entry daemons; without files, from the standard input.
 
 Options:
   --daemon ADDRESS   The operators' interface of any daemon [default: 127.0.0.1:8101].
@@ -70,6 +72,8 @@
     options.author = text("--author");
     options.editId = text("--edit-id");
     options.tokens = text("--tokens");
+    options.request = text("REQUEST");
+    options.logFiles = arguments.at("LOGFILE").asStringList();
     options.isStreamed = arguments.at("--stream").asBool();
     options.asJson = arguments.at("--json").asBool();
     return options;
--- a/Utilities/vetchpost/view_commands.cpp
+++ b/Utilities/vetchpost/view_commands.cpp
@@ -125,6 +125,7 @@
         {"why", showDecisions},
         {"digest", printDigest},
         {"ask", askModel},
+        {"explain", explainRequest},
     };
     return all;
 }
