--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -143,6 +143,7 @@
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
     std::vector<const planned_group *> groups;
+    groups.reserve(candidates.size());
     for (const auto &[lacking, group] : candidates) {
         groups.push_back(group);
     }
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -268,6 +268,7 @@
         const auto outage = replicasOutage();
         std::vector<replica_entry> replicas;
         const auto changes = decodeAll(listing->entries);
+        replicas.reserve(changes.size());
         for (const auto &change : changes) {
             replicas.push_back({*change.replica, change.revision});
         }
--- a/Libraries/Feed/feed_source.cpp
+++ b/Libraries/Feed/feed_source.cpp
@@ -134,6 +134,7 @@
     }
     updates.back().nonce = subscription.nonce;
     std::vector<feed_datagram> datagrams;
+    datagrams.reserve(updates.size());
     for (auto &update : updates) {
         datagrams.push_back({{from}, std::move(update)});
     }
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -268,7 +268,7 @@
         replica.domain = fabric_domain_id("rack" + std::to_string(i / 8));
         replica.model = big;
         replica.staged = {small};
-        const auto group = static_cast<std::uint64_t>(i / 4 + 1);
+        const auto group = static_cast<std::uint64_t>(i) / 4 + 1;
         const auto state = i % 4 == 0 ? member_state::open : member_state::ready;
         replica.membership = {group_id("g" + std::to_string(group)), formation(group), i % 4, state};
         directory.replicas[replica.id] = replica;
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -44,6 +44,7 @@
 {
     feed_source source;
     std::vector<replica_change> listed;
+    listed.reserve(static_cast<std::size_t>(replicas));
     for (int i = 0; i < replicas; ++i) {
         listed.push_back(entry(fmt::format("r{}", i), "first", static_cast<std::uint64_t>(i) + 1));
     }
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -90,6 +90,7 @@
     });
     std::atomic<int> answered = 0;
     std::vector<std::thread> asking;
+    asking.reserve(6);
     for (int i = 0; i < 6; ++i) {
         asking.emplace_back([&] {
             http_call call;
@@ -100,6 +101,7 @@
         });
     }
     std::vector<Poco::Net::StreamSocket> idle;
+    idle.reserve(6);
     for (int i = 0; i < 6; ++i) {
         idle.emplace_back(Poco::Net::SocketAddress(address.host, address.port));
     }
@@ -134,13 +136,16 @@
             exchange.send(200, "text/plain", "whole");
         });
         std::vector<std::thread> asking;
+        asking.reserve(clients);
         for (int i = 0; i < clients; ++i) {
             asking.emplace_back([&] {
                 try {
                     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(address.host, address.port));
                     Poco::Net::HTTPClientSession session(socket);
                     session.setKeepAlive(true);
-                    while (askOn(session, "/quick") == 200 && session.connected()) {
+                    bool isOpen = true;
+                    while (isOpen) {
+                        isOpen = askOn(session, "/quick") == 200 && session.connected();
                     }
                 } catch (const Poco::Exception &) {
                     // The connection ended between two requests, or the server is no more.
