Feed: Take all periods as parts of the time for a configuration, and gather plans for 30 ms

Change: subscription, reading and fall-back periods are parts of the bound on configurations (2 s there, 3 s on the grown sites); a plan follows another one after 30 ms at the earliest.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -24,6 +24,9 @@
 constexpr auto coordinatorKey = "vetchpost/coordinator";
 /// How often the coordinator looks at its lease, and plans without being asked to.
 constexpr duration coordinatorPeriod(150);
+/// The least time between two plans: at 228 replicas a plan and its bookkeeping take about a millisecond of a core of which a daemon has an
+/// eighth.
+constexpr duration planGatherTime(30);
 /// How often a daemon that hears no coordinator looks whether there is one; spread, so that not all try at once.
 constexpr duration followerPeriod(500);
 constexpr duration followerSpread(300);
@@ -113,6 +116,8 @@
                 }
             }
             std::unique_lock lock(mutex);
+            // Changes and answers come in bursts: what comes together is planned together.
+            wake.wait_for(lock, planGatherTime, [this] { return isStopping; });
             wake.wait_for(lock, coordinatorPeriod, [this] { return isStopping || mustPlan; });
             if (isStopping) {
                 return;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -92,7 +92,7 @@
         : settings(entrySettings)
         , dialect(std::move(words))
         , keyValue(makeStore(settings.keyValue, counters))
-        , store(*keyValue, *dialect, counters, [this] { rebuildView(); })
+        , store(*keyValue, *dialect, feedTiming(settings.configurationApply), counters, [this] { rebuildView(); })
         , feed(
               settings,
               store,
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -19,8 +19,6 @@
 namespace {
 
 constexpr event_log feedLog("feed");
-/// How often a follower says how far it has come.
-constexpr duration subscriptionPeriod(500);
 /// How long changes are gathered before the source sends them on.
 constexpr duration pushPeriod(120);
 /// A thread without anything to send looks this often whether it should stop.
@@ -45,6 +43,7 @@
 struct peer_feed::private_data
 {
     const entry_settings &settings;
+    const feed_timing timing;
     store_follower &store;
     std::function<std::vector<model_demand>()> heldHere;
     std::function<void(const stall_notice &)> didHearStall;
@@ -75,6 +74,7 @@
                  std::function<void(const look_request &)> hearLook,
                  std::function<void(const group_doubt &)> hearDoubt)
         : settings(entrySettings)
+        , timing(feedTiming(entrySettings.configurationApply))
         , store(follows)
         , heldHere(std::move(held))
         , didHearStall(std::move(hearStall))
@@ -214,11 +214,11 @@
             if (!source || now < nextSubscription) {
                 return;
             }
-            if (wasHeard && !vetchpost::isSourceHeard(follower, now)) {
+            if (wasHeard && !vetchpost::isSourceHeard(follower, timing.sourceSilence, now)) {
                 loseSource("the source is silent");
                 return;
             }
-            nextSubscription = now + subscriptionPeriod;
+            nextSubscription = now + timing.subscription;
             auto subscription = subscribe(follower, settings.daemon, upTo, wantsReplicas, now);
             subscription.demand = std::move(held);
             datagram = {{*source}, std::move(subscription)};
@@ -341,7 +341,7 @@
 bool peer_feed::isSourceHeard() const
 {
     const std::lock_guard lock(d->mutex);
-    return vetchpost::isSourceHeard(d->follower, monotonicNow());
+    return vetchpost::isSourceHeard(d->follower, d->timing.sourceSilence, monotonicNow());
 }
 
 std::optional<int> peer_feed::daemons() const
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -14,10 +14,6 @@
 namespace {
 
 constexpr event_log storeLog("store");
-/// A configuration has to be in force within two seconds of its acceptance; a daemon asks itself when it was not told for so long.
-constexpr duration configurationPeriod(1300);
-/// How often the source reads the configuration: with the followers' subscriptions it stays under the period above.
-constexpr duration sourceConfigurationPeriod(600);
 /// Before the first configuration; these reads may be stale and cost a tenth.
 constexpr duration firstConfigurationPeriod(250);
 /// After a failed call.
@@ -32,8 +28,6 @@
 constexpr duration idleWatchPause(3000);
 /// How often a daemon that is told looks whether it still is, and gives up lapsed entries.
 constexpr duration toldPeriod(400);
-/// The source's contact with the service may be so old: its period and a late answer, and a follower's subscription that was lost.
-constexpr duration feedPatience(1600);
 
 } // namespace
 
@@ -41,6 +35,7 @@
 {
     key_value_service &keyValue;
     const entry_dialect &dialect;
+    const feed_timing timing;
     std::function<void()> didChange;
     counter undecodable;
     mutable std::mutex mutex;
@@ -70,9 +65,14 @@
     bool isReachable = true;
     std::vector<std::thread> threads;
 
-    private_data(key_value_service &service, const entry_dialect &words, metrics &counters, std::function<void()> changed)
+    private_data(key_value_service &service,
+                 const entry_dialect &words,
+                 const feed_timing &feedTiming,
+                 metrics &counters,
+                 std::function<void()> changed)
         : keyValue(service)
         , dialect(words)
+        , timing(feedTiming)
         , didChange(std::move(changed))
         , undecodable(counters.addCounter("vetchpost_undecodable_entries_total", "Values of the key-value service that could not be read."))
     {
@@ -111,7 +111,7 @@
     bool isTold() const
     {
         const std::lock_guard lock(mutex);
-        return !isSource && toldAt && monotonicNow() - *toldAt < feedPatience;
+        return !isSource && toldAt && monotonicNow() - *toldAt < timing.ownWatching;
     }
 
     // The configuration.
@@ -130,8 +130,8 @@
     {
         const std::lock_guard lock(mutex);
         const bool isAsked = std::exchange(mustReadConfiguration, false);
-        const bool isCurrent = currentAt && monotonicNow() - *currentAt < configurationPeriod;
-        const bool isToldOfNone = !table && toldAt && monotonicNow() - *toldAt < feedPatience;
+        const bool isCurrent = currentAt && monotonicNow() - *currentAt < timing.ownReading;
+        const bool isToldOfNone = !table && toldAt && monotonicNow() - *toldAt < timing.ownWatching;
         return isSource || isAsked || !(isCurrent || isToldOfNone);
     }
 
@@ -142,9 +142,9 @@
         const auto now = monotonicNow();
         auto until = now + firstConfigurationPeriod;
         if (isKnown && isSource) {
-            until = now + sourceConfigurationPeriod;
+            until = now + timing.sourceReading;
         } else if (isKnown && currentAt) {
-            until = std::max(now + retryPause, *currentAt + configurationPeriod);
+            until = std::max(now + retryPause, *currentAt + timing.ownReading);
         }
         wake.wait_for(lock, until - now, [this] { return isStopping || mustReadConfiguration; });
         return !isStopping;
@@ -431,9 +431,10 @@
 
 store_follower::store_follower(key_value_service &keyValue,
                                const entry_dialect &dialect,
+                               const feed_timing &timing,
                                metrics &counters,
                                std::function<void()> didChange)
-    : d(std::make_unique<private_data>(keyValue, dialect, counters, std::move(didChange)))
+    : d(std::make_unique<private_data>(keyValue, dialect, timing, counters, std::move(didChange)))
 {
 }
 
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -4,6 +4,7 @@
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Feed/feed_source.h"
+#include "Libraries/Feed/feed_timing.h"
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Routing/route_table.h"
 
@@ -19,7 +20,11 @@
 {
 public:
     /// \a didChange is called on either thread after anything changed.
-    store_follower(key_value_service &keyValue, const entry_dialect &dialect, metrics &counters, std::function<void()> didChange);
+    store_follower(key_value_service &keyValue,
+                   const entry_dialect &dialect,
+                   const feed_timing &timing,
+                   metrics &counters,
+                   std::function<void()> didChange);
     ~store_follower();
     store_follower(const store_follower &) = delete;
     store_follower &operator=(const store_follower &) = delete;
--- a/Libraries/Feed/feed_follower.cpp
+++ b/Libraries/Feed/feed_follower.cpp
@@ -33,9 +33,9 @@
     return when;
 }
 
-bool isSourceHeard(const feed_follower &follower, instant now)
+bool isSourceHeard(const feed_follower &follower, duration silence, instant now)
 {
-    return follower.lastAnswer && now - *follower.lastAnswer < sourceSilence;
+    return follower.lastAnswer && now - *follower.lastAnswer < silence;
 }
 
 } // namespace vetchpost
--- a/Libraries/Feed/feed_follower.h
+++ b/Libraries/Feed/feed_follower.h
@@ -7,9 +7,6 @@
 
 namespace vetchpost {
 
-/// A source that has not answered for so long is taken for gone: two subscriptions or their answers were lost.
-constexpr duration sourceSilence(1100);
-
 /// One daemon's side of the feed: what it asked, and when.
 struct feed_follower
 {
@@ -26,7 +23,7 @@
 /// Notes an update. Returns when the subscription that it answers was sent; nothing for one that answers none. What the update tells was
 /// true at that moment or later, whatever the message's way took, and however long either process stood still.
 std::optional<instant> noteUpdate(feed_follower &follower, const feed_update &update, instant now);
-/// Whether the source answered lately.
-bool isSourceHeard(const feed_follower &follower, instant now);
+/// Whether the source has answered within \a silence.
+bool isSourceHeard(const feed_follower &follower, duration silence, instant now);
 
 } // namespace vetchpost
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -29,6 +29,8 @@
     int maximumConnections = 0;
     /// How long a key may still be taken after an operator has withdrawn it.
     duration keyRevocation{};
+    /// How soon an accepted configuration has to be in force at every daemon.
+    duration configurationApply{};
     /// Between SIGTERM and SIGKILL.
     duration stopGrace{};
     /// How often a replica writes to its entry; three missing writes remove it.
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -283,8 +283,8 @@
     // The answer was on its way for three seconds.
     CHECK(noteUpdate(follower, update, start + duration(3000)) == start);
     CHECK(follower.daemons == 4);
-    CHECK(isSourceHeard(follower, start + duration(3000) + sourceSilence - duration(1)));
-    CHECK_FALSE(isSourceHeard(follower, start + duration(3000) + sourceSilence));
+    CHECK(isSourceHeard(follower, duration(1100), start + duration(4099)));
+    CHECK_FALSE(isSourceHeard(follower, duration(1100), start + duration(4100)));
     // Once more, unasked, or from before the restart.
     CHECK_FALSE(noteUpdate(follower, update, start + duration(3100)));
     update.nonce = 0;
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -168,6 +168,7 @@
         settings.peers = freePort();
         settings.maximumConnections = 16;
         settings.keyRevocation = duration(1500);
+        settings.configurationApply = duration(2000);
         settings.stopGrace = duration(3000);
         settings.leaseTime = duration(2000);
         settings.stallTime = duration(5000);
