--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -26,7 +26,7 @@
 constexpr duration coordinatorPeriod(150);
 /// The least time between two plans: at 228 replicas a plan and its bookkeeping take about a millisecond of a core of which a daemon has an
 /// eighth.
-constexpr duration planGatherTime(30);
+constexpr duration planGatherTime(10);
 /// How often a daemon that hears no coordinator looks whether there is one; spread, so that not all try at once.
 constexpr duration followerPeriod(500);
 constexpr duration followerSpread(300);
