--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -33,7 +33,7 @@
 
 std::string_view tryEndName(try_end end);
 
-/// One request of one client, on the thread of its connection.
+/// One request of one client, on the thread of its connection. Its parts stand in request_run and request_answer.
 class request_run
 {
 public:
