--- a/Meta/vetchpost.sh
+++ b/Meta/vetchpost.sh
@@ -14,7 +14,7 @@
                    With --stay it is kept up until Ctrl-C.
   test             Install what is missing, build, run all tests, with the processes' ones.
   lint             Check the formatting and run the linter.
-  bench NAME       Run a benchmark: groups, requests, control, relay. The last lines are figures.
+  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair. The last lines are figures.
   fuzz [--seed N] [--steps N]
                    Run the fuzzers for longer.
   sanitize         Build and run the unit tests with the address, undefined-behaviour and thread sanitizers.
@@ -128,6 +128,8 @@
     requests) "$build/Benchmarks/benchRequests" ;;
     control) "$build/Benchmarks/benchControl" && bench_control_processes ;;
     relay) bench_relay ;;
+    assembly) "$build/Benchmarks/benchAssembly" ;;
+    repair) "$build/Benchmarks/benchRepair" ;;
     *) echo "no benchmark $name" >&2; exit 2 ;;
     esac
 }
