Assembly: Read a silent replica's entry before it is taken for dead

Change: after a look without an answer the coordinator reads the replica's entry itself; only one that is there and does not leave counts as crashed.

--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -181,8 +181,8 @@
     std::map<instance_id, instant> drainingSince;
     /// Heads that were confirmed dead while the directory still lists them as open.
     std::set<instance_id> deadHeads;
-    /// Replicas that fell silent while they were listed and not leaving: they have crashed, or are cut off. One that is found silent only
-    /// after it began to leave may still finish requests.
+    /// Replicas that fell silent without leaving: they have crashed, or are cut off. One that is found silent after it began to leave may
+    /// still finish requests. The directory does not tell the two apart: it may lag.
     std::set<instance_id> silentWhileListed;
     /// Since when each free replica is free.
     std::map<instance_id, instant> idleSince;
@@ -214,6 +214,8 @@
     /// Loads are quick and free until the first request.
     bool isBeforeTraffic = false;
     instant now;
+    /// Of the suspects the ones whose entry in the key-value service still said, after they were found silent, that they do not leave.
+    std::set<instance_id> notLeaving = {};
 };
 
 /// One round: what to order next. Orders that it returns count as under way until noteOrderResult().
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -119,12 +119,13 @@
     } else if (!group.headLostSince) {
         group.headLostSince = m_view.now;
     }
-    // A leaving head stops listening before it has finished: that nobody reaches it is no sign of its end.
-    const bool isLeaving = listed != nullptr && listed->isDraining && !m_state.silentWhileListed.contains(head.instance);
-    const auto patience = isLeaving ? m_state.policy.leavingHeadWait : m_state.policy.silentHeadWait;
+    // A leaving head stops listening before it has finished: that nobody reaches it is no sign of its end. The directory may not tell yet
+    // that it leaves.
+    const bool mayLeave = listed != nullptr && !m_state.silentWhileListed.contains(head.instance);
+    const auto patience = mayLeave ? m_state.policy.leavingHeadWait : m_state.policy.silentHeadWait;
     const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience;
     const bool isCut = group.hasTakenClose && group.closing == close_method::cut;
-    const bool isDead = m_view.confirmedDead.contains(head.instance) && !isLeaving;
+    const bool isDead = m_view.confirmedDead.contains(head.instance) && !mayLeave;
     if (isWaitOver || (group.headLostSince && (isCut || isDead))) {
         m_state.deadHeads.insert(head.instance);
         dissolve(group, "its head is gone");
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -59,9 +59,8 @@
 void assembly_round::noteSilence()
 {
     std::erase_if(m_state.silentWhileListed, [&](const instance_id &id) { return find(id) == nullptr || !m_view.suspects.contains(id); });
-    for (const auto &id : m_view.suspects) {
-        const auto *replica = find(id);
-        if (replica != nullptr && !replica->isDraining) {
+    for (const auto &id : m_view.notLeaving) {
+        if (find(id) != nullptr && m_view.suspects.contains(id)) {
             m_state.silentWhileListed.insert(id);
         }
     }
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -71,6 +71,8 @@
     instant termSince;
     std::map<service_id, assembly_state> assemblies;
     std::map<instance_id, instant> suspects;
+    /// Of these the ones whose entry said afterwards that they do not leave.
+    std::set<instance_id> notLeaving;
     std::map<instance_id, instant> lastLooks;
     std::map<instance_id, instant> lastNotices;
     death_witnesses witnesses;
@@ -189,6 +191,7 @@
             termSince = monotonicNow();
             assemblies.clear();
             suspects.clear();
+            notLeaving.clear();
         }
         takeovers.increment();
         assemblyLog.write("coordination_taken", {{"term", taken.number}});
@@ -261,9 +264,11 @@
             suspected.insert(id);
         }
         forgetOldLooks(witnesses, now);
-        const auto dead = confirmedDead(witnesses, now);
+        // A leaving replica stops listening before it has finished: only one that does not leave is dead when it is silent.
+        auto dead = confirmedDead(witnesses, now);
+        std::erase_if(dead, [&](const instance_id &id) { return !notLeaving.contains(id); });
         noteDemand(assembly.demand, demandOf(service.id), now);
-        const assembly_view view{directory, service.id, *service.engine, suspected, dead, !hasTraffic.load(), now};
+        const assembly_view view{directory, service.id, *service.engine, suspected, dead, !hasTraffic.load(), now, notLeaving};
         auto next = planAssembly(assembly, view);
         for (const auto &decision : assembly.decisions) {
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
@@ -311,6 +316,7 @@
     void dropOldSuspicions(const replica_directory &directory, instant now)
     {
         std::erase_if(suspects, [&](const auto &entry) { return entry.second <= now || !directory.replicas.contains(entry.first); });
+        std::erase_if(notLeaving, [&](const instance_id &id) { return !suspects.contains(id); });
     }
 
     void perform(const replica_order &order, std::uint64_t number)
@@ -440,6 +446,7 @@
             noteLook(witnesses, replica.id, settings.daemon, {monotonicNow(), hasAnswered});
             if (hasAnswered) {
                 suspects.erase(replica.id);
+                notLeaving.erase(replica.id);
                 return;
             }
             isNew = !suspects.contains(replica.id);
@@ -454,6 +461,27 @@
             feed.tellDoubt(*head);
         }
         feed.askForLooks(replica.id);
+        checkLeaving(replica.id);
+    }
+
+    /// Reads the entry of a silent replica itself: the directory may lag, and the service's watches may miss changes for a while.
+    void checkLeaving(const instance_id &id)
+    {
+        reason why;
+        const auto entry = keyValue.get(dialect.replicaPrefix() + id.value(), read_freshness::current, why);
+        const bool isListed = entry && entry->changed != key_revision();
+        const auto replica = isListed ? dialect.readReplica(id, entry->value, why) : std::nullopt;
+        const bool isStaying = replica && !replica->isDraining;
+        assemblyLog.write("silent_checked", {{"replica", id.value()}, {"leaves", !isStaying}, {"listed", isListed}, {"why", why.text}});
+        if (!isStaying) {
+            return;
+        }
+        {
+            const std::lock_guard lock(mutex);
+            notLeaving.insert(id);
+            mustPlan = true;
+        }
+        wake.notify_all();
     }
 
     bool mayNotice(const instance_id &head)
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -273,7 +273,7 @@
             confirmed.insert(id);
         }
     }
-    const assembly_view view{m_directory, m_service, m_engine, suspects, confirmed, !m_hasTraffic, m_now};
+    const assembly_view view{m_directory, m_service, m_engine, suspects, confirmed, !m_hasTraffic, m_now, suspects};
     for (auto &order : planAssembly(m_state, view)) {
         const bool isLate = m_now < m_ordersLateUntil && random() % 2 == 0;
         const bool isLost = isLate || (m_now < m_answersLostUntil && random() % 2 == 0);
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -182,30 +182,86 @@
     CHECK_FALSE(state.groups.contains(group_id("g")));
 }
 
-TEST_CASE("A head that fell silent while it was listed has crashed, and does not keep its group for longer when its entry lapses")
+namespace {
+
+/// Plans for groupOfTwo() while its head is silent. Orders have no answer.
+class silent_head
 {
-    const instant now(duration(1000000));
-    auto directory = groupOfTwo();
-    const assembly_world world(1, 1, 1);
-    const std::set<instance_id> nobody;
-    const std::set<instance_id> silent = {instance_id("head")};
-    assembly_state state;
-    state.term = 2;
-    const auto round = [&](const std::set<instance_id> &suspects, const std::set<instance_id> &dead, duration after) {
-        for (const auto &order :
-             planAssembly(state, {directory, service_id("large"), world.engine(), suspects, dead, false, now + after})) {
-            noteOrderResult(state, order, {order_result::unknown, 0}, now + after);
+public:
+    silent_head()
+    {
+        m_state.term = 2;
+        round({}, false, duration(0));
+    }
+
+    /// \a isConfirmed: several daemons found it silent. \a isStaying: its entry, read anew, says that it does not leave.
+    void round(const std::set<instance_id> &suspects, bool isConfirmed, duration after, bool isStaying = false)
+    {
+        const std::set<instance_id> nobody;
+        const auto now = instant(duration(1000000)) + after;
+        const auto orders = planAssembly(m_state,
+                                         {directory,
+                                          service_id("large"),
+                                          m_world.engine(),
+                                          suspects,
+                                          isConfirmed ? suspects : nobody,
+                                          false,
+                                          now,
+                                          isStaying ? suspects : nobody});
+        for (const auto &order : orders) {
+            noteOrderResult(m_state, order, {order_result::unknown, 0}, now);
         }
-    };
-    round(nobody, nobody, duration(0));
-    CHECK(state.groups.contains(group_id("g")));
-    round(silent, nobody, duration(600));
-    markUnlisted(directory.replicas[instance_id("head")]);
-    round(silent, nobody, duration(4000));
-    CHECK(state.groups.contains(group_id("g")));
-    round(silent, nobody, duration(600) + state.policy.silentHeadWait);
-    round(silent, nobody, duration(700) + state.policy.silentHeadWait);
-    CHECK_FALSE(state.groups.contains(group_id("g")));
+    }
+
+    bool hasGroup() const
+    {
+        return m_state.groups.contains(group_id("g"));
+    }
+
+    replica_directory directory = groupOfTwo();
+    const std::set<instance_id> head = {instance_id("head")};
+    const assembly_policy policy;
+
+private:
+    const assembly_world m_world{1, 1, 1};
+    assembly_state m_state;
+};
+
+} // namespace
+
+TEST_CASE("A head that fell silent without leaving has crashed, and does not keep its group for longer when its entry lapses")
+{
+    silent_head world;
+    CHECK(world.hasGroup());
+    world.round(world.head, false, duration(600), true);
+    markUnlisted(world.directory.replicas[instance_id("head")]);
+    world.round(world.head, false, duration(4000));
+    CHECK(world.hasGroup());
+    world.round(world.head, false, duration(600) + world.policy.silentHeadWait);
+    world.round(world.head, false, duration(700) + world.policy.silentHeadWait);
+    CHECK_FALSE(world.hasGroup());
+}
+
+TEST_CASE("A head that several daemons found silent keeps its group while it may be leaving, though the directory does not say so")
+{
+    silent_head world;
+    // The service's watch told nothing for a while: the head may have stopped listening and still finish requests.
+    world.round(world.head, true, duration(600));
+    world.round(world.head, true, duration(800));
+    CHECK(world.hasGroup());
+    world.round(world.head, true, duration(700) + world.policy.silentHeadWait);
+    CHECK(world.hasGroup());
+    world.round(world.head, true, duration(700) + world.policy.leavingHeadWait);
+    world.round(world.head, true, duration(800) + world.policy.leavingHeadWait);
+    CHECK_FALSE(world.hasGroup());
+}
+
+TEST_CASE("A head that several daemons found silent, and that does not leave, loses its group at once")
+{
+    silent_head world;
+    world.round(world.head, true, duration(600), true);
+    world.round(world.head, true, duration(700), true);
+    CHECK_FALSE(world.hasGroup());
 }
 
 TEST_CASE("A free replica is not loaded with one model after the other")
