Http: Close the listener of a server that finishes

Cause: connections that waited to be accepted stayed open until the process ended; their callers had no answer. Ruled out: a deadlock of the server (all its threads were idle, finish() had returned). Change: the listener closes once nothing more is accepted. Test: a connection that waits to be accepted ends within a second; the clients of the test that hung have a timeout of 5 s.

--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -443,6 +443,8 @@
     handler handle;
     open_connections connections;
     Poco::ThreadPool threads;
+    /// Closed once nothing more is accepted: connections that wait for it then end at once, instead of waiting for the end of the process.
+    Poco::Net::ServerSocket listener;
     std::unique_ptr<Poco::Net::TCPServer> server;
 
     private_data(const http_server_limits &limits, handler handler)
@@ -455,10 +457,9 @@
 http_server::http_server(const endpoint &address, const http_server_limits &limits, handler handle)
     : d(std::make_unique<private_data>(limits, std::move(handle)))
 {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(address.host, address.port), true);
+    d->listener.bind(Poco::Net::SocketAddress(address.host, address.port), true);
     constexpr int backlog = 512;
-    socket.listen(backlog);
+    d->listener.listen(backlog);
     Poco::Net::HTTPServerParams::Ptr parameters = new Poco::Net::HTTPServerParams;
     parameters->setMaxThreads(limits.maximumThreads);
     parameters->setMaxQueued(limits.maximumQueued);
@@ -466,7 +467,7 @@
     parameters->setKeepAliveTimeout(timespanOf(limits.keepAliveTimeout));
     const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers = new exchange_handler_factory(d->handle, d->connections);
     d->server = std::make_unique<Poco::Net::TCPServer>(
-        new tracked_connection_factory(parameters, handlers, d->connections), d->threads, socket, parameters);
+        new tracked_connection_factory(parameters, handlers, d->connections), d->threads, d->listener, parameters);
     d->server->start();
 }
 
@@ -483,6 +484,7 @@
 void http_server::finish()
 {
     d->server->stop();
+    d->listener.close();
     std::unique_lock lock(d->connections.mutex);
     d->connections.isFinishing = true;
     for (auto *connection : d->connections.all) {
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
 
@@ -125,6 +126,7 @@
 {
     constexpr int rounds = 20;
     constexpr int clients = 24;
+    constexpr int patienceSeconds = 5;
     std::atomic<int> seenLeaving = 0;
     std::atomic<int> broken = 0;
     for (int round = 0; round < rounds; ++round) {
@@ -143,6 +145,7 @@
                     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(address.host, address.port));
                     Poco::Net::HTTPClientSession session(socket);
                     session.setKeepAlive(true);
+                    session.setTimeout(Poco::Timespan(patienceSeconds, 0));
                     bool isOpen = true;
                     while (isOpen) {
                         isOpen = askOn(session, "/quick") == 200 && session.connected();
@@ -161,3 +164,23 @@
     }
     CHECK(seenLeaving == 0);
 }
+
+TEST_CASE("A connection that waits to be accepted ends at once when the server finishes")
+{
+    const auto address = freePort();
+    http_server server(address, http_server_limits(), [](http_exchange &exchange) { exchange.send(200, "text/plain", "whole"); });
+    server.stopAccepting();
+    Poco::Net::StreamSocket waiting(Poco::Net::SocketAddress(address.host, address.port));
+    waiting.setReceiveTimeout(Poco::Timespan(2, 0));
+    const auto asked = monotonicNow();
+    server.finish();
+    char byte = 0;
+    try {
+        CHECK(waiting.receiveBytes(&byte, 1) == 0);
+    } catch (const Poco::TimeoutException &) {
+        FAIL("the connection was left open");
+    } catch (const Poco::Net::NetException &) {
+        // A reset ends it as well.
+    }
+    CHECK(monotonicNow() - asked < duration(1000));
+}
