--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -151,7 +151,16 @@
 {
 }
 
-entry_daemon::~entry_daemon() = default;
+entry_daemon::~entry_daemon()
+{
+    // The threads call each other's parts: all of them end before any part goes.
+    d->callers.reset();
+    d->readiness.reset();
+    d->figures.reset();
+    d->assembly.stop();
+    d->feed.stop();
+    d->store.stop();
+}
 
 void entry_daemon::start()
 {
