Entry: Do not read a replica out of a listed entry without a value

Cause: a listing turns entries without a value into removals, and the follower took the replica out of each without looking: an empty value under the replicas' prefix would have ended every daemon.

--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -270,7 +270,10 @@
         const auto changes = decodeAll(listing->entries);
         replicas.reserve(changes.size());
         for (const auto &change : changes) {
-            replicas.push_back({*change.replica, change.revision});
+            // An entry without a value is listed, but tells of no replica.
+            if (change.replica) {
+                replicas.push_back({*change.replica, change.revision});
+            }
         }
         {
             const std::lock_guard lock(mutex);
