--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -146,6 +146,11 @@
             = fmt::format(R"({{"Service":"plain","Address":"{}","Zone":"z","Slots":4,"State":"ready"}})", replica.address());
     }
 
+    void addEntryWithoutValue(const std::string &id)
+    {
+        m_values["servers/" + id] = "";
+    }
+
     void addHead(const std::string &id, const scripted_replica &replica)
     {
         m_values["servers/" + id] = fmt::format(
@@ -286,6 +291,16 @@
     CHECK(std::stoi(headerOf(request, "Deadline-Ms")) <= 2500);
 }
 
+TEST_CASE("A listed entry without a value is no replica, and harms no other")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addEntryWithoutValue("i-0");
+    world.addPlain("i-1", replica);
+    world.start();
+    CHECK(world.ask("/once/x").status == 200);
+}
+
 TEST_CASE("Unknown routes and keys are refused, and nothing is served without a configuration or with keys out of date")
 {
     const scripted_replica replica(good);
