--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Feed/feed_follower.h"
+#include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/NetException.h>
@@ -27,12 +28,6 @@
 constexpr std::size_t witnessesAsked = 8;
 constexpr std::size_t largestDatagram = 65536;
 
-Poco::Timespan timespanOf(duration value)
-{
-    constexpr std::int64_t microsecondsPerMillisecond = 1000;
-    return {value.count() * microsecondsPerMillisecond};
-}
-
 endpoint endpointOf(const Poco::Net::SocketAddress &address)
 {
     return {address.host().toString(), address.port()};
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -37,12 +37,15 @@
 
 } // namespace
 
-void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, std::uint64_t upTo, duration outage, instant now)
+void takeListing(replica_entries &entries, const std::vector<replica_change> &replicas, std::uint64_t upTo, duration outage, instant now)
 {
     std::set<instance_id> present;
-    for (const auto &entry : replicas) {
-        present.insert(entry.replica.id);
-        takeEntry(entries, entry);
+    for (const auto &change : replicas) {
+        // An entry without a value is listed, but tells of no replica.
+        if (change.replica) {
+            present.insert(change.id);
+            takeChange(entries, change, now);
+        }
     }
     std::vector<instance_id> missing;
     for (const auto &[id, replica] : entries.directory.replicas) {
@@ -60,22 +63,18 @@
     }
 }
 
-void takeEntry(replica_entries &entries, const replica_entry &entry)
+void takeChange(replica_entries &entries, const replica_change &change, instant now)
 {
-    const auto &id = entry.replica.id;
-    if (!isNewer(entries, id, entry.revision)) {
+    if (!isNewer(entries, change.id, change.revision)) {
         return;
     }
-    entries.directory.replicas[id] = entry.replica;
-    entries.lapsed.erase(id);
-    entries.unlisted.erase(id);
-}
-
-void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision, instant now)
-{
-    if (isNewer(entries, replica, revision)) {
-        unlist(entries, replica, now);
+    if (!change.replica) {
+        unlist(entries, change.id, now);
+        return;
     }
+    entries.directory.replicas[change.id] = *change.replica;
+    entries.lapsed.erase(change.id);
+    entries.unlisted.erase(change.id);
 }
 
 bool dropLapsed(replica_entries &entries, instant now)
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/instant.h"
+#include "Libraries/Feed/feed_messages.h"
 #include "Libraries/Routing/replica_directory.h"
 
 #include <map>
@@ -22,28 +23,19 @@
     std::map<instance_id, std::uint64_t> revisions;
 };
 
-/// A replica's entry with the service's revision of its last change.
-struct replica_entry
-{
-    served_replica replica;
-    std::uint64_t revision = 0;
-};
-
 /// After an absence of the key-value service of at least this time, entries may have lapsed though their replicas live ...
 constexpr duration lapsingOutage(1000);
 /// ... and are back within this time of its return (the platform promises two seconds).
 constexpr duration lapsedGrace(2200);
 
-/// Takes in a whole listing as of the service's revision \a upTo; what is known to be newer stays. \a outage is how long the service had
-/// not answered before.
-void takeListing(replica_entries &entries, const std::vector<replica_entry> &replicas, std::uint64_t upTo, duration outage, instant now);
-/// Takes in one entry as it was written.
-void takeEntry(replica_entries &entries, const replica_entry &entry);
+/// Takes in a whole listing of \a replicas as of the service's revision \a upTo; what is known to be newer stays. \a outage is how long the
+/// service had not answered before.
+void takeListing(replica_entries &entries, const std::vector<replica_change> &replicas, std::uint64_t upTo, duration outage, instant now);
+/// Takes in one change: an entry as it was written, or its removal. A member of a group whose entry is gone is kept for a while as one that
+/// drains.
+void takeChange(replica_entries &entries, const replica_change &change, instant now);
 /// A member of a group whose entry is gone is kept as draining for so long: it stays for ten seconds while its head has work.
 constexpr duration unlistedStay(12000);
-
-/// Takes in that an entry was removed. A member of a group is kept for a while as one that drains.
-void takeRemoval(replica_entries &entries, const instance_id &replica, std::uint64_t revision, instant now);
 /// Gives up lapsed and unlisted replicas whose time is over; whether there were any.
 bool dropLapsed(replica_entries &entries, instant now);
 
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -266,19 +266,11 @@
             return false;
         }
         const auto outage = replicasOutage();
-        std::vector<replica_entry> replicas;
-        const auto changes = decodeAll(listing->entries);
-        replicas.reserve(changes.size());
-        for (const auto &change : changes) {
-            // An entry without a value is listed, but tells of no replica.
-            if (change.replica) {
-                replicas.push_back({*change.replica, change.revision});
-            }
-        }
+        const auto replicas = decodeAll(listing->entries);
         {
             const std::lock_guard lock(mutex);
             takeListing(entries, replicas, listing->upTo, outage, monotonicNow());
-            noteListing(feed, changes, listing->upTo, outage < lapsingOutage);
+            noteListing(feed, replicas, listing->upTo, outage < lapsingOutage);
             replicasUpTo = std::max(replicasUpTo, listing->upTo);
             replicasSeenAt = monotonicNow();
             mustList = false;
@@ -341,10 +333,8 @@
     {
         const std::lock_guard lock(mutex);
         for (const auto &change : changes) {
-            if (change.replica) {
-                takeEntry(entries, {*change.replica, change.revision});
-            } else {
-                takeRemoval(entries, change.id, change.revision, monotonicNow());
+            takeChange(entries, change, monotonicNow());
+            if (!change.replica) {
                 storeLog.write("replica_removed", {{"replica", change.id.value()}, {"revision", change.revision}});
             }
         }
--- a/Libraries/Feed/feed_source.cpp
+++ b/Libraries/Feed/feed_source.cpp
@@ -19,6 +19,11 @@
     }
 }
 
+bool isHeard(const feed_subscriber &subscriber, instant now)
+{
+    return now - subscriber.lastHeard <= subscriberLifetime;
+}
+
 void dropRemoved(feed_source &source)
 {
     const auto isRemoved = [](const auto &entry) { return !entry.second.replica; };
@@ -143,7 +148,7 @@
 
 std::vector<feed_datagram> pendingPushes(feed_source &source, instant now)
 {
-    std::erase_if(source.subscribers, [&](const auto &entry) { return now - entry.second.lastHeard > subscriberLifetime; });
+    std::erase_if(source.subscribers, [&](const auto &entry) { return !isHeard(entry.second, now); });
     // Most followers have come equally far: what they lack is put together once.
     std::map<std::uint64_t, std::vector<endpoint>> lagging;
     for (auto &[id, subscriber] : source.subscribers) {
@@ -174,7 +179,7 @@
 {
     std::vector<endpoint> followers;
     for (const auto &[id, subscriber] : source.subscribers) {
-        if (now - subscriber.lastHeard <= subscriberLifetime) {
+        if (isHeard(subscriber, now)) {
             followers.push_back(subscriber.address);
         }
     }
@@ -190,7 +195,7 @@
     std::map<model_id, int> result;
     for (const auto &[id, subscriber] : source.subscribers) {
         for (const auto &demand : subscriber.demand) {
-            if (now - subscriber.lastHeard <= subscriberLifetime && demand.service == service) {
+            if (isHeard(subscriber, now) && demand.service == service) {
                 result[demand.model] += demand.outstanding;
             }
         }
@@ -200,9 +205,8 @@
 
 int countDaemons(const feed_source &source, instant now)
 {
-    const auto heard = std::count_if(source.subscribers.begin(), source.subscribers.end(), [&](const auto &entry) {
-        return now - entry.second.lastHeard <= subscriberLifetime;
-    });
+    const auto heard = std::count_if(
+        source.subscribers.begin(), source.subscribers.end(), [&](const auto &entry) { return isHeard(entry.second, now); });
     return static_cast<int>(heard) + 1;
 }
 
--- a/Libraries/Http/http_client.cpp
+++ b/Libraries/Http/http_client.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/http_client.h"
+#include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -22,12 +23,6 @@
 constexpr std::size_t keptConnectionsPerPeer = 4;
 constexpr duration keptConnectionLifetime(4000);
 
-Poco::Timespan timespanOf(duration value)
-{
-    constexpr std::int64_t microsecondsPerMillisecond = 1000;
-    return {value.count() * microsecondsPerMillisecond};
-}
-
 /// Connects a session. Connecting by itself first keeps "nothing was sent" apart from "the outcome is unknown"; and a session
 /// that was given its socket knows no address, so that POCO can never connect it anew and send a request a second time.
 session_pointer connect(const http_call &call, bool keepAlive, reason &lastReason)
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/json.h"
 #include "Libraries/Base/log.h"
+#include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Net/HTMLForm.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -30,12 +31,6 @@
 
 constexpr part_log httpLog("http");
 
-Poco::Timespan timespanOf(duration value)
-{
-    constexpr std::int64_t microsecondsPerMillisecond = 1000;
-    return {value.count() * microsecondsPerMillisecond};
-}
-
 } // namespace
 
 struct http_exchange::private_data
--- a/Libraries/Http/http_upstream.cpp
+++ b/Libraries/Http/http_upstream.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Http/http_upstream.h"
 
 #include "Libraries/Http/body_framing.h"
+#include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Buffer.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -24,12 +25,6 @@
 /// An answer's head arrives whole within this time once its first byte has come.
 constexpr duration headTimeout(2000);
 
-Poco::Timespan timespanOf(duration value)
-{
-    constexpr std::int64_t microsecondsPerMillisecond = 1000;
-    return {value.count() * microsecondsPerMillisecond};
-}
-
 body_decoder decoderFor(const Poco::Net::HTTPResponse &response, const std::string &method)
 {
     constexpr int firstWithBody = 200;
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -9,12 +9,16 @@
 
 const instant now(duration(100000));
 
-replica_entry replica(const std::string &id, std::uint64_t revision = 1)
+replica_change replica(const std::string &id, std::uint64_t revision = 1)
 {
-    replica_entry entry;
-    entry.replica.id = instance_id(id);
-    entry.revision = revision;
-    return entry;
+    replica_change change{instance_id(id), revision, served_replica()};
+    change.replica->id = change.id;
+    return change;
+}
+
+replica_change removal(const std::string &id, std::uint64_t revision)
+{
+    return {instance_id(id), revision, std::nullopt};
 }
 
 replica_entries known()
@@ -31,14 +35,14 @@
     auto entries = known();
     takeListing(entries, {replica("a")}, 100, duration(300), now);
     CHECK(entries.directory.replicas.size() == 1);
-    takeRemoval(entries, instance_id("a"), 2, now);
+    takeChange(entries, removal("a", 2), now);
     CHECK(entries.directory.replicas.empty());
 }
 
 TEST_CASE("A listing that is older than an entry does not take it out")
 {
     auto entries = known();
-    takeEntry(entries, replica("c", 101));
+    takeChange(entries, replica("c", 101), now);
     takeListing(entries, {replica("a")}, 100, duration(0), now);
     CHECK(entries.directory.replicas.contains(instance_id("c")));
     CHECK_FALSE(entries.directory.replicas.contains(instance_id("b")));
@@ -60,7 +64,7 @@
 {
     auto entries = known();
     takeListing(entries, {replica("a")}, 100, duration(4000), now);
-    takeEntry(entries, replica("b"));
+    takeChange(entries, replica("b"), now);
     CHECK_FALSE(dropLapsed(entries, now + duration(10000)));
     CHECK(entries.directory.replicas.size() == 2);
 }
@@ -78,14 +82,14 @@
 {
     auto entries = known();
     auto newer = replica("a", 7);
-    newer.replica.isDraining = true;
-    takeEntry(entries, newer);
-    takeEntry(entries, replica("a", 6));
+    newer.replica->isDraining = true;
+    takeChange(entries, newer, now);
+    takeChange(entries, replica("a", 6), now);
     CHECK(entries.directory.replicas.at(instance_id("a")).isDraining);
-    takeRemoval(entries, instance_id("a"), 8, now);
-    takeEntry(entries, replica("a", 7));
+    takeChange(entries, removal("a", 8), now);
+    takeChange(entries, replica("a", 7), now);
     CHECK_FALSE(entries.directory.replicas.contains(instance_id("a")));
-    takeRemoval(entries, instance_id("b"), 0, now);
+    takeChange(entries, removal("b", 0), now);
     CHECK(entries.directory.replicas.contains(instance_id("b")));
 }
 
@@ -93,9 +97,9 @@
 {
     auto entries = known();
     auto member = replica("a", 2);
-    member.replica.membership = {group_id("g"), formation(1), 1, member_state::ready};
-    takeEntry(entries, member);
-    takeRemoval(entries, instance_id("a"), 3, now);
+    member.replica->membership = {group_id("g"), formation(1), 1, member_state::ready};
+    takeChange(entries, member, now);
+    takeChange(entries, removal("a", 3), now);
     REQUIRE(entries.directory.replicas.contains(instance_id("a")));
     CHECK(entries.directory.replicas.at(instance_id("a")).isDraining);
     CHECK(entries.directory.replicas.at(instance_id("a")).isUnlisted);
@@ -103,10 +107,10 @@
     takeListing(entries, {replica("b")}, 100, duration(0), now + duration(500));
     CHECK(entries.directory.replicas.contains(instance_id("a")));
     member.revision = 4;
-    takeEntry(entries, member);
+    takeChange(entries, member, now);
     CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).isDraining);
     CHECK_FALSE(dropLapsed(entries, now + unlistedStay));
-    takeRemoval(entries, instance_id("a"), 5, now + unlistedStay);
+    takeChange(entries, removal("a", 5), now + unlistedStay);
     CHECK(dropLapsed(entries, now + 2 * unlistedStay));
     CHECK_FALSE(entries.directory.replicas.contains(instance_id("a")));
 }
