Assembly: Count a model's groups once for many questions

Cause: presentPart() and partWithoutEnding() counted all groups at each question, asked for each replica and each host; a round grew with the square. Change: counted once, and anew after a group's stage changes.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -52,6 +52,14 @@
     bool isEnoughFree() const;
     const group_model *neediestModel() const;
     int presentGroups(const model_id &model) const;
+    struct group_count
+    {
+        /// Those that end soon count for a while: they are mostly formed again.
+        int present = 0;
+        /// Without any that end.
+        int staying = 0;
+    };
+    const group_count &countOf(const model_id &model) const;
     void preemptForLarger();
     void formExtra();
     bool isBusy(const fabric_domain_id &domain) const;
@@ -137,6 +145,7 @@
     std::map<fabric_domain_id, std::vector<const served_replica *>> m_free;
     int m_usable = 0;
     std::map<model_id, int> m_targets;
+    mutable std::optional<std::map<model_id, group_count>> m_counts;
     /// Free replicas that the next group of their domain needs as they are.
     std::set<instance_id> m_claimed;
 };
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -131,11 +131,23 @@
 
 int assembly_round::presentGroups(const model_id &model) const
 {
-    return static_cast<int>(std::count_if(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
-        const bool isEnding = entry.second.stage == assembly_stage::closing || entry.second.stage == assembly_stage::leaving;
-        const bool isThere = !isEnding || m_view.now - entry.second.stageSince < m_state.policy.closingGrace;
-        return entry.second.model == model && isThere;
-    }));
+    return countOf(model).present;
+}
+
+/// Counted once for many questions; each change of a group's stage lets it be counted anew.
+const assembly_round::group_count &assembly_round::countOf(const model_id &model) const
+{
+    if (!m_counts) {
+        m_counts.emplace();
+        for (const auto &[id, group] : m_state.groups) {
+            const bool isEnding = group.stage == assembly_stage::closing || group.stage == assembly_stage::leaving;
+            const bool isThere = !isEnding || m_view.now - group.stageSince < m_state.policy.closingGrace;
+            auto &count = (*m_counts)[group.model];
+            count.present += isThere ? 1 : 0;
+            count.staying += isEnding ? 0 : 1;
+        }
+    }
+    return (*m_counts)[model];
 }
 
 /// Takes a group of a smaller model apart where its members have a larger model staged that lacks a few members there.
@@ -268,11 +280,7 @@
 double assembly_round::partWithoutEnding(const group_model &model, int more) const
 {
     const auto target = m_targets.at(model.id);
-    const auto count = std::count_if(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
-        const auto stage = entry.second.stage;
-        return entry.second.model == model.id && stage != assembly_stage::closing && stage != assembly_stage::leaving;
-    });
-    return target == 0 ? 1.0 : static_cast<double>(count + more) / target;
+    return target == 0 ? 1.0 : static_cast<double>(countOf(model.id).staying + more) / target;
 }
 
 /// The free replicas of a domain that a model may use: not those that are ready for a model which lacks more of its groups, as long as a
@@ -363,6 +371,7 @@
         std::erase(free, replica);
     }
     auto &planned = m_state.groups[group.id] = std::move(group);
+    m_counts.reset();
     decide(planned, fmt::format("forming in domain={}", domain.value()));
     join(planned);
 }
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -170,6 +170,7 @@
     decide(group, "dissolved: " + why);
     const auto id = group.id;
     m_state.groups.erase(id);
+    m_counts.reset();
 }
 
 } // namespace vetchpost
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -183,6 +183,7 @@
 {
     group.stage = stage;
     group.stageSince = m_view.now;
+    m_counts.reset();
     decide(group, fmt::format("{}: {}", assemblyStageName(stage), why));
 }
 
