Entry, Requests: Say why no repeat was tried, what part of the repeats a daemon has, and what is open when it finishes

Cause: the record of the incident could not tell its hypotheses apart: a refused request said that its replica was silent, not why nobody else was tried; nothing said how large a daemon's part of the repeats was; a stopping daemon did not say how many connections were open. Change: refused and broken_off carry no_repeat; repeats_shared tells a daemon's part whenever it changes; finishing and stopped count open connections.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -195,11 +195,15 @@
     const last_work handingOver([this] { d->assembly.stop(); });
     // New connections come until the balancer has noticed; idle ones are closed only after it, so that nothing is sent into a close.
     std::this_thread::sleep_for(balancerNotice);
+    daemonLog.write("finishing", {{"connections", d->callers->openConnections()}, {"active", d->callers->activeRequests()}});
     const last_work finishing([this] { d->callers->finish(); });
     while (!(finishing.isDone() && handingOver.isDone()) && monotonicNow() < latest) {
         std::this_thread::sleep_for(stopPollPeriod);
     }
-    daemonLog.write("stopped", {{"active", d->callers->activeRequests()}, {"log_lines_left_out", droppedLogLines()}});
+    daemonLog.write("stopped",
+                    {{"connections", d->callers->openConnections()},
+                     {"active", d->callers->activeRequests()},
+                     {"log_lines_left_out", droppedLogLines()}});
     stopEventLog();
 }
 
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -1,29 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/relay_context.h"
 
-#include <algorithm>
+#include "Libraries/Base/event_log.h"
 
 namespace vetchpost {
 
 namespace {
 
-/// How many daemons share the budget of repeats where the coordinator has not said it yet: more than there are anywhere today but for the
-/// largest deployment, which is told within a second.
-constexpr int assumedDaemons = 100;
-/// Of the share of repeats a part is left for the differences between the daemons' windows.
-constexpr double usedRetryShare = 0.8;
-constexpr double leastRepeats = 1;
+constexpr event_log repeatsLog("request");
 
 /// Keys are refused a little before the bound, for the differences between two machines' clocks.
 constexpr duration keyMargin(200);
 
 } // namespace
 
-double repeatsAtOnce(int slack, std::optional<int> daemons)
-{
-    return std::max(leastRepeats, slack * usedRetryShare / std::max(1, daemons.value_or(assumedDaemons)));
-}
-
 relay_context::relay_context(const entry_settings &settings,
                              const entry_dialect &words,
                              const store_follower &store,
@@ -72,13 +62,24 @@
     }
 }
 
+/// The mutex is held.
 retry_budget &relay_context::budgetOf(const service_id &service)
 {
+    const repeat_bound bound{m_settings.retryShare, m_settings.retrySlack};
+    const auto daemons = m_feed.daemons();
     const auto [found, isNew] = m_budgets.try_emplace(service);
     auto &budget = found->second;
-    budget.share = m_settings.retryShare * usedRetryShare;
-    budget.most = repeatsAtOnce(m_settings.retrySlack, m_feed.daemons());
-    budget.available = isNew ? budget.most : std::min(budget.available, budget.most);
+    const auto before = budget.most;
+    if (isNew) {
+        budget = startBudget(bound, daemons, m_settings.isFirstStart);
+    } else {
+        divideBudget(budget, bound, daemons);
+    }
+    if (isNew || budget.most != before) {
+        repeatsLog.write(
+            "repeats_shared",
+            {{"service", service.value()}, {"daemons", daemons.value_or(0)}, {"most", budget.most}, {"available", budget.available}});
+    }
     return budget;
 }
 
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -8,7 +8,7 @@
 #include "Libraries/Entry/held_requests.h"
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
-#include "Libraries/Requests/retry_budget.h"
+#include "Libraries/Requests/repeat_bound.h"
 #include "Libraries/Settings/entry_settings.h"
 
 #include <atomic>
@@ -21,9 +21,6 @@
 
 using entry_view_snapshot = rcu_snapshot<std::shared_ptr<const entry_view>>;
 
-/// How many repeats one daemon may send at once, of the \a slack that all together have. Nothing where their number is not known.
-double repeatsAtOnce(int slack, std::optional<int> daemons);
-
 /// What the requests of one daemon share.
 class relay_context
 {
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -161,6 +161,7 @@
         const auto target = choose();
         if (!target) {
             m_lastWhy += m_lastWhy.empty() ? "no place takes requests" : "; no other place takes requests";
+            m_noRepeatWhy = "no other place takes requests";
             break;
         }
         end = tryOn(*target);
@@ -180,13 +181,23 @@
 bool request_run::mayTryAnother(try_end end)
 {
     if (end == try_end::answered || end == try_end::caller_left || end == try_end::timed_out || timeLeft() < leastTimeLeft) {
+        m_noRepeatWhy = "no time is left";
         return false;
     }
     if (end == try_end::not_sent) {
+        m_noRepeatWhy = "too many places could not be reached";
         return ++m_unreachable < mostUnreachable;
     }
-    const bool isAllowed = end == try_end::not_run || m_route->mayRunAgain();
-    if (!isAllowed || m_attempts >= m_route->maximumAttempts || !m_context.takeRepeat(m_service->id)) {
+    if (end != try_end::not_run && !m_route->mayRunAgain()) {
+        m_noRepeatWhy = "it may have run";
+        return false;
+    }
+    if (m_attempts >= m_route->maximumAttempts) {
+        m_noRepeatWhy = "the route allows no more attempts";
+        return false;
+    }
+    if (!m_context.takeRepeat(m_service->id)) {
+        m_noRepeatWhy = "the budget of repeats is used up";
         return false;
     }
     m_context.retried.increment();
@@ -214,6 +225,7 @@
                           {"route", m_route->name},
                           {"end", tryEndName(end)},
                           {"why", m_lastWhy},
+                          {"no_repeat", m_noRepeatWhy},
                           {"tries", m_attempts},
                           {"held_ms", (monotonicNow() - m_arrival).count()},
                           {"last_event", m_events.lastId()}});
@@ -252,6 +264,7 @@
                       {"kind", errorAnswer(kind).name},
                       {"why", text},
                       {"last_try", m_lastWhy},
+                      {"no_repeat", m_noRepeatWhy},
                       {"tries", m_attempts},
                       {"held_ms", (monotonicNow() - m_arrival).count()},
                       {"time_left_ms", timeLeft().count()}});
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -108,6 +108,8 @@
     event_splitter m_events;
     std::optional<whole_answer> m_failure;
     std::string m_lastWhy;
+    /// Why no other replica was tried after the last one.
+    std::string m_noRepeatWhy;
 };
 
 } // namespace vetchpost
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -495,6 +495,12 @@
     return d->connections.active.load();
 }
 
+int http_server::openConnections() const
+{
+    const std::lock_guard lock(d->connections.mutex);
+    return static_cast<int>(d->connections.all.size());
+}
+
 void http_server::stopAll()
 {
     d->server->stop();
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -89,6 +89,8 @@
     void finish();
     /// Requests that are being answered at this moment.
     int activeRequests() const;
+    /// Connections that are open at this moment, idle ones too.
+    int openConnections() const;
     /// Ends all connections and their threads.
     void stopAll();
 
--- a/Tests/Entry/testRelayContext.cpp
+++ b/Tests/Requests/testRepeatBound.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "Libraries/Entry/relay_context.h"
+#include "Libraries/Requests/repeat_bound.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,3 +14,4 @@
     // A daemon that has heard nobody must not take more than one of the largest deployment.
     CHECK(79 * repeatsAtOnce(273, std::nullopt) <= 273);
 }
+
