Tests: Show three ways in which the cause of the incident still acts

The relay's tests start as a first start, so that the ones that repeat have repeats after the mend too.

--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -347,3 +347,25 @@
         RC_ASSERT(follower.values() == whole.values());
     });
 }
+
+// The number of daemons divides what all may send. A source that has just begun has not heard most of them yet, and one that is cut off
+// from a third of them does not hear those although they send on.
+TEST_CASE("A number of daemons that falls is not believed before the ones that are missing have had time to be heard")
+{
+    feed_follower follower;
+    const auto told = [&](int daemons, instant now) {
+        feed_update update;
+        update.nonce = subscribe(follower, daemon_id("d1"), 0, true, now).nonce;
+        update.daemons = daemons;
+        noteUpdate(follower, update, now);
+    };
+    told(79, start);
+    told(8, start + duration(1000));
+    CHECK(follower.daemons == 79);
+    told(81, start + duration(2000));
+    CHECK(follower.daemons == 81);
+    for (int second = 3; second <= 60; ++second) {
+        told(40, start + duration(1000) * second);
+    }
+    CHECK(follower.daemons == 40);
+}
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -160,7 +160,7 @@
             id);
     }
 
-    void start(bool hasConfiguration = true)
+    void start(bool hasConfiguration = true, bool hasRunBefore = false)
     {
         if (hasConfiguration) {
             m_values["op/config"] = configurationText;
@@ -177,6 +177,8 @@
         settings.stopGrace = duration(3000);
         settings.leaseTime = duration(2000);
         settings.stallTime = duration(5000);
+        // A daemon that starts again begins without repeats.
+        settings.isFirstStart = !hasRunBefore;
         settings.retryShare = 0.2;
         // Nobody coordinates here: the daemon takes its part of the repeats as one of a hundred.
         settings.retrySlack = 1000;
@@ -430,3 +432,55 @@
     CHECK(reply.body == event(1));
     CHECK_FALSE(reply.isWhole);
 }
+
+// What users saw: after a restart of all daemons, requests were answered 502 after 0.9 of the 6 seconds that their callers would have
+// waited. The daemon gave the try up as soon as the replica had been silent for a while, and only then found that no repeat was left in its
+// budget: the answer that the replica was about to give was thrown away. The evidence: lines "refused" with one try of two, the reason "the
+// replica is silent", and five seconds left.
+TEST_CASE("A slow answer is waited for where no other replica may take the request")
+{
+    const auto slow = [](const std::string &request) {
+        std::this_thread::sleep_for(duration(1400));
+        return streamHead(request, "slow") + chunk(event(1)) + "0\r\n\r\n";
+    };
+    const scripted_replica one(slow);
+    const scripted_replica two(slow);
+
+    SECTION("there is no other")
+    {
+        relay_world world;
+        world.addHead("h-1", one);
+        world.start();
+        const auto reply = world.ask("/stream/");
+        CHECK(reply.status == 200);
+        CHECK(reply.body == event(1));
+        CHECK(reply.isWhole);
+    }
+
+    SECTION("the budget of repeats is used up")
+    {
+        relay_world world;
+        world.addHead("h-1", one);
+        world.addHead("h-2", two);
+        world.start(true, true);
+        const auto reply = world.ask("/stream/");
+        CHECK(reply.status == 200);
+        CHECK(reply.isWhole);
+        CHECK(one.requests().size() + two.requests().size() == 1);
+    }
+}
+
+TEST_CASE("An idempotent request whose answer is late is waited for where no other replica may take it")
+{
+    const auto late = [](const std::string &request) {
+        std::this_thread::sleep_for(duration(600));
+        return answerTo(request, "late");
+    };
+    const scripted_replica only(late);
+    relay_world world;
+    world.addPlain("i-1", only);
+    world.start();
+    const auto reply = world.ask("/again/");
+    CHECK(reply.status == 200);
+    CHECK(reply.body == "late");
+}
