--- /dev/null
+++ b/Libraries/Assembly/silent_replicas.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Assembly/silent_replicas.h"
+
+namespace vetchpost {
+
+namespace {
+
+/// A replica that did not answer is believed dead for so long, unless it answers or its entry goes.
+constexpr duration suspicionTime(10000);
+/// How often a member without an entry is looked at.
+constexpr duration unlistedLookPeriod(800);
+/// ... and one that did not answer: within the time for which it is suspected.
+constexpr duration silentLookPeriod(4000);
+
+} // namespace
+
+silence_report reportSilence(silent_replicas &silent, const replica_directory &directory, instant now)
+{
+    std::erase_if(silent.suspectedUntil,
+                  [&](const auto &entry) { return entry.second <= now || !directory.replicas.contains(entry.first); });
+    std::erase_if(silent.notLeaving, [&](const instance_id &id) { return !silent.suspectedUntil.contains(id); });
+    forgetOldLooks(silent.witnesses, now);
+    silence_report report;
+    for (const auto &[id, until] : silent.suspectedUntil) {
+        report.suspects.insert(id);
+    }
+    report.notLeaving = silent.notLeaving;
+    // A leaving replica stops listening before it has finished: only one that does not leave is dead when it is silent.
+    report.dead = confirmedDead(silent.witnesses, now);
+    std::erase_if(report.dead, [&](const instance_id &id) { return !silent.notLeaving.contains(id); });
+    return report;
+}
+
+std::vector<served_replica> unlistedToLookAt(silent_replicas &silent, const replica_directory &directory, instant now)
+{
+    std::vector<served_replica> looked;
+    for (const auto &[id, replica] : directory.replicas) {
+        auto &last = silent.lastLooks[id];
+        const auto period = silent.suspectedUntil.contains(id) ? silentLookPeriod : unlistedLookPeriod;
+        if (replica.isUnlisted && now - last >= period) {
+            last = now;
+            looked.push_back(replica);
+        }
+    }
+    std::erase_if(silent.lastLooks, [&](const auto &entry) { return !directory.replicas.contains(entry.first); });
+    return looked;
+}
+
+std::vector<served_replica>
+membersToLookAt(silent_replicas &silent, const replica_directory &directory, const instance_id &head, instant now)
+{
+    std::vector<served_replica> looked;
+    const auto found = directory.replicas.find(head);
+    if (found == directory.replicas.end() || !found->second.membership) {
+        return looked;
+    }
+    for (const auto &[id, replica] : directory.replicas) {
+        const bool isMember = replica.membership && replica.membership->group == found->second.membership->group;
+        if (!isMember || silent.suspectedUntil.contains(id)) {
+            continue;
+        }
+        auto &last = silent.lastLooks[id];
+        if (now - last >= lookTimeout * 2) {
+            last = now;
+            looked.push_back(replica);
+        }
+    }
+    return looked;
+}
+
+bool noteOwnLook(silent_replicas &silent, const instance_id &replica, const daemon_id &self, const direct_look &look)
+{
+    noteLook(silent.witnesses, replica, self, look);
+    if (look.hasAnswered) {
+        silent.suspectedUntil.erase(replica);
+        silent.notLeaving.erase(replica);
+        return false;
+    }
+    const bool isNew = !silent.suspectedUntil.contains(replica);
+    silent.suspectedUntil[replica] = look.when + suspicionTime;
+    return isNew;
+}
+
+std::optional<instance_id> headOfGroup(const replica_directory &directory, const served_replica &replica)
+{
+    for (const auto &[id, other] : directory.replicas) {
+        const bool isHead = replica.membership && other.membership && other.membership->group == replica.membership->group
+            && other.membership->formed == replica.membership->formed && other.membership->rank == 0;
+        if (isHead) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -2,11 +2,11 @@
 #include "Libraries/Entry/assembly_runner.h"
 
 #include "Libraries/Assembly/coordination_term.h"
-#include "Libraries/Assembly/death_witnesses.h"
 #include "Libraries/Assembly/domain_summary.h"
 #include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
+#include "Libraries/Entry/replica_looks.h"
 #include "Libraries/Http/http_client.h"
 
 #include <fmt/format.h>
@@ -32,14 +32,6 @@
 constexpr duration followerSpread(300);
 /// An order is answered at once or never.
 constexpr duration orderTimeout(400);
-/// A live replica answers a direct look at once, also under load.
-constexpr duration lookTimeout(200);
-/// A replica that did not answer is believed dead for so long, unless it answers or its entry goes.
-constexpr duration suspicionTime(10000);
-/// How often a member without an entry is looked at.
-constexpr duration unlistedLookPeriod(800);
-/// ... and one that did not answer: within the time for which it is suspected.
-constexpr duration silentLookPeriod(4000);
 /// How often the coordinator logs what stands of each model.
 constexpr duration standingLogPeriod(1000);
 constexpr int orderThreads = 12;
@@ -70,13 +62,9 @@
     std::optional<coordination_term> term;
     instant termSince;
     std::map<service_id, assembly_state> assemblies;
-    std::map<instance_id, instant> suspects;
-    /// Of these the ones whose entry said afterwards that they do not leave.
-    std::set<instance_id> notLeaving;
-    std::map<instance_id, instant> lastLooks;
     std::map<instance_id, instant> lastNotices;
-    death_witnesses witnesses;
     std::atomic<bool> hasTraffic = false;
+    replica_looks looks;
     std::thread thread;
 
     private_data(const entry_settings &entrySettings,
@@ -95,9 +83,20 @@
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , hasTraffic(!entrySettings.isFirstStart)
+        , looks(entrySettings, service, words, follower, peers, [this] { planSoon(); })
     {
     }
 
+    /// What is known has changed.
+    void planSoon()
+    {
+        {
+            const std::lock_guard lock(mutex);
+            mustPlan = true;
+        }
+        wake.notify_all();
+    }
+
     // Coordination.
 
     void run()
@@ -190,9 +189,8 @@
             term = taken;
             termSince = monotonicNow();
             assemblies.clear();
-            suspects.clear();
-            notLeaving.clear();
         }
+        looks.forget();
         takeovers.increment();
         assemblyLog.write("coordination_taken", {{"term", taken.number}});
         // Nothing is planned before a listing that began after the predecessor's term had ended.
@@ -233,6 +231,7 @@
         const auto directory = store.directory();
         const auto listedAt = store.listedAt();
         const auto now = monotonicNow();
+        const auto silence = looks.report(*directory, now);
         std::vector<replica_order> planned;
         std::uint64_t number = 0;
         {
@@ -241,11 +240,9 @@
                 return;
             }
             number = term->number;
-            dropOldSuspicions(*directory, now);
-            lookAtUnlisted(*directory, now);
             for (const auto &service : routes->configuration().services) {
                 if (service.engine) {
-                    planService(service, *directory, now, planned);
+                    planService(service, *directory, silence, now, planned);
                 }
             }
         }
@@ -254,21 +251,19 @@
         }
     }
 
-    void planService(const served_service &service, const replica_directory &directory, instant now, std::vector<replica_order> &planned)
+    /// The mutex is held.
+    void planService(const served_service &service,
+                     const replica_directory &directory,
+                     const silence_report &silence,
+                     instant now,
+                     std::vector<replica_order> &planned)
     {
         auto &assembly = assemblies[service.id];
         assembly.term = term->number;
         assembly.policy.silentHeadWait = settings.stallTime;
-        std::set<instance_id> suspected;
-        for (const auto &[id, until] : suspects) {
-            suspected.insert(id);
-        }
-        forgetOldLooks(witnesses, now);
-        // A leaving replica stops listening before it has finished: only one that does not leave is dead when it is silent.
-        auto dead = confirmedDead(witnesses, now);
-        std::erase_if(dead, [&](const instance_id &id) { return !notLeaving.contains(id); });
         noteDemand(assembly.demand, demandOf(service.id), now);
-        const assembly_view view{directory, service.id, *service.engine, suspected, dead, !hasTraffic.load(), now, notLeaving};
+        const assembly_view view{
+            directory, service.id, *service.engine, silence.suspects, silence.dead, !hasTraffic.load(), now, silence.notLeaving};
         auto next = planAssembly(assembly, view);
         for (const auto &decision : assembly.decisions) {
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
@@ -313,12 +308,6 @@
         }
     }
 
-    void dropOldSuspicions(const replica_directory &directory, instant now)
-    {
-        std::erase_if(suspects, [&](const auto &entry) { return entry.second <= now || !directory.replicas.contains(entry.first); });
-        std::erase_if(notLeaving, [&](const instance_id &id) { return !suspects.contains(id); });
-    }
-
     void perform(const replica_order &order, std::uint64_t number)
     {
         bool isAllowed = false;
@@ -345,9 +334,8 @@
             for (auto &[service, assembly] : assemblies) {
                 noteOrderResult(assembly, order, answer, monotonicNow());
             }
-            mustPlan = true;
         }
-        wake.notify_all();
+        planSoon();
     }
 
     order_answer send(const replica_order &order, std::string &text)
@@ -367,122 +355,7 @@
         return {isRefused ? order_result::gone : order_result::unknown, 0};
     }
 
-    // Direct looks.
-
-    /// A member without an entry is believed as long as it answers.
-    void lookAtUnlisted(const replica_directory &directory, instant now)
-    {
-        for (const auto &[id, replica] : directory.replicas) {
-            auto &last = lastLooks[id];
-            const auto period = suspects.contains(id) ? silentLookPeriod : unlistedLookPeriod;
-            if (replica.isUnlisted && now - last >= period) {
-                last = now;
-                orderWorkers.run([this, looked = replica] { look(looked); });
-            }
-        }
-        std::erase_if(lastLooks, [&](const auto &entry) { return !directory.replicas.contains(entry.first); });
-    }
-
-    void lookAtGroup(const instance_id &head)
-    {
-        const auto directory = store.directory();
-        const auto now = monotonicNow();
-        const auto found = directory->replicas.find(head);
-        if (found == directory->replicas.end() || !found->second.membership) {
-            return;
-        }
-        for (const auto &[id, replica] : directory->replicas) {
-            if (!replica.membership || replica.membership->group != found->second.membership->group) {
-                continue;
-            }
-            {
-                const std::lock_guard lock(mutex);
-                auto &last = lastLooks[id];
-                if (now - last < lookTimeout * 2 || suspects.contains(id)) {
-                    continue;
-                }
-                last = now;
-            }
-            orderWorkers.run([this, looked = replica] { look(looked); });
-        }
-    }
-
-    /// The head of the group that a replica says it stands in.
-    std::optional<instance_id> headOfGroup(const served_replica &replica) const
-    {
-        const auto directory = store.directory();
-        for (const auto &[id, other] : directory->replicas) {
-            const bool isHead = replica.membership && other.membership && other.membership->group == replica.membership->group
-                && other.membership->formed == replica.membership->formed && other.membership->rank == 0;
-            if (isHead) {
-                return id;
-            }
-        }
-        return std::nullopt;
-    }
-
-    /// Whether the replica itself answers this daemon.
-    bool answers(const served_replica &replica, reason &why) const
-    {
-        auto call = dialect.livenessCall(replica.id, replica.address);
-        call.connectTimeout = lookTimeout;
-        call.receiveTimeout = lookTimeout;
-        const auto reply = sendOnFreshConnection(call, why);
-        if (reply && !dialect.isLivenessAnswer(*reply)) {
-            why.text = "another replica has its address";
-            return false;
-        }
-        return reply.has_value();
-    }
-
-    void look(const served_replica &replica)
-    {
-        reason why;
-        const bool hasAnswered = answers(replica, why);
-        assemblyLog.write("looked", {{"replica", replica.id.value()}, {"answers", hasAnswered}, {"why", why.text}});
-        bool isNew = false;
-        {
-            const std::lock_guard lock(mutex);
-            noteLook(witnesses, replica.id, settings.daemon, {monotonicNow(), hasAnswered});
-            if (hasAnswered) {
-                suspects.erase(replica.id);
-                notLeaving.erase(replica.id);
-                return;
-            }
-            isNew = !suspects.contains(replica.id);
-            suspects[replica.id] = monotonicNow() + suspicionTime;
-            mustPlan = true;
-        }
-        wake.notify_all();
-        if (!isNew) {
-            return;
-        }
-        if (const auto head = headOfGroup(replica)) {
-            feed.tellDoubt(*head);
-        }
-        feed.askForLooks(replica.id);
-        checkLeaving(replica.id);
-    }
-
-    /// Reads the entry of a silent replica itself: the directory may lag, and the service's watches may miss changes for a while.
-    void checkLeaving(const instance_id &id)
-    {
-        reason why;
-        const auto entry = keyValue.get(dialect.replicaPrefix() + id.value(), read_freshness::current, why);
-        const bool isListed = entry && entry->changed != key_revision();
-        const auto replica = isListed ? dialect.readReplica(id, entry->value, why) : std::nullopt;
-        const bool isStaying = replica && !replica->isDraining;
-        assemblyLog.write("silent_checked", {{"replica", id.value()}, {"leaves", !isStaying}, {"listed", isListed}, {"why", why.text}});
-        if (!isStaying) {
-            return;
-        }
-        {
-            const std::lock_guard lock(mutex);
-            notLeaving.insert(id);
-            mustPlan = true;
-        }
-        wake.notify_all();
-    }
+    // Groups that stand still.
 
     bool mayNotice(const instance_id &head)
     {
@@ -492,21 +365,10 @@
         return lastNotices.try_emplace(head, now).second;
     }
 
-    /// Tells the coordinator whether a replica answers this daemon; nothing where it is not listed any more.
-    void tellLook(const instance_id &id)
-    {
-        const auto directory = store.directory();
-        const auto found = directory->replicas.find(id);
-        if (found != directory->replicas.end()) {
-            reason why;
-            feed.tellStall({settings.daemon, id, answers(found->second, why)});
-        }
-    }
-
     void takeStall(const instance_id &head)
     {
         if (holdsTerm(monotonicNow())) {
-            lookAtGroup(head);
+            looks.lookAtGroup(head);
             return;
         }
         // The coordinator looks at once; whether the head answers this daemon follows, for a head that is cut off from the coordinator
@@ -515,7 +377,7 @@
             assemblyLog.write("stall_not_told", {{"head", head.value()}, {"why", "no coordinator is known"}});
             return;
         }
-        tellLook(head);
+        looks.tellLook(head);
     }
 
     void hearStall(const stall_notice &notice)
@@ -524,14 +386,9 @@
             return;
         }
         if (notice.hasAnswered) {
-            const std::lock_guard lock(mutex);
-            noteLook(witnesses, notice.replica, notice.from, {monotonicNow(), *notice.hasAnswered});
-            mustPlan = mustPlan || !*notice.hasAnswered;
-        }
-        if (notice.hasAnswered) {
-            wake.notify_all();
+            looks.noteWitness(notice);
         } else {
-            lookAtGroup(notice.replica);
+            looks.lookAtGroup(notice.replica);
         }
     }
 };
@@ -570,6 +427,7 @@
     if (d->thread.joinable()) {
         d->thread.join();
     }
+    d->looks.stop();
     d->orderWorkers.stop();
     d->noticeWorkers.stop();
     const std::lock_guard lock(d->mutex);
@@ -583,11 +441,7 @@
 
 void assembly_runner::replan()
 {
-    {
-        const std::lock_guard lock(d->mutex);
-        d->mustPlan = true;
-    }
-    d->wake.notify_all();
+    d->planSoon();
 }
 
 void assembly_runner::noteTraffic()
@@ -602,7 +456,7 @@
 
 void assembly_runner::hearLook(const instance_id &replica)
 {
-    d->noticeWorkers.run([this, replica] { d->tellLook(replica); });
+    d->noticeWorkers.run([this, replica] { d->looks.tellLook(replica); });
 }
 
 void assembly_runner::noteStall(const instance_id &head)
--- /dev/null
+++ b/Tests/Assembly/testSilentReplicas.cpp
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Assembly/silent_replicas.h"
+
+#include <catch2/catch.hpp>
+
+using namespace vetchpost;
+
+namespace {
+
+const instant start(duration(1000000));
+const instance_id head("i-head");
+const instance_id member("i-member");
+const daemon_id coordinator("d0");
+
+served_replica replicaIn(const instance_id &id, int rank)
+{
+    served_replica replica;
+    replica.id = id;
+    replica.membership = {group_id("g1"), formation(1), rank, rank == 0 ? member_state::open : member_state::ready};
+    return replica;
+}
+
+replica_directory oneGroup()
+{
+    return {{{head, replicaIn(head, 0)}, {member, replicaIn(member, 1)}}};
+}
+
+void noteWitnesses(silent_replicas &silent, const instance_id &replica, instant when)
+{
+    for (int i = 1; i <= neededWitnesses; ++i) {
+        noteLook(silent.witnesses, replica, daemon_id("d" + std::to_string(i)), {when, false});
+    }
+}
+
+} // namespace
+
+TEST_CASE("A replica that did not answer is suspected until it answers, its entry goes or the suspicion is old")
+{
+    silent_replicas silent;
+    auto directory = oneGroup();
+    CHECK(noteOwnLook(silent, member, coordinator, {start, false}));
+    CHECK_FALSE(noteOwnLook(silent, member, coordinator, {start + duration(100), false}));
+    CHECK(reportSilence(silent, directory, start + duration(200)).suspects == std::set{member});
+
+    SECTION("it answers")
+    {
+        CHECK_FALSE(noteOwnLook(silent, member, coordinator, {start + duration(300), true}));
+    }
+    SECTION("its entry goes")
+    {
+        directory.replicas.erase(member);
+    }
+    SECTION("the suspicion is old")
+    {
+        CHECK(reportSilence(silent, directory, start + duration(10200)).suspects.empty());
+        return;
+    }
+    CHECK(reportSilence(silent, directory, start + duration(400)).suspects.empty());
+}
+
+TEST_CASE("A silent replica is dead only where enough daemons found it silent and it does not leave")
+{
+    silent_replicas silent;
+    const auto directory = oneGroup();
+    noteOwnLook(silent, head, coordinator, {start, false});
+    noteWitnesses(silent, head, start);
+    CHECK(reportSilence(silent, directory, start).dead.empty());
+    silent.notLeaving.insert(head);
+    CHECK(reportSilence(silent, directory, start).dead == std::set{head});
+}
+
+TEST_CASE("A group's members are looked at once at a time, and suspected ones not again")
+{
+    silent_replicas silent;
+    const auto directory = oneGroup();
+    CHECK(membersToLookAt(silent, directory, head, start).size() == 2);
+    CHECK(membersToLookAt(silent, directory, head, start + lookTimeout).empty());
+    noteOwnLook(silent, member, coordinator, {start + lookTimeout, false});
+    const auto again = membersToLookAt(silent, directory, head, start + lookTimeout * 2);
+    REQUIRE(again.size() == 1);
+    CHECK(again.front().id == head);
+    CHECK(membersToLookAt(silent, directory, instance_id("i-nobody"), start).empty());
+    CHECK(headOfGroup(directory, directory.replicas.at(member)) == head);
+}
+
+TEST_CASE("Members without an entry are looked at again and again, silent ones less often")
+{
+    silent_replicas silent;
+    auto directory = oneGroup();
+    CHECK(unlistedToLookAt(silent, directory, start).empty());
+    directory.replicas.at(member).isUnlisted = true;
+    CHECK(unlistedToLookAt(silent, directory, start).size() == 1);
+    CHECK(unlistedToLookAt(silent, directory, start + duration(500)).empty());
+    CHECK(unlistedToLookAt(silent, directory, start + duration(900)).size() == 1);
+    noteOwnLook(silent, member, coordinator, {start + duration(1000), false});
+    CHECK(unlistedToLookAt(silent, directory, start + duration(2000)).empty());
+    CHECK(unlistedToLookAt(silent, directory, start + duration(5000)).size() == 1);
+}
