--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -264,6 +264,19 @@
     CHECK_FALSE(world.hasGroup());
 }
 
+TEST_CASE("A head that was found silent by mistake and begins to leave then keeps its group until it has finished")
+{
+    silent_head world;
+    world.round(world.head, false, duration(600), true);
+    world.directory.replicas.at(instance_id("head")).isDraining = true;
+    world.round(world.head, false, duration(2000));
+    world.round(world.head, true, duration(3000));
+    world.round(world.head, true, duration(1500) + world.policy.silentHeadWait);
+    CHECK(world.hasGroup());
+    world.round(world.head, true, duration(1500) + world.policy.leavingHeadWait);
+    CHECK_FALSE(world.hasGroup());
+}
+
 TEST_CASE("A free replica is not loaded with one model after the other")
 {
     const instant now(duration(1000000));
--- a/Tests/Assembly/testSilentReplicas.cpp
+++ b/Tests/Assembly/testSilentReplicas.cpp
@@ -96,3 +96,31 @@
     CHECK(unlistedToLookAt(silent, directory, start + duration(2000)).empty());
     CHECK(unlistedToLookAt(silent, directory, start + duration(5000)).size() == 1);
 }
+
+// A replica that has crashed cannot say any more that it leaves. One that was found silent by mistake, and begins to leave then, stops
+// listening while it still finishes requests: taking that silence for its death put its members into a second group.
+TEST_CASE("A silent replica whose entry says afterwards that it leaves has not crashed")
+{
+    silent_replicas silent;
+    auto directory = oneGroup();
+    noteOwnLook(silent, head, coordinator, {start, false});
+    silent.notLeaving.insert(head);
+    directory.replicas.at(head).isDraining = true;
+    noteWitnesses(silent, head, start + duration(2000));
+    const auto report = reportSilence(silent, directory, start + duration(2100));
+    CHECK(report.suspects == std::set{head});
+    CHECK(report.notLeaving.empty());
+    CHECK(report.dead.empty());
+}
+
+TEST_CASE("A silent replica whose entry goes without a word that it leaves stays dead")
+{
+    silent_replicas silent;
+    auto directory = oneGroup();
+    noteOwnLook(silent, head, coordinator, {start, false});
+    silent.notLeaving.insert(head);
+    noteWitnesses(silent, head, start + duration(2000));
+    directory.replicas.at(head).isDraining = true;
+    directory.replicas.at(head).isUnlisted = true;
+    CHECK(reportSilence(silent, directory, start + duration(2100)).dead == std::set{head});
+}
