Assembly: Take no replica for dead that says, after it was found silent, that it leaves

Cause: whether a silent replica leaves was read once, at the moment it was found silent. A head that did not answer once (a lost packet) and began to leave within the ten seconds of suspicion stopped listening while it finished requests; four daemons found it silent, and its members were ordered into another group. Ruled out: the directory's lag (the entry is read anew), too few witnesses. Change: an entry that says so afterwards ends the belief that the replica does not leave; an entry that is gone changes nothing.

--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -58,7 +58,11 @@
 
 void assembly_round::noteSilence()
 {
-    std::erase_if(m_state.silentWhileListed, [&](const instance_id &id) { return find(id) == nullptr || !m_view.suspects.contains(id); });
+    // One that says afterwards that it leaves has not crashed.
+    std::erase_if(m_state.silentWhileListed, [&](const instance_id &id) {
+        const auto *replica = find(id);
+        return replica == nullptr || !m_view.suspects.contains(id) || saysItLeaves(*replica);
+    });
     for (const auto &id : m_view.notLeaving) {
         if (find(id) != nullptr && m_view.suspects.contains(id)) {
             m_state.silentWhileListed.insert(id);
--- a/Libraries/Assembly/silent_replicas.cpp
+++ b/Libraries/Assembly/silent_replicas.cpp
@@ -12,13 +12,23 @@
 /// ... and one that did not answer: within the time for which it is suspected.
 constexpr duration silentLookPeriod(4000);
 
+// What has crashed says nothing any more: an entry that was changed after its replica was found silent shows that it lives. It has stopped
+// listening, or will soon, and still finishes requests; while it was taken for dead its members were ordered into a second group
+// (testAssembly). An entry that is gone shows nothing.
+bool hasSpokenSince(const replica_directory &directory, const instance_id &id)
+{
+    const auto found = directory.replicas.find(id);
+    return found != directory.replicas.end() && saysItLeaves(found->second);
+}
+
 } // namespace
 
 silence_report reportSilence(silent_replicas &silent, const replica_directory &directory, instant now)
 {
     std::erase_if(silent.suspectedUntil,
                   [&](const auto &entry) { return entry.second <= now || !directory.replicas.contains(entry.first); });
-    std::erase_if(silent.notLeaving, [&](const instance_id &id) { return !silent.suspectedUntil.contains(id); });
+    std::erase_if(silent.notLeaving,
+                  [&](const instance_id &id) { return !silent.suspectedUntil.contains(id) || hasSpokenSince(directory, id); });
     forgetOldLooks(silent.witnesses, now);
     silence_report report;
     for (const auto &[id, until] : silent.suspectedUntil) {
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -64,6 +64,12 @@
     auto operator<=>(const served_replica &) const = default;
 };
 
+/// Whether the replica itself has said that it is about to end.
+inline bool saysItLeaves(const served_replica &replica)
+{
+    return replica.isDraining && !replica.isUnlisted;
+}
+
 struct replica_directory
 {
     std::map<instance_id, served_replica> replicas;
