Tests: Show that a successor takes the members of a group whose head is not listed

The head is cut off from the key-value service, or lapsed with it, and still open; a coordinator that knows the listing alone orders its members into another group at once.

--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -264,6 +264,64 @@
     CHECK_FALSE(world.hasGroup());
 }
 
+namespace {
+
+/// Whether any of the orders gives a replica a place in another group.
+bool hasJoin(const std::vector<replica_order> &orders)
+{
+    return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) {
+        // A join begins with a question for the number of orders taken.
+        return order.kind == order_kind::join || order.kind == order_kind::look;
+    });
+}
+
+} // namespace
+
+// What users saw: a replica took its place in a new group while the head of its group was open. The head had been cut off from the
+// key-value service, so that its entry was gone, and still served; then all daemons were killed. The one that coordinated next knew the
+// service's listing alone. It took the members, whose head nobody listed, for free. The evidence: an order to join right after a takeover,
+// without any decision on the group that the member named.
+TEST_CASE("A successor that does not find a group's head in the listing leaves its members alone while the head may still serve")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    const auto head = directory.replicas.extract(instance_id("head"));
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 2;
+    const auto ordersAt = [&](duration after) {
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after});
+        for (const auto &order : orders) {
+            noteOrderResult(state, order, {order_result::taken, 0}, now + after);
+        }
+        return orders;
+    };
+
+    SECTION("it comes back into the listing")
+    {
+        for (int i = 0; i < 8; ++i) {
+            CHECK_FALSE(hasJoin(ordersAt(duration(1000) * i)));
+        }
+        directory.replicas[instance_id("head")] = head.mapped();
+        for (int i = 80; i < 140; ++i) {
+            CHECK_FALSE(hasJoin(ordersAt(duration(100) * i)));
+        }
+    }
+
+    SECTION("it never comes back")
+    {
+        for (int i = 0; i < 8; ++i) {
+            CHECK_FALSE(hasJoin(ordersAt(duration(1000) * i)));
+        }
+        bool hasJoined = false;
+        for (int i = 8; i < 20; ++i) {
+            hasJoined = hasJoin(ordersAt(duration(1000) * i)) || hasJoined;
+        }
+        CHECK(hasJoined);
+    }
+}
+
 TEST_CASE("A free replica is not loaded with one model after the other")
 {
     const instant now(duration(1000000));
