--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -322,6 +322,50 @@
     }
 }
 
+// What users saw: a replica took its place in a new group while the head of its group was open. The head had been cut off from all daemons
+// for some seconds: it was taken for dead and its group was given up. When the cut ended it was still open by its own word, but what had
+// been decided of it stayed decided: it and its members counted as free. The evidence: an order to join after the head had answered again.
+TEST_CASE("A head that was taken for dead and is heard again holds its group until it is closed")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    // Without the spare no new group can be formed while the head is silent.
+    directory.replicas.erase(instance_id("spare"));
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    const std::set<instance_id> silent = {instance_id("head")};
+    assembly_state state;
+    state.term = 2;
+    const auto ordersAt = [&](duration after, const std::set<instance_id> &suspects, order_result result) {
+        auto orders
+            = planAssembly(state, {directory, service_id("large"), world.engine(), suspects, suspects, false, now + after, suspects});
+        for (const auto &order : orders) {
+            noteOrderResult(state, order, {result, 0}, now + after);
+        }
+        return orders;
+    };
+    ordersAt(duration(0), nobody, order_result::unknown);
+    ordersAt(duration(600), silent, order_result::unknown);
+    ordersAt(duration(750), silent, order_result::unknown);
+    REQUIRE_FALSE(state.groups.contains(group_id("g")));
+
+    // The cut has ended.
+    bool isTold = false;
+    for (int i = 0; i < 20; ++i) {
+        const auto orders = ordersAt(duration(2000 + 100 * i), nobody, order_result::taken);
+        CHECK_FALSE(hasJoin(orders));
+        isTold = isTold
+            || std::any_of(orders.begin(), orders.end(), [](const replica_order &order) { return order.kind == order_kind::close; });
+    }
+    CHECK(isTold);
+    directory.replicas[instance_id("head")].membership->state = member_state::ready;
+    bool hasJoined = false;
+    for (int i = 0; i < 20; ++i) {
+        hasJoined = hasJoin(ordersAt(duration(5000 + 100 * i), nobody, order_result::taken)) || hasJoined;
+    }
+    CHECK(hasJoined);
+}
+
 TEST_CASE("A free replica is not loaded with one model after the other")
 {
     const instant now(duration(1000000));
