--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -366,6 +366,47 @@
     CHECK(hasJoined);
 }
 
+// What users saw: a replica took its place in a new group while the head of its group was closing. The head had been told to finish; while
+// that order was under way a direct look at it had no answer in time, so that it was to be cut off instead. Its answer to the first order
+// then counted as an answer to the second one, which was never sent: the group was given up while the head still finished requests. The
+// evidence: one order to close, with the method to finish, before the decision that the head is gone.
+TEST_CASE("A head that has taken the order to finish has not taken the one to cut")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    directory.replicas.erase(instance_id("spare"));
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    const std::set<instance_id> silent = {instance_id("head")};
+    assembly_state state;
+    state.term = 2;
+    const auto ordersAt = [&](duration after, const std::set<instance_id> &suspects) {
+        return planAssembly(state, {directory, service_id("large"), world.engine(), suspects, nobody, false, now + after, suspects});
+    };
+    const auto isClose = [](const replica_order &order) { return order.kind == order_kind::close; };
+    ordersAt(duration(0), nobody);
+    // A member begins to leave, and nobody can replace it.
+    directory.replicas[instance_id("member")].isDraining = true;
+    ordersAt(duration(100), nobody);
+    const auto after = state.policy.leavingStay + duration(200);
+    const auto asked = ordersAt(after, nobody);
+    const auto finish = std::find_if(asked.begin(), asked.end(), isClose);
+    REQUIRE(finish != asked.end());
+    REQUIRE(finish->method == close_method::finish);
+    directory.replicas[instance_id("head")].membership->state = member_state::closing;
+    ordersAt(after + duration(200), silent);
+    noteOrderResult(state, *finish, {order_result::taken, 0}, now + after + duration(250));
+    ordersAt(after + duration(300), silent);
+    CHECK(state.groups.contains(group_id("g")));
+    const auto orders = ordersAt(after + duration(250) + state.policy.orderRetry, silent);
+    const auto cut = std::find_if(orders.begin(), orders.end(), isClose);
+    REQUIRE(cut != orders.end());
+    CHECK(cut->method == close_method::cut);
+    noteOrderResult(state, *cut, {order_result::taken, 0}, now + after + duration(1200));
+    ordersAt(after + duration(1300), silent);
+    CHECK_FALSE(state.groups.contains(group_id("g")));
+}
+
 TEST_CASE("A free replica is not loaded with one model after the other")
 {
     const instant now(duration(1000000));
