Assembly: Take an answer to the order to finish for no answer to the one to cut

Cause: when a member is lost while the order to finish is under way, the head is to be cut off instead; the answer to the first order then counted as one to the second, so that a silent head's group was given up while it still finished requests. Ruled out: the head's state, which is read only where the head is not suspected. Change: only an answer to an order with the method at hand says that the order to close was taken. Conclusion: one more way in which a replica was ordered away from a closing head.

--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -153,8 +153,9 @@
     } else if (order.kind == order_kind::leave) {
         group.hasLeft = group.hasLeft || result != order_result::unknown;
     } else if (order.kind == order_kind::close) {
-        // A head that refuses to close is not open.
-        group.hasTakenClose = group.hasTakenClose || (result != order_result::unknown && result != order_result::gone);
+        // A head that refuses to close is not open. One that has begun to finish has not been told to cut.
+        const bool isLatest = order.method == group.closing;
+        group.hasTakenClose = group.hasTakenClose || (isLatest && result != order_result::unknown && result != order_result::gone);
         if (result == order_result::gone && !group.headLostSince) {
             group.headLostSince = now;
         }
