Assembly: Believe a head dead only as long as it is suspected

Cause: a head that four daemons found silent, or that nobody reached for the engines' stall time, was kept as dead as long as it was listed. One that was merely cut off comes back open: it and its members then counted as free, and nobody closed it. Ruled out: the suspicion itself, which ends after ten seconds or with an answer. Change: what is no longer suspected is no longer dead: it holds its group, and is closed as a head that no plan knows. Conclusion: what comes after a false death is closed. That a head which is cut off from all daemons counts as dead meanwhile stays as it was.

--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -18,7 +18,8 @@
     }
     noteDraining();
     noteSilence();
-    std::erase_if(m_state.deadHeads, [&](const instance_id &id) { return find(id) == nullptr; });
+    // One that is heard again, or is no longer suspected, may still hold requests: the dead do not come back under their names.
+    std::erase_if(m_state.deadHeads, [&](const instance_id &id) { return find(id) == nullptr || !m_view.suspects.contains(id); });
     std::erase_if(m_state.stagings, [&](const auto &entry) { return isStagingOver(entry.first, entry.second); });
 }
 
