Assembly: Keep the members of a group whose head a successor does not find

Cause: a successor adopted only groups whose head is listed. A head that is cut off from the key-value service, lapsed with it, or ends unannounced still serves; the members that name its group counted as free at once. Ruled out: a successor that followed the entries before: it keeps unlisted replicas for twelve seconds, and sees such heads. Change: such a group is adopted as one that closes, its members are kept for as long as a leaving head may finish; a head that comes back is adopted anew with its group. Weighed: asking the members, which do not notice anything; five seconds, which a cut outlasts.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -27,6 +27,7 @@
     // What a predecessor left.
 
     void adopt();
+    void adoptGroup(const seen_group &seen);
     void closeStrays();
 
     // One step of each group.
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -121,7 +121,8 @@
     }
     // A leaving head stops listening before it has finished: that nobody reaches it is no sign of its end. The directory may not tell yet
     // that it leaves.
-    const bool mayLeave = listed != nullptr && !m_state.silentWhileListed.contains(head.instance);
+    const bool isUnknown = head.instance.isEmpty();
+    const bool mayLeave = isUnknown || (listed != nullptr && !m_state.silentWhileListed.contains(head.instance));
     const auto patience = mayLeave ? m_state.policy.leavingHeadWait : m_state.policy.silentHeadWait;
     const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience;
     const bool isCut = group.hasTakenClose && group.closing == close_method::cut;
@@ -137,7 +138,7 @@
         group.closing = close_method::cut;
         group.hasTakenClose = false;
     }
-    if (!group.hasTakenClose && !head.instance.isEmpty() && mayOrder(head)) {
+    if (!group.hasTakenClose && !isUnknown && mayOrder(head)) {
         send(group, head, order_kind::close);
     }
 }
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -72,43 +72,57 @@
 /// Takes over the groups that are whole, and those that must be closed. Replicas of all others are free.
 void assembly_round::adopt()
 {
-    if (m_state.hasAdopted) {
-        return;
+    const bool isFirst = !m_state.hasAdopted;
+    if (isFirst) {
+        m_state.since = m_view.now;
+        m_state.hasAdopted = true;
     }
-    m_state.since = m_view.now;
-    m_state.hasAdopted = true;
     for (const auto &seen : m_seen) {
-        const auto *model = findModel(seen.model);
-        const auto *head = seen.head();
-        if (head == nullptr || model == nullptr) {
-            continue;
-        }
-        const bool isWhole = static_cast<int>(seen.members.size()) == model->size
-            && std::find(seen.members.begin(), seen.members.end(), nullptr) == seen.members.end();
-        const bool isHolding = isHoldingRequests(*head);
-        auto &group = m_state.groups[seen.id];
-        group.id = seen.id;
-        group.formed = seen.formed;
-        group.model = seen.model;
-        group.stageSince = m_view.now;
-        // The predecessor's last order to open may have had no answer.
-        group.isOpenInDoubt = true;
-        for (const auto *member : seen.members) {
-            planned_member planned;
-            if (member != nullptr) {
-                planned.instance = member->id;
-                planned.address = member->address;
-                planned.hasJoined = true;
-            }
-            group.members.push_back(planned);
+        const auto planned = m_state.groups.find(seen.id);
+        const bool isHeadBack = planned != m_state.groups.end() && planned->second.formed == seen.formed && seen.head() != nullptr
+            && planned->second.members.front().instance.isEmpty();
+        if (isFirst || isHeadBack) {
+            adoptGroup(seen);
         }
-        if (isHolding) {
-            group.stage = assembly_stage::serving;
-        } else if (!isWhole) {
-            group.stage = assembly_stage::leaving;
+    }
+}
+
+void assembly_round::adoptGroup(const seen_group &seen)
+{
+    const auto *model = findModel(seen.model);
+    if (model == nullptr) {
+        return;
+    }
+    const auto *head = seen.head();
+    const bool isWhole = static_cast<int>(seen.members.size()) == model->size
+        && std::find(seen.members.begin(), seen.members.end(), nullptr) == seen.members.end();
+    planned_group group;
+    group.id = seen.id;
+    group.formed = seen.formed;
+    group.model = seen.model;
+    group.stageSince = m_view.now;
+    // The predecessor's last order to open may have had no answer.
+    group.isOpenInDoubt = true;
+    for (const auto *member : seen.members) {
+        planned_member planned;
+        if (member != nullptr) {
+            planned.instance = member->id;
+            planned.address = member->address;
+            planned.hasJoined = true;
         }
-        decide(group, "adopted");
+        group.members.push_back(planned);
+    }
+    if (head == nullptr) {
+        // It may serve without an entry: cut off from the key-value service, lapsed with it, or about to end unannounced. Its members are
+        // kept until it is back or has had the time to end.
+        group.stage = assembly_stage::closing;
+        group.closing = close_method::cut;
+    } else if (isHoldingRequests(*head)) {
+        group.stage = assembly_stage::serving;
+    } else if (!isWhole) {
+        group.stage = assembly_stage::leaving;
     }
+    decide(m_state.groups[seen.id] = std::move(group), head == nullptr ? "adopted without a head" : "adopted");
 }
 
 /// A head that serves although it belongs to no planned group was opened by an old order that came late.
