Assembly: Form anew what a predecessor left ready and unopened

Cause: a successor opened a whole group on its predecessor's places. The predecessor may have begun to use the members elsewhere: its order to join that comes up to twelve seconds late still finds the number of orders that it expects, and the member leaves while its head is open. Ruled out: the head, whose number rises with the order to open; groups that serve, whose members a predecessor did not order elsewhere. Conclusion: a group whose members still load is taken over as before: the way stays open there, and is narrower.

--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -96,6 +96,9 @@
     const auto *head = seen.head();
     const bool isWhole = static_cast<int>(seen.members.size()) == model->size
         && std::find(seen.members.begin(), seen.members.end(), nullptr) == seen.members.end();
+    const bool isAnyoneJoining = std::any_of(seen.members.begin(), seen.members.end(), [](const served_replica *member) {
+        return member != nullptr && member->membership->state == member_state::joining;
+    });
     planned_group group;
     group.id = seen.id;
     group.formed = seen.formed;
@@ -119,7 +122,8 @@
         group.closing = close_method::cut;
     } else if (isHoldingRequests(*head)) {
         group.stage = assembly_stage::serving;
-    } else if (!isWhole) {
+    } else if (!isWhole || !isAnyoneJoining) {
+        // What has not opened yet is formed anew: an order to join of the predecessor that comes late then finds another number.
         group.stage = assembly_stage::leaving;
     }
     decide(m_state.groups[seen.id] = std::move(group), head == nullptr ? "adopted without a head" : "adopted");
