Tests: Let the head that is heard again have lost its entry meanwhile

A head is about to be given up only once its entry has lapsed; the story stays: it is cut off from the key-value service too, and comes back open.

--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -341,8 +341,9 @@
 }
 
 // What users saw: a replica took its place in a new group while the head of its group was open. The head had been cut off from all daemons
-// for some seconds: it was taken for dead and its group was given up. When the cut ended it was still open by its own word, but what had
-// been decided of it stayed decided: it and its members counted as free. The evidence: an order to join after the head had answered again.
+// and the key-value service for some seconds: it was taken for dead and its group was given up. When the cut ended it was still open by its
+// own word, but what had been decided of it stayed decided: it and its members counted as free. The evidence: an order to join after the
+// head had answered again.
 TEST_CASE("A head that was taken for dead and is heard again holds its group until it is closed")
 {
     const instant now(duration(1000000));
@@ -363,11 +364,15 @@
         return orders;
     };
     ordersAt(duration(0), nobody, order_result::unknown);
+    const auto entry = directory.replicas[instance_id("head")];
     ordersAt(duration(600), silent, order_result::unknown);
+    // It was cut off from the key-value service too.
+    markUnlisted(directory.replicas[instance_id("head")]);
     ordersAt(duration(750), silent, order_result::unknown);
     REQUIRE_FALSE(state.groups.contains(group_id("g")));
 
     // The cut has ended.
+    directory.replicas[instance_id("head")] = entry;
     bool isTold = false;
     for (int i = 0; i < 20; ++i) {
         const auto orders = ordersAt(duration(2000 + 100 * i), nobody, order_result::taken);
