Assembly: Give no head up whose entry is there

Cause: four daemons that found a head silent counted as its death, half a second after the loss, and so did five seconds of silence to the coordinator. A replica may be cut off from all machines and keep its members and its heartbeats: its group was given up while it was open. Ruled out: a leaving head (its entry was read anew and did not say so); the end of a suspicion, mended before. Change: a head that does not leave is given up only once its entry has lapsed besides, which takes three heartbeats; that several daemons found it silent is kept until then. Conclusion: a head that has crashed keeps its members idle for some three seconds more.

--- a/Libraries/Assembly/death_witnesses.h
+++ b/Libraries/Assembly/death_witnesses.h
@@ -23,8 +23,8 @@
     std::map<instance_id, std::map<daemon_id, direct_look>> looks;
 };
 
-/// So many daemons must have found a replica silent. A cut that leaves it alive takes it from a third of them at most; then four agree by
-/// chance in one case of a hundred, and nobody finds it alive in far fewer.
+/// So many daemons must have found a replica silent. Where a cut that leaves it alive takes it from a third of them, four agree by chance
+/// in one case of a hundred, and nobody finds it alive in far fewer. A cut may also take it from all: its entry must have lapsed besides.
 constexpr int neededWitnesses = 4;
 /// A look counts for so long.
 constexpr duration lookLifetime(3000);
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -121,12 +121,14 @@
     }
     // A leaving head stops listening before it has finished: that nobody reaches it is no sign of its end. The directory may not tell yet
     // that it leaves.
+    // Neither is it where its entry stays: a replica that is cut off from all daemons still heartbeats, and holds its group.
+    const bool hasEntry = listed != nullptr && !listed->isUnlisted;
     const bool isUnknown = head.instance.isEmpty();
     const bool mayLeave = isUnknown || (listed != nullptr && !m_state.silentWhileListed.contains(head.instance));
     const auto patience = mayLeave ? m_state.policy.leavingHeadWait : m_state.policy.silentHeadWait;
-    const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience;
+    const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience && (mayLeave || !hasEntry);
     const bool isCut = group.hasTakenClose && group.closing == close_method::cut;
-    const bool isDead = m_view.confirmedDead.contains(head.instance) && !mayLeave;
+    const bool isDead = isFoundDead(head.instance) && !mayLeave;
     if (isWaitOver || (group.headLostSince && (isCut || isDead))) {
         m_state.deadHeads.insert(head.instance);
         dissolve(group, "its head is gone");
@@ -147,7 +149,7 @@
 void assembly_round::leave(planned_group &group)
 {
     auto &head = group.members.front();
-    const bool isGone = m_state.deadHeads.contains(head.instance) || m_view.confirmedDead.contains(head.instance);
+    const bool isGone = m_state.deadHeads.contains(head.instance) || isFoundDead(head.instance);
     if (group.hasLeft || isGone || !stateOf(group, head)) {
         erase(group, "its head has left");
     } else if (mayOrder(head)) {
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -59,6 +59,8 @@
 
 void assembly_round::noteSilence()
 {
+    std::erase_if(m_state.foundSilent, [&](const instance_id &id) { return !m_view.suspects.contains(id); });
+    m_state.foundSilent.insert(m_view.confirmedDead.begin(), m_view.confirmedDead.end());
     std::erase_if(m_state.silentWhileListed, [&](const instance_id &id) { return find(id) == nullptr || !m_view.suspects.contains(id); });
     for (const auto &id : m_view.notLeaving) {
         if (find(id) != nullptr && m_view.suspects.contains(id)) {
