Tests: Show that a doubt breaks streams off whose replica goes on

Fails on the code as it is: a stream that has begun is broken off at a pause of a quarter of a second although no repeat is left, and one whose events came on after the doubt is taken to another replica (two calls instead of one). Scripted replicas can pause within an answer.

--- a/Tests/PlatformAdapter/scriptedReplica.cpp
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -4,7 +4,9 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 
 namespace vetchpost::test {
 
@@ -12,6 +14,7 @@
 
 constexpr int readSize = 4096;
 const Poco::Timespan pollTime(0, 20000);
+constexpr std::chrono::milliseconds pauseTime(100);
 
 /// Whether head and body are there.
 bool isWhole(const std::string &request)
@@ -87,8 +90,15 @@
             m_requests.push_back(request);
         }
         const auto answer = m_answer(request);
-        if (!answer.empty()) {
-            connection.sendBytes(answer.data(), static_cast<int>(answer.size()));
+        for (std::size_t start = 0; start < answer.size();) {
+            const auto end = std::min(answer.find(pauseHere, start), answer.size());
+            if (end > start) {
+                connection.sendBytes(answer.data() + start, static_cast<int>(end - start));
+            }
+            if (end < answer.size()) {
+                std::this_thread::sleep_for(pauseTime);
+            }
+            start = end + 1;
         }
         connection.shutdownSend();
     } catch (const Poco::Exception &) {
--- a/Tests/PlatformAdapter/scriptedReplica.h
+++ b/Tests/PlatformAdapter/scriptedReplica.h
@@ -14,6 +14,9 @@
 
 namespace vetchpost::test {
 
+/// In an answer: a tenth of a second in which the replica sends nothing.
+constexpr char pauseHere = '\x01';
+
 /// A replica on a loopback port that answers each request with the bytes of a script, then closes the connection.
 class scripted_replica
 {
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -1,14 +1,21 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/entry_daemon.h"
+#include "Libraries/Feed/feed_messages.h"
 #include "Libraries/Http/http_client.h"
 #include "Libraries/Http/http_upstream.h"
 #include "Tests/PlatformAdapter/scriptedReplica.h"
 #include "platform/platform_dialect.h"
 
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <map>
+#include <thread>
 
 using namespace vetchpost;
 using namespace vetchpost::test;
@@ -183,6 +190,7 @@
         // Nobody coordinates here: the daemon takes its part of the repeats as one of a hundred.
         settings.retrySlack = 1000;
         m_callers = settings.callers;
+        m_peers = settings.peers;
         m_daemon = std::make_unique<entry_daemon>(
             settings, std::make_unique<platform_dialect>(), [this](const endpoint & /*address*/, metrics & /*counters*/) {
                 return std::make_unique<memory_store>(m_values, m_isUp);
@@ -193,6 +201,17 @@
         }
     }
 
+    /// From the next start on the daemon follows a coordinator at this address.
+    void setCoordinator(const std::string &address)
+    {
+        m_values["vetchpost/coordinator"] = address;
+    }
+
+    endpoint peers() const
+    {
+        return m_peers;
+    }
+
     void stopStore()
     {
         m_isUp = false;
@@ -224,6 +243,7 @@
     std::map<std::string, std::string> m_values;
     std::atomic<bool> m_isUp = true;
     endpoint m_callers;
+    endpoint m_peers;
     std::unique_ptr<entry_daemon> m_daemon;
 };
 
@@ -484,3 +504,114 @@
     CHECK(reply.status == 200);
     CHECK(reply.body == "late");
 }
+
+namespace {
+
+/// A coordinator that tells nothing but what a test lets it tell.
+class scripted_coordinator
+{
+public:
+    scripted_coordinator()
+        : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    {
+    }
+
+    std::string address() const
+    {
+        return m_socket.address().toString();
+    }
+
+    /// Waits until the daemon follows it.
+    bool isFollowed()
+    {
+        std::array<char, 2048> bytes{};
+        constexpr int patienceSeconds = 5;
+        return m_socket.poll(Poco::Timespan(patienceSeconds, 0), Poco::Net::Socket::SELECT_READ)
+            && m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size())) > 0;
+    }
+
+    /// Tells that the group of a head is likely to stand still.
+    void tellDoubt(const std::string &head, const endpoint &to)
+    {
+        const auto bytes = encodeFeedMessage(group_doubt{instance_id(head)});
+        m_socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(to.host, to.port));
+    }
+
+private:
+    Poco::Net::DatagramSocket m_socket;
+};
+
+/// Without the daemon's own looks.
+std::ptrdiff_t callsTo(const scripted_replica &replica)
+{
+    const auto requests = replica.requests();
+    return std::count_if(requests.begin(), requests.end(), [](const std::string &request) { return request.starts_with("POST "); });
+}
+
+const std::string shortPause(1, pauseHere);
+const std::string longPause(5, pauseHere);
+
+} // namespace
+
+// What could be lost: the coordinator, to which one look at a member had no answer in time, tells that a group is likely to stand still. A
+// stream there pauses for a moment. The daemon breaks it off, although no repeat is left in its budget, and although the replica goes on:
+// the caller's connection is closed in the middle of an answer, while the daemon stops or a configuration changes too. The evidence: lines
+// "broken_off" with the end "silent" whose "no_repeat" says that the budget of repeats is used up.
+TEST_CASE("A stream that has begun is not broken off on a doubt where nobody else may go on with it")
+{
+    const auto pausing = [](const std::string &request) {
+        return streamHead(request, "one") + chunk(event(1)) + longPause + chunk(event(2)) + "0\r\n\r\n";
+    };
+    const scripted_replica one(pausing);
+    const scripted_replica two(pausing);
+    scripted_coordinator coordinator;
+    relay_world world;
+    world.addHead("h-1", one);
+    world.addHead("h-2", two);
+    world.setCoordinator(coordinator.address());
+    world.start(true, true);
+    REQUIRE(coordinator.isFollowed());
+    std::thread doubting([&] {
+        std::this_thread::sleep_for(duration(150));
+        coordinator.tellDoubt("h-1", world.peers());
+        coordinator.tellDoubt("h-2", world.peers());
+    });
+    const auto reply = world.ask("/stream/");
+    doubting.join();
+    CHECK(reply.status == 200);
+    CHECK(reply.body == event(1) + event(2));
+    CHECK(reply.isWhole);
+    CHECK(callsTo(one) + callsTo(two) == 1);
+}
+
+// A doubt of a group whose events come on afterwards was wrong. It stayed with the stream all the same: at its next pause of a quarter of a
+// second, which a full group may well make, the stream was taken to another replica and a repeat was spent.
+TEST_CASE("A doubt that events have refuted moves no stream")
+{
+    const auto pausing = [](const std::string &request) {
+        std::string events;
+        for (int number = 1; number <= 5; ++number) {
+            events += chunk(event(number)) + shortPause;
+        }
+        return streamHead(request, "one") + events + longPause + chunk(event(6)) + "0\r\n\r\n";
+    };
+    const scripted_replica one(pausing);
+    const scripted_replica two(pausing);
+    scripted_coordinator coordinator;
+    relay_world world;
+    world.addHead("h-1", one);
+    world.addHead("h-2", two);
+    world.setCoordinator(coordinator.address());
+    world.start();
+    REQUIRE(coordinator.isFollowed());
+    std::thread doubting([&] {
+        std::this_thread::sleep_for(duration(150));
+        coordinator.tellDoubt("h-1", world.peers());
+        coordinator.tellDoubt("h-2", world.peers());
+    });
+    const auto reply = world.ask("/stream/");
+    doubting.join();
+    CHECK(reply.status == 200);
+    CHECK(reply.isWhole);
+    CHECK(callsTo(one) + callsTo(two) == 1);
+}
