Entry: Break no stream off on a doubt where nobody else may go on with it

Cause: a stream that has begun was given up on the coordinator's doubt before a repeat was had, so that it ended in the middle of an answer where the budget was used up; and a doubt stayed with the stream whatever came afterwards. Ruled out: streams that stand still by this daemon's own measure, which take the repeat first already. Change: a stream that has begun is left only with a repeat in hand; what comes from the place after a doubt refutes it. A request whose answer has not begun still leaves on a fresh doubt. Figures: two tests of testRelay failed (a body of one event of two, two calls instead of one), and pass; testPlatformAdapter passes. Conclusion: one way less to close a connection in the middle of an answer while the daemon stops.

--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -163,7 +163,7 @@
             return try_end::answered;
         } else if (wait == upstream_wait::timeout && monotonicNow() < m_deadline) {
             const bool mayMove = m_route->isResumable && m_attempts < m_route->maximumAttempts;
-            if (mayMove && (isDoubted(target) || (isStandingStill(target) && takeRepeatElsewhere()))) {
+            if (mayMove && (isDoubted(target) || isStandingStill(target)) && takeRepeatElsewhere()) {
                 m_lastWhy = "the stream stands still";
                 return try_end::silent;
             }
@@ -225,10 +225,12 @@
     return monotonicNow().time_since_epoch().count() - target.load->lastProgress.load() >= stallPause.count();
 }
 
-/// Whether the coordinator has told, since this request was sent there, that the place is likely to stand still.
+/// Whether the coordinator has told, since this request was sent there and since anything came from there, that the place is likely to
+/// stand still.
 bool request_run::isDoubted(const backend &target) const
 {
-    return target.load->doubtedAt.load() >= m_tryStart.time_since_epoch().count();
+    const auto since = std::max<std::int64_t>(m_tryStart.time_since_epoch().count(), target.load->lastProgress.load());
+    return target.load->doubtedAt.load() >= since;
 }
 
 instant request_run::firstAnswerPatience() const
