--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -369,3 +369,26 @@
     }
     CHECK(follower.daemons == 40);
 }
+
+// A daemon among 79 ends, so that 78 are told for half a minute; then the coordination changes, and the new source has heard 8 so far. The
+// number that was told until a moment before must not be forgotten with the one from half a minute ago.
+TEST_CASE("A number of daemons that fell a little and then a lot is the highest of the last while, not the last one told")
+{
+    feed_follower follower;
+    const auto told = [&](int daemons, instant now) {
+        feed_update update;
+        update.nonce = subscribe(follower, daemon_id("d1"), 0, true, now).nonce;
+        update.daemons = daemons;
+        noteUpdate(follower, update, now);
+    };
+    told(79, start);
+    for (int second = 1; second < 30; ++second) {
+        told(78, start + duration(1000) * second);
+    }
+    told(8, start + duration(30200));
+    CHECK(follower.daemons == 78);
+    told(8, start + duration(58500));
+    CHECK(follower.daemons == 78);
+    told(8, start + duration(61000));
+    CHECK(follower.daemons == 8);
+}
