Entry: Ask for a listing again that failed

Cause: the listing that a daemon asks for when it takes the coordination over was asked for once; where that call failed and the watches went well, it planned nothing for as long as it held its lease. Ruled out: a service that does not answer at all: there a watch fails too, after which the replicas are listed. Change: a listing that failed is due until one has come; a follower that is told by the source needs none, as before. Figures: the test "A listing that failed is asked for again" failed, and passes; testPlatformAdapter passes. Conclusion: one way less in which groups stand still after a change of the coordinator.

--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -263,6 +263,9 @@
         const auto listing = keyValue.list(dialect.replicaPrefix(), freshness, why);
         noteAnswer(listing.has_value(), why);
         if (!listing) {
+            // A coordinator that has just begun plans nothing before it has the listing that it asked for.
+            const std::lock_guard lock(mutex);
+            mustList = true;
             return false;
         }
         const auto outage = replicasOutage();
