Feed, Entry: Keep the highest number of daemons of the last half minute

Cause: the number that divides the slack was kept with the time at which it was told; after half a minute with slightly lower ones the next one was believed, also the 8 of 79 of a source that has just begun. A daemon that becomes the source took its own count at once, which is 1. Ruled out: the daemons that have just started: they hold no repeats until they have earned them. Change: the numbers of the last half minute that may still be the highest are kept; the source's own count goes through the same. Conclusion: what could come of it was small, since a larger part must be earned first, but for a service's first requests on a first start.

--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -341,10 +341,12 @@
 
 std::optional<int> peer_feed::daemons() const
 {
-    if (d->isSource) {
-        return d->store.daemonsHeard();
-    }
+    const auto heard = d->isSource ? std::optional(d->store.daemonsHeard()) : std::nullopt;
     const std::lock_guard lock(d->mutex);
+    if (heard) {
+        // A daemon that has just become the source has heard nobody yet.
+        noteDaemons(d->follower, *heard, monotonicNow());
+    }
     return d->follower.daemons;
 }
 
--- a/Libraries/Feed/feed_follower.cpp
+++ b/Libraries/Feed/feed_follower.cpp
@@ -12,18 +12,23 @@
 /// most cuts.
 constexpr duration daemonsLifetime(30000);
 
+} // namespace
+
 // The number divides what all may send: one that is too large costs repeats, one that is too small breaks the bound.
 void noteDaemons(feed_follower &follower, int daemons, instant now)
 {
-    const bool isOld = now - follower.daemonsToldAt >= daemonsLifetime;
-    if (!follower.daemons || daemons >= *follower.daemons || isOld) {
-        follower.daemons = daemons;
-        follower.daemonsToldAt = now;
+    auto &told = follower.daemonsTold;
+    // What is not above a later number can never be the highest again.
+    while (!told.empty() && told.back().second <= daemons) {
+        told.pop_back();
+    }
+    told.emplace_back(now, daemons);
+    while (now - told.front().first >= daemonsLifetime) {
+        told.pop_front();
     }
+    follower.daemons = told.front().second;
 }
 
-} // namespace
-
 feed_subscription subscribe(feed_follower &follower, const daemon_id &from, std::uint64_t replicasUpTo, bool wantsReplicas, instant now)
 {
     follower.asked[++follower.lastNonce] = now;
--- a/Libraries/Feed/feed_follower.h
+++ b/Libraries/Feed/feed_follower.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Feed/feed_messages.h"
 
+#include <deque>
 #include <map>
 
 namespace vetchpost {
@@ -16,10 +17,12 @@
     std::optional<instant> lastAnswer;
     /// Daemons by the source's count, the highest of the last while; nothing before its first answer.
     std::optional<int> daemons;
-    /// When the source last told so many.
-    instant daemonsToldAt;
+    /// The numbers that may still be the highest, with when each was told last: the earlier the higher.
+    std::deque<std::pair<instant, int>> daemonsTold;
 };
 
+/// Takes in a number of daemons: the source's, or the daemon's own where it is the source. The highest of the last while counts.
+void noteDaemons(feed_follower &follower, int daemons, instant now);
 /// The next subscription.
 feed_subscription subscribe(feed_follower &follower, const daemon_id &from, std::uint64_t replicasUpTo, bool wantsReplicas, instant now);
 /// Notes an update. Returns when the subscription that it answers was sent; nothing for one that answers none. What the update tells was
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -392,3 +392,15 @@
     told(8, start + duration(61000));
     CHECK(follower.daemons == 8);
 }
+
+TEST_CASE("A daemon that becomes the source goes on from the number of daemons that it was told")
+{
+    feed_follower follower;
+    feed_update update;
+    update.nonce = subscribe(follower, daemon_id("d1"), 0, true, start).nonce;
+    update.daemons = 79;
+    noteUpdate(follower, update, start);
+    // It has heard nobody yet.
+    noteDaemons(follower, 1, start + duration(500));
+    CHECK(follower.daemons == 79);
+}
