--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -473,6 +473,47 @@
     CHECK(taken[instance_id("member")] > takenBefore);
 }
 
+// What can happen, by reading: a head is told to open; before it answers, a member is found silent, and the head is told to close. It
+// answers that at once: it is not open. Its group was then given up although the order to open had no answer yet: that one may come seconds
+// later, and open a head whose members have been given other places meanwhile.
+TEST_CASE("A group whose order to open is still under way is not given up before its head has left it")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    directory.replicas.erase(instance_id("spare"));
+    for (auto &[id, replica] : directory.replicas) {
+        replica.membership.reset();
+    }
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    std::set<instance_id> silent;
+    assembly_state state;
+    state.term = 2;
+    std::optional<replica_order> open;
+    std::vector<order_kind> toHead;
+    for (int i = 0; i < 60; ++i) {
+        const auto when = now + duration(20) * i;
+        for (const auto &order : planAssembly(state, {directory, service_id("large"), world.engine(), silent, nobody, false, when})) {
+            if (order.kind == order_kind::open) {
+                open = order;
+                silent.insert(order.members.back());
+                continue;
+            }
+            if (open && order.to == open->to) {
+                toHead.push_back(order.kind);
+            }
+            if (order.kind == order_kind::join) {
+                const auto rank = std::find(order.members.begin(), order.members.end(), order.to) - order.members.begin();
+                directory.replicas.at(order.to).membership = {order.group, order.formed, static_cast<int>(rank), member_state::ready};
+            }
+            noteOrderResult(state, order, {order.kind == order_kind::close ? order_result::held : order_result::taken, 0}, when);
+        }
+    }
+    REQUIRE(open);
+    CHECK(std::find(toHead.begin(), toHead.end(), order_kind::close) != toHead.end());
+    CHECK(std::find(toHead.begin(), toHead.end(), order_kind::leave) != toHead.end());
+}
+
 TEST_CASE("A free replica is not loaded with one model after the other")
 {
     const instant now(duration(1000000));
