Assembly: Doubt an order to open that is under way when its head is to close

Cause: an order to open counted as doubtful only once its answer was known to be missing. A head that is told to close before that answers at once, and its group was given up with the order still on its way. Ruled out: orders to open with a lost answer, which make the group doubtful; groups that serve. Change: a group that closes while its order to open is under way is in doubt: its head gives up its place before the members are used. Conclusion: one more way to two groups closed.

--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -96,6 +96,8 @@
     group.closing = method;
     group.hasTakenClose = false;
     group.headLostSince.reset();
+    // An order to open that has no answer yet may have none at all.
+    group.isOpenInDoubt = group.isOpenInDoubt || (group.stage == assembly_stage::opening && group.members.front().isOrderUnderWay);
     group.members.front().isOrderUnderWay = false;
     group.members.front().nextOrder = m_view.now;
     enter(group, assembly_stage::closing, why);
