--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -219,8 +219,6 @@
     instant now;
     /// Of the suspects the ones whose entry in the key-value service still said, after they were found silent, that they do not leave.
     std::set<instance_id> notLeaving = {};
-    /// Since when this daemon knows the replicas' entries, and so has seen those that lapsed.
-    instant entriesKnownSince = {};
 };
 
 /// One round: what to order next. Orders that it returns count as under way until noteOrderResult().
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -123,11 +123,9 @@
     }
     if (head == nullptr) {
         // It may serve without an entry: cut off from the key-value service, lapsed with it, or about to end unannounced. Its members are
-        // kept until it is back or has had the time to end. A daemon that has known the entries for longer has seen it go: then nothing is
-        // waited for.
+        // kept until it is back or has had the time to end.
         group.stage = assembly_stage::closing;
         group.closing = close_method::cut;
-        group.headLostSince = m_view.entriesKnownSince;
     } else if (isHoldingRequests(*head)) {
         group.stage = assembly_stage::serving;
     } else if (!isWhole || !isAnyoneJoining) {
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -262,15 +262,8 @@
         assembly.term = term->number;
         assembly.policy.silentHeadWait = settings.stallTime;
         noteDemand(assembly.demand, demandOf(service.id), now);
-        const assembly_view view{directory,
-                                 service.id,
-                                 *service.engine,
-                                 silence.suspects,
-                                 silence.dead,
-                                 !hasTraffic.load(),
-                                 now,
-                                 silence.notLeaving,
-                                 store.firstListedAt().value_or(now)};
+        const assembly_view view{
+            directory, service.id, *service.engine, silence.suspects, silence.dead, !hasTraffic.load(), now, silence.notLeaving};
         auto next = planAssembly(assembly, view);
         for (const auto &decision : assembly.decisions) {
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -60,8 +60,6 @@
     std::optional<instant> configurationCurrentAt() const;
     /// When the last whole listing began; nothing before the first.
     std::optional<instant> listedAt() const;
-    /// When the first whole listing began; nothing before it.
-    std::optional<instant> firstListedAt() const;
 
 private:
     struct private_data;
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -321,11 +321,8 @@
     const std::set<instance_id> nobody;
     assembly_state state;
     state.term = 2;
-    // It has just started.
-    auto knownSince = now;
     const auto ordersAt = [&](duration after) {
-        auto orders
-            = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after, {}, knownSince});
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after});
         for (const auto &order : orders) {
             noteOrderResult(state, order, {order_result::taken, 0}, now + after);
         }
@@ -354,16 +351,6 @@
         }
         CHECK(hasJoined);
     }
-
-    SECTION("it has followed the entries long enough to have seen the head go")
-    {
-        knownSince = now - state.policy.leavingHeadWait;
-        bool hasJoined = false;
-        for (int i = 0; i < 5; ++i) {
-            hasJoined = hasJoin(ordersAt(duration(100) * i)) || hasJoined;
-        }
-        CHECK(hasJoined);
-    }
 }
 
 // What users saw: a replica took its place in a new group while the head of its group was open. The head had been cut off from all daemons
