Assembly, Entry: Wait for an absent head only as long as it may have gone unseen

Cause: a successor that had followed the entries for long kept the survivors of heads that had ended long before for ten seconds more.

--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -219,6 +219,8 @@
     instant now;
     /// Of the suspects the ones whose entry in the key-value service still said, after they were found silent, that they do not leave.
     std::set<instance_id> notLeaving = {};
+    /// Since when this daemon has followed the entries: a head that went since then is still in the directory, or had the time to end.
+    instant followedSince = {};
 };
 
 /// One round: what to order next. Orders that it returns count as under way until noteOrderResult().
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -122,6 +122,7 @@
         // kept until it is back or has had the time to end.
         group.stage = assembly_stage::closing;
         group.closing = close_method::cut;
+        group.headLostSince = m_view.followedSince;
     } else if (isHoldingRequests(*head)) {
         group.stage = assembly_stage::serving;
     } else if (!isWhole || !isAnyoneJoining) {
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -268,7 +268,15 @@
         auto dead = confirmedDead(witnesses, now);
         std::erase_if(dead, [&](const instance_id &id) { return !notLeaving.contains(id); });
         noteDemand(assembly.demand, demandOf(service.id), now);
-        const assembly_view view{directory, service.id, *service.engine, suspected, dead, !hasTraffic.load(), now, notLeaving};
+        const assembly_view view{directory,
+                                 service.id,
+                                 *service.engine,
+                                 suspected,
+                                 dead,
+                                 !hasTraffic.load(),
+                                 now,
+                                 notLeaving,
+                                 store.followedSince().value_or(now)};
         auto next = planAssembly(assembly, view);
         for (const auto &decision : assembly.decisions) {
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -54,6 +54,7 @@
     replica_entries entries;
     std::shared_ptr<const replica_directory> published = std::make_shared<replica_directory>();
     std::optional<instant> lastListing;
+    std::optional<instant> firstListing;
     /// The service's revision up to which the entries are known; 0 where they must be listed.
     std::uint64_t replicasUpTo = 0;
     /// A watch had no answer: only a listing, or the source, tells what was missed.
@@ -278,6 +279,7 @@
             replicasSeenAt = monotonicNow();
             mustList = false;
             lastListing = asked;
+            firstListing = firstListing.value_or(asked);
             storeLog.write("replicas_listed", {{"count", replicas.size()}, {"lapsed", entries.lapsed.size()}, {"revision", listing->upTo}});
         }
         publish();
@@ -548,4 +550,10 @@
     return d->lastListing;
 }
 
+std::optional<instant> store_follower::followedSince() const
+{
+    const std::lock_guard lock(d->mutex);
+    return d->firstListing;
+}
+
 } // namespace vetchpost
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -60,6 +60,8 @@
     std::optional<instant> configurationCurrentAt() const;
     /// When the last whole listing began; nothing before the first.
     std::optional<instant> listedAt() const;
+    /// When the first one began: all changes since then are known.
+    std::optional<instant> followedSince() const;
 
 private:
     struct private_data;
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -309,7 +309,7 @@
     assembly_state state;
     state.term = 2;
     const auto ordersAt = [&](duration after) {
-        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after});
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after, {}, now});
         for (const auto &order : orders) {
             noteOrderResult(state, order, {order_result::taken, 0}, now + after);
         }
@@ -327,6 +327,13 @@
         }
     }
 
+    SECTION("the successor has followed the entries for long: the head has had the time to end")
+    {
+        const auto orders = planAssembly(
+            state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now, {}, now - state.policy.leavingHeadWait});
+        CHECK(hasJoin(orders));
+    }
+
     SECTION("it never comes back")
     {
         for (int i = 0; i < 8; ++i) {
