Settings: Read figures that a platform works out as fractions

A key that a template leaves empty since the platform has no value was turned down as well. Change: such figures are numbers, rounded down; an empty key counts as missing.

--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -30,7 +30,7 @@
 {
     settings.retryShare = reader.number("share", 0, 1, 0.2);
     settings.retryWindow = readDuration(reader, "window-ms", 100, 600000, 10000);
-    settings.retrySlack = static_cast<int>(reader.integer("slack", 0, 1000000, 100));
+    settings.retrySlack = static_cast<int>(reader.wholePart("slack", 0, 1000000, 100));
     reader.refuseUnknownKeys();
 }
 
--- a/Libraries/Settings/yaml_reader.cpp
+++ b/Libraries/Settings/yaml_reader.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -52,7 +53,8 @@
 std::optional<std::string> yaml_reader::scalar(const std::string &key)
 {
     m_known.insert(key);
-    if (!has(key)) {
+    // A template leaves a key empty where the platform has no value for it.
+    if (!has(key) || m_node[key].IsNull()) {
         return std::nullopt;
     }
     if (!m_node[key].IsScalar()) {
@@ -108,6 +110,20 @@
     return integer(key, minimum, maximum, minimum);
 }
 
+std::int64_t yaml_reader::wholePart(const std::string &key, std::int64_t minimum, std::int64_t maximum, std::int64_t defaultValue)
+{
+    if (!scalar(key)) {
+        return defaultValue;
+    }
+    double value = 0;
+    const bool isNumber = YAML::convert<double>::decode(m_node[key], value);
+    if (!isNumber || !(std::floor(value) >= static_cast<double>(minimum) && value <= static_cast<double>(maximum))) {
+        report(key, fmt::format("a number from {} to {}", minimum, maximum));
+        return defaultValue;
+    }
+    return static_cast<std::int64_t>(value);
+}
+
 double yaml_reader::number(const std::string &key, double minimum, double maximum, double defaultValue)
 {
     if (!scalar(key)) {
--- a/Libraries/Settings/yaml_reader.h
+++ b/Libraries/Settings/yaml_reader.h
@@ -26,7 +26,7 @@
 };
 
 /// Reads the keys of one YAML mapping and collects everything that is wrong with them. Every getter returns its default
-/// where the key is missing or wrong, so that one run finds all problems of a file.
+/// where the key is missing, empty or wrong, so that one run finds all problems of a file.
 class yaml_reader
 {
 public:
@@ -39,6 +39,8 @@
     std::string choice(const std::string &key, const std::vector<std::string> &choices, const std::string &defaultValue);
     std::int64_t integer(const std::string &key, std::int64_t minimum, std::int64_t maximum, std::int64_t defaultValue);
     std::int64_t requiredInteger(const std::string &key, std::int64_t minimum, std::int64_t maximum);
+    /// A whole number that may be written as a fraction, as a platform that works its figures out does: rounded down.
+    std::int64_t wholePart(const std::string &key, std::int64_t minimum, std::int64_t maximum, std::int64_t defaultValue);
     double number(const std::string &key, double minimum, double maximum, double defaultValue);
     bool flag(const std::string &key, bool defaultValue);
     std::vector<std::string> strings(const std::string &key);
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -60,3 +60,20 @@
     broken.replace(broken.find("10.0.0.1:8223"), 13, "nowhere");
     CHECK(problemsOf(broken).size() == 1);
 }
+
+TEST_CASE("Figures that a platform works out may come as fractions, or not at all")
+{
+    auto text = good;
+    text.replace(text.find("5000"), 4, "4999.5");
+    std::vector<yaml_problem> problems;
+    const auto settings = readEntrySettings(text + "  slack: 37.6\n", "entry.yaml", problems);
+    REQUIRE(settings);
+    CHECK(settings->keyRevocation == duration(4999));
+    CHECK(settings->retrySlack == 37);
+    // A gap in a template yields nothing where the platform has no value.
+    const auto withGap = readEntrySettings(good + "  slack: \n", "entry.yaml", problems);
+    REQUIRE(withGap);
+    CHECK(withGap->retrySlack == 100);
+    CHECK(problemsOf(good + "  slack: much\n").size() == 1);
+    CHECK(problemsOf(good + "  slack: -0.5\n").size() == 1);
+}
