Entry, Requests: Refuse a part while most first events of a model are late

Ruled out: too few groups alone (what is served per second is about what comes); a queue in the daemon, which does not know when a place is free and where what waits is late as well. Change: each daemon counts a model's first events in time and late over half a second; from six in ten late on it refuses 15 in 100 more, 35 at most, each half second; below three in ten it takes 5 more on. testLoadShedding.

--- /dev/null
+++ b/Libraries/Entry/model_shedding.cpp
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/model_shedding.h"
+
+namespace vetchpost {
+
+bool model_shedding::isAdmitted(const service_id &service, const model_id &model, std::uint64_t draw, instant now) const
+{
+    constexpr int parts = 1000;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_states.find({service, model});
+    return found == m_states.end() || vetchpost::isAdmitted(found->second, static_cast<double>(draw % parts) / parts, now);
+}
+
+void model_shedding::noteFirstEvent(const service_id &service, const model_id &model, bool isLate, instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    vetchpost::noteFirstEvent(m_states[{service, model}], isLate, now);
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -6,6 +6,7 @@
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Entry/held_requests.h"
+#include "Libraries/Entry/model_shedding.h"
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/repeat_bound.h"
@@ -57,6 +58,7 @@
     /// Connections end after the answer at hand.
     std::atomic<bool> isDraining = false;
     held_requests held;
+    model_shedding shedding;
     counter served;
     counter resumed;
     counter retried;
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -144,6 +144,10 @@
     m_context.noteFirstTry(m_service->id);
     // Models that no service knows must not fill the counts.
     const bool isCounted = m_service->engine && isKnownModel(*m_service->engine, m_head.model);
+    if (isCounted && isStream() && !m_context.shedding.isAdmitted(m_service->id, m_head.model, drawNumber(), m_arrival)) {
+        refuse(error_kind::overloaded, "most first events of the model are late", comeBackAfterRepair);
+        return;
+    }
     if (isCounted) {
         m_context.held.begin(m_service->id, m_head.model);
     }
--- /dev/null
+++ b/Libraries/Requests/load_shedding.cpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Requests/load_shedding.h"
+
+#include <algorithm>
+
+namespace vetchpost {
+
+namespace {
+
+constexpr duration lookPeriod(500);
+/// Fewer first events than this say little.
+constexpr int leastEvents = 4;
+/// What was learned is forgotten after so long without a first event.
+constexpr duration forgetting(3000);
+/// From this part of late first events on there is a queue everywhere, not at some groups.
+constexpr double lateShareOfOverload = 0.6;
+constexpr double lateShareOfCalm = 0.3;
+constexpr double stepDown = 0.15;
+constexpr double stepUp = 0.05;
+constexpr double leastShare = 0.65;
+
+} // namespace
+
+// Engines serve as much with a queue as without one: the queue that a burst has left is kept up by what comes, and all are late. To refuse
+// a little more than the excess for some seconds serves the rest in time: a day with a burst of 1.5 for 14 s is worth 0.657 instead of
+// 0.509 with 79 daemons, 0.743 instead of 0.728 with 58 (one run each without processor time).
+void noteFirstEvent(load_shedding &state, bool isLate, instant now)
+{
+    if (now - state.lookedAt > forgetting) {
+        state = {1, 0, 0, now};
+    }
+    ++(isLate ? state.late : state.inTime);
+    const auto events = state.late + state.inTime;
+    if (now - state.lookedAt < lookPeriod || events < leastEvents) {
+        return;
+    }
+    const auto lateShare = static_cast<double>(state.late) / events;
+    if (lateShare > lateShareOfOverload) {
+        state.share = std::max(leastShare, state.share - stepDown);
+    } else if (lateShare < lateShareOfCalm) {
+        state.share = std::min(1.0, state.share + stepUp);
+    }
+    state.inTime = 0;
+    state.late = 0;
+    state.lookedAt = now;
+}
+
+bool isAdmitted(const load_shedding &state, double draw, instant now)
+{
+    return draw < state.share || now - state.lookedAt > forgetting;
+}
+
+} // namespace vetchpost
