--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -6,6 +6,7 @@
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Entry/held_requests.h"
+#include "Libraries/Entry/model_shedding.h"
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/repeat_bound.h"
@@ -41,6 +42,12 @@
     /// A group is likely to stand still: nothing new goes there for a while, and what waits there goes elsewhere.
     void doubt(const instance_id &head) const;
 
+    /// The number of the next choice among places.
+    std::uint64_t nextTurn()
+    {
+        return ++m_turns;
+    }
+
     void noteFirstTry(const service_id &service);
     /// Takes one repeat out of this daemon's part of the budget; false where it is used up.
     bool takeRepeat(const service_id &service);
@@ -51,6 +58,7 @@
     /// Connections end after the answer at hand.
     std::atomic<bool> isDraining = false;
     held_requests held;
+    model_shedding shedding;
     counter served;
     counter resumed;
     counter retried;
@@ -62,6 +70,7 @@
     const store_follower &m_store;
     const peer_feed &m_feed;
     const entry_view_snapshot &m_view;
+    std::atomic<std::uint64_t> m_turns = 0;
     std::mutex m_budgetMutex;
     std::map<service_id, retry_budget> m_budgets;
 };
