Tests: Stand in for the users' platform: its store and its replicas

Cause: the entry daemon had no process test of its own, because nothing but the users' bench speaks the platform's wire.

Ruled out: extending standInPlatform and standInEngine, which speak the product's own interfaces; a replica a process, since a soak of a few hundred replicas would not fit.

Their rules are plain structs with unit tests.

--- /dev/null
+++ b/Tests/PlatformStandIn/testStoreModel.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Base/json.h"
+#include "Tests/StandIns/platform/store_model.h"
+#include "platform/names.h"
+
+#include <catch2/catch.hpp>
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+
+namespace {
+
+namespace names = platform_names;
+
+const instant now(duration(100000));
+constexpr int conflict = 412;
+constexpr int notFound = 404;
+constexpr int historyGone = 410;
+constexpr int forbidden = 403;
+
+Json::Value writeOf(const std::string &key, const std::string &value, std::optional<std::uint64_t> expected = {}, std::uint64_t lease = 0)
+{
+    Json::Value write;
+    write[names::key] = key;
+    write[names::value] = value;
+    write[names::lease] = Json::UInt64(lease);
+    Json::Value transaction;
+    transaction[names::writes].append(write);
+    if (expected) {
+        Json::Value condition;
+        condition[names::key] = key;
+        condition[names::revision] = Json::UInt64(*expected);
+        transaction[names::expected].append(condition);
+    }
+    return transaction;
+}
+
+} // namespace
+
+TEST_CASE("A write under a condition takes effect once, and a conflict tells the entries as they are")
+{
+    store_model store;
+    CHECK(jsonNumber(transact(store, writeOf("my/leader", "YQ==", 0), false).body, names::revision) == 1);
+    const auto second = transact(store, writeOf("my/leader", "Yg==", 0), false);
+    REQUIRE(second.status == conflict);
+    CHECK(second.body[names::entries][0][names::value] == "YQ==");
+    CHECK(jsonNumber(second.body[names::entries][0], names::revision) == 1);
+    CHECK(jsonNumber(transact(store, writeOf("my/leader", "Yg==", 1), false).body, names::revision) == 2);
+    const auto item = readKey(store, "my/leader").body;
+    CHECK(jsonNumber(item, "Created") == 1);
+    CHECK(jsonNumber(item, names::revision) == 2);
+}
+
+TEST_CASE("A transaction does everything or nothing")
+{
+    store_model store;
+    auto both = writeOf("a", "YQ==");
+    both[names::writes].append(writeOf("b", "Yg==", {}, 77)[names::writes][0]);
+    CHECK(transact(store, both, false).status == notFound);
+    CHECK(readKey(store, "a").status == notFound);
+    CHECK(store.keys.lastRevision == 0);
+}
+
+TEST_CASE("The keys of the operator and the replicas are theirs alone")
+{
+    store_model store;
+    CHECK(transact(store, writeOf("op/config", ""), false).status == forbidden);
+    CHECK(transact(store, writeOf("servers/i-1", ""), false).status == forbidden);
+    CHECK(transact(store, writeOf("servers/i-1", ""), true).status == 200);
+}
+
+TEST_CASE("A key goes with its lease, which runs from the last renewal")
+{
+    store_model store;
+    Json::Value call;
+    call[names::leaseTime] = 1500;
+    const lease_number lease(jsonNumber(grantLease(store, call, now).body, names::lease));
+    transact(store, writeOf("my/leader", "YQ==", 0, lease.value()), false);
+    CHECK(expireLeases(store, now + duration(1400)).empty());
+    CHECK(renewLease(store, lease, now + duration(1400)).status == 200);
+    CHECK(expireLeases(store, now + duration(2800)).empty());
+    CHECK(expireLeases(store, now + duration(2900)) == std::vector{lease});
+    CHECK(readKey(store, "my/leader").status == notFound);
+    CHECK(renewLease(store, lease, now + duration(2900)).status == notFound);
+    CHECK(readChanges(store, "my/", 1).body[names::events][0][names::removed] == true);
+}
+
+TEST_CASE("An ended lease takes its keys at once")
+{
+    store_model store;
+    const lease_number lease(jsonNumber(grantLease(store, Json::Value(Json::objectValue), now).body, names::lease));
+    transact(store, writeOf("my/leader", "YQ==", 0, lease.value()), false);
+    endLease(store, lease, now);
+    CHECK(readKey(store, "my/leader").status == notFound);
+}
+
+TEST_CASE("A watch tells each change under its prefix once, and an empty value is no removal")
+{
+    store_model store;
+    transact(store, writeOf("servers/a", "YQ=="), true);
+    transact(store, writeOf("other", "YQ=="), true);
+    transact(store, writeOf("servers/b", ""), true);
+    const auto all = readChanges(store, "servers/", 0).body;
+    REQUIRE(all[names::events].size() == 2);
+    CHECK(all[names::events][1][names::value] == "");
+    CHECK_FALSE(all[names::events][1].isMember(names::removed));
+    CHECK(jsonNumber(all, names::storeRevision) == 3);
+    CHECK(readChanges(store, "servers/", 3).body[names::events].empty());
+}
+
+TEST_CASE("A watch from before the forgotten history is told so, one from its end is not")
+{
+    store_model store;
+    transact(store, writeOf("servers/a", "YQ=="), true);
+    transact(store, writeOf("servers/a", "Yg=="), true);
+    forgetHistory(store);
+    CHECK(readChanges(store, "servers/", 1).status == historyGone);
+    CHECK(readChanges(store, "servers/", 2).status == 200);
+    CHECK(readKey(store, "servers/a").status == 200);
+}
+
+TEST_CASE("A range comes in pages that leave nothing out")
+{
+    constexpr int keys = 700;
+    store_model store;
+    for (int number = 0; number < keys; ++number) {
+        transact(store, writeOf("servers/" + std::to_string(number), "YQ=="), true);
+    }
+    const auto first = readRange(store, "servers/", {}).body;
+    CHECK(first[names::morePages] == true);
+    const auto size = first[names::entries].size();
+    const auto rest = readRange(store, "servers/", first[names::entries][size - 1][names::key].asString()).body;
+    CHECK(rest[names::morePages] == false);
+    CHECK(size + rest[names::entries].size() == keys);
+}
--- /dev/null
+++ b/Tests/StandIns/platform/entry_writer.cpp
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Tests/StandIns/platform/entry_writer.h"
+
+#include "Libraries/Base/json.h"
+#include "Tests/StandIns/platform/stand_in_names.h"
+#include "platform/base64.h"
+
+#include <algorithm>
+
+namespace vetchpost::test {
+
+namespace {
+
+namespace names = platform_names;
+
+constexpr duration lookPeriod(10);
+constexpr duration callTimeout(500);
+/// An entry lapses after as many heartbeats without a write.
+constexpr int heartbeatsKept = 3;
+
+} // namespace
+
+entry_writer::entry_writer(replica_host &host, endpoint store, duration heartbeat)
+    : m_host(host)
+    , m_store(std::move(store))
+    , m_heartbeat(heartbeat)
+    , m_thread([this] { run(); })
+{
+}
+
+entry_writer::~entry_writer()
+{
+    m_isStopping = true;
+    m_thread.join();
+}
+
+void entry_writer::run()
+{
+    while (!m_isStopping) {
+        std::this_thread::sleep_for(lookPeriod);
+        const auto wanted = m_host.wantedEntries();
+        forget(wanted);
+        // Where the store does not answer, the rest of the round is left out.
+        std::all_of(wanted.begin(), wanted.end(), [this](const auto &entry) { return m_isStopping || update(entry); });
+    }
+}
+
+bool entry_writer::update(const replica_host::wanted_entry &wanted)
+{
+    auto &entry = m_written[wanted.id];
+    const auto now = monotonicNow();
+    if (entry.lease != 0 && entry.text == wanted.text && now - entry.renewed < m_heartbeat) {
+        return true;
+    }
+    if (entry.lease != 0 && now - entry.renewed >= m_heartbeat) {
+        const auto reply = call("POST", names::keepCall + std::to_string(entry.lease), Json::Value(Json::objectValue));
+        if (!reply) {
+            return false;
+        }
+        entry.renewed = now;
+        if (!reply->isSuccess()) {
+            entry = {};
+        }
+    }
+    if (entry.lease == 0) {
+        Json::Value body;
+        body[names::leaseTime] = Json::Int64((m_heartbeat * heartbeatsKept).count());
+        const auto reply = call("POST", names::leaseCall, body);
+        const auto json = reply && reply->isSuccess() ? parseJson(reply->body) : std::nullopt;
+        if (!json) {
+            return false;
+        }
+        entry = {jsonNumber(*json, names::lease), {}, now};
+    }
+    return entry.text == wanted.text || write(wanted, entry);
+}
+
+bool entry_writer::write(const replica_host::wanted_entry &wanted, written_entry &entry)
+{
+    Json::Value write;
+    write[names::key] = names::replicaPrefix + wanted.id;
+    write[names::value] = encodedBase64(wanted.text);
+    write[names::lease] = Json::UInt64(entry.lease);
+    Json::Value body;
+    body[names::writes].append(write);
+    const auto reply = call("POST", names::transactionCall, body);
+    if (!reply || !reply->isSuccess()) {
+        return false;
+    }
+    entry.text = wanted.text;
+    if (wanted.isDraining) {
+        m_host.noteDrainingAccepted(wanted.id);
+    }
+    return true;
+}
+
+/// The entry of a replica that ended as planned goes at once; one that crashed or is cut off lapses.
+void entry_writer::forget(const std::vector<replica_host::wanted_entry> &wanted)
+{
+    std::erase_if(m_written, [&](const auto &written) {
+        const bool isWanted = std::any_of(wanted.begin(), wanted.end(), [&](const auto &entry) { return entry.id == written.first; });
+        if (!isWanted && written.second.text.find(std::string("\"") + names::draining + "\"") != std::string::npos) {
+            call("DELETE", names::endLeaseCall + std::to_string(written.second.lease), Json::Value());
+        }
+        return !isWanted;
+    });
+}
+
+std::optional<http_reply> entry_writer::call(const char *method, const std::string &target, const Json::Value &body)
+{
+    http_call call;
+    call.to = m_store;
+    call.method = method;
+    call.target = target;
+    call.headers = {{"Content-Type", "application/json"}, {stand_in_names::ownCall, stand_in_names::ownCallValue}};
+    call.body = body.isNull() ? std::string() : toJsonText(body);
+    call.connectTimeout = callTimeout;
+    call.receiveTimeout = callTimeout;
+    reason ignored;
+    return m_connections.send(call, ignored);
+}
+
+} // namespace vetchpost::test
--- /dev/null
+++ b/Tests/StandIns/platform/standInStore.cpp
@@ -0,0 +1,289 @@
+// SPDX-License-Identifier: Apache-2.0
+// A stand-in for the platform's metadata store. Never installed.
+#include "Tests/StandIns/fault_switches.h"
+#include "Tests/StandIns/platform/event_journal.h"
+#include "Tests/StandIns/platform/stand_in_names.h"
+#include "Tests/StandIns/platform/store_model.h"
+#include "platform/base64.h"
+#include "platform/platform_dialect.h"
+
+#include <docopt/docopt.h>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace {
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+namespace names = platform_names;
+
+constexpr auto usage = R"(Stand-in for the platform's metadata store.
+
+Usage:
+  standInStore --listen=<address> --control=<address>
+)";
+
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+constexpr duration tick(20);
+constexpr std::uint64_t longestWatchMs = 30000;
+
+/// Faults that daemons see. The operator and the replicas, whose calls carry the stand-in's own header, are served meanwhile.
+struct store_faults
+{
+    /// Calls are not answered at all.
+    std::atomic<bool> isSilent = false;
+    std::atomic<bool> refuses = false;
+    std::atomic<std::uint64_t> delayMs = 0;
+    std::atomic<std::uint64_t> holdWatchesMs = 0;
+    /// Calls that are carried out without an answer.
+    fault_share loseAnswers;
+    /// Calls that are turned away.
+    fault_share deny;
+
+    void set(const Json::Value &json)
+    {
+        const auto whenGiven = [&](const char *name, auto &&assign) {
+            if (json.isMember(name)) {
+                assign(json[name]);
+            }
+        };
+        whenGiven("silent", [&](const Json::Value &value) { isSilent = value.asBool(); });
+        whenGiven("refuse_503", [&](const Json::Value &value) { refuses = value.asBool(); });
+        whenGiven("slow_ms", [&](const Json::Value &value) { delayMs = value.asUInt64(); });
+        whenGiven("hold_watches_ms", [&](const Json::Value &value) { holdWatchesMs = value.asUInt64(); });
+        whenGiven("lose_answers", [&](const Json::Value &value) { loseAnswers.set(value); });
+        whenGiven("deny", [&](const Json::Value &value) { deny.set(value); });
+    }
+};
+
+class store_stand_in
+{
+public:
+    store_stand_in()
+        : m_expiry([this] { runExpiry(); })
+    {
+    }
+
+    ~store_stand_in()
+    {
+        m_isStopping = true;
+        m_expiry.join();
+    }
+
+    store_stand_in(const store_stand_in &) = delete;
+    store_stand_in &operator=(const store_stand_in &) = delete;
+
+    void handle(http_exchange &exchange)
+    {
+        const bool isOwn = exchange.header(stand_in_names::ownCall) == stand_in_names::ownCallValue;
+        const auto body = bodyOf(exchange);
+        ++m_calls;
+        if (!isOwn && !passesFaults(exchange)) {
+            return;
+        }
+        const auto answer = answerTo(exchange, body, isOwn);
+        if (!isOwn && m_faults.isSilent) {
+            staySilent(exchange, [this] { return !m_faults.isSilent; });
+        } else if (!isOwn && m_faults.loseAnswers.strikes()) {
+            staySilent(exchange, [this] { return m_isStopping.load(); });
+        } else {
+            sendJson(exchange, answer.body, answer.status);
+        }
+    }
+
+    void setFaults(const Json::Value &json)
+    {
+        m_faults.set(json);
+        if (jsonFlag(json, "forget_history")) {
+            const std::lock_guard lock(m_mutex);
+            forgetHistory(m_store);
+        }
+        m_changed.notify_all();
+    }
+
+    Json::Value facts()
+    {
+        const std::lock_guard lock(m_mutex);
+        Json::Value json;
+        json["revision"] = Json::UInt64(m_store.keys.lastRevision);
+        json["leases"] = Json::UInt64(m_store.keys.leases.size());
+        json["calls"] = Json::UInt64(m_calls.load());
+        json["entries"] = Json::Value(Json::objectValue);
+        for (const auto &[key, entry] : m_store.keys.entries) {
+            auto &fact = json["entries"][key];
+            fact["revision"] = Json::UInt64(entry.changed.value());
+            fact["lease"] = Json::UInt64(entry.lease.value());
+            const auto text = decodedBase64(entry.value.substr(1));
+            fact["value"] = parseJson(text).value_or(Json::Value(text));
+        }
+        return json;
+    }
+
+    const event_journal &journal() const
+    {
+        return m_journal;
+    }
+
+private:
+    bool passesFaults(http_exchange &exchange)
+    {
+        if (m_faults.isSilent) {
+            staySilent(exchange, [this] { return !m_faults.isSilent; });
+            return false;
+        }
+        if (m_faults.refuses || m_faults.deny.strikes()) {
+            exchange.send(unavailable, "text/plain", "out of order\n");
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_faults.delayMs));
+        return true;
+    }
+
+    store_answer answerTo(const http_exchange &exchange, const Json::Value &body, bool isOwn)
+    {
+        const auto &path = exchange.path();
+        if (path == names::watchCall) {
+            return watch(exchange);
+        }
+        const std::lock_guard lock(m_mutex);
+        expire();
+        if (path == names::keyCall) {
+            return readKey(m_store, exchange.queryParameter(names::key));
+        }
+        if (path == names::rangeCall) {
+            return readRange(m_store, exchange.queryParameter(names::prefix), exchange.queryParameter(names::after));
+        }
+        if (path == names::transactionCall) {
+            return write(body, isOwn);
+        }
+        if (path == names::leaseCall) {
+            return grantLease(m_store, body, monotonicNow());
+        }
+        if (path.starts_with(names::keepCall)) {
+            return renewLease(m_store, leaseIn(path, names::keepCall), monotonicNow());
+        }
+        if (path.starts_with(names::endLeaseCall)) {
+            endLease(m_store, leaseIn(path, names::endLeaseCall), monotonicNow());
+            m_changed.notify_all();
+            return {};
+        }
+        return {notFound, {}};
+    }
+
+    static lease_number leaseIn(const std::string &path, const std::string &call)
+    {
+        return lease_number(std::stoull("0" + path.substr(call.size())));
+    }
+
+    store_answer write(const Json::Value &body, bool isOwn)
+    {
+        if (!hasValidConfiguration(body)) {
+            return {badRequest, {}};
+        }
+        auto answer = transact(m_store, body, isOwn);
+        if (answer.status == 200) {
+            for (const auto &written : jsonArray(body, names::writes)) {
+                noteAcknowledged(jsonString(written, names::key), answer, isOwn);
+            }
+            for (const auto &removal : jsonArray(body, names::removals)) {
+                noteAcknowledged(removal.asString(), answer, isOwn);
+            }
+            m_changed.notify_all();
+        }
+        return answer;
+    }
+
+    bool hasValidConfiguration(const Json::Value &body) const
+    {
+        reason why;
+        for (const auto &written : jsonArray(body, names::writes)) {
+            if (jsonString(written, names::key) == names::configurationKey
+                && !m_dialect.readConfiguration(decodedBase64(jsonString(written, names::value)), why)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void noteAcknowledged(const std::string &key, const store_answer &answer, bool isOwn)
+    {
+        Json::Value fields;
+        fields["key"] = key;
+        fields["revision"] = answer.body[names::revision];
+        fields["who"] = !isOwn ? "daemon" : key.starts_with(names::replicaPrefix) ? "replica" : "operator";
+        m_journal.note("acked", fields);
+    }
+
+    store_answer watch(const http_exchange &exchange)
+    {
+        const auto prefix = exchange.queryParameter(names::prefix);
+        const auto after = std::stoull("0" + exchange.queryParameter(names::after));
+        const auto wait = std::min<std::uint64_t>(longestWatchMs, std::stoull("0" + exchange.queryParameter(names::waitTime)));
+        store_answer answer;
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait_for(lock, std::chrono::milliseconds(wait), [&] {
+                answer = readChanges(m_store, prefix, after);
+                return answer.status != 200 || !answer.body[names::events].empty() || m_isStopping;
+            });
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(m_faults.holdWatchesMs));
+        return answer;
+    }
+
+    /// Called with the mutex held.
+    void expire()
+    {
+        const auto ended = expireLeases(m_store, monotonicNow());
+        for (const auto lease : ended) {
+            Json::Value fields;
+            fields["lease"] = Json::UInt64(lease.value());
+            m_journal.note("lease_ended", fields);
+        }
+        if (!ended.empty()) {
+            m_changed.notify_all();
+        }
+    }
+
+    void runExpiry()
+    {
+        while (!m_isStopping) {
+            std::this_thread::sleep_for(tick);
+            const std::lock_guard lock(m_mutex);
+            expire();
+        }
+        m_changed.notify_all();
+    }
+
+    const platform_dialect m_dialect;
+    store_faults m_faults;
+    event_journal m_journal;
+    std::atomic<std::uint64_t> m_calls = 0;
+    std::atomic<bool> m_isStopping = false;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    store_model m_store;
+    std::thread m_expiry;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
+    blockStopSignals();
+    store_stand_in store;
+    http_server_limits limits;
+    limits.maximumThreads = 1024;
+    limits.maximumQueued = limits.maximumThreads;
+    const auto address = [&](const char *option) { return parseEndpoint(arguments.at(option).asString()).value(); };
+    const http_server server(address("--listen"), limits, [&](http_exchange &exchange) { store.handle(exchange); });
+    const auto control = serveControl(
+        address("--control"), store.journal(), [&](const Json::Value &json) { store.setFaults(json); }, [&] { return store.facts(); });
+    waitForStop();
+    // Watches that wait end with the process.
+    std::_Exit(0);
+}
