Tests: Show the entry daemon's whole path with processes of our own

Ruled out: curl as a balancer's client with fixed addresses, since a planned stop shows only where new connections go elsewhere.

VETCHPOST_KEEP_LOGS names a folder for the logs of a process test.

--- a/Meta/platform.sh
+++ b/Meta/platform.sh
@@ -93,4 +93,21 @@
     for number in 1 2 3; do start_entry "$number"; done
     for number in 1 2 3; do wait_for 20 "ready entry daemon $number" is_entry_ready "$number"; done
     wait_for 30 "serving groups" has_places 4
+    for number in 1 2 3; do
+        wait_for 20 "place for m0 at daemon $number" serves "$number" m0
+        wait_for 20 "place for m1 at daemon $number" serves "$number" m1
+    done
 }
+
+# serves NUMBER MODEL: whether the daemon answers a stream of that model.
+serves() { model=$2 tokens=5 ask "$(entry_callers "$1")" /stream/serves "serves-$RANDOM" -f; }
+
+# start_balancer NUMBER...: the balancer before these entry daemons.
+start_balancer() {
+    local number list=
+    for number in "$@"; do list+=${list:+,}$(entry_callers "$number")=$(entry_readiness "$number"); done
+    start balancer "$build/Tests/StandIns/standInBalancer" --listen="$balancer" --control="$balancer_control" --daemons="$list"
+    wait_for 10 "balancer" facts "$balancer_control"
+}
+is_in() { facts "$balancer_control" | grep -qF "\"$(entry_callers "$1")\":{\"in\":true"; }
+is_out() { facts "$balancer_control" | grep -qF "\"$(entry_callers "$1")\":{\"in\":false"; }
--- a/Meta/vetchpost.sh
+++ b/Meta/vetchpost.sh
@@ -12,6 +12,8 @@
 
   run [--stay]     Install what is missing, build, start a small cluster on loopback, send it a request and a work order.
                    With --stay it is kept up until Ctrl-C.
+  run --platform [--stay]
+                   The same for entry daemons on a stand-in of the users' platform, with one of them stopped in mid-stream.
   test             Install what is missing, build, run all tests, with the processes' ones.
   lint             Check the formatting and run the linter.
   bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair. The last lines are figures.
@@ -88,6 +90,56 @@
     echo "== Done"
 }
 
+run_platform() {
+    build_all
+    work=$(mktemp -d)
+    # shellcheck source=Meta/cluster.sh
+    . Meta/cluster.sh
+    # shellcheck source=Meta/platform.sh
+    . Meta/platform.sh
+    trap stop_all EXIT
+    echo "== Starting the platform's store, 16 replicas with engines in two fabric domains, three of a plain service, and three entry daemons"
+    start_three_entries
+    start_balancer 1 2 3
+    echo "== Groups that have opened"
+    events "$replica_control" | grep '"opened"'
+    echo "== A streamed request through the balancer"
+    ask "$balancer" /stream/notice 09ba869c4ef70cfa
+    echo "== A work order"
+    ask "$balancer" /book/order 4711
+    echo
+    echo "== A stream of 40 events through daemon 2, which is stopped in mid-stream"
+    tokens=200 ask "$(entry_callers 2)" /stream/report 6bd2c1 >"$work/stream" &
+    local client=$!
+    sleep 0.7
+    kill -TERM "${pids[entry-2]}"
+    echo "when it was told to stop: $(grep -c '^id: ' "$work/stream") events"
+    wait "$client" || true
+    is_whole_stream "$work/stream" 6bd2c1 40 || fail "the stream did not end whole"
+    echo "at its end: 40 events, each once and in order"
+    wait "${pids[entry-2]}" && echo "daemon 2 ended as planned"
+    unset 'pids[entry-2]'
+    echo "== The story of that request"
+    vetchpost explain 6bd2c1 "$work"/entry-*.log
+    echo "== New connections go to the other daemons"
+    ask "$balancer" /fetch/record 6bd2c2
+    echo
+    if [ "${1:-}" = --stay ]; then
+        cat <<EOF
+== It stays up; Ctrl-C ends it. Decisions: $work/entry-*.log
+  curl -N -H 'Host: desk.example' -H 'Authorization: Bearer $tenant_key' -H 'Attempt-Id: mine' -H 'Model: m0' -d prompt http://$balancer/stream/hello
+  $build/Utilities/vetchpost/vetchpost explain mine $work/entry-*.log
+  curl http://$replica_control/facts
+  curl -d '{"kill":["i-1-1"]}' http://$replica_control/faults   # a replica
+  curl -d '{"refuse_503":true}' http://$store_control/faults    # the store
+  kill -9 ${pids[entry-1]}   # a daemon
+EOF
+        trap 'exit 0' INT TERM
+        while :; do sleep 1; done
+    fi
+    echo "== Done"
+}
+
 run_tests() {
     build_all
     ctest --test-dir "$build" --output-on-failure -j 4
@@ -155,7 +207,14 @@
 verb=${1:-}
 shift || true
 case $verb in
-run) run_cluster "$@" ;;
+run)
+    if [ "${1:-}" = --platform ]; then
+        shift
+        run_platform "$@"
+    else
+        run_cluster "$@"
+    fi
+    ;;
 test) run_tests ;;
 lint) lint ;;
 bench) bench "$@" ;;
--- a/Tests/Processes/prepare.sh
+++ b/Tests/Processes/prepare.sh
@@ -15,8 +15,9 @@
     local code=$?
     stop_all
     if [ $code -ne 0 ]; then
-        tail -n 15 "$work"/daemon-*.log >&2 || true
+        tail -n 15 "$work"/daemon-*.log "$work"/entry-*.log >&2 || true
     fi
+    [ -z "${VETCHPOST_KEEP_LOGS:-}" ] || cp -r "$work" "$VETCHPOST_KEEP_LOGS"
     rm -rf "$work"
     echo "$passed checks passed"
     exit $code
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -221,10 +221,11 @@
     if (!how.empty() || m_faults.loseAnswers.strikes()) {
         return how.empty() ? "lost" : how;
     }
-    for (const auto &header : answerHeaders(request)) {
-        exchange.setHeader(header.name, header.value);
+    const auto body = fmt::format(R"({{"attempt":"{}","path":"{}","end":true}})", request.attempt, exchange.path());
+    exchange.beginAnswer(200, "OK", answerHeaders(request), body.size());
+    if (!exchange.write(body)) {
+        return "cancelled";
     }
-    exchange.send(200, "application/json", fmt::format(R"({{"attempt":"{}","path":"{}","end":true}})", request.attempt, exchange.path()));
     if (m_faults.extraBytes.strikes()) {
         sendRaw(exchange, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus");
     }
