--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -81,6 +81,7 @@
     void handleRequest(std::size_t number, http_exchange &exchange);
     bool waitForSlot(const running_request &request, http_exchange &exchange);
     void run(const running_request &request, http_exchange &exchange);
+    void begin(const running_request &request);
     std::string answer(const running_request &request, http_exchange &exchange);
     std::string stream(const running_request &request, http_exchange &exchange);
     std::string pause(const running_request &request, const http_exchange &exchange, duration time);
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -115,13 +115,13 @@
     for (;; std::this_thread::sleep_for(lookPeriod)) {
         const bool hasLeft = hasCallerLeft(exchange);
         const bool isLate = monotonicNow() >= request.deadline;
-        auto standing = request_standing::moves;
+        bool isGone = false;
         {
             const std::lock_guard lock(m_mutex);
             settle(m_world, monotonicNow());
             auto &replica = m_world.replicas[request.number];
             // A new life at this port counts its own requests.
-            standing = replica.id == request.id ? standingOf(replica, request.serving) : request_standing::cut;
+            const auto standing = replica.id == request.id ? standingOf(replica, request.serving) : request_standing::cut;
             const bool runs = !hasLeft && !isLate && standing == request_standing::moves && replica.active < replica.slots;
             const bool waits
                 = !hasLeft && !isLate && !runs && (standing == request_standing::moves || standing == request_standing::stalls);
@@ -131,17 +131,11 @@
             replica.waiting -= replica.id == request.id ? 1 : 0;
             if (runs) {
                 ++replica.active;
-                Json::Value fields;
-                fields["replica"] = request.id;
-                fields["attempt"] = request.attempt;
-                fields["group"] = replica.membership ? replica.membership->group : "";
-                fields["partial"] = replica.hasEngine && isPartial(m_world, replica);
-                m_world.events.push_back({"ran", fields});
-                passEvents();
                 return true;
             }
+            isGone = hasLeft || replica.id != request.id || !replica.isAlive;
         }
-        if (hasLeft || !m_world.replicas[request.number].isAlive) {
+        if (isGone) {
             note("refused", request, "status", 0);
             exchange.abort();
         } else {
@@ -151,6 +145,20 @@
     }
 }
 
+/// The request begins to run: it has now been executed.
+void replica_host::begin(const running_request &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto &replica = m_world.replicas[request.number];
+    Json::Value fields;
+    fields["replica"] = request.id;
+    fields["attempt"] = request.attempt;
+    fields["group"] = replica.membership ? replica.membership->group : "";
+    fields["partial"] = replica.membership && isPartial(m_world, replica);
+    m_world.events.push_back({"ran", fields});
+    passEvents();
+}
+
 void replica_host::run(const running_request &request, http_exchange &exchange)
 {
     bool hasEngine = false;
@@ -160,12 +168,13 @@
     }
     std::string how;
     if (m_faults.garble.strikes()) {
+        begin(request);
         sendRaw(exchange, "\x01\x02 no answer at all\r\n\r\n");
         how = "garbled";
     } else {
         how = hasEngine ? stream(request, exchange) : answer(request, exchange);
     }
-    if (how != "whole") {
+    if (how != "whole" && how != "refused") {
         exchange.abort();
     }
     {
@@ -173,7 +182,9 @@
         auto &replica = m_world.replicas[request.number];
         replica.active -= replica.id == request.id ? 1 : 0;
     }
-    note("ended", request, "how", how);
+    if (how != "refused") {
+        note("ended", request, "how", how);
+    }
 }
 
 /// Lets the replica work for a time, during which it may stand still; empty if all is well, else how the request ends.
@@ -190,9 +201,12 @@
         settle(m_world, monotonicNow());
         const auto &replica = m_world.replicas[request.number];
         const auto standing = replica.id == request.id ? standingOf(replica, request.serving) : request_standing::cut;
-        if (m_isStopping || standing == request_standing::cut || standing == request_standing::broken) {
+        if (m_isStopping || standing == request_standing::cut) {
             return "cut";
         }
+        if (standing == request_standing::broken) {
+            return "broken";
+        }
         if (monotonicNow() >= request.deadline) {
             return "deadline";
         }
@@ -212,6 +226,7 @@
 
 std::string replica_host::answer(const running_request &request, http_exchange &exchange)
 {
+    begin(request);
     auto how = pause(request, exchange, m_options.step * plainSteps);
     if (how == "deadline") {
         exchange.setHeader(names::attemptId, request.attempt);
@@ -243,9 +258,15 @@
     const bool isLost = m_faults.loseAnswers.strikes();
     for (int event = request.firstEvent; event <= request.lastEvent; ++event) {
         if (auto how = pause(request, exchange, time); !how.empty()) {
-            return how;
+            // Before its first token a request has not run.
+            const bool isRefused = !exchange.hasBegun() && (how == "broken" || how == "deadline");
+            if (isRefused) {
+                refuse(request, exchange, unavailable);
+            }
+            return isRefused ? "refused" : how;
         }
         if (!exchange.hasBegun()) {
+            begin(request);
             auto headers = answerHeaders(request);
             headers.push_back({"Content-Type", "text/event-stream"});
             exchange.beginAnswer(200, "OK", headers, std::nullopt);
@@ -261,6 +282,7 @@
         }
     }
     if (!exchange.hasBegun()) {
+        begin(request);
         exchange.beginAnswer(200, "OK", answerHeaders(request), std::nullopt);
     }
     return "whole";
