Tests: Show that a coordinator whose first listing gets no answer never plans

A successor plans only after a listing that began in its own term (assembly_runner, plan()); takeTerm() asks for it once (store_follower::listAgain()), and where its answer is lost nothing asks again, because the watch goes on well.

Ruled out: the stand-in's watch or lease (other daemons followed the store meanwhile); load on the machine.

Change: standInStore has lose_listings (so many of the next current listings lose their answers); EntryStoreOutage kills the coordinator, loses the successor's first listing, and wants all groups back after a member's loss.

--- a/Tests/Processes/prepareEntry.sh
+++ b/Tests/Processes/prepareEntry.sh
@@ -12,6 +12,9 @@
 # The head that a request runs at.
 head_of() { events "$replica_control" | grep -F "\"attempt\":\"$1\"" | sed -n 's/.*"replica":"\([^"]*\)".*"ran".*/\1/p' | tail -n 1; }
 
+# The number of the daemon that took the coordination last.
+coordinating() { grep -h '"coordination_taken"' "$work"/entry-*.log | sort -t: -k3,3n | tail -n 1 | sed -n 's/.*"daemon":"entry-\([0-9]\)".*/\1/p'; }
+
 # kill_member_of HEAD: kills the replica after the head in its group.
 kill_member_of() {
     local group member
--- a/Tests/Processes/testEntryStoreOutage.sh
+++ b/Tests/Processes/testEntryStoreOutage.sh
@@ -29,6 +29,20 @@
     expect "requests after it" "$(status_at "$number" "after-$number")" 200
 done
 
+# A successor's first listing gets no answer: it lists again, and goes on forming groups.
+fault "$store_control" '{"lose_listings":1}'
+first=$(coordinating)
+kill -KILL "${pids[entry-$first]}"
+has_successor() { [ "$(coordinating)" != "$first" ]; }
+wait_for 10 "successor" has_successor
+fault "$replica_control" '{"kill":["i-4-1"]}'
+sleep 1
+fault "$replica_control" '{"revive":true}'
+first_start=false start_entry "$first"
+wait_for 20 "all groups again under the successor" has_places 5
+wait_for 10 "ready entry daemon $first" is_entry_ready "$first"
+passed=$((passed + 1))
+
 # Writes and reads whose answers are lost, while a member dies and its group has to be formed anew.
 fault "$store_control" '{"lose_answers":0.3}'
 fault "$replica_control" '{"kill":["i-1-1"]}'
--- a/Tests/StandIns/platform/standInStore.cpp
+++ b/Tests/StandIns/platform/standInStore.cpp
@@ -40,6 +40,8 @@
     std::atomic<std::uint64_t> holdWatchesMs = 0;
     /// Calls that are carried out without an answer.
     fault_share loseAnswers;
+    /// So many of the next listings that must be current lose their answers.
+    std::atomic<std::int64_t> loseListings = 0;
     /// Calls that are turned away.
     fault_share deny;
 
@@ -55,6 +57,7 @@
         whenGiven("slow_ms", [&](const Json::Value &value) { delayMs = value.asUInt64(); });
         whenGiven("hold_watches_ms", [&](const Json::Value &value) { holdWatchesMs = value.asUInt64(); });
         whenGiven("lose_answers", [&](const Json::Value &value) { loseAnswers.set(value); });
+        whenGiven("lose_listings", [&](const Json::Value &value) { loseListings = value.asInt64(); });
         whenGiven("deny", [&](const Json::Value &value) { deny.set(value); });
     }
 };
@@ -87,7 +90,7 @@
         const auto answer = answerTo(exchange, body, isOwn);
         if (!isOwn && m_faults.isSilent) {
             staySilent(exchange, [this] { return !m_faults.isSilent; });
-        } else if (!isOwn && m_faults.loseAnswers.strikes()) {
+        } else if (!isOwn && losesAnswer(exchange)) {
             staySilent(exchange, [this] { return m_isStopping.load(); });
         } else {
             sendJson(exchange, answer.body, answer.status);
@@ -142,6 +145,12 @@
         return true;
     }
 
+    bool losesAnswer(const http_exchange &exchange)
+    {
+        const bool isListing = exchange.path() == names::rangeCall && exchange.queryParameter(names::mayBeStale).empty();
+        return m_faults.loseAnswers.strikes() || (isListing && m_faults.loseListings > 0 && m_faults.loseListings-- > 0);
+    }
+
     store_answer answerTo(const http_exchange &exchange, const Json::Value &body, bool isOwn)
     {
         const auto &path = exchange.path();
