Entry: List the replicas again where the coordinator's first listing got no answer

Ruled out: listing again on the coordinator's own thread, where a listing without an answer takes 1.5 s of a lease of 2 s.

Change: listAgain() leaves the listing to the follower's own thread where it failed; that lists as soon as its watch has ended (3 s at most).

Conclusion: a lost answer costs seconds, not the term.

--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -467,7 +467,11 @@
 
 void store_follower::listAgain()
 {
-    d->list(read_freshness::current);
+    if (!d->list(read_freshness::current)) {
+        // The follower's own thread lists once more as soon as its watch has ended.
+        const std::lock_guard lock(d->mutex);
+        d->mustList = true;
+    }
 }
 
 void store_follower::takeUpdate(const feed_update &update, std::optional<instant> asked)
