Tests: End one life of a stand-in's replica before the next begins, and refuse ports that are in use

Cause: a replica that ended as planned while the control address started it anew could find its port still taken. Two runs of process tests at the same ports spoil each other in ways that look like faults: ConfigurationRaces failed so beside a trial at port 26000.

Ruled out: ports drawn at random, which collide too and cannot be read from a log.

Conclusion: a collision of ports is told as one.

--- a/Meta/platform.sh
+++ b/Meta/platform.sh
@@ -20,6 +20,10 @@
 
 # start_stand_ins [OPTIONS OF THE REPLICAS...]: the store, 16 replicas with engines in two fabric domains and three of a plain service.
 start_stand_ins() {
+    local place
+    for place in "$store" "$store_control" "$replica_control" "$(entry_callers 1)" "$(entry_callers 2)" "$(entry_callers 3)"; do
+        ! (exec 3<>"/dev/tcp/${place/:/\/}") 2>/dev/null || fail "another process listens at $place"
+    done
     start store "$build/Tests/StandIns/standInStore" --listen="$store" --control="$store_control"
     wait_for 10 "store" facts "$store_control"
     start replicas "$build/Tests/StandIns/standInReplicas" --store="$store" --control="$replica_control" \
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -34,6 +34,7 @@
     , m_servers(m_world.replicas.size())
 {
     for (std::size_t number = 0; number < m_servers.size(); ++number) {
+        m_world.replicas[number].isAlive = false;
         startLife(number);
     }
     m_ticker = std::thread([this] { runTicks(); });
@@ -54,10 +55,15 @@
 
 void replica_host::startLife(std::size_t number)
 {
+    // One life ends before the next begins: both need the port.
+    const std::lock_guard lives(m_livesMutex);
     const auto port = static_cast<std::uint16_t>(m_options.basePort + number);
     {
         const std::lock_guard lock(m_mutex);
         auto &replica = m_world.replicas[number];
+        if (replica.isAlive) {
+            return;
+        }
         replica.id = fmt::format("i-{}-{}", number, ++m_lives[number]);
         replica.address = fmt::format("127.0.0.1:{}", port);
         replica.isAlive = true;
@@ -74,6 +80,7 @@
 
 void replica_host::stopLife(std::size_t number, bool isAnnounced)
 {
+    const std::lock_guard lives(m_livesMutex);
     {
         const std::lock_guard lock(m_mutex);
         auto &replica = m_world.replicas[number];
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -98,6 +98,8 @@
     host_options m_options;
     replica_faults m_faults;
     event_journal m_journal;
+    /// Taken before the other one.
+    std::mutex m_livesMutex;
     std::mutex m_mutex;
     replica_world m_world;
     std::vector<int> m_lives;
