Entry: Ask for a failed listing again in one place

Cause: the same fault (a coordinator whose first listing gets no answer never plans) was found and mended twice, by reading and by the stand-in. Change: list() itself notes it; the second mend goes, both tests stay.

--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -472,11 +472,7 @@
 
 void store_follower::listAgain()
 {
-    if (!d->list(read_freshness::current)) {
-        // The follower's own thread lists once more as soon as its watch has ended.
-        const std::lock_guard lock(d->mutex);
-        d->mustList = true;
-    }
+    d->list(read_freshness::current);
 }
 
 void store_follower::takeUpdate(const feed_update &update, std::optional<instant> asked)
