Base, Entry: Bound the log by part, and keep what belongs to requests that went badly

Ruled out: sampling (a request whose answer was lost on the way to its client is then not found by its id); gathering a request's lines until its end (a killed daemon leaves nothing of the requests that it held, which is so today as well).

Change: requests that the first replica served in time are named by id, many in one line (`roll`), together with those that came and are still held; all others write their lines beyond their part's budget of 40 lines a second. What is left out is told and counted by part. `log: off` switches the log off. The counter of resumed streams had never risen; it does now. A replica's failure that is passed on as it came says so (`outcome`), and is not taken for a served request.

Tests: line_budget, request_roll and request_outcome in virtual time; the event log's bounds; the relay's requests found by their ids through `explain`'s collector; the setting.

Open: two other tests of the relay fail now and then (testRelay.cpp:369, 371, 384), since a daemon that starts holds 2.3 repeats and they need up to four; not touched here.

--- a/Libraries/Base/event_log.cpp
+++ b/Libraries/Base/event_log.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/instant.h"
 #include "Libraries/Base/json.h"
+#include "Libraries/Base/line_budget.h"
 
 #include <fmt/format.h>
 
@@ -27,6 +28,17 @@
 constexpr duration gatherTime(200);
 /// How long the writer waits for a reader that is too slow before it looks whether it should stop.
 constexpr duration readerPatience(500);
+/// How often what is gathered elsewhere is asked for.
+constexpr duration gatheredPeriod(500);
+/// How often it is told what was left out.
+constexpr duration leftOutPeriod(1000);
+
+struct part_budget
+{
+    line_budget budget;
+    std::uint64_t leftOut = 0;
+    std::uint64_t toldLeftOut = 0;
+};
 
 struct log_queue
 {
@@ -34,8 +46,11 @@
     std::condition_variable wake;
     std::string lines;
     std::string daemon;
-    std::atomic<std::uint64_t> dropped = 0;
-    std::uint64_t toldDropped = 0;
+    /// By part.
+    std::map<std::string, part_budget, std::less<>> parts;
+    instant nextTold;
+    std::function<void()> beforeWriting;
+    std::atomic<bool> isOn = true;
     bool isStopping = false;
     bool isRunning = false;
     std::thread writer;
@@ -71,30 +86,87 @@
     }
 }
 
+/// The mutex is held.
+void append(log_queue &log, std::string_view part, std::string_view event, std::string_view fields)
+{
+    // The steady clock orders the lines of one process; the calendar one relates those of several.
+    log.lines += fmt::format("{{\"ms\":{},\"steady_ms\":{},\"daemon\":{},\"part\":\"{}\",\"event\":\"{}\"{}}}\n",
+                             calendarMilliseconds(),
+                             monotonicNow().time_since_epoch().count(),
+                             quotedJson(log.daemon),
+                             part,
+                             event,
+                             fields);
+}
+
+/// The mutex is held. What was left out is told beyond all bounds: one line a part, seldom.
+void tellLeftOut(log_queue &log)
+{
+    const auto now = monotonicNow();
+    if (now < log.nextTold && !log.isStopping) {
+        return;
+    }
+    log.nextTold = now + leftOutPeriod;
+    for (auto &[part, lines] : log.parts) {
+        if (lines.leftOut != lines.toldLeftOut) {
+            append(log, "log", "lines_left_out", fmt::format(",\"of\":\"{}\",\"count\":{}", part, lines.leftOut - lines.toldLeftOut));
+            lines.toldLeftOut = lines.leftOut;
+        }
+    }
+}
+
 void run(log_queue &log)
 {
     for (bool isStopping = false; !isStopping;) {
-        std::string lines;
         {
             std::unique_lock lock(log.mutex);
-            log.wake.wait(lock, [&] { return log.isStopping || !log.lines.empty(); });
+            log.wake.wait_for(lock, gatheredPeriod, [&] { return log.isStopping || !log.lines.empty(); });
             if (!log.isStopping) {
                 log.wake.wait_for(lock, gatherTime, [&] { return log.isStopping; });
             }
             isStopping = log.isStopping;
+        }
+        if (log.beforeWriting) {
+            log.beforeWriting();
+        }
+        std::string lines;
+        {
+            const std::lock_guard lock(log.mutex);
+            tellLeftOut(log);
             lines.swap(log.lines);
-            const auto dropped = log.dropped.load();
-            if (dropped != log.toldDropped) {
-                lines += fmt::format("{{\"part\":\"log\",\"event\":\"lines_left_out\",\"daemon\":{},\"count\":{}}}\n",
-                                     quotedJson(log.daemon),
-                                     dropped - log.toldDropped);
-                log.toldDropped = dropped;
-            }
         }
         writeOut(log, lines);
     }
 }
 
+void write(std::string_view part, std::string_view event, std::initializer_list<event_field> fields, line_weight weight)
+{
+    auto &log = queue();
+    if (!log.isOn) {
+        return;
+    }
+    std::string line;
+    for (const auto &field : fields) {
+        line += fmt::format(",\"{}\":", field.name);
+        field.value.appendTo(line);
+    }
+    const std::lock_guard lock(log.mutex);
+    auto found = log.parts.find(part);
+    if (found == log.parts.end()) {
+        found = log.parts.emplace(part, part_budget()).first;
+    }
+    auto &lines = found->second;
+    if (!hasRoom(log.lines.size(), line.size(), maximumQueuedBytes, weight) || !takeLine(lines.budget, weight, monotonicNow())) {
+        ++lines.leftOut;
+        return;
+    }
+    const bool isFirst = log.lines.empty();
+    append(log, part, event, line);
+    if (log.isRunning && isFirst) {
+        log.wake.notify_one();
+    }
+}
+
 } // namespace
 
 void event_value::appendTo(std::string &line) const
@@ -113,28 +185,17 @@
 
 void event_log::write(std::string_view event, std::initializer_list<event_field> fields) const
 {
-    auto &log = queue();
-    std::string line;
-    for (const auto &field : fields) {
-        line += fmt::format(",\"{}\":", field.name);
-        field.value.appendTo(line);
-    }
-    const std::lock_guard lock(log.mutex);
-    if (log.lines.size() + line.size() > maximumQueuedBytes) {
-        log.dropped.fetch_add(1);
-        return;
-    }
-    // The steady clock orders the lines of one process; the calendar one relates those of several.
-    log.lines += fmt::format("{{\"ms\":{},\"steady_ms\":{},\"daemon\":{},\"part\":\"{}\",\"event\":\"{}\"{}}}\n",
-                             calendarMilliseconds(),
-                             monotonicNow().time_since_epoch().count(),
-                             quotedJson(log.daemon),
-                             m_part,
-                             event,
-                             line);
-    if (log.isRunning) {
-        log.wake.notify_one();
-    }
+    vetchpost::write(m_part, event, fields, line_weight::budgeted);
+}
+
+void event_log::writeKept(std::string_view event, std::initializer_list<event_field> fields) const
+{
+    vetchpost::write(m_part, event, fields, line_weight::kept);
+}
+
+void setEventLogOn(bool isOn)
+{
+    queue().isOn = isOn;
 }
 
 void setEventLogDaemon(const std::string &daemon)
@@ -144,13 +205,14 @@
     log.daemon = daemon;
 }
 
-void startEventLog()
+void startEventLog(std::function<void()> beforeWriting)
 {
     auto &log = queue();
     const std::lock_guard lock(log.mutex);
     if (!log.isRunning) {
         log.isRunning = true;
         log.isStopping = false;
+        log.beforeWriting = std::move(beforeWriting);
         log.writer = std::thread([&log] { run(log); });
     }
 }
@@ -172,7 +234,22 @@
 
 std::uint64_t droppedLogLines()
 {
-    return queue().dropped.load();
+    std::uint64_t count = 0;
+    for (const auto &[part, leftOut] : droppedLogLinesByPart()) {
+        count += leftOut;
+    }
+    return count;
+}
+
+std::map<std::string, std::uint64_t> droppedLogLinesByPart()
+{
+    auto &log = queue();
+    const std::lock_guard lock(log.mutex);
+    std::map<std::string, std::uint64_t> counts;
+    for (const auto &[part, lines] : log.parts) {
+        counts.emplace(part, lines.leftOut);
+    }
+    return counts;
 }
 
 } // namespace vetchpost
--- a/Libraries/Base/event_log.h
+++ b/Libraries/Base/event_log.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -52,7 +54,8 @@
 };
 
 /// The structured log of one part: one JSON object a line on standard output. Never blocks: lines wait in a bounded queue for a thread that
-/// writes them, and are counted and left out when it is full. Secrets and prompts are never logged.
+/// writes them. They are counted and left out when it is full, or when their part has used up its budget of lines. Secrets and prompts are
+/// never logged.
 class event_log
 {
 public:
@@ -62,6 +65,8 @@
     }
 
     void write(std::string_view event, std::initializer_list<event_field> fields) const;
+    /// Writes a line beyond the part's budget: it belongs to something that ended badly.
+    void writeKept(std::string_view event, std::initializer_list<event_field> fields) const;
 
 private:
     std::string_view m_part;
@@ -69,11 +74,16 @@
 
 /// The name that all lines of this process carry.
 void setEventLogDaemon(const std::string &daemon);
-/// Starts the thread that writes; before it, lines only queue up.
-void startEventLog();
+/// Without the log nothing is written and nothing is counted as left out.
+void setEventLogOn(bool isOn);
+/// Starts the thread that writes; before it, lines only queue up. \a beforeWriting is called on it at least twice a second, and a last time
+/// at the end, to write what was gathered meanwhile.
+void startEventLog(std::function<void()> beforeWriting = {});
 /// Writes what is left and ends the thread.
 void stopEventLog();
 /// Lines that were left out since the start.
 std::uint64_t droppedLogLines();
+/// ... of each part.
+std::map<std::string, std::uint64_t> droppedLogLinesByPart();
 
 } // namespace vetchpost
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -160,12 +160,15 @@
     d->assembly.stop();
     d->feed.stop();
     d->store.stop();
+    // The log's thread asks for what the requests have left to tell.
+    stopEventLog();
 }
 
 void entry_daemon::start()
 {
     setEventLogDaemon(d->settings.daemon.value());
-    startEventLog();
+    setEventLogOn(d->settings.isLogOn);
+    startEventLog([this] { d->relay.callRoll(); });
     daemonLog.write("started", {{"callers", d->settings.callers.text()}, {"data_centre", d->settings.dataCentre.value()}});
     http_server_limits limits;
     limits.maximumThreads = d->settings.maximumConnections;
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -2,16 +2,28 @@
 #include "Libraries/Entry/relay_context.h"
 
 #include "Libraries/Base/event_log.h"
+#include "Libraries/Entry/try_end.h"
 
 namespace vetchpost {
 
 namespace {
 
-constexpr event_log repeatsLog("request");
+constexpr event_log requestLog("request");
 
 /// Keys are refused a little before the bound, for the differences between two machines' clocks.
 constexpr duration keyMargin(200);
 
+std::vector<counter> tryCounters(metrics &counters)
+{
+    std::vector<counter> tries;
+    for (std::size_t end = 0; end < static_cast<std::size_t>(try_end::count); ++end) {
+        tries.push_back(counters.addCounter("vetchpost_tries_total",
+                                            "Tries at one replica, by how they ended.",
+                                            {{"end", std::string(tryEndName(static_cast<try_end>(end)))}}));
+    }
+    return tries;
+}
+
 } // namespace
 
 relay_context::relay_context(const entry_settings &settings,
@@ -24,6 +36,8 @@
     : dialect(words)
     , counters(allCounters)
     , noteStall(std::move(tellStall))
+    , ends(allCounters)
+    , tries(tryCounters(allCounters))
     , served(allCounters.addCounter("vetchpost_requests_served_total", "Requests whose whole answer was passed on."))
     , resumed(allCounters.addCounter("vetchpost_streams_resumed_total", "Streams that another replica went on with."))
     , retried(allCounters.addCounter("vetchpost_requests_retried_total", "Requests that were sent to a second replica."))
@@ -76,13 +90,21 @@
         divideBudget(budget, bound, daemons);
     }
     if (isNew || budget.most != before) {
-        repeatsLog.write(
+        requestLog.write(
             "repeats_shared",
             {{"service", service.value()}, {"daemons", daemons.value_or(0)}, {"most", budget.most}, {"available", budget.available}});
     }
     return budget;
 }
 
+void relay_context::callRoll()
+{
+    const auto lines = roll.take();
+    if (!lines.isEmpty()) {
+        requestLog.writeKept("roll", {{"arrived", lines.arrived}, {"served", lines.served}, {"left_out", lines.leftOut}});
+    }
+}
+
 void relay_context::noteFirstTry(const service_id &service)
 {
     const std::lock_guard lock(m_budgetMutex);
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -7,6 +7,8 @@
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Entry/held_requests.h"
 #include "Libraries/Entry/peer_feed.h"
+#include "Libraries/Entry/request_outcome.h"
+#include "Libraries/Entry/request_roll.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/repeat_bound.h"
 #include "Libraries/Settings/entry_settings.h"
@@ -45,12 +47,20 @@
     /// Takes one repeat out of this daemon's part of the budget; false where it is used up.
     bool takeRepeat(const service_id &service);
 
+    /// Logs the ids of the requests that have no lines of their own.
+    void callRoll();
+
     const entry_dialect &dialect;
     metrics &counters;
     const std::function<void(const instance_id &)> noteStall;
     /// Connections end after the answer at hand.
     std::atomic<bool> isDraining = false;
     held_requests held;
+    /// Requests that have no lines of their own.
+    request_roll roll;
+    const request_metrics ends;
+    /// By try_end.
+    const std::vector<counter> tries;
     counter served;
     counter resumed;
     counter retried;
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -204,12 +204,14 @@
         return;
     }
     m_hasBegun = true;
+    m_status = head.status;
     m_exchange.beginAnswer(head.status, head.reasonPhrase, m_context.dialect.clientHeaders(head.headers), std::nullopt);
 }
 
 bool request_run::sendWhole(const whole_answer &answer)
 {
     m_hasBegun = true;
+    m_status = answer.head.status;
     noteSent();
     m_exchange.beginAnswer(
         answer.head.status, answer.head.reasonPhrase, m_context.dialect.clientHeaders(answer.head.headers), answer.body.size());
--- /dev/null
+++ b/Libraries/Entry/request_finish.cpp
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: Apache-2.0
+// The part of request_run that gives the client its last answer and tells the log how the request ended.
+#include "Libraries/Base/event_log.h"
+#include "Libraries/Entry/request_run.h"
+
+#include <array>
+
+namespace vetchpost {
+
+namespace {
+
+constexpr event_log requestLog("request");
+/// When to come back after a refusal: a group is repaired in about two seconds, a full place is free again much sooner.
+constexpr duration comeBackAfterRepair(1000);
+constexpr duration comeBackSoon(250);
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(try_end::count)> tryEndNames
+    = {"answered", "not_sent", "not_run", "lost", "silent", "failed", "caller_left", "timed_out"};
+
+} // namespace
+
+std::string_view tryEndName(try_end end)
+{
+    return tryEndNames.at(static_cast<std::size_t>(end));
+}
+
+/// Gives the client its final answer at once, where it has none yet.
+void request_run::finish(try_end end)
+{
+    if (end == try_end::answered || end == try_end::caller_left) {
+        tellAnswered(end);
+        return;
+    }
+    if (m_hasBegun) {
+        tellEnd(request_outcome::broken_off);
+        requestLog.writeKept("broken_off",
+                             {{"request", m_head.attempt.value()},
+                              {"route", m_route->name},
+                              {"end", tryEndName(end)},
+                              {"why", m_lastWhy},
+                              {"no_repeat", m_noRepeatWhy},
+                              {"tries", m_attempts},
+                              {"held_ms", held().count()},
+                              {"last_event", m_events.lastId()}});
+        m_exchange.abort();
+        return;
+    }
+    if (m_failure) {
+        sendWhole(*m_failure);
+        tellEnd(request_outcome::failed);
+        requestLog.writeKept("failure_passed_on",
+                             {{"request", m_head.attempt.value()},
+                              {"route", m_route->name},
+                              {"status", m_failure->head.status},
+                              {"no_repeat", m_noRepeatWhy},
+                              {"tries", m_attempts},
+                              {"held_ms", held().count()}});
+        return;
+    }
+    if (m_mayHaveRun && !m_route->mayRunAgain()) {
+        refuse(end == try_end::timed_out ? error_kind::deadline_exceeded : error_kind::backend_lost,
+               "the replica's answer did not come whole");
+    } else if (m_mayHaveRun && end == try_end::timed_out) {
+        refuse(error_kind::deadline_exceeded, "no answer in time");
+    } else if (m_mayHaveRun) {
+        refuse(error_kind::backend_lost, "no replica gave a whole answer");
+    } else if (end == try_end::not_run) {
+        refuse(error_kind::backend_refused, "the replicas take no more requests", comeBackSoon);
+    } else {
+        refuse(error_kind::no_serving_group, "no place takes requests", comeBackAfterRepair);
+    }
+}
+
+void request_run::refuse(error_kind kind, const std::string &text, std::optional<duration> comeBackAfter)
+{
+    for (const auto &header : m_context.dialect.ownHeaders(m_head)) {
+        m_exchange.setHeader(header.name, header.value);
+    }
+    m_context.counters.countRefusal(kind);
+    tellEnd(request_outcome::refused);
+    requestLog.writeKept("refused",
+                         {{"request", m_head.attempt.value()},
+                          {"route", m_route == nullptr ? "" : m_route->name},
+                          {"kind", errorAnswer(kind).name},
+                          {"why", text},
+                          {"last_try", m_lastWhy},
+                          {"no_repeat", m_noRepeatWhy},
+                          {"tries", m_attempts},
+                          {"held_ms", held().count()},
+                          {"time_left_ms", timeLeft().count()}});
+    m_exchange.sendError({kind, text}, m_head.attempt.value(), comeBackAfter);
+}
+
+// What the log and the metrics are told.
+
+/// Of most requests there is nothing to say but that they were served in time: their ids go out with those of others.
+void request_run::tellAnswered(try_end end)
+{
+    const auto first = firstEvent();
+    const auto outcome
+        = end == try_end::caller_left ? request_outcome::caller_left : outcomeOfAnswer(*m_route, m_status, first, m_longestPause);
+    if (tellEnd(outcome)) {
+        return;
+    }
+    requestLog.writeKept(tryEndName(end),
+                         {{"request", m_head.attempt.value()},
+                          {"route", m_route->name},
+                          {"outcome", requestOutcomeName(outcome)},
+                          {"status", m_status},
+                          {"tries", m_attempts},
+                          {"replica", m_tried.empty() ? "" : m_tried.back().value()},
+                          {"held_ms", held().count()},
+                          {"first_ms", first ? first->count() : -1},
+                          {"pause_ms", m_longestPause.count()},
+                          {"last_event", m_events.lastId()}});
+}
+
+/// Whether nothing else is to be told of it.
+bool request_run::tellEnd(request_outcome outcome)
+{
+    const request_end end{outcome, firstEvent(), m_longestPause, held(), m_tried.size()};
+    // Nothing is known of a request that has no route but that it was refused, which its kind of refusal counts.
+    if (m_route != nullptr) {
+        m_context.ends.note(m_route->kind, end);
+    }
+    const bool isOnRoll = isOrdinary(end);
+    if (isOnRoll) {
+        m_context.roll.noteServed(m_head.attempt.value());
+    } else {
+        m_context.roll.noteTold(m_head.attempt.value());
+    }
+    return isOnRoll;
+}
+
+void request_run::tellTry(const backend &target, try_end end) const
+{
+    m_context.tries.at(static_cast<std::size_t>(end)).increment();
+    if (end == try_end::answered) {
+        return;
+    }
+    requestLog.writeKept("try_ended",
+                         {{"request", m_head.attempt.value()},
+                          {"replica", target.replica.value()},
+                          {"group", target.group.value()},
+                          {"end", tryEndName(end)},
+                          {"why", m_lastWhy},
+                          {"try_ms", (monotonicNow() - m_tryStart).count()},
+                          {"last_event", m_events.lastId()}});
+}
+
+std::optional<duration> request_run::firstEvent() const
+{
+    return m_firstSent ? std::optional(*m_firstSent - m_arrival) : std::nullopt;
+}
+
+duration request_run::held() const
+{
+    return monotonicNow() - m_arrival;
+}
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Entry/request_outcome.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/request_outcome.h"
+
+#include <array>
+#include <string>
+
+namespace vetchpost {
+
+namespace {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(request_outcome::count)> outcomeNames
+    = {"served", "late", "failed", "refused", "broken_off", "caller_left"};
+/// By route_kind.
+constexpr std::array<std::string_view, 3> kindNames = {"streaming", "idempotent", "non_idempotent"};
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+constexpr double millisecondsPerSecond = 1000;
+
+double secondsOf(duration time)
+{
+    return static_cast<double>(time.count()) / millisecondsPerSecond;
+}
+
+} // namespace
+
+std::string_view requestOutcomeName(request_outcome outcome)
+{
+    return outcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
+request_outcome outcomeOfAnswer(const route &route, int status, std::optional<duration> firstEvent, duration longestPause)
+{
+    if (status < firstSuccess || status >= firstRedirect) {
+        return request_outcome::failed;
+    }
+    const bool isFirstLate = route.objective.count() > 0 && firstEvent.value_or(duration()) > route.objective;
+    const bool isPauseLong = route.pauseLimit.count() > 0 && longestPause > route.pauseLimit;
+    return isFirstLate || isPauseLong ? request_outcome::late : request_outcome::served;
+}
+
+bool isOrdinary(const request_end &end)
+{
+    return end.outcome == request_outcome::served && end.tries == 1;
+}
+
+request_metrics::request_metrics(metrics &counters)
+{
+    for (const auto kind : kindNames) {
+        kind_metrics figures;
+        for (const auto outcome : outcomeNames) {
+            const std::vector<metric_label> labels = {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}};
+            figures.firstEvent.push_back(counters.addTimeHistogram(
+                "vetchpost_first_event_seconds", "From a request's arrival to the first event, or the plain answer, passed on.", labels));
+            figures.longestPause.push_back(
+                counters.addTimeHistogram("vetchpost_longest_pause_seconds", "Longest pause between two events of one answer.", labels));
+            figures.held.push_back(counters.addTimeHistogram("vetchpost_request_seconds", "From a request's arrival to its end.", labels));
+        }
+        m_kinds.push_back(std::move(figures));
+    }
+}
+
+void request_metrics::note(route_kind kind, const request_end &end) const
+{
+    const auto &figures = m_kinds.at(static_cast<std::size_t>(kind));
+    const auto outcome = static_cast<std::size_t>(end.outcome);
+    figures.held.at(outcome).observe(secondsOf(end.held));
+    if (end.firstEvent) {
+        figures.firstEvent.at(outcome).observe(secondsOf(*end.firstEvent));
+        figures.longestPause.at(outcome).observe(secondsOf(end.longestPause));
+    }
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -1,18 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/request_run.h"
 
-#include "Libraries/Base/event_log.h"
-
 #include <algorithm>
-#include <array>
 #include <random>
 
 namespace vetchpost {
 
 namespace {
 
-constexpr event_log requestLog("request");
-
 /// A connection within the site is up in a few milliseconds; a silent address is not waited for.
 constexpr duration connectTimeout(250);
 /// Where a request names no time of its own.
@@ -21,15 +16,11 @@
 constexpr duration leastTimeLeft(15);
 /// When to come back after a refusal: a group is repaired in about two seconds, a full place is free again much sooner.
 constexpr duration comeBackAfterRepair(1000);
-constexpr duration comeBackSoon(250);
 /// Places that could not be connected to are not counted as attempts; after so many of them the request is given up.
 constexpr int mostUnreachable = 4;
 /// Weight of the newest value in a smoothed time.
 constexpr double newestWeight = 0.2;
 
-constexpr std::array<std::string_view, 8> tryEndNames
-    = {"answered", "not_sent", "not_run", "lost", "silent", "failed", "caller_left", "timed_out"};
-
 std::uint64_t drawNumber()
 {
     thread_local std::minstd_rand generator(std::random_device{}());
@@ -43,11 +34,6 @@
 
 } // namespace
 
-std::string_view tryEndName(try_end end)
-{
-    return tryEndNames.at(static_cast<std::size_t>(end));
-}
-
 request_run::request_run(relay_context &context, http_exchange &exchange)
     : m_context(context)
     , m_exchange(exchange)
@@ -73,6 +59,7 @@
     }
     m_headers = m_exchange.headers();
     m_head = m_context.dialect.readRequest(m_headers);
+    m_context.roll.noteArrival(m_head.attempt.value());
     m_deadline = m_arrival + m_head.patience.value_or(defaultPatience);
     const bool hasLength = !m_exchange.header("Content-Length").empty();
     const bool isChunked = !m_exchange.header("Transfer-Encoding").empty();
@@ -201,6 +188,9 @@
         return false;
     }
     m_context.retried.increment();
+    if (m_hasBegun) {
+        m_context.resumed.increment();
+    }
     return true;
 }
 
@@ -216,73 +206,6 @@
     return m_hasRepeat;
 }
 
-/// Gives the client its final answer at once, where it has none yet.
-void request_run::finish(try_end end)
-{
-    if (end == try_end::answered || end == try_end::caller_left) {
-        requestLog.write(tryEndName(end),
-                         {{"request", m_head.attempt.value()},
-                          {"route", m_route->name},
-                          {"tries", m_attempts},
-                          {"replica", m_tried.empty() ? "" : m_tried.back().value()},
-                          {"held_ms", (monotonicNow() - m_arrival).count()},
-                          {"first_ms", m_firstSent ? (*m_firstSent - m_arrival).count() : -1},
-                          {"pause_ms", m_longestPause.count()},
-                          {"last_event", m_events.lastId()}});
-        return;
-    }
-    if (m_hasBegun) {
-        requestLog.write("broken_off",
-                         {{"request", m_head.attempt.value()},
-                          {"route", m_route->name},
-                          {"end", tryEndName(end)},
-                          {"why", m_lastWhy},
-                          {"no_repeat", m_noRepeatWhy},
-                          {"tries", m_attempts},
-                          {"held_ms", (monotonicNow() - m_arrival).count()},
-                          {"last_event", m_events.lastId()}});
-        m_exchange.abort();
-        return;
-    }
-    if (m_failure) {
-        sendWhole(*m_failure);
-        requestLog.write("failure_passed_on",
-                         {{"request", m_head.attempt.value()}, {"status", m_failure->head.status}, {"tries", m_attempts}});
-        return;
-    }
-    if (m_mayHaveRun && !m_route->mayRunAgain()) {
-        refuse(end == try_end::timed_out ? error_kind::deadline_exceeded : error_kind::backend_lost,
-               "the replica's answer did not come whole");
-    } else if (m_mayHaveRun && end == try_end::timed_out) {
-        refuse(error_kind::deadline_exceeded, "no answer in time");
-    } else if (m_mayHaveRun) {
-        refuse(error_kind::backend_lost, "no replica gave a whole answer");
-    } else if (end == try_end::not_run) {
-        refuse(error_kind::backend_refused, "the replicas take no more requests", comeBackSoon);
-    } else {
-        refuse(error_kind::no_serving_group, "no place takes requests", comeBackAfterRepair);
-    }
-}
-
-void request_run::refuse(error_kind kind, const std::string &text, std::optional<duration> comeBackAfter)
-{
-    for (const auto &header : m_context.dialect.ownHeaders(m_head)) {
-        m_exchange.setHeader(header.name, header.value);
-    }
-    m_context.counters.countRefusal(kind);
-    requestLog.write("refused",
-                     {{"request", m_head.attempt.value()},
-                      {"route", m_route == nullptr ? "" : m_route->name},
-                      {"kind", errorAnswer(kind).name},
-                      {"why", text},
-                      {"last_try", m_lastWhy},
-                      {"no_repeat", m_noRepeatWhy},
-                      {"tries", m_attempts},
-                      {"held_ms", (monotonicNow() - m_arrival).count()},
-                      {"time_left_ms", timeLeft().count()}});
-    m_exchange.sendError({kind, text}, m_head.attempt.value(), comeBackAfter);
-}
-
 try_end request_run::tryOn(const backend &target)
 {
     m_tried.push_back(target.replica);
@@ -295,16 +218,7 @@
     const auto end = runOn(target);
     target.load->outstanding.fetch_sub(1);
     noteTrouble(target, end);
-    if (end != try_end::answered) {
-        requestLog.write("try_ended",
-                         {{"request", m_head.attempt.value()},
-                          {"replica", target.replica.value()},
-                          {"group", target.group.value()},
-                          {"end", tryEndName(end)},
-                          {"why", m_lastWhy},
-                          {"try_ms", (monotonicNow() - m_tryStart).count()},
-                          {"last_event", m_events.lastId()}});
-    }
+    tellTry(target, end);
     return end;
 }
 
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -3,6 +3,8 @@
 
 #include "Libraries/Entry/event_splitter.h"
 #include "Libraries/Entry/relay_context.h"
+#include "Libraries/Entry/request_outcome.h"
+#include "Libraries/Entry/try_end.h"
 #include "Libraries/Http/http_server.h"
 #include "Libraries/Http/http_upstream.h"
 
@@ -13,27 +15,7 @@
 
 namespace vetchpost {
 
-/// How one try at one replica ended.
-enum class try_end {
-    /// The client has its whole answer.
-    answered,
-    /// Nothing was sent.
-    not_sent,
-    /// The replica says that it did not run the request.
-    not_run,
-    /// The answer broke off, or was not this request's.
-    lost,
-    /// The replica is silent for longer than is reasonable.
-    silent,
-    /// The replica's own failure, kept to be passed on where nobody does better.
-    failed,
-    caller_left,
-    timed_out
-};
-
-std::string_view tryEndName(try_end end);
-
-/// One request of one client, on the thread of its connection. Its parts stand in request_run and request_answer.
+/// One request of one client, on the thread of its connection. Its parts stand in request_run, request_answer and request_finish.
 class request_run
 {
 public:
@@ -60,6 +42,12 @@
     void finish(try_end end);
     void refuse(error_kind kind, const std::string &text, std::optional<duration> comeBackAfter = std::nullopt);
 
+    void tellAnswered(try_end end);
+    bool tellEnd(request_outcome outcome);
+    void tellTry(const backend &target, try_end end) const;
+    std::optional<duration> firstEvent() const;
+    duration held() const;
+
     std::optional<backend> choose() const;
     try_end tryOn(const backend &target);
     try_end runOn(const backend &target);
@@ -101,6 +89,8 @@
     bool m_mayHaveRun = false;
     /// The client has an answer's head.
     bool m_hasBegun = false;
+    /// ... with this status.
+    int m_status = 0;
     instant m_tryStart;
     /// Something has come in this try.
     bool m_hasProgress = false;
--- a/Libraries/Explain/request_story.cpp
+++ b/Libraries/Explain/request_story.cpp
@@ -31,13 +31,19 @@
                                                            "source_heard",
                                                            "source_lost"};
 
+/// The line that names the requests which have no lines of their own.
+constexpr std::string_view rollEvent = "roll";
+constexpr std::string_view servedOnRoll = "served";
+constexpr std::string_view arrivedOnRoll = "arrived";
+
 struct ending
 {
     std::string_view event;
     std::string_view meaning;
 };
 
-constexpr std::array<ending, 5> endings = {{{"answered", "was answered whole"},
+constexpr std::array<ending, 6> endings = {{{"answered", "was answered whole"},
+                                            {servedOnRoll, "was served in time by the first replica"},
                                             {"refused", "was refused"},
                                             {"broken_off", "was broken off after its answer had begun"},
                                             {"failure_passed_on", "got the replica's own failure"},
@@ -59,6 +65,12 @@
     return details;
 }
 
+/// Whether one of the words is this one.
+bool hasWord(const std::string &words, const std::string &word)
+{
+    return (" " + words + " ").find(" " + word + " ") != std::string::npos;
+}
+
 bool isDaemonEvent(const std::string &event)
 {
     return std::find(daemonEvents.begin(), daemonEvents.end(), event) != daemonEvents.end();
@@ -78,7 +90,7 @@
             }
         }
     }
-    return lines.empty() ? std::string() : "No line tells how it ended: its daemon was killed, or left the line out.";
+    return lines.empty() ? std::string() : "No line tells how it ended: its daemon was killed while it held it, or left the line out.";
 }
 
 } // namespace
@@ -102,10 +114,29 @@
         line.request = jsonString(*json, "request");
         line.replica = jsonString(*json, "replica");
         line.group = jsonString(*json, "group");
+        if (line.entry.event == rollEvent) {
+            line.arrived = jsonString(*json, "arrived");
+            line.served = jsonString(*json, "served");
+        }
         m_lines.push_back(std::move(line));
     }
 }
 
+std::optional<log_entry> log_collector::entryOnRoll(const collected &line, const std::string &request)
+{
+    if (line.entry.event != rollEvent || request.empty()) {
+        return std::nullopt;
+    }
+    const bool isServed = hasWord(line.served, request);
+    if (!isServed && !hasWord(line.arrived, request)) {
+        return std::nullopt;
+    }
+    auto entry = line.entry;
+    entry.event = isServed ? servedOnRoll : arrivedOnRoll;
+    entry.details = isServed ? "within half a second before this line" : "within half a second before this line, and still held";
+    return entry;
+}
+
 request_story log_collector::storyOf(const std::string &request) const
 {
     request_story story;
@@ -114,6 +145,10 @@
     std::set<std::string> daemons;
     std::vector<log_entry> own;
     for (const auto &line : m_lines) {
+        if (const auto named = entryOnRoll(line, request)) {
+            own.push_back(*named);
+            daemons.insert(named->daemon);
+        }
         if (line.request != request || request.empty()) {
             continue;
         }
--- a/Libraries/Explain/request_story.h
+++ b/Libraries/Explain/request_story.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <istream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,8 +47,14 @@
         std::string request;
         std::string replica;
         std::string group;
+        /// Of a line that names many requests: those that came, and those that were served in time; separated by spaces.
+        std::string arrived;
+        std::string served;
     };
 
+    /// What a line says of a request that it names among others; nothing where it does not.
+    static std::optional<log_entry> entryOnRoll(const collected &line, const std::string &request);
+
     std::vector<collected> m_lines;
     std::size_t m_unreadable = 0;
 };
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -53,6 +53,7 @@
     readListeners(reader.map("listen"), settings);
     readTiming(reader.map("timing"), settings);
     readRetries(reader.map("retries"), settings);
+    settings.isLogOn = reader.flag("log", true);
     settings.lowestLogLevel = readLogLevel(reader);
     reader.refuseUnknownKeys();
     if (problems.size() != problemsBefore) {
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -45,6 +45,8 @@
     int retrySlack = 0;
     /// How long the coordinator's lease holds without a renewal.
     duration leaseTime{};
+    /// Whether decisions are logged on standard output.
+    bool isLogOn = true;
     log_level lowestLogLevel = log_level::info;
 };
 
--- a/Tests/Base/testEventLog.cpp
+++ b/Tests/Base/testEventLog.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <iostream>
+#include <map>
 #include <sstream>
 
 using namespace vetchpost;
@@ -108,3 +109,70 @@
     CHECK(droppedLogLines() > before + 1000);
     CHECK(longest < duration(200));
 }
+
+TEST_CASE("A part that says too much is cut short, which is told; lines that are kept and other parts' lines are all there")
+{
+    constexpr event_log loud("loud");
+    constexpr event_log quiet("quiet");
+    std::string text;
+    {
+        const captured_output output;
+        startEventLog();
+        for (int i = 0; i < 1000; ++i) {
+            loud.write("often", {});
+        }
+        for (int i = 0; i < 50; ++i) {
+            loud.writeKept("badly", {});
+        }
+        quiet.write("once", {});
+        stopEventLog();
+        text = output.read();
+    }
+    std::map<std::string, int> counts;
+    std::istringstream lines(text);
+    int told = 0;
+    for (std::string line; std::getline(lines, line);) {
+        const auto json = parseJson(line);
+        REQUIRE(json);
+        ++counts[(*json)["event"].asString()];
+        if ((*json)["event"].asString() == "lines_left_out") {
+            CHECK((*json)["of"].asString() == "loud");
+            CHECK((*json)["ms"].asInt64() > 0);
+            told += (*json)["count"].asInt();
+        }
+    }
+    CHECK(counts["badly"] == 50);
+    CHECK(counts["once"] == 1);
+    CHECK(counts["often"] < 600);
+    CHECK(counts["often"] + told == 1000);
+    CHECK(droppedLogLinesByPart().at("loud") == static_cast<std::uint64_t>(told));
+    CHECK(droppedLogLinesByPart().at("quiet") == 0);
+}
+
+TEST_CASE("What is gathered elsewhere is asked for before the end")
+{
+    std::string text;
+    {
+        const captured_output output;
+        startEventLog([] { testLog.write("gathered", {}); });
+        stopEventLog();
+        text = output.read();
+    }
+    CHECK(text.find("\"gathered\"") != std::string::npos);
+}
+
+TEST_CASE("A log that is off writes nothing")
+{
+    std::string text;
+    {
+        const captured_output output;
+        setEventLogOn(false);
+        startEventLog();
+        testLog.write("happened", {});
+        testLog.writeKept("happened", {});
+        stopEventLog();
+        setEventLogOn(true);
+        text = output.read();
+    }
+    CHECK(text.empty());
+}
--- a/Tests/Explain/testRequestStory.cpp
+++ b/Tests/Explain/testRequestStory.cpp
@@ -58,3 +58,21 @@
     CHECK(storyOf("r9").verdict.empty());
     CHECK(storyOf("").entries.empty());
 }
+
+TEST_CASE("A request that has no lines of its own is found where its daemon names it among others")
+{
+    log_collector collector;
+    std::istringstream log(R"({"ms":900,"daemon":"d1","part":"request","event":"roll","arrived":"a1 a11","served":"","left_out":0}
+{"ms":1400,"daemon":"d1","part":"request","event":"roll","arrived":"a2","served":"a1","left_out":0}
+{"ms":1500,"daemon":"d1","part":"daemon","event":"started"})");
+    collector.take(log);
+    const auto served = collector.storyOf("a1");
+    REQUIRE(served.entries.size() >= 2);
+    CHECK(served.entries[0].event == "arrived");
+    CHECK(served.entries[1].event == "served");
+    CHECK(served.verdict.find("served in time") != std::string::npos);
+    const auto killed = collector.storyOf("a2");
+    CHECK(killed.verdict.find("killed") != std::string::npos);
+    CHECK(killed.entries.back().event == "started");
+    CHECK(collector.storyOf("a").entries.empty());
+}
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/entry_daemon.h"
+#include "Libraries/Explain/request_story.h"
 #include "Libraries/Http/http_client.h"
 #include "Libraries/Http/http_upstream.h"
 #include "Tests/PlatformAdapter/scriptedReplica.h"
@@ -8,7 +9,11 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <unistd.h>
+
+#include <cstdio>
 #include <map>
+#include <sstream>
 
 using namespace vetchpost;
 using namespace vetchpost::test;
@@ -227,6 +232,43 @@
     std::unique_ptr<entry_daemon> m_daemon;
 };
 
+/// Standard output led into a file for the time of one test.
+class output_in_file
+{
+public:
+    output_in_file()
+        : m_file(std::tmpfile())
+        , m_saved(dup(STDOUT_FILENO))
+    {
+        std::fflush(stdout);
+        dup2(fileno(m_file), STDOUT_FILENO);
+    }
+
+    ~output_in_file()
+    {
+        dup2(m_saved, STDOUT_FILENO);
+        close(m_saved);
+        std::fclose(m_file);
+    }
+
+    output_in_file(const output_in_file &) = delete;
+    output_in_file &operator=(const output_in_file &) = delete;
+
+    std::string text() const
+    {
+        std::string text;
+        std::rewind(m_file);
+        for (int byte = std::fgetc(m_file); byte != EOF; byte = std::fgetc(m_file)) {
+            text += static_cast<char>(byte);
+        }
+        return text;
+    }
+
+private:
+    std::FILE *m_file;
+    int m_saved;
+};
+
 std::string answerTo(const std::string &request, const std::string &body, const std::string &status = "200 OK")
 {
     return fmt::format("HTTP/1.1 {}\r\nAttempt-Id: {}\r\nServer-Stamp: s\r\nContent-Length: {}\r\n\r\n{}",
@@ -484,3 +526,41 @@
     CHECK(reply.status == 200);
     CHECK(reply.body == "late");
 }
+
+TEST_CASE("Every request that its client does not see served is found in the log by its id, and so are the others")
+{
+    const scripted_replica failing([](const std::string &request) { return answerTo(request, "broken", "500 Internal Server Error"); });
+    const scripted_replica breaking(
+        [](const std::string &request) { return streamHead(request, "s") + chunk(event(1)) + chunk("id: 2\ndata: pi"); });
+    std::map<std::string, int> statuses;
+    std::istringstream log;
+    {
+        const output_in_file output;
+        {
+            relay_world world;
+            world.addPlain("i-1", failing);
+            world.addHead("h-1", breaking);
+            world.start();
+            statuses["nowhere"] = world.ask("/nowhere/", "good", "nowhere").status;
+            statuses["nobody"] = world.ask("/once/", "bad", "nobody").status;
+            statuses["failed"] = world.ask("/once/", "good", "failed").status;
+            statuses["broken"] = world.ask("/stream/", "good", "broken").status;
+        }
+        {
+            const scripted_replica fine(good);
+            relay_world world;
+            world.addPlain("i-1", fine);
+            world.start();
+            statuses["served"] = world.ask("/once/", "good", "served").status;
+        }
+        log.str(output.text());
+    }
+    CHECK(statuses == std::map<std::string, int>{{"nowhere", 404}, {"nobody", 401}, {"failed", 500}, {"broken", 200}, {"served", 200}});
+    log_collector collector;
+    collector.take(log);
+    CHECK(collector.storyOf("nowhere").verdict.find("was refused") != std::string::npos);
+    CHECK(collector.storyOf("nobody").verdict.find("was refused") != std::string::npos);
+    CHECK(collector.storyOf("failed").verdict.find("outcome=failed") != std::string::npos);
+    CHECK(collector.storyOf("broken").verdict.find("broken off") != std::string::npos);
+    CHECK(collector.storyOf("served").verdict.find("was served in time") != std::string::npos);
+}
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -46,6 +46,7 @@
     CHECK(settings->keyRevocation == duration(5000));
     CHECK(settings->stopGrace == duration(8000));
     CHECK(settings->retryShare == 0.2);
+    CHECK(settings->isLogOn);
 }
 
 TEST_CASE("Each wrong or unknown key of an entry daemon's settings is reported with its line")
@@ -60,3 +61,12 @@
     broken.replace(broken.find("10.0.0.1:8223"), 13, "nowhere");
     CHECK(problemsOf(broken).size() == 1);
 }
+
+TEST_CASE("The log of decisions can be switched off")
+{
+    std::vector<yaml_problem> problems;
+    const auto settings = readEntrySettings(good + "log: off\n", "entry.yaml", problems);
+    REQUIRE(settings);
+    CHECK_FALSE(settings->isLogOn);
+    CHECK(problemsOf(good + "log: loud\n").size() == 1);
+}
