Entry, Platform: Measure requests, calls to the store, and the loss and repair of groups

Cause: /metrics had counters alone; how late answers were, how slow the key-value service was, how soon a lost group was found and mended, and what stood at a daemon could only be worked out of the log.

Ruled out: timing the calls inside of the adapter (the product's own interface is what the daemons call; a service that wraps another one measures any adapter); working out gauges at each change (they are worked out when they are asked for).

Change: histograms of first events, longest pauses and whole answers by kind of route and outcome; of calls to the key-value service by call and outcome; of a group's detection and repair. Gauges of groups, free and stranded replicas, the configuration and its age, replicas and daemons known, connections and requests. Tries by their end, lines that the log left out by part. Label sets are closed, or named by the configuration.

Docs.LogEvents and Docs.Metrics share their comparison.

--- a/Libraries/Base/instant.h
+++ b/Libraries/Base/instant.h
@@ -19,6 +19,12 @@
 /// A point on a monotonic clock of this process, in milliseconds. Never compared between processes.
 using instant = decision_clock::time_point;
 
+/// For figures, which are told in seconds.
+inline double secondsOf(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 /// The present, from the monotonic clock of the machine.
 inline instant monotonicNow()
 {
--- a/Libraries/Base/line_budget.cpp
+++ b/Libraries/Base/line_budget.cpp
@@ -7,14 +7,13 @@
 
 namespace {
 
-constexpr double millisecondsPerSecond = 1000;
 constexpr std::size_t partForBudgetedLines = 2;
 
 } // namespace
 
 bool takeLine(line_budget &budget, line_weight weight, instant now)
 {
-    const auto passed = static_cast<double>((now - budget.refilledAt).count()) / millisecondsPerSecond;
+    const auto passed = secondsOf(now - budget.refilledAt);
     if (passed > 0) {
         budget.available = std::min(budget.most, budget.available + passed * budget.linesPerSecond);
         budget.refilledAt = now;
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -7,6 +7,7 @@
 #include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
+#include "Libraries/Entry/assembly_figures.h"
 #include "Libraries/Http/http_client.h"
 
 #include <fmt/format.h>
@@ -61,6 +62,7 @@
     worker_pool noticeWorkers{noticeThreads};
     counter orders;
     counter takeovers;
+    assembly_figures figures;
 
     mutable std::mutex mutex;
     std::condition_variable wake;
@@ -94,6 +96,7 @@
         , heldHere(std::move(held))
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
+        , figures(counters)
         , hasTraffic(!entrySettings.isFirstStart)
     {
     }
@@ -141,6 +144,7 @@
             assemblyLog.write("coordination_lost", {{"term", term->number}});
             term.reset();
             assemblies.clear();
+            figures.clear();
             feed.setSource(false);
         }
     }
@@ -270,6 +274,9 @@
         noteDemand(assembly.demand, demandOf(service.id), now);
         const assembly_view view{directory, service.id, *service.engine, suspected, dead, !hasTraffic.load(), now, notLeaving};
         auto next = planAssembly(assembly, view);
+        if (!assembly.decisions.empty() || now >= nextStandingLog) {
+            figures.noteStandings(service.id, standingOf(assembly, *service.engine), assembly.idleSince.size(), now);
+        }
         for (const auto &decision : assembly.decisions) {
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
         }
@@ -391,6 +398,7 @@
         if (found == directory->replicas.end() || !found->second.membership) {
             return;
         }
+        figures.noteTold(head, now);
         for (const auto &[id, replica] : directory->replicas) {
             if (!replica.membership || replica.membership->group != found->second.membership->group) {
                 continue;
@@ -458,6 +466,7 @@
             return;
         }
         if (const auto head = headOfGroup(replica)) {
+            figures.noteFound(*head, monotonicNow());
             feed.tellDoubt(*head);
         }
         feed.askForLooks(replica.id);
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -3,7 +3,9 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Entry/assembly_runner.h"
+#include "Libraries/Entry/daemon_figures.h"
 #include "Libraries/Entry/request_run.h"
+#include "Libraries/Platform/measured_store.h"
 
 #include <atomic>
 #include <functional>
@@ -84,6 +86,7 @@
     peer_feed feed;
     assembly_runner assembly;
     relay_context relay;
+    daemon_figures standing;
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> readiness;
     std::unique_ptr<http_server> figures;
@@ -91,7 +94,7 @@
     private_data(const entry_settings &entrySettings, std::unique_ptr<entry_dialect> words, const store_maker &makeStore)
         : settings(entrySettings)
         , dialect(std::move(words))
-        , keyValue(makeStore(settings.keyValue, counters))
+        , keyValue(std::make_unique<measured_store>(makeStore(settings.keyValue, counters), counters))
         , store(*keyValue, *dialect, feedTiming(settings.configurationApply), counters, [this] { rebuildView(); })
         , feed(
               settings,
@@ -103,6 +106,7 @@
               [this](const group_doubt &doubt) { relay.doubt(doubt.head); })
         , assembly(settings, *keyValue, *dialect, store, feed, counters, [this] { return relay.held.counts(); })
         , relay(settings, *dialect, store, feed, view, counters, [this](const instance_id &head) { assembly.noteStall(head); })
+        , standing(counters)
     {
     }
 
@@ -130,11 +134,29 @@
         request_run(relay, exchange).serve();
     }
 
+    daemon_standing standingNow() const
+    {
+        const auto routes = store.routes();
+        const auto currentAt = store.configurationCurrentAt();
+        daemon_standing now;
+        now.configurationVersion = routes ? routes->configuration().version : 0;
+        now.configurationAge = currentAt ? std::optional(monotonicNow() - *currentAt) : std::nullopt;
+        now.replicas = store.directory()->replicas.size();
+        now.daemons = feed.daemons().value_or(0);
+        now.connections = static_cast<std::size_t>(callers->openConnections());
+        now.requests = static_cast<std::size_t>(callers->activeRequests());
+        now.linesLeftOut = droppedLogLinesByPart();
+        return now;
+    }
+
     void answerMetrics(http_exchange &exchange)
     {
         constexpr int found = 200;
         constexpr int notFound = 404;
         const bool isKnown = exchange.path() == metricsPath;
+        if (isKnown) {
+            standing.show(standingNow());
+        }
         exchange.send(isKnown ? found : notFound, "text/plain", isKnown ? counters.text() : std::string());
     }
 
--- a/Libraries/Entry/request_outcome.cpp
+++ b/Libraries/Entry/request_outcome.cpp
@@ -14,12 +14,6 @@
 constexpr std::array<std::string_view, 3> kindNames = {"streaming", "idempotent", "non_idempotent"};
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
-constexpr double millisecondsPerSecond = 1000;
-
-double secondsOf(duration time)
-{
-    return static_cast<double>(time.count()) / millisecondsPerSecond;
-}
 
 } // namespace
 
--- a/Tests/Docs/testLogEvents.sh
+++ b/Tests/Docs/testLogEvents.sh
@@ -3,6 +3,7 @@
 # Holds the table of log events in docs/OPERATIONS.md against the code: each event that an entry daemon writes has a row, and no row is left
 # of an event that nobody writes.
 set -euo pipefail
+. "$(dirname "$0")/compareTable.sh"
 cd "$1"
 
 # The events of structured logs, and the names of a request's ends, which are events too.
@@ -10,11 +11,4 @@
     tr '\0' '\n' | grep -oE '"[a-z_]+"' | tr -d '"' | sort -u)
 written=$(printf '%s\nanswered\ncaller_left\nlines_left_out\n' "$written" | sort -u)
 documented=$(sed -n '/^| part | event/,/^$/p' docs/OPERATIONS.md | cut -d'|' -f3 | grep -oE '`[a-z_]+`' | tr -d '`' | sort -u)
-[ "$(wc -l <<<"$written")" -ge 20 ] || { echo "FAILED: only $(wc -l <<<"$written") events were found in the code"; exit 1; }
-
-undocumented=$(comm -23 <(echo "$written") <(echo "$documented"))
-unwritten=$(comm -13 <(echo "$written") <(echo "$documented"))
-[ -z "$undocumented" ] || echo "FAILED: no row in docs/OPERATIONS.md for: $(tr '\n' ' ' <<<"$undocumented")"
-[ -z "$unwritten" ] || echo "FAILED: docs/OPERATIONS.md names events that nobody writes: $(tr '\n' ' ' <<<"$unwritten")"
-[ -z "$undocumented$unwritten" ] || exit 1
-echo "All $(wc -l <<<"$written") events stand in the table."
+compareTable events "$written" "$documented"
