--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -109,7 +109,9 @@
                           {"status", m_status},
                           {"tries", m_attempts},
                           {"replica", m_tried.empty() ? "" : m_tried.back().value()},
+                          {"others_there", m_othersThere},
                           {"held_ms", held().count()},
+                          {"time_left_ms", timeLeft().count()},
                           {"first_ms", first ? first->count() : -1},
                           {"pause_ms", m_longestPause.count()},
                           {"last_event", m_events.lastId()}});
@@ -144,6 +146,7 @@
                           {"group", target.group.value()},
                           {"end", tryEndName(end)},
                           {"why", m_lastWhy},
+                          {"others_there", m_othersThere},
                           {"try_ms", (monotonicNow() - m_tryStart).count()},
                           {"last_event", m_events.lastId()}});
 }
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -211,7 +211,8 @@
     m_tried.push_back(target.replica);
     m_tryStart = monotonicNow();
     m_hasProgress = false;
-    if (target.load->outstanding.fetch_add(1) == 0) {
+    m_othersThere = target.load->outstanding.fetch_add(1);
+    if (m_othersThere == 0) {
         // Nothing was awaited there: the pause begins now.
         target.load->lastProgress = m_tryStart.time_since_epoch().count();
     }
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -92,6 +92,8 @@
     /// ... with this status.
     int m_status = 0;
     instant m_tryStart;
+    /// Requests that this daemon had at the place when the try began.
+    int m_othersThere = 0;
     /// Something has come in this try.
     bool m_hasProgress = false;
     /// When the client was first and last sent a part of its answer.
