Entry, Explain: Say when it was the client that went, and how others fared at the same replica

Lines of clients that had gone said "no answer before the deadline" or "the stream broke off"; a stream that reached its deadline in mid-answer had neither its first event nor its pauses in the log; and of a request that waited in vain at a group whose members all answered, nothing told whether the group stood still for others too.

Ruled out: a line a second for each group at each daemon (24 groups before 79 daemons); the lines of the other requests are there already.

Change: the reason of a try tells a client that has gone from a deadline and from a broken connection; broken_off has replica, first_ms and pause_ms; explain counts how other requests at the request's replicas fared meanwhile, and shows repeats_shared and lines_left_out of its daemons.

Tests: the relay with a client that leaves; the story with neighbours at the same replica and at another, and long after.

--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -46,6 +46,22 @@
     return try_end::lost;
 }
 
+/// Why a wait ended without what was waited for.
+std::string_view whyOf(upstream_wait wait, std::string_view whenLost)
+{
+    switch (wait) {
+    case upstream_wait::caller_left:
+        return "the client has gone";
+    case upstream_wait::timeout:
+        return "the deadline passed";
+    case upstream_wait::lost:
+    case upstream_wait::data:
+    case upstream_wait::end:
+        break;
+    }
+    return whenLost;
+}
+
 } // namespace
 
 try_end request_run::awaitHead(http_upstream &upstream, const backend &target)
@@ -62,7 +78,7 @@
             return passAnswer(upstream, target);
         }
         if (wait != upstream_wait::timeout || monotonicNow() >= m_deadline) {
-            m_lastWhy = "no answer before the deadline";
+            m_lastWhy = whyOf(wait, "the connection broke off before an answer");
             return endOf(wait);
         }
         const bool isSilent = mayMove && (!isStream() || isStandingStill(target));
@@ -77,7 +93,7 @@
             return passAnswer(upstream, target);
         }
         if (next == upstream_wait::caller_left || monotonicNow() >= m_deadline) {
-            m_lastWhy = "no answer before the deadline";
+            m_lastWhy = whyOf(next, "the connection broke off before an answer");
             return endOf(next);
         }
     }
@@ -125,7 +141,7 @@
         }
         answer.body += piece;
         if (wait != upstream_wait::data || answer.body.size() > maximumAnswerBytes) {
-            m_lastWhy = "the answer did not come whole";
+            m_lastWhy = whyOf(wait, "the answer did not come whole");
             return endOf(wait);
         }
     }
@@ -168,7 +184,7 @@
                 return try_end::silent;
             }
         } else {
-            m_lastWhy = wait == upstream_wait::timeout ? "the deadline passed" : "the stream broke off";
+            m_lastWhy = whyOf(wait, "the stream broke off");
             return endOf(wait);
         }
     }
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -40,7 +40,10 @@
                               {"why", m_lastWhy},
                               {"no_repeat", m_noRepeatWhy},
                               {"tries", m_attempts},
+                              {"replica", m_tried.empty() ? "" : m_tried.back().value()},
                               {"held_ms", held().count()},
+                              {"first_ms", firstEvent().value_or(duration(-1)).count()},
+                              {"pause_ms", m_longestPause.count()},
                               {"last_event", m_events.lastId()}});
         m_exchange.abort();
         return;
@@ -112,7 +115,7 @@
                           {"others_there", m_othersThere},
                           {"held_ms", held().count()},
                           {"time_left_ms", timeLeft().count()},
-                          {"first_ms", first ? first->count() : -1},
+                          {"first_ms", first.value_or(duration(-1)).count()},
                           {"pause_ms", m_longestPause.count()},
                           {"last_event", m_events.lastId()}});
 }
--- a/Libraries/Explain/request_story.cpp
+++ b/Libraries/Explain/request_story.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <set>
 
 namespace vetchpost {
@@ -16,10 +17,12 @@
 /// What happened to a request's groups so long before it and after it bears on it: the longest that a loss takes to be found and mended.
 constexpr std::int64_t millisecondsBefore = 8000;
 constexpr std::int64_t millisecondsAfter = 2000;
+/// Requests that ended so long before it or after it met the same replica in the same state.
+constexpr std::int64_t millisecondsAround = 1000;
 /// Fields that are shown apart, or tell nothing.
 constexpr std::array<std::string_view, 5> leadingFields = {"ms", "steady_ms", "daemon", "part", "event"};
 /// Events of a daemon that bear on all of its requests.
-constexpr std::array<std::string_view, 11> daemonEvents = {"started",
+constexpr std::array<std::string_view, 13> daemonEvents = {"started",
                                                            "stopping",
                                                            "stopped",
                                                            "store_lost",
@@ -29,7 +32,9 @@
                                                            "coordination_taken",
                                                            "coordination_lost",
                                                            "source_heard",
-                                                           "source_lost"};
+                                                           "source_lost",
+                                                           "repeats_shared",
+                                                           "lines_left_out"};
 
 /// The line that names the requests which have no lines of their own.
 constexpr std::string_view rollEvent = "roll";
@@ -114,6 +119,7 @@
         line.request = jsonString(*json, "request");
         line.replica = jsonString(*json, "replica");
         line.group = jsonString(*json, "group");
+        line.end = jsonString(*json, line.entry.event == "try_ended" ? "end" : "outcome");
         if (line.entry.event == rollEvent) {
             line.arrived = jsonString(*json, "arrived");
             line.served = jsonString(*json, "served");
@@ -137,11 +143,34 @@
     return entry;
 }
 
+std::vector<std::string>
+log_collector::neighboursOf(const std::string &request, const std::set<std::string> &replicas, std::int64_t from, std::int64_t until) const
+{
+    std::map<std::string, std::map<std::string, int>> counts;
+    for (const auto &line : m_lines) {
+        const bool isTold = line.entry.event == "try_ended" || line.entry.event == "answered";
+        const bool isMeanwhile = line.entry.milliseconds >= from && line.entry.milliseconds <= until;
+        if (isTold && isMeanwhile && line.request != request && replicas.contains(line.replica)) {
+            ++counts[line.replica][line.end];
+        }
+    }
+    std::vector<std::string> sentences;
+    for (const auto &[replica, ends] : counts) {
+        std::string list;
+        for (const auto &[end, count] : ends) {
+            list += fmt::format("{}{} {}", list.empty() ? "" : ", ", count, end);
+        }
+        sentences.push_back(fmt::format("Of others at {} meanwhile, beside those served in time: {}", replica, list));
+    }
+    return sentences;
+}
+
 request_story log_collector::storyOf(const std::string &request) const
 {
     request_story story;
     story.unreadable = m_unreadable;
     std::set<std::string> places;
+    std::set<std::string> replicas;
     std::set<std::string> daemons;
     std::vector<log_entry> own;
     for (const auto &line : m_lines) {
@@ -154,6 +183,9 @@
         }
         own.push_back(line.entry);
         daemons.insert(line.entry.daemon);
+        if (!line.replica.empty()) {
+            replicas.insert(line.replica);
+        }
         for (const auto &place : {line.replica, line.group}) {
             if (!place.empty()) {
                 places.insert(place);
@@ -164,6 +196,10 @@
     std::stable_sort(own.begin(), own.end(), byTime);
     story.verdict = verdictOf(own);
     story.entries = own;
+    if (!own.empty()) {
+        story.neighbours
+            = neighboursOf(request, replicas, own.front().milliseconds - millisecondsAround, own.back().milliseconds + millisecondsAround);
+    }
     for (const auto &line : m_lines) {
         const auto &entry = line.entry;
         const bool isNear = !own.empty() && entry.milliseconds >= own.front().milliseconds - millisecondsBefore
--- a/Libraries/Explain/request_story.h
+++ b/Libraries/Explain/request_story.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <istream>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
     std::vector<log_entry> entries;
     /// What became of it, in a sentence; empty where no line names the request.
     std::string verdict;
+    /// How other requests fared at each of its replicas meanwhile, a sentence for each replica; those that were served in time are not
+    /// counted.
+    std::vector<std::string> neighbours;
     /// Lines that could not be read: cut off, or of another program.
     std::size_t unreadable = 0;
 };
@@ -47,11 +51,15 @@
         std::string request;
         std::string replica;
         std::string group;
+        /// How a try ended, or an answer turned out.
+        std::string end;
         /// Of a line that names many requests: those that came, and those that were served in time; separated by spaces.
         std::string arrived;
         std::string served;
     };
 
+    std::vector<std::string>
+    neighboursOf(const std::string &request, const std::set<std::string> &replicas, std::int64_t from, std::int64_t until) const;
     /// What a line says of a request that it names among others; nothing where it does not.
     static std::optional<log_entry> entryOnRoll(const collected &line, const std::string &request);
 
--- a/Tests/Explain/testRequestStory.cpp
+++ b/Tests/Explain/testRequestStory.cpp
@@ -76,3 +76,20 @@
     CHECK(killed.entries.back().event == "started");
     CHECK(collector.storyOf("a").entries.empty());
 }
+
+TEST_CASE("A story tells how other requests fared at the same replica meanwhile")
+{
+    log_collector collector;
+    std::istringstream log(
+        R"({"ms":1000,"daemon":"d1","part":"request","event":"try_ended","request":"r1","replica":"i-1","end":"caller_left"}
+{"ms":1000,"daemon":"d1","part":"request","event":"caller_left","request":"r1","replica":"i-1"}
+{"ms":1500,"daemon":"d2","part":"request","event":"try_ended","request":"r2","replica":"i-1","end":"silent"}
+{"ms":1600,"daemon":"d2","part":"request","event":"answered","request":"r3","replica":"i-1","outcome":"late"}
+{"ms":1700,"daemon":"d1","part":"request","event":"try_ended","request":"r4","replica":"i-1","end":"silent"}
+{"ms":1700,"daemon":"d1","part":"request","event":"try_ended","request":"r5","replica":"i-2","end":"lost"}
+{"ms":9000,"daemon":"d1","part":"request","event":"try_ended","request":"r6","replica":"i-1","end":"lost"})");
+    collector.take(log);
+    REQUIRE(collector.storyOf("r1").neighbours.size() == 1);
+    CHECK(collector.storyOf("r1").neighbours.front().ends_with("i-1 meanwhile, beside those served in time: 1 late, 2 silent"));
+    CHECK(collector.storyOf("r6").neighbours.empty());
+}
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -11,6 +11,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <map>
 #include <sstream>
@@ -204,6 +205,22 @@
     }
 
     client_answer ask(const std::string &path, const std::string &key = "good", const std::string &attempt = "a1") const
+    {
+        return exchange(callFor(path, key, attempt));
+    }
+
+    /// Sends a request and closes the connection a moment later.
+    void askAndLeave(const std::string &path, const std::string &attempt) const
+    {
+        http_upstream connection;
+        reason why;
+        REQUIRE(connection.send(callFor(path, "good", attempt), why));
+        CHECK(connection.waitForAnswer(monotonicNow() + duration(100), -1) == upstream_wait::timeout);
+        connection.close();
+    }
+
+private:
+    http_call callFor(const std::string &path, const std::string &key, const std::string &attempt) const
     {
         http_call call;
         call.to = m_callers;
@@ -212,10 +229,9 @@
         call.body = "question";
         call.headers
             = {{"Host", "a.example"}, {"Attempt-Id", attempt}, {"Deadline-Ms", "2500"}, {"Model", "m"}, {"Authorization", "Bearer " + key}};
-        return exchange(call);
+        return call;
     }
 
-private:
     static bool isReady(const endpoint &address)
     {
         http_call call;
@@ -564,3 +580,30 @@
     CHECK(collector.storyOf("broken").verdict.find("broken off") != std::string::npos);
     CHECK(collector.storyOf("served").verdict.find("was served in time") != std::string::npos);
 }
+
+TEST_CASE("The log says of a client that has gone that it has, and what time it still had")
+{
+    const scripted_replica slow([](const std::string &request) {
+        std::this_thread::sleep_for(duration(400));
+        return good(request);
+    });
+    std::istringstream log;
+    {
+        const output_in_file output;
+        {
+            relay_world world;
+            world.addPlain("i-1", slow);
+            world.start();
+            world.askAndLeave("/once/", "left");
+        }
+        log.str(output.text());
+    }
+    log_collector collector;
+    collector.take(log);
+    const auto story = collector.storyOf("left");
+    CHECK(story.verdict.find("given up by its caller") != std::string::npos);
+    CHECK(story.verdict.find("time_left_ms=") != std::string::npos);
+    CHECK(std::any_of(story.entries.begin(), story.entries.end(), [](const log_entry &entry) {
+        return entry.event == "try_ended" && entry.details.find("the client has gone") != std::string::npos;
+    }));
+}
