--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Entry/entry_daemon.h"
 
 #include "Libraries/Base/event_log.h"
+#include "Libraries/Base/version.h"
 #include "Libraries/Entry/assembly_runner.h"
 #include "Libraries/Entry/daemon_figures.h"
 #include "Libraries/Entry/request_run.h"
@@ -191,7 +192,11 @@
     setEventLogDaemon(d->settings.daemon.value());
     setEventLogOn(d->settings.isLogOn);
     startEventLog([this] { d->relay.callRoll(); });
-    daemonLog.write("started", {{"callers", d->settings.callers.text()}, {"data_centre", d->settings.dataCentre.value()}});
+    daemonLog.write("started",
+                    {{"version", programVersion},
+                     {"settings", d->settings.digest},
+                     {"callers", d->settings.callers.text()},
+                     {"data_centre", d->settings.dataCentre.value()}});
     http_server_limits limits;
     limits.maximumThreads = d->settings.maximumConnections;
     limits.threadStackBytes = callerStackBytes;
--- a/Libraries/Explain/request_story.cpp
+++ b/Libraries/Explain/request_story.cpp
@@ -22,7 +22,7 @@
 /// Fields that are shown apart, or tell nothing.
 constexpr std::array<std::string_view, 5> leadingFields = {"ms", "steady_ms", "daemon", "part", "event"};
 /// Events of a daemon that bear on all of its requests.
-constexpr std::array<std::string_view, 13> daemonEvents = {"started",
+constexpr std::array<std::string_view, 14> daemonEvents = {"started",
                                                            "stopping",
                                                            "stopped",
                                                            "store_lost",
@@ -34,7 +34,8 @@
                                                            "source_heard",
                                                            "source_lost",
                                                            "repeats_shared",
-                                                           "lines_left_out"};
+                                                           "lines_left_out",
+                                                           "settings_read"};
 
 /// The line that names the requests which have no lines of their own.
 constexpr std::string_view rollEvent = "roll";
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Settings/entry_settings.h"
 
+#include "Libraries/Base/digest.h"
 #include "Libraries/Settings/setting_values.h"
 
 namespace vetchpost {
@@ -53,6 +54,7 @@
     readListeners(reader.map("listen"), settings);
     readTiming(reader.map("timing"), settings);
     readRetries(reader.map("retries"), settings);
+    settings.digest = fingerprintOf(text);
     settings.isLogOn = reader.flag("log", true);
     settings.lowestLogLevel = readLogLevel(reader);
     reader.refuseUnknownKeys();
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -47,6 +47,8 @@
     duration leaseTime{};
     /// Whether decisions are logged on standard output.
     bool isLogOn = true;
+    /// Of the settings' text, to tell one from another.
+    std::string digest;
     log_level lowestLogLevel = log_level::info;
 };
 
--- a/Services/vetchpostd/main.cpp
+++ b/Services/vetchpostd/main.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Base/event_log.h"
 #include "Libraries/Base/log.h"
+#include "Libraries/Base/version.h"
 #include "Libraries/Daemon/daemon.h"
 #include "Libraries/Entry/entry_daemon.h"
 #include "Libraries/Settings/daemon_settings.h"
@@ -34,13 +36,12 @@
 The form with SETTINGS runs on the product's own interfaces; docs/OPERATING.md describes the keys of SETTINGS, a YAML file.
 The form "entry" runs on a platform whose replicas report themselves; docs/OPERATIONS.md describes its keys.
 SIGTERM stops the daemon as planned: it says not-ready, serves what it holds to the end, then ends.
-SIGHUP reads the settings again: the log level changes at once, all else with the next start.
+SIGHUP reads the settings again: the log level and whether decisions are logged change at once, all else with the next start.
 
 Exit codes: 0 stopped as planned, or the settings are good; 1 an address cannot be bound; 2 the settings or arguments are
 wrong.
 )";
 
-constexpr auto version = "vetchpostd 0.1.0";
 constexpr auto settingsVariable = "VETCHPOST_SETTINGS";
 
 enum exit_code { exit_good = 0, exit_cannot_bind = 1, exit_bad_settings = 2 };
@@ -76,6 +77,20 @@
     mainLog.info("The settings were read again.");
 }
 
+void reloadEntry(const std::optional<entry_settings> &settings)
+{
+    constexpr event_log daemonLog("daemon");
+    reloadLogLevel(settings);
+    if (settings && settings->isLogOn) {
+        setEventLogOn(true);
+    }
+    // Between the two, so that the log tells when it goes off and when it is on again.
+    daemonLog.write("settings_read", {{"good", settings.has_value()}, {"digest", settings ? settings->digest : std::string()}});
+    if (settings) {
+        setEventLogOn(settings->isLogOn);
+    }
+}
+
 /// Starts the daemon, waits for a signal to stop, and stops it.
 template <class Daemon, class Reload>
 int runUntilStopped(Daemon &daemon, const sigset_t &signals, const Reload &reload)
@@ -132,7 +147,7 @@
     const auto signals = blockSignals();
     const auto makeStore = [](const endpoint &address, metrics &counters) { return std::make_unique<platform_store>(address, counters); };
     entry_daemon daemon(*settings, std::make_unique<platform_dialect>(), makeStore);
-    const auto code = runUntilStopped(daemon, signals, [&] { reloadLogLevel(readSettings(path, readEntrySettings)); });
+    const auto code = runUntilStopped(daemon, signals, [&] { reloadEntry(readSettings(path, readEntrySettings)); });
     // Threads that still wait for the key-value service hold nothing that could be lost, and the stop grace does not wait for them.
     std::_Exit(code);
 }
@@ -151,7 +166,7 @@
 
 int main(int argc, char **argv)
 {
-    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, version);
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, fmt::format("vetchpostd {}", programVersion));
     const bool isCheck = arguments.at("--check").asBool();
     try {
         return arguments.at("entry").asBool() ? runEntry(entrySettingsPath(arguments), isCheck)
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -47,6 +47,9 @@
     CHECK(settings->stopGrace == duration(8000));
     CHECK(settings->retryShare == 0.2);
     CHECK(settings->isLogOn);
+    CHECK_FALSE(settings->digest.empty());
+    CHECK(readEntrySettings(good, "other.yaml", problems)->digest == settings->digest);
+    CHECK(readEntrySettings(good + "connections: 500\n", "entry.yaml", problems)->digest != settings->digest);
 }
 
 TEST_CASE("Each wrong or unknown key of an entry daemon's settings is reported with its line")
