--- a/Libraries/Entry/replica_looks.h
+++ b/Libraries/Entry/replica_looks.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Assembly/silent_replicas.h"
+#include "Libraries/Entry/assembly_figures.h"
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
@@ -22,6 +23,7 @@
                   const entry_dialect &dialect,
                   store_follower &store,
                   peer_feed &feed,
+                  assembly_figures &figures,
                   std::function<void()> didChange);
     ~replica_looks();
     replica_looks(const replica_looks &) = delete;
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -46,6 +46,10 @@
     CHECK(settings->keyRevocation == duration(5000));
     CHECK(settings->stopGrace == duration(8000));
     CHECK(settings->retryShare == 0.2);
+    CHECK(settings->isLogOn);
+    CHECK_FALSE(settings->digest.empty());
+    CHECK(readEntrySettings(good, "other.yaml", problems)->digest == settings->digest);
+    CHECK(readEntrySettings(good + "connections: 500\n", "entry.yaml", problems)->digest != settings->digest);
 }
 
 TEST_CASE("Each wrong or unknown key of an entry daemon's settings is reported with its line")
@@ -77,3 +81,12 @@
     CHECK(problemsOf(good + "  slack: much\n").size() == 1);
     CHECK(problemsOf(good + "  slack: -0.5\n").size() == 1);
 }
+
+TEST_CASE("The log of decisions can be switched off")
+{
+    std::vector<yaml_problem> problems;
+    const auto settings = readEntrySettings(good + "log: off\n", "entry.yaml", problems);
+    REQUIRE(settings);
+    CHECK_FALSE(settings->isLogOn);
+    CHECK(problemsOf(good + "log: loud\n").size() == 1);
+}
