--- /dev/null
+++ b/Tests/Soak/soak.cpp
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+// The fault soak: real daemons, faults from outside, promises checked from what clients and replicas see. Never installed.
+#include "Tests/Soak/soak_checks.h"
+#include "Tests/Soak/soak_run.h"
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+
+namespace {
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+
+constexpr auto usage = R"(Fault soak of the entry daemon.
+
+Usage:
+  soak [options] --keep=<folder> --daemon-binary=<file> --stand-ins=<folder>
+
+Options:
+  --seed=<n>              Gives the whole schedule [default: 1].
+  --seconds=<n>           How long traffic runs; the last 14 are without faults [default: 45].
+  --daemons=<n>           Entry daemons [default: 4].
+  --replicas=<n>          Replicas with an engine, in two fabric domains [default: 12].
+  --clients=<n>           Clients at a time [default: 12].
+  --keep=<folder>         For settings and logs.
+  --daemon-binary=<file>  vetchpostd.
+  --stand-ins=<folder>    Where the programs of the stand-ins are.
+  --explain=<file>        vetchpost, which tells the story of a request.
+  --base-port=<n>         The first of some hundred ports [default: 31000].
+)";
+
+/// Of so many broken promises the request's story is printed.
+constexpr std::size_t mostStories = 5;
+
+std::ptrdiff_t countOf(const soak_facts &facts, attempt_end end)
+{
+    return std::count_if(facts.attempts.begin(), facts.attempts.end(), [&](const attempt_fact &attempt) { return attempt.end == end; });
+}
+
+void printCounts(const soak_facts &facts, const broken_promises &broken)
+{
+    const auto ran
+        = std::count_if(facts.events.begin(), facts.events.end(), [](const platform_event &event) { return event.what == "ran"; });
+    fmt::print("offered {}, ran {}, answered {}, refused {}, failed {}, broken off {}, not sent {}, left {}, broken promises {}\n",
+               facts.attempts.size(),
+               ran,
+               countOf(facts, attempt_end::answered),
+               countOf(facts, attempt_end::refused),
+               countOf(facts, attempt_end::failed),
+               countOf(facts, attempt_end::broken),
+               countOf(facts, attempt_end::not_sent),
+               countOf(facts, attempt_end::left),
+               broken.size());
+}
+
+void printStory(const soak_facts &facts, const request_id &id, const std::string &explain, const std::string &folder)
+{
+    for (const auto &attempt : facts.attempts) {
+        if (attempt.id == id) {
+            fmt::print("    sent to daemon {} at {}, ended {} ms later\n",
+                       attempt.daemon,
+                       attempt.sentAt.time_since_epoch().count(),
+                       (attempt.endedAt - attempt.sentAt).count());
+        }
+    }
+    for (const auto &event : facts.events) {
+        if (event.attempt == id) {
+            fmt::print("    at {}: {} at {}\n", event.at.time_since_epoch().count(), event.what, event.replica.value());
+        }
+    }
+    std::fflush(stdout);
+    if (!explain.empty()) {
+        [[maybe_unused]] const int code
+            = std::system(fmt::format("'{}' explain {} '{}'/daemon-*.log", explain, id.value(), folder).c_str());
+    }
+}
+
+void printBroken(const soak_facts &facts, const broken_promises &broken, const std::string &explain, const std::string &folder)
+{
+    std::size_t stories = 0;
+    for (const auto &promise : broken) {
+        fmt::print("BROKEN: {}: {} {}\n", promise.promise, promise.details, promise.attempt.value());
+        if (!promise.attempt.isEmpty() && ++stories <= mostStories) {
+            printStory(facts, promise.attempt, explain, folder);
+        }
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
+    const auto number = [&](const char *name) { return arguments.at(name).asLong(); };
+    std::signal(SIGPIPE, SIG_IGN);
+    soak_options options;
+    options.seed = static_cast<std::uint64_t>(number("--seed"));
+    options.size
+        = {std::chrono::seconds(number("--seconds")), static_cast<int>(number("--daemons")), static_cast<int>(number("--replicas"))};
+    options.clients = static_cast<int>(number("--clients"));
+    options.folder = arguments.at("--keep").asString();
+    options.daemonProgram = arguments.at("--daemon-binary").asString();
+    options.standIns = arguments.at("--stand-ins").asString();
+    options.basePort = static_cast<std::uint16_t>(number("--base-port"));
+    std::filesystem::create_directories(options.folder);
+    const auto plan = planFaults(options.seed, options.size);
+    fmt::print("seed {}, {} faults\n", options.seed, plan.size());
+    for (const auto &fault : plan) {
+        fmt::print("{}\n", describe(fault));
+    }
+    std::fflush(stdout);
+    try {
+        const auto facts = runSoak(options, plan);
+        const auto broken = checkAll(facts, soak_bounds());
+        const auto explain = arguments.at("--explain").isString() ? arguments.at("--explain").asString() : std::string();
+        printBroken(facts, broken, explain, options.folder);
+        printCounts(facts, broken);
+        return broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+    } catch (const std::exception &error) {
+        fmt::print("soak: {}\n", error.what());
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/Tests/Soak/soak_daemon.cpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Tests/Soak/soak_daemon.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+
+namespace vetchpost::test {
+
+namespace {
+
+/// Offsets from the first port. Daemons have addresses of their own and the same ports, the proxies ports of their own.
+constexpr int callersOffset = 50;
+constexpr int readinessOffset = 51;
+constexpr int peersOffset = 52;
+constexpr int callersProxyOffset = 300;
+constexpr int storeProxyOffset = 400;
+
+endpoint placeOf(const std::string &host, int base, int offset)
+{
+    return {host, static_cast<std::uint16_t>(base + offset)};
+}
+
+} // namespace
+
+soak_daemon::soak_daemon(int number, const daemon_options &options, const endpoint &store)
+    : m_number(number)
+    , m_options(options)
+    , m_callersLink(callers(), placeOf(host(), options.basePort, callersOffset))
+    , m_storeLink(placeOf("127.0.0.1", options.basePort, storeProxyOffset + number), store)
+{
+}
+
+std::string soak_daemon::host() const
+{
+    return fmt::format("127.0.{}.{}", 1 + m_moves % 2, m_number + 1);
+}
+
+endpoint soak_daemon::callers() const
+{
+    return placeOf("127.0.0.1", m_options.basePort, callersProxyOffset + m_number);
+}
+
+endpoint soak_daemon::readiness() const
+{
+    return placeOf(host(), m_options.basePort, readinessOffset);
+}
+
+loopback_proxy &soak_daemon::callersLink()
+{
+    return m_callersLink;
+}
+
+loopback_proxy &soak_daemon::storeLink()
+{
+    return m_storeLink;
+}
+
+child_process &soak_daemon::process()
+{
+    return *m_process;
+}
+
+void soak_daemon::move()
+{
+    ++m_moves;
+}
+
+std::string soak_daemon::fileName(const char *ending) const
+{
+    return fmt::format("{}/daemon-{}.{}", m_options.folder, m_number, ending);
+}
+
+void soak_daemon::writeSettings(bool isFirstStart) const
+{
+    std::ofstream out(fileName("yaml"));
+    out << fmt::format(R"(daemon: daemon-{}
+data-centre: ikeja
+key-value: {}
+first-start: {}
+connections: 64
+listen:
+  callers: {}
+  readiness: {}
+  peers: {}
+timing:
+  replica-heartbeat-ms: 400
+  group-stall-ms: 1500
+retries:
+  slack: {}
+)",
+                       m_number,
+                       placeOf("127.0.0.1", m_options.basePort, storeProxyOffset + m_number).text(),
+                       isFirstStart,
+                       placeOf(host(), m_options.basePort, callersOffset).text(),
+                       readiness().text(),
+                       placeOf(host(), m_options.basePort, peersOffset).text(),
+                       m_options.retrySlack);
+}
+
+void soak_daemon::start(bool isFirstStart)
+{
+    writeSettings(isFirstStart);
+    m_callersLink.setServer(placeOf(host(), m_options.basePort, callersOffset));
+    m_process = std::make_unique<child_process>(std::vector<std::string>{m_options.program, "entry", "--settings=" + fileName("yaml")},
+                                                fileName("log"));
+}
+
+} // namespace vetchpost::test
