--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <map>
 
 namespace {
 
@@ -56,6 +57,13 @@
                countOf(facts, attempt_end::not_sent),
                countOf(facts, attempt_end::left),
                broken.size());
+    std::map<int, int> statuses;
+    for (const auto &attempt : facts.attempts) {
+        statuses[attempt.status] += attempt.end == attempt_end::failed || attempt.end == attempt_end::refused ? 1 : 0;
+    }
+    for (const auto &[status, count] : statuses) {
+        fmt::print("status {}: {}\n", status, count);
+    }
 }
 
 void printStory(const soak_facts &facts, const request_id &id, const std::string &explain, const std::string &folder)
@@ -118,8 +126,8 @@
         const auto facts = runSoak(options, plan);
         const auto broken = checkAll(facts, soak_bounds());
         const auto explain = arguments.at("--explain").isString() ? arguments.at("--explain").asString() : std::string();
-        printBroken(facts, broken, explain, options.folder);
         printCounts(facts, broken);
+        printBroken(facts, broken, explain, options.folder);
         return broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
     } catch (const std::exception &error) {
         fmt::print("soak: {}\n", error.what());
--- a/Tests/Soak/soak_client.cpp
+++ b/Tests/Soak/soak_client.cpp
@@ -380,9 +380,14 @@
     d->thread = std::thread([this] { d->run(); });
 }
 
-soak_client::~soak_client()
+void soak_client::requestStop()
 {
     d->isStopping = true;
+}
+
+soak_client::~soak_client()
+{
+    requestStop();
     d->thread.join();
 }
 
--- a/Tests/Soak/soak_client.h
+++ b/Tests/Soak/soak_client.h
@@ -71,6 +71,9 @@
     soak_client(const soak_client &) = delete;
     soak_client &operator=(const soak_client &) = delete;
 
+    /// No new request begins; the one at hand goes on to its end.
+    void requestStop();
+
 private:
     struct private_data;
     std::unique_ptr<private_data> d;
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <stdexcept>
 #include <thread>
+#include <utility>
 
 namespace vetchpost::test {
 
@@ -56,6 +57,8 @@
 {
     std::optional<std::size_t> stop;
     bool isKilled = false;
+    /// The next start is under another address.
+    bool isMoving = false;
     duration staysAway{0};
     std::optional<instant> absentSince;
     std::atomic<std::int64_t> readyAtMs = 0;
@@ -215,6 +218,7 @@
             }
             std::this_thread::sleep_for(tick);
         }
+        std::for_each(clients.begin(), clients.end(), [](const auto &client) { client->requestStop(); });
     }
 
     void takeEvents()
@@ -265,6 +269,9 @@
                 noteEnd(number, *daemon.process().endedAt());
             }
             if (care.absentSince && now >= *care.absentSince + care.staysAway) {
+                if (std::exchange(care.isMoving, false)) {
+                    daemon.move();
+                }
                 daemon.start(false);
                 ++m_directory->incarnations.at(index(number));
                 m_facts.disturbances.push_back({disturbance_kind::absence, *care.absentSince, now + endMargin, number});
@@ -296,9 +303,7 @@
         care.staysAway = fault.lasts;
         m_facts.stops.push_back({fault.target, now, std::nullopt, m_frozenUntil[fault.target] > now});
         m_daemons.at(index(fault.target))->process().signal(SIGTERM);
-        if (fault.kind == fault_kind::move_daemon) {
-            m_agenda.emplace(now + soak_bounds().grace, [this, number = fault.target] { m_daemons.at(index(number))->move(); });
-        }
+        care.isMoving = fault.kind == fault_kind::move_daemon;
     }
 
     void noteDisturbedStop(int number)
--- /dev/null
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Tests/Soak/soak_checks.h"
+#include "Tests/Soak/soak_schedule.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+
+namespace {
+
+const soak_bounds bounds;
+constexpr auto theKey = "key";
+
+instant at(int milliseconds)
+{
+    return instant(duration(100000 + milliseconds));
+}
+
+attempt_fact attempt(request_kind kind, attempt_end end, int from, int until, int status = 0)
+{
+    attempt_fact fact{request_id("a"), kind, "plain", theKey};
+    fact.sentAt = at(from);
+    fact.endedAt = at(until);
+    fact.end = end;
+    fact.status = status;
+    return fact;
+}
+
+attempt_fact probe(std::uint64_t version, int sent, bool isFound)
+{
+    auto fact = attempt(request_kind::probe, isFound ? attempt_end::answered : attempt_end::failed, sent, sent + 10, isFound ? 200 : 404);
+    fact.version = version;
+    return fact;
+}
+
+platform_event event(int time, const std::string &what, const std::string &replica = "i-1", const std::string &id = "a")
+{
+    return {at(time), what, request_id(id), instance_id(replica)};
+}
+
+disturbance fault(disturbance_kind kind, int from, int until, std::optional<int> daemon = std::nullopt)
+{
+    return {kind, at(from), at(until), daemon};
+}
+
+/// A run that lasts long after all that the tests put into it.
+soak_facts factsOf(std::vector<attempt_fact> attempts, std::vector<platform_event> events = {}, std::vector<disturbance> disturbances = {})
+{
+    soak_facts facts;
+    facts.attempts = std::move(attempts);
+    facts.events = std::move(events);
+    facts.disturbances = std::move(disturbances);
+    facts.endedAt = at(1000000);
+    return facts;
+}
+
+} // namespace
+
+TEST_CASE("A request that breaks off is a broken promise, unless a fault may have cost its answer")
+{
+    const auto lost = attempt(request_kind::non_idempotent, attempt_end::broken, 0, 500);
+    CHECK(checkAnswers(factsOf({lost}, {event(10, "arrived")}), bounds).size() == 1);
+    for (const auto kind : {disturbance_kind::process, disturbance_kind::callers, disturbance_kind::replicas}) {
+        CHECK(checkAnswers(factsOf({lost}, {}, {fault(kind, 100, 200, 0)}), bounds).empty());
+    }
+    CHECK(checkAnswers(factsOf({lost}, {}, {fault(disturbance_kind::process, 100, 200, 1)}), bounds).size() == 1);
+    CHECK(checkAnswers(factsOf({lost}, {}, {fault(disturbance_kind::process, 600, 700, 0)}), bounds).size() == 1);
+    CHECK(checkAnswers(factsOf({attempt(request_kind::stream, attempt_end::answered, 0, 500, 200)}), bounds).empty());
+}
+
+TEST_CASE("A planned stop and the end of the process after it cost no answer")
+{
+    const auto lost = attempt(request_kind::stream, attempt_end::broken, 0, 500);
+    CHECK(checkAnswers(factsOf({lost}, {}, {fault(disturbance_kind::planned, 100, 200, 0)}), bounds).size() == 1);
+    CHECK(checkAnswers(factsOf({lost}, {}, {fault(disturbance_kind::absence, 490, 2000, 0)}), bounds).size() == 1);
+    const auto unheard = attempt(request_kind::stream, attempt_end::broken, 500, 1500);
+    CHECK(checkAnswers(factsOf({unheard}, {}, {fault(disturbance_kind::absence, 490, 2000, 0)}), bounds).empty());
+}
+
+TEST_CASE("A request may cross the close of its connection only at once and if no replica has it")
+{
+    const auto crossing = attempt(request_kind::idempotent, attempt_end::broken, 0, 150);
+    CHECK(checkAnswers(factsOf({crossing}), bounds).empty());
+    CHECK(checkAnswers(factsOf({crossing}, {event(10, "arrived")}), bounds).size() == 1);
+    CHECK(checkAnswers(factsOf({attempt(request_kind::idempotent, attempt_end::broken, 0, 250)}), bounds).size() == 1);
+}
+
+TEST_CASE("A failure is allowed at the deadline, and a 401 for a key that is withdrawn")
+{
+    auto late = attempt(request_kind::idempotent, attempt_end::failed, 0, 500, 504);
+    CHECK(checkAnswers(factsOf({late}), bounds).size() == 1);
+    late.deadline = at(480);
+    CHECK(checkAnswers(factsOf({late}), bounds).empty());
+    auto facts = factsOf({attempt(request_kind::idempotent, attempt_end::failed, 0, 5, 401)});
+    CHECK(checkAnswers(facts, bounds).size() == 1);
+    facts.configurations = {{2, at(0), theKey}};
+    CHECK(checkAnswers(facts, bounds).empty());
+}
+
+TEST_CASE("A flaw of a whole answer is no fault's due")
+{
+    auto mixed = attempt(request_kind::stream, attempt_end::answered, 0, 500, 200);
+    mixed.flaw = "event 3 follows 1";
+    CHECK(checkAnswers(factsOf({mixed}, {}, {fault(disturbance_kind::replicas, 0, 500)}), bounds).size() == 1);
+}
+
+TEST_CASE("What was refused as not run has not run before and does not run later")
+{
+    const auto refused = attempt(request_kind::idempotent, attempt_end::refused, 0, 100, 503);
+    CHECK(checkRefusals(factsOf({refused}, {event(10, "arrived")})).empty());
+    CHECK(checkRefusals(factsOf({refused}, {event(10, "ran")})).size() == 1);
+    CHECK(checkRefusals(factsOf({refused}, {event(5000, "ran")})).size() == 1);
+    CHECK(checkRefusals(factsOf({attempt(request_kind::idempotent, attempt_end::failed, 0, 100, 502)}, {event(10, "ran")})).empty());
+}
+
+TEST_CASE("Only what can be repeated runs twice, and only what a client sent runs")
+{
+    const std::vector<platform_event> twice = {event(10, "ran"), event(20, "ran", "i-2")};
+    CHECK(checkSingleRuns(factsOf({attempt(request_kind::non_idempotent, attempt_end::answered, 0, 9)}, twice)).size() == 1);
+    CHECK(checkSingleRuns(factsOf({attempt(request_kind::idempotent, attempt_end::answered, 0, 9)}, twice)).empty());
+    CHECK(checkSingleRuns(factsOf({}, {event(10, "ran")})).size() == 1);
+}
+
+TEST_CASE("Nothing new reaches a leaving replica after the drain time, by daemons in touch")
+{
+    const auto served = attempt(request_kind::idempotent, attempt_end::answered, 0, 5000);
+    const auto told = event(0, "draining", "i-1", "");
+    CHECK(checkLeaving(factsOf({served}, {told, event(1900, "arrived")}), bounds).empty());
+    CHECK(checkLeaving(factsOf({served}, {told, event(2100, "arrived")}), bounds).size() == 1);
+    CHECK(checkLeaving(factsOf({served}, {told, event(2100, "arrived", "i-2")}), bounds).empty());
+    CHECK(checkLeaving(factsOf({served}, {told, event(2100, "arrived")}, {fault(disturbance_kind::store, 0, 500)}), bounds).empty());
+}
+
+TEST_CASE("A replica joins no other group while its head is open, and groups are whole")
+{
+    auto joined = event(0, "joined", "i-1", "");
+    CHECK(checkGroups(factsOf({}, {joined})).empty());
+    joined.isWhileOpen = true;
+    CHECK(checkGroups(factsOf({}, {joined})).size() == 1);
+    auto ran = event(0, "ran");
+    CHECK(checkGroups(factsOf({}, {ran})).empty());
+    ran.isPartial = true;
+    CHECK(checkGroups(factsOf({}, {ran})).size() == 1);
+}
+
+TEST_CASE("Repeats are held against the requests of their window, or of one before it")
+{
+    const auto withRepeats = [](int count, int requestsAt) {
+        std::vector<attempt_fact> attempts;
+        std::vector<platform_event> events;
+        for (int number = 0; number < 100; ++number) {
+            attempts.push_back(attempt(request_kind::idempotent, attempt_end::answered, requestsAt, requestsAt + 9));
+            attempts.back().id = request_id(std::to_string(number));
+        }
+        for (int number = 0; number < count; ++number) {
+            events.push_back(event(20000, "arrived", "i-1", std::to_string(number)));
+            events.push_back(event(20001, "arrived", "i-2", std::to_string(number)));
+        }
+        return factsOf(attempts, events);
+    };
+    // 20 + 0.2 x 100 are allowed.
+    CHECK(checkRepeats(withRepeats(40, 19000), bounds).empty());
+    CHECK(checkRepeats(withRepeats(41, 19000), bounds).size() == 1);
+    CHECK(checkRepeats(withRepeats(40, 1000), bounds).empty());
+    CHECK(checkRepeats(withRepeats(21, -1000), bounds).size() == 1);
+}
+
+TEST_CASE("A withdrawn key stops in time, whatever is disturbed")
+{
+    const auto check = [](int sent, const char *withdrawn) {
+        auto facts = factsOf({attempt(request_kind::idempotent, attempt_end::answered, sent, sent + 20)},
+                             {event(sent + 10, "ran")},
+                             {fault(disturbance_kind::store, 0, 9000)});
+        facts.configurations = {{2, at(0), withdrawn}};
+        return checkWithdrawnKeys(facts, bounds).size();
+    };
+    CHECK(check(4900, theKey) == 0);
+    CHECK(check(5100, theKey) == 1);
+    CHECK(check(5100, "another") == 0);
+}
+
+TEST_CASE("A configuration is in force in time")
+{
+    const auto check = [](const attempt_fact &seen, const std::vector<disturbance> &faults) {
+        auto facts = factsOf({seen}, {}, faults);
+        facts.configurations = {{1, at(-9000), {}}, {2, at(0), {}}};
+        return checkConfigurations(facts, bounds).size();
+    };
+    CHECK(check(probe(1, 1900, true), {}) == 0);
+    CHECK(check(probe(1, 2100, true), {}) == 1);
+    CHECK(check(probe(2, 1900, false), {}) == 0);
+    CHECK(check(probe(2, 2100, false), {}) == 1);
+    CHECK(check(probe(2, 2100, true), {}) == 0);
+    CHECK(check(probe(2, 2100, false), {fault(disturbance_kind::store, 0, 100, 0)}) == 0);
+}
+
+TEST_CASE("A configuration in force never reverts within one life of a daemon")
+{
+    auto before = probe(3, 0, true);
+    auto after = probe(2, 400, true);
+    CHECK(checkConfigurations(factsOf({before, after}), bounds).size() == 1);
+    after.sentAt = at(200);
+    CHECK(checkConfigurations(factsOf({before, after}), bounds).empty());
+    after = probe(2, 400, true);
+    after.incarnation = 1;
+    CHECK(checkConfigurations(factsOf({before, after}), bounds).empty());
+}
+
+TEST_CASE("A daemon ends inside its grace and only when it is told to")
+{
+    const auto check = [](std::optional<instant> ended, bool isDisturbed) {
+        auto facts = factsOf({});
+        facts.stops = {{0, at(0), ended, isDisturbed}};
+        return checkStops(facts, bounds).size();
+    };
+    CHECK(check(at(7900), false) == 0);
+    CHECK(check(at(8100), false) == 1);
+    CHECK(check(std::nullopt, false) == 1);
+    CHECK(check(at(8100), true) == 0);
+    auto facts = factsOf({});
+    facts.crashes = {{0, at(5)}};
+    CHECK(checkStops(facts, bounds).size() == 1);
+}
+
+TEST_CASE("A client that left frees its replica")
+{
+    const auto left = attempt(request_kind::stream, attempt_end::left, 0, 100);
+    const auto check = [&](std::vector<platform_event> events, std::vector<disturbance> faults = {}) {
+        return checkReleases(factsOf({left}, std::move(events), std::move(faults)), bounds).size();
+    };
+    CHECK(check({event(10, "ran"), event(700, "ended")}) == 0);
+    CHECK(check({event(10, "ran"), event(900, "ended")}) == 1);
+    CHECK(check({event(10, "ran"), event(20, "ran"), event(700, "ended")}) == 1);
+    CHECK(check({event(10, "ran")}, {fault(disturbance_kind::process, 0, 50, 0)}) == 0);
+    CHECK(check({}) == 0);
+}
+
+TEST_CASE("After the faults all are ready within the recovery time")
+{
+    auto facts = factsOf({});
+    facts.faultsEndedAt = at(0);
+    CHECK(checkRecovery(facts, bounds).size() == 1);
+    facts.recoveredAt = at(11000);
+    CHECK(checkRecovery(facts, bounds).empty());
+    facts.recoveredAt = at(13000);
+    CHECK(checkRecovery(facts, bounds).size() == 1);
+}
+
+TEST_CASE("A daemon over its limits is told once")
+{
+    auto facts = factsOf({});
+    facts.samples = {{0, bounds.memoryKilobytes, bounds.descriptors, bounds.threads}};
+    CHECK(checkResources(facts, bounds).empty());
+    facts.samples.push_back({0, 1, bounds.descriptors + 1, 1});
+    facts.samples.push_back({0, 1, 1, bounds.threads + 1});
+    CHECK(checkResources(facts, bounds).size() == 1);
+}
+
+TEST_CASE("A seed gives one schedule, with every kind of fault in a long one")
+{
+    const schedule_size size{std::chrono::minutes(5), 4, 12};
+    const auto plan = planFaults(7, size);
+    const auto again = planFaults(7, size);
+    const auto isSame = [](const planned_fault &left, const planned_fault &right) { return describe(left) == describe(right); };
+    CHECK(std::equal(plan.begin(), plan.end(), again.begin(), again.end(), isSame));
+    CHECK_FALSE(std::equal(plan.begin(), plan.end(), planFaults(8, size).begin(), isSame));
+    std::set<fault_kind> kinds;
+    for (const auto &fault : plan) {
+        kinds.insert(fault.kind);
+        CHECK(fault.at + fault.lasts <= size.length - calmEnd);
+    }
+    CHECK(kinds.size() == faultKindCount);
+}
