--- /dev/null
+++ b/Tests/Soak/bound_checks.cpp
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: Apache-2.0
+// The checks of bounds: of time, of repeats and of what a process uses.
+#include "Tests/Soak/fact_queries.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace vetchpost::test {
+
+namespace {
+
+/// How many of \a times lie in [from, until).
+std::ptrdiff_t countBetween(const std::vector<instant> &times, instant from, instant until)
+{
+    return std::lower_bound(times.begin(), times.end(), until) - std::lower_bound(times.begin(), times.end(), from);
+}
+
+/// The arrivals for each service beyond the first of each request, in order.
+std::map<std::string, std::vector<instant>> repeatsByService(const soak_facts &facts)
+{
+    std::map<std::string, std::vector<instant>> result;
+    const auto attempts = attemptsById(facts);
+    for (const auto &[id, arrivals] : eventsOf(facts, "arrived")) {
+        const auto attempt = attempts.find(id);
+        for (std::size_t number = 1; number < arrivals.size() && attempt != attempts.end(); ++number) {
+            result[attempt->second->service].push_back(arrivals[number]->at);
+        }
+    }
+    for (auto &[service, times] : result) {
+        std::sort(times.begin(), times.end());
+    }
+    return result;
+}
+
+std::vector<instant> requestsFor(const soak_facts &facts, const std::string &service)
+{
+    std::vector<instant> result;
+    for (const auto &attempt : facts.attempts) {
+        if (attempt.service == service && attempt.end != attempt_end::not_sent) {
+            result.push_back(attempt.sentAt);
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+} // namespace
+
+broken_promises checkRepeats(const soak_facts &facts, const soak_bounds &bounds)
+{
+    for (const auto &[service, repeats] : repeatsByService(facts)) {
+        const auto requests = requestsFor(facts, service);
+        for (const auto end : repeats) {
+            const auto until = end + duration(1);
+            const auto inWindow = [&](const auto &times, duration before) {
+                return countBetween(times, until - bounds.retryWindow - before, until - before);
+            };
+            // Of this window, the one before it and the one between them, the fullest counts.
+            const auto most = std::max(
+                {inWindow(requests, duration(0)), inWindow(requests, bounds.retryWindow / 2), inWindow(requests, bounds.retryWindow)});
+            const auto count = inWindow(repeats, duration(0));
+            const auto allowed = bounds.retryShare * static_cast<double>(most) + bounds.retrySlack;
+            if (static_cast<double>(count) > allowed) {
+                return {{"all daemons together keep the bound of repeats",
+                         fmt::format("{}: {} repeats in a window, {} requests allow {:.1f}", service, count, most, allowed),
+                         {}}};
+            }
+        }
+    }
+    return {};
+}
+
+broken_promises checkWithdrawnKeys(const soak_facts &facts, const soak_bounds &bounds)
+{
+    broken_promises broken;
+    const auto runs = eventsOf(facts, "ran");
+    for (const auto &configuration : facts.configurations) {
+        const auto latest = configuration.acceptedAt + bounds.keyRevocation;
+        for (const auto &attempt : facts.attempts) {
+            const bool isItsKey = !configuration.withdrawnKey.empty() && attempt.key == configuration.withdrawnKey;
+            if (isItsKey && attempt.sentAt > latest && runs.contains(attempt.id)) {
+                broken.push_back({"a withdrawn key stops in time",
+                                  fmt::format("sent {} ms after", (attempt.sentAt - configuration.acceptedAt).count()),
+                                  attempt.id});
+            }
+        }
+    }
+    return broken;
+}
+
+namespace {
+
+constexpr int notFound = 404;
+
+/// Whether the probe shows that its version is in force at the daemon; nothing where it shows neither.
+std::optional<bool> showsInForce(const attempt_fact &probe)
+{
+    if (probe.end == attempt_end::answered) {
+        return true;
+    }
+    return probe.status == notFound ? std::optional(false) : std::nullopt;
+}
+
+/// The newest version that had been accepted so long before; 0 for none.
+std::uint64_t newestAccepted(const soak_facts &facts, instant before)
+{
+    std::uint64_t newest = 0;
+    for (const auto &configuration : facts.configurations) {
+        if (configuration.acceptedAt <= before) {
+            newest = std::max(newest, configuration.version);
+        }
+    }
+    return newest;
+}
+
+} // namespace
+
+broken_promises checkConfigurations(const soak_facts &facts, const soak_bounds &bounds)
+{
+    broken_promises broken;
+    std::vector<const attempt_fact *> probes;
+    for (const auto &attempt : facts.attempts) {
+        if (attempt.kind == request_kind::probe) {
+            probes.push_back(&attempt);
+        }
+    }
+    for (const auto *probe : probes) {
+        const auto inForce = showsInForce(*probe);
+        const auto due = newestAccepted(facts, probe->sentAt - bounds.configurationApply);
+        const bool isOld
+            = inForce && (*inForce ? probe->version < due : probe->version == due && newestAccepted(facts, probe->endedAt) == due);
+        if (isOld && isInTouch(facts, bounds, probe->daemon, probe->sentAt)) {
+            broken.push_back(
+                {"a configuration is in force in time", fmt::format("daemon {}, version {} is due", probe->daemon, due), probe->id});
+        }
+        const bool isBehind = std::any_of(probes.begin(), probes.end(), [&](const attempt_fact *earlier) {
+            return inForce == true && earlier->daemon == probe->daemon && earlier->incarnation == probe->incarnation
+                && earlier->version > probe->version && showsInForce(*earlier) == true
+                && probe->sentAt > earlier->endedAt + bounds.rollbackSlack;
+        });
+        if (isBehind) {
+            broken.push_back({"a configuration in force never reverts",
+                              fmt::format("daemon {} went back to version {}", probe->daemon, probe->version),
+                              probe->id});
+        }
+    }
+    return broken;
+}
+
+broken_promises checkStops(const soak_facts &facts, const soak_bounds &bounds)
+{
+    broken_promises broken;
+    for (const auto &stop : facts.stops) {
+        const bool isDue = stop.askedAt + bounds.grace < facts.endedAt;
+        const bool isInTime = stop.endedAt && *stop.endedAt <= stop.askedAt + bounds.grace;
+        if (isDue && !isInTime && !stop.isDisturbed) {
+            broken.push_back({"a stopping daemon ends inside its grace", fmt::format("daemon {}", stop.daemon), {}});
+        }
+    }
+    for (const auto &crash : facts.crashes) {
+        broken.push_back({"a daemon ends only when it is told to", fmt::format("daemon {}", crash.daemon), {}});
+    }
+    return broken;
+}
+
+broken_promises checkRecovery(const soak_facts &facts, const soak_bounds &bounds)
+{
+    if (facts.recoveredAt && *facts.recoveredAt <= facts.faultsEndedAt + bounds.recovery) {
+        return {};
+    }
+    return {{"after the faults all daemons are ready within seconds", fmt::format("not within {} ms", bounds.recovery.count()), {}}};
+}
+
+broken_promises checkResources(const soak_facts &facts, const soak_bounds &bounds)
+{
+    broken_promises broken;
+    std::set<int> told;
+    for (const auto &sample : facts.samples) {
+        const bool isOver
+            = sample.memoryKilobytes > bounds.memoryKilobytes || sample.threads > bounds.threads || sample.descriptors > bounds.descriptors;
+        if (isOver && told.insert(sample.daemon).second) {
+            broken.push_back({"a daemon's memory, threads and descriptors stay bounded",
+                              fmt::format("daemon {} at {}: {} kB, {} threads, {} descriptors",
+                                          sample.daemon,
+                                          sample.at.time_since_epoch().count(),
+                                          sample.memoryKilobytes,
+                                          sample.threads,
+                                          sample.descriptors),
+                              {}});
+        }
+    }
+    return broken;
+}
+
+} // namespace vetchpost::test
--- a/Tests/Soak/child_process.cpp
+++ b/Tests/Soak/child_process.cpp
@@ -53,6 +53,7 @@
 child_process::child_process(const std::vector<std::string> &command, const std::string &logFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const auto &word : command) {
         arguments.push_back(const_cast<char *>(word.c_str()));
     }
--- a/Tests/Soak/soak_client.cpp
+++ b/Tests/Soak/soak_client.cpp
@@ -347,7 +347,8 @@
         const int daemon = chooseDaemon(isNew);
         auto &connection = *connections.at(daemon);
         const request_id id(fmt::format("c{:03}-{:06}", number, ++lastId));
-        attempt_fact attempt{id, wanted.kind, wanted.service, wanted.key, daemon};
+        const bool hasModel = wanted.kind == request_kind::stream;
+        attempt_fact attempt{id, wanted.kind, wanted.service, wanted.key, hasModel ? wanted.model : "", daemon};
         attempt.incarnation = directory.incarnations.at(static_cast<std::size_t>(daemon));
         attempt.version = wanted.version;
         attempt.deadline = std::min(wanted.deadline, monotonicNow() + routeTimeout) - deadlineMargin;
@@ -375,7 +376,7 @@
 };
 
 soak_client::soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log)
-    : d(std::make_unique<private_data>(number, std::mt19937_64(seed + static_cast<std::uint64_t>(number)), directory, log))
+    : d(new private_data{number, std::mt19937_64(seed + static_cast<std::uint64_t>(number)), directory, log})
 {
     d->thread = std::thread([this] { d->run(); });
 }
--- a/Tests/Soak/soak_facts.h
+++ b/Tests/Soak/soak_facts.h
@@ -42,6 +42,8 @@
     request_kind kind = request_kind::idempotent;
     std::string service;
     std::string key;
+    /// Empty where the service has no models.
+    std::string model;
     int daemon = 0;
     /// The starts of the daemon before that moment.
     int incarnation = 0;
@@ -141,7 +143,7 @@
     std::vector<daemon_crash> crashes;
     std::vector<resource_sample> samples;
     instant faultsEndedAt;
-    /// When all daemons were ready and answered after the faults; nothing where that was not seen.
+    /// When all daemons were ready and had answered for each model after the faults; nothing where that was not seen.
     std::optional<instant> recoveredAt;
     instant endedAt;
 };
