--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <map>
 
 namespace {
@@ -95,6 +96,15 @@
     }
 }
 
+/// Keeps what the replicas saw beside the daemons' logs.
+void writeEvents(const soak_facts &facts, const std::string &folder)
+{
+    std::ofstream out(folder + "/events.txt");
+    for (const auto &event : facts.events) {
+        out << fmt::format("{} {} {} {}\n", event.at.time_since_epoch().count(), event.what, event.replica.value(), event.attempt.value());
+    }
+}
+
 void printBroken(const soak_facts &facts, const broken_promises &broken, const std::string &explain, const std::string &folder)
 {
     std::size_t stories = 0;
@@ -133,6 +143,7 @@
         const auto facts = runSoak(options, plan);
         const auto broken = checkAll(facts, soak_bounds());
         const auto explain = arguments.at("--explain").isString() ? arguments.at("--explain").asString() : std::string();
+        writeEvents(facts, options.folder);
         printCounts(facts, broken);
         printBroken(facts, broken, explain, options.folder);
         return broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/Tests/Soak/soak_client.cpp
+++ b/Tests/Soak/soak_client.cpp
@@ -53,6 +53,8 @@
     const char *model = "m0";
     /// The last event that the client has, when it goes on with a stream.
     int lastEvent = 0;
+    /// The number of the stream's last event; 0 while that is not known.
+    int events = 0;
     bool leavesEarly = false;
     instant deadline;
 };
@@ -90,7 +92,7 @@
 
 stream_reading readStream(const std::string &body, const wanted_request &wanted, const request_id &id)
 {
-    stream_reading reading{wanted.lastEvent, 0, {}};
+    stream_reading reading{wanted.lastEvent, wanted.events, {}};
     std::istringstream in(body);
     constexpr std::string_view dataPrefix = "data: ";
     for (std::string line; std::getline(in, line) && !in.eof();) {
@@ -292,7 +294,7 @@
         constexpr int all = 100;
         const int drawn = static_cast<int>(generator() % all);
         wanted_request wanted{
-            request_kind::probe, {}, plainService, drawKey(), 0, oneIn(2) ? "m0" : "m1", 0, false, monotonicNow() + patience};
+            request_kind::probe, {}, plainService, drawKey(), 0, oneIn(2) ? "m0" : "m1", 0, 0, false, monotonicNow() + patience};
         if (drawn < streams) {
             wanted.kind = request_kind::stream;
             wanted.path = streamPath;
@@ -364,7 +366,9 @@
         attempt.flaw = flawOf(answer, wanted, id);
         log.add(attempt);
         if (wanted.kind == request_kind::stream) {
-            wanted.lastEvent = readStream(answer.body, wanted, id).lastEvent;
+            const auto reading = readStream(answer.body, wanted, id);
+            wanted.lastEvent = reading.lastEvent;
+            wanted.events = reading.of;
         }
         if (!mayTryAgain(attempt)) {
             return std::nullopt;
--- a/Tests/Soak/soak_cluster.cpp
+++ b/Tests/Soak/soak_cluster.cpp
@@ -64,9 +64,6 @@
     , m_replicaControl(local(options.basePort + 2))
     , m_care(index(options.size.daemons))
 {
-    startPlatform();
-    startDaemons();
-    waitUntilServing();
 }
 
 soak_cluster::~soak_cluster()
@@ -97,6 +94,13 @@
 
 // Start.
 
+void soak_cluster::start()
+{
+    startPlatform();
+    startDaemons();
+    waitUntilServing();
+}
+
 void soak_cluster::startPlatform()
 {
     const auto start = [&](const char *name, std::vector<std::string> arguments) {
--- a/Tests/Soak/soak_cluster.h
+++ b/Tests/Soak/soak_cluster.h
@@ -16,12 +16,14 @@
 class soak_cluster
 {
 public:
-    /// Starts all of it and returns once both models are served.
     soak_cluster(const soak_options &options, soak_facts &facts);
     ~soak_cluster();
     soak_cluster(const soak_cluster &) = delete;
     soak_cluster &operator=(const soak_cluster &) = delete;
 
+    /// Starts all of it and returns once both models are served; throws where they are not in time.
+    void start();
+
     soak_daemon &daemon(int number);
     soak_directory &directory();
     const endpoint &storeControl() const;
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -5,6 +5,8 @@
 #include "Tests/Soak/soak_checks.h"
 #include "Tests/Soak/soak_cluster.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <csignal>
 #include <functional>
@@ -17,6 +19,9 @@
 
 constexpr duration tick(20);
 constexpr duration eventPeriod(500);
+/// The daemons look at a replica that sends nothing for 250 ms, and take it for silent 200 ms later.
+constexpr duration longestAnswer(200);
+constexpr duration watchPeriod(50);
 constexpr duration samplePeriod(1000);
 /// How long a fault may outlast the moment of its planned end: a turn of the loop and a call to a stand-in.
 constexpr duration endMargin(300);
@@ -55,6 +60,53 @@
     return mayLose ? std::optional(disturbance_kind::replicas) : std::nullopt;
 }
 
+/// Asks the replicas' process again and again. All replicas are one process, and where the machine does not let it run, none of them moves:
+/// no daemon can tell that from a fault, so that it counts as one. It is printed with its length.
+class standstill_watch
+{
+public:
+    explicit standstill_watch(const endpoint &control)
+        : m_thread([this, control] {
+            while (!m_isStopping) {
+                const auto asked = monotonicNow();
+                factsOf(control);
+                const auto answered = monotonicNow();
+                if (answered - asked > longestAnswer) {
+                    m_found.push_back({disturbance_kind::replicas, asked, answered + replicaRepair, std::nullopt});
+                    fmt::print("the replicas' process stood still for {} ms at {}\n",
+                               (answered - asked).count(),
+                               asked.time_since_epoch().count());
+                }
+                std::this_thread::sleep_for(watchPeriod);
+            }
+        })
+    {
+    }
+
+    ~standstill_watch()
+    {
+        stop();
+    }
+
+    standstill_watch(const standstill_watch &) = delete;
+    standstill_watch &operator=(const standstill_watch &) = delete;
+
+    /// The standstills that were seen; ends the watch.
+    std::vector<disturbance> stop()
+    {
+        m_isStopping = true;
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+        return std::move(m_found);
+    }
+
+private:
+    std::atomic<bool> m_isStopping = false;
+    std::vector<disturbance> m_found;
+    std::thread m_thread;
+};
+
 /// Plays the plan against a cluster, beside the clients' traffic.
 class soak_player
 {
@@ -68,9 +120,13 @@
 
     soak_facts play()
     {
+        m_cluster.start();
+        standstill_watch watch(m_cluster.replicaControl());
         playTraffic();
         std::this_thread::sleep_for(eventPeriod);
         takeEvents();
+        const auto standstills = watch.stop();
+        m_facts.disturbances.insert(m_facts.disturbances.end(), standstills.begin(), standstills.end());
         m_facts.endedAt = monotonicNow();
         m_facts.attempts = m_log.all();
         return m_facts;
