--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -123,6 +123,9 @@
     const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
     const auto number = [&](const char *name) { return arguments.at(name).asLong(); };
     std::signal(SIGPIPE, SIG_IGN);
+    for (const int number : {SIGTERM, SIGINT}) {
+        std::signal(number, [](int) { interruptSoak(); });
+    }
     soak_options options;
     options.seed = static_cast<std::uint64_t>(number("--seed"));
     options.size
--- a/Tests/Soak/soak_cluster.cpp
+++ b/Tests/Soak/soak_cluster.cpp
@@ -103,6 +103,10 @@
 
 void soak_cluster::startPlatform()
 {
+    // Listeners share ports here: calls would go to this store and to the other one in turn.
+    if (!factsOf(m_storeControl).isNull()) {
+        throw std::runtime_error("other stand-ins listen at " + m_storeControl.text());
+    }
     const auto start = [&](const char *name, std::vector<std::string> arguments) {
         arguments.insert(arguments.begin(), m_options.standIns + "/" + name);
         m_standIns.push_back(std::make_unique<child_process>(arguments, m_options.folder + "/" + name + ".log"));
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <stdexcept>
 
 namespace vetchpost::test {
 
@@ -32,6 +33,8 @@
 /// Resets the connections that were silenced, once the silence is over.
 constexpr duration resetLength(100);
 
+std::atomic<bool> isInterrupted = false;
+
 Json::Value switchTo(const char *name, const Json::Value &value)
 {
     Json::Value json;
@@ -151,6 +154,9 @@
         instant nextEvents;
         instant nextSample;
         for (auto now = begin; now < end; now = monotonicNow()) {
+            if (isInterrupted) {
+                throw std::runtime_error("interrupted");
+            }
             while (!m_agenda.empty() && m_agenda.begin()->first <= now) {
                 m_agenda.extract(m_agenda.begin()).mapped()();
             }
@@ -330,6 +336,11 @@
 
 } // namespace
 
+void interruptSoak()
+{
+    isInterrupted = true;
+}
+
 soak_facts runSoak(const soak_options &options, const std::vector<planned_fault> &plan)
 {
     return soak_player(options, plan).play();
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -22,6 +22,9 @@
     std::uint16_t basePort = 30000;
 };
 
+/// Makes the run at hand end early, with its processes. May be called by a signal handler.
+void interruptSoak();
+
 /// Starts the stand-ins, the daemons and the clients, disturbs them as planned and returns what was seen. Throws where they cannot be
 /// started or do not serve before the first fault. All processes have ended when it returns.
 soak_facts runSoak(const soak_options &options, const std::vector<planned_fault> &plan);
