--- a/Meta/bite.sh
+++ b/Meta/bite.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: Apache-2.0
-# Shows that the fuzzers bite: puts each defect of Meta/defects back into a scratch copy and reports at which step it is found.
+# Shows that the fuzzers and the fault soak bite: puts each defect of Meta/defects back into a scratch copy and reports at which step of a
+# fuzzer it is found; defects of the entry daemon (entry-) are for the soak, which is given seeds until it finds them.
 # Usage: Meta/bite.sh [PREFIX] [STEPS]
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
@@ -10,11 +11,33 @@
 trap 'rm -rf "$scratch"' EXIT
 git -C "$root" archive HEAD | tar -x -C "$scratch"
 cmake -S "$scratch" -B "$scratch/build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+
+# The seed of CI and the ones after it; what one of them finds first.
+soak_seeds="4 5 6"
+soak_port=${SOAK_PORT:-31000}
+
+find_by_soak() {
+    cmake --build "$scratch/build" --target vetchpostd soak standInStore standInReplicas -- --quiet
+    local seed found
+    for seed in $soak_seeds; do
+        found=$("$scratch/build/Tests/Soak/soak" --seed "$seed" --daemons 3 --clients 12 --base-port "$soak_port" --keep "$scratch/soak" \
+            --daemon-binary "$scratch/build/Services/vetchpostd/vetchpostd" --stand-ins "$scratch/build/Tests/StandIns" |
+            grep '^BROKEN' | cut -d: -f2 | sort | uniq -c | sort -rn | tr -s ' \n' ' ' || true)
+        [ -z "$found" ] || { echo "seed $seed:$found"; return; }
+    done
+    echo "NOT FOUND with seeds $soak_seeds"
+}
+
 for patch in "$root"/Meta/defects/"$prefix"*.patch; do
     name=$(basename "$patch" .patch)
     part=${name%%-*}
     test=test${part^}
     patch -s -p1 -d "$scratch" <"$patch"
+    if [ "$part" = entry ]; then
+        echo "$name: $(find_by_soak)"
+        patch -s -R -p1 -d "$scratch" <"$patch"
+        continue
+    fi
     cmake --build "$scratch/build" --target "$test" -- --quiet
     output=$(VETCHPOST_FUZZ_STEPS=$steps RC_PARAMS="seed=1 verbose_progress=0" timeout 300 "$scratch/build/Tests/$test" '[fuzz]' 2>&1 | tr '\n' ' ' | tr -s ' ' || true)
     found=$(grep -oE '[a-zA-Z ,-]+[a-z0-9 :.-]*\(step [0-9]+\)' <<<"$output" | head -n 1 || true)
