--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -45,9 +45,6 @@
     std::atomic<bool> hasTraffic = false;
     /// The source told of another configuration.
     bool mustReadConfiguration = false;
-    /// Which one, and a moment at which it was the newest.
-    key_revision toldConfiguration;
-    std::optional<instant> toldConfigurationAt;
     /// The source was in contact with the service at this moment.
     std::optional<instant> toldAt;
     feed_source feed;
@@ -125,7 +122,7 @@
         bool isKnown = false;
         do {
             if (mustAskForConfiguration()) {
-                isKnown = readToldConfiguration() || readConfiguration(isKnown) || isKnown;
+                isKnown = readConfiguration(isKnown) || isKnown;
             }
         } while (pauseOfConfiguration(isKnown));
     }
@@ -162,26 +159,6 @@
         feed.configurationCurrentAt = asked;
     }
 
-    /// Reads the configuration that the source told of, where it did. The source has seen to it that it is the newest, so that a read which
-    /// may be stale will do if it finds that one: with 79 daemons a change cost 79 calls, and a stale read counts a tenth.
-    bool readToldConfiguration()
-    {
-        key_revision told;
-        instant at;
-        {
-            const std::lock_guard lock(mutex);
-            if (isSource || !toldConfigurationAt || toldConfiguration <= configurationRevision) {
-                return false;
-            }
-            told = toldConfiguration;
-            at = *toldConfigurationAt;
-        }
-        reason why;
-        const auto entry = keyValue.get(dialect.configurationKey(), read_freshness::may_be_stale, why);
-        noteAnswer(entry.has_value(), why);
-        return entry && entry->changed == told && takeConfiguration(*entry, at);
-    }
-
     /// Whether there is a configuration.
     bool readConfiguration(bool isKnown)
     {
@@ -418,10 +395,6 @@
             if (configuration <= configurationRevision) {
                 return;
             }
-            if (!toldConfigurationAt || configuration >= toldConfiguration) {
-                toldConfiguration = configuration;
-                toldConfigurationAt = at;
-            }
             mustReadConfiguration = true;
         }
         wake.notify_all();
