Entry: Catch up without a pause before the first request

Cause, traced by the watches of one of 195 daemons before 930 replicas: the store tells at most 500 changes an answer, and a daemon without traffic pauses 3 s after each. 3,300 changes before the first request took until 3.1 s after it; 1,242 of the first 1,501 requests were refused with no place known. Change: an answer of 200 changes or more is followed by the next watch at once. testStoreFollower fails without it.

--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -26,6 +26,10 @@
 constexpr duration sourceWatchPause(40);
 /// Before the first request nothing is routed yet.
 constexpr duration idleWatchPause(3000);
+/// From so many changes on an answer is followed by the next watch at once: a service tells only some of them at a time (500 on the
+/// platform). With a pause after each, 195 daemons knew no place when the first request came, 20 s after 930 replicas had begun to start,
+/// and refused 1,242 of 1,501 requests in two seconds.
+constexpr std::size_t manyChanges = 200;
 /// How often a daemon that is told looks whether it still is, and gives up lapsed entries.
 constexpr duration toldPeriod(400);
 
@@ -59,6 +63,8 @@
     std::uint64_t replicasUpTo = 0;
     /// A watch had no answer: only a listing, or the source, tells what was missed.
     bool mustList = false;
+    /// The last watch brought so much that there is more. Of the thread that watches alone.
+    bool isBehind = false;
     /// When all changes of the replicas up to then were known.
     std::optional<instant> replicasSeenAt;
     /// When the service last answered anything.
@@ -251,6 +257,9 @@
 
     duration changePause() const
     {
+        if (isBehind) {
+            return {};
+        }
         if (isSource) {
             return sourceWatchPause;
         }
@@ -305,6 +314,7 @@
             mustList = true;
             return false;
         }
+        isBehind = result->changes.size() >= manyChanges;
         const auto changes = decodeAll(result->changes);
         bool hasChanged = takeChanges(changes);
         {
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -16,6 +16,8 @@
 {
 public:
     std::atomic<int> failures = 0;
+    /// Changes that wait; a watch tells at most 500 of them.
+    std::atomic<std::uint64_t> lastChange = 1;
 
     std::optional<key_value_entry> get(const std::string &key, read_freshness /*freshness*/, reason & /*lastReason*/) override
     {
@@ -52,11 +54,15 @@
     {
     }
 
-    std::optional<watch_result>
-    watch(const std::string & /*prefix*/, std::uint64_t after, duration /*wait*/, reason & /*lastReason*/) override
+    std::optional<watch_result> watch(const std::string &prefix, std::uint64_t after, duration /*wait*/, reason & /*lastReason*/) override
     {
+        constexpr std::uint64_t mostChanges = 500;
         std::this_thread::sleep_for(duration(20));
-        return watch_result{after, {}, false};
+        watch_result result{std::max(after, std::min(lastChange.load(), after + mostChanges)), {}, false};
+        for (auto revision = after + 1; revision <= result.upTo; ++revision) {
+            result.changes.push_back({prefix + "i-" + std::to_string(revision), "", key_revision(revision)});
+        }
+        return result;
     }
 };
 
@@ -91,3 +97,15 @@
     CHECK(isWithin(duration(3000), [&] { return *follower.listedAt() >= asked; }));
     follower.stop();
 }
+
+TEST_CASE("A daemon that waits for its first request catches up with thousands of changes at once")
+{
+    listing_store service;
+    service.lastChange = 3300;
+    const platform_dialect dialect;
+    metrics counters;
+    store_follower follower(service, dialect, feedTiming(duration(2000)), counters, [] {});
+    follower.start();
+    CHECK(isWithin(duration(2500), [&] { return follower.replicasUpTo() == 3300; }));
+    follower.stop();
+}
