--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -266,17 +266,22 @@
     d->server->stop();
 }
 
+// The idle connections are closed first: the thread that accepts notices its end only after a quarter of a second. A connection that it
+// accepts until then is closed as soon as it is idle.
 void http_server::finish()
 {
+    {
+        const std::lock_guard lock(d->connections.mutex);
+        d->connections.isFinishing = true;
+        for (auto *connection : d->connections.all) {
+            if (!connection->isBusy()) {
+                connection->stopReading();
+            }
+        }
+    }
     d->server->stop();
     d->listener.close();
     std::unique_lock lock(d->connections.mutex);
-    d->connections.isFinishing = true;
-    for (auto *connection : d->connections.all) {
-        if (!connection->isBusy()) {
-            connection->stopReading();
-        }
-    }
     d->connections.changed.wait(lock, [this] { return d->connections.all.empty(); });
 }
 
