--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -18,7 +18,8 @@
     }
     noteDraining();
     noteSilence();
-    std::erase_if(m_state.deadHeads, [&](const instance_id &id) { return find(id) == nullptr; });
+    // One that is heard again, or is no longer suspected, may still hold requests: the dead do not come back under their names.
+    std::erase_if(m_state.deadHeads, [&](const instance_id &id) { return find(id) == nullptr || !m_view.suspects.contains(id); });
     std::erase_if(m_state.stagings, [&](const auto &entry) { return isStagingOver(entry.first, entry.second); });
 }
 
@@ -58,6 +59,8 @@
 
 void assembly_round::noteSilence()
 {
+    std::erase_if(m_state.foundSilent, [&](const instance_id &id) { return !m_view.suspects.contains(id); });
+    m_state.foundSilent.insert(m_view.confirmedDead.begin(), m_view.confirmedDead.end());
     // One that says afterwards that it leaves has not crashed.
     std::erase_if(m_state.silentWhileListed, [&](const instance_id &id) {
         const auto *replica = find(id);
@@ -75,43 +78,62 @@
 /// Takes over the groups that are whole, and those that must be closed. Replicas of all others are free.
 void assembly_round::adopt()
 {
-    if (m_state.hasAdopted) {
-        return;
+    const bool isFirst = !m_state.hasAdopted;
+    if (isFirst) {
+        m_state.since = m_view.now;
+        m_state.hasAdopted = true;
     }
-    m_state.since = m_view.now;
-    m_state.hasAdopted = true;
     for (const auto &seen : m_seen) {
-        const auto *model = findModel(seen.model);
-        const auto *head = seen.head();
-        if (head == nullptr || model == nullptr) {
-            continue;
-        }
-        const bool isWhole = static_cast<int>(seen.members.size()) == model->size
-            && std::find(seen.members.begin(), seen.members.end(), nullptr) == seen.members.end();
-        const bool isHolding = isHoldingRequests(*head);
-        auto &group = m_state.groups[seen.id];
-        group.id = seen.id;
-        group.formed = seen.formed;
-        group.model = seen.model;
-        group.stageSince = m_view.now;
-        // The predecessor's last order to open may have had no answer.
-        group.isOpenInDoubt = true;
-        for (const auto *member : seen.members) {
-            planned_member planned;
-            if (member != nullptr) {
-                planned.instance = member->id;
-                planned.address = member->address;
-                planned.hasJoined = true;
-            }
-            group.members.push_back(planned);
+        const auto planned = m_state.groups.find(seen.id);
+        const bool isHeadBack = planned != m_state.groups.end() && planned->second.formed == seen.formed && seen.head() != nullptr
+            && planned->second.members.front().instance.isEmpty();
+        if (isFirst || isHeadBack) {
+            adoptGroup(seen);
         }
-        if (isHolding) {
-            group.stage = assembly_stage::serving;
-        } else if (!isWhole) {
-            group.stage = assembly_stage::leaving;
+    }
+}
+
+void assembly_round::adoptGroup(const seen_group &seen)
+{
+    const auto *model = findModel(seen.model);
+    if (model == nullptr) {
+        return;
+    }
+    const auto *head = seen.head();
+    const bool isWhole = static_cast<int>(seen.members.size()) == model->size
+        && std::find(seen.members.begin(), seen.members.end(), nullptr) == seen.members.end();
+    const bool isAnyoneJoining = std::any_of(seen.members.begin(), seen.members.end(), [](const served_replica *member) {
+        return member != nullptr && member->membership->state == member_state::joining;
+    });
+    planned_group group;
+    group.id = seen.id;
+    group.formed = seen.formed;
+    group.model = seen.model;
+    group.stageSince = m_view.now;
+    // The predecessor's last order to open may have had no answer.
+    group.isOpenInDoubt = true;
+    for (const auto *member : seen.members) {
+        planned_member planned;
+        if (member != nullptr) {
+            planned.instance = member->id;
+            planned.address = member->address;
+            planned.hasJoined = true;
         }
-        decide(group, "adopted");
+        group.members.push_back(planned);
+    }
+    if (head == nullptr) {
+        // It may serve without an entry: cut off from the key-value service, lapsed with it, or about to end unannounced. Its members are
+        // kept until it is back or has had the time to end.
+        group.stage = assembly_stage::closing;
+        group.closing = close_method::cut;
+        group.headLostSince = m_view.followedSince;
+    } else if (isHoldingRequests(*head)) {
+        group.stage = assembly_stage::serving;
+    } else if (!isWhole || !isAnyoneJoining) {
+        // What has not opened yet is formed anew: an order to join of the predecessor that comes late then finds another number.
+        group.stage = assembly_stage::leaving;
     }
+    decide(m_state.groups[seen.id] = std::move(group), head == nullptr ? "adopted without a head" : "adopted");
 }
 
 /// A head that serves although it belongs to no planned group was opened by an old order that came late.
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include "Libraries/Entry/daemon_figures.h"
 #include "Libraries/Entry/request_run.h"
 #include "Libraries/Platform/measured_store.h"
+#include "Libraries/Platform/paced_service.h"
 
 #include <atomic>
 #include <functional>
@@ -95,7 +96,8 @@
     private_data(const entry_settings &entrySettings, std::unique_ptr<entry_dialect> words, const store_maker &makeStore)
         : settings(entrySettings)
         , dialect(std::move(words))
-        , keyValue(std::make_unique<measured_store>(makeStore(settings.keyValue, counters), counters))
+        , keyValue(std::make_unique<paced_service>(std::make_unique<measured_store>(makeStore(settings.keyValue, counters), counters),
+                                                   dialect->configurationKey()))
         , store(*keyValue, *dialect, feedTiming(settings.configurationApply), counters, [this] { rebuildView(); })
         , feed(
               settings,
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -179,7 +179,7 @@
             return try_end::answered;
         } else if (wait == upstream_wait::timeout && monotonicNow() < m_deadline) {
             const bool mayMove = m_route->isResumable && m_attempts < m_route->maximumAttempts;
-            if (mayMove && (isDoubted(target) || (isStandingStill(target) && takeRepeatElsewhere()))) {
+            if (mayMove && (isDoubted(target) || isStandingStill(target)) && takeRepeatElsewhere()) {
                 m_lastWhy = "the stream stands still";
                 return try_end::silent;
             }
@@ -209,6 +209,9 @@
     if (m_lastSent) {
         m_longestPause = std::max(m_longestPause, now - *m_lastSent);
     }
+    if (!m_firstSent && isStream() && m_service->engine) {
+        m_context.shedding.noteFirstEvent(m_service->id, m_head.model, now - m_arrival > m_route->objective, now);
+    }
     m_firstSent = m_firstSent.value_or(now);
     m_lastSent = now;
 }
@@ -243,10 +246,12 @@
     return monotonicNow().time_since_epoch().count() - target.load->lastProgress.load() >= stallPause.count();
 }
 
-/// Whether the coordinator has told, since this request was sent there, that the place is likely to stand still.
+/// Whether the coordinator has told, since this request was sent there and since anything came from there, that the place is likely to
+/// stand still.
 bool request_run::isDoubted(const backend &target) const
 {
-    return target.load->doubtedAt.load() >= m_tryStart.time_since_epoch().count();
+    const auto since = std::max<std::int64_t>(m_tryStart.time_since_epoch().count(), target.load->lastProgress.load());
+    return target.load->doubtedAt.load() >= since;
 }
 
 instant request_run::firstAnswerPatience() const
