--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
+#include "Libraries/Entry/assembly_figures.h"
 #include "Libraries/Entry/replica_looks.h"
 #include "Libraries/Http/http_client.h"
 
@@ -53,6 +54,7 @@
     worker_pool noticeWorkers{noticeThreads};
     counter orders;
     counter takeovers;
+    assembly_figures figures;
 
     mutable std::mutex mutex;
     std::condition_variable wake;
@@ -82,8 +84,9 @@
         , heldHere(std::move(held))
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
+        , figures(counters)
         , hasTraffic(!entrySettings.isFirstStart)
-        , looks(entrySettings, service, words, follower, peers, [this] { planSoon(); })
+        , looks(entrySettings, service, words, follower, peers, figures, [this] { planSoon(); })
     {
     }
 
@@ -140,6 +143,7 @@
             assemblyLog.write("coordination_lost", {{"term", term->number}});
             term.reset();
             assemblies.clear();
+            figures.clear();
             feed.setSource(false);
         }
     }
@@ -272,6 +276,9 @@
                                  silence.notLeaving,
                                  store.followedSince().value_or(now)};
         auto next = planAssembly(assembly, view);
+        if (!assembly.decisions.empty() || now >= nextStandingLog) {
+            figures.noteStandings(service.id, standingOf(assembly, *service.engine), assembly.idleSince.size(), now);
+        }
         for (const auto &decision : assembly.decisions) {
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
         }
--- a/Libraries/Entry/replica_looks.cpp
+++ b/Libraries/Entry/replica_looks.cpp
@@ -24,6 +24,7 @@
     const entry_dialect &dialect;
     store_follower &store;
     peer_feed &feed;
+    assembly_figures &figures;
     std::function<void()> didChange;
     std::mutex mutex;
     silent_replicas silent;
@@ -34,12 +35,14 @@
                  const entry_dialect &words,
                  store_follower &follower,
                  peer_feed &peers,
+                 assembly_figures &groupFigures,
                  std::function<void()> tellChange)
         : settings(entrySettings)
         , keyValue(service)
         , dialect(words)
         , store(follower)
         , feed(peers)
+        , figures(groupFigures)
         , didChange(std::move(tellChange))
     {
     }
@@ -82,6 +85,7 @@
             return;
         }
         if (const auto head = headOfGroup(*store.directory(), replica)) {
+            figures.noteFound(*head, monotonicNow());
             feed.tellDoubt(*head);
         }
         feed.askForLooks(replica.id);
@@ -113,8 +117,9 @@
                              const entry_dialect &dialect,
                              store_follower &store,
                              peer_feed &feed,
+                             assembly_figures &figures,
                              std::function<void()> didChange)
-    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, std::move(didChange)))
+    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, figures, std::move(didChange)))
 {
 }
 
@@ -150,10 +155,12 @@
 void replica_looks::lookAtGroup(const instance_id &head)
 {
     const auto directory = d->store.directory();
+    const auto now = monotonicNow();
+    d->figures.noteTold(head, now);
     std::vector<served_replica> looked;
     {
         const std::lock_guard lock(d->mutex);
-        looked = membersToLookAt(d->silent, *directory, head, monotonicNow());
+        looked = membersToLookAt(d->silent, *directory, head, now);
     }
     d->lookAtAll(looked);
 }
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -45,6 +45,10 @@
     int retrySlack = 0;
     /// How long the coordinator's lease holds without a renewal.
     duration leaseTime{};
+    /// Whether decisions are logged on standard output.
+    bool isLogOn = true;
+    /// Of the settings' text, to tell one from another.
+    std::string digest;
     log_level lowestLogLevel = log_level::info;
 };
 
--- a/Tests/Explain/testRequestStory.cpp
+++ b/Tests/Explain/testRequestStory.cpp
@@ -58,3 +58,38 @@
     CHECK(storyOf("r9").verdict.empty());
     CHECK(storyOf("").entries.empty());
 }
+
+TEST_CASE("A request that has no lines of its own is found where its daemon names it among others")
+{
+    log_collector collector;
+    std::istringstream log(R"({"ms":900,"daemon":"d1","part":"request","event":"roll","arrived":"a1 a11","served":"","left_out":0}
+{"ms":1400,"daemon":"d1","part":"request","event":"roll","arrived":"a2","served":"a1","left_out":0}
+{"ms":1500,"daemon":"d1","part":"daemon","event":"started"})");
+    collector.take(log);
+    const auto served = collector.storyOf("a1");
+    REQUIRE(served.entries.size() >= 2);
+    CHECK(served.entries[0].event == "arrived");
+    CHECK(served.entries[1].event == "served");
+    CHECK(served.verdict.find("served in time") != std::string::npos);
+    const auto killed = collector.storyOf("a2");
+    CHECK(killed.verdict.find("killed") != std::string::npos);
+    CHECK(killed.entries.back().event == "started");
+    CHECK(collector.storyOf("a").entries.empty());
+}
+
+TEST_CASE("A story tells how other requests fared at the same replica meanwhile")
+{
+    log_collector collector;
+    std::istringstream log(
+        R"({"ms":1000,"daemon":"d1","part":"request","event":"try_ended","request":"r1","replica":"i-1","end":"caller_left"}
+{"ms":1000,"daemon":"d1","part":"request","event":"caller_left","request":"r1","replica":"i-1"}
+{"ms":1500,"daemon":"d2","part":"request","event":"try_ended","request":"r2","replica":"i-1","end":"silent"}
+{"ms":1600,"daemon":"d2","part":"request","event":"answered","request":"r3","replica":"i-1","outcome":"late"}
+{"ms":1700,"daemon":"d1","part":"request","event":"try_ended","request":"r4","replica":"i-1","end":"silent"}
+{"ms":1700,"daemon":"d1","part":"request","event":"try_ended","request":"r5","replica":"i-2","end":"lost"}
+{"ms":9000,"daemon":"d1","part":"request","event":"try_ended","request":"r6","replica":"i-1","end":"lost"})");
+    collector.take(log);
+    REQUIRE(collector.storyOf("r1").neighbours.size() == 1);
+    CHECK(collector.storyOf("r1").neighbours.front().ends_with("i-1 meanwhile, beside those served in time: 1 late, 2 silent"));
+    CHECK(collector.storyOf("r6").neighbours.empty());
+}
