--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -360,6 +360,43 @@
     }
 }
 
+// What users saw: after the key-value service had been away and all daemons had been killed, fifteen replicas took places in new groups
+// while the heads of theirs were open. The entries had lapsed with the service; they came back one by one within two seconds, the
+// coordinator had started and planned already, and members whose head was not back yet counted as free. The evidence: no decision to adopt
+// the groups, orders to join their members, and 20 ms later "closing a head that no plan knows".
+TEST_CASE("A successor leaves groups alone whose entries come back after it has begun to plan")
+{
+    const instant now(duration(1000000));
+    const auto whole = groupOfTwo();
+    replica_directory directory;
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 2;
+    const auto ordersAt = [&](duration after) {
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after, {}, now});
+        for (const auto &order : orders) {
+            noteOrderResult(state, order, {order_result::taken, 0}, now + after);
+        }
+        return orders;
+    };
+    CHECK(ordersAt(duration(0)).empty());
+    directory.replicas[instance_id("spare")] = whole.replicas.at(instance_id("spare"));
+    directory.replicas[instance_id("member")] = whole.replicas.at(instance_id("member"));
+    for (int i = 1; i < 5; ++i) {
+        CHECK_FALSE(hasJoin(ordersAt(duration(100) * i)));
+    }
+    directory = whole;
+    for (int i = 5; i < 40; ++i) {
+        const auto orders = ordersAt(duration(100) * i);
+        CHECK_FALSE(hasJoin(orders));
+        CHECK(std::none_of(orders.begin(), orders.end(), [](const replica_order &order) {
+            return order.kind == order_kind::close || order.kind == order_kind::leave;
+        }));
+    }
+    CHECK(state.groups.contains(group_id("g")));
+}
+
 // What users saw: a replica took its place in a new group while the head of its group was open. The head had been cut off from all daemons
 // and the key-value service for some seconds: it was taken for dead and its group was given up. When the cut ended it was still open by its
 // own word, but what had been decided of it stayed decided: it and its members counted as free. The evidence: an order to join after the
