Assembly: Take over each earlier formation when it is first met, not only in a term's first round

Cause: a new coordinator took over the groups of its first round. After an outage of the key-value service entries come back one by one for two seconds; members that came back after that round counted as free, and joined other groups while their own head, not back yet, was open. Ruled out: the wait for an absent head (it began only for groups of the first round); orders of the predecessor (none under way, all daemons had ended). Change: any formation of an earlier term is taken over when it is first met.

--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -176,6 +176,8 @@
     /// How many orders each replica has taken, where it is known.
     std::map<instance_id, std::uint64_t> ordersTaken;
     std::map<group_id, planned_group> groups;
+    /// Formations of earlier terms that were met in this one: each is taken over once.
+    std::set<std::pair<group_id, formation>> metFormations;
     std::map<instance_id, instant> avoidedUntil;
     /// Since when each leaving replica is known to leave.
     std::map<instance_id, instant> drainingSince;
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -78,16 +78,20 @@
 /// Takes over the groups that are whole, and those that must be closed. Replicas of all others are free.
 void assembly_round::adopt()
 {
-    const bool isFirst = !m_state.hasAdopted;
-    if (isFirst) {
+    if (!m_state.hasAdopted) {
         m_state.since = m_view.now;
         m_state.hasAdopted = true;
     }
     for (const auto &seen : m_seen) {
+        // Entries that lapsed with the service come back one by one for two seconds, the members' before their head's too: a group counts
+        // from the moment in which any of it is there. Fifteen replicas joined other groups beside open heads when only the first round
+        // took groups over.
+        const bool isFromBefore = seen.formed.value() < m_state.term * formationsPerTerm;
+        const bool isNew = isFromBefore && m_state.metFormations.emplace(seen.id, seen.formed).second;
         const auto planned = m_state.groups.find(seen.id);
         const bool isHeadBack = planned != m_state.groups.end() && planned->second.formed == seen.formed && seen.head() != nullptr
             && planned->second.members.front().instance.isEmpty();
-        if (isFirst || isHeadBack) {
+        if (isNew || isHeadBack) {
             adoptGroup(seen);
         }
     }
