Entry, Assembly: Let a successor know how long a member has been leaving

Cause: each daemon follows the entries, but only the coordinator counted how long a member had been leaving, from when it began to coordinate. Change: the directory says since when; a replica that was leaving when it was first seen counts as leaving for long.

--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -51,7 +51,8 @@
 {
     for (const auto &[id, replica] : m_view.directory.replicas) {
         if (replica.isDraining) {
-            m_state.drainingSince.try_emplace(id, m_view.now);
+            const auto known = m_view.directory.leavingSince.find(id);
+            m_state.drainingSince.try_emplace(id, known == m_view.directory.leavingSince.end() ? m_view.now : known->second);
         }
     }
     std::erase_if(m_state.drainingSince, [&](const auto &entry) { return find(entry.first) == nullptr; });
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -18,6 +18,17 @@
     return true;
 }
 
+/// A coordinator that takes over has to know how long a member has been leaving: it stays for ten seconds at most.
+void noteLeaving(replica_directory &directory, const served_replica &replica, instant now)
+{
+    if (!replica.isDraining) {
+        directory.leavingSince.erase(replica.id);
+        return;
+    }
+    const bool isFirstSeen = !directory.replicas.contains(replica.id);
+    directory.leavingSince.try_emplace(replica.id, isFirstSeen ? instant() : now);
+}
+
 /// Takes a replica out, or keeps a member of a group as one that drains.
 void unlist(replica_entries &entries, const instance_id &replica, instant now)
 {
@@ -28,8 +39,10 @@
     }
     if (!known->second.membership) {
         entries.directory.replicas.erase(known);
+        entries.directory.leavingSince.erase(replica);
         return;
     }
+    entries.directory.leavingSince.try_emplace(replica, now);
     known->second.isDraining = true;
     known->second.isUnlisted = true;
     entries.unlisted.try_emplace(replica, now + unlistedStay);
@@ -72,6 +85,7 @@
         unlist(entries, change.id, now);
         return;
     }
+    noteLeaving(entries.directory, *change.replica, now);
     entries.directory.replicas[change.id] = *change.replica;
     entries.lapsed.erase(change.id);
     entries.unlisted.erase(change.id);
@@ -96,6 +110,7 @@
             continue;
         }
         entries.directory.replicas.erase(unlisted->first);
+        entries.directory.leavingSince.erase(unlisted->first);
         unlisted = entries.unlisted.erase(unlisted);
         hasChanged = true;
     }
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/endpoint.h"
 #include "Libraries/Base/identifier.h"
+#include "Libraries/Base/instant.h"
 #include "Libraries/Routing/served_configuration.h"
 
 #include <map>
@@ -73,6 +74,8 @@
 struct replica_directory
 {
     std::map<instance_id, served_replica> replicas;
+    /// Since when this daemon knows of each replica that says it leaves; the beginning of time where it was leaving when it was first seen.
+    std::map<instance_id, instant> leavingSince = {};
 };
 
 /// A group as its members tell it.
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -571,6 +571,28 @@
     CHECK(std::find(toHead.begin(), toHead.end(), order_kind::leave) != toHead.end());
 }
 
+// What callers saw: six streams broke off. A member had been leaving for six seconds when the coordinator changed; the new one counted from
+// its own start and let the group serve on until the member ended.
+TEST_CASE("A successor counts how long a member has been leaving from when that was known")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    directory.replicas.erase(instance_id("spare"));
+    directory.replicas[instance_id("member")].isDraining = true;
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 2;
+    directory.leavingSince[instance_id("member")] = now - state.policy.leavingStay + duration(1000);
+    const auto closesAt = [&](duration after) {
+        const auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after});
+        return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) { return order.kind == order_kind::close; });
+    };
+    CHECK_FALSE(closesAt(duration(0)));
+    CHECK_FALSE(closesAt(duration(900)));
+    CHECK(closesAt(duration(1000)));
+}
+
 TEST_CASE("A free replica is not loaded with one model after the other")
 {
     const instant now(duration(1000000));
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -114,3 +114,22 @@
     CHECK(dropLapsed(entries, now + 2 * unlistedStay));
     CHECK_FALSE(entries.directory.replicas.contains(instance_id("a")));
 }
+
+TEST_CASE("Since when a replica leaves is known from the change that says so, and counts as long ago where it left before")
+{
+    auto entries = known();
+    CHECK(entries.directory.leavingSince.empty());
+    auto leaving = replica("a", 101);
+    leaving.replica->isDraining = true;
+    takeChange(entries, leaving, now + duration(500));
+    leaving.revision = 102;
+    takeChange(entries, leaving, now + duration(900));
+    CHECK(entries.directory.leavingSince.at(instance_id("a")) == now + duration(500));
+    auto leftBefore = replica("c", 103);
+    leftBefore.replica->isDraining = true;
+    takeChange(entries, leftBefore, now + duration(900));
+    CHECK(entries.directory.leavingSince.at(instance_id("c")) == instant());
+    takeChange(entries, removal("a", 104), now + duration(1000));
+    takeChange(entries, replica("c", 105), now + duration(1000));
+    CHECK(entries.directory.leavingSince.empty());
+}
