--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -397,6 +397,34 @@
     CHECK(state.groups.contains(group_id("g")));
 }
 
+TEST_CASE("A successor leaves members alone whose entries come back one after the other, and their head's last")
+{
+    const instant now(duration(1000000));
+    const auto whole = groupOfTwo();
+    auto another = whole.replicas.at(instance_id("member"));
+    another.id = instance_id("another");
+    another.membership->rank = 2;
+    replica_directory directory;
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 2;
+    const auto hasJoinAt = [&](duration after) {
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after, {}, now});
+        for (const auto &order : orders) {
+            noteOrderResult(state, order, {order_result::taken, 0}, now + after);
+        }
+        return hasJoin(orders);
+    };
+    directory.replicas[instance_id("spare")] = whole.replicas.at(instance_id("spare"));
+    directory.replicas[instance_id("member")] = whole.replicas.at(instance_id("member"));
+    CHECK_FALSE(hasJoinAt(duration(0)));
+    directory.replicas[another.id] = another;
+    for (int i = 1; i < 20; ++i) {
+        CHECK_FALSE(hasJoinAt(duration(100) * i));
+    }
+}
+
 // What users saw: a replica took its place in a new group while the head of its group was open. The head had been cut off from all daemons
 // and the key-value service for some seconds: it was taken for dead and its group was given up. When the cut ended it was still open by its
 // own word, but what had been decided of it stayed decided: it and its members counted as free. The evidence: an order to join after the
