Assembly: Add members whose entries come back to the group that was taken over

Cause: a group was taken over with the members that were listed at that moment. Those whose entries came back later stood in no planned group, and joined others beside their open head. Change: each round adds members that are listed now to the places of their group that were empty.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -28,6 +28,7 @@
 
     void adopt();
     void adoptGroup(const seen_group &seen);
+    static void addMissing(planned_group &group, const seen_group &seen);
     void closeStrays();
 
     // One step of each group.
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -7,6 +7,20 @@
 
 namespace vetchpost {
 
+namespace {
+
+/// A place that a predecessor gave.
+planned_member adopted(const served_replica &replica)
+{
+    planned_member member;
+    member.instance = replica.id;
+    member.address = replica.address;
+    member.hasJoined = true;
+    return member;
+}
+
+} // namespace
+
 assembly_round::assembly_round(assembly_state &state, const assembly_view &view)
     : m_state(state)
     , m_view(view)
@@ -94,6 +108,20 @@
             && planned->second.members.front().instance.isEmpty();
         if (isNew || isHeadBack) {
             adoptGroup(seen);
+        } else if (planned != m_state.groups.end() && planned->second.formed == seen.formed) {
+            addMissing(planned->second, seen);
+        }
+    }
+}
+
+/// Members whose entries come back after their group was taken over.
+void assembly_round::addMissing(planned_group &group, const seen_group &seen)
+{
+    group.members.resize(std::max(group.members.size(), seen.members.size()));
+    for (std::size_t rank = 0; rank < seen.members.size(); ++rank) {
+        const auto *member = seen.members[rank];
+        if (member != nullptr && group.members[rank].instance.isEmpty()) {
+            group.members[rank] = adopted(*member);
         }
     }
 }
@@ -118,13 +146,7 @@
     // The predecessor's last order to open may have had no answer.
     group.isOpenInDoubt = true;
     for (const auto *member : seen.members) {
-        planned_member planned;
-        if (member != nullptr) {
-            planned.instance = member->id;
-            planned.address = member->address;
-            planned.hasJoined = true;
-        }
-        group.members.push_back(planned);
+        group.members.push_back(member == nullptr ? planned_member() : adopted(*member));
     }
     if (head == nullptr) {
         // It may serve without an entry: cut off from the key-value service, lapsed with it, or about to end unannounced. Its members are
