--- /dev/null
+++ b/Tests/PlatformAdapter/testRelayLog.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+// What the log says of a request.
+#include "Tests/PlatformAdapter/relayWorld.h"
+
+#include "Libraries/Explain/request_story.h"
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+
+TEST_CASE("Every request that its client does not see served is found in the log by its id, and so are the others")
+{
+    const scripted_replica failing([](const std::string &request) { return answerTo(request, "broken", "500 Internal Server Error"); });
+    const scripted_replica breaking(
+        [](const std::string &request) { return streamHead(request, "s") + chunk(event(1)) + chunk("id: 2\ndata: pi"); });
+    std::map<std::string, int> statuses;
+    std::istringstream log;
+    {
+        const output_in_file output;
+        {
+            relay_world world;
+            world.addPlain("i-1", failing);
+            world.addHead("h-1", breaking);
+            world.start();
+            statuses["nowhere"] = world.ask("/nowhere/", "good", "nowhere").status;
+            statuses["nobody"] = world.ask("/once/", "bad", "nobody").status;
+            statuses["failed"] = world.ask("/once/", "good", "failed").status;
+            statuses["broken"] = world.ask("/stream/", "good", "broken").status;
+        }
+        {
+            const scripted_replica fine(good);
+            relay_world world;
+            world.addPlain("i-1", fine);
+            world.start();
+            statuses["served"] = world.ask("/once/", "good", "served").status;
+        }
+        log.str(output.text());
+    }
+    CHECK(statuses == std::map<std::string, int>{{"nowhere", 404}, {"nobody", 401}, {"failed", 500}, {"broken", 200}, {"served", 200}});
+    log_collector collector;
+    collector.take(log);
+    CHECK(collector.storyOf("nowhere").verdict.find("was refused") != std::string::npos);
+    CHECK(collector.storyOf("nobody").verdict.find("was refused") != std::string::npos);
+    CHECK(collector.storyOf("failed").verdict.find("outcome=failed") != std::string::npos);
+    CHECK(collector.storyOf("broken").verdict.find("broken off") != std::string::npos);
+    CHECK(collector.storyOf("served").verdict.find("was served in time") != std::string::npos);
+}
+
+TEST_CASE("The log says of a client that has gone that it has, and what time it still had")
+{
+    const scripted_replica slow([](const std::string &request) {
+        std::this_thread::sleep_for(duration(400));
+        return good(request);
+    });
+    std::istringstream log;
+    {
+        const output_in_file output;
+        {
+            relay_world world;
+            world.addPlain("i-1", slow);
+            world.start();
+            world.askAndLeave("/once/", "left");
+        }
+        log.str(output.text());
+    }
+    log_collector collector;
+    collector.take(log);
+    const auto story = collector.storyOf("left");
+    CHECK(story.verdict.find("given up by its caller") != std::string::npos);
+    CHECK(story.verdict.find("time_left_ms=") != std::string::npos);
+    CHECK(std::any_of(story.entries.begin(), story.entries.end(), [](const log_entry &entry) {
+        return entry.event == "try_ended" && entry.details.find("the client has gone") != std::string::npos;
+    }));
+}
