Assembly: Say what is taken over from earlier terms

Cause: the brief of adopt() still said that only whole groups are taken over and all other replicas are free. Change: one comment.

--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -90,7 +90,7 @@
 
 // What a predecessor left.
 
-/// Takes over the groups that are whole, and those that must be closed. Replicas of all others are free.
+/// Takes over what earlier terms formed, also where the head or members are not listed: only replicas that name no group are free at once.
 void assembly_round::adopt()
 {
     if (!m_state.hasAdopted) {
