Routing: Take keys past their bound where the settings say that it does not hold for daemons that are cut off

Cause: the settings tell whether the bound on withdrawn keys holds for a daemon that is cut off; the product did not read it. Ruled out: never refusing at all (keys would be taken for ever without word from anybody: ten minutes bound it); not-ready as before (all daemons would be out at the balancer at once while each of them can serve).

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -8,6 +8,7 @@
 #include "Libraries/Entry/request_run.h"
 #include "Libraries/Platform/measured_store.h"
 #include "Libraries/Platform/paced_service.h"
+#include "Libraries/Routing/key_bound.h"
 
 #include <atomic>
 #include <functional>
@@ -24,8 +25,6 @@
 /// What is left of the stop grace when the process ends by itself.
 constexpr duration stopMargin(600);
 constexpr duration stopPollPeriod(50);
-/// A daemon whose configuration is older than this sends clients elsewhere, a little before it must refuse their keys.
-constexpr double readyShareOfRevocation = 0.7;
 constexpr std::size_t callerStackBytes = 128U * 1024U;
 constexpr int readinessThreads = 4;
 constexpr auto metricsPath = "/metrics";
@@ -124,9 +123,8 @@
 
     bool isReady() const
     {
-        const auto currentAt = store.configurationCurrentAt();
-        const auto most = std::chrono::duration_cast<duration>(settings.keyRevocation * readyShareOfRevocation);
-        return !relay.isDraining && currentAt && store.listedAt() && monotonicNow() - *currentAt < most;
+        const key_bound bound{settings.keyRevocation, settings.isKeyRevocationStrict};
+        return !relay.isDraining && store.listedAt() && areKeysUsableForAWhile(bound, store.configurationCurrentAt(), monotonicNow());
     }
 
     void serveCaller(http_exchange &exchange)
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Entry/try_end.h"
+#include "Libraries/Routing/key_bound.h"
 
 namespace vetchpost {
 
@@ -10,9 +11,6 @@
 
 constexpr event_log requestLog("request");
 
-/// Keys are refused a little before the bound, for the differences between two machines' clocks.
-constexpr duration keyMargin(200);
-
 std::vector<counter> tryCounters(metrics &counters)
 {
     std::vector<counter> tries;
@@ -55,8 +53,7 @@
 
 bool relay_context::areKeysCurrent(instant now) const
 {
-    const auto currentAt = m_store.configurationCurrentAt();
-    return currentAt && now - *currentAt < m_settings.keyRevocation - keyMargin;
+    return areKeysUsable({m_settings.keyRevocation, m_settings.isKeyRevocationStrict}, m_store.configurationCurrentAt(), now);
 }
 
 void relay_context::doubt(const instance_id &head) const
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -19,6 +19,7 @@
 void readTiming(yaml_reader reader, entry_settings &settings)
 {
     settings.keyRevocation = readDuration(reader, "key-revocation-ms", 500, 600000, 5000);
+    settings.isKeyRevocationStrict = reader.flag("key-revocation-is-strict", true);
     settings.configurationApply = readDuration(reader, "configuration-apply-ms", 500, 600000, 2000);
     settings.stopGrace = readDuration(reader, "stop-grace-ms", 500, 600000, 8000);
     settings.heartbeat = readDuration(reader, "replica-heartbeat-ms", 100, 60000, 1200);
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -29,6 +29,8 @@
     int maximumConnections = 0;
     /// How long a key may still be taken after an operator has withdrawn it.
     duration keyRevocation{};
+    /// Whether that holds for a daemon that is cut off too: one that has not heard for so long that its keys are the newest takes none.
+    bool isKeyRevocationStrict = true;
     /// How soon an accepted configuration has to be in force at every daemon.
     duration configurationApply{};
     /// Between SIGTERM and SIGKILL.
--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -168,6 +168,12 @@
             id);
     }
 
+    /// From the next start on the bound on keys does not hold for daemons that are cut off.
+    void loosenKeyBound()
+    {
+        m_isKeyRevocationStrict = false;
+    }
+
     void start(bool hasConfiguration = true, bool hasRunBefore = false)
     {
         if (hasConfiguration) {
@@ -181,6 +187,7 @@
         settings.peers = freePort();
         settings.maximumConnections = 16;
         settings.keyRevocation = duration(1500);
+        settings.isKeyRevocationStrict = m_isKeyRevocationStrict;
         settings.configurationApply = duration(2000);
         settings.stopGrace = duration(3000);
         settings.leaseTime = duration(2000);
@@ -258,6 +265,7 @@
 
     std::map<std::string, std::string> m_values;
     std::atomic<bool> m_isUp = true;
+    bool m_isKeyRevocationStrict = true;
     endpoint m_callers;
     endpoint m_peers;
     std::unique_ptr<entry_daemon> m_daemon;
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -57,6 +57,19 @@
     CHECK(blank.ask("/once/").status == 503);
 }
 
+TEST_CASE("Without the key-value service requests are served with the keys at hand where the settings allow it")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    world.loosenKeyBound();
+    world.start();
+    world.stopStore();
+    std::this_thread::sleep_for(duration(1600));
+    CHECK(world.ask("/once/").status == 200);
+    CHECK(world.ask("/once/", "bad").status == 401);
+}
+
 TEST_CASE("A request that may run once is sent once, whatever becomes of its answer")
 {
     const auto cutShort = [](const std::string &request) {
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -44,6 +44,7 @@
     CHECK(settings->isFirstStart);
     CHECK(settings->callers.port == 8227);
     CHECK(settings->keyRevocation == duration(5000));
+    CHECK(settings->isKeyRevocationStrict);
     CHECK(settings->stopGrace == duration(8000));
     CHECK(settings->retryShare == 0.2);
     CHECK(settings->isLogOn);
@@ -82,6 +83,20 @@
     CHECK(problemsOf(good + "  slack: -0.5\n").size() == 1);
 }
 
+TEST_CASE("The bound on keys holds for daemons that are cut off unless the settings say otherwise")
+{
+    auto text = good;
+    text.replace(text.find("5000"), 4, "5000\n  key-revocation-is-strict: false");
+    std::vector<yaml_problem> problems;
+    const auto settings = readEntrySettings(text, "entry.yaml", problems);
+    REQUIRE(settings);
+    CHECK_FALSE(settings->isKeyRevocationStrict);
+    text.replace(text.find("false"), 5, "");
+    const auto withGap = readEntrySettings(text, "entry.yaml", problems);
+    REQUIRE(withGap);
+    CHECK(withGap->isKeyRevocationStrict);
+}
+
 TEST_CASE("The log of decisions can be switched off")
 {
     std::vector<yaml_problem> problems;
