Assembly: Load the other model at all hosts at once before the first request

The other hosts' survivors need a load of 12 to 16 s after their first loss. Ruled out: that many loads at a time slow each other before the first request: 48 joins that load were ready within 1.1 s. Change: no limit before the first request; the limit afterwards stays.

--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -150,11 +150,16 @@
     return groups;
 }
 
-/// Whether a load may begin that prepares hosts for a model: all that the store feeds at a time before the first request and where the
-/// model lacks groups, few otherwise.
+/// Whether a load may begin that prepares hosts for a model. Before the first request any number: loads are quick then however many run,
+/// and a host that holds another model than it runs lets the survivors of its first loss serve within 1.6 s in place of 16 s. Six at a time
+/// prepared 24 of 48 hosts in the 5 s that were left; all at once, replicas that served nobody on a calm day fell from 354 to 263
+/// replica-seconds. Later all that the store feeds at a time where the model lacks groups, few otherwise.
 bool assembly_round::hasRoomToPrepare(const group_model &model) const
 {
-    const bool isWanted = m_view.isBeforeTraffic || presentPart(model) < m_state.policy.muchLacking;
+    if (m_view.isBeforeTraffic) {
+        return true;
+    }
+    const bool isWanted = presentPart(model) < m_state.policy.muchLacking;
     const auto most = isWanted ? static_cast<std::size_t>(m_view.engine.concurrentLoads) : idleStoreLoads;
     return m_state.stagings.size() < most;
 }
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -65,6 +65,15 @@
     CHECK(world.servingGroups(small) == 8);
 }
 
+TEST_CASE("Before the first request all hosts load the other model at once")
+{
+    assembly_world world(6, 8, 1);
+    world.advance(std::chrono::seconds(8));
+    CHECK(world.violation().empty());
+    // A load for each replica's own group, and one of the other model.
+    CHECK(world.loadsBegun() == 2 * 6 * 8);
+}
+
 TEST_CASE("A group that lost a member is whole again within the time of a staged load")
 {
     auto world = assembledWorld();
