Assembly: Let a group serve on with a member whose entry went, while that member answers

A member without an entry was taken for one that leaves, and replaced at once where a replica that could take its place was free. Ruled out: heads (they must stop taking requests once their entry is gone); waiting without an end (a replica that leaves without a word ends after ten seconds at most). Change: an entry that went without a word keeps its group serving for 8 s while the member answers; one that announced its leaving is replaced as before.

--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -154,6 +154,9 @@
     duration idleGrace{3000};
     /// A group with a leaving member serves on for so long at most; the member itself stays for ten seconds while there is work.
     duration leavingStay{6000};
+    /// ... and with a member whose entry went without a word, while that member answers, for so long: one that leaves stays for ten seconds
+    /// while there is work, one that is cut off from the key-value service goes on for as long as it is.
+    duration unlistedMemberStay{8000};
     /// A leaving head that no longer listens may still finish requests for so long: their longest deadline and two seconds.
     duration leavingHeadWait{10000};
     /// A group that does not come together in its loading time and this much more is given up.
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -55,6 +55,8 @@
     /// Its entry is gone though nothing says that it has ended: it may be cut off from the key-value service, or end unannounced. It is
     /// treated as draining.
     bool isUnlisted = false;
+    /// It had said that it leaves before its entry went.
+    bool hasAnnounced = false;
     fabric_domain_id domain;
     /// Models whose weights lie on its host.
     std::vector<model_id> staged;
--- a/Tests/Assembly/testLostHeads.cpp
+++ b/Tests/Assembly/testLostHeads.cpp
@@ -39,6 +39,52 @@
 
 } // namespace
 
+// A tenth of all replicas was cut off from the key-value service for five seconds and served on. Their groups were closed all at once,
+// since a replica that could take the member's place was free, and two thirds of the requests came late.
+TEST_CASE("A group goes on serving with a member whose entry went, while that member answers")
+{
+    const instant now(duration(1000000));
+    auto directory = groupOfTwo();
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 2;
+    const auto closesAt = [&](duration after, const std::set<instance_id> &suspects) {
+        const auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), suspects, nobody, false, now + after});
+        return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) { return order.kind == order_kind::close; });
+    };
+    CHECK_FALSE(closesAt(duration(0), nobody));
+    auto &member = directory.replicas[instance_id("member")];
+    markUnlisted(member);
+    const auto went = duration(1000);
+    for (auto after = went; after < went + state.policy.unlistedMemberStay; after += duration(500)) {
+        CHECK_FALSE(closesAt(after, nobody));
+    }
+
+    SECTION("its entry comes back")
+    {
+        member.isDraining = false;
+        member.isUnlisted = false;
+        CHECK_FALSE(closesAt(went + state.policy.unlistedMemberStay, nobody));
+    }
+
+    SECTION("it stays away: before one that leaves can have ended, its group closes")
+    {
+        CHECK(closesAt(went + state.policy.unlistedMemberStay, nobody));
+    }
+
+    SECTION("it stops answering")
+    {
+        CHECK(closesAt(went + duration(7500), {instance_id("member")}));
+    }
+
+    SECTION("a member that says it leaves is replaced as soon as it can be")
+    {
+        member.isUnlisted = false;
+        CHECK(closesAt(went + duration(7500), nobody));
+    }
+}
+
 TEST_CASE("A leaving head that no longer listens keeps its group until it has finished")
 {
     const instant now(duration(1000000));
@@ -156,8 +202,9 @@
     }
 }
 
-// The soak's seed 301: a head was cut off from its members, the daemons and the key-value service at once. Its entry lapsed before the stall
-// time was over, several daemons had found it silent, and its members joined another group while it stood still and was not yet broken.
+// The soak's seed 301: a head was cut off from its members, the daemons and the key-value service at once. Its entry lapsed before the
+// stall time was over, several daemons had found it silent, and its members joined another group while it stood still and was not yet
+// broken.
 TEST_CASE("A head that several daemons found silent, and whose entry goes, keeps its group until the stall time is over")
 {
     silent_head world;
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -115,6 +115,22 @@
     CHECK_FALSE(entries.directory.replicas.contains(instance_id("a")));
 }
 
+TEST_CASE("An entry that went tells a replica that had said it leaves from one that said nothing")
+{
+    auto entries = known();
+    auto member = replica("a", 2);
+    member.replica->membership = {group_id("g"), formation(1), 1, member_state::ready};
+    takeChange(entries, member, now);
+    takeChange(entries, removal("a", 3), now);
+    CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).hasAnnounced);
+    member.revision = 4;
+    member.replica->isDraining = true;
+    takeChange(entries, member, now);
+    CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).isUnlisted);
+    takeChange(entries, removal("a", 5), now);
+    CHECK(entries.directory.replicas.at(instance_id("a")).hasAnnounced);
+}
+
 TEST_CASE("What a replica ran last stays known when it gives up its place")
 {
     auto entries = known();
