Requests: Ask replicas to serve late requests behind those that can still be in time

Ruled out: refusing those who come back (they lose what a late answer is worth to them, and pay for the second refusal); cancelling what waits (a repeat each). Change: how long a client has waited before is learned from the longest time that requests of its route bring; a request that can no longer be in time is sent with a priority one step behind.

--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -94,6 +94,14 @@
     return budget;
 }
 
+duration relay_context::waitedBefore(const std::string &route, duration patience, instant now)
+{
+    const std::lock_guard lock(m_patienceMutex);
+    auto &known = m_patience[route];
+    notePatience(known, patience, now);
+    return vetchpost::waitedBefore(known, patience);
+}
+
 void relay_context::callRoll()
 {
     const auto lines = roll.take();
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -11,6 +11,7 @@
 #include "Libraries/Entry/request_outcome.h"
 #include "Libraries/Entry/request_roll.h"
 #include "Libraries/Entry/store_follower.h"
+#include "Libraries/Requests/client_patience.h"
 #include "Libraries/Requests/repeat_bound.h"
 #include "Libraries/Settings/entry_settings.h"
 
@@ -54,6 +55,9 @@
     /// Takes one repeat out of this daemon's part of the budget; false where it is used up.
     bool takeRepeat(const service_id &service);
 
+    /// How long a client of a route has waited before it sent a request that leaves \a patience.
+    duration waitedBefore(const std::string &route, duration patience, instant now);
+
     /// Logs the ids of the requests that have no lines of their own.
     void callRoll();
 
@@ -83,6 +87,9 @@
     std::atomic<std::uint64_t> m_turns = 0;
     std::mutex m_budgetMutex;
     std::map<service_id, retry_budget> m_budgets;
+    std::mutex m_patienceMutex;
+    /// By route.
+    std::map<std::string, client_patience> m_patience;
 };
 
 } // namespace vetchpost
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -129,6 +129,9 @@
         return;
     }
     m_context.noteFirstTry(m_service->id);
+    if (m_head.patience) {
+        m_waitedBefore = m_context.waitedBefore(m_route->name, *m_head.patience, m_arrival);
+    }
     // Models that no service knows must not fill the counts.
     const bool isCounted = m_service->engine && isKnownModel(*m_service->engine, m_head.model);
     if (isCounted && isStream() && !m_context.shedding.isAdmitted(m_service->id, m_head.model, drawNumber(), m_arrival)) {
@@ -261,7 +264,8 @@
     head.timeLeft = timeLeft();
     head.organisation = m_organisation == nullptr ? organisation_id() : m_organisation->id;
     head.lastEvent = m_events.lastId().empty() ? m_head.lastEvent : m_events.lastId();
-    head.priority = m_organisation != nullptr && m_organisation->priority ? m_organisation->priority : m_route->priority;
+    const bool hasOwn = m_organisation != nullptr && m_organisation->priority;
+    head.priority = priorityOf(hasOwn ? *m_organisation->priority : m_route->priority, isLate());
     http_call call;
     call.to = target.address;
     call.method = m_exchange.method();
@@ -305,6 +309,12 @@
     return m_deadline - monotonicNow();
 }
 
+/// Whether its first event, or its answer, can no longer be in time. A stream that has begun is waited for as it is.
+bool request_run::isLate() const
+{
+    return !m_hasBegun && m_waitedBefore + held() > m_route->objective;
+}
+
 bool request_run::isStream() const
 {
     return m_route->kind == route_kind::streaming;
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -67,12 +67,15 @@
     bool isDoubted(const backend &target) const;
     instant firstAnswerPatience() const;
     duration timeLeft() const;
+    bool isLate() const;
     bool isStream() const;
 
     relay_context &m_context;
     http_exchange &m_exchange;
     instant m_arrival;
     instant m_deadline;
+    /// By the client, before it sent this request.
+    duration m_waitedBefore{};
     std::shared_ptr<const entry_view> m_view;
     std::vector<http_header> m_headers;
     client_request_head m_head;
--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -230,6 +230,16 @@
         return exchange(callFor(path, key, attempt));
     }
 
+    /// Asks with so much time left.
+    client_answer askWithin(const std::string &path, duration patience) const
+    {
+        auto call = callFor(path, "good", "a1");
+        for (auto &header : call.headers) {
+            header.value = header.name == "Deadline-Ms" ? std::to_string(patience.count()) : header.value;
+        }
+        return exchange(call);
+    }
+
     /// Sends a request and closes the connection a moment later.
     void askAndLeave(const std::string &path, const std::string &attempt) const
     {
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -70,6 +70,22 @@
     CHECK(world.ask("/once/", "bad").status == 401);
 }
 
+TEST_CASE("A client that comes back too late to be served in time goes behind the others")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    world.start();
+    CHECK(world.askWithin("/once/", duration(2500)).status == 200);
+    CHECK(world.askWithin("/once/", duration(2450)).status == 200);
+    CHECK(world.askWithin("/once/", duration(2000)).status == 200);
+    std::vector<std::string> priorities;
+    for (const auto &request : replica.requests()) {
+        priorities.push_back(headerOf(request, "Request-Priority"));
+    }
+    CHECK(priorities == std::vector<std::string>{"1", "1", "2"});
+}
+
 TEST_CASE("A request that may run once is sent once, whatever becomes of its answer")
 {
     const auto cutShort = [](const std::string &request) {
