Assembly: Ask no other daemons whether a silent replica answers them

Cause: with each silent replica the coordinator asked eight daemons to look at it too, and every daemon that saw a stall looked as well; four that found it silent and none that found it alive meant dead. Since a silent head keeps its group until the stall time is over, that word decides nothing but when a head that was told to give up its place is waited for no longer. Ruled out: keeping it for that case alone: there the lapsed entry and the stall time tell the same. Change: death_witnesses, the request to look and the answer to it go, with their tests; a head that is told to give up its place is waited for until it does, or until it is silent, its entry is gone and the stall time is over. The tests of what a silent head keeps hold as before, without the word of others.

--- a/Benchmarks/benchAssembly.cpp
+++ b/Benchmarks/benchAssembly.cpp
@@ -79,7 +79,7 @@
     assembly_state state;
     state.term = 1;
     const auto plan = [&](int i) {
-        const assembly_view view{directory, service, engine, none, none, false, instant(duration(1000000 + i * 150))};
+        const assembly_view view{directory, service, engine, none, false, instant(duration(1000000 + i * 150))};
         planAssembly(state, view);
         state.decisions.clear();
     };
--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -110,8 +110,7 @@
     const served_replica *find(const instance_id &instance) const;
     bool isAlive(const instance_id &instance) const;
     bool isAvoided(const instance_id &instance) const;
-    /// Whether several daemons found a replica silent and its entry has lapsed besides.
-    bool isFoundDead(const instance_id &instance) const;
+    bool isSilentAndUnlisted(const instance_id &instance) const;
     const group_model *findModel(const model_id &id) const;
     bool isHoldingRequests(const served_replica &head) const;
     static bool wasHead(const served_replica &replica);
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -189,9 +189,6 @@
     /// Replicas that fell silent without leaving: they have crashed, or are cut off. One that is found silent after it began to leave may
     /// still finish requests. The directory does not tell the two apart: it may lag.
     std::set<instance_id> silentWhileListed;
-    /// Suspects that several daemons found silent and none alive, kept until they are suspected no longer: a look counts for less time than
-    /// an entry needs to lapse.
-    std::set<instance_id> foundSilent;
     /// Since when each free replica is free.
     std::map<instance_id, instant> idleSince;
     /// Loads from the weight store that were ordered within the window.
@@ -217,8 +214,6 @@
     const engine_description &engine;
     /// Replicas that are believed dead although they are still listed.
     const std::set<instance_id> &suspects;
-    /// Of these the ones that several daemons found silent and none found alive: they cannot merely be cut off from one daemon.
-    const std::set<instance_id> &confirmedDead;
     /// Loads are quick and free until the first request.
     bool isBeforeTraffic = false;
     instant now;
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -130,8 +130,9 @@
     const auto patience = mayLeave ? m_state.policy.leavingHeadWait : m_state.policy.silentHeadWait;
     const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience && (mayLeave || !hasEntry);
     const bool isCut = group.hasTakenClose && group.closing == close_method::cut;
-    // A head that is cut off from everybody loses its entry before it gives up: it stands still and holds its group until the engines' stall
-    // time is over. Members were ordered elsewhere 0.3 s too early in a soak whose entries lapse after 1.2 s and whose groups stall for 1.5 s.
+    // A head that is cut off from everybody loses its entry before it gives up: it stands still and holds its group until the engines'
+    // stall time is over. Members were ordered elsewhere 0.3 s too early in a soak whose entries lapse after 1.2 s and whose groups stall
+    // for 1.5 s.
     if (isWaitOver || (group.headLostSince && isCut)) {
         m_state.deadHeads.insert(head.instance);
         dissolve(group, "its head is gone");
@@ -152,7 +153,8 @@
 void assembly_round::leave(planned_group &group)
 {
     auto &head = group.members.front();
-    const bool isGone = m_state.deadHeads.contains(head.instance) || isFoundDead(head.instance);
+    const bool isStallOver = m_view.now - group.stageSince >= m_state.policy.silentHeadWait;
+    const bool isGone = m_state.deadHeads.contains(head.instance) || (isStallOver && isSilentAndUnlisted(head.instance));
     if (group.hasLeft || isGone || !stateOf(group, head)) {
         erase(group, "its head has left");
     } else if (mayOrder(head)) {
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -74,8 +74,6 @@
 
 void assembly_round::noteSilence()
 {
-    std::erase_if(m_state.foundSilent, [&](const instance_id &id) { return !m_view.suspects.contains(id); });
-    m_state.foundSilent.insert(m_view.confirmedDead.begin(), m_view.confirmedDead.end());
     // One that says afterwards that it leaves has not crashed.
     std::erase_if(m_state.silentWhileListed, [&](const instance_id &id) {
         const auto *replica = find(id);
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -24,10 +24,10 @@
     return m_state.avoidedUntil.contains(instance);
 }
 
-bool assembly_round::isFoundDead(const instance_id &instance) const
+bool assembly_round::isSilentAndUnlisted(const instance_id &instance) const
 {
     const auto *replica = find(instance);
-    return m_state.foundSilent.contains(instance) && (replica == nullptr || replica->isUnlisted);
+    return m_view.suspects.contains(instance) && (replica == nullptr || replica->isUnlisted);
 }
 
 const group_model *assembly_round::findModel(const model_id &id) const
--- a/Libraries/Assembly/silent_replicas.cpp
+++ b/Libraries/Assembly/silent_replicas.cpp
@@ -29,15 +29,11 @@
                   [&](const auto &entry) { return entry.second <= now || !directory.replicas.contains(entry.first); });
     std::erase_if(silent.notLeaving,
                   [&](const instance_id &id) { return !silent.suspectedUntil.contains(id) || hasSpokenSince(directory, id); });
-    forgetOldLooks(silent.witnesses, now);
     silence_report report;
     for (const auto &[id, until] : silent.suspectedUntil) {
         report.suspects.insert(id);
     }
     report.notLeaving = silent.notLeaving;
-    // A leaving replica stops listening before it has finished: only one that does not leave is dead when it is silent.
-    report.dead = confirmedDead(silent.witnesses, now);
-    std::erase_if(report.dead, [&](const instance_id &id) { return !silent.notLeaving.contains(id); });
     return report;
 }
 
@@ -78,9 +74,8 @@
     return looked;
 }
 
-bool noteOwnLook(silent_replicas &silent, const instance_id &replica, const daemon_id &self, const direct_look &look)
+bool noteLook(silent_replicas &silent, const instance_id &replica, const direct_look &look)
 {
-    noteLook(silent.witnesses, replica, self, look);
     if (look.hasAnswered) {
         silent.suspectedUntil.erase(replica);
         silent.notLeaving.erase(replica);
--- a/Libraries/Assembly/silent_replicas.h
+++ b/Libraries/Assembly/silent_replicas.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include "Libraries/Assembly/death_witnesses.h"
+#include "Libraries/Base/instant.h"
 #include "Libraries/Routing/replica_directory.h"
 
 #include <map>
@@ -13,7 +13,14 @@
 /// A live replica answers a direct look within this time, also under load.
 constexpr duration lookTimeout(200);
 
-/// Replicas that did not answer when daemons looked at them directly, as the coordinator knows them.
+/// What the coordinator found when it looked at a replica directly.
+struct direct_look
+{
+    instant when;
+    bool hasAnswered = false;
+};
+
+/// Replicas that did not answer when the coordinator looked at them directly.
 struct silent_replicas
 {
     /// Believed dead until then, unless they answer or their entry goes.
@@ -21,15 +28,13 @@
     /// Of these the ones whose entry, read afterwards, said that they do not leave.
     std::set<instance_id> notLeaving;
     std::map<instance_id, instant> lastLooks;
-    death_witnesses witnesses;
 };
 
 /// What planning is told of them.
 struct silence_report
 {
     std::set<instance_id> suspects;
-    /// Of these the ones that do not leave and that several daemons found silent.
-    std::set<instance_id> dead;
+    /// Of these the ones that do not leave.
     std::set<instance_id> notLeaving;
 };
 
@@ -40,8 +45,8 @@
 /// The members of the group that a replica heads, as far as they were not looked at just now and are not suspected. Notes that they are.
 std::vector<served_replica>
 membersToLookAt(silent_replicas &silent, const replica_directory &directory, const instance_id &head, instant now);
-/// Takes in what the coordinator's own look found; true where the replica was not suspected before and is now.
-bool noteOwnLook(silent_replicas &silent, const instance_id &replica, const daemon_id &self, const direct_look &look);
+/// Takes in what a look found; true where the replica was not suspected before and is now.
+bool noteLook(silent_replicas &silent, const instance_id &replica, const direct_look &look);
 /// The head of the group that a replica says it stands in.
 std::optional<instance_id> headOfGroup(const replica_directory &directory, const served_replica &replica);
 
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -270,7 +270,6 @@
                                  service.id,
                                  *service.engine,
                                  silence.suspects,
-                                 silence.dead,
                                  !hasTraffic.load(),
                                  now,
                                  silence.notLeaving,
@@ -385,23 +384,14 @@
             looks.lookAtGroup(head);
             return;
         }
-        // The coordinator looks at once; whether the head answers this daemon follows, for a head that is cut off from the coordinator
-        // alone.
-        if (!feed.tellStall({settings.daemon, head, std::nullopt})) {
+        if (!feed.tellStall({settings.daemon, head})) {
             assemblyLog.write("stall_not_told", {{"head", head.value()}, {"why", "no coordinator is known"}});
-            return;
         }
-        looks.tellLook(head);
     }
 
     void hearStall(const stall_notice &notice)
     {
-        if (!holdsTerm(monotonicNow())) {
-            return;
-        }
-        if (notice.hasAnswered) {
-            looks.noteWitness(notice);
-        } else {
+        if (holdsTerm(monotonicNow())) {
             looks.lookAtGroup(notice.replica);
         }
     }
@@ -468,11 +458,6 @@
     d->hearStall(notice);
 }
 
-void assembly_runner::hearLook(const instance_id &replica)
-{
-    d->noticeWorkers.run([this, replica] { d->looks.tellLook(replica); });
-}
-
 void assembly_runner::noteStall(const instance_id &head)
 {
     if (d->mayNotice(head)) {
--- a/Libraries/Entry/assembly_runner.h
+++ b/Libraries/Entry/assembly_runner.h
@@ -39,8 +39,6 @@
     void noteStall(const instance_id &head);
     /// Another daemon tells of a group whose requests stand still.
     void hearStall(const stall_notice &notice);
-    /// The coordinator asks whether a replica answers this daemon.
-    void hearLook(const instance_id &replica);
 
 private:
     struct private_data;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -104,7 +104,6 @@
               counters,
               [this] { return relay.held.counts(); },
               [this](const stall_notice &notice) { assembly.hearStall(notice); },
-              [this](const look_request &request) { assembly.hearLook(request.replica); },
               [this](const group_doubt &doubt) { relay.doubt(doubt.head); })
         , assembly(settings, *keyValue, *dialect, store, feed, counters, [this] { return relay.held.counts(); })
         , relay(settings, *dialect, store, feed, view, counters, [this](const instance_id &head) { assembly.noteStall(head); })
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -24,8 +24,6 @@
 constexpr duration pushPeriod(120);
 /// A thread without anything to send looks this often whether it should stop.
 constexpr duration idlePeriod(250);
-/// Followers that are asked to look at a replica: twice the witnesses that are needed, since some are cut off or slow.
-constexpr std::size_t witnessesAsked = 8;
 constexpr std::size_t largestDatagram = 65536;
 
 endpoint endpointOf(const Poco::Net::SocketAddress &address)
@@ -42,7 +40,6 @@
     store_follower &store;
     std::function<std::vector<model_demand>()> heldHere;
     std::function<void(const stall_notice &)> didHearStall;
-    std::function<void(const look_request &)> didHearLook;
     std::function<void(const group_doubt &)> didHearDoubt;
     counter sent;
     counter received;
@@ -57,7 +54,6 @@
     /// Set with the first request, or from the start where the system runs already.
     std::atomic<bool> wantsReplicas = false;
     std::atomic<bool> isStopping = false;
-    std::atomic<std::uint64_t> looksAsked = 0;
     Poco::Net::DatagramSocket socket;
     std::thread thread;
 
@@ -66,14 +62,12 @@
                  metrics &counters,
                  std::function<std::vector<model_demand>()> held,
                  std::function<void(const stall_notice &)> hearStall,
-                 std::function<void(const look_request &)> hearLook,
                  std::function<void(const group_doubt &)> hearDoubt)
         : settings(entrySettings)
         , timing(feedTiming(entrySettings.configurationApply))
         , store(follows)
         , heldHere(std::move(held))
         , didHearStall(std::move(hearStall))
-        , didHearLook(std::move(hearLook))
         , didHearDoubt(std::move(hearDoubt))
         , sent(counters.addCounter("vetchpost_feed_datagrams_sent_total", "Datagrams sent to other daemons."))
         , received(counters.addCounter("vetchpost_feed_datagrams_received_total", "Datagrams received from other daemons."))
@@ -167,13 +161,6 @@
         return from == source;
     }
 
-    void take(const look_request &request, const endpoint &from)
-    {
-        if (isFromSource(from)) {
-            didHearLook(request);
-        }
-    }
-
     void take(const group_doubt &doubt, const endpoint &from)
     {
         if (isFromSource(from)) {
@@ -252,10 +239,8 @@
                      metrics &counters,
                      std::function<std::vector<model_demand>()> heldHere,
                      std::function<void(const stall_notice &)> didHearStall,
-                     std::function<void(const look_request &)> didHearLook,
                      std::function<void(const group_doubt &)> didHearDoubt)
-    : d(std::make_unique<private_data>(
-        settings, store, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearLook), std::move(didHearDoubt)))
+    : d(std::make_unique<private_data>(settings, store, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearDoubt)))
 {
 }
 
@@ -321,15 +306,9 @@
     return to.has_value();
 }
 
-void peer_feed::askForLooks(const instance_id &replica)
-{
-    const auto asked = d->looksAsked.fetch_add(witnessesAsked);
-    d->send({d->store.someFollowers(witnessesAsked, asked), look_request{replica}});
-}
-
 void peer_feed::tellDoubt(const instance_id &head)
 {
-    d->send({d->store.someFollowers(SIZE_MAX, 0), group_doubt{head}});
+    d->send({d->store.heardFollowers(), group_doubt{head}});
     d->didHearDoubt({head});
 }
 
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -21,7 +21,6 @@
               metrics &counters,
               std::function<std::vector<model_demand>()> heldHere,
               std::function<void(const stall_notice &)> didHearStall,
-              std::function<void(const look_request &)> didHearLook,
               std::function<void(const group_doubt &)> didHearDoubt);
     ~peer_feed();
     peer_feed(const peer_feed &) = delete;
--- a/Libraries/Entry/replica_looks.cpp
+++ b/Libraries/Entry/replica_looks.cpp
@@ -76,7 +76,7 @@
         bool isNew = false;
         {
             const std::lock_guard lock(mutex);
-            isNew = noteOwnLook(silent, replica.id, settings.daemon, {monotonicNow(), hasAnswered});
+            isNew = noteLook(silent, replica.id, {monotonicNow(), hasAnswered});
         }
         if (!hasAnswered) {
             didChange();
@@ -88,7 +88,6 @@
             figures.noteFound(*head, monotonicNow());
             feed.tellDoubt(*head);
         }
-        feed.askForLooks(replica.id);
         checkLeaving(replica.id);
     }
 
@@ -165,28 +164,4 @@
     d->lookAtAll(looked);
 }
 
-void replica_looks::noteWitness(const stall_notice &notice)
-{
-    if (!notice.hasAnswered) {
-        return;
-    }
-    {
-        const std::lock_guard lock(d->mutex);
-        noteLook(d->silent.witnesses, notice.replica, notice.from, {monotonicNow(), *notice.hasAnswered});
-    }
-    if (!*notice.hasAnswered) {
-        d->didChange();
-    }
-}
-
-void replica_looks::tellLook(const instance_id &id)
-{
-    const auto directory = d->store.directory();
-    const auto found = directory->replicas.find(id);
-    if (found != directory->replicas.end()) {
-        reason why;
-        d->feed.tellStall({d->settings.daemon, id, d->answers(found->second, why)});
-    }
-}
-
 } // namespace vetchpost
--- a/Libraries/Entry/replica_looks.h
+++ b/Libraries/Entry/replica_looks.h
@@ -36,10 +36,6 @@
     silence_report report(const replica_directory &directory, instant now);
     /// As the coordinator: looks at all members of a group.
     void lookAtGroup(const instance_id &head);
-    /// As the coordinator: takes in what another daemon found.
-    void noteWitness(const stall_notice &notice);
-    /// Looks at a replica at once, on the caller's thread, and tells the coordinator; nothing where it is not listed any more.
-    void tellLook(const instance_id &id);
 
 private:
     struct private_data;
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -524,10 +524,10 @@
     return demandOf(d->feed, service, monotonicNow());
 }
 
-std::vector<endpoint> store_follower::someFollowers(std::size_t count, std::uint64_t draw) const
+std::vector<endpoint> store_follower::heardFollowers() const
 {
     const std::lock_guard lock(d->mutex);
-    return vetchpost::someFollowers(d->feed, count, draw, monotonicNow());
+    return vetchpost::heardFollowers(d->feed, monotonicNow());
 }
 
 int store_follower::daemonsHeard() const
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -48,8 +48,8 @@
     std::vector<feed_datagram> endOfFeed();
     /// Requests of each model that the followers hold.
     std::map<model_id, int> followersDemand(const service_id &service) const;
-    /// Some of the followers that were heard lately.
-    std::vector<endpoint> someFollowers(std::size_t count, std::uint64_t draw) const;
+    /// The followers that were heard lately.
+    std::vector<endpoint> heardFollowers() const;
     /// Followers that were heard lately, and this daemon.
     int daemonsHeard() const;
 
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -13,7 +13,6 @@
 constexpr auto subscriptionKind = "subscribe";
 constexpr auto updateKind = "update";
 constexpr auto stallKind = "stall";
-constexpr auto lookKind = "look";
 constexpr auto doubtKind = "doubt";
 constexpr auto endKind = "end";
 constexpr auto fromField = "from";
@@ -32,7 +31,6 @@
 constexpr auto changesField = "changes";
 constexpr auto historyLostField = "lost";
 constexpr auto replicaField = "replica";
-constexpr auto answeredField = "answered";
 
 Json::Value number(std::uint64_t value)
 {
@@ -85,17 +83,6 @@
     json[kindField] = stallKind;
     json[fromField] = message.from.value();
     json[replicaField] = message.replica.value();
-    if (message.hasAnswered) {
-        json[answeredField] = *message.hasAnswered;
-    }
-    return json;
-}
-
-Json::Value encoded(const look_request &message)
-{
-    Json::Value json;
-    json[kindField] = lookKind;
-    json[replicaField] = message.replica.value();
     return json;
 }
 
@@ -154,15 +141,6 @@
     return update;
 }
 
-stall_notice decodedStall(const Json::Value &json)
-{
-    stall_notice notice{daemon_id(jsonString(json, fromField)), instance_id(jsonString(json, replicaField)), std::nullopt};
-    if (json.isMember(answeredField)) {
-        notice.hasAnswered = jsonFlag(json, answeredField);
-    }
-    return notice;
-}
-
 } // namespace
 
 std::string encodeFeedMessage(const feed_message &message)
@@ -185,10 +163,7 @@
         return update ? std::optional<feed_message>(std::move(*update)) : std::nullopt;
     }
     if (kind == stallKind) {
-        return decodedStall(*json);
-    }
-    if (kind == lookKind) {
-        return look_request{instance_id(jsonString(*json, replicaField))};
+        return stall_notice{daemon_id(jsonString(*json, fromField)), instance_id(jsonString(*json, replicaField))};
     }
     if (kind == doubtKind) {
         return group_doubt{instance_id(jsonString(*json, replicaField))};
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -69,19 +69,11 @@
     bool isHistoryLost = false;
 };
 
-/// Requests at a replica stand still at a daemon, or the daemon was asked to look.
+/// Requests at a replica stand still at a daemon.
 struct stall_notice
 {
     daemon_id from;
     instance_id replica;
-    /// Whether the replica answered when the daemon looked at it directly; nothing before the look.
-    std::optional<bool> hasAnswered;
-};
-
-/// The source asks a follower to look at a replica directly and to tell what it found by a stall_notice.
-struct look_request
-{
-    instance_id replica;
 };
 
 /// The source found a member of a group silent: requests that wait at the group's head had better go elsewhere.
@@ -95,7 +87,7 @@
 {
 };
 
-using feed_message = std::variant<feed_subscription, feed_update, stall_notice, look_request, group_doubt, feed_end>;
+using feed_message = std::variant<feed_subscription, feed_update, stall_notice, group_doubt, feed_end>;
 
 std::string encodeFeedMessage(const feed_message &message);
 /// Nothing where the bytes are no message.
--- a/Libraries/Feed/feed_source.cpp
+++ b/Libraries/Feed/feed_source.cpp
@@ -175,7 +175,7 @@
     return datagrams;
 }
 
-std::vector<endpoint> someFollowers(const feed_source &source, std::size_t count, std::uint64_t draw, instant now)
+std::vector<endpoint> heardFollowers(const feed_source &source, instant now)
 {
     std::vector<endpoint> followers;
     for (const auto &[id, subscriber] : source.subscribers) {
@@ -183,10 +183,6 @@
             followers.push_back(subscriber.address);
         }
     }
-    if (!followers.empty()) {
-        std::rotate(followers.begin(), followers.begin() + static_cast<std::ptrdiff_t>(draw % followers.size()), followers.end());
-    }
-    followers.resize(std::min(followers.size(), count));
     return followers;
 }
 
--- a/Libraries/Feed/feed_source.h
+++ b/Libraries/Feed/feed_source.h
@@ -60,8 +60,8 @@
 answerSubscription(feed_source &source, const feed_subscription &subscription, const endpoint &from, instant now);
 /// What the followers that were heard lately have not been sent yet.
 std::vector<feed_datagram> pendingPushes(feed_source &source, instant now);
-/// Followers that were heard lately, at most \a count of them, beginning at a place that \a draw picks.
-std::vector<endpoint> someFollowers(const feed_source &source, std::size_t count, std::uint64_t draw, instant now);
+/// The followers that were heard lately.
+std::vector<endpoint> heardFollowers(const feed_source &source, instant now);
 /// Requests of each model of a service that the followers hold.
 std::map<model_id, int> demandOf(const feed_source &source, const service_id &service, instant now);
 /// How many daemons there are, this one included.
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -25,7 +25,6 @@
 /// A replica's entry goes after three heartbeats; the daemons whose requests stand still find it silent much sooner.
 constexpr duration lapseTime(3600);
 constexpr duration suspicionTime(600);
-constexpr duration confirmationTime(800);
 
 } // namespace
 
@@ -264,16 +263,12 @@
 void assembly_world::plan()
 {
     std::set<instance_id> suspects;
-    std::set<instance_id> confirmed;
     for (const auto &[id, when] : m_died) {
         if (m_detectsDeaths && m_now - when >= suspicionTime) {
             suspects.insert(id);
         }
-        if (m_detectsDeaths && m_now - when >= confirmationTime) {
-            confirmed.insert(id);
-        }
     }
-    const assembly_view view{m_directory, m_service, m_engine, suspects, confirmed, !m_hasTraffic, m_now, suspects};
+    const assembly_view view{m_directory, m_service, m_engine, suspects, !m_hasTraffic, m_now, suspects};
     for (auto &order : planAssembly(m_state, view)) {
         const bool isLate = m_now < m_ordersLateUntil && random() % 2 == 0;
         const bool isLost = isLate || (m_now < m_answersLostUntil && random() % 2 == 0);
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -150,7 +150,7 @@
     int loads = 0;
     for (int i = 0; i < 40; ++i) {
         for (const auto &order :
-             planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + duration(1000) * i})) {
+             planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + duration(1000) * i})) {
             REQUIRE(order.kind == order_kind::stage);
             noteOrderResult(state, order, {order_result::taken, 0}, now + duration(1000) * i);
             directory.replicas.at(replica.id).staged = {order.model};
@@ -175,7 +175,7 @@
     }
     assembly_state state;
     state.term = 1;
-    planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now});
+    planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now});
     // Six of the seven replicas of each domain can stand in groups of two and four.
     CHECK(state.usable == 36);
 }
@@ -206,7 +206,7 @@
             state.groups.begin(), state.groups.end(), [](const auto &entry) { return entry.second.stage == assembly_stage::closing; });
     };
     for (int i = 0; i < 20; ++i) {
-        planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + duration(200) * i});
+        planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + duration(200) * i});
     }
     // By their shares sixteen replicas make three large groups and two small ones.
     CHECK(giving() == 1);
@@ -230,8 +230,7 @@
     state.term = 1;
     const auto loadsAt = [&](duration after) {
         std::vector<instance_id> loaded;
-        for (const auto &order :
-             planAssembly(state, {directory, service_id("large"), world.engine(), silent, nobody, false, now + after})) {
+        for (const auto &order : planAssembly(state, {directory, service_id("large"), world.engine(), silent, false, now + after})) {
             loaded.push_back(order.to);
             noteOrderResult(state, order, {order_result::taken, 0}, now + after);
         }
--- a/Tests/Assembly/testLostHeads.cpp
+++ b/Tests/Assembly/testLostHeads.cpp
@@ -50,7 +50,7 @@
     assembly_state state;
     state.term = 2;
     const auto closesAt = [&](duration after, const std::set<instance_id> &suspects) {
-        const auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), suspects, nobody, false, now + after});
+        const auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), suspects, false, now + after});
         return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) { return order.kind == order_kind::close; });
     };
     CHECK_FALSE(closesAt(duration(0), nobody));
@@ -97,7 +97,7 @@
     state.term = 2;
     const auto ordersAt = [&](instant when) {
         const auto silentThen = when == now ? std::set<instance_id>() : silent;
-        return planAssembly(state, {directory, service_id("large"), world.engine(), silentThen, silentThen, false, when});
+        return planAssembly(state, {directory, service_id("large"), world.engine(), silentThen, false, when});
     };
     // It has taken the order to finish; from then on nobody reaches it.
     for (const auto &order : ordersAt(now)) {
@@ -123,23 +123,16 @@
     silent_head()
     {
         m_state.term = 2;
-        round({}, false, duration(0));
+        round({}, duration(0));
     }
 
-    /// \a isConfirmed: several daemons found it silent. \a isStaying: its entry, read anew, says that it does not leave.
-    void round(const std::set<instance_id> &suspects, bool isConfirmed, duration after, bool isStaying = false)
+    /// \a isStaying: its entry, read anew, says that it does not leave.
+    void round(const std::set<instance_id> &suspects, duration after, bool isStaying = false)
     {
         const std::set<instance_id> nobody;
         const auto now = instant(duration(1000000)) + after;
-        const auto orders = planAssembly(m_state,
-                                         {directory,
-                                          service_id("large"),
-                                          m_world.engine(),
-                                          suspects,
-                                          isConfirmed ? suspects : nobody,
-                                          false,
-                                          now,
-                                          isStaying ? suspects : nobody});
+        const auto orders = planAssembly(
+            m_state, {directory, service_id("large"), m_world.engine(), suspects, false, now, isStaying ? suspects : nobody});
         for (const auto &order : orders) {
             noteOrderResult(m_state, order, {order_result::unknown, 0}, now);
         }
@@ -165,26 +158,26 @@
 {
     silent_head world;
     CHECK(world.hasGroup());
-    world.round(world.head, false, duration(600), true);
+    world.round(world.head, duration(600), true);
     markUnlisted(world.directory.replicas[instance_id("head")]);
-    world.round(world.head, false, duration(4000));
+    world.round(world.head, duration(4000));
     CHECK(world.hasGroup());
-    world.round(world.head, false, duration(600) + world.policy.silentHeadWait);
-    world.round(world.head, false, duration(700) + world.policy.silentHeadWait);
+    world.round(world.head, duration(600) + world.policy.silentHeadWait);
+    world.round(world.head, duration(700) + world.policy.silentHeadWait);
     CHECK_FALSE(world.hasGroup());
 }
 
-TEST_CASE("A head that several daemons found silent keeps its group while it may be leaving, though the directory does not say so")
+TEST_CASE("A silent head keeps its group while it may be leaving, though the directory does not say so")
 {
     silent_head world;
     // The service's watch told nothing for a while: the head may have stopped listening and still finish requests.
-    world.round(world.head, true, duration(600));
-    world.round(world.head, true, duration(800));
+    world.round(world.head, duration(600));
+    world.round(world.head, duration(800));
     CHECK(world.hasGroup());
-    world.round(world.head, true, duration(700) + world.policy.silentHeadWait);
+    world.round(world.head, duration(700) + world.policy.silentHeadWait);
     CHECK(world.hasGroup());
-    world.round(world.head, true, duration(700) + world.policy.leavingHeadWait);
-    world.round(world.head, true, duration(800) + world.policy.leavingHeadWait);
+    world.round(world.head, duration(700) + world.policy.leavingHeadWait);
+    world.round(world.head, duration(800) + world.policy.leavingHeadWait);
     CHECK_FALSE(world.hasGroup());
 }
 
@@ -192,12 +185,11 @@
 // six seconds, but not from its members and not from the key-value service. Eight daemons that were asked to look found it silent, and none
 // found it alive; half a second after the cut its group was given up. The evidence: the entry was read anew, was there and did not say that
 // the replica leaves; a replica that has crashed loses its entry after three heartbeats.
-TEST_CASE("A head that several daemons found silent, and that does not leave, keeps its group as long as its entry is there")
+TEST_CASE("A silent head that does not leave keeps its group as long as its entry is there")
 {
     silent_head world;
     for (int i = 0; i < 40; ++i) {
-        // Looks are not asked for again.
-        world.round(world.head, i < 10, duration(600) + duration(200) * i, true);
+        world.round(world.head, duration(600) + duration(200) * i, true);
         CHECK(world.hasGroup());
     }
 }
@@ -205,32 +197,32 @@
 // The soak's seed 301: a head was cut off from its members, the daemons and the key-value service at once. Its entry lapsed before the
 // stall time was over, several daemons had found it silent, and its members joined another group while it stood still and was not yet
 // broken.
-TEST_CASE("A head that several daemons found silent, and whose entry goes, keeps its group until the stall time is over")
+TEST_CASE("A silent head whose entry goes keeps its group until the stall time is over")
 {
     silent_head world;
-    world.round(world.head, true, duration(600), true);
-    world.round(world.head, true, duration(3800));
+    world.round(world.head, duration(600), true);
+    world.round(world.head, duration(3800));
     CHECK(world.hasGroup());
     markUnlisted(world.directory.replicas[instance_id("head")]);
     for (duration after(3900); after < duration(600) + world.policy.silentHeadWait; after += duration(100)) {
-        world.round(world.head, true, after);
+        world.round(world.head, after);
         CHECK(world.hasGroup());
     }
-    world.round(world.head, true, duration(600) + world.policy.silentHeadWait);
-    world.round(world.head, true, duration(700) + world.policy.silentHeadWait);
+    world.round(world.head, duration(600) + world.policy.silentHeadWait);
+    world.round(world.head, duration(700) + world.policy.silentHeadWait);
     CHECK_FALSE(world.hasGroup());
 }
 
 TEST_CASE("A head that was found silent by mistake and begins to leave then keeps its group until it has finished")
 {
     silent_head world;
-    world.round(world.head, false, duration(600), true);
+    world.round(world.head, duration(600), true);
     world.directory.replicas.at(instance_id("head")).isDraining = true;
-    world.round(world.head, false, duration(2000));
-    world.round(world.head, true, duration(3000));
-    world.round(world.head, true, duration(1500) + world.policy.silentHeadWait);
+    world.round(world.head, duration(2000));
+    world.round(world.head, duration(3000));
+    world.round(world.head, duration(1500) + world.policy.silentHeadWait);
     CHECK(world.hasGroup());
-    world.round(world.head, true, duration(1500) + world.policy.leavingHeadWait);
+    world.round(world.head, duration(1500) + world.policy.leavingHeadWait);
     CHECK_FALSE(world.hasGroup());
 }
 
@@ -261,7 +253,7 @@
     assembly_state state;
     state.term = 2;
     const auto ordersAt = [&](duration after) {
-        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after, {}, now});
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + after, {}, now});
         for (const auto &order : orders) {
             noteOrderResult(state, order, {order_result::taken, 0}, now + after);
         }
@@ -282,7 +274,7 @@
     SECTION("the successor has followed the entries for long: the head has had the time to end")
     {
         const auto orders = planAssembly(
-            state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now, {}, now - state.policy.leavingHeadWait});
+            state, {directory, service_id("large"), world.engine(), nobody, false, now, {}, now - state.policy.leavingHeadWait});
         CHECK(hasJoin(orders));
     }
 
@@ -313,7 +305,7 @@
     assembly_state state;
     state.term = 2;
     const auto ordersAt = [&](duration after) {
-        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after, {}, now});
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + after, {}, now});
         for (const auto &order : orders) {
             noteOrderResult(state, order, {order_result::taken, 0}, now + after);
         }
@@ -349,7 +341,7 @@
     assembly_state state;
     state.term = 2;
     const auto hasJoinAt = [&](duration after) {
-        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after, {}, now});
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + after, {}, now});
         for (const auto &order : orders) {
             noteOrderResult(state, order, {order_result::taken, 0}, now + after);
         }
@@ -380,8 +372,7 @@
     assembly_state state;
     state.term = 2;
     const auto ordersAt = [&](duration after, const std::set<instance_id> &suspects, order_result result) {
-        auto orders
-            = planAssembly(state, {directory, service_id("large"), world.engine(), suspects, suspects, false, now + after, suspects});
+        auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), suspects, false, now + after, suspects});
         for (const auto &order : orders) {
             noteOrderResult(state, order, {result, 0}, now + after);
         }
@@ -431,7 +422,7 @@
     assembly_state state;
     state.term = 2;
     const auto ordersAt = [&](duration after, const std::set<instance_id> &suspects) {
-        return planAssembly(state, {directory, service_id("large"), world.engine(), suspects, nobody, false, now + after, suspects});
+        return planAssembly(state, {directory, service_id("large"), world.engine(), suspects, false, now + after, suspects});
     };
     const auto isClose = [](const replica_order &order) { return order.kind == order_kind::close; };
     ordersAt(duration(0), nobody);
@@ -476,7 +467,7 @@
     bool isOpen = false;
     for (int i = 0; i < 60 && !isOpen; ++i) {
         const auto when = now + duration(100) * i;
-        for (const auto &order : planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, when})) {
+        for (const auto &order : planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, when})) {
             auto &replica = directory.replicas.at(order.to);
             if (order.kind == order_kind::look) {
                 noteOrderResult(state, order, {order_result::taken, taken[order.to]}, when);
@@ -520,7 +511,7 @@
     std::vector<order_kind> toHead;
     for (int i = 0; i < 60; ++i) {
         const auto when = now + duration(20) * i;
-        for (const auto &order : planAssembly(state, {directory, service_id("large"), world.engine(), silent, nobody, false, when})) {
+        for (const auto &order : planAssembly(state, {directory, service_id("large"), world.engine(), silent, false, when})) {
             if (order.kind == order_kind::open) {
                 open = order;
                 silent.insert(order.members.back());
@@ -555,7 +546,7 @@
     state.term = 2;
     directory.leavingSince[instance_id("member")] = now - state.policy.leavingStay + duration(1000);
     const auto closesAt = [&](duration after) {
-        const auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, nobody, false, now + after});
+        const auto orders = planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + after});
         return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) { return order.kind == order_kind::close; });
     };
     CHECK_FALSE(closesAt(duration(0)));
