Entry: Do not take a removal that is told twice for a replica that had said it leaves

Cause: found by reading: the removal of an entry comes by the source and by the service's watch with the same revision; the second one saw a replica that counts as leaving already and noted that it had announced it, so that its group was closed at once after all. Change: noted only with the first removal. The test tells it twice (it failed before).

--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -54,7 +54,10 @@
         return;
     }
     entries.directory.leavingSince.try_emplace(replica, now);
-    known->second.hasAnnounced = known->second.isDraining;
+    if (!known->second.isUnlisted) {
+        // The same removal may be told twice, by the source and by the service.
+        known->second.hasAnnounced = known->second.isDraining;
+    }
     known->second.isDraining = true;
     known->second.isUnlisted = true;
     entries.unlisted.try_emplace(replica, now + unlistedStay);
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -121,8 +121,10 @@
     auto member = replica("a", 2);
     member.replica->membership = {group_id("g"), formation(1), 1, member_state::ready};
     takeChange(entries, member, now);
-    takeChange(entries, removal("a", 3), now);
-    CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).hasAnnounced);
+    for (int told = 0; told < 2; ++told) {
+        takeChange(entries, removal("a", 3), now);
+        CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).hasAnnounced);
+    }
     member.revision = 4;
     member.replica->isDraining = true;
     takeChange(entries, member, now);
