Assembly: Do not take a group apart because its model has more than it needs

A model above its target gave a group to one that lacked a fifth of its own; both then miss a group for the seconds of closing and forming, and the targets of the two move with the losses.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -66,11 +66,9 @@
     void formExtra();
     bool isBusy(const fabric_domain_id &domain) const;
     planned_group *victimFor(const group_model &model);
-    void preemptSurplus();
-    planned_group *surplusFor(const group_model &model);
     int readyWith(const planned_group &group, const model_id &model) const;
     static int quickCount(const std::vector<const served_replica *> &replicas, const model_id &model);
-    double partWithoutEnding(const group_model &model, int more = 0) const;
+    double partWithoutEnding(const group_model &model) const;
     std::vector<const served_replica *> availableFor(const group_model &model, const fabric_domain_id &domain) const;
     const fabric_domain_id *bestDomain(const group_model &model) const;
     std::vector<const served_replica *> soonest(std::vector<const served_replica *> replicas, const group_model &model) const;
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -148,7 +148,7 @@
     duration silentHeadWait{5000};
     /// A smaller group gives way only where its model then still has so much more of its groups than the larger one.
     double preemptionGain = 0.1;
-    /// Below this part of its groups a model lacks much: a model that can spare a group gives it.
+    /// Below this part of its groups a model lacks much: all that the weight store feeds at a time may then prepare hosts for it.
     double muchLacking = 0.8;
     /// A replica that is ready for a group which cannot be formed yet is given to another model after this time.
     duration idleGrace{3000};
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -164,43 +164,6 @@
     }
 }
 
-/// Takes a group apart of a model that has more than it needs, where its members are ready for a model that lacks much. The other way round
-/// than above it may also be the larger group that gives way: its model keeps what it needs.
-void assembly_round::preemptSurplus()
-{
-    for (const auto *model : modelsBySize()) {
-        if (presentPart(*model) >= m_state.policy.muchLacking || bestDomain(*model) != nullptr) {
-            continue;
-        }
-        if (auto *victim = surplusFor(*model)) {
-            beginClose(*victim, close_method::finish, "its model has more than it needs, and " + model->id.value() + " lacks much");
-            return;
-        }
-    }
-}
-
-/// Of the groups that can be spared the one whose members and free neighbours make the most groups of the model.
-planned_group *assembly_round::surplusFor(const group_model &model)
-{
-    planned_group *best = nullptr;
-    int mostReady = model.size - 1;
-    for (auto &[id, group] : m_state.groups) {
-        const auto *other = findModel(group.model);
-        const auto *head = find(group.members.front().instance);
-        const bool isSpare = group.stage == assembly_stage::serving && other != nullptr && other->id != model.id && head != nullptr
-            && partWithoutEnding(*other, -1) >= 1;
-        if (!isSpare || isBusy(head->domain)) {
-            continue;
-        }
-        const auto ready = readyWith(group, model.id);
-        if (ready > mostReady) {
-            best = &group;
-            mostReady = ready;
-        }
-    }
-    return best;
-}
-
 /// How many members of a group and free replicas of its domain are ready for a model.
 int assembly_round::readyWith(const planned_group &group, const model_id &model) const
 {
@@ -277,10 +240,10 @@
 }
 
 /// The part of a model's wanted groups that is there, without those that are about to end.
-double assembly_round::partWithoutEnding(const group_model &model, int more) const
+double assembly_round::partWithoutEnding(const group_model &model) const
 {
     const auto target = m_targets.at(model.id);
-    return target == 0 ? 1.0 : static_cast<double>(countOf(model.id).staying + more) / target;
+    return target == 0 ? 1.0 : static_cast<double>(countOf(model.id).staying) / target;
 }
 
 /// The free replicas of a domain that a model may use: not those that are ready for a model which lacks more of its groups, as long as a
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -53,7 +53,6 @@
         return std::move(m_orders);
     }
     preemptForLarger();
-    preemptSurplus();
     formGroups();
     formExtra();
     stageSpares();
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -180,38 +180,6 @@
     CHECK(state.usable == 36);
 }
 
-TEST_CASE("A model that has more than it needs gives a group to one that lacks much, but keeps what it needs")
-{
-    const instant now(duration(1000000));
-    const assembly_world world(1, 1, 1);
-    const std::set<instance_id> nobody;
-    replica_directory directory;
-    // Two domains with two large groups each, whose hosts hold the small model's weights.
-    for (int i = 0; i < 16; ++i) {
-        served_replica replica;
-        replica.id = instance_id("r" + std::to_string(100 + i));
-        replica.service = service_id("large");
-        replica.domain = fabric_domain_id("rack" + std::to_string(i / 8));
-        replica.model = big;
-        replica.staged = {small};
-        const auto group = static_cast<std::uint64_t>(i) / 4 + 1;
-        const auto state = i % 4 == 0 ? member_state::open : member_state::ready;
-        replica.membership = {group_id("g" + std::to_string(group)), formation(group), i % 4, state};
-        directory.replicas[replica.id] = replica;
-    }
-    assembly_state state;
-    state.term = 2;
-    const auto giving = [&] {
-        return std::count_if(
-            state.groups.begin(), state.groups.end(), [](const auto &entry) { return entry.second.stage == assembly_stage::closing; });
-    };
-    for (int i = 0; i < 20; ++i) {
-        planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + duration(200) * i});
-    }
-    // By their shares sixteen replicas make three large groups and two small ones.
-    CHECK(giving() == 1);
-}
-
 TEST_CASE("A load on a replica that died makes room for another one")
 {
     const instant now(duration(1000000));
