Entry: Drop the settings that direct looks no longer use

Ruled out: nothing else reads them there. Change: the parameter, the member and the include go; behaviour is the same.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -86,7 +86,7 @@
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , figures(counters)
         , hasTraffic(!entrySettings.isFirstStart)
-        , looks(entrySettings, service, words, follower, peers, figures, [this] { planSoon(); })
+        , looks(service, words, follower, peers, figures, [this] { planSoon(); })
     {
     }
 
--- a/Libraries/Entry/replica_looks.cpp
+++ b/Libraries/Entry/replica_looks.cpp
@@ -19,7 +19,6 @@
 
 struct replica_looks::private_data
 {
-    const entry_settings &settings;
     key_value_service &keyValue;
     const entry_dialect &dialect;
     store_follower &store;
@@ -30,15 +29,13 @@
     silent_replicas silent;
     worker_pool workers{lookThreads};
 
-    private_data(const entry_settings &entrySettings,
-                 key_value_service &service,
+    private_data(key_value_service &service,
                  const entry_dialect &words,
                  store_follower &follower,
                  peer_feed &peers,
                  assembly_figures &groupFigures,
                  std::function<void()> tellChange)
-        : settings(entrySettings)
-        , keyValue(service)
+        : keyValue(service)
         , dialect(words)
         , store(follower)
         , feed(peers)
@@ -111,14 +108,13 @@
     }
 };
 
-replica_looks::replica_looks(const entry_settings &settings,
-                             key_value_service &keyValue,
+replica_looks::replica_looks(key_value_service &keyValue,
                              const entry_dialect &dialect,
                              store_follower &store,
                              peer_feed &feed,
                              assembly_figures &figures,
                              std::function<void()> didChange)
-    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, figures, std::move(didChange)))
+    : d(std::make_unique<private_data>(keyValue, dialect, store, feed, figures, std::move(didChange)))
 {
 }
 
--- a/Libraries/Entry/replica_looks.h
+++ b/Libraries/Entry/replica_looks.h
@@ -6,7 +6,6 @@
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/store_follower.h"
-#include "Libraries/Settings/entry_settings.h"
 
 #include <functional>
 #include <memory>
@@ -18,8 +17,7 @@
 {
 public:
     /// \a didChange is called when something was found that planning should know.
-    replica_looks(const entry_settings &settings,
-                  key_value_service &keyValue,
+    replica_looks(key_value_service &keyValue,
                   const entry_dialect &dialect,
                   store_follower &store,
                   peer_feed &feed,
