Platform, Assembly, Entry: Tell the lives of a replica apart, and pass over entries of other writers

A replica that started again under its id kept here the model, the orders taken, the loads, the leaving time, the suspicion and the load record of its earlier life; an entry that could not be read left the last good one in force, an unknown state counted as ready, half a place in a group as "broken".

Ruled out: a number that only rises (a clock may be set back, and the living replica would be refused for ever); keeping the last good entry (it names an address that somebody else has written over).

Change: replica_life in entries, feed, orders and looks; what is known goes with the life; an answer to an order for an earlier life changes nothing; a group with a member or head that started again is formed anew at once. The stand-in of the platform writes foreign entries, and every second replica that crashes comes back under its id, so that the process tests and the soak play both.

The tests' oracle counted a member that lost its place by starting again as "never ready": the rule excuses a member that was ready and is lost, and it now keeps the highest formation over the lives of an id.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -21,6 +21,8 @@
     std::vector<replica_order> run();
 
 private:
+    void noteLives();
+    void forget(const instance_id &instance);
     void noteDraining();
     void noteSilence();
 
@@ -123,6 +125,8 @@
     /// Whether a live replica stands in no planned group.
     bool isUnused(const served_replica &replica) const;
     bool isAnyoneLost(const planned_group &group) const;
+    /// Whether the member has started again since it was given its place.
+    bool hasStartedAgain(const planned_member &member) const;
     static readiness readinessOf(const served_replica &replica, const model_id &model);
     duration joinPatience(const planned_group &group) const;
     bool isStagingOver(const instance_id &instance, const assembly_state::staging &staging) const;
--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -95,7 +95,8 @@
 void noteOrdersTaken(assembly_state &state, const replica_order &order, const order_answer &answer)
 {
     if (order.kind == order_kind::look) {
-        if (answer.result == order_result::taken) {
+        const bool isOfAnotherLife = answer.life != replica_life() && isAnotherLife(answer.life, order.life);
+        if (answer.result == order_result::taken && !isOfAnotherLife) {
             state.ordersTaken[order.to] = answer.ordersTaken;
         }
         return;
@@ -111,6 +112,13 @@
     }
 }
 
+/// Whether the replica has started again since the order was planned: the answer says nothing of what it is now.
+bool isOutlived(const assembly_state &state, const replica_order &order)
+{
+    const auto life = state.lives.find(order.to);
+    return life != state.lives.end() && isAnotherLife(life->second, order.life);
+}
+
 bool isDone(order_result result)
 {
     return result == order_result::taken || result == order_result::held;
@@ -120,6 +128,9 @@
 
 void noteOrderResult(assembly_state &state, const replica_order &order, const order_answer &answer, instant now)
 {
+    if (isOutlived(state, order)) {
+        return;
+    }
     const auto result = answer.result;
     noteOrdersTaken(state, order, answer);
     if (order.kind == order_kind::stage) {
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -52,6 +52,8 @@
     close_method method = close_method::finish;
     /// Of a join: it holds only while the replica has taken exactly so many orders. A copy of it that comes late then finds another number.
     std::uint64_t expectedOrders = 0;
+    /// The start of the replica that is meant.
+    replica_life life = {};
 };
 
 /// What came of an order.
@@ -73,6 +75,8 @@
 struct planned_member
 {
     instance_id instance;
+    /// The start that was given the place; a later one holds nothing of it.
+    replica_life life;
     /// Kept so that a head that vanished from the directory can still be asked to close.
     endpoint address;
     /// It has taken this group's join.
@@ -100,6 +104,8 @@
     order_result result = order_result::unknown;
     /// Of a look: how many orders the replica has taken.
     std::uint64_t ordersTaken = 0;
+    /// Of a look: the start that answered; "never" where it does not say.
+    replica_life life = {};
 };
 
 std::string_view assemblyStageName(assembly_stage stage);
@@ -176,6 +182,8 @@
     bool hasAdopted = false;
     /// When this term's first round was planned.
     instant since;
+    /// The start of each listed replica that the rest of this is about.
+    std::map<instance_id, replica_life> lives;
     /// How many orders each replica has taken, where it is known.
     std::map<instance_id, std::uint64_t> ordersTaken;
     std::map<group_id, planned_group> groups;
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -326,6 +326,7 @@
     for (const auto *replica : soonest(availableFor(model, domain), model)) {
         planned_member member;
         member.instance = replica->id;
+        member.life = replica->life;
         member.address = replica->address;
         group.members.push_back(member);
         if (readinessOf(*replica, model.id) == readiness::must_load) {
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -14,6 +14,7 @@
 {
     planned_member member;
     member.instance = replica.id;
+    member.life = replica.life;
     member.address = replica.address;
     member.hasJoined = true;
     return member;
@@ -30,6 +31,7 @@
     while (!m_state.loads.empty() && m_view.now - m_state.loads.front() >= m_state.policy.loadWindow) {
         m_state.loads.pop_front();
     }
+    noteLives();
     noteDraining();
     noteSilence();
     // One that is heard again, or is no longer suspected, may still hold requests: the dead do not come back under their names.
@@ -60,6 +62,31 @@
     return std::move(m_orders);
 }
 
+void assembly_round::noteLives()
+{
+    std::erase_if(m_state.lives, [&](const auto &entry) { return find(entry.first) == nullptr; });
+    for (const auto &[id, replica] : m_view.directory.replicas) {
+        const auto [known, isNew] = m_state.lives.try_emplace(id, replica.life);
+        if (!isNew && isAnotherLife(known->second, replica.life)) {
+            known->second = replica.life;
+            forget(id);
+        }
+    }
+}
+
+/// A replica that started again has taken no orders, loads nothing, leaves no more and has refused nothing. Its groups find out themselves.
+void assembly_round::forget(const instance_id &instance)
+{
+    m_state.ordersTaken.erase(instance);
+    m_state.stagings.erase(instance);
+    m_state.avoidedUntil.erase(instance);
+    m_state.drainingSince.erase(instance);
+    m_state.deadHeads.erase(instance);
+    m_state.silentWhileListed.erase(instance);
+    m_state.idleSince.erase(instance);
+    m_state.decisions.push_back(fmt::format("started again: instance={}", instance.value()));
+}
+
 void assembly_round::noteDraining()
 {
     for (const auto &[id, replica] : m_view.directory.replicas) {
@@ -172,7 +199,7 @@
         if (planned != m_state.groups.end() && planned->second.formed >= seen.formed) {
             continue;
         }
-        replica_order order{order_kind::close, head->id, head->address, seen.id, seen.formed, {}, {}, close_method::cut};
+        replica_order order{order_kind::close, head->id, head->address, seen.id, seen.formed, {}, {}, close_method::cut, 0, head->life};
         m_state.avoidedUntil[head->id] = m_view.now + m_state.policy.orderRetry;
         m_state.decisions.push_back(fmt::format("closing a head that no plan knows: group={} head={}", seen.id.value(), head->id.value()));
         m_orders.push_back(std::move(order));
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -70,6 +70,9 @@
         if (replica == nullptr) {
             return "a member is gone: " + member.instance.value();
         }
+        if (hasStartedAgain(member)) {
+            return "a member has started again: " + member.instance.value();
+        }
         if (replica->isDraining && mustReplaceNow(group, *replica)) {
             return "a member is about to leave: " + member.instance.value();
         }
@@ -122,10 +125,16 @@
 bool assembly_round::isAnyoneLost(const planned_group &group) const
 {
     return std::any_of(group.members.begin(), group.members.end(), [&](const planned_member &member) {
-        return find(member.instance) == nullptr || m_view.suspects.contains(member.instance);
+        return find(member.instance) == nullptr || m_view.suspects.contains(member.instance) || hasStartedAgain(member);
     });
 }
 
+bool assembly_round::hasStartedAgain(const planned_member &member) const
+{
+    const auto *replica = find(member.instance);
+    return replica != nullptr && isAnotherLife(replica->life, member.life);
+}
+
 readiness assembly_round::readinessOf(const served_replica &replica, const model_id &model)
 {
     if (replica.model == model) {
@@ -223,6 +232,7 @@
         order.kind = known ? kind : order_kind::look;
         order.expectedOrders = known.value_or(0);
     }
+    order.life = member.life;
     for (const auto &other : group.members) {
         order.members.push_back(other.instance);
     }
--- a/Libraries/Assembly/silent_replicas.cpp
+++ b/Libraries/Assembly/silent_replicas.cpp
@@ -21,16 +21,21 @@
     return found != directory.replicas.end() && saysItLeaves(found->second);
 }
 
+bool isOver(const suspicion &suspected, const replica_directory &directory, const instance_id &id, instant now)
+{
+    const auto found = directory.replicas.find(id);
+    return suspected.until <= now || found == directory.replicas.end() || isAnotherLife(found->second.life, suspected.life);
+}
+
 } // namespace
 
 silence_report reportSilence(silent_replicas &silent, const replica_directory &directory, instant now)
 {
-    std::erase_if(silent.suspectedUntil,
-                  [&](const auto &entry) { return entry.second <= now || !directory.replicas.contains(entry.first); });
+    std::erase_if(silent.suspected, [&](const auto &entry) { return isOver(entry.second, directory, entry.first, now); });
     std::erase_if(silent.notLeaving,
-                  [&](const instance_id &id) { return !silent.suspectedUntil.contains(id) || hasSpokenSince(directory, id); });
+                  [&](const instance_id &id) { return !silent.suspected.contains(id) || hasSpokenSince(directory, id); });
     silence_report report;
-    for (const auto &[id, until] : silent.suspectedUntil) {
+    for (const auto &[id, suspected] : silent.suspected) {
         report.suspects.insert(id);
     }
     report.notLeaving = silent.notLeaving;
@@ -42,7 +47,7 @@
     std::vector<served_replica> looked;
     for (const auto &[id, replica] : directory.replicas) {
         auto &last = silent.lastLooks[id];
-        const auto period = silent.suspectedUntil.contains(id) ? silentLookPeriod : unlistedLookPeriod;
+        const auto period = silent.suspected.contains(id) ? silentLookPeriod : unlistedLookPeriod;
         if (replica.isUnlisted && now - last >= period) {
             last = now;
             looked.push_back(replica);
@@ -62,7 +67,7 @@
     }
     for (const auto &[id, replica] : directory.replicas) {
         const bool isMember = replica.membership && replica.membership->group == found->second.membership->group;
-        if (!isMember || silent.suspectedUntil.contains(id)) {
+        if (!isMember || silent.suspected.contains(id)) {
             continue;
         }
         auto &last = silent.lastLooks[id];
@@ -77,12 +82,13 @@
 bool noteLook(silent_replicas &silent, const instance_id &replica, const direct_look &look)
 {
     if (look.hasAnswered) {
-        silent.suspectedUntil.erase(replica);
+        silent.suspected.erase(replica);
         silent.notLeaving.erase(replica);
         return false;
     }
-    const bool isNew = !silent.suspectedUntil.contains(replica);
-    silent.suspectedUntil[replica] = look.when + suspicionTime;
+    const auto known = silent.suspected.find(replica);
+    const bool isNew = known == silent.suspected.end() || isAnotherLife(known->second.life, look.life);
+    silent.suspected[replica] = {look.when + suspicionTime, look.life};
     return isNew;
 }
 
--- a/Libraries/Assembly/silent_replicas.h
+++ b/Libraries/Assembly/silent_replicas.h
@@ -18,13 +18,22 @@
 {
     instant when;
     bool hasAnswered = false;
+    /// The start of the replica that was looked at.
+    replica_life life = {};
+};
+
+/// A replica that is believed dead.
+struct suspicion
+{
+    instant until;
+    replica_life life;
 };
 
 /// Replicas that did not answer when the coordinator looked at them directly.
 struct silent_replicas
 {
-    /// Believed dead until then, unless they answer or their entry goes.
-    std::map<instance_id, instant> suspectedUntil;
+    /// Believed dead, unless they answer, start again or their entry goes.
+    std::map<instance_id, suspicion> suspected;
     /// Of these the ones whose entry, read afterwards, said that they do not leave.
     std::set<instance_id> notLeaving;
     std::map<instance_id, instant> lastLooks;
--- a/Libraries/Base/identifier.h
+++ b/Libraries/Base/identifier.h
@@ -81,6 +81,9 @@
 using revision = sequence<struct revision_tag>;
 /// The number that tells one run of a process from the next.
 using incarnation = sequence<struct incarnation_tag>;
+/// Tells one start of a replica from the next under the same id. Lives compare as equal or not: the number may go down where a clock was
+/// set back.
+using replica_life = sequence<struct replica_life_tag>;
 
 } // namespace vetchpost
 
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -115,8 +115,8 @@
 
 backend entry_view_builder::makeBackend(const served_replica &replica, const group_id &group, formation formed)
 {
-    // A group that was formed anew starts with a clean record.
-    const auto key = replica.id.value() + "/" + std::to_string(formed.value());
+    // A group that was formed anew, and a replica that started again, begin with a clean record.
+    const auto key = replica.id.value() + "/" + std::to_string(replica.life.value()) + "/" + std::to_string(formed.value());
     auto load = m_loads[key].lock();
     if (!load) {
         load = std::make_shared<backend_load>();
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -25,17 +25,21 @@
         directory.leavingSince.erase(replica.id);
         return;
     }
-    const bool isFirstSeen = !directory.replicas.contains(replica.id);
+    const auto known = directory.replicas.find(replica.id);
+    const bool isFirstSeen = known == directory.replicas.end() || isAnotherLife(known->second.life, replica.life);
+    if (isFirstSeen) {
+        directory.leavingSince.erase(replica.id);
+    }
     directory.leavingSince.try_emplace(replica.id, isFirstSeen ? instant() : now);
 }
 
 // A replica that gives up its place no longer says what it ran, but takes a place in a group of the same model within 0.2 s for the rest of
 // its life. Heads that were told to leave counted as without any model: domains in which four members could have served at once loaded one
 // of them for 16 s (seen in the log of a day with restarts of all daemons).
-served_replica withModelKept(served_replica replica, const std::optional<model_id> &before)
+served_replica withModelKept(served_replica replica, const served_replica &before)
 {
-    if (!replica.model) {
-        replica.model = before;
+    if (!replica.model && !isAnotherLife(replica.life, before.life)) {
+        replica.model = before.model;
     }
     return replica;
 }
@@ -102,7 +106,7 @@
     }
     noteLeaving(entries.directory, *change.replica, now);
     auto &known = entries.directory.replicas[change.id];
-    known = withModelKept(*change.replica, known.model);
+    known = withModelKept(*change.replica, known);
     entries.lapsed.erase(change.id);
     entries.unlisted.erase(change.id);
 }
--- a/Libraries/Feed/replica_codec.cpp
+++ b/Libraries/Feed/replica_codec.cpp
@@ -9,6 +9,7 @@
 enum place : Json::ArrayIndex {
     id_place,
     revision_place,
+    life_place,
     service_place,
     host_place,
     port_place,
@@ -42,7 +43,7 @@
 bool isReplica(const Json::Value &json)
 {
     const bool isWhole = json.size() == alonePlaces || json.size() == allPlaces;
-    return isWhole && isText(json, service_place) && isText(json, host_place) && isNumber(json, port_place)
+    return isWhole && isNumber(json, life_place) && isText(json, service_place) && isText(json, host_place) && isNumber(json, port_place)
         && json[port_place].asUInt64() <= largestPort && isText(json, data_centre_place) && json[slots_place].isInt()
         && json[draining_place].isBool() && isText(json, domain_place) && json[staged_place].isArray() && isText(json, model_place);
 }
@@ -71,6 +72,7 @@
         return json;
     }
     const auto &replica = *change.replica;
+    json.append(Json::UInt64(replica.life.value()));
     json.append(replica.service.value());
     json.append(replica.address.host);
     json.append(replica.address.port);
@@ -107,6 +109,7 @@
     }
     served_replica replica;
     replica.id = change.id;
+    replica.life = replica_life(json[life_place].asUInt64());
     replica.service = service_id(json[service_place].asString());
     replica.address = {json[host_place].asString(), static_cast<std::uint16_t>(json[port_place].asUInt())};
     replica.dataCentre = data_centre_id(json[data_centre_place].asString());
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -45,6 +45,8 @@
 struct served_replica
 {
     instance_id id;
+    /// "Never" where the replica does not tell its lives apart: then each has an id of its own.
+    replica_life life;
     service_id service;
     endpoint address;
     data_centre_id dataCentre;
@@ -67,6 +69,12 @@
     auto operator<=>(const served_replica &) const = default;
 };
 
+/// Whether two words of one id come from different starts: the later one holds and knows nothing of the earlier.
+inline bool isAnotherLife(replica_life one, replica_life other)
+{
+    return one != other;
+}
+
 /// Whether the replica itself has said that it is about to end.
 inline bool saysItLeaves(const served_replica &replica)
 {
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -138,6 +138,9 @@
     case 8:
         takeOver();
         break;
+    case 10:
+        restart(replica.said.id);
+        break;
     default:
         break;
     }
@@ -150,6 +153,22 @@
     m_died.try_emplace(replica, m_now);
 }
 
+void assembly_world::restart(const instance_id &replica)
+{
+    const auto &before = m_replicas.at(replica);
+    if (!before.isAlive) {
+        return;
+    }
+    fake_replica next;
+    next.said = before.said;
+    next.highestEver = before.highestEver;
+    next.said.life = before.said.life.next();
+    next.said.isDraining = false;
+    next.said.model.reset();
+    next.said.membership.reset();
+    m_replicas[replica] = std::move(next);
+}
+
 void assembly_world::detectDeaths()
 {
     m_detectsDeaths = true;
@@ -316,7 +335,7 @@
         for (const auto &[when, count] : replica.reported) {
             reported = when + reportLag <= m_now ? count : reported;
         }
-        return {order_result::taken, reported};
+        return {order_result::taken, reported, replica.said.life};
     }
     const auto result = obey(replica, order);
     if (result == order_result::taken) {
@@ -413,6 +432,7 @@
     const auto rank = std::find(order.members.begin(), order.members.end(), replica.said.id) - order.members.begin();
     membership = {order.group, order.formed, static_cast<int>(rank), member_state::joining};
     replica.highest = order.formed;
+    replica.highestEver = std::max(replica.highestEver, order.formed);
     replica.members = order.members;
     replica.ran = order.model;
     replica.said.model = order.model;
@@ -444,7 +464,7 @@
         for (const auto &member : replica.members) {
             // A member that was ready and is lost meanwhile excuses what follows; one that never was does not.
             const auto *other = find(member);
-            isWhole = isWhole && (other == nullptr || other == &replica || other->highest >= replica.highest);
+            isWhole = isWhole && (other == nullptr || other == &replica || other->highestEver >= replica.highest);
         }
         if (!isWhole) {
             breakRule("a head opened without its members: " + replica.said.id.value());
--- a/Tests/Assembly/assemblyWorld.h
+++ b/Tests/Assembly/assemblyWorld.h
@@ -19,6 +19,8 @@
     bool isAlive = true;
     /// The highest formation that this life has seen.
     formation highest;
+    /// The highest that any life under this id has seen.
+    formation highestEver;
     std::vector<instance_id> members;
     /// The model that it runs; kept when it leaves a group.
     std::optional<model_id> ran;
@@ -55,6 +57,8 @@
     /// The coordinator is replaced by one that knows nothing.
     void takeOver();
     void lose(const instance_id &replica);
+    /// The replica starts again under its id: it holds nothing but its host's weights.
+    void restart(const instance_id &replica);
     void drain(const instance_id &replica);
     /// All replicas of a domain are dark for so long, and come back as new lives with their hosts' weights.
     void loseDomain(int domain, duration time);
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -20,7 +20,7 @@
 
 const model_id big("big");
 const model_id small("small");
-constexpr int kinds = 10;
+constexpr int kinds = 11;
 constexpr int stepsPerCase = 40;
 constexpr int casesInCi = 60;
 
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -170,3 +170,33 @@
     takeChange(entries, replica("c", 105), now + duration(1000));
     CHECK(entries.directory.leavingSince.empty());
 }
+
+TEST_CASE("A replica that starts again under its id keeps nothing of its earlier life")
+{
+    replica_entries entries;
+    auto change = replica("a");
+    change.replica->life = replica_life(1);
+    change.replica->model = model_id("m");
+    change.replica->isDraining = true;
+    takeChange(entries, change, now);
+    auto next = replica("a", 2);
+    next.replica->life = replica_life(2);
+    takeChange(entries, next, now + duration(1000));
+    const auto &known = entries.directory.replicas.at(instance_id("a"));
+    CHECK_FALSE(known.model);
+    CHECK_FALSE(known.isDraining);
+    CHECK(entries.directory.leavingSince.empty());
+}
+
+TEST_CASE("A life that is leaving when it is first seen has been leaving for an unknown time")
+{
+    replica_entries entries;
+    auto change = replica("a");
+    change.replica->life = replica_life(1);
+    takeChange(entries, change, now);
+    auto next = replica("a", 2);
+    next.replica->life = replica_life(2);
+    next.replica->isDraining = true;
+    takeChange(entries, next, now + duration(1000));
+    CHECK(entries.directory.leavingSince.at(instance_id("a")) == instant());
+}
--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -150,8 +150,9 @@
 public:
     void addPlain(const std::string &id, const scripted_replica &replica)
     {
-        m_values["servers/" + id]
-            = fmt::format(R"({{"Service":"plain","Address":"{}","Zone":"z","Slots":4,"State":"ready"}})", replica.address());
+        m_values["servers/" + id] = fmt::format(
+            R"({{"Service":"plain","Address":"{}","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}})",
+            replica.address());
     }
 
     void addEntryWithoutValue(const std::string &id)
@@ -162,7 +163,7 @@
     void addHead(const std::string &id, const scripted_replica &replica)
     {
         m_values["servers/" + id] = fmt::format(
-            R"({{"Service":"large","Address":"{}","Zone":"z","Slots":4,"State":"ready","Models":[{{"Name":"m","Version":1}}],
+            R"({{"Service":"large","Address":"{}","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1,"Models":[{{"Name":"m","Version":1}}],
                 "group":{{"Name":"g-{}","epoch":1,"rank":0,"State":"open"}}}})",
             replica.address(),
             id);
--- a/Tests/PlatformAdapter/testPlatformDialect.cpp
+++ b/Tests/PlatformAdapter/testPlatformDialect.cpp
@@ -203,3 +203,99 @@
     CHECK(looked.ordersTaken == 5);
     CHECK(dialect.readOrderAnswer(order, {503, {}, {}}).result == order_result::unknown);
 }
+
+namespace {
+
+/// The entry of a replica with one field changed.
+std::string entryWith(const char *name, const Json::Value &value)
+{
+    auto json = *parseJson(replicaText);
+    json[name] = value;
+    return toJsonText(json);
+}
+
+std::string entryWithout(const char *name)
+{
+    auto json = *parseJson(replicaText);
+    json.removeMember(name);
+    return toJsonText(json);
+}
+
+bool namesReplica(const std::string &text, const std::string &id = "i-1")
+{
+    reason why;
+    const auto replica = platform_dialect().readReplica(instance_id(id), text, why);
+    CHECK(replica.has_value() == why.text.empty());
+    return replica.has_value();
+}
+
+} // namespace
+
+TEST_CASE("An entry with a missing field names no replica")
+{
+    for (const auto *name : {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdLeftMs", "Seq"}) {
+        INFO(name);
+        CHECK_FALSE(namesReplica(entryWithout(name)));
+    }
+    for (const auto *name : {"Models", "Staged", "group", "Domain"}) {
+        INFO(name);
+        CHECK(namesReplica(entryWithout(name)));
+    }
+}
+
+TEST_CASE("An entry with a field of another type names no replica")
+{
+    CHECK(namesReplica(replicaText));
+    const std::vector<Json::Value> others = {Json::Value(true), Json::Value(-1), Json::Value(1.5), Json::Value(Json::objectValue)};
+    for (const auto *name : {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdLeftMs", "Seq", "Models", "Staged", "born"}) {
+        for (const auto &value : others) {
+            INFO(name << " " << toJsonText(value));
+            CHECK_FALSE(namesReplica(entryWith(name, value)));
+        }
+    }
+    CHECK_FALSE(namesReplica(entryWith("Slots", "26")));
+    CHECK_FALSE(namesReplica(entryWith("Slots", Json::UInt64(1) << 40U)));
+    CHECK_FALSE(namesReplica(entryWith("born", "1764720000000")));
+    CHECK_FALSE(namesReplica(entryWith("State", "asleep")));
+    CHECK_FALSE(namesReplica(entryWith("group", "g7")));
+    CHECK_FALSE(namesReplica(entryWith("group", Json::Value(Json::arrayValue))));
+    CHECK_FALSE(namesReplica("[]"));
+    CHECK_FALSE(namesReplica("\xff\xfe\x00 bytes"));
+}
+
+TEST_CASE("An entry whose place in a group cannot be read names no replica")
+{
+    const auto group = (*parseJson(replicaText))["group"];
+    for (const auto &[name, value] : std::vector<std::pair<const char *, Json::Value>>{
+             {"Name", 7}, {"epoch", "12"}, {"epoch", -1}, {"rank", "first"}, {"rank", -1}, {"State", "lost"}}) {
+        auto changed = group;
+        changed[name] = value;
+        INFO(toJsonText(changed));
+        CHECK_FALSE(namesReplica(entryWith("group", changed)));
+    }
+    CHECK(namesReplica(entryWith("group", Json::Value(Json::objectValue))));
+}
+
+TEST_CASE("An id that does not fit into a header names no replica")
+{
+    CHECK_FALSE(namesReplica(replicaText, ""));
+    CHECK_FALSE(namesReplica(replicaText, "i-1\r\nTenant: other"));
+    CHECK_FALSE(namesReplica(replicaText, "i\xc3\xa4"));
+}
+
+TEST_CASE("A replica's start is read from its entry and its reports")
+{
+    const platform_dialect dialect;
+    reason why;
+    CHECK(dialect.readReplica(instance_id("i-1"), replicaText, why)->life == replica_life());
+    const auto text = entryWith("born", Json::UInt64(1764720000123));
+    CHECK(dialect.readReplica(instance_id("i-1"), text, why)->life == replica_life(1764720000123));
+    replica_order look;
+    look.kind = order_kind::look;
+    http_reply reply;
+    reply.status = 200;
+    reply.body = R"({"Seq":3,"born":1764720000123})";
+    const auto answer = dialect.readOrderAnswer(look, reply);
+    CHECK(answer.ordersTaken == 3);
+    CHECK(answer.life == replica_life(1764720000123));
+}
--- a/Tests/StandIns/platform/entry_writer.cpp
+++ b/Tests/StandIns/platform/entry_writer.cpp
@@ -5,7 +5,10 @@
 #include "Tests/StandIns/platform/stand_in_names.h"
 #include "platform/base64.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <array>
 
 namespace vetchpost::test {
 
@@ -17,6 +20,15 @@
 constexpr duration callTimeout(500);
 /// An entry lapses after as many heartbeats without a write.
 constexpr int heartbeatsKept = 3;
+/// What others may write beside the replicas: none of it names a replica to use. The address is nobody's.
+constexpr std::array foreignEntries
+    = {"no JSON",
+       "[]",
+       R"({"Service":"engines"})",
+       R"({"Service":"engines","Address":"127.0.0.1:1","Zone":"ikeja","Version":"v1","Slots":"4","State":"ready","ColdLeftMs":0,"Seq":1})",
+       R"({"Service":"engines","Address":"127.0.0.1:1","Zone":"ikeja","Version":"v1","Slots":4,"State":"idle","ColdLeftMs":0,"Seq":1})",
+       R"({"Service":"s0","Address":"127.0.0.1:1","Zone":"ikeja","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1})",
+       R"({"Service":"other","Address":"127.0.0.1:1","Zone":"ikeja","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1})"};
 
 } // namespace
 
@@ -36,6 +48,9 @@
 
 void entry_writer::run()
 {
+    while (!m_isStopping && !writeForeign()) {
+        std::this_thread::sleep_for(lookPeriod);
+    }
     while (!m_isStopping) {
         std::this_thread::sleep_for(lookPeriod);
         const auto wanted = m_host.wantedEntries();
@@ -94,6 +109,19 @@
     return true;
 }
 
+bool entry_writer::writeForeign()
+{
+    Json::Value body;
+    for (const auto *text : foreignEntries) {
+        Json::Value write;
+        write[names::key] = fmt::format("{}foreign-{}", names::replicaPrefix, body[names::writes].size());
+        write[names::value] = encodedBase64(text);
+        body[names::writes].append(write);
+    }
+    const auto reply = call("POST", names::transactionCall, body);
+    return reply && reply->isSuccess();
+}
+
 /// The entry of a replica that ended as planned goes at once; one that crashed or is cut off lapses.
 void entry_writer::forget(const std::vector<replica_host::wanted_entry> &wanted)
 {
--- a/Tests/StandIns/platform/entry_writer.h
+++ b/Tests/StandIns/platform/entry_writer.h
@@ -26,6 +26,8 @@
     void run();
     bool update(const replica_host::wanted_entry &wanted);
     bool write(const replica_host::wanted_entry &wanted, written_entry &entry);
+    /// Entries under the replicas' prefix that no replica wrote; false where the store does not answer.
+    bool writeForeign();
     void forget(const std::vector<replica_host::wanted_entry> &wanted);
     std::optional<http_reply> call(const char *method, const std::string &target, const Json::Value &body);
 
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -31,6 +31,7 @@
     : m_options(options)
     , m_world(std::move(world))
     , m_lives(m_world.replicas.size())
+    , m_hasCrashed(m_world.replicas.size())
     , m_servers(m_world.replicas.size())
 {
     for (std::size_t number = 0; number < m_servers.size(); ++number) {
@@ -64,7 +65,13 @@
         if (replica.isAlive) {
             return;
         }
-        replica.id = fmt::format("i-{}-{}", number, ++m_lives[number]);
+        // Of the replicas that crash every second one comes back under the id that it had.
+        const bool keepsId = m_hasCrashed[number] && number % 2 == 0;
+        ++m_lives[number];
+        replica.id = keepsId ? replica.id : fmt::format("i-{}-{}", number, m_lives[number]);
+        replica.born = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+        m_ends.erase(replica.id);
         replica.address = fmt::format("127.0.0.1:{}", port);
         replica.isAlive = true;
         replica.isDark = replica.isDraining = false;
@@ -87,6 +94,7 @@
         if (!replica.isAlive) {
             return;
         }
+        m_hasCrashed[number] = !isAnnounced;
         endLife(m_world, replica);
         m_world.events.back().fields["announced"] = isAnnounced;
         passEvents();
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -103,6 +103,8 @@
     std::mutex m_mutex;
     replica_world m_world;
     std::vector<int> m_lives;
+    /// Replicas whose last life ended without notice.
+    std::vector<bool> m_hasCrashed;
     std::vector<std::unique_ptr<http_server>> m_servers;
     std::vector<late_order> m_lateOrders;
     /// When a leaving replica may end, and when it ends in any case.
--- a/Tests/StandIns/platform/replica_model.h
+++ b/Tests/StandIns/platform/replica_model.h
@@ -42,8 +42,10 @@
 
 struct stand_in_replica
 {
-    /// Of this life.
+    /// Of this life, or kept over several.
     std::string id;
+    /// When this life began, in Unix milliseconds.
+    std::uint64_t born = 0;
     std::string service;
     std::string domain;
     std::string address;
