Assembly: Take several surplus groups apart for one of a larger model

Cause: where a large group's domain had become two small ones, more than their model should have, nothing gave the place back: one victim alone never held enough members. Seen in testLives: 7 of 8 large groups, 10 of 8 small ones, for good, with all replicas there.

Change: of a domain's smaller groups the fewest are closed whose members, with the free replicas, complete a group of the larger model; several only as far as their model keeps all the groups that it should have.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -67,7 +67,11 @@
     void preemptForLarger();
     void formExtra();
     bool isBusy(const fabric_domain_id &domain) const;
-    planned_group *victimFor(const group_model &model);
+    std::vector<planned_group *> victimsFor(const group_model &model);
+    std::map<fabric_domain_id, std::vector<planned_group *>> smallerGroups(const group_model &model);
+    std::vector<planned_group *> victimsAmong(std::vector<planned_group *> groups, const group_model &model, int ready) const;
+    bool mayGiveWay(const std::vector<planned_group *> &victims, const group_model &model) const;
+    int readyMembers(const planned_group &group, const model_id &model) const;
     int readyWith(const planned_group &group, const model_id &model) const;
     static int quickCount(const std::vector<const served_replica *> &replicas, const model_id &model);
     double partWithoutEnding(const group_model &model) const;
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -150,35 +150,38 @@
     return (*m_counts)[model];
 }
 
-/// Takes a group of a smaller model apart where its members have a larger model staged that lacks a few members there.
+/// Takes groups of smaller models of a domain apart where their members, with its free replicas, are all ready for a larger model.
 void assembly_round::preemptForLarger()
 {
     for (const auto *model : modelsBySize()) {
         if (presentPart(*model) >= 1 || bestDomain(*model) != nullptr) {
             continue;
         }
-        if (auto *victim = victimFor(*model)) {
+        const auto victims = victimsFor(*model);
+        for (auto *victim : victims) {
             beginClose(*victim, close_method::finish, "its members complete a group of " + model->id.value());
+        }
+        if (!victims.empty()) {
             return;
         }
     }
 }
 
-/// How many members of a group and free replicas of its domain are ready for a model.
+/// How many members of a group are ready for a model.
+int assembly_round::readyMembers(const planned_group &group, const model_id &model) const
+{
+    return static_cast<int>(std::count_if(group.members.begin(), group.members.end(), [&](const planned_member &member) {
+        const auto *replica = find(member.instance);
+        return replica != nullptr && readinessOf(*replica, model) != readiness::must_load;
+    }));
+}
+
+/// ... and with them of the free replicas of its domain.
 int assembly_round::readyWith(const planned_group &group, const model_id &model) const
 {
-    std::vector<const served_replica *> replicas;
-    for (const auto &member : group.members) {
-        if (const auto *replica = find(member.instance)) {
-            replicas.push_back(replica);
-        }
-    }
-    if (!replicas.empty()) {
-        if (const auto free = m_free.find(replicas.front()->domain); free != m_free.end()) {
-            replicas.insert(replicas.end(), free->second.begin(), free->second.end());
-        }
-    }
-    return quickCount(replicas, model);
+    const auto *replica = find(group.members.front().instance);
+    const auto free = replica == nullptr ? m_free.end() : m_free.find(replica->domain);
+    return readyMembers(group, model) + (free == m_free.end() ? 0 : quickCount(free->second, model));
 }
 
 /// Replicas that no wanted group can use serve as a group of a smaller model, more than wanted, rather than idle; where the larger
@@ -213,23 +216,67 @@
     });
 }
 
-planned_group *assembly_round::victimFor(const group_model &model)
+/// The serving groups of smaller models in each domain where nothing is being formed or closed.
+std::map<fabric_domain_id, std::vector<planned_group *>> assembly_round::smallerGroups(const group_model &model)
 {
+    std::map<fabric_domain_id, std::vector<planned_group *>> groups;
     for (auto &[id, group] : m_state.groups) {
         const auto *smaller = findModel(group.model);
-        const bool isCandidate = group.stage == assembly_stage::serving && smaller != nullptr && smaller->size < model.size
-            && presentPart(*smaller, -1) >= presentPart(model) + m_state.policy.preemptionGain;
         const auto *head = find(group.members.front().instance);
-        if (!isCandidate || head == nullptr || isBusy(head->domain)) {
-            continue;
+        const bool isSmaller = group.stage == assembly_stage::serving && smaller != nullptr && smaller->size < model.size;
+        if (isSmaller && head != nullptr && !isBusy(head->domain)) {
+            groups[head->domain].push_back(&group);
+        }
+    }
+    return groups;
+}
+
+/// The groups to take apart for one of a larger model: in the domain where the fewest have to go.
+std::vector<planned_group *> assembly_round::victimsFor(const group_model &model)
+{
+    std::vector<planned_group *> best;
+    for (const auto &[domain, groups] : smallerGroups(model)) {
+        const auto free = m_free.find(domain);
+        const auto ready = free == m_free.end() ? 0 : quickCount(free->second, model.id);
+        auto victims = victimsAmong(groups, model, ready);
+        if (!victims.empty() && (best.empty() || victims.size() < best.size())) {
+            best = std::move(victims);
         }
-        const auto free = m_free.find(head->domain);
-        const bool isUseful = free != m_free.end() && quickCount(free->second, model.id) > 0;
-        if (isUseful && readyWith(group, model.id) >= model.size) {
-            return &group;
+    }
+    return best;
+}
+
+/// The fewest of a domain's groups whose members complete a group of the model together with \a ready free replicas; none where they do
+/// not.
+std::vector<planned_group *> assembly_round::victimsAmong(std::vector<planned_group *> groups, const group_model &model, int ready) const
+{
+    std::stable_sort(groups.begin(), groups.end(), [&](const planned_group *left, const planned_group *right) {
+        return readyMembers(*left, model.id) > readyMembers(*right, model.id);
+    });
+    std::vector<planned_group *> victims;
+    for (auto *group : groups) {
+        ready += readyMembers(*group, model.id);
+        victims.push_back(group);
+        if (ready >= model.size) {
+            return mayGiveWay(victims, model) ? victims : std::vector<planned_group *>();
         }
     }
-    return nullptr;
+    return {};
+}
+
+/// Whether the smaller models can spare these groups. One gives way while its model still has more of its groups than the larger one; of
+/// several only what their model has beyond what it should: each costs its requests the time of a close and an opening.
+bool assembly_round::mayGiveWay(const std::vector<planned_group *> &victims, const group_model &model) const
+{
+    std::map<model_id, int> given;
+    for (const auto *victim : victims) {
+        ++given[victim->model];
+    }
+    const auto least = victims.size() > 1 ? 1 : presentPart(model) + m_state.policy.preemptionGain;
+    return std::all_of(given.begin(), given.end(), [&](const auto &entry) {
+        const auto *smaller = findModel(entry.first);
+        return smaller != nullptr && presentPart(*smaller, -entry.second) >= least;
+    });
 }
 
 int assembly_round::quickCount(const std::vector<const served_replica *> &replicas, const model_id &model)
