Assembly, Entry: Let a silent replica count only where others answer this daemon

Ruled out: the word of other daemons on each silent replica (a datagram round through a link that is full already, and of no use at nine daemons); a pause of all planning in trouble (a real loss of half of the replicas would stop all repair).

Change: when a look ends without an answer, three replicas of other domains, one in each data centre, are asked within 100 ms; where two do not answer, the look counts for nothing. One check serves all looks that began before it. A coordinator to which this happens for a second, and whose lease was not renewed for half of its time, hands over and leaves the coordination to others for five seconds. Log: own_trouble, handed_over; metric vetchpost_looks_void_total.

--- a/Libraries/Assembly/coordination_term.h
+++ b/Libraries/Assembly/coordination_term.h
@@ -34,4 +34,10 @@
     return now >= term.leaseUntil - leaseTime + leaseTime / renewalsPerLease;
 }
 
+/// Whether the lease was not renewed for half of its time: the key-value service does not answer, or too late.
+inline bool isRenewalLate(const coordination_term &term, duration leaseTime, instant now)
+{
+    return now >= term.leaseUntil - leaseTime / 2;
+}
+
 } // namespace vetchpost
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Assembly/coordination_term.h"
 #include "Libraries/Assembly/domain_summary.h"
+#include "Libraries/Assembly/own_trouble.h"
 #include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
@@ -86,7 +87,7 @@
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , figures(counters)
         , hasTraffic(!entrySettings.isFirstStart)
-        , looks(service, words, follower, peers, figures, [this] { planSoon(); })
+        , looks(service, words, follower, peers, figures, counters, [this] { planSoon(); })
     {
     }
 
@@ -109,7 +110,10 @@
         instant nextTry = monotonicNow() + duration(static_cast<std::int64_t>(spread));
         for (;;) {
             const auto now = monotonicNow();
-            if (holdsTerm(now)) {
+            if (mustHandOver(now)) {
+                handOver();
+                nextTry = now + restAfterTrouble;
+            } else if (holdsTerm(now)) {
                 renewIfDue(now);
                 plan();
             } else if (now >= nextTry) {
@@ -148,6 +152,25 @@
         }
     }
 
+    /// Whether unrelated replicas and the key-value service have been silent to this coordinator together.
+    bool mustHandOver(instant now) const
+    {
+        const std::lock_guard lock(mutex);
+        return term && isRenewalLate(*term, settings.leaseTime, now) && looks.mustHandOver(now);
+    }
+
+    void handOver()
+    {
+        lease_number lease;
+        {
+            const std::lock_guard lock(mutex);
+            lease = term->lease;
+        }
+        assemblyLog.write("handed_over", {{"why", "others do not answer this daemon"}});
+        giveUpTerm();
+        noticeWorkers.run([this, lease] { keyValue.endLease(lease); });
+    }
+
     void tryToCoordinate()
     {
         reason why;
--- a/Libraries/Entry/replica_looks.cpp
+++ b/Libraries/Entry/replica_looks.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/replica_looks.h"
 
+#include "Libraries/Assembly/own_trouble.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
 #include "Libraries/Http/http_client.h"
@@ -15,6 +16,26 @@
 /// A look waits for a fifth of a second at most: two groups of the largest size are looked at within one.
 constexpr int lookThreads = 8;
 
+enum class look_result {
+    answers,
+    /// Another process has the replica's address: it has ended.
+    is_replaced,
+    is_silent
+};
+
+const char *nameOf(look_result result)
+{
+    switch (result) {
+    case look_result::answers:
+        return "answers";
+    case look_result::is_replaced:
+        return "another replica has its address";
+    case look_result::is_silent:
+        break;
+    }
+    return "silent";
+}
+
 } // namespace
 
 struct replica_looks::private_data
@@ -25,8 +46,13 @@
     peer_feed &feed;
     assembly_figures &figures;
     std::function<void()> didChange;
-    std::mutex mutex;
+    mutable std::mutex mutex;
     silent_replicas silent;
+    own_trouble trouble;
+    std::uint64_t checks = 0;
+    counter voidLooks;
+    /// One check of this daemon at a time; what it finds counts for all looks that wait for it. Taken before the other one.
+    std::mutex checkMutex;
     worker_pool workers{lookThreads};
 
     private_data(key_value_service &service,
@@ -34,6 +60,7 @@
                  store_follower &follower,
                  peer_feed &peers,
                  assembly_figures &groupFigures,
+                 metrics &counters,
                  std::function<void()> tellChange)
         : keyValue(service)
         , dialect(words)
@@ -41,6 +68,8 @@
         , feed(peers)
         , figures(groupFigures)
         , didChange(std::move(tellChange))
+        , voidLooks(counters.addCounter("vetchpost_looks_void_total",
+                                        "Looks at silent replicas that count for nothing, since others did not answer either."))
     {
     }
 
@@ -52,24 +81,70 @@
     }
 
     /// Whether the replica itself answers this daemon.
-    bool answers(const served_replica &replica, reason &why) const
+    look_result ask(const served_replica &replica, duration timeout, reason &why) const
     {
         auto call = dialect.livenessCall(replica.id, replica.address);
-        call.connectTimeout = lookTimeout;
-        call.receiveTimeout = lookTimeout;
+        call.connectTimeout = timeout;
+        call.receiveTimeout = timeout;
         const auto reply = sendOnFreshConnection(call, why);
-        if (reply && !dialect.isLivenessAnswer(*reply)) {
-            why.text = "another replica has its address";
-            return false;
+        if (!reply) {
+            return look_result::is_silent;
+        }
+        return dialect.isLivenessAnswer(*reply) ? look_result::answers : look_result::is_replaced;
+    }
+
+    /// Whether replicas elsewhere answered this daemon after the look at a silent one had begun.
+    bool isSoundSince(instant began, const served_replica &silentReplica)
+    {
+        const std::lock_guard check(checkMutex);
+        std::vector<served_replica> references;
+        {
+            const std::lock_guard lock(mutex);
+            if (wasSoundSince(trouble, began)) {
+                return true;
+            }
+            std::set<instance_id> suspected;
+            for (const auto &[id, entry] : silent.suspected) {
+                suspected.insert(id);
+            }
+            references = referencesFor(*store.directory(), silentReplica, suspected, ++checks);
+        }
+        const auto checkBegan = monotonicNow();
+        const auto needed = answersNeeded(references.size());
+        std::size_t answered = 0;
+        for (const auto &reference : references) {
+            reason ignored;
+            // Another process at its address answers for this daemon's link as well.
+            answered += answered < needed && ask(reference, referenceTimeout, ignored) != look_result::is_silent ? 1 : 0;
+        }
+        noteChecked(checkBegan, answered, needed);
+        return answered >= needed;
+    }
+
+    void noteChecked(instant began, std::size_t answered, std::size_t needed)
+    {
+        const std::lock_guard lock(mutex);
+        const bool wasInTrouble = isInTrouble(trouble);
+        noteCheck(trouble, began, answered >= needed);
+        if (isInTrouble(trouble) != wasInTrouble) {
+            assemblyLog.write(wasInTrouble ? "own_trouble_over" : "own_trouble", {{"answered", answered}, {"needed", needed}});
         }
-        return reply.has_value();
     }
 
     void look(const served_replica &replica)
     {
         reason why;
-        const bool hasAnswered = answers(replica, why);
-        assemblyLog.write("looked", {{"replica", replica.id.value()}, {"answers", hasAnswered}, {"why", why.text}});
+        const auto began = monotonicNow();
+        const auto result = ask(replica, lookTimeout, why);
+        const bool hasAnswered = result == look_result::answers;
+        const bool counts = result != look_result::is_silent || isSoundSince(began, replica);
+        assemblyLog.write(
+            "looked",
+            {{"replica", replica.id.value()}, {"answers", hasAnswered}, {"counts", counts}, {"found", nameOf(result)}, {"why", why.text}});
+        if (!counts) {
+            voidLooks.increment();
+            return;
+        }
         bool isNew = false;
         {
             const std::lock_guard lock(mutex);
@@ -113,8 +188,9 @@
                              store_follower &store,
                              peer_feed &feed,
                              assembly_figures &figures,
+                             metrics &counters,
                              std::function<void()> didChange)
-    : d(std::make_unique<private_data>(keyValue, dialect, store, feed, figures, std::move(didChange)))
+    : d(std::make_unique<private_data>(keyValue, dialect, store, feed, figures, counters, std::move(didChange)))
 {
 }
 
@@ -132,6 +208,13 @@
 {
     const std::lock_guard lock(d->mutex);
     d->silent = {};
+    d->trouble = {};
+}
+
+bool replica_looks::mustHandOver(instant now) const
+{
+    const std::lock_guard lock(d->mutex);
+    return vetchpost::mustHandOver(d->trouble, now);
 }
 
 silence_report replica_looks::report(const replica_directory &directory, instant now)
--- a/Libraries/Entry/replica_looks.h
+++ b/Libraries/Entry/replica_looks.h
@@ -22,6 +22,7 @@
                   store_follower &store,
                   peer_feed &feed,
                   assembly_figures &figures,
+                  metrics &counters,
                   std::function<void()> didChange);
     ~replica_looks();
     replica_looks(const replica_looks &) = delete;
@@ -34,6 +35,8 @@
     silence_report report(const replica_directory &directory, instant now);
     /// As the coordinator: looks at all members of a group.
     void lookAtGroup(const instance_id &head);
+    /// Whether others did not answer for so long, because of this daemon's own trouble, that it should coordinate no more.
+    bool mustHandOver(instant now) const;
 
 private:
     struct private_data;
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -174,6 +174,21 @@
     m_detectsDeaths = true;
 }
 
+void assembly_world::lookAtAllFor(duration time)
+{
+    m_looksUntil = m_now + time;
+}
+
+void assembly_world::slowOwnLinkFor(duration time)
+{
+    m_linkSlowUntil = m_now + time;
+}
+
+std::size_t assembly_world::suspectedReplicas() const
+{
+    return m_silent.suspected.size();
+}
+
 void assembly_world::drain(const instance_id &replica)
 {
     m_replicas.at(replica).said.isDraining = true;
@@ -279,9 +294,42 @@
     }
 }
 
+bool assembly_world::isAnswering(const served_replica &replica) const
+{
+    const auto found = m_replicas.find(replica.id);
+    return m_now >= m_linkSlowUntil && found != m_replicas.end() && found->second.isAlive;
+}
+
+/// All looks of one tick begin together; what they find is known at once.
+void assembly_world::look()
+{
+    for (const auto &[id, replica] : m_directory.replicas) {
+        if (isAnswering(replica)) {
+            noteLook(m_silent, id, {m_now, true, replica.life});
+            continue;
+        }
+        if (!wasSoundSince(m_trouble, m_now)) {
+            std::set<instance_id> suspected;
+            for (const auto &[other, entry] : m_silent.suspected) {
+                suspected.insert(other);
+            }
+            const auto references = referencesFor(m_directory, replica, suspected, random());
+            const auto answered = std::count_if(
+                references.begin(), references.end(), [&](const served_replica &reference) { return isAnswering(reference); });
+            noteCheck(m_trouble, m_now, static_cast<std::size_t>(answered) >= answersNeeded(references.size()));
+        }
+        if (wasSoundSince(m_trouble, m_now)) {
+            noteLook(m_silent, id, {m_now, false, replica.life});
+        }
+    }
+}
+
 void assembly_world::plan()
 {
-    std::set<instance_id> suspects;
+    if (m_now < m_looksUntil) {
+        look();
+    }
+    std::set<instance_id> suspects = reportSilence(m_silent, m_directory, m_now).suspects;
     for (const auto &[id, when] : m_died) {
         if (m_detectsDeaths && m_now - when >= suspicionTime) {
             suspects.insert(id);
--- a/Tests/Assembly/assemblyWorld.h
+++ b/Tests/Assembly/assemblyWorld.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "Libraries/Assembly/assembly_state.h"
+#include "Libraries/Assembly/own_trouble.h"
+#include "Libraries/Assembly/silent_replicas.h"
 
 #include <deque>
 #include <map>
@@ -66,6 +68,12 @@
     void beginTraffic();
     /// From now on a dead replica stays listed until its heartbeats are missed, and daemons find it silent before.
     void detectDeaths();
+    /// The coordinator looks at all replicas directly again and again for so long, as if requests stood still everywhere.
+    void lookAtAllFor(duration time);
+    /// Nobody answers the coordinator in time, since its own link or processor is overloaded.
+    void slowOwnLinkFor(duration time);
+    /// How many replicas the coordinator believes dead by its own looks.
+    std::size_t suspectedReplicas() const;
 
     const std::string &violation() const;
     int servingGroups(const model_id &model) const;
@@ -106,6 +114,8 @@
 
     void tick();
     void plan();
+    void look();
+    bool isAnswering(const served_replica &replica) const;
     void deliver();
     order_answer take(fake_replica &replica, const replica_order &order);
     order_result obey(fake_replica &replica, const replica_order &order);
@@ -142,6 +152,10 @@
     };
     std::vector<dark_host> m_darkHosts;
     bool m_detectsDeaths = false;
+    silent_replicas m_silent;
+    own_trouble m_trouble;
+    instant m_looksUntil;
+    instant m_linkSlowUntil;
     /// When each replica that stays listed has died.
     std::map<instance_id, instant> m_died;
     std::deque<instant> m_loads;
