Assembly: Let groups give way one set after the other, and only where their model has room

Change: several groups give way only while none does so already, and only where the requests that their model holds take at most three quarters of the places that stay.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -71,6 +71,8 @@
     std::map<fabric_domain_id, std::vector<planned_group *>> smallerGroups(const group_model &model);
     std::vector<planned_group *> victimsAmong(std::vector<planned_group *> groups, const group_model &model, int ready) const;
     bool mayGiveWay(const std::vector<planned_group *> &victims, const group_model &model) const;
+    bool isAnyoneGivingWay() const;
+    bool hasRoomWithout(const group_model &model, int groups) const;
     int readyMembers(const planned_group &group, const model_id &model) const;
     int readyWith(const planned_group &group, const model_id &model) const;
     static int quickCount(const std::vector<const served_replica *> &replicas, const model_id &model);
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -129,6 +129,8 @@
     /// When its head was first found to be gone.
     std::optional<instant> headLostSince;
     std::string why;
+    /// It is closed for a group of a larger model.
+    bool givesWay = false;
 };
 
 struct assembly_policy
@@ -154,6 +156,8 @@
     duration silentHeadWait{5000};
     /// A smaller group gives way only where its model then still has so much more of its groups than the larger one.
     double preemptionGain = 0.1;
+    /// Several give way only where the groups that stay have so much of their places taken at most: beyond it their requests wait.
+    double preemptionLoad = 0.75;
     /// Below this part of its groups a model lacks much: all that the weight store feeds at a time may then prepare hosts for it.
     double muchLacking = 0.8;
     /// A replica that is ready for a group which cannot be formed yet is given to another model after this time.
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -159,6 +159,7 @@
         }
         const auto victims = victimsFor(*model);
         for (auto *victim : victims) {
+            victim->givesWay = true;
             beginClose(*victim, close_method::finish, "its members complete a group of " + model->id.value());
         }
         if (!victims.empty()) {
@@ -231,6 +232,14 @@
     return groups;
 }
 
+/// Whether a model's requests find room in its groups without so many of them.
+bool assembly_round::hasRoomWithout(const group_model &model, int groups) const
+{
+    const auto held = m_state.demand.outstanding.find(model.id);
+    const auto places = static_cast<double>(countOf(model.id).staying - groups) * m_view.engine.slots;
+    return held == m_state.demand.outstanding.end() || held->second <= m_state.policy.preemptionLoad * places;
+}
+
 /// The groups to take apart for one of a larger model: in the domain where the fewest have to go.
 std::vector<planned_group *> assembly_round::victimsFor(const group_model &model)
 {
@@ -264,18 +273,32 @@
     return {};
 }
 
-/// Whether the smaller models can spare these groups. One gives way while its model still has more of its groups than the larger one; of
-/// several only what their model has beyond what it should: each costs its requests the time of a close and an opening.
+// Eighteen groups gave way within two seconds of a day on which both models were short, and requests in time fell from 0.70 to 0.45.
+bool assembly_round::isAnyoneGivingWay() const
+{
+    return std::any_of(m_state.groups.begin(), m_state.groups.end(), [](const auto &entry) {
+        return entry.second.givesWay && entry.second.stage == assembly_stage::closing;
+    });
+}
+
+/// Whether the smaller models can spare these groups. One gives way while its model still has more of its groups than the larger one.
+/// Several do so one set after the other, of a model that has more than it should, and only where its requests find room in what is left:
+/// each costs them the time of a close and an opening.
 bool assembly_round::mayGiveWay(const std::vector<planned_group *> &victims, const group_model &model) const
 {
     std::map<model_id, int> given;
     for (const auto *victim : victims) {
         ++given[victim->model];
     }
-    const auto least = victims.size() > 1 ? 1 : presentPart(model) + m_state.policy.preemptionGain;
+    const bool areSeveral = victims.size() > 1;
+    if (areSeveral && isAnyoneGivingWay()) {
+        return false;
+    }
+    const auto least = areSeveral ? 1 : presentPart(model) + m_state.policy.preemptionGain;
     return std::all_of(given.begin(), given.end(), [&](const auto &entry) {
         const auto *smaller = findModel(entry.first);
-        return smaller != nullptr && presentPart(*smaller, -entry.second) >= least;
+        return smaller != nullptr && presentPart(*smaller, -entry.second) >= least
+            && (!areSeveral || hasRoomWithout(*smaller, entry.second));
     });
 }
 
