--- a/Tests/Feed/feedWorld.cpp
+++ b/Tests/Feed/feedWorld.cpp
@@ -175,7 +175,7 @@
         sender.sent.bytes += bytes.size();
         const auto number = numberOf(to);
         if (!sender.isCutOff && !m_nodes[static_cast<std::size_t>(number)].isCutOff) {
-            m_onTheWay.push_back({m_now + wayTime, from, number, *decodeFeedMessage(bytes)});
+            m_onTheWay.push_back({m_now + wayTime, from, number, datagram.message});
         }
     }
 }
--- a/Tests/Feed/testFeedRelays.cpp
+++ b/Tests/Feed/testFeedRelays.cpp
@@ -40,7 +40,7 @@
 TEST_CASE("What the source sends grows far slower than the daemons, and a relay sends no more than it")
 {
     std::map<int, feed_world::traffic> source;
-    for (const int daemons : {9, mostServedDirectly, 30, 79, 100, 195, 300, 350}) {
+    for (const int daemons : {9, mostServedDirectly, 79, 195, 350}) {
         auto world = settledWorld(daemons);
         play(world, measuredTime);
         source[daemons] = world.sentBy(0);
