Entry: Let a relay tell its followers that it ends

Cause: only a source did so; followers of a relay that stops as planned waited for 0.55 of the time within which a configuration has to be in force before they asked somebody else (by reading).

--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -330,6 +330,8 @@
     }
     if (d->thread.joinable()) {
         d->thread.join();
+        // Those that this daemon passed the feed on to need not wait until it is silent.
+        d->sendAll(d->store.endOfFeed());
     }
 }
 
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -27,7 +27,7 @@
     peer_feed &operator=(const peer_feed &) = delete;
 
     void start();
-    /// A source tells its followers that it ends.
+    /// A source, and a relay, tell their followers that they end.
     void stop();
 
     /// Whether this daemon is the source.
