Feed, Entry: Let a relay end as planned, and refer nobody to and fro

Change: a daemon that stops tells its followers first thing, and the coordinator with each subscription, while it goes on following; a follower is never sent to the relay that it has lost (where there is no other it becomes one), and waits 0.1 s before it asks the coordinator.

Tests: nobody is referred to a relay that is about to end; a follower is not sent back.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -220,6 +220,7 @@
     const auto latest = asked + d->settings.stopGrace - stopMargin;
     daemonLog.write("stopping", {{"active", d->callers->activeRequests()}});
     d->relay.isDraining = true;
+    d->feed.endPassingOn();
     // It hands the coordination over, which a slow key-value service may hold up; the callers' connections must not wait for that.
     const last_work handingOver([this] { d->assembly.stop(); });
     // New connections come until the balancer has noticed; idle ones are closed only after it, so that nothing is sent into a close.
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -59,6 +59,8 @@
     /// Set with the first request, or from the start where the system runs already.
     std::atomic<bool> wantsReplicas = false;
     std::atomic<bool> isStopping = false;
+    /// It follows on, but passes nothing on any more.
+    std::atomic<bool> isEnding = false;
     Poco::Net::DatagramSocket socket;
     std::thread thread;
 
@@ -169,7 +171,7 @@
     bool passesOn() const
     {
         const std::lock_guard lock(mutex);
-        return isSource || wasFed;
+        return isSource || (wasFed && !isEnding);
     }
 
     void take(const feed_referral &referral, const endpoint &from)
@@ -283,6 +285,7 @@
             follower.nextSubscription = now + (daemonsHere > 1 ? timing.relaySubscription : timing.subscription);
             auto subscription = subscribe(follower, settings.daemon, upTo, wantsReplicas, now);
             subscription.dataCentre = settings.dataCentre;
+            subscription.isEnding = isEnding;
             subscription.daemons = daemonsHere;
             datagram = {{*follower.source}, std::move(subscription)};
         }
@@ -348,7 +351,13 @@
     }
     if (d->thread.joinable()) {
         d->thread.join();
-        // Those that this daemon passed the feed on to need not wait until it is silent.
+    }
+}
+
+// Those that this daemon passes the feed on to need not wait until it is silent.
+void peer_feed::endPassingOn()
+{
+    if (!d->isEnding.exchange(true) && !d->isSource) {
         d->sendAll(d->store.endOfFeed());
     }
 }
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -27,7 +27,9 @@
     peer_feed &operator=(const peer_feed &) = delete;
 
     void start();
-    /// A source, and a relay, tell their followers that they end.
+    /// A relay tells its followers to ask somebody else, and goes on following.
+    void endPassingOn();
+    /// A source tells its followers that it ends.
     void stop();
 
     /// Whether this daemon is the source.
--- a/Libraries/Feed/feed_follower.cpp
+++ b/Libraries/Feed/feed_follower.cpp
@@ -9,6 +9,9 @@
 
 /// Subscriptions whose answer may still be on its way.
 constexpr std::size_t mostAsked = 24;
+/// A follower that loses its relay waits for so long before it asks the coordinator: those that are sent to a daemon which has just ended
+/// or started would else go to and fro as fast as the datagrams.
+constexpr duration referralPause(100);
 /// A number of daemons is believed for so long after it was told last. Daemons that the source does not hear may still send repeats: it
 /// hears nobody at first, and those behind a cut not before it ends. Longer than the ten seconds over which repeats are counted, and than
 /// most cuts.
@@ -47,7 +50,7 @@
     const bool wasRelay = follower.source != follower.coordinator;
     if (wasRelay && follower.coordinator) {
         follower.lostRelay = follower.source;
-        ask(follower, *follower.coordinator, now);
+        ask(follower, *follower.coordinator, now + referralPause);
         return true;
     }
     follower.source.reset();
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -38,6 +38,7 @@
 constexpr auto sourceField = "source";
 constexpr auto hopsField = "hops";
 constexpr auto relayField = "relay";
+constexpr auto endingField = "ending";
 
 Json::Value number(std::uint64_t value)
 {
@@ -54,6 +55,7 @@
     json[wantsReplicasField] = message.wantsReplicas;
     json[dataCentreField] = message.dataCentre.value();
     json[daemonsField] = message.daemons;
+    json[endingField] = message.isEnding;
     if (message.lostRelay) {
         json[relayField] = message.lostRelay->text();
     }
@@ -132,7 +134,8 @@
                                    {},
                                    data_centre_id(jsonString(json, dataCentreField)),
                                    std::max(1, static_cast<int>(jsonNumber(json, daemonsField))),
-                                   parseEndpoint(jsonString(json, relayField))};
+                                   parseEndpoint(jsonString(json, relayField)),
+                                   jsonFlag(json, endingField)};
     for (const auto &entry : jsonArray(json, demandField)) {
         subscription.demand.push_back({service_id(jsonString(entry, serviceField)),
                                        model_id(jsonString(entry, modelField)),
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -42,6 +42,8 @@
     int daemons = 1;
     /// The relay that it had and lost, until it is heard elsewhere.
     std::optional<endpoint> lostRelay = {};
+    /// It is about to end: nobody should be referred to it.
+    bool isEnding = false;
 };
 
 /// A replica's entry as it was written or removed last.
--- a/Libraries/Feed/feed_relays.cpp
+++ b/Libraries/Feed/feed_relays.cpp
@@ -37,11 +37,14 @@
     return relays;
 }
 
-/// The relay with the fewest followers; not the one that the follower has just lost, while there is another.
-feed_subscriber &relayFor(const std::vector<feed_subscriber *> &relays, const std::optional<endpoint> &lost, instant now)
+/// The relay with the fewest followers, but not the one that the follower has just lost; nullptr where there is no other.
+feed_subscriber *relayFor(std::vector<feed_subscriber *> relays, const std::optional<endpoint> &lost, instant now)
 {
-    const auto cost = [&](const feed_subscriber *relay) { return std::pair(relay->address == lost, daemonsBehind(*relay, now)); };
-    return **std::min_element(relays.begin(), relays.end(), [&](const auto *left, const auto *right) { return cost(left) < cost(right); });
+    std::erase_if(relays, [&](const feed_subscriber *relay) { return relay->address == lost; });
+    const auto fewest = std::min_element(relays.begin(), relays.end(), [&](const auto *left, const auto *right) {
+        return daemonsBehind(*left, now) < daemonsBehind(*right, now);
+    });
+    return fewest == relays.end() ? nullptr : *fewest;
 }
 
 } // namespace
@@ -65,22 +68,26 @@
 std::optional<endpoint> referFollower(feed_source &source, const feed_subscription &subscription, instant now)
 {
     const auto found = source.subscribers.find(subscription.from);
+    if (found != source.subscribers.end() && subscription.isEnding) {
+        found->second.isRelay = false;
+    }
     const auto daemons = countDaemons(source, now);
     if (found == source.subscribers.end() || daemons <= mostServedDirectly || found->second.isRelay) {
         return std::nullopt;
     }
     const auto relays = relaysIn(source, subscription.dataCentre, now);
     const auto served = followersPerRelay(daemons) * static_cast<int>(relays.size());
+    auto *relay = relayFor(relays, subscription.lostRelay, now);
+    const bool isLacking = daemonsIn(source, subscription.dataCentre, now) > served || relay == nullptr;
     // One that has followers already, from before this source began, goes on serving them.
-    if (daemonsIn(source, subscription.dataCentre, now) > served || subscription.daemons > 1) {
-        found->second.isRelay = true;
+    if (isLacking || subscription.daemons > 1) {
+        found->second.isRelay = !subscription.isEnding;
         return std::nullopt;
     }
-    auto &relay = relayFor(relays, subscription.lostRelay, now);
-    std::erase_if(relay.referred, [&](const auto &entry) { return now - entry.second > relaySilence; });
-    relay.referred[subscription.from] = now;
+    std::erase_if(relay->referred, [&](const auto &entry) { return now - entry.second > relaySilence; });
+    relay->referred[subscription.from] = now;
     source.subscribers.erase(found);
-    return relay.address;
+    return relay->address;
 }
 
 } // namespace vetchpost
--- a/Tests/Feed/testFeedRelays.cpp
+++ b/Tests/Feed/testFeedRelays.cpp
@@ -194,3 +194,59 @@
     update.nonce = first.nonce;
     CHECK(noteUpdate(follower, update, now + duration(6400)) == now);
 }
+
+TEST_CASE("Nobody is referred to a relay that is about to end")
+{
+    feed_source source;
+    const instant now(duration(1000000));
+    const auto ask = [&](int number, bool isEnding) {
+        feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, 0, true, {}, data_centre_id("x")};
+        subscription.isEnding = isEnding;
+        const endpoint address{"10.0.0.1", static_cast<std::uint16_t>(1000 + number)};
+        const auto answer = answerOrRefer(source, subscription, address, now);
+        const auto *referral = std::get_if<feed_referral>(&answer.back().message);
+        return referral == nullptr ? 0 : referral->relay.port - 1000;
+    };
+    for (int number = 0; number < 30; ++number) {
+        ask(number, false);
+    }
+    const auto relay = ask(30, false);
+    REQUIRE(source.subscribers.at(daemon_id("d" + std::to_string(relay))).isRelay);
+    CHECK(ask(relay, true) == 0);
+    CHECK_FALSE(source.subscribers.at(daemon_id("d" + std::to_string(relay))).isRelay);
+    for (int number = 31; number < 60; ++number) {
+        CHECK(ask(number, false) != relay);
+    }
+}
+
+// A daemon that has just started again is still heard as a relay, and tells those that are sent to it that it is none.
+TEST_CASE("A follower is not sent back to the relay that it has lost, and does not ask again at once")
+{
+    feed_source source;
+    const instant now(duration(1000000));
+    std::optional<endpoint> relay;
+    for (int number = 0; number < 20 && !relay; ++number) {
+        const feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, 0, true, {}, data_centre_id("x")};
+        const endpoint address{"10.0.0.1", static_cast<std::uint16_t>(1000 + number)};
+        noteSubscriber(source, subscription, address, now);
+        relay = referFollower(source, subscription, now);
+    }
+    REQUIRE(relay);
+    feed_subscription back{daemon_id("d-back"), 1, 0, true, {}, data_centre_id("x")};
+    back.lostRelay = relay;
+    noteSubscriber(source, back, {"10.0.0.1", 2000}, now);
+    CHECK(referFollower(source, back, now) != relay);
+    // Where there is no other relay the follower becomes one.
+    for (auto &[id, subscriber] : source.subscribers) {
+        subscriber.isRelay = subscriber.address == relay;
+    }
+    noteSubscriber(source, back, {"10.0.0.1", 2000}, now);
+    CHECK(referFollower(source, back, now) == std::nullopt);
+    CHECK(source.subscribers.at(back.from).isRelay);
+
+    feed_follower follower;
+    follow(follower, {"10.0.0.1", 1}, now);
+    REQUIRE(takeReferral(follower, {"10.0.0.1", 1}, *relay, now));
+    CHECK(loseSource(follower, now));
+    CHECK(follower.nextSubscription > now);
+}
