--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Entry/replica_entries.h"
+#include "Libraries/Entry/service_presence.h"
 #include "Libraries/Feed/feed_relays.h"
 
 #include <atomic>
@@ -69,12 +70,7 @@
     bool isBehind = false;
     /// When all changes of the replicas up to then were known.
     std::optional<instant> replicasSeenAt;
-    /// When the service last answered anything.
-    instant lastAnswer = monotonicNow();
-    bool isReachable = true;
-    /// The last absence of the service: how long, and when it ended.
-    duration outage{};
-    std::optional<instant> outageEnd;
+    service_presence presence{monotonicNow()};
     std::vector<std::thread> threads;
 
     private_data(key_value_service &service,
@@ -104,30 +100,17 @@
     {
         const std::lock_guard lock(mutex);
         const auto now = monotonicNow();
-        const auto silence = now - lastAnswer;
-        if (hasAnswered && !isReachable) {
-            outage = silence;
-            outageEnd = now;
-        }
-        if (hasAnswered) {
-            lastAnswer = now;
-        }
-        if (hasAnswered != isReachable) {
-            isReachable = hasAnswered;
+        const auto silence = now - presence.lastAnswer;
+        if (noteCall(presence, hasAnswered, now)) {
             storeLog.write(hasAnswered ? "store_regained" : "store_lost", {{"silent_ms", silence.count()}, {"why", why.text}});
         }
     }
 
-    /// How long the service was away before its present answers: only then may entries be missing whose replicas live. A service that has
-    /// forgotten its history was there all the time: while that counted as an absence, all of 195 daemons had to list for themselves.
+    /// How long the service was away before its present answers: only then may entries be missing whose replicas live.
     duration replicasOutage() const
     {
         const std::lock_guard lock(mutex);
-        const auto now = monotonicNow();
-        if (!isReachable) {
-            return now - lastAnswer;
-        }
-        return outageEnd && now - *outageEnd < lapsedGrace ? outage : duration();
+        return absenceBefore(presence, lapsedGrace, monotonicNow());
     }
 
     /// Whether the source tells what the service holds, so that this daemon need not ask.
