--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -8,6 +8,7 @@
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
 #include "Libraries/Entry/assembly_figures.h"
+#include "Libraries/Entry/notice_pacing.h"
 #include "Libraries/Entry/replica_looks.h"
 #include "Libraries/Http/http_client.h"
 
@@ -38,8 +39,6 @@
 constexpr duration standingLogPeriod(1000);
 constexpr int orderThreads = 12;
 constexpr int noticeThreads = 3;
-/// A daemon tells of the same group again after this time.
-constexpr duration noticePeriod(400);
 
 } // namespace
 
@@ -393,12 +392,10 @@
 
     // Groups that stand still.
 
-    bool mayNotice(const instance_id &head)
+    bool mayTellOf(const instance_id &head)
     {
         const std::lock_guard lock(mutex);
-        const auto now = monotonicNow();
-        std::erase_if(lastNotices, [&](const auto &entry) { return now - entry.second >= noticePeriod; });
-        return lastNotices.try_emplace(head, now).second;
+        return mayNotice(lastNotices, head, monotonicNow());
     }
 
     void takeStall(const instance_id &head)
@@ -483,7 +480,7 @@
 
 void assembly_runner::noteStall(const instance_id &head)
 {
-    if (d->mayNotice(head)) {
+    if (d->mayTellOf(head)) {
         d->noticeWorkers.run([this, head] { d->takeStall(head); });
     }
 }
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Entry/peer_feed.h"
 
 #include "Libraries/Base/event_log.h"
+#include "Libraries/Entry/notice_pacing.h"
 #include "Libraries/Feed/feed_follower.h"
 #include "Libraries/Feed/feed_relays.h"
 #include "Libraries/Http/poco_timespan.h"
@@ -28,8 +29,6 @@
 constexpr std::size_t largestDatagram = 65536;
 /// Datagrams that are taken before anything is sent: a second's from some hundred followers.
 constexpr std::size_t datagramsPerRound = 256;
-/// A relay passes a notice of the same group on again after this time: all its followers tell of it at once.
-constexpr duration noticePeriod(400);
 
 endpoint endpointOf(const Poco::Net::SocketAddress &address)
 {
@@ -218,9 +217,7 @@
     bool mayPassNotice(const instance_id &head)
     {
         const std::lock_guard lock(mutex);
-        const auto now = monotonicNow();
-        std::erase_if(passedNotices, [&](const auto &passed) { return now - passed.second >= noticePeriod; });
-        return passedNotices.try_emplace(head, now).second;
+        return mayNotice(passedNotices, head, monotonicNow());
     }
 
     /// False where no source is known.
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -720,4 +720,13 @@
     return text;
 }
 
+assembly_world assembledWorld()
+{
+    assembly_world world(6, 8, 1);
+    world.heal(std::chrono::seconds(20));
+    world.advance(std::chrono::seconds(10));
+    world.beginTraffic();
+    return world;
+}
+
 } // namespace vetchpost::test
--- a/Tests/Assembly/assemblyWorld.h
+++ b/Tests/Assembly/assemblyWorld.h
@@ -168,4 +168,7 @@
     std::string m_violation;
 };
 
+/// Six domains of eight, assembled before the first request.
+assembly_world assembledWorld();
+
 } // namespace vetchpost::test
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -24,16 +24,6 @@
 constexpr int stepsPerCase = 40;
 constexpr int casesInCi = 60;
 
-/// Six domains of eight, assembled before the first request.
-assembly_world assembledWorld()
-{
-    assembly_world world(6, 8, 1);
-    world.heal(std::chrono::seconds(20));
-    world.advance(std::chrono::seconds(10));
-    world.beginTraffic();
-    return world;
-}
-
 rc::Gen<assembly_step> anyStep()
 {
     return rc::gen::build<assembly_step>(rc::gen::set(&assembly_step::kind, rc::gen::inRange(0, kinds)),
--- a/Tests/Assembly/testLives.cpp
+++ b/Tests/Assembly/testLives.cpp
@@ -15,15 +15,6 @@
 /// What a group takes to be closed, formed again of members that ran its model and one that has it staged or must load it, and opened.
 constexpr std::chrono::seconds repairTime(25);
 
-assembly_world assembledWorld()
-{
-    assembly_world world(6, 8, 1);
-    world.heal(std::chrono::seconds(20));
-    world.advance(std::chrono::seconds(10));
-    world.beginTraffic();
-    return world;
-}
-
 void checkWhole(assembly_world &world)
 {
     world.advance(repairTime);
--- a/Tests/Assembly/testOwnTrouble.cpp
+++ b/Tests/Assembly/testOwnTrouble.cpp
@@ -40,15 +40,6 @@
     return directory;
 }
 
-assembly_world assembledWorld()
-{
-    assembly_world world(6, 8, 1);
-    world.heal(std::chrono::seconds(20));
-    world.advance(std::chrono::seconds(10));
-    world.beginTraffic();
-    return world;
-}
-
 } // namespace
 
 TEST_CASE("Those that are asked beside a silent replica stand in other domains, one in each data centre")
