--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -13,7 +13,8 @@
 /// How soon a replica could serve a model: it ran it last, it has it staged, or it must load it.
 enum class readiness { same_model, staged, must_load };
 
-/// One round of planAssembly(). Its parts stand in plan_assembly, group_steps, group_forming, group_preemption, weight_staging and round_queries.
+/// One round of planAssembly(). Its parts stand in plan_assembly, group_steps, group_forming, group_preemption, weight_staging and
+/// round_queries.
 class assembly_round
 {
 public:
