Entry: Drop two declarations that nothing calls

hasFollowers() of the store's follower became unused when relays got their answers another way; askForLooks() had no definition. No behaviour changes.

--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -40,8 +40,6 @@
     void noteTraffic();
     /// Sends a notice to the source; false where none is known.
     bool tellStall(const stall_notice &notice);
-    /// As the source: asks some followers to look at a replica, others each time.
-    void askForLooks(const instance_id &replica);
     /// As the source: tells all followers that a group is likely to stand still.
     void tellDoubt(const instance_id &head);
 
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -537,12 +537,6 @@
     d->feed.daemonsTold = daemonsTold;
 }
 
-bool store_follower::hasFollowers() const
-{
-    const std::lock_guard lock(d->mutex);
-    return d->hasFollowersNow();
-}
-
 std::vector<feed_datagram> store_follower::endOfFeed()
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -47,8 +47,6 @@
     std::vector<feed_datagram> pendingPushes();
     /// Where what is known here was read, and how many daemons there are by the word of the one that passed it on.
     void setOrigin(const feed_origin &origin, int daemonsTold);
-    /// Whether anybody was heard lately to whom this daemon passes the feed on.
-    bool hasFollowers() const;
     /// Tells all followers that this daemon is no source any more, and forgets them.
     std::vector<feed_datagram> endOfFeed();
     /// Requests of each model that the followers hold.
