Entry: Tell in the log which lost requests are the same, and whether their replica has ended

Change: `try_ended` of a lost try carries a keyed digest of organisation, method, host, target and body, and what the replica's port says to a new connection. The key lies in the key-value service, written once by the coordinator, so that the digests of all daemons agree and nobody without it can try a guess of a prompt. libsodium's BLAKE2b (ruled out: xxhash, which has no key). No decision depends on it yet.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -86,6 +86,7 @@
     store_follower store;
     peer_feed feed;
     assembly_runner assembly;
+    crash_guard crashes;
     relay_context relay;
     daemon_figures standing;
     std::unique_ptr<http_server> callers;
@@ -106,7 +107,8 @@
               [this](const stall_notice &notice) { assembly.hearStall(notice); },
               [this](const group_doubt &doubt) { relay.doubt(doubt.head); })
         , assembly(settings, *keyValue, *dialect, store, feed, counters, [this] { return relay.held.counts(); })
-        , relay(settings, *dialect, store, feed, view, counters, [this](const instance_id &head) { assembly.noteStall(head); })
+        , crashes(*keyValue, *dialect, feed)
+        , relay(settings, *dialect, store, feed, view, crashes, counters, [this](const instance_id &head) { assembly.noteStall(head); })
         , standing(counters)
     {
     }
@@ -180,6 +182,7 @@
     d->readiness.reset();
     d->figures.reset();
     d->assembly.stop();
+    d->crashes.stop();
     d->feed.stop();
     d->store.stop();
     // The log's thread asks for what the requests have left to tell.
@@ -212,6 +215,7 @@
     d->feed.start();
     d->assembly.start();
     d->store.start();
+    d->crashes.start();
 }
 
 void entry_daemon::stop()
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -122,7 +122,7 @@
         load = std::make_shared<backend_load>();
         m_loads[key] = load;
     }
-    return {replica.id, replica.address, replica.dataCentre, group, std::max(1, replica.slots), std::move(load)};
+    return {replica.id, replica.address, replica.dataCentre, group, std::max(1, replica.slots), std::move(load), replica.life};
 }
 
 std::shared_ptr<const entry_view>
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -48,6 +48,7 @@
     group_id group;
     int slots = 1;
     std::shared_ptr<backend_load> load;
+    replica_life life = {};
 };
 
 /// All that a request is routed by. Never changes once it is made.
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -371,6 +371,11 @@
     }
 }
 
+bool peer_feed::isSource() const
+{
+    return d->isSource;
+}
+
 void peer_feed::follow(const endpoint &source)
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -34,6 +34,7 @@
 
     /// Whether this daemon is the source.
     void setSource(bool isSource);
+    bool isSource() const;
     /// Follows the coordinator at this address, or the relay that it names.
     void follow(const endpoint &source);
     /// The first request has come: from now on the replicas' changes are wanted.
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -29,9 +29,11 @@
                              const store_follower &store,
                              const peer_feed &feed,
                              const entry_view_snapshot &view,
+                             crash_guard &crashGuard,
                              metrics &allCounters,
                              std::function<void(const instance_id &)> tellStall)
     : dialect(words)
+    , crashes(crashGuard)
     , counters(allCounters)
     , noteStall(std::move(tellStall))
     , ends(allCounters)
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Base/rcu_snapshot.h"
+#include "Libraries/Entry/crash_guard.h"
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Entry/held_requests.h"
@@ -34,6 +35,7 @@
                   const store_follower &store,
                   const peer_feed &feed,
                   const entry_view_snapshot &view,
+                  crash_guard &crashes,
                   metrics &counters,
                   std::function<void(const instance_id &)> noteStall);
 
@@ -62,6 +64,7 @@
     void callRoll();
 
     const entry_dialect &dialect;
+    crash_guard &crashes;
     metrics &counters;
     const std::function<void(const instance_id &)> noteStall;
     /// Connections end after the answer at hand.
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -149,6 +149,8 @@
                           {"group", target.group.value()},
                           {"end", tryEndName(end)},
                           {"why", m_lastWhy},
+                          {"identity", m_identity ? m_identity->value() : ""},
+                          {"replica_found", m_replicaEnd ? replicaEndFindingName(*m_replicaEnd) : ""},
                           {"others_there", m_othersThere},
                           {"try_ms", (monotonicNow() - m_tryStart).count()},
                           {"last_event", m_events.lastId()}});
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -225,8 +225,12 @@
         // Nothing was awaited there: the pause begins now.
         target.load->lastProgress = m_tryStart.time_since_epoch().count();
     }
+    m_replicaEnd.reset();
     const auto end = runOn(target);
     target.load->outstanding.fetch_sub(1);
+    if (end == try_end::lost) {
+        checkLoss(target);
+    }
     noteTrouble(target, end);
     tellTry(target, end);
     return end;
@@ -305,6 +309,22 @@
     }
 }
 
+const std::optional<request_identity> &request_run::identity()
+{
+    if (!m_identity) {
+        const auto organisation = m_organisation == nullptr ? organisation_id() : m_organisation->id;
+        const auto host = m_exchange.header("Host");
+        m_identity = m_context.crashes.identify({organisation, m_exchange.method(), host, m_exchange.target(), m_body});
+    }
+    return m_identity;
+}
+
+void request_run::checkLoss(const backend &target)
+{
+    m_replicaEnd = m_context.crashes.checkLoss(target);
+    identity();
+}
+
 duration request_run::timeLeft() const
 {
     return m_deadline - monotonicNow();
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -45,6 +45,8 @@
     void tellAnswered(try_end end);
     bool tellEnd(request_outcome outcome);
     void tellTry(const backend &target, try_end end) const;
+    void checkLoss(const backend &target);
+    const std::optional<request_identity> &identity();
     std::optional<duration> firstEvent() const;
     duration held() const;
 
@@ -80,6 +82,8 @@
     std::vector<http_header> m_headers;
     client_request_head m_head;
     std::string m_body;
+    /// Worked out when it is first asked for.
+    std::optional<request_identity> m_identity;
     const route *m_route = nullptr;
     const served_organisation *m_organisation = nullptr;
     const served_service *m_service = nullptr;
@@ -97,6 +101,8 @@
     instant m_tryStart;
     /// Requests that this daemon had at the place when the try began.
     int m_othersThere = 0;
+    /// What became of the replica that the last try was lost with.
+    std::optional<replica_end_finding> m_replicaEnd;
     /// Something has come in this try.
     bool m_hasProgress = false;
     /// When the client was first and last sent a part of its answer.
--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Entry/crash_record.h"
 #include "Libraries/Entry/entry_daemon.h"
 #include "Libraries/Http/http_client.h"
 #include "Libraries/Http/http_upstream.h"
@@ -177,6 +178,8 @@
 
     void start(bool hasConfiguration = true, bool hasRunBefore = false)
     {
+        // Nobody coordinates here, who would write it.
+        m_values["vetchpost/crashing-requests"] = encodeCrashNotes({identity_key(std::string(64, 'a')), {}}, 0);
         if (hasConfiguration) {
             m_values["op/config"] = configurationText;
         }
@@ -231,6 +234,13 @@
         return exchange(callFor(path, key, attempt));
     }
 
+    client_answer askWith(const std::string &path, const std::string &body, const std::string &attempt) const
+    {
+        auto call = callFor(path, "good", attempt);
+        call.body = body;
+        return exchange(call);
+    }
+
     /// Asks with so much time left.
     client_answer askWithin(const std::string &path, duration patience) const
     {
