Entry, Feed, Requests: Keep requests that end replicas from the replicas

Cause: a request was forgotten as soon as it was answered, and a replica's end looked like any lost connection, so that a request which ends every replica that runs it came again under other ids and was sent to two replicas each time, by daemons that told each other nothing. Change: a table of requests under which replicas ended, by keyed digest; an end counts where the port refuses, or another start answers; three ends refuse the request for ten minutes, at once, as not run; ends that a refused request explains count against no other; an answer clears. Daemons tell each other of it along the ways of the feed, each list until its receipt; the coordinator keeps the refused ones in the key-value service.

--- a/Libraries/Base/error_kind.cpp
+++ b/Libraries/Base/error_kind.cpp
@@ -32,6 +32,7 @@
     {error_kind::backend_lost, "backend_lost", 502, run_state::may_have_run, never},
     {error_kind::backend_mismatch, "backend_mismatch", 502, run_state::may_have_run, never},
     {error_kind::backend_truncated, "backend_truncated", 502, run_state::may_have_run, never},
+    {error_kind::crashing_request, "crashing_request", 503, run_state::not_run, seconds(600)},
     {error_kind::claim_unavailable, "claim_unavailable", 503, run_state::not_run, seconds(5)},
     {error_kind::claim_running, "claim_running", 409, run_state::may_have_run, seconds(2)},
     {error_kind::claim_ran, "claim_ran", 409, run_state::ran, never},
--- a/Libraries/Base/error_kind.h
+++ b/Libraries/Base/error_kind.h
@@ -33,6 +33,7 @@
     backend_lost,
     backend_mismatch,
     backend_truncated,
+    crashing_request,
     claim_unavailable,
     claim_running,
     claim_ran,
--- a/Libraries/Entry/crash_guard.cpp
+++ b/Libraries/Entry/crash_guard.cpp
@@ -7,22 +7,44 @@
 
 struct crash_guard::private_data
 {
+    const store_follower &store;
+    peer_feed &feed;
+    shared_suspects &suspects;
     replica_end_check endCheck;
     crash_record record;
 
-    private_data(key_value_service &keyValue, const entry_dialect &dialect, peer_feed &feed)
-        : endCheck(dialect)
+    private_data(key_value_service &keyValue,
+                 const entry_dialect &dialect,
+                 const store_follower &follower,
+                 peer_feed &peers,
+                 shared_suspects &shared)
+        : store(follower)
+        , feed(peers)
+        , suspects(shared)
+        , endCheck(dialect)
         , record(keyValue,
-                 {[&feed] { return feed.isSource(); },
-                  [&feed] { return feed.isSourceHeard(); },
-                  [](const std::vector<crash_evidence> & /*read*/) {},
-                  [] { return std::vector<crash_evidence>(); }})
+                 {[&peers] { return peers.isSource(); },
+                  [&peers] { return peers.isSourceHeard(); },
+                  [&shared](const std::vector<crash_evidence> &kept) { shared.takeKept(kept); },
+                  [&shared] { return shared.refused(); }})
     {
     }
+
+    /// One that had said that it leaves has ended as planned, whatever it ran.
+    bool hasSaidItLeaves(const instance_id &replica) const
+    {
+        const auto directory = store.directory();
+        const auto known = directory->replicas.find(replica);
+        return known != directory->replicas.end() && (saysItLeaves(known->second) || known->second.hasAnnounced);
+    }
 };
 
-crash_guard::crash_guard(key_value_service &keyValue, const entry_dialect &dialect, peer_feed &feed)
-    : d(std::make_unique<private_data>(keyValue, dialect, feed))
+crash_guard::crash_guard(key_value_service &keyValue,
+                         const entry_dialect &dialect,
+                         const store_follower &store,
+                         peer_feed &feed,
+                         shared_suspects &suspects)
+    : d(std::make_unique<private_data>(keyValue, dialect, store, feed, suspects))
 {
 }
 
@@ -44,9 +66,34 @@
     return key ? std::optional(identityOf(*key, parts)) : std::nullopt;
 }
 
-replica_end_finding crash_guard::checkLoss(const backend &target)
+bool crash_guard::hasSuspects() const
+{
+    return d->suspects.hasAny();
+}
+
+std::optional<duration> crash_guard::refusedFor(const std::optional<request_identity> &request) const
+{
+    return request ? d->suspects.refusedFor(*request) : std::nullopt;
+}
+
+// The request waits for the finding: its next try has to know of this end. Asked on the side, the answer came after the next replica had
+// got the request. A port that refuses answers within a round trip.
+replica_end_finding
+crash_guard::noteLoss(const std::optional<request_identity> &request, const organisation_id &organisation, const backend &target)
 {
-    return d->endCheck.ask(target);
+    const auto found = d->endCheck.ask(target);
+    if (request && found == replica_end_finding::has_ended && !d->hasSaidItLeaves(target.replica)) {
+        d->suspects.noteEnd(*request, organisation, endOf(target.replica.value(), target.life.value()));
+        d->feed.spreadSuspects();
+    }
+    return found;
+}
+
+void crash_guard::noteAnswered(const std::optional<request_identity> &request)
+{
+    if (request) {
+        d->suspects.noteAnswered(*request);
+    }
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -84,6 +84,7 @@
     entry_view_builder views;
     entry_view_snapshot view;
     store_follower store;
+    shared_suspects suspects;
     peer_feed feed;
     assembly_runner assembly;
     crash_guard crashes;
@@ -99,15 +100,17 @@
         , keyValue(std::make_unique<paced_service>(std::make_unique<measured_store>(makeStore(settings.keyValue, counters), counters),
                                                    dialect->configurationKey()))
         , store(*keyValue, *dialect, feedTiming(settings.configurationApply), counters, [this] { rebuildView(); })
+        , suspects(counters)
         , feed(
               settings,
               store,
+              suspects,
               counters,
               [this] { return relay.held.counts(); },
               [this](const stall_notice &notice) { assembly.hearStall(notice); },
               [this](const group_doubt &doubt) { relay.doubt(doubt.head); })
         , assembly(settings, *keyValue, *dialect, store, feed, counters, [this] { return relay.held.counts(); })
-        , crashes(*keyValue, *dialect, feed)
+        , crashes(*keyValue, *dialect, store, feed, suspects)
         , relay(settings, *dialect, store, feed, view, crashes, counters, [this](const instance_id &head) { assembly.noteStall(head); })
         , standing(counters)
     {
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -42,6 +42,7 @@
     const entry_settings &settings;
     const feed_timing timing;
     store_follower &store;
+    shared_suspects &suspects;
     std::function<std::vector<model_demand>()> heldHere;
     std::function<void(const stall_notice &)> didHearStall;
     std::function<void(const group_doubt &)> didHearDoubt;
@@ -65,6 +66,7 @@
 
     private_data(const entry_settings &entrySettings,
                  store_follower &follows,
+                 shared_suspects &shared,
                  metrics &counters,
                  std::function<std::vector<model_demand>()> held,
                  std::function<void(const stall_notice &)> hearStall,
@@ -72,6 +74,7 @@
         : settings(entrySettings)
         , timing(feedTiming(entrySettings.configurationApply))
         , store(follows)
+        , suspects(shared)
         , heldHere(std::move(held))
         , didHearStall(std::move(hearStall))
         , didHearDoubt(std::move(hearDoubt))
@@ -99,9 +102,34 @@
                 sendAll(store.pendingPushes());
                 subscribeIfDue();
             }
+            spreadSuspects();
         }
     }
 
+    /// A source that has not answered yet may not know this daemon as a follower.
+    std::optional<endpoint> heardSource() const
+    {
+        const std::lock_guard lock(mutex);
+        return !isSource && follower.wasHeard ? follower.source : std::nullopt;
+    }
+
+    void spreadSuspects()
+    {
+        sendAll(suspects.due(heardSource(), store.heardFollowers()));
+    }
+
+    /// Anybody may tell of a suspect: what a stranger says is no order, and three ends of replicas have to be named.
+    void take(const suspect_list &list, const endpoint &from)
+    {
+        send(suspects.take(list, from));
+        spreadSuspects();
+    }
+
+    void take(const suspect_receipt &receipt, const endpoint &from)
+    {
+        suspects.take(receipt, from);
+    }
+
     duration untilSubscription() const
     {
         const std::lock_guard lock(mutex);
@@ -322,11 +350,12 @@
 
 peer_feed::peer_feed(const entry_settings &settings,
                      store_follower &store,
+                     shared_suspects &suspects,
                      metrics &counters,
                      std::function<std::vector<model_demand>()> heldHere,
                      std::function<void(const stall_notice &)> didHearStall,
                      std::function<void(const group_doubt &)> didHearDoubt)
-    : d(std::make_unique<private_data>(settings, store, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearDoubt)))
+    : d(std::make_unique<private_data>(settings, store, suspects, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearDoubt)))
 {
 }
 
@@ -390,6 +419,11 @@
     }
 }
 
+void peer_feed::spreadSuspects()
+{
+    d->spreadSuspects();
+}
+
 bool peer_feed::tellStall(const stall_notice &notice)
 {
     return d->sendToSource(notice);
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/metrics.h"
+#include "Libraries/Entry/shared_suspects.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Settings/entry_settings.h"
 
@@ -18,6 +19,7 @@
     /// \a heldHere tells how many requests of each model this daemon holds. All are called on the feed's thread.
     peer_feed(const entry_settings &settings,
               store_follower &store,
+              shared_suspects &suspects,
               metrics &counters,
               std::function<std::vector<model_demand>()> heldHere,
               std::function<void(const stall_notice &)> didHearStall,
@@ -41,6 +43,8 @@
     void noteTraffic();
     /// Sends a notice to the source; false where none is known.
     bool tellStall(const stall_notice &notice);
+    /// Sends the neighbours what they lack of the suspects.
+    void spreadSuspects();
     /// As the source: tells all followers that a group is likely to stand still.
     void tellDoubt(const instance_id &head);
 
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -71,9 +71,10 @@
         const auto patience = firstAnswerPatience();
         auto wait = upstream_wait::timeout;
         do {
-            const auto until = mayMove && isStream() ? std::min(patience, monotonicNow() + doubtLookPeriod) : patience;
+            const auto until = isStream() ? std::min(patience, monotonicNow() + doubtLookPeriod) : patience;
             wait = upstream.waitForAnswer(std::min(m_deadline, until), m_exchange.socketDescriptor());
-        } while (wait == upstream_wait::timeout && monotonicNow() < std::min(m_deadline, patience) && !isDoubted(target));
+        } while (wait == upstream_wait::timeout && monotonicNow() < std::min(m_deadline, patience) && !isDoubted(target)
+                 && !mustWithdraw());
         if (wait == upstream_wait::data) {
             return passAnswer(upstream, target);
         }
@@ -81,13 +82,18 @@
             m_lastWhy = whyOf(wait, "the connection broke off before an answer");
             return endOf(wait);
         }
+        if (mustWithdraw()) {
+            m_lastWhy = "replicas have ended under the same request elsewhere";
+            return try_end::withdrawn;
+        }
         const bool isSilent = mayMove && (!isStream() || isStandingStill(target));
         if ((mayMove && isDoubted(target)) || (isSilent && takeRepeatElsewhere())) {
             m_lastWhy = "the replica is silent";
             return try_end::silent;
         }
         // Others make progress there, or nobody else may take it: it is waited for to the end.
-        const auto next = upstream.waitForAnswer(mayMove ? std::min(m_deadline, monotonicNow() + stallPause) : m_deadline,
+        const bool mustLookAgain = mayMove || isStream();
+        const auto next = upstream.waitForAnswer(mustLookAgain ? std::min(m_deadline, monotonicNow() + stallPause) : m_deadline,
                                                  m_exchange.socketDescriptor());
         if (next == upstream_wait::data) {
             return passAnswer(upstream, target);
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -15,7 +15,7 @@
 constexpr duration comeBackSoon(250);
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(try_end::count)> tryEndNames
-    = {"answered", "not_sent", "not_run", "lost", "silent", "failed", "caller_left", "timed_out"};
+    = {"answered", "not_sent", "not_run", "lost", "silent", "failed", "caller_left", "timed_out", "withdrawn"};
 
 } // namespace
 
@@ -83,6 +83,7 @@
     tellEnd(request_outcome::refused);
     requestLog.writeKept("refused",
                          {{"request", m_head.attempt.value()},
+                          {"identity", m_identity ? m_identity->value() : ""},
                           {"route", m_route == nullptr ? "" : m_route->name},
                           {"kind", errorAnswer(kind).name},
                           {"why", text},
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -128,6 +128,10 @@
         refuse(error_kind::no_serving_group, "the route has no service", comeBackAfterRepair);
         return;
     }
+    if (const auto time = refusedFor()) {
+        refuse(error_kind::crashing_request, "replicas have ended under it, again and again", time);
+        return;
+    }
     m_context.noteFirstTry(m_service->id);
     if (m_head.patience) {
         m_waitedBefore = m_context.waitedBefore(m_route->name, *m_head.patience, m_arrival);
@@ -179,6 +183,10 @@
         m_noRepeatWhy = "no time is left";
         return false;
     }
+    if (end == try_end::withdrawn || refusedFor()) {
+        m_noRepeatWhy = "replicas have ended under the same request";
+        return false;
+    }
     if (end == try_end::not_sent) {
         m_noRepeatWhy = "too many places could not be reached";
         return ++m_unreachable < mostUnreachable;
@@ -229,7 +237,9 @@
     const auto end = runOn(target);
     target.load->outstanding.fetch_sub(1);
     if (end == try_end::lost) {
-        checkLoss(target);
+        noteLoss(target);
+    } else if (end == try_end::answered) {
+        noteAnswered();
     }
     noteTrouble(target, end);
     tellTry(target, end);
@@ -319,10 +329,33 @@
     return m_identity;
 }
 
-void request_run::checkLoss(const backend &target)
+void request_run::noteLoss(const backend &target)
+{
+    const auto organisation = m_organisation == nullptr ? organisation_id() : m_organisation->id;
+    m_replicaEnd = m_context.crashes.noteLoss(identity(), organisation, target);
+}
+
+void request_run::noteAnswered()
+{
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+    const bool isSuccess = m_status >= firstSuccess && m_status < firstRedirect;
+    if (isSuccess && m_context.crashes.hasSuspects()) {
+        m_context.crashes.noteAnswered(identity());
+    }
+}
+
+/// How long it is refused still, since replicas have ended under it.
+std::optional<duration> request_run::refusedFor()
+{
+    return m_context.crashes.hasSuspects() ? m_context.crashes.refusedFor(identity()) : std::nullopt;
+}
+
+/// Whether a try that waits must be taken back, so that the replica which has not begun it is spared. Streams alone: the head of one that
+/// runs comes at once, while a plain call that has begun shows nothing of it.
+bool request_run::mustWithdraw()
 {
-    m_replicaEnd = m_context.crashes.checkLoss(target);
-    identity();
+    return isStream() && m_route->mayRunAgain() && !m_hasProgress && refusedFor();
 }
 
 duration request_run::timeLeft() const
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -45,8 +45,12 @@
     void tellAnswered(try_end end);
     bool tellEnd(request_outcome outcome);
     void tellTry(const backend &target, try_end end) const;
-    void checkLoss(const backend &target);
+
     const std::optional<request_identity> &identity();
+    void noteLoss(const backend &target);
+    void noteAnswered();
+    std::optional<duration> refusedFor();
+    bool mustWithdraw();
     std::optional<duration> firstEvent() const;
     duration held() const;
 
--- /dev/null
+++ b/Libraries/Entry/shared_suspects.cpp
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/shared_suspects.h"
+
+#include "Libraries/Base/event_log.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace vetchpost {
+
+namespace {
+
+constexpr event_log crashLog("crash");
+
+std::string textOf(const std::set<replica_end> &ends)
+{
+    std::string text;
+    for (const auto end : ends) {
+        text += (text.empty() ? "" : " ") + std::to_string(end.value());
+    }
+    return text;
+}
+
+} // namespace
+
+struct shared_suspects::private_data
+{
+    mutable std::mutex mutex;
+    crash_suspects table;
+    suspect_spread spread;
+    std::atomic<bool> hasAny = false;
+    counter ends;
+    counter refusals;
+    counter cleared;
+    counter dropped;
+
+    explicit private_data(metrics &counters)
+        : ends(counters.addCounter("vetchpost_suspect_ends_total", "Lost tries whose replica had ended, seen by this daemon."))
+        , refusals(counters.addCounter("vetchpost_crashing_requests_total", "Requests that this daemon learned to refuse."))
+        , cleared(counters.addCounter("vetchpost_crashing_requests_cleared_total", "Refused requests that are allowed again."))
+        , dropped(counters.addCounter("vetchpost_suspects_dropped_total", "Suspects left out for want of room."))
+    {
+    }
+
+    /// Changes the table, with the mutex held, and tells what has become of the refusals.
+    template <class Change>
+    auto change(std::string_view why, const Change &make)
+    {
+        const auto before = table.refused;
+        const auto droppedBefore = table.dropped;
+        const auto result = make();
+        for (const auto &request : table.refused) {
+            if (!before.contains(request)) {
+                const auto &suspect = table.suspects.at(request);
+                refusals.increment();
+                crashLog.writeKept("request_refused",
+                                   {{"identity", request.value()},
+                                    {"organisation", suspect.organisation.value()},
+                                    {"ends", textOf(suspect.ends)},
+                                    {"why", why}});
+            }
+        }
+        for (const auto &request : before) {
+            if (!table.refused.contains(request)) {
+                cleared.increment();
+                crashLog.writeKept("request_allowed", {{"identity", request.value()}, {"why", why}});
+            }
+        }
+        for (auto count = droppedBefore; count < table.dropped; ++count) {
+            dropped.increment();
+        }
+        hasAny = !table.suspects.empty();
+        return result;
+    }
+};
+
+shared_suspects::shared_suspects(metrics &counters)
+    : d(std::make_unique<private_data>(counters))
+{
+}
+
+shared_suspects::~shared_suspects() = default;
+
+bool shared_suspects::hasAny() const
+{
+    return d->hasAny;
+}
+
+std::optional<duration> shared_suspects::refusedFor(const request_identity &request) const
+{
+    const std::lock_guard lock(d->mutex);
+    return vetchpost::refusedFor(d->table, request, monotonicNow());
+}
+
+void shared_suspects::noteEnd(const request_identity &request, const organisation_id &organisation, replica_end end)
+{
+    const std::lock_guard lock(d->mutex);
+    d->ends.increment();
+    d->change("a replica ended under it here", [&] {
+        const auto now = monotonicNow();
+        forgetOld(d->table, now);
+        vetchpost::noteEnd(d->table, request, organisation, end, now);
+        return true;
+    });
+}
+
+void shared_suspects::noteAnswered(const request_identity &request)
+{
+    const std::lock_guard lock(d->mutex);
+    d->change("it was answered whole here", [&] { return vetchpost::noteAnswered(d->table, request); });
+}
+
+bool shared_suspects::pardon(const request_identity &request)
+{
+    const std::lock_guard lock(d->mutex);
+    return d->change("an operator allows it", [&] { return vetchpost::noteAnswered(d->table, request); });
+}
+
+std::vector<crash_evidence> shared_suspects::refused() const
+{
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    std::vector<crash_evidence> result;
+    for (const auto &request : d->table.refused) {
+        if (isRefused(d->table, request, now)) {
+            result.push_back(evidenceOf(request, d->table.suspects.at(request), now));
+        }
+    }
+    return result;
+}
+
+void shared_suspects::takeKept(const std::vector<crash_evidence> &evidence)
+{
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    d->change("the key-value service keeps it", [&] {
+        for (const auto &kept : evidence) {
+            takeEvidence(d->table, kept, now);
+        }
+        forgetOld(d->table, now);
+        return true;
+    });
+}
+
+std::vector<feed_datagram> shared_suspects::due(const std::optional<endpoint> &source, const std::vector<endpoint> &followers)
+{
+    const std::lock_guard lock(d->mutex);
+    return suspectsDue(d->spread, d->table, source, followers, monotonicNow());
+}
+
+feed_datagram shared_suspects::take(const suspect_list &list, const endpoint &from)
+{
+    const std::lock_guard lock(d->mutex);
+    return d->change("another daemon tells of it", [&] { return takeSuspects(d->spread, d->table, list, from, monotonicNow()); });
+}
+
+void shared_suspects::take(const suspect_receipt &receipt, const endpoint &from)
+{
+    const std::lock_guard lock(d->mutex);
+    takeReceipt(d->spread, receipt, from);
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/try_end.h
+++ b/Libraries/Entry/try_end.h
@@ -21,6 +21,8 @@
     failed,
     caller_left,
     timed_out,
+    /// Given up before it answered, since replicas have ended under the same request elsewhere.
+    withdrawn,
     count
 };
 
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -18,6 +18,8 @@
 constexpr auto doubtKind = "doubt";
 constexpr auto endKind = "end";
 constexpr auto referralKind = "refer";
+constexpr auto suspectsKind = "suspects";
+constexpr auto receiptKind = "receipt";
 constexpr auto fromField = "from";
 constexpr auto nonceField = "nonce";
 constexpr auto upToField = "up_to";
@@ -39,6 +41,13 @@
 constexpr auto hopsField = "hops";
 constexpr auto relayField = "relay";
 constexpr auto endingField = "ending";
+constexpr auto firstField = "first";
+constexpr auto suspectsField = "list";
+constexpr auto requestField = "req";
+constexpr auto organisationField = "org";
+constexpr auto endsField = "ends";
+constexpr auto roundField = "round";
+constexpr auto ageField = "age";
 
 Json::Value number(std::uint64_t value)
 {
@@ -125,6 +134,64 @@
     return json;
 }
 
+Json::Value encoded(const suspect_list &message)
+{
+    Json::Value json;
+    json[kindField] = suspectsKind;
+    json[firstField] = message.isFirst;
+    json[upToField] = number(message.upTo);
+    for (const auto &evidence : message.suspects) {
+        Json::Value entry;
+        entry[requestField] = evidence.request.value();
+        entry[organisationField] = evidence.organisation.value();
+        entry[roundField] = number(evidence.round);
+        entry[ageField] = Json::Int64(evidence.age.count());
+        for (const auto end : evidence.ends) {
+            entry[endsField].append(number(end.value()));
+        }
+        json[suspectsField].append(std::move(entry));
+    }
+    return json;
+}
+
+Json::Value encoded(const suspect_receipt &message)
+{
+    Json::Value json;
+    json[kindField] = receiptKind;
+    json[upToField] = number(message.upTo);
+    return json;
+}
+
+std::optional<crash_evidence> decodedEvidence(const Json::Value &json)
+{
+    crash_evidence evidence;
+    evidence.request = request_identity(jsonString(json, requestField));
+    evidence.organisation = organisation_id(jsonString(json, organisationField));
+    evidence.round = jsonNumber(json, roundField);
+    evidence.age = duration(static_cast<std::int64_t>(jsonNumber(json, ageField)));
+    for (const auto &end : jsonArray(json, endsField)) {
+        if (!end.isUInt64()) {
+            return std::nullopt;
+        }
+        evidence.ends.emplace_back(end.asUInt64());
+    }
+    const bool isGood = !evidence.request.isEmpty() && evidence.age >= duration() && evidence.ends.size() <= mostEndsKept;
+    return isGood ? std::optional(std::move(evidence)) : std::nullopt;
+}
+
+std::optional<suspect_list> decodedSuspects(const Json::Value &json)
+{
+    suspect_list list{jsonFlag(json, firstField), jsonNumber(json, upToField), {}};
+    for (const auto &entry : jsonArray(json, suspectsField)) {
+        auto evidence = entry.isObject() ? decodedEvidence(entry) : std::nullopt;
+        if (!evidence) {
+            return std::nullopt;
+        }
+        list.suspects.push_back(std::move(*evidence));
+    }
+    return list;
+}
+
 feed_subscription decodedSubscription(const Json::Value &json)
 {
     feed_subscription subscription{daemon_id(jsonString(json, fromField)),
@@ -204,6 +271,13 @@
         const auto relay = parseEndpoint(jsonString(*json, relayField));
         return relay ? std::optional<feed_message>(feed_referral{*relay}) : std::nullopt;
     }
+    if (kind == suspectsKind) {
+        auto list = decodedSuspects(*json);
+        return list ? std::optional<feed_message>(std::move(*list)) : std::nullopt;
+    }
+    if (kind == receiptKind) {
+        return suspect_receipt{jsonNumber(*json, upToField)};
+    }
     return std::nullopt;
 }
 
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -5,6 +5,7 @@
 #include "Libraries/Base/identifier.h"
 #include "Libraries/Base/instant.h"
 #include "Libraries/Platform/key_value_service.h"
+#include "Libraries/Requests/crash_suspects.h"
 #include "Libraries/Routing/replica_directory.h"
 
 #include <optional>
@@ -112,7 +113,24 @@
     endpoint relay;
 };
 
-using feed_message = std::variant<feed_subscription, feed_update, stall_notice, group_doubt, feed_end, feed_referral>;
+/// Requests under which replicas ended, as far as the receiver may not know.
+struct suspect_list
+{
+    /// The sender has just begun to follow the receiver, and wants to be told all.
+    bool isFirst = false;
+    /// Of the sender's table; comes back in the receipt.
+    std::uint64_t upTo = 0;
+    std::vector<crash_evidence> suspects;
+};
+
+/// A list has arrived.
+struct suspect_receipt
+{
+    std::uint64_t upTo = 0;
+};
+
+using feed_message
+    = std::variant<feed_subscription, feed_update, stall_notice, group_doubt, feed_end, feed_referral, suspect_list, suspect_receipt>;
 
 std::string encodeFeedMessage(const feed_message &message);
 /// Nothing where the bytes are no message.
