Entry, Utilities, Explain: Let operators see refused requests, know why, and allow them again

`vetchpost crashing` and `vetchpost allow IDENTITY` at any entry daemon's address for peers; metrics; `explain` of a refused request names the ends of replicas under the same request by other ids. testExplain has the case.

--- /dev/null
+++ b/Libraries/Entry/crash_interface.cpp
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/crash_interface.h"
+
+#include "Libraries/Base/json.h"
+
+namespace vetchpost {
+
+namespace {
+
+Json::Value shown(const crash_evidence &evidence)
+{
+    Json::Value json;
+    json["identity"] = evidence.request.value();
+    json["organisation"] = evidence.organisation.value();
+    json["replicas_ended"] = Json::UInt64(evidence.ends.size());
+    json["last_end_seconds_ago"] = secondsOf(evidence.age);
+    json["refused_for_seconds"] = secondsOf(refusalTime - evidence.age);
+    return json;
+}
+
+} // namespace
+
+void answerCrashingRequests(http_exchange &exchange, shared_suspects &suspects)
+{
+    constexpr int done = 200;
+    constexpr int notFound = 404;
+    constexpr int wrongMethod = 405;
+    Json::Value json(Json::objectValue);
+    int status = done;
+    if (exchange.method() == "GET") {
+        json["refused"] = Json::Value(Json::arrayValue);
+        for (const auto &evidence : suspects.refused()) {
+            json["refused"].append(shown(evidence));
+        }
+    } else if (exchange.method() == "POST") {
+        status = suspects.pardon(request_identity(exchange.queryParameter("allow"))) ? done : notFound;
+    } else {
+        status = wrongMethod;
+    }
+    exchange.send(status, "application/json", toJsonText(json) + "\n");
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/daemon_figures.cpp
+++ b/Libraries/Entry/daemon_figures.cpp
@@ -19,6 +19,8 @@
     , m_daemons(counters.addGauge("vetchpost_daemons_known", "Daemons that the coordinator hears; 0: not known."))
     , m_connections(counters.addGauge("vetchpost_connections_open", "Clients' connections."))
     , m_requests(counters.addGauge("vetchpost_requests_held", "Requests that are being served."))
+    , m_crashingRequests(
+          counters.addGauge("vetchpost_crashing_requests_refused", "Requests that are refused now, since replicas ended under them."))
 {
 }
 
@@ -31,6 +33,7 @@
     m_daemons.set(standing.daemons);
     m_connections.set(static_cast<double>(standing.connections));
     m_requests.set(static_cast<double>(standing.requests));
+    m_crashingRequests.set(static_cast<double>(standing.crashingRequests));
     const std::lock_guard lock(m_mutex);
     for (const auto &[part, count] : standing.linesLeftOut) {
         auto found = m_linesLeftOut.find(part);
--- a/Libraries/Entry/daemon_figures.h
+++ b/Libraries/Entry/daemon_figures.h
@@ -23,6 +23,8 @@
     int daemons = 0;
     std::size_t connections = 0;
     std::size_t requests = 0;
+    /// Refused now, since replicas ended under them.
+    std::size_t crashingRequests = 0;
     /// By part, since the start.
     std::map<std::string, std::uint64_t> linesLeftOut;
 };
@@ -43,6 +45,7 @@
     gauge m_daemons;
     gauge m_connections;
     gauge m_requests;
+    gauge m_crashingRequests;
     std::mutex m_mutex;
     std::map<std::string, counter> m_linesLeftOut;
 };
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/version.h"
 #include "Libraries/Entry/assembly_runner.h"
+#include "Libraries/Entry/crash_interface.h"
 #include "Libraries/Entry/daemon_figures.h"
 #include "Libraries/Entry/request_run.h"
 #include "Libraries/Platform/measured_store.h"
@@ -150,14 +151,20 @@
         now.daemons = feed.daemons().value_or(0);
         now.connections = static_cast<std::size_t>(callers->openConnections());
         now.requests = static_cast<std::size_t>(callers->activeRequests());
+        now.crashingRequests = suspects.refused().size();
         now.linesLeftOut = droppedLogLinesByPart();
         return now;
     }
 
-    void answerMetrics(http_exchange &exchange)
+    void answerOperator(http_exchange &exchange)
     {
         constexpr int found = 200;
         constexpr int notFound = 404;
+        if (exchange.path() == crashingRequestsPath) {
+            answerCrashingRequests(exchange, suspects);
+            feed.spreadSuspects();
+            return;
+        }
         const bool isKnown = exchange.path() == metricsPath;
         if (isKnown) {
             standing.show(standingNow());
@@ -211,7 +218,7 @@
     limits.maximumThreads = readinessThreads;
     d->readiness
         = std::make_unique<http_server>(d->settings.readiness, limits, [this](http_exchange &exchange) { d->answerReadiness(exchange); });
-    d->figures = std::make_unique<http_server>(d->settings.peers, limits, [this](http_exchange &exchange) { d->answerMetrics(exchange); });
+    d->figures = std::make_unique<http_server>(d->settings.peers, limits, [this](http_exchange &exchange) { d->answerOperator(exchange); });
     if (!d->settings.isFirstStart) {
         d->store.noteTraffic();
     }
--- a/Libraries/Explain/request_story.cpp
+++ b/Libraries/Explain/request_story.cpp
@@ -120,6 +120,7 @@
         line.request = jsonString(*json, "request");
         line.replica = jsonString(*json, "replica");
         line.group = jsonString(*json, "group");
+        line.identity = jsonString(*json, "identity");
         line.end = jsonString(*json, line.entry.event == "try_ended" ? "end" : "outcome");
         if (line.entry.event == rollEvent) {
             line.arrived = jsonString(*json, "arrived");
@@ -166,6 +167,12 @@
     return sentences;
 }
 
+bool log_collector::tellsOfSame(const collected &line, const std::set<std::string> &identities)
+{
+    const bool isEnd = line.entry.event == "try_ended" && line.entry.details.find("replica_found=ended") != std::string::npos;
+    return identities.contains(line.identity) && (line.entry.part == "crash" || isEnd);
+}
+
 request_story log_collector::storyOf(const std::string &request) const
 {
     request_story story;
@@ -173,6 +180,7 @@
     std::set<std::string> places;
     std::set<std::string> replicas;
     std::set<std::string> daemons;
+    std::set<std::string> identities;
     std::vector<log_entry> own;
     for (const auto &line : m_lines) {
         if (const auto named = entryOnRoll(line, request)) {
@@ -184,6 +192,9 @@
         }
         own.push_back(line.entry);
         daemons.insert(line.entry.daemon);
+        if (!line.identity.empty()) {
+            identities.insert(line.identity);
+        }
         if (!line.replica.empty()) {
             replicas.insert(line.replica);
         }
@@ -207,7 +218,8 @@
             && entry.milliseconds <= own.back().milliseconds + millisecondsAfter;
         const bool bears = (entry.part == "assembly" && namesAny(entry.details, places))
             || (daemons.contains(entry.daemon) && isDaemonEvent(entry.event));
-        if (line.request.empty() && isNear && bears) {
+        const bool isSame = line.request != request && tellsOfSame(line, identities);
+        if ((line.request.empty() && isNear && bears) || isSame) {
             story.entries.push_back(entry);
         }
     }
--- a/Libraries/Explain/request_story.h
+++ b/Libraries/Explain/request_story.h
@@ -26,7 +26,7 @@
 struct request_story
 {
     /// All daemons' lines of the request, and those that bear on it: decisions and looks at its replicas and groups, and changes of the
-    /// daemons that held it, around its time. In the order of time.
+    /// daemons that held it, around its time; and the ends of replicas under the same request by other ids. In the order of time.
     std::vector<log_entry> entries;
     /// What became of it, in a sentence; empty where no line names the request.
     std::string verdict;
@@ -51,6 +51,8 @@
         std::string request;
         std::string replica;
         std::string group;
+        /// The same for requests that come again under other ids.
+        std::string identity;
         /// How a try ended, or an answer turned out.
         std::string end;
         /// Of a line that names many requests: those that came, and those that were served in time; separated by spaces.
@@ -58,6 +60,8 @@
         std::string served;
     };
 
+    /// Whether a line tells of an end of a replica under the same request by another id, or of what followed from such ends.
+    static bool tellsOfSame(const collected &line, const std::set<std::string> &identities);
     std::vector<std::string>
     neighboursOf(const std::string &request, const std::set<std::string> &replicas, std::int64_t from, std::int64_t until) const;
     /// What a line says of a request that it names among others; nothing where it does not.
--- a/Tests/Explain/testRequestStory.cpp
+++ b/Tests/Explain/testRequestStory.cpp
@@ -47,6 +47,23 @@
     CHECK(story.verdict.find("broken off") != std::string::npos);
 }
 
+TEST_CASE("The story of a request that is refused for its repeats names the replicas that ended under the others")
+{
+    std::istringstream log(
+        R"({"ms":1000,"daemon":"d1","part":"request","event":"try_ended","request":"r1","replica":"i-1","identity":"aa","replica_found":"ended","end":"lost"}
+{"ms":1500,"daemon":"d2","part":"request","event":"try_ended","request":"r2","replica":"i-2","identity":"aa","replica_found":"there","end":"lost"}
+{"ms":1600,"daemon":"d2","part":"request","event":"try_ended","request":"r3","replica":"i-1","identity":"bb","replica_found":"ended","end":"lost"}
+{"ms":2000,"daemon":"d2","part":"crash","event":"request_refused","identity":"aa","ends":"1 2 3","why":"another daemon tells of it"}
+{"ms":90000,"daemon":"d2","part":"request","event":"refused","request":"r9","identity":"aa","kind":"crashing_request"})");
+    log_collector collector;
+    collector.take(log);
+    const auto story = collector.storyOf("r9");
+    REQUIRE(story.entries.size() == 3);
+    CHECK(story.entries[0].details.find("request=r1") != std::string::npos);
+    CHECK(story.entries[1].event == "request_refused");
+    CHECK(story.entries[2].event == "refused");
+}
+
 TEST_CASE("Lines that are cut off or of another program are counted and passed over")
 {
     CHECK(storyOf("r1").unreadable == 2);
--- a/Utilities/vetchpost/commands.h
+++ b/Utilities/vetchpost/commands.h
@@ -23,6 +23,7 @@
     std::string editId;
     std::string tokens;
     std::string request;
+    std::string identity;
     std::vector<std::string> logFiles;
     bool isStreamed = false;
     bool asJson = false;
@@ -48,5 +49,7 @@
 exit_code printDigest(const command_options &options);
 exit_code askModel(const command_options &options);
 exit_code explainRequest(const command_options &options);
+exit_code showCrashing(const command_options &options);
+exit_code allowCrashing(const command_options &options);
 
 } // namespace vetchpost
--- /dev/null
+++ b/Utilities/vetchpost/crash_commands.cpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Base/json.h"
+#include "Utilities/vetchpost/commands.h"
+#include "Utilities/vetchpost/operator_client.h"
+
+#include <fmt/format.h>
+
+namespace vetchpost {
+
+namespace {
+
+constexpr auto path = "/crashing-requests";
+
+} // namespace
+
+exit_code showCrashing(const command_options &options)
+{
+    const auto json = fetchJson(options, path);
+    if (!json) {
+        return exit_no_daemon;
+    }
+    if (options.asJson) {
+        fmt::print("{}\n", toJsonText(*json));
+        return exit_done;
+    }
+    for (const auto &request : jsonArray(*json, "refused")) {
+        fmt::print("{}  {:<20} {} replicas ended under it, the last {:.0f} s ago; refused for {:.0f} s more\n",
+                   jsonString(request, "identity"),
+                   jsonString(request, "organisation"),
+                   jsonNumber(request, "replicas_ended"),
+                   request["last_end_seconds_ago"].asDouble(),
+                   request["refused_for_seconds"].asDouble());
+    }
+    return exit_done;
+}
+
+exit_code allowCrashing(const command_options &options)
+{
+    const auto reply = callDaemon(options, "POST", std::string(path) + "?allow=" + options.identity, {}, {});
+    if (!reply) {
+        return exit_no_daemon;
+    }
+    if (!reply->isSuccess()) {
+        fmt::print(stderr, "vetchpost: {} is not refused\n", options.identity);
+        return exit_refused;
+    }
+    fmt::print("{} is allowed again\n", options.identity);
+    return exit_done;
+}
+
+} // namespace vetchpost
--- a/Utilities/vetchpost/main.cpp
+++ b/Utilities/vetchpost/main.cpp
@@ -21,6 +21,8 @@
   vetchpost digest KEY
   vetchpost ask MODEL TEXT [--callers ADDRESS] [--stream] [--tokens N]
   vetchpost explain REQUEST [LOGFILE...]
+  vetchpost crashing [--daemon ADDRESS] [--json]
+  vetchpost allow IDENTITY [--daemon ADDRESS]
   vetchpost (-h | --help)
   vetchpost --version
 
@@ -36,9 +38,11 @@
   digest   Print the digest of a caller's key, for the configuration.
   ask      Send a request as a caller.
   explain  Tell what became of a request, from the logs of entry daemons; without files, from the standard input.
+  crashing Show which requests an entry daemon refuses because replicas ended under them.
+  allow    Let a request with this identity run again, at all daemons.
 
 Options:
-  --daemon ADDRESS   The operators' interface of any daemon [default: 127.0.0.1:8101].
+  --daemon ADDRESS   The operators' interface of any daemon; of an entry daemon its address for peers [default: 127.0.0.1:8101].
   --callers ADDRESS  The callers' interface of any daemon [default: 127.0.0.1:8100].
   --base REVISION    The revision that the edit was made for; the one in force if not given.
   --author NAME      Who edits; the user's name if not given.
@@ -73,6 +77,7 @@
     options.editId = text("--edit-id");
     options.tokens = text("--tokens");
     options.request = text("REQUEST");
+    options.identity = text("IDENTITY");
     options.logFiles = arguments.at("LOGFILE").asStringList();
     options.isStreamed = arguments.at("--stream").asBool();
     options.asJson = arguments.at("--json").asBool();
--- a/Utilities/vetchpost/view_commands.cpp
+++ b/Utilities/vetchpost/view_commands.cpp
@@ -126,6 +126,8 @@
         {"digest", printDigest},
         {"ask", askModel},
         {"explain", explainRequest},
+        {"crashing", showCrashing},
+        {"allow", allowCrashing},
     };
     return all;
 }
