Entry, Tests: Ask again what became of a replica, and let the soak play requests that end replicas

Change: what is not known at once is asked again each 0.2 s for six seconds, beside the request. The stand-in ends a replica that begins a body which it is told, and starts it again after 1.5 s; the soak sends such requests by own clients (--deadly) and checks that they come three times at most once the contact time after the third end is over.

--- a/Libraries/Entry/crash_guard.cpp
+++ b/Libraries/Entry/crash_guard.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Entry/crash_guard.h"
 
 #include "Libraries/Entry/crash_record.h"
+#include "Libraries/Entry/pending_losses.h"
 
 namespace vetchpost {
 
@@ -11,6 +12,7 @@
     peer_feed &feed;
     shared_suspects &suspects;
     replica_end_check endCheck;
+    pending_losses pending;
     crash_record record;
 
     private_data(key_value_service &keyValue,
@@ -22,6 +24,7 @@
         , feed(peers)
         , suspects(shared)
         , endCheck(dialect)
+        , pending(endCheck, [this](const pending_loss &loss) { noteEnd(loss); })
         , record(keyValue,
                  {[&peers] { return peers.isSource(); },
                   [&peers] { return peers.isSourceHeard(); },
@@ -30,6 +33,15 @@
     {
     }
 
+    void noteEnd(const pending_loss &loss)
+    {
+        const auto &replica = loss.target.replica;
+        if (!hasSaidItLeaves(replica)) {
+            suspects.noteEnd(loss.request, loss.organisation, endOf(replica.value(), loss.target.life.value()));
+            feed.spreadSuspects();
+        }
+    }
+
     /// One that had said that it leaves has ended as planned, whatever it ran.
     bool hasSaidItLeaves(const instance_id &replica) const
     {
@@ -39,11 +51,8 @@
     }
 };
 
-crash_guard::crash_guard(key_value_service &keyValue,
-                         const entry_dialect &dialect,
-                         const store_follower &store,
-                         peer_feed &feed,
-                         shared_suspects &suspects)
+crash_guard::crash_guard(
+    key_value_service &keyValue, const entry_dialect &dialect, const store_follower &store, peer_feed &feed, shared_suspects &suspects)
     : d(std::make_unique<private_data>(keyValue, dialect, store, feed, suspects))
 {
 }
@@ -53,11 +62,13 @@
 void crash_guard::start()
 {
     d->record.start();
+    d->pending.start();
 }
 
 void crash_guard::stop()
 {
     d->record.stop();
+    d->pending.stop();
 }
 
 std::optional<request_identity> crash_guard::identify(const identifying_parts &parts) const
@@ -82,9 +93,10 @@
 crash_guard::noteLoss(const std::optional<request_identity> &request, const organisation_id &organisation, const backend &target)
 {
     const auto found = d->endCheck.ask(target);
-    if (request && found == replica_end_finding::has_ended && !d->hasSaidItLeaves(target.replica)) {
-        d->suspects.noteEnd(*request, organisation, endOf(target.replica.value(), target.life.value()));
-        d->feed.spreadSuspects();
+    if (request && found == replica_end_finding::has_ended) {
+        d->noteEnd({*request, organisation, target});
+    } else if (request && found == replica_end_finding::unknown) {
+        d->pending.add({*request, organisation, target});
     }
     return found;
 }
--- a/Libraries/Entry/crash_guard.h
+++ b/Libraries/Entry/crash_guard.h
@@ -18,11 +18,8 @@
 class crash_guard
 {
 public:
-    crash_guard(key_value_service &keyValue,
-                const entry_dialect &dialect,
-                const store_follower &store,
-                peer_feed &feed,
-                shared_suspects &suspects);
+    crash_guard(
+        key_value_service &keyValue, const entry_dialect &dialect, const store_follower &store, peer_feed &feed, shared_suspects &suspects);
     ~crash_guard();
     crash_guard(const crash_guard &) = delete;
     crash_guard &operator=(const crash_guard &) = delete;
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -355,7 +355,8 @@
                      std::function<std::vector<model_demand>()> heldHere,
                      std::function<void(const stall_notice &)> didHearStall,
                      std::function<void(const group_doubt &)> didHearDoubt)
-    : d(std::make_unique<private_data>(settings, store, suspects, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearDoubt)))
+    : d(std::make_unique<private_data>(
+        settings, store, suspects, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearDoubt)))
 {
 }
 
--- /dev/null
+++ b/Libraries/Entry/pending_losses.cpp
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/pending_losses.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+namespace vetchpost {
+
+namespace {
+
+/// A process that ends slowly keeps its port for a while, and accepts connections that nobody answers.
+constexpr duration askPeriod(200);
+/// A replica is back some seconds after its end, with another start to tell of.
+constexpr duration askTime(6000);
+/// A daemon holds some hundred requests, of which those at one replica are lost together.
+constexpr std::size_t mostPending = 256;
+
+} // namespace
+
+struct pending_losses::private_data
+{
+    struct entry
+    {
+        pending_loss loss;
+        instant since;
+    };
+
+    replica_end_check &check;
+    const std::function<void(const pending_loss &)> didEnd;
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool isStopping = false;
+    std::deque<entry> entries;
+    std::thread thread;
+
+    private_data(replica_end_check &endCheck, std::function<void(const pending_loss &)> tellEnd)
+        : check(endCheck)
+        , didEnd(std::move(tellEnd))
+    {
+    }
+
+    void run()
+    {
+        std::unique_lock lock(mutex);
+        while (!isStopping) {
+            wake.wait(lock, [this] { return isStopping || !entries.empty(); });
+            wake.wait_for(lock, askPeriod, [this] { return isStopping; });
+            if (isStopping) {
+                return;
+            }
+            auto asked = std::exchange(entries, {});
+            lock.unlock();
+            askFor(asked);
+            lock.lock();
+            entries.insert(entries.begin(), asked.begin(), asked.end());
+        }
+    }
+
+    /// Leaves those of which nothing is known yet. All that were lost with one replica share one question.
+    void askFor(std::deque<entry> &asked)
+    {
+        const auto now = monotonicNow();
+        std::erase_if(asked, [&](const entry &next) {
+            const auto found = check.ask(next.loss.target);
+            if (found == replica_end_finding::has_ended) {
+                didEnd(next.loss);
+            }
+            return found != replica_end_finding::unknown || now - next.since >= askTime;
+        });
+    }
+};
+
+pending_losses::pending_losses(replica_end_check &check, std::function<void(const pending_loss &)> didEnd)
+    : d(std::make_unique<private_data>(check, std::move(didEnd)))
+{
+}
+
+pending_losses::~pending_losses()
+{
+    stop();
+}
+
+void pending_losses::start()
+{
+    d->thread = std::thread([this] { d->run(); });
+}
+
+void pending_losses::stop()
+{
+    {
+        const std::lock_guard lock(d->mutex);
+        d->isStopping = true;
+    }
+    d->wake.notify_all();
+    if (d->thread.joinable()) {
+        d->thread.join();
+    }
+}
+
+void pending_losses::add(const pending_loss &loss)
+{
+    {
+        const std::lock_guard lock(d->mutex);
+        if (d->entries.size() >= mostPending) {
+            // The oldest has been asked for longest.
+            d->entries.pop_front();
+        }
+        d->entries.push_back({loss, monotonicNow()});
+    }
+    d->wake.notify_all();
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/replica_end_check.cpp
+++ b/Libraries/Entry/replica_end_check.cpp
@@ -14,6 +14,8 @@
 constexpr duration askTimeout(100);
 /// What was found is true of all requests that were lost so shortly after.
 constexpr duration findingLifetime(500);
+/// Nothing was found: it is asked again sooner.
+constexpr duration unknownLifetime(150);
 constexpr std::array<std::string_view, 3> findingNames = {"ended", "there", "unknown"};
 
 } // namespace
@@ -70,7 +72,8 @@
         asked = known;
     }
     const std::lock_guard lock(asked->mutex);
-    if (!asked->askedAt || monotonicNow() - *asked->askedAt >= findingLifetime) {
+    const auto lifetime = asked->finding == replica_end_finding::unknown ? unknownLifetime : findingLifetime;
+    if (!asked->askedAt || monotonicNow() - *asked->askedAt >= lifetime) {
         asked->finding = askNow(target);
         asked->askedAt = monotonicNow();
     }
--- a/Libraries/Requests/crash_suspects.cpp
+++ b/Libraries/Requests/crash_suspects.cpp
@@ -53,8 +53,8 @@
     for (const auto &[request, suspect] : table.suspects) {
         ++counts[suspect.organisation];
     }
-    const auto most = std::max_element(
-        counts.begin(), counts.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    const auto most
+        = std::max_element(counts.begin(), counts.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
     auto chosen = table.suspects.end();
     for (auto next = table.suspects.begin(); next != table.suspects.end(); ++next) {
         const auto rank = [](const auto &place) { return std::pair(place->second.ends.size(), place->second.lastEnd); };
@@ -141,8 +141,8 @@
 
 void forgetOld(crash_suspects &table, instant now)
 {
-    const auto forgotten = std::erase_if(
-        table.suspects, [&](const auto &entry) { return now - entry.second.lastEnd >= suspicionLifetime; });
+    const auto forgotten
+        = std::erase_if(table.suspects, [&](const auto &entry) { return now - entry.second.lastEnd >= suspicionLifetime; });
     if (forgotten > 0) {
         decideRefused(table);
     }
--- a/Tests/Soak/bound_checks.cpp
+++ b/Tests/Soak/bound_checks.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The checks of bounds: of time, of repeats and of what a process uses.
 #include "Tests/Soak/fact_queries.h"
+#include "Tests/Soak/soak_client.h"
 
 #include <fmt/format.h>
 
@@ -72,6 +73,56 @@
     return {};
 }
 
+namespace {
+
+constexpr std::size_t endsUntilKnown = 3;
+
+/// A deadly client's attempts are the same request under other ids; empty for other clients.
+std::string deadlyRequestOf(const request_id &attempt)
+{
+    const auto &id = attempt.value();
+    return id.starts_with(deadlyIdPrefix) ? id.substr(0, id.find('-')) : std::string();
+}
+
+/// The events of one kind for each deadly request, in order.
+std::map<std::string, std::vector<const platform_event *>> deadlyEvents(const soak_facts &facts, const std::string &what)
+{
+    std::map<std::string, std::vector<const platform_event *>> result;
+    for (const auto &event : facts.events) {
+        const auto request = deadlyRequestOf(event.attempt);
+        if (!request.empty() && event.what == what) {
+            result[request].push_back(&event);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+broken_promises checkDeadlyRequests(const soak_facts &facts, const soak_bounds &bounds)
+{
+    broken_promises broken;
+    const auto attempts = attemptsById(facts);
+    auto arrivals = deadlyEvents(facts, "arrived");
+    for (const auto &[request, ends] : deadlyEvents(facts, "ended_replica")) {
+        if (ends.size() < endsUntilKnown) {
+            continue;
+        }
+        const auto known = ends[endsUntilKnown - 1]->at + bounds.contact;
+        const auto &all = arrivals[request];
+        const auto late = std::count_if(all.begin(), all.end(), [&](const platform_event *arrival) {
+            const auto attempt = attempts.find(arrival->attempt);
+            return arrival->at > known && attempt != attempts.end() && isInTouch(facts, bounds, attempt->second->daemon, arrival->at);
+        });
+        if (static_cast<std::size_t>(late) > bounds.deadlySends) {
+            broken.push_back({"a request that ends replicas is kept from them",
+                              fmt::format("{} replicas ended, {} sends long after the third", ends.size(), late),
+                              all.back()->attempt});
+        }
+    }
+    return broken;
+}
+
 broken_promises checkWithdrawnKeys(const soak_facts &facts, const soak_bounds &bounds)
 {
     broken_promises broken;
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -29,6 +29,7 @@
   --daemons=<n>           Entry daemons [default: 4].
   --replicas=<n>          Replicas with an engine, in two fabric domains [default: 12].
   --clients=<n>           Clients at a time [default: 20].
+  --deadly=<n>            Requests that end each replica which runs them and come again and again [default: 0].
   --keep=<folder>         For settings and logs.
   --daemon-binary=<file>  vetchpostd.
   --stand-ins=<folder>    Where the programs of the stand-ins are.
@@ -131,6 +132,7 @@
     options.size
         = {std::chrono::seconds(number("--seconds")), static_cast<int>(number("--daemons")), static_cast<int>(number("--replicas"))};
     options.clients = static_cast<int>(number("--clients"));
+    options.deadlyRequests = static_cast<int>(number("--deadly"));
     options.folder = arguments.at("--keep").asString();
     options.daemonProgram = arguments.at("--daemon-binary").asString();
     options.standIns = arguments.at("--stand-ins").asString();
--- a/Tests/Soak/soak_checks.cpp
+++ b/Tests/Soak/soak_checks.cpp
@@ -113,23 +113,32 @@
 broken_promises checkLeaving(const soak_facts &facts, const soak_bounds &bounds)
 {
     broken_promises broken;
-    std::map<instance_id, instant> toldAt;
+    // A replica may start again under the id that it had: what it told before is over, from then on.
+    std::map<instance_id, std::map<instant, bool>> leaves;
     for (const auto &event : facts.events) {
-        if (event.what == "draining" || event.what == "gone") {
-            toldAt.emplace(event.replica, event.at);
+        if (event.what == "draining" || event.what == "gone" || event.what == "started") {
+            leaves[event.replica].emplace(event.at, event.what != "started");
         }
     }
+    const auto toldBefore = [&](const platform_event &arrival) -> std::optional<instant> {
+        std::optional<instant> told;
+        for (const auto &[when, isLeaving] : leaves[arrival.replica]) {
+            if (when <= arrival.at) {
+                told = isLeaving ? std::optional(told.value_or(when)) : std::nullopt;
+            }
+        }
+        return told;
+    };
     const auto attempts = attemptsById(facts);
     for (const auto &[id, arrivals] : eventsOf(facts, "arrived")) {
         const auto attempt = attempts.find(id);
         for (const auto *arrival : arrivals) {
-            const auto told = toldAt.find(arrival->replica);
-            const bool isLate = told != toldAt.end() && arrival->at > told->second + bounds.drain;
+            const auto told = toldBefore(*arrival);
+            const bool isLate = told && arrival->at > *told + bounds.drain;
             if (isLate && attempt != attempts.end() && isInTouch(facts, bounds, attempt->second->daemon, arrival->at)) {
-                broken.push_back(
-                    {"nothing new reaches a replica that left",
-                     fmt::format("{} had told it {} ms before", arrival->replica.value(), (arrival->at - told->second).count()),
-                     id});
+                broken.push_back({"nothing new reaches a replica that left",
+                                  fmt::format("{} had told it {} ms before", arrival->replica.value(), (arrival->at - *told).count()),
+                                  id});
             }
         }
     }
@@ -182,6 +191,7 @@
     add(checkLeaving(facts, bounds));
     add(checkGroups(facts));
     add(checkRepeats(facts, bounds));
+    add(checkDeadlyRequests(facts, bounds));
     add(checkWithdrawnKeys(facts, bounds));
     add(checkConfigurations(facts, bounds));
     add(checkStops(facts, bounds));
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -21,6 +21,8 @@
     duration keyRevocation{5000};
     /// How long a daemon must have been undisturbed to be held to bounds of time.
     duration contact{3000};
+    /// Sends of a request under which three replicas have ended, from the contact time after the third on.
+    std::size_t deadlySends = 3;
     /// How soon a replica must be free of a request whose client left, and what this machine may add: the process that plays all replicas
     /// and the client's clock each wake up some tens of milliseconds late when all processors are taken.
     duration release{500};
@@ -48,6 +50,8 @@
 broken_promises checkGroups(const soak_facts &facts);
 /// The repeats of all daemons together stay within their bound in every window.
 broken_promises checkRepeats(const soak_facts &facts, const soak_bounds &bounds);
+/// A request under which three replicas have ended is hardly sent to any more, once the daemons have had time to tell each other.
+broken_promises checkDeadlyRequests(const soak_facts &facts, const soak_bounds &bounds);
 broken_promises checkWithdrawnKeys(const soak_facts &facts, const soak_bounds &bounds);
 /// A version is in force in time everywhere, and no daemon goes back behind one.
 broken_promises checkConfigurations(const soak_facts &facts, const soak_bounds &bounds);
--- a/Tests/Soak/soak_client.cpp
+++ b/Tests/Soak/soak_client.cpp
@@ -25,6 +25,8 @@
 /// A stream whose next event does not come is given up.
 constexpr duration longestSilence(3000);
 constexpr duration shortestThought(5);
+/// Between two sendings of a request that ends replicas.
+constexpr duration deadlyPause(400);
 constexpr int longestThoughtMs = 60;
 constexpr int mostTries = 3;
 /// Of 100 requests: the rest are probes.
@@ -51,6 +53,7 @@
     std::string key;
     std::uint64_t version = 0;
     const char *model = "m0";
+    std::string body = "work";
     /// The last event that the client has, when it goes on with a stream.
     int lastEvent = 0;
     /// The number of the stream's last event; 0 while that is not known.
@@ -62,7 +65,7 @@
 std::string requestText(const wanted_request &wanted, const request_id &id)
 {
     const auto left = std::max<std::int64_t>(1, (wanted.deadline - monotonicNow()).count());
-    auto text = fmt::format("POST {}work HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}{}\r\nContent-Length: 4\r\n",
+    auto text = fmt::format("POST {}work HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}: {}{}\r\nContent-Length: {}\r\n",
                             wanted.path,
                             soakHost,
                             names::attemptId,
@@ -71,7 +74,8 @@
                             left,
                             names::authorization,
                             names::bearerPrefix,
-                            wanted.key);
+                            wanted.key,
+                            wanted.body.size());
     if (wanted.kind == request_kind::stream) {
         text += fmt::format(
             "{}: {}\r\nToken-Counts: 400,80\r\nPrompt-Prefix: {}:400\r\n", names::model, wanted.model, id.value().substr(idPrefixLength));
@@ -79,7 +83,7 @@
     if (wanted.lastEvent > 0) {
         text += fmt::format("{}: {}\r\n", names::lastEventId, wanted.lastEvent);
     }
-    return text + "\r\nwork";
+    return text + "\r\n" + wanted.body;
 }
 
 /// How far a stream has come, and what is wrong with it.
@@ -253,6 +257,8 @@
     std::mt19937_64 generator;
     const soak_directory &directory;
     attempt_log &log;
+    /// All that it sends, where it is not empty.
+    std::string deadlyBody;
     std::atomic<bool> isStopping = false;
     int lastId = 0;
     /// Keys that were given out; it goes on using the first of them when they are withdrawn.
@@ -271,7 +277,7 @@
         while (!isStopping) {
             auto wanted = drawRequest();
             serveWish(wanted);
-            std::this_thread::sleep_for(shortestThought + duration(generator() % longestThoughtMs));
+            std::this_thread::sleep_for(deadlyBody.empty() ? shortestThought + duration(generator() % longestThoughtMs) : deadlyPause);
         }
     }
 
@@ -289,12 +295,23 @@
         return knownKey;
     }
 
+    wanted_request deadlyRequest() const
+    {
+        wanted_request wanted{request_kind::stream, streamPath, engineService, lastingKey};
+        wanted.body = deadlyBody;
+        wanted.deadline = monotonicNow() + patience;
+        return wanted;
+    }
+
     wanted_request drawRequest()
     {
+        if (!deadlyBody.empty()) {
+            return deadlyRequest();
+        }
         constexpr int all = 100;
         const int drawn = static_cast<int>(generator() % all);
-        wanted_request wanted{
-            request_kind::probe, {}, plainService, drawKey(), 0, oneIn(2) ? "m0" : "m1", 0, 0, false, monotonicNow() + patience};
+        wanted_request wanted{request_kind::probe, {}, plainService, drawKey(), 0, oneIn(2) ? "m0" : "m1"};
+        wanted.deadline = monotonicNow() + patience;
         if (drawn < streams) {
             wanted.kind = request_kind::stream;
             wanted.path = streamPath;
@@ -348,7 +365,7 @@
     {
         const int daemon = chooseDaemon(isNew);
         auto &connection = *connections.at(daemon);
-        const request_id id(fmt::format("c{:03}-{:06}", number, ++lastId));
+        const request_id id(fmt::format("{}{:03}-{:06}", deadlyBody.empty() ? "c" : deadlyIdPrefix, number, ++lastId));
         const bool hasModel = wanted.kind == request_kind::stream;
         attempt_fact attempt{id, wanted.kind, wanted.service, wanted.key, hasModel ? wanted.model : "", daemon};
         attempt.incarnation = directory.incarnations.at(static_cast<std::size_t>(daemon));
@@ -379,8 +396,8 @@
     }
 };
 
-soak_client::soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log)
-    : d(new private_data{number, std::mt19937_64(seed + static_cast<std::uint64_t>(number)), directory, log})
+soak_client::soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log, const std::string &deadlyBody)
+    : d(new private_data{number, std::mt19937_64(seed + static_cast<std::uint64_t>(number)), directory, log, deadlyBody})
 {
     d->thread = std::thread([this] { d->run(); });
 }
--- a/Tests/Soak/soak_client.h
+++ b/Tests/Soak/soak_client.h
@@ -62,11 +62,16 @@
 /// The path of the route that only this version of the configuration has.
 std::string versionPath(std::uint64_t version);
 
+/// The ids of a deadly client's attempts begin so, then its number.
+constexpr auto deadlyIdPrefix = "d";
+/// The bodies that end replicas begin so.
+constexpr auto deadlyBodyPrefix = "deadly";
+
 /// A client on a thread of its own: keeps its connections, sends one request after the other and tries again as the platform's clients do.
 class soak_client
 {
 public:
-    soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log);
+    soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log, const std::string &deadlyBody = {});
     ~soak_client();
     soak_client(const soak_client &) = delete;
     soak_client &operator=(const soak_client &) = delete;
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -28,6 +28,8 @@
 constexpr duration endMargin(300);
 /// A group that lost a member stands still for 1.5 s before its head gives up, and its members form anew within another second.
 constexpr duration replicaRepair(2500);
+/// A replica that ended under a request is back after this time.
+constexpr duration endLength(1500);
 /// A drained replica has ended after it, and another life may begin.
 constexpr duration drainLength(6000);
 /// Resets the connections that were silenced, once the silence is over.
@@ -151,6 +153,7 @@
         for (int number = 0; number < m_options.clients; ++number) {
             clients.push_back(std::make_unique<soak_client>(number, m_options.seed, m_cluster.directory(), m_log));
         }
+        beginDeadlyRequests(begin);
         instant nextEvents;
         instant nextSample;
         for (auto now = begin; now < end; now = monotonicNow()) {
@@ -175,9 +178,38 @@
         std::for_each(clients.begin(), clients.end(), [](const auto &client) { client->requestStop(); });
     }
 
+    /// They begin one after the other, spread over the time of the faults.
+    void beginDeadlyRequests(instant begin)
+    {
+        setFaults(m_cluster.replicaControl(), switchTo("deadly_body", m_options.deadlyRequests > 0 ? deadlyBodyPrefix : ""));
+        const auto time = m_facts.faultsEndedAt - begin;
+        for (int number = 0; number < m_options.deadlyRequests; ++number) {
+            m_agenda.emplace(begin + time * (number + 1) / (m_options.deadlyRequests + 2), [this, number] {
+                m_deadlyClients.push_back(std::make_unique<soak_client>(
+                    number, m_options.seed, m_cluster.directory(), m_log, fmt::format("{}-{}", deadlyBodyPrefix, number)));
+            });
+        }
+        m_agenda.emplace(m_facts.faultsEndedAt, [this] {
+            for (const auto &client : m_deadlyClients) {
+                client->requestStop();
+            }
+        });
+    }
+
+    /// What an ended replica was at is lost, as with any other.
+    void noteEndedReplica(const platform_event &event)
+    {
+        m_facts.disturbances.push_back({disturbance_kind::replicas, event.at, event.at + replicaRepair + endLength, std::nullopt});
+    }
+
     void takeEvents()
     {
         const auto events = newEvents(m_cluster.replicaControl(), m_lastEvent);
+        for (const auto &event : events) {
+            if (event.what == "ended_replica") {
+                noteEndedReplica(event);
+            }
+        }
         m_facts.events.insert(m_facts.events.end(), events.begin(), events.end());
     }
 
@@ -332,6 +364,7 @@
     std::multimap<instant, std::function<void()>> m_agenda;
     std::uint64_t m_lastEvent = 0;
     soak_cluster m_cluster;
+    std::vector<std::unique_ptr<soak_client>> m_deadlyClients;
 };
 
 } // namespace
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -13,6 +13,8 @@
     std::uint64_t seed = 1;
     schedule_size size;
     int clients = 12;
+    /// Requests that end each replica which runs them; each comes again and again until the faults end.
+    int deadlyRequests = 0;
     /// For settings and logs.
     std::string folder;
     std::string daemonProgram;
--- a/Tests/SoakChecks/testSoakChecks.cpp
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -60,6 +60,32 @@
 
 } // namespace
 
+TEST_CASE("A request that ends replicas may be sent three times more once all daemons could know of it")
+{
+    std::vector<attempt_fact> attempts;
+    std::vector<platform_event> events;
+    const auto send = [&](int time, bool ends) {
+        auto fact = attempt(request_kind::stream, attempt_end::failed, time, time + 50, 502);
+        fact.id = request_id("d001-" + std::to_string(attempts.size()));
+        attempts.push_back(fact);
+        events.push_back(event(time, "arrived", "i-1", fact.id.value()));
+        if (ends) {
+            events.push_back(event(time, "ended_replica", "i-1", fact.id.value()));
+        }
+    };
+    for (const int time : {0, 100, 200, 300, 400, 3000}) {
+        send(time, true);
+    }
+    for (const int time : {4000, 5000, 6000}) {
+        send(time, false);
+    }
+    CHECK(checkDeadlyRequests(factsOf(attempts, events), bounds).empty());
+    send(7000, false);
+    CHECK(checkDeadlyRequests(factsOf(attempts, events), bounds).size() == 1);
+    const auto killed = fault(disturbance_kind::process, 6500, 7500, 0);
+    CHECK(checkDeadlyRequests(factsOf(attempts, events, {killed}), bounds).empty());
+}
+
 TEST_CASE("A request that breaks off is a broken promise, unless a fault may have cost its answer")
 {
     const auto lost = attempt(request_kind::non_idempotent, attempt_end::broken, 0, 500);
@@ -132,6 +158,8 @@
     CHECK(checkLeaving(factsOf({served}, {told, event(1900, "arrived")}), bounds).empty());
     CHECK(checkLeaving(factsOf({served}, {told, event(2100, "arrived")}), bounds).size() == 1);
     CHECK(checkLeaving(factsOf({served}, {told, event(2100, "arrived", "i-2")}), bounds).empty());
+    CHECK(checkLeaving(factsOf({served}, {told, event(1500, "started"), event(2100, "arrived")}), bounds).empty());
+    CHECK(checkLeaving(factsOf({served}, {event(-9000, "started"), told, event(2100, "arrived")}), bounds).size() == 1);
     CHECK(checkLeaving(factsOf({served}, {told, event(2100, "arrived")}, {fault(disturbance_kind::store, 0, 500)}), bounds).empty());
 }
 
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -77,6 +77,10 @@
         replica.isDark = replica.isDraining = false;
         replica.highestEpoch = replica.orders = 0;
         replica.active = replica.waiting = 0;
+        Json::Value fields;
+        fields["replica"] = replica.id;
+        m_world.events.push_back({"started", fields});
+        passEvents();
     }
     http_server_limits limits;
     limits.maximumThreads = 256;
@@ -134,6 +138,10 @@
         }
     };
     setShare("lose_answer", m_faults.loseAnswers);
+    if (json.isMember("deadly_body")) {
+        const std::lock_guard lock(m_mutex);
+        m_faults.deadlyBody = jsonString(json, "deadly_body");
+    }
     setShare("garble", m_faults.garble);
     setShare("extra_bytes", m_faults.extraBytes);
     setShare("late_orders", m_faults.lateOrders);
@@ -213,6 +221,28 @@
         passEvents();
     }
     endDrained(now);
+    endAndStartAgain(now);
+}
+
+/// Ends the replicas that requests have struck, and starts again those whose time has come.
+void replica_host::endAndStartAgain(instant now)
+{
+    std::vector<std::size_t> toEnd;
+    std::vector<std::size_t> toStart;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &ended : m_endedReplicas) {
+            const auto &replica = m_world.replicas[ended.number];
+            if (replica.isAlive && replica.id == ended.id && ended.startsAt > now) {
+                toEnd.push_back(ended.number);
+            } else if (ended.startsAt <= now) {
+                toStart.push_back(ended.number);
+            }
+        }
+        std::erase_if(m_endedReplicas, [&](const ended_replica &ended) { return ended.startsAt <= now; });
+    }
+    std::for_each(toEnd.begin(), toEnd.end(), [&](std::size_t number) { stopLife(number, false); });
+    std::for_each(toStart.begin(), toStart.end(), [&](std::size_t number) { startLife(number); });
 }
 
 void replica_host::endDrained(instant now)
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -8,6 +8,9 @@
 
 namespace vetchpost::test {
 
+/// A replica that ended under a request is back after this time.
+constexpr duration endLength(1500);
+
 struct replica_faults
 {
     /// Answers of requests that ran and are then lost; a stream breaks off inside an event.
@@ -19,6 +22,8 @@
     /// Orders without an answer that are carried out later.
     fault_share lateOrders;
     std::atomic<std::int64_t> lateOrdersMs = 3000;
+    /// A request whose body begins so ends each replica that runs it; empty for none.
+    std::string deadlyBody;
 };
 
 struct host_options
@@ -72,6 +77,15 @@
         /// The first event that is wanted.
         int firstEvent;
         int lastEvent;
+        /// It ends the replica.
+        bool isDeadly = false;
+    };
+    /// A replica that ended under a request, or will in the next moment, and when it starts again.
+    struct ended_replica
+    {
+        std::size_t number;
+        std::string id;
+        instant startsAt;
     };
 
     void startLife(std::size_t number);
@@ -90,6 +104,8 @@
     void runTicks();
     void tick();
     void endDrained(instant now);
+    std::string endReplica(const running_request &request, const http_exchange &exchange);
+    void endAndStartAgain(instant now);
     /// Moves the model's events to the journal; with the mutex held.
     void passEvents();
     void note(const char *what, const running_request &request, const char *name, const Json::Value &value);
@@ -107,6 +123,7 @@
     std::vector<bool> m_hasCrashed;
     std::vector<std::unique_ptr<http_server>> m_servers;
     std::vector<late_order> m_lateOrders;
+    std::vector<ended_replica> m_endedReplicas;
     /// When a leaving replica may end, and when it ends in any case.
     std::map<std::string, instant> m_ends;
     std::map<std::string, std::uint64_t> m_counts;
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -69,7 +69,7 @@
 {
     constexpr std::size_t bodyLimit = 16U << 20U;
     reason ignored;
-    exchange.readBody(bodyLimit, std::chrono::seconds(10), ignored);
+    const auto body = exchange.readBody(bodyLimit, std::chrono::seconds(10), ignored).value_or(std::string());
     const auto patience = std::stoll("0" + exchange.header(names::deadline));
     running_request request{number,
                             {},
@@ -83,6 +83,7 @@
         const std::lock_guard lock(m_mutex);
         settle(m_world, monotonicNow());
         auto &replica = m_world.replicas[number];
+        request.isDeadly = !m_faults.deadlyBody.empty() && body.starts_with(m_faults.deadlyBody);
         request.id = replica.id;
         request.serving = replica.serving;
         Json::Value fields;
@@ -167,7 +168,9 @@
         hasEngine = m_world.replicas[request.number].hasEngine;
     }
     std::string how;
-    if (m_faults.garble.strikes()) {
+    if (request.isDeadly) {
+        how = endReplica(request, exchange);
+    } else if (m_faults.garble.strikes()) {
         begin(request);
         sendRaw(exchange, "\x01\x02 no answer at all\r\n\r\n");
         how = "garbled";
@@ -217,6 +220,18 @@
     return {};
 }
 
+/// The replica ends a moment after the request has begun, with all that it runs.
+std::string replica_host::endReplica(const running_request &request, const http_exchange &exchange)
+{
+    begin(request);
+    note("ended_replica", request, nullptr, {});
+    {
+        const std::lock_guard lock(m_mutex);
+        m_endedReplicas.push_back({request.number, request.id, monotonicNow() + endLength});
+    }
+    return pause(request, exchange, endLength);
+}
+
 std::vector<http_header> replica_host::answerHeaders(const running_request &request) const
 {
     return {{names::attemptId, request.attempt},
