--- /dev/null
+++ b/Benchmarks/benchCrashes.cpp
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+// What it costs a daemon to know requests again and to keep the table of those under which replicas ended: for each request while all is
+// well, for each lost one, and for telling the neighbours.
+#include "Benchmarks/figure.h"
+#include "Libraries/Entry/shared_suspects.h"
+
+#include <fmt/format.h>
+
+using namespace vetchpost;
+using namespace vetchpost::bench;
+
+namespace {
+
+constexpr int rounds = 20000;
+constexpr double microsecondsPerSecond = 1e6;
+
+template <class Work>
+void measure(const std::string &name, int count, const Work &work)
+{
+    const auto before = processorSeconds();
+    for (int number = 0; number < count; ++number) {
+        work(number);
+    }
+    printFigure({name, (processorSeconds() - before) * microsecondsPerSecond / count, "us", {}, {}});
+}
+
+request_identity named(int number)
+{
+    return request_identity(fmt::format("{:032x}", number));
+}
+
+void measureIdentity(const identity_key &key, std::size_t bytes)
+{
+    const std::string body(bytes, 'x');
+    const identifying_parts parts{organisation_id("organisation"), "POST", "desk.example", "/notices/2f", body};
+    measure(fmt::format("identity_{}_bytes", bytes), rounds, [&](int /*number*/) { identityOf(key, parts); });
+}
+
+} // namespace
+
+int main()
+{
+    const auto key = makeIdentityKey();
+    for (const std::size_t bytes : {700, 2000, 100000}) {
+        measureIdentity(key, bytes);
+    }
+    metrics counters;
+    shared_suspects suspects(counters);
+    const organisation_id organisation("organisation");
+    const auto memoryBefore = residentKilobytes();
+    measure("answered_calm", rounds, [&](int number) { suspects.noteAnswered(named(number)); });
+    measure("end_noted", static_cast<int>(mostSuspects), [&](int number) {
+        suspects.noteEnd(named(number), organisation, endOf("i-1", static_cast<std::uint64_t>(number)));
+    });
+    measure("end_noted_full_table", 2000, [&](int number) {
+        suspects.noteEnd(named(rounds + number), organisation, endOf("i-2", static_cast<std::uint64_t>(number)));
+    });
+    measure("refusal_asked_full_table", rounds, [&](int number) { suspects.refusedFor(named(number)); });
+    measure("answered_full_table", rounds, [&](int number) { suspects.noteAnswered(named(number)); });
+    std::vector<endpoint> followers;
+    for (std::uint16_t number = 0; number < 25; ++number) {
+        followers.push_back({"10.0.0.1", number});
+    }
+    suspects.due(std::nullopt, followers);
+    measure("nothing_due_25_followers", rounds, [&](int /*number*/) { suspects.due(std::nullopt, followers); });
+    printFigure({"table_memory", residentKilobytes() - memoryBefore, "KB", {}, {}});
+    return 0;
+}
--- a/Meta/vetchpost.sh
+++ b/Meta/vetchpost.sh
@@ -16,10 +16,10 @@
                    The same for entry daemons on a stand-in of the users' platform, with one of them stopped in mid-stream.
   test             Install what is missing, build, run all tests, with the processes' ones.
   lint             Check the formatting and run the linter.
-  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair. The last lines are figures.
+  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes. The last lines are figures.
   fuzz [--seed N] [--steps N]
                    Run the fuzzers for longer.
-  soak [--seed N] [--seconds S] [--daemons N] [--replicas N] [--clients N] [--base-port N] [--keep DIR]
+  soak [--seed N] [--seconds S] [--daemons N] [--replicas N] [--clients N] [--deadly N] [--base-port N] [--keep DIR]
                    Run entry daemons among faults that the seed gives and check the promises; logs stay in DIR.
   sanitize         Build and run the unit tests with the address, undefined-behaviour and thread sanitizers.
 EOF
@@ -184,6 +184,7 @@
     relay) bench_relay ;;
     assembly) "$build/Benchmarks/benchAssembly" ;;
     repair) "$build/Benchmarks/benchRepair" ;;
+    crashes) "$build/Benchmarks/benchCrashes" ;;
     *) echo "no benchmark $name" >&2; exit 2 ;;
     esac
 }
