--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -213,7 +213,7 @@
         settings.keyRevocation = duration(1500);
         settings.isKeyRevocationStrict = m_isKeyRevocationStrict;
         settings.configurationApply = duration(2000);
-        settings.stopGrace = duration(3000);
+        settings.stopGrace = m_stopGrace;
         settings.leaseTime = duration(2000);
         settings.stallTime = duration(5000);
         // A daemon that starts again begins without repeats.
@@ -244,6 +244,18 @@
         return m_peers;
     }
 
+    /// From the next start on.
+    void setStopGrace(duration grace)
+    {
+        m_stopGrace = grace;
+    }
+
+    /// The daemon stops as planned; returns when it has.
+    void stopDaemon()
+    {
+        m_daemon->stop();
+    }
+
     void stopStore()
     {
         m_isUp = false;
@@ -307,6 +319,7 @@
     std::map<std::string, std::string> m_values;
     std::atomic<bool> m_isUp = true;
     bool m_isKeyRevocationStrict = true;
+    duration m_stopGrace{3000};
     endpoint m_callers;
     endpoint m_peers;
     std::unique_ptr<entry_daemon> m_daemon;
--- a/Tests/Suspension/testSuspension.cpp
+++ b/Tests/Suspension/testSuspension.cpp
@@ -79,3 +79,19 @@
     REQUIRE(times.size() == 2);
     CHECK(std::min(times[0], times[1]) < 1000);
 }
+
+TEST_CASE("A planned stop over a suspension ends inside its grace")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    constexpr duration grace(8000);
+    world.setStopGrace(grace);
+    world.start();
+    const auto asked = monotonicNow();
+    auto stop = std::async(std::launch::async, [&] { world.stopDaemon(); });
+    std::this_thread::sleep_for(duration(200));
+    suspend(duration(6000));
+    stop.get();
+    CHECK(monotonicNow() - asked <= grace);
+}
