--- a/Libraries/Entry/shared_suspects.cpp
+++ b/Libraries/Entry/shared_suspects.cpp
@@ -17,6 +17,7 @@
 std::string textOf(const std::set<replica_end> &ends)
 {
     std::vector<std::uint64_t> numbers;
+    numbers.reserve(ends.size());
     for (const auto end : ends) {
         numbers.push_back(end.value());
     }
@@ -65,7 +66,7 @@
     {
         const auto before = table.refused;
         const auto droppedBefore = table.dropped;
-        const auto result = make();
+        auto result = make();
         speakForAnswered();
         for (const auto &request : table.refused) {
             if (!before.contains(request)) {
