--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -130,7 +130,11 @@
     daemonLog.info("The daemon stops. active={}", d->callerServer.activeRequests());
     d->callers.setNotReady();
     d->cluster.setStopping();
-    std::this_thread::sleep_for(notReadyTime);
+    // In short sleeps: a suspension would stretch one long one by as much.
+    const auto noticed = monotonicNow() + notReadyTime;
+    while (monotonicNow() < noticed) {
+        std::this_thread::sleep_for(stopPoll);
+    }
     // 2. No new work; what runs goes on to its end.
     d->callers.refuseNew();
     d->callerServer.stopAccepting();
