--- a/Libraries/Entry/crash_guard.cpp
+++ b/Libraries/Entry/crash_guard.cpp
@@ -87,8 +87,8 @@
     return request ? d->suspects.refusedFor(*request) : std::nullopt;
 }
 
-// The request waits for the finding: its next try has to know of this end. Asked on the side, the answer came after the next replica had
-// got the request. A port that refuses answers within a round trip.
+// The request waits for the finding, so that its next try knows of this end: the third one must not become a fourth. A port that refuses
+// answers within a round trip.
 replica_end_finding
 crash_guard::noteLoss(const std::optional<request_identity> &request, const organisation_id &organisation, const backend &target)
 {
--- a/Libraries/Entry/crash_interface.cpp
+++ b/Libraries/Entry/crash_interface.cpp
@@ -33,7 +33,7 @@
             json["refused"].append(shown(evidence));
         }
     } else if (exchange.method() == "POST") {
-        status = suspects.pardon(request_identity(exchange.queryParameter("allow"))) ? done : notFound;
+        status = suspects.allow(request_identity(exchange.queryParameter("allow"))) ? done : notFound;
     } else {
         status = wrongMethod;
     }
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -118,7 +118,7 @@
         sendAll(suspects.due(heardSource(), store.heardFollowers()));
     }
 
-    /// Anybody may tell of a suspect: what a stranger says is no order, and three ends of replicas have to be named.
+    /// From any daemon: one that has just found another source may still hold what this one lacks.
     void take(const suspect_list &list, const endpoint &from)
     {
         send(suspects.take(list, from));
--- a/Libraries/Entry/shared_suspects.cpp
+++ b/Libraries/Entry/shared_suspects.cpp
@@ -132,7 +132,7 @@
     }
 }
 
-bool shared_suspects::pardon(const request_identity &request)
+bool shared_suspects::allow(const request_identity &request)
 {
     const std::lock_guard lock(d->mutex);
     return d->change("an operator allows it", [&] { return vetchpost::noteAnswered(d->table, request); });
--- a/Libraries/Entry/shared_suspects.h
+++ b/Libraries/Entry/shared_suspects.h
@@ -26,7 +26,7 @@
     void noteEnd(const request_identity &request, const organisation_id &organisation, replica_end end);
     void noteAnswered(const request_identity &request);
     /// An operator's word that a request may run again: its ends so far no longer count. False where it is not known.
-    bool pardon(const request_identity &request);
+    bool allow(const request_identity &request);
 
     /// The refused ones: to be kept, and shown.
     std::vector<crash_evidence> refused() const;
--- a/Libraries/Requests/crash_suspects.h
+++ b/Libraries/Requests/crash_suspects.h
@@ -33,7 +33,7 @@
     organisation_id organisation;
     std::set<replica_end> ends;
     instant lastEnd;
-    /// Rises when the request is answered whole, or an operator pardons it: ends of an earlier round no longer count.
+    /// Rises when the request is answered whole, or an operator allows it again: ends of an earlier round no longer count.
     std::uint64_t round = 0;
     /// The number of its last change in this table.
     std::uint64_t changed = 0;
