Tests: Take a waiting try back on another daemon's word

A whole daemon, a replica that stays silent, and a list of suspects from another address: 502 within half a second, and 503 for the next sending. Passed at once: the behaviour was there without a test.

--- a/Tests/PlatformAdapter/testCrashingRequests.cpp
+++ b/Tests/PlatformAdapter/testCrashingRequests.cpp
@@ -4,9 +4,13 @@
 // heads ended within ten seconds, each with all that was on board; as soon as a new group opened it got that request as well. What proved
 // it: no id had more tries than its route allows, each lost head's port refused the next connection, and with this alone mended the same
 // day broke nothing. The digest of path, organisation and body that the log now holds is one in all lost tries of these cases.
+#include "Libraries/Feed/feed_messages.h"
 #include "Tests/PlatformAdapter/relayWorld.h"
 
+#include <Poco/Net/DatagramSocket.h>
+
 #include <algorithm>
+#include <future>
 
 using namespace vetchpost;
 using namespace vetchpost::test;
@@ -145,3 +149,26 @@
     }
     CHECK(served >= 11);
 }
+
+TEST_CASE("A try that waits at a replica is taken back once another daemon tells that replicas ended under the same request")
+{
+    const scripted_replica silent([](const std::string & /*request*/) { return std::string(20, pauseHere); });
+    relay_world world;
+    world.addHead("h-1", silent);
+    world.start();
+    auto answer = std::async(std::launch::async, [&] { return world.askWith("/stream/", "told", "t1"); });
+    std::this_thread::sleep_for(duration(300));
+    const crash_evidence told{relay_world::identityOfAsk("/stream/", "told"),
+                              organisation_id("t1"),
+                              {replica_end(1), replica_end(2), replica_end(3)},
+                              0,
+                              duration(100)};
+    const auto bytes = encodeFeedMessage(suspect_list{false, 1, {told}});
+    Poco::Net::DatagramSocket socket;
+    socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(world.peers().host, world.peers().port));
+    const auto sent = monotonicNow();
+    // It may have run, so that the answer promises nothing.
+    CHECK(answer.get().status == 502);
+    CHECK(monotonicNow() - sent < duration(500));
+    CHECK(world.askWith("/stream/", "told", "t2").status == 503);
+}
