--- a/Libraries/Entry/replica_end_check.cpp
+++ b/Libraries/Entry/replica_end_check.cpp
@@ -30,8 +30,8 @@
 {
 }
 
-// A connection breaks off for many reasons: a cut link, a lost answer, wrong bytes. Of 428 tries that were lost in ten seconds of an
-// incident all were at ports that refused the next connection.
+// A connection breaks off for many reasons: a cut link, a lost answer, wrong bytes. What has ended refuses new connections: so did all
+// eleven heads that a crashing request had ended, five of them within 30 ms of the first lost try (in the log of eight daemons).
 replica_end_finding replica_end_check::askNow(const backend &target) const
 {
     const auto port = probePort(target.address, askTimeout);
