--- a/Tests/PlatformAdapter/testCrashingRequests.cpp
+++ b/Tests/PlatformAdapter/testCrashingRequests.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 // What users saw: for half a minute most of a model's streams were refused or broke off. A request that ends every replica which begins to
 // run it came again under new ids, at all daemons. Each daemon sent it to as many replicas as its route allows and forgot it. Thirteen
-// heads ended within ten seconds, each with all that was on board; as soon as a new group opened it got that request as well. What proved
-// it: no id had more tries than its route allows, each lost head's port refused the next connection, and with this alone mended the same
-// day broke nothing. The digest of path, organisation and body that the log now holds is one in all lost tries of these cases.
+// heads ended, eleven of them within ten seconds, each with all that was on board; as soon as a new group opened it got that request as
+// well. What proved it: no id had more tries than its route allows, the eleven heads refused connections afterwards, and with this mended
+// the same kind of day broke nothing, twice. The digest of path, organisation and body in the log is one in all lost tries of these cases.
 #include "Libraries/Feed/feed_messages.h"
 #include "Tests/PlatformAdapter/relayWorld.h"
 
