--- a/Libraries/Entry/crash_record.cpp
+++ b/Libraries/Entry/crash_record.cpp
@@ -23,7 +23,7 @@
 constexpr auto lastEndField = "last_end_ms";
 /// How often it looks whether there is something to read or write.
 constexpr duration lookPeriod(250);
-/// Between two reads of a daemon that nobody tells: with the way of a told daemon it stays within the time in which all have to know.
+/// Between two reads of a daemon that no other tells: half of the three seconds in which a refusal has to be known everywhere.
 constexpr duration untoldReadPeriod(1500);
 /// Between two reads while there is no key yet, and after a call without an answer.
 constexpr duration retryPeriod(1000);
--- a/Libraries/Requests/crash_suspects.h
+++ b/Libraries/Requests/crash_suspects.h
@@ -77,7 +77,7 @@
 std::optional<duration> refusedFor(const crash_suspects &table, const request_identity &request, instant now);
 
 crash_evidence evidenceOf(const request_identity &request, const crash_suspect &suspect, instant now);
-/// Whether all daemons have to know of it: one more end, or one at each of three daemons, decides.
+/// Whether all daemons have to know of it: one more end would have it refused, or it has been cleared.
 bool concernsAll(const crash_suspect &suspect);
 
 } // namespace vetchpost
