Base, Entry, Http: Take out a call that nothing makes, and serve twins by one piece each

Change: isSuccessStatus(), request_run::organisation(), sleepUntil(); the record keeps one flag, whether it may write.

--- a/Libraries/Base/instant.h
+++ b/Libraries/Base/instant.h
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <ctime>
+#include <thread>
 
 namespace vetchpost {
 
@@ -39,6 +41,14 @@
 /// A wait that a suspension has stretched ends so soon after it: a quarter of a second is within the half by which an answer may be late.
 constexpr duration longestWait(250);
 
+/// Sleeps until then by the clock above; a suspension stretches it by no more than longestWait.
+inline void sleepUntil(instant end)
+{
+    for (auto now = monotonicNow(); now < end; now = monotonicNow()) {
+        std::this_thread::sleep_for(std::min(longestWait, end - now));
+    }
+}
+
 /// Milliseconds of the calendar clock, for records that other processes read; never for a decision of safety.
 inline std::int64_t calendarMilliseconds()
 {
--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -130,11 +130,7 @@
     daemonLog.info("The daemon stops. active={}", d->callerServer.activeRequests());
     d->callers.setNotReady();
     d->cluster.setStopping();
-    // In short sleeps: a suspension would stretch one long one by as much.
-    const auto noticed = monotonicNow() + notReadyTime;
-    while (monotonicNow() < noticed) {
-        std::this_thread::sleep_for(stopPoll);
-    }
+    sleepUntil(monotonicNow() + notReadyTime);
     // 2. No new work; what runs goes on to its end.
     d->callers.refuseNew();
     d->callerServer.stopAccepting();
--- a/Libraries/Entry/crash_record.cpp
+++ b/Libraries/Entry/crash_record.cpp
@@ -79,12 +79,12 @@
     mutable std::mutex mutex;
     std::condition_variable wake;
     bool isStopping = false;
-    bool mustLook = false;
     std::optional<identity_key> key;
     std::thread thread;
     // Of the thread alone.
     key_revision known;
-    bool wasSource = false;
+    /// It has read the notes since it became the source: only then it may write.
+    bool mayWrite = false;
     instant nextRead;
     std::string written;
 
@@ -105,22 +105,20 @@
     bool pause()
     {
         std::unique_lock lock(mutex);
-        wake.wait_for(lock, lookPeriod, [this] { return isStopping || mustLook; });
-        mustLook = false;
+        wake.wait_for(lock, lookPeriod, [this] { return isStopping; });
         return !isStopping;
     }
 
     void look(instant now)
     {
         const bool isSource = calls.isSource();
-        const bool hasBegun = isSource && !wasSource;
-        const bool isUntold = !isSource && !calls.isTold();
-        if ((!currentKey() || isUntold || hasBegun) && now >= nextRead) {
-            wasSource = read(isSource, now) && isSource;
-        } else if (isSource && wasSource) {
+        mayWrite = mayWrite && isSource;
+        const bool mustRead = isSource ? !mayWrite : !currentKey() || !calls.isTold();
+        if (mayWrite) {
             writeIfChanged(now);
+        } else if (mustRead && now >= nextRead) {
+            mayWrite = read(isSource, now) && isSource;
         }
-        wasSource = wasSource && isSource;
     }
 
     std::optional<identity_key> currentKey() const
@@ -189,7 +187,7 @@
             written = content;
             crashLog.write("notes_written", {{"refused", notes.refused.size()}, {"revision", known.value()}});
         } else {
-            wasSource = false;
+            mayWrite = false;
             nextRead = now + lookPeriod;
         }
     }
@@ -222,15 +220,6 @@
     }
 }
 
-void crash_record::writeSoon()
-{
-    {
-        const std::lock_guard lock(d->mutex);
-        d->mustLook = true;
-    }
-    d->wake.notify_all();
-}
-
 std::optional<identity_key> crash_record::key() const
 {
     return d->currentKey();
--- a/Libraries/Entry/crash_record.h
+++ b/Libraries/Entry/crash_record.h
@@ -46,8 +46,6 @@
 
     void start();
     void stop();
-    /// What is to last has changed.
-    void writeSoon();
     /// Nothing before the notes were read or begun.
     std::optional<identity_key> key() const;
 
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -238,10 +238,7 @@
     // It hands the coordination over, which a slow key-value service may hold up; the callers' connections must not wait for that.
     const last_work handingOver([this] { d->assembly.stop(); });
     // New connections come until the balancer has noticed; idle ones are closed only after it, so that nothing is sent into a close.
-    // In short sleeps: one that a suspension stretches would use up the grace.
-    while (monotonicNow() < asked + balancerNotice) {
-        std::this_thread::sleep_for(stopPollPeriod);
-    }
+    sleepUntil(asked + balancerNotice);
     daemonLog.write("finishing", {{"connections", d->callers->openConnections()}, {"active", d->callers->activeRequests()}});
     const last_work finishing([this] { d->callers->finish(); });
     while (!(finishing.isDone() && handingOver.isDone()) && monotonicNow() < latest) {
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -22,15 +22,8 @@
 constexpr duration doubtLookPeriod(120);
 /// Plain answers are held until they are whole; no service answers with more.
 constexpr std::size_t maximumAnswerBytes = 16U << 20U;
-constexpr int firstSuccess = 200;
-constexpr int firstRedirect = 300;
 constexpr int firstServerError = 500;
 
-bool isSuccess(int status)
-{
-    return status >= firstSuccess && status < firstRedirect;
-}
-
 try_end endOf(upstream_wait wait)
 {
     switch (wait) {
@@ -122,11 +115,11 @@
         m_lastWhy = "the replica did not run it: status " + std::to_string(head->status);
         return try_end::not_run;
     }
-    if (isSuccess(head->status) && !answer.isSigned) {
+    if (isSuccessStatus(head->status) && !answer.isSigned) {
         m_lastWhy = "a success without the replica's signature";
         return try_end::lost;
     }
-    if (isStream() && isSuccess(head->status)) {
+    if (isStream() && isSuccessStatus(head->status)) {
         return passEvents(upstream, *head, target);
     }
     const auto end = passWhole(upstream, *head);
--- a/Libraries/Entry/request_outcome.cpp
+++ b/Libraries/Entry/request_outcome.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/request_outcome.h"
 
+#include "Libraries/Http/http_message.h"
+
 #include <array>
 #include <string>
 
@@ -12,8 +14,6 @@
     = {"served", "late", "failed", "refused", "broken_off", "caller_left"};
 /// By route_kind.
 constexpr std::array<std::string_view, 3> kindNames = {"streaming", "idempotent", "non_idempotent"};
-constexpr int firstSuccess = 200;
-constexpr int firstRedirect = 300;
 
 } // namespace
 
@@ -24,7 +24,7 @@
 
 request_outcome outcomeOfAnswer(const route &route, int status, std::optional<duration> firstEvent, duration longestPause)
 {
-    if (status < firstSuccess || status >= firstRedirect) {
+    if (!isSuccessStatus(status)) {
         return request_outcome::failed;
     }
     const bool isFirstLate = route.objective.count() > 0 && firstEvent.value_or(duration()) > route.objective;
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -277,7 +277,7 @@
     replica_request_head head;
     head.replica = target.replica;
     head.timeLeft = timeLeft();
-    head.organisation = m_organisation == nullptr ? organisation_id() : m_organisation->id;
+    head.organisation = organisation();
     head.lastEvent = m_events.lastId().empty() ? m_head.lastEvent : m_events.lastId();
     const bool hasOwn = m_organisation != nullptr && m_organisation->priority;
     head.priority = priorityOf(hasOwn ? *m_organisation->priority : m_route->priority, isLate());
@@ -319,28 +319,29 @@
     }
 }
 
+/// Whose key the request carries; empty on routes without keys.
+organisation_id request_run::organisation() const
+{
+    return m_organisation == nullptr ? organisation_id() : m_organisation->id;
+}
+
 const std::optional<request_identity> &request_run::identity()
 {
     if (!m_identity) {
-        const auto organisation = m_organisation == nullptr ? organisation_id() : m_organisation->id;
         const auto host = m_exchange.header("Host");
-        m_identity = m_context.crashes.identify({organisation, m_exchange.method(), host, m_exchange.target(), m_body});
+        m_identity = m_context.crashes.identify({organisation(), m_exchange.method(), host, m_exchange.target(), m_body});
     }
     return m_identity;
 }
 
 void request_run::noteLoss(const backend &target)
 {
-    const auto organisation = m_organisation == nullptr ? organisation_id() : m_organisation->id;
-    m_replicaEnd = m_context.crashes.noteLoss(identity(), organisation, target);
+    m_replicaEnd = m_context.crashes.noteLoss(identity(), organisation(), target);
 }
 
 void request_run::noteAnswered()
 {
-    constexpr int firstSuccess = 200;
-    constexpr int firstRedirect = 300;
-    const bool isSuccess = m_status >= firstSuccess && m_status < firstRedirect;
-    if (isSuccess) {
+    if (isSuccessStatus(m_status)) {
         m_context.crashes.noteAnswered(identity());
     }
 }
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -46,6 +46,7 @@
     bool tellEnd(request_outcome outcome);
     void tellTry(const backend &target, try_end end) const;
 
+    organisation_id organisation() const;
     const std::optional<request_identity> &identity();
     void noteLoss(const backend &target);
     void noteAnswered();
--- a/Libraries/Entry/shared_suspects.cpp
+++ b/Libraries/Entry/shared_suspects.cpp
@@ -85,9 +85,7 @@
                 crashLog.writeKept("request_allowed", {{"identity", request.value()}, {"why", why}});
             }
         }
-        for (auto count = droppedBefore; count < table.dropped; ++count) {
-            dropped.increment();
-        }
+        dropped.increment(static_cast<double>(table.dropped - droppedBefore));
         hasAny = !table.suspects.empty();
         return result;
     }
--- a/Libraries/Http/http_message.h
+++ b/Libraries/Http/http_message.h
@@ -31,6 +31,13 @@
     std::size_t maximumReplySize = 4U << 20U;
 };
 
+constexpr bool isSuccessStatus(int status)
+{
+    constexpr int firstSuccess = 200;
+    constexpr int afterSuccess = 300;
+    return status >= firstSuccess && status < afterSuccess;
+}
+
 /// The whole answer to a call.
 struct http_reply
 {
@@ -40,9 +47,7 @@
 
     bool isSuccess() const
     {
-        constexpr int firstSuccess = 200;
-        constexpr int afterSuccess = 300;
-        return status >= firstSuccess && status < afterSuccess;
+        return isSuccessStatus(status);
     }
 
     /// The first header of that name, compared without case; empty where there is none.
