Feed, Entry: Write and read the evidence of a crash by one codec

Cause: read again, one struct was written and read twice, for datagrams and for the key-value service, and only one of the two readers checked what it read. Change: evidence_codec serves both; the notes tell when they were written, in place of a time for each request. What is no evidence in the notes is passed over, as in a datagram; it was taken with ends of 0.

--- a/Libraries/Entry/crash_record.cpp
+++ b/Libraries/Entry/crash_record.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/json.h"
+#include "Libraries/Feed/evidence_codec.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -16,11 +17,7 @@
 constexpr event_log crashLog("crash");
 constexpr auto keyField = "key";
 constexpr auto refusedField = "refused";
-constexpr auto requestField = "request";
-constexpr auto organisationField = "organisation";
-constexpr auto endsField = "ends";
-constexpr auto roundField = "round";
-constexpr auto lastEndField = "last_end_ms";
+constexpr auto writtenField = "written_ms";
 /// How often it looks whether there is something to read or write.
 constexpr duration lookPeriod(250);
 /// Between two reads of a daemon that no other tells: half of the three seconds in which a refusal has to be known everywhere.
@@ -34,17 +31,10 @@
 {
     Json::Value json;
     json[keyField] = notes.key.value();
+    json[writtenField] = Json::Int64(calendarNow);
     json[refusedField] = Json::Value(Json::arrayValue);
     for (const auto &evidence : notes.refused) {
-        Json::Value entry;
-        entry[requestField] = evidence.request.value();
-        entry[organisationField] = evidence.organisation.value();
-        entry[roundField] = Json::UInt64(evidence.round);
-        entry[lastEndField] = Json::Int64(calendarNow - evidence.age.count());
-        for (const auto end : evidence.ends) {
-            entry[endsField].append(Json::UInt64(end.value()));
-        }
-        json[refusedField].append(std::move(entry));
+        json[refusedField].append(encodedEvidence(evidence));
     }
     return toJsonText(json);
 }
@@ -57,17 +47,13 @@
         return std::nullopt;
     }
     crash_notes notes{*key, {}};
+    // Clocks of the calendar differ: what seems to be written in the future was written just now.
+    const duration since(std::max<std::int64_t>(0, calendarNow - static_cast<std::int64_t>(jsonNumber(*json, writtenField))));
     for (const auto &entry : jsonArray(*json, refusedField)) {
-        crash_evidence evidence;
-        evidence.request = request_identity(jsonString(entry, requestField));
-        evidence.organisation = organisation_id(jsonString(entry, organisationField));
-        evidence.round = jsonNumber(entry, roundField);
-        // Clocks of the calendar differ: an end that seems to lie ahead was just now.
-        evidence.age = duration(std::max<std::int64_t>(0, calendarNow - static_cast<std::int64_t>(jsonNumber(entry, lastEndField))));
-        for (const auto &end : jsonArray(entry, endsField)) {
-            evidence.ends.emplace_back(end.isUInt64() ? end.asUInt64() : 0);
+        if (auto evidence = decodedEvidence(entry)) {
+            evidence->age += since;
+            notes.refused.push_back(std::move(*evidence));
         }
-        notes.refused.push_back(std::move(evidence));
     }
     return notes;
 }
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Feed/feed_messages.h"
 
 #include "Libraries/Base/json.h"
+#include "Libraries/Feed/evidence_codec.h"
 #include "Libraries/Feed/replica_codec.h"
 
 #include <algorithm>
@@ -43,11 +44,6 @@
 constexpr auto endingField = "ending";
 constexpr auto firstField = "first";
 constexpr auto suspectsField = "list";
-constexpr auto requestField = "req";
-constexpr auto organisationField = "org";
-constexpr auto endsField = "ends";
-constexpr auto roundField = "round";
-constexpr auto ageField = "age";
 
 Json::Value number(std::uint64_t value)
 {
@@ -141,15 +137,7 @@
     json[firstField] = message.isFirst;
     json[upToField] = number(message.upTo);
     for (const auto &evidence : message.suspects) {
-        Json::Value entry;
-        entry[requestField] = evidence.request.value();
-        entry[organisationField] = evidence.organisation.value();
-        entry[roundField] = number(evidence.round);
-        entry[ageField] = Json::Int64(evidence.age.count());
-        for (const auto end : evidence.ends) {
-            entry[endsField].append(number(end.value()));
-        }
-        json[suspectsField].append(std::move(entry));
+        json[suspectsField].append(encodedEvidence(evidence));
     }
     return json;
 }
@@ -162,28 +150,11 @@
     return json;
 }
 
-std::optional<crash_evidence> decodedEvidence(const Json::Value &json)
-{
-    crash_evidence evidence;
-    evidence.request = request_identity(jsonString(json, requestField));
-    evidence.organisation = organisation_id(jsonString(json, organisationField));
-    evidence.round = jsonNumber(json, roundField);
-    evidence.age = duration(static_cast<std::int64_t>(jsonNumber(json, ageField)));
-    for (const auto &end : jsonArray(json, endsField)) {
-        if (!end.isUInt64()) {
-            return std::nullopt;
-        }
-        evidence.ends.emplace_back(end.asUInt64());
-    }
-    const bool isGood = !evidence.request.isEmpty() && evidence.age >= duration() && evidence.ends.size() <= mostEndsKept;
-    return isGood ? std::optional(std::move(evidence)) : std::nullopt;
-}
-
 std::optional<suspect_list> decodedSuspects(const Json::Value &json)
 {
     suspect_list list{jsonFlag(json, firstField), jsonNumber(json, upToField), {}};
     for (const auto &entry : jsonArray(json, suspectsField)) {
-        auto evidence = entry.isObject() ? decodedEvidence(entry) : std::nullopt;
+        auto evidence = decodedEvidence(entry);
         if (!evidence) {
             return std::nullopt;
         }
