Assembly, Entry: Keep loads that were planned as free from beginning after the first request

Cause: before the first request loads are quick and not counted, so that any number of them was planned in one round: at 3,000 replicas two for each. The coordinator also learned of the first request only by one of its own.

Change: an order knows that its load is free, and is withheld when its turn comes after the first request; the planner then decides anew, within the rate. A follower that wants the replicas tells its source at once that a first request has come, and the source believes it: one flag in place of two. What may leave until that word has arrived (0.3 s) keeps within the rate; members of groups that were formed before load within the rate too. Hosts are prepared once no group waits for its turn.

Tests: two in testAssembly, which give the model of replicas a coordinator that sends slowly and hears late. Now both pass.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -52,6 +52,7 @@
     int smallestGroup() const;
     bool isSettled();
     void formGroups();
+    bool isFormingHeldUp() const;
     std::vector<const group_model *> modelsBySize() const;
     double presentPart(const group_model &model, int more = 0) const;
     bool isEnoughFree() const;
@@ -139,6 +140,11 @@
     bool isStagingOver(const instance_id &instance, const assembly_state::staging &staging) const;
     /// Whether so many more loads keep within the weight store's rate.
     bool mayLoad(std::size_t count) const;
+    /// How many loads may begin within a window by this coordinator.
+    double loadsPerWindow() const;
+    bool mayLoadBeforeTraffic(std::size_t count) const;
+    /// Whether a member's join begins a load.
+    bool mustLoad(const planned_group &group, const planned_member &member) const;
     /// How many orders a replica has taken: none where it has nothing to show for one.
     std::optional<std::uint64_t> ordersTaken(const instance_id &instance);
     bool mayOrder(const planned_member &member) const;
--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -94,6 +94,9 @@
 /// Keeps count of the orders that a replica has taken; forgets it where the answer leaves it open.
 void noteOrdersTaken(assembly_state &state, const replica_order &order, const order_answer &answer)
 {
+    if (answer.result == order_result::withheld) {
+        return;
+    }
     if (order.kind == order_kind::look) {
         const bool isOfAnotherLife = answer.life != replica_life() && isAnotherLife(answer.life, order.life);
         if (answer.result == order_result::taken && !isOfAnotherLife) {
@@ -126,6 +129,11 @@
 
 } // namespace
 
+bool isStillDue(const replica_order &order, bool isBeforeTraffic)
+{
+    return isBeforeTraffic || !order.isFreeLoad;
+}
+
 void noteOrderResult(assembly_state &state, const replica_order &order, const order_answer &answer, instant now)
 {
     if (isOutlived(state, order)) {
@@ -136,6 +144,8 @@
     if (order.kind == order_kind::stage) {
         if (!isDone(result)) {
             state.stagings.erase(order.to);
+        }
+        if (!isDone(result) && result != order_result::withheld) {
             state.avoidedUntil[order.to] = now + state.policy.refusalPause;
         }
         return;
@@ -151,6 +161,10 @@
     }
     member->isOrderUnderWay = false;
     member->nextOrder = now + state.policy.orderRetry;
+    if (result == order_result::withheld) {
+        member->nextOrder = now;
+        return;
+    }
     if (order.kind == order_kind::look) {
         // What follows need not wait.
         member->nextOrder = result == order_result::taken ? now : member->nextOrder;
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -54,6 +54,8 @@
     std::uint64_t expectedOrders = 0;
     /// The start of the replica that is meant.
     replica_life life = {};
+    /// It begins a load that is free only before the first request.
+    bool isFreeLoad = false;
 };
 
 /// What came of an order.
@@ -69,7 +71,9 @@
     /// Another process answers at the address, or nobody: the replica has ended.
     gone,
     /// No answer: it may have been taken, or may be later.
-    unknown
+    unknown,
+    /// It never left: what it was to begin is no longer due.
+    withheld
 };
 
 struct planned_member
@@ -175,6 +179,8 @@
     double loadRateShare = 0.5;
     /// Window over which loads are counted.
     duration loadWindow{5000};
+    /// The coordinator hears of the first request within this time, wherever it comes.
+    duration trafficNotice{300};
 };
 
 struct assembly_state
@@ -226,7 +232,7 @@
     const engine_description &engine;
     /// Replicas that are believed dead although they are still listed.
     const std::set<instance_id> &suspects;
-    /// Loads are quick and free until the first request.
+    /// Loads are quick and are not counted until the first request.
     bool isBeforeTraffic = false;
     instant now;
     /// Of the suspects the ones whose entry in the key-value service still said, after they were found silent, that they do not leave.
@@ -238,6 +244,9 @@
 /// One round: what to order next. Orders that it returns count as under way until noteOrderResult().
 std::vector<replica_order> planAssembly(assembly_state &state, const assembly_view &view);
 
+/// Whether a planned order may still leave. Orders wait for their turn: a load that was free when it was planned may not be any more.
+bool isStillDue(const replica_order &order, bool isBeforeTraffic);
+
 void noteOrderResult(assembly_state &state, const replica_order &order, const order_answer &answer, instant now);
 
 /// What stands of one model's groups, for the log.
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -75,6 +75,16 @@
     }
 }
 
+/// Whether a group that has room waits for its turn to load, before the first request. What its replicas hold must not be chosen before.
+bool assembly_round::isFormingHeldUp() const
+{
+    return m_view.isBeforeTraffic && std::any_of(m_free.begin(), m_free.end(), [&](const auto &entry) {
+               return std::any_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &model) {
+                   return presentPart(model) < 1 && entry.second.size() >= static_cast<std::size_t>(model.size);
+               });
+           });
+}
+
 /// The models, those of the largest groups first: they are the hardest to find room for.
 std::vector<const group_model *> assembly_round::modelsBySize() const
 {
@@ -230,7 +240,7 @@
             return readinessOf(*replica, model.id) == readiness::must_load;
         }));
         // Later a replica loads beside all else and joins once it has the weights, so that the others need not wait for it.
-        if (loads > 0 && !m_view.isBeforeTraffic) {
+        if (loads > 0 && !(m_view.isBeforeTraffic && mayLoad(loads))) {
             continue;
         }
         const std::pair cost(loads, SIZE_MAX - replicas.size());
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -56,6 +56,9 @@
     }
     preemptForLarger();
     formGroups();
+    if (isFormingHeldUp()) {
+        return std::move(m_orders);
+    }
     formExtra();
     stageSpares();
     stageServing();
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -165,16 +165,35 @@
 bool assembly_round::mayLoad(std::size_t count) const
 {
     if (m_view.isBeforeTraffic) {
-        return true;
+        return mayLoadBeforeTraffic(count);
     }
     if (m_state.stagings.size() + count > static_cast<std::size_t>(m_view.engine.concurrentLoads)) {
         return false;
     }
+    return static_cast<double>(m_state.loads.size() + count) <= loadsPerWindow();
+}
+
+double assembly_round::loadsPerWindow() const
+{
     const auto window = std::chrono::duration<double>(m_state.policy.loadWindow).count();
     // A predecessor's loads may have begun in the same window.
     const auto share = m_state.policy.loadRateShare * (m_view.now - m_state.since < m_state.policy.loadWindow ? 0.5 : 1);
-    const auto most = std::max(1.0, m_view.engine.loadsPerSecond * window * share);
-    return static_cast<double>(m_state.loads.size() + count) <= most;
+    return std::max(1.0, m_view.engine.loadsPerSecond * window * share);
+}
+
+/// Any number may begin then. But the first request comes unannounced, to some daemon: what leaves until this one hears of it is counted,
+/// and must keep within the rate. One group at a time may always load.
+bool assembly_round::mayLoadBeforeTraffic(std::size_t count) const
+{
+    const auto recent = std::count_if(
+        m_state.loads.begin(), m_state.loads.end(), [&](instant begun) { return m_view.now - begun < m_state.policy.trafficNotice; });
+    return recent == 0 || static_cast<double>(static_cast<std::size_t>(recent) + count) <= loadsPerWindow();
+}
+
+bool assembly_round::mustLoad(const planned_group &group, const planned_member &member) const
+{
+    const auto *replica = find(member.instance);
+    return replica != nullptr && readinessOf(*replica, group.model) == readiness::must_load;
 }
 
 /// How many orders a replica has taken: none where it has nothing to show for one.
@@ -219,8 +238,17 @@
 
 void assembly_round::sendJoin(planned_group &group, planned_member &member)
 {
-    if (mayOrder(member)) {
-        send(group, member, order_kind::join);
+    if (!mayOrder(member)) {
+        return;
+    }
+    // Of a group that was formed before the first request: its loads are no longer free.
+    const bool isCounted = !m_view.isBeforeTraffic && mustLoad(group, member);
+    if (isCounted && !mayLoad(1)) {
+        return;
+    }
+    send(group, member, order_kind::join);
+    if (isCounted && m_orders.back().kind == order_kind::join) {
+        m_state.loads.push_back(m_view.now);
     }
 }
 
@@ -233,6 +261,7 @@
         order.expectedOrders = known.value_or(0);
     }
     order.life = member.life;
+    order.isFreeLoad = order.kind == order_kind::join && m_view.isBeforeTraffic && mustLoad(group, member);
     for (const auto &other : group.members) {
         order.members.push_back(other.instance);
     }
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -151,9 +151,8 @@
 }
 
 /// Whether a load may begin that prepares hosts for a model. Before the first request any number: loads are quick then however many run,
-/// and a host that holds another model than it runs lets the survivors of its first loss serve within 1.6 s in place of 16 s. Six at a time
-/// prepared 24 of 48 hosts in the 5 s that were left; all at once, replicas that served nobody on a calm day fell from 354 to 263
-/// replica-seconds. Later all that the store feeds at a time where the model lacks groups, few otherwise.
+/// and a host that holds another model than it runs lets the survivors of its first loss serve after a staged load in place of a whole one.
+/// Later all that the store feeds at a time where the model lacks groups, few otherwise.
 bool assembly_round::hasRoomToPrepare(const group_model &model) const
 {
     if (m_view.isBeforeTraffic) {
@@ -193,7 +192,7 @@
     m_state.loads.push_back(m_view.now);
     m_state.stagings[replica.id] = {model, m_view.now};
     m_state.decisions.push_back(fmt::format("staging: instance={} model={}", replica.id.value(), model.value()));
-    m_orders.push_back({order_kind::stage, replica.id, replica.address, {}, {}, model, {}, {}, 0, replica.life});
+    m_orders.push_back({order_kind::stage, replica.id, replica.address, {}, {}, model, {}, {}, 0, replica.life, m_view.isBeforeTraffic});
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -14,7 +14,6 @@
 
 #include <fmt/format.h>
 
-#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -65,7 +64,6 @@
     instant termSince;
     std::map<service_id, assembly_state> assemblies;
     std::map<instance_id, instant> lastNotices;
-    std::atomic<bool> hasTraffic = false;
     replica_looks looks;
     std::thread thread;
 
@@ -85,7 +83,6 @@
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , figures(counters)
-        , hasTraffic(!entrySettings.isFirstStart)
         , looks(service, words, follower, peers, figures, counters, [this] { planSoon(); })
     {
     }
@@ -292,7 +289,7 @@
                                  service.id,
                                  *service.engine,
                                  silence.suspects,
-                                 !hasTraffic.load(),
+                                 !feed.hasTraffic(),
                                  now,
                                  silence.notLeaving,
                                  store.followedSince().value_or(now)};
@@ -353,7 +350,9 @@
         }
         order_answer answer;
         std::string text = "not sent";
-        if (isAllowed) {
+        if (!isStillDue(order, !feed.hasTraffic())) {
+            answer.result = order_result::withheld;
+        } else if (isAllowed) {
             answer = send(order, text);
         }
         assemblyLog.write("order",
@@ -468,11 +467,6 @@
     d->planSoon();
 }
 
-void assembly_runner::noteTraffic()
-{
-    d->hasTraffic = true;
-}
-
 void assembly_runner::hearStall(const stall_notice &notice)
 {
     d->hearStall(notice);
--- a/Libraries/Entry/assembly_runner.h
+++ b/Libraries/Entry/assembly_runner.h
@@ -33,8 +33,6 @@
     void stop();
     /// Plans again at once: what the replicas say has changed.
     void replan();
-    /// The first request has come: loads are no longer free.
-    void noteTraffic();
     /// A group's requests stand still. The coordinator looks at its members directly; other daemons pass it on.
     void noteStall(const instance_id &head);
     /// Another daemon tells of a group whose requests stand still.
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -134,7 +134,6 @@
 
     void serveCaller(http_exchange &exchange)
     {
-        assembly.noteTraffic();
         store.noteTraffic();
         feed.noteTraffic();
         request_run(relay, exchange).serve();
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -189,12 +189,21 @@
             return;
         }
         if (subscription.wantsReplicas) {
-            wantsReplicas = true;
             store.noteTraffic();
+            noteTraffic();
         }
         sendAll(store.answerSubscription(subscription, from, isSource));
     }
 
+    /// Tells its own source at once: the coordinator's loads are counted from the first request on.
+    void noteTraffic()
+    {
+        if (!wantsReplicas.exchange(true)) {
+            const std::lock_guard lock(mutex);
+            follower.nextSubscription = monotonicNow();
+        }
+    }
+
     bool passesOn() const
     {
         const std::lock_guard lock(mutex);
@@ -414,10 +423,12 @@
 
 void peer_feed::noteTraffic()
 {
-    if (!d->wantsReplicas.exchange(true)) {
-        const std::lock_guard lock(d->mutex);
-        d->follower.nextSubscription = monotonicNow();
-    }
+    d->noteTraffic();
+}
+
+bool peer_feed::hasTraffic() const
+{
+    return d->wantsReplicas;
 }
 
 void peer_feed::spreadSuspects()
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -41,6 +41,8 @@
     void follow(const endpoint &source);
     /// The first request has come: from now on the replicas' changes are wanted.
     void noteTraffic();
+    /// Whether a first request has come, here or at a daemon that follows this one.
+    bool hasTraffic() const;
     /// Sends a notice to the source; false where none is known.
     bool tellStall(const stall_notice &notice);
     /// Sends the neighbours what they lack of the suspects.
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <climits>
 
 namespace vetchpost::test {
 
@@ -215,11 +216,28 @@
     m_hasTraffic = true;
 }
 
+void assembly_world::beginTrafficElsewhere(duration heardAfter)
+{
+    m_hasTraffic = true;
+    m_hearsTrafficAt = m_now + heardAfter;
+}
+
+void assembly_world::sendSlowly(int ordersPerTick)
+{
+    m_ordersPerTick = ordersPerTick;
+}
+
+bool assembly_world::isTrafficKnown() const
+{
+    return m_hasTraffic && m_now >= m_hearsTrafficAt;
+}
+
 void assembly_world::takeOver()
 {
     m_state = assembly_state();
     m_state.term = ++m_term;
     m_answers.clear();
+    m_waiting.clear();
     // A lease ends, and the successor lists the replicas anew before it plans.
     m_plansFrom = m_now + duration(500) + randomDelay(duration(2000));
 }
@@ -287,6 +305,7 @@
     if (m_now >= m_plansFrom) {
         plan();
     }
+    sendDue();
     for (const auto &entry : m_engine.models) {
         if (m_hasTraffic && servingGroups(entry.id) < wantedGroups(entry.id)) {
             m_downtime[entry.id] += tickTime * (wantedGroups(entry.id) - servingGroups(entry.id));
@@ -335,22 +354,40 @@
             suspects.insert(id);
         }
     }
-    const assembly_view view{m_directory, m_service, m_engine, suspects, !m_hasTraffic, m_now, suspects};
+    const assembly_view view{m_directory, m_service, m_engine, suspects, !isTrafficKnown(), m_now, suspects};
     for (auto &order : planAssembly(m_state, view)) {
-        const bool isLate = m_now < m_ordersLateUntil && random() % 2 == 0;
-        const bool isLost = isLate || (m_now < m_answersLostUntil && random() % 2 == 0);
-        const auto delay = isLate ? duration(2000) + randomDelay(duration(10000)) : randomDelay(duration(20));
-        travelling_order travelling{order, m_now + delay, std::nullopt, m_term};
-        if (!isLost) {
-            travelling.answered = m_now + delay + randomDelay(duration(20));
-        } else {
-            m_answers.push_back({order, {order_result::unknown, 0}, m_now + orderTimeout, m_term});
-        }
-        m_orders.push_back(std::move(travelling));
+        m_waiting.push_back(std::move(order));
     }
     m_state.decisions.clear();
 }
 
+void assembly_world::sendDue()
+{
+    for (int sent = 0; !m_waiting.empty() && sent < m_ordersPerTick.value_or(INT_MAX); ++sent) {
+        const auto order = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        send(order);
+    }
+}
+
+void assembly_world::send(const replica_order &order)
+{
+    if (!isStillDue(order, !isTrafficKnown())) {
+        m_answers.push_back({order, {order_result::withheld, 0}, m_now, m_term});
+        return;
+    }
+    const bool isLate = m_now < m_ordersLateUntil && random() % 2 == 0;
+    const bool isLost = isLate || (m_now < m_answersLostUntil && random() % 2 == 0);
+    const auto delay = isLate ? duration(2000) + randomDelay(duration(10000)) : randomDelay(duration(20));
+    travelling_order travelling{order, m_now + delay, std::nullopt, m_term};
+    if (!isLost) {
+        travelling.answered = m_now + delay + randomDelay(duration(20));
+    } else {
+        m_answers.push_back({order, {order_result::unknown, 0}, m_now + orderTimeout, m_term});
+    }
+    m_orders.push_back(std::move(travelling));
+}
+
 void assembly_world::deliver()
 {
     auto orders = std::exchange(m_orders, {});
--- a/Tests/Assembly/assemblyWorld.h
+++ b/Tests/Assembly/assemblyWorld.h
@@ -66,6 +66,10 @@
     void loseDomain(int domain, duration time);
     void addEmpty(int domain);
     void beginTraffic();
+    /// The first request comes to another daemon: the coordinator hears of it so much later.
+    void beginTrafficElsewhere(duration heardAfter);
+    /// The coordinator sends so many orders each 50 ms; the others wait for their turn.
+    void sendSlowly(int ordersPerTick);
     /// From now on a dead replica stays listed until its heartbeats are missed, and daemons find it silent before.
     void detectDeaths();
     /// The coordinator looks at all replicas directly again and again for so long, as if requests stood still everywhere.
@@ -115,6 +119,9 @@
     void tick();
     void plan();
     void look();
+    bool isTrafficKnown() const;
+    void sendDue();
+    void send(const replica_order &order);
     bool isAnswering(const served_replica &replica) const;
     void deliver();
     order_answer take(fake_replica &replica, const replica_order &order);
@@ -161,6 +168,10 @@
     std::deque<instant> m_loads;
     std::map<model_id, duration> m_downtime;
     bool m_hasTraffic = false;
+    instant m_hearsTrafficAt;
+    std::optional<int> m_ordersPerTick;
+    /// Planned, and not sent yet.
+    std::deque<replica_order> m_waiting;
     int m_loadsBegun = 0;
     int m_replicasMade = 0;
     std::uint64_t m_term = 1;
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -64,6 +64,37 @@
     CHECK(world.loadsBegun() == 2 * 6 * 8);
 }
 
+// At hundreds of daemons the coordinator planned two loads for each of 3,000 replicas while they were free, more than it could send before
+// the first request came. What waited for its turn was sent nevertheless: the weight store counted several hundred loads a second.
+TEST_CASE("Loads that were planned before the first request do not begin beyond the weight store's rate after it")
+{
+    const auto startOfTraffic = GENERATE(1000, 2000, 4000, 6000);
+    const auto heardAfter = GENERATE(0, 250);
+    CAPTURE(startOfTraffic, heardAfter);
+    assembly_world world(40, 8, 1);
+    world.sendSlowly(3);
+    world.advance(duration(startOfTraffic));
+    const auto loads = world.loadsBegun();
+    world.beginTrafficElsewhere(duration(heardAfter));
+    world.advance(std::chrono::seconds(1));
+    CHECK(world.violation().empty());
+    // Not all is prepared yet: orders waited for their turn.
+    CHECK(loads < 2 * 40 * 8);
+    world.advance(std::chrono::seconds(60));
+    CHECK(world.violation().empty());
+}
+
+TEST_CASE("Until the coordinator has heard of the first request its loads keep within the weight store's rate")
+{
+    const auto startOfTraffic = GENERATE(700, 1200, 1700, 2200, 2700);
+    CAPTURE(startOfTraffic);
+    assembly_world world(20, 8, 1);
+    world.advance(duration(startOfTraffic));
+    world.beginTrafficElsewhere(duration(250));
+    world.advance(std::chrono::seconds(60));
+    CHECK(world.violation().empty());
+}
+
 TEST_CASE("A group that lost a member is whole again within the time of a staged load")
 {
     auto world = assembledWorld();
