--- /dev/null
+++ b/Libraries/Entry/draw_number.cpp
@@ -0,0 +1,14 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/draw_number.h"
+
+#include <random>
+
+namespace vetchpost {
+
+std::uint64_t drawNumber()
+{
+    thread_local std::minstd_rand generator(std::random_device{}());
+    return generator();
+}
+
+} // namespace vetchpost
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -129,7 +129,7 @@
     bool isReady() const
     {
         const key_bound bound{settings.keyRevocation, settings.isKeyRevocationStrict};
-        return !relay.isDraining && store.listedAt() && areKeysUsableForAWhile(bound, store.configurationCurrentAt(), monotonicNow());
+        return !relay.isDraining && store.listedAt() && areKeysUsableForAWhile(bound, store.configurationKnowledge(), monotonicNow());
     }
 
     void serveCaller(http_exchange &exchange)
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -3,7 +3,6 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Entry/try_end.h"
-#include "Libraries/Routing/key_bound.h"
 
 namespace vetchpost {
 
@@ -55,7 +54,23 @@
 
 bool relay_context::areKeysCurrent(instant now) const
 {
-    return areKeysUsable({m_settings.keyRevocation, m_settings.isKeyRevocationStrict}, m_store.configurationCurrentAt(), now);
+    return areKeysUsable(keyBound(), m_store.configurationCurrentAt(), now);
+}
+
+key_bound relay_context::keyBound() const
+{
+    return {m_settings.keyRevocation, m_settings.isKeyRevocationStrict};
+}
+
+bool relay_context::mustSendElsewhere(instant now) const
+{
+    return vetchpost::mustSendElsewhere(keyBound(), m_store.configurationKnowledge(), now);
+}
+
+refusal_reach relay_context::reachOfStaleConfiguration(instant now) const
+{
+    const auto known = m_store.configurationKnowledge();
+    return vetchpost::reachOfStaleConfiguration(known.currentAt.has_value(), m_store.isServiceAnswering(), isLeftBehind(known, now));
 }
 
 void relay_context::doubt(const instance_id &head) const
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -13,6 +13,7 @@
 #include "Libraries/Entry/request_roll.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/client_patience.h"
+#include "Libraries/Requests/come_back.h"
 #include "Libraries/Requests/repeat_bound.h"
 #include "Libraries/Settings/entry_settings.h"
 
@@ -44,6 +45,11 @@
     /// Whether the keys at hand are new enough to be trusted.
     bool areKeysCurrent(instant now) const;
 
+    /// Whether connections had better end with the answer at hand.
+    bool mustSendElsewhere(instant now) const;
+    /// Who else lacks a configuration that is known to be the newest.
+    refusal_reach reachOfStaleConfiguration(instant now) const;
+
     /// A group is likely to stand still: nothing new goes there for a while, and what waits there goes elsewhere.
     void doubt(const instance_id &head) const;
 
@@ -81,6 +87,7 @@
     counter retried;
 
 private:
+    key_bound keyBound() const;
     retry_budget &budgetOf(const service_id &service);
 
     const entry_settings &m_settings;
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The part of request_run that gives the client its last answer and tells the log how the request ended.
 #include "Libraries/Base/event_log.h"
+#include "Libraries/Entry/draw_number.h"
 #include "Libraries/Entry/request_run.h"
 
 #include <array>
@@ -10,9 +11,6 @@
 namespace {
 
 constexpr event_log requestLog("request");
-/// When to come back after a refusal: a group is repaired in about two seconds, a full place is free again much sooner.
-constexpr duration comeBackAfterRepair(1000);
-constexpr duration comeBackSoon(250);
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(try_end::count)> tryEndNames
     = {"answered", "not_sent", "not_run", "lost", "silent", "failed", "caller_left", "timed_out", "withdrawn"};
@@ -68,12 +66,21 @@
     } else if (m_mayHaveRun) {
         refuse(error_kind::backend_lost, "no replica gave a whole answer");
     } else if (end == try_end::not_run) {
-        refuse(error_kind::backend_refused, "the replicas take no more requests", comeBackSoon);
+        refuse(error_kind::backend_refused, "the replicas take no more requests", refusal_reach::full_places);
     } else {
-        refuse(error_kind::no_serving_group, "no place takes requests", comeBackAfterRepair);
+        refuse(error_kind::no_serving_group, "no place takes requests", refusal_reach::whole_model);
     }
 }
 
+void request_run::refuse(error_kind kind, const std::string &text, refusal_reach reach)
+{
+    if (reach == refusal_reach::this_daemon) {
+        // What the connection brings next would be refused too.
+        m_exchange.closeAfterwards();
+    }
+    refuse(kind, text, comeBackAfter(reach, drawNumber()));
+}
+
 void request_run::refuse(error_kind kind, const std::string &text, std::optional<duration> comeBackAfter)
 {
     for (const auto &header : m_context.dialect.ownHeaders(m_head)) {
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/request_run.h"
 
+#include "Libraries/Entry/draw_number.h"
+
 #include <algorithm>
-#include <random>
 
 namespace vetchpost {
 
@@ -14,19 +15,11 @@
 constexpr duration defaultPatience(30000);
 /// With less time left than this no replica can answer.
 constexpr duration leastTimeLeft(15);
-/// When to come back after a refusal: a group is repaired in about two seconds, a full place is free again much sooner.
-constexpr duration comeBackAfterRepair(1000);
 /// Places that could not be connected to are not counted as attempts; after so many of them the request is given up.
 constexpr int mostUnreachable = 4;
 /// Weight of the newest value in a smoothed time.
 constexpr double newestWeight = 0.2;
 
-std::uint64_t drawNumber()
-{
-    thread_local std::minstd_rand generator(std::random_device{}());
-    return generator();
-}
-
 bool isKnownModel(const engine_description &engine, const model_id &id)
 {
     return std::any_of(engine.models.begin(), engine.models.end(), [&](const group_model &model) { return model.id == id; });
@@ -54,7 +47,7 @@
 /// The whole request is read before anything is answered, so that what is left of a body is never taken for the next request.
 bool request_run::readRequest()
 {
-    if (m_context.isDraining) {
+    if (m_context.isDraining || m_context.mustSendElsewhere(m_arrival)) {
         m_exchange.closeAfterwards();
     }
     m_headers = m_exchange.headers();
@@ -86,7 +79,7 @@
 bool request_run::findRoute()
 {
     if (!m_view || !m_view->routes) {
-        refuse(error_kind::no_configuration, "no configuration has been read yet", comeBackAfterRepair);
+        refuse(error_kind::no_configuration, "no configuration has been read yet", m_context.reachOfStaleConfiguration(m_arrival));
         return false;
     }
     m_route = m_view->routes->findRoute(m_exchange.header("Host"), m_exchange.path());
@@ -107,7 +100,7 @@
         return true;
     }
     if (!m_context.areKeysCurrent(m_arrival)) {
-        refuse(error_kind::platform_unavailable, "the keys at hand may be out of date", comeBackAfterRepair);
+        refuse(error_kind::platform_unavailable, "the keys at hand may be out of date", m_context.reachOfStaleConfiguration(m_arrival));
         return false;
     }
     m_organisation = m_view->routes->findOrganisation(m_head.key);
@@ -125,7 +118,7 @@
     const auto *chosen = chooseService(*m_route, drawNumber());
     m_service = chosen == nullptr ? nullptr : m_view->routes->findService(*chosen);
     if (m_service == nullptr) {
-        refuse(error_kind::no_serving_group, "the route has no service", comeBackAfterRepair);
+        refuse(error_kind::no_serving_group, "the route has no service", refusal_reach::all_daemons);
         return;
     }
     if (const auto time = refusedFor()) {
@@ -139,7 +132,7 @@
     // Models that no service knows must not fill the counts.
     const bool isCounted = m_service->engine && isKnownModel(*m_service->engine, m_head.model);
     if (isCounted && isStream() && !m_context.shedding.isAdmitted(m_service->id, m_head.model, drawNumber(), m_arrival)) {
-        refuse(error_kind::overloaded, "most first events of the model are late", comeBackAfterRepair);
+        refuse(error_kind::overloaded, "most first events of the model are late", refusal_reach::whole_model);
         return;
     }
     if (isCounted) {
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -41,6 +41,7 @@
     bool takeRepeatElsewhere();
     void finish(try_end end);
     void refuse(error_kind kind, const std::string &text, std::optional<duration> comeBackAfter = std::nullopt);
+    void refuse(error_kind kind, const std::string &text, refusal_reach reach);
 
     void tellAnswered(try_end end);
     bool tellEnd(request_outcome outcome);
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -191,7 +191,7 @@
         if (!entry || entry->changed == key_revision()) {
             return false;
         }
-        if (!isKnown) {
+        if (freshness == read_freshness::may_be_stale) {
             // A stale read says that there is one; only a current read says which.
             return readConfiguration(true);
         }
@@ -589,6 +589,18 @@
     return d->currentAt;
 }
 
+configuration_knowledge store_follower::configurationKnowledge() const
+{
+    const std::lock_guard lock(d->mutex);
+    return {d->currentAt, d->toldAt};
+}
+
+bool store_follower::isServiceAnswering() const
+{
+    const std::lock_guard lock(d->mutex);
+    return d->presence.isReachable;
+}
+
 std::optional<instant> store_follower::listedAt() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -6,6 +6,7 @@
 #include "Libraries/Feed/feed_source.h"
 #include "Libraries/Feed/feed_timing.h"
 #include "Libraries/Platform/key_value_service.h"
+#include "Libraries/Routing/key_bound.h"
 #include "Libraries/Routing/route_table.h"
 
 #include <functional>
@@ -33,7 +34,7 @@
     void stop();
     /// Whether this daemon passes on what it reads: then it reads often, and changes of the replicas are told one by one.
     void setSource(bool isSource);
-    /// The first request has come.
+    /// The first request has come, here or elsewhere.
     void noteTraffic();
     /// Reads a whole new listing of the replicas before it returns.
     void listAgain();
@@ -62,6 +63,9 @@
     std::shared_ptr<const replica_directory> directory() const;
     /// The configuration at hand was the newest at this moment: when the last successful read began.
     std::optional<instant> configurationCurrentAt() const;
+    configuration_knowledge configurationKnowledge() const;
+    /// Whether the key-value service answered the last call.
+    bool isServiceAnswering() const;
     /// When the last whole listing began; nothing before the first.
     std::optional<instant> listedAt() const;
     /// When the first one began: all changes since then are known.
