Feed: Let a daemon whose term has ended pass nothing on until it is fed again

The coordinator told its followers that it was no source any more; they read its address in the service once more (a read that may be old), asked it again, and it answered as a relay does: it had been fed before it became the coordinator. So it counted as a heard source, and no daemon looked for a successor.

Ruled out: the lease outliving its holder (the term ended 1.1 s after the cut); the service as the cause (62 daemons reached it).

Change: what a daemon is to its followers is one struct, feed_role, with two functions; ceasing to be the source takes the mark of having been fed. The model of daemons in the tests uses the same functions.

Test: testFeedRelays with 9, 79 and 195 daemons; with that line off none of the direct followers looks for a successor (0 of 5 and of 15), now all do.

--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -5,6 +5,7 @@
 #include "Libraries/Entry/notice_pacing.h"
 #include "Libraries/Feed/feed_follower.h"
 #include "Libraries/Feed/feed_relays.h"
+#include "Libraries/Feed/feed_role.h"
 #include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Net/DatagramSocket.h>
@@ -16,6 +17,7 @@
 #include <mutex>
 #include <random>
 #include <thread>
+#include <utility>
 
 namespace vetchpost {
 
@@ -52,15 +54,11 @@
 
     mutable std::mutex mutex;
     feed_follower follower;
-    /// A source has answered: from then on this daemon may pass the feed on. While it has no source it reads for its followers itself.
-    bool wasFed = false;
+    feed_role role;
     std::map<instance_id, instant> passedNotices;
-    std::atomic<bool> isSource = false;
     /// Set with the first request, or from the start where the system runs already.
     std::atomic<bool> wantsReplicas = false;
     std::atomic<bool> isStopping = false;
-    /// It follows on, but passes nothing on any more.
-    std::atomic<bool> isEnding = false;
     Poco::Net::DatagramSocket socket;
     std::thread thread;
 
@@ -93,11 +91,11 @@
         std::vector<char> buffer(largestDatagram);
         instant nextPush = monotonicNow();
         while (!isStopping) {
-            receiveFor(isSource ? pushPeriod : untilSubscription(), buffer);
-            if (isSource && monotonicNow() >= nextPush) {
+            receiveFor(isSource() ? pushPeriod : untilSubscription(), buffer);
+            if (isSource() && monotonicNow() >= nextPush) {
                 nextPush = monotonicNow() + pushPeriod;
                 sendAll(store.pendingPushes());
-            } else if (!isSource) {
+            } else if (!isSource()) {
                 // What a relay reads itself while it has no source.
                 sendAll(store.pendingPushes());
                 subscribeIfDue();
@@ -110,7 +108,7 @@
     std::optional<endpoint> heardSource() const
     {
         const std::lock_guard lock(mutex);
-        return !isSource && follower.wasHeard ? follower.source : std::nullopt;
+        return !role.isSource && follower.wasHeard ? follower.source : std::nullopt;
     }
 
     void spreadSuspects()
@@ -192,7 +190,7 @@
             store.noteTraffic();
             noteTraffic();
         }
-        sendAll(store.answerSubscription(subscription, from, isSource));
+        sendAll(store.answerSubscription(subscription, from, isSource()));
     }
 
     /// Tells its own source at once: the coordinator's loads are counted from the first request on.
@@ -207,7 +205,13 @@
     bool passesOn() const
     {
         const std::lock_guard lock(mutex);
-        return isSource || (wasFed && !isEnding);
+        return vetchpost::passesOn(role);
+    }
+
+    bool isSource() const
+    {
+        const std::lock_guard lock(mutex);
+        return role.isSource;
     }
 
     void take(const feed_referral &referral, const endpoint &from)
@@ -223,13 +227,13 @@
         std::optional<instant> asked;
         {
             const std::lock_guard lock(mutex);
-            if (isSource || from != follower.source) {
+            if (role.isSource || from != follower.source) {
                 return;
             }
             const auto now = monotonicNow();
             asked = noteUpdate(follower, update, now);
             if (asked) {
-                wasFed = true;
+                role.wasFed = true;
                 store.setOrigin({update.origin.source, update.origin.hops + 1}, follower.daemons.value_or(0));
             }
             if (asked && !follower.wasHeard) {
@@ -244,7 +248,7 @@
 
     void take(const stall_notice &notice, const endpoint & /*from*/)
     {
-        if (isSource) {
+        if (isSource()) {
             didHearStall(notice);
         } else if (mayPassNotice(notice.replica)) {
             sendToSource(notice);
@@ -319,7 +323,7 @@
             follower.nextSubscription = now + (daemonsHere > 1 ? timing.relaySubscription : timing.subscription);
             auto subscription = subscribe(follower, settings.daemon, upTo, wantsReplicas, now);
             subscription.dataCentre = settings.dataCentre;
-            subscription.isEnding = isEnding;
+            subscription.isEnding = role.isEnding;
             subscription.daemons = daemonsHere;
             datagram = {{*follower.source}, std::move(subscription)};
         }
@@ -393,14 +397,23 @@
 // Those that this daemon passes the feed on to need not wait until it is silent.
 void peer_feed::endPassingOn()
 {
-    if (!d->isEnding.exchange(true) && !d->isSource) {
+    bool mustTell = false;
+    {
+        const std::lock_guard lock(d->mutex);
+        mustTell = !std::exchange(d->role.isEnding, true) && !d->role.isSource;
+    }
+    if (mustTell) {
         d->sendAll(d->store.endOfFeed());
     }
 }
 
 void peer_feed::setSource(bool isSource)
 {
-    const bool was = d->isSource.exchange(isSource);
+    bool was = false;
+    {
+        const std::lock_guard lock(d->mutex);
+        was = vetchpost::setSource(d->role, isSource);
+    }
     d->store.setSource(isSource);
     if (isSource) {
         d->store.setOrigin({d->settings.peers, 0}, 0);
@@ -412,7 +425,7 @@
 
 bool peer_feed::isSource() const
 {
-    return d->isSource;
+    return d->isSource();
 }
 
 void peer_feed::follow(const endpoint &source)
@@ -455,7 +468,7 @@
 
 std::optional<int> peer_feed::daemons() const
 {
-    const auto heard = d->isSource ? std::optional(d->store.daemonsHeard()) : std::nullopt;
+    const auto heard = d->isSource() ? std::optional(d->store.daemonsHeard()) : std::nullopt;
     const std::lock_guard lock(d->mutex);
     if (heard) {
         // A daemon that has just become the source has heard nobody yet.
--- a/Tests/Feed/feedWorld.cpp
+++ b/Tests/Feed/feedWorld.cpp
@@ -42,7 +42,7 @@
         next.follower.nextSubscription = m_now + duration(number * 7 % 300);
         follow(next.follower, m_nodes.front().address, next.follower.nextSubscription);
     }
-    m_nodes.front().isSource = true;
+    m_nodes.front().role.isSource = true;
     m_nodes.front().feed.origin = {m_nodes.front().address, 0};
 }
 
@@ -69,13 +69,13 @@
             continue;
         }
         const bool hasFollowers = countDaemons(next.feed, m_now) > 1;
-        const auto limit = next.isSource ? m_timing.sourceReading : hasFollowers ? m_timing.relayReading : m_timing.ownReading;
+        const auto limit = next.role.isSource ? m_timing.sourceReading : hasFollowers ? m_timing.relayReading : m_timing.ownReading;
         if (m_now - next.currentAt >= limit && !next.isCutOff) {
             read(next);
         }
-        if (next.isSource && isPushTime) {
+        if (next.role.isSource && isPushTime) {
             push(number);
-        } else if (!next.isSource) {
+        } else if (!next.role.isSource) {
             push(number);
             subscribeIfDue(number);
         }
@@ -119,7 +119,7 @@
 void feed_world::spreadSuspects(int number)
 {
     auto &next = m_nodes[static_cast<std::size_t>(number)];
-    const auto source = !next.isSource && next.follower.wasHeard ? next.follower.source : std::nullopt;
+    const auto source = !next.role.isSource && next.follower.wasHeard ? next.follower.source : std::nullopt;
     for (const auto &datagram : suspectsDue(next.spread, next.suspects, source, heardFollowers(next.feed, m_now), m_now)) {
         send(number, datagram);
     }
@@ -142,6 +142,8 @@
         take(datagram.to, datagram.from, *update);
     } else if (const auto *referral = std::get_if<feed_referral>(&datagram.message)) {
         take(datagram.to, datagram.from, *referral);
+    } else if (std::holds_alternative<feed_end>(datagram.message) && receiver.follower.source == sender) {
+        loseSource(receiver.follower, m_now);
     }
 }
 
@@ -149,8 +151,12 @@
 {
     auto &next = m_nodes[static_cast<std::size_t>(number)];
     const auto &address = m_nodes[static_cast<std::size_t>(from)].address;
-    const auto answer = next.isSource ? answerOrRefer(next.feed, subscription, address, m_now)
-                                      : answerSubscription(next.feed, subscription, address, m_now);
+    if (!passesOn(next.role)) {
+        send(number, {{address}, feed_end()});
+        return;
+    }
+    const auto answer = next.role.isSource ? answerOrRefer(next.feed, subscription, address, m_now)
+                                           : answerSubscription(next.feed, subscription, address, m_now);
     for (const auto &datagram : answer) {
         send(number, datagram);
     }
@@ -159,11 +165,12 @@
 void feed_world::take(int number, int from, const feed_update &update)
 {
     auto &next = m_nodes[static_cast<std::size_t>(number)];
-    if (next.isSource || m_nodes[static_cast<std::size_t>(from)].address != next.follower.source) {
+    if (next.role.isSource || m_nodes[static_cast<std::size_t>(from)].address != next.follower.source) {
         return;
     }
     if (const auto asked = noteUpdate(next.follower, update, m_now)) {
         next.follower.wasHeard = true;
+        next.role.wasFed = true;
         next.lastFed = m_now;
         next.feed.origin = {update.origin.source, update.origin.hops + 1};
         next.feed.daemonsTold = next.follower.daemons.value_or(0);
@@ -207,7 +214,7 @@
 void feed_world::change()
 {
     ++m_revision;
-    auto &source = *std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.isSource; });
+    auto &source = *std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.role.isSource; });
     noteChanges(source.feed, {changeOf(m_revision)}, m_revision);
     source.upTo = m_revision;
 }
@@ -216,20 +223,38 @@
 {
     auto &gone = m_nodes[static_cast<std::size_t>(daemon)];
     gone.isCutOff = true;
-    gone.isSource = false;
+    setSource(gone.role, false);
+}
+
+void feed_world::endTerm(int daemon)
+{
+    auto &ended = m_nodes[static_cast<std::size_t>(daemon)];
+    setSource(ended.role, false);
+    // It asks the service who coordinates, as all do that have no source.
+    ended.follower.source.reset();
+    ended.follower.coordinator.reset();
+    for (const auto &follower : heardFollowers(ended.feed, m_now)) {
+        send(daemon, {{follower}, feed_end()});
+    }
+}
+
+void feed_world::pointTo(int daemon)
+{
+    const auto &address = m_nodes[static_cast<std::size_t>(daemon)].address;
+    for (auto &next : m_nodes) {
+        if (!next.role.isSource && !next.follower.source && next.address != address) {
+            follow(next.follower, address, m_now);
+        }
+    }
 }
 
 void feed_world::elect(int daemon)
 {
     auto &source = m_nodes[static_cast<std::size_t>(daemon)];
-    source.isSource = true;
+    source.role.isSource = true;
     source.feed.origin = {source.address, 0};
     source.feed.daemonsTold = 0;
-    for (auto &next : m_nodes) {
-        if (!next.isSource && !next.follower.source) {
-            follow(next.follower, source.address, m_now);
-        }
-    }
+    pointTo(daemon);
 }
 
 void feed_world::beginAnew(node &next)
@@ -251,7 +276,7 @@
 void feed_world::restart(int daemon)
 {
     auto &next = m_nodes[static_cast<std::size_t>(daemon)];
-    const auto source = std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &other) { return other.isSource; });
+    const auto source = std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &other) { return other.role.isSource; });
     beginAnew(next);
     next.follower.lastNonce = m_random();
     follow(next.follower, source->address, m_now);
@@ -296,7 +321,7 @@
 {
     traffic most;
     for (const auto &next : m_nodes) {
-        if (!next.isSource) {
+        if (!next.role.isSource) {
             most = {std::max(most.datagrams, next.sent.datagrams), std::max(most.bytes, next.sent.bytes)};
         }
     }
@@ -310,13 +335,13 @@
 
 int feed_world::directFollowers() const
 {
-    const auto source = std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.isSource; });
+    const auto source = std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.role.isSource; });
     return static_cast<int>(source->feed.subscribers.size());
 }
 
 int feed_world::daemonsCounted() const
 {
-    const auto source = std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.isSource; });
+    const auto source = std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.role.isSource; });
     return countDaemons(source->feed, m_now);
 }
 
@@ -336,8 +361,9 @@
 
 int feed_world::lost() const
 {
+
     return static_cast<int>(std::count_if(
-        m_nodes.begin(), m_nodes.end(), [](const node &next) { return !next.isSource && !next.isCutOff && !next.follower.source; }));
+        m_nodes.begin(), m_nodes.end(), [](const node &next) { return !next.role.isSource && !next.isCutOff && !next.follower.source; }));
 }
 
 bool feed_world::haveAllChanges() const
--- a/Tests/Feed/feedWorld.h
+++ b/Tests/Feed/feedWorld.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Feed/feed_follower.h"
 #include "Libraries/Feed/feed_relays.h"
+#include "Libraries/Feed/feed_role.h"
 #include "Libraries/Feed/feed_timing.h"
 #include "Libraries/Feed/suspect_spread.h"
 
@@ -26,6 +27,10 @@
     void cutOff(int daemon);
     /// All that have lost their source find this one.
     void elect(int daemon);
+    /// The source is none any more, and tells its followers.
+    void endTerm(int daemon);
+    /// All that have lost their source are told of this one, whatever it is by now.
+    void pointTo(int daemon);
     /// From now on this share of the datagrams is lost.
     void loseDatagrams(double share);
     /// The daemon starts anew and knows nothing.
@@ -70,7 +75,7 @@
         std::uint64_t upTo = 0;
         instant currentAt;
         std::optional<instant> lastFed;
-        bool isSource = false;
+        feed_role role;
         bool isCutOff = false;
         traffic sent;
         instant suspendedUntil;
--- a/Tests/Feed/testFeedRelays.cpp
+++ b/Tests/Feed/testFeedRelays.cpp
@@ -100,6 +100,33 @@
     CHECK(world.directFollowers() <= 2 * followersPerRelay(195));
 }
 
+// A daemon that had followed others became the coordinator, and was cut off from the key-value service. As its lease ended it told its
+// followers, who read its address in the service once more; it had been fed before, so it answered them as a relay does. They took it for
+// the coordinator: for seven seconds nobody looked for another one, and no group was repaired.
+TEST_CASE("A daemon whose term has ended does not pass for the coordinator, though it had followed another one before")
+{
+    for (const int daemons : {9, 79, 195}) {
+        CAPTURE(daemons);
+        auto world = settledWorld(daemons);
+        world.cutOff(0);
+        world.advance(duration(4000));
+        world.elect(1);
+        world.advance(duration(5000));
+        REQUIRE(world.lost() == 0);
+        const auto direct = world.directFollowers();
+        world.endTerm(1);
+        world.advance(duration(100));
+        world.pointTo(1);
+        world.advance(duration(1500));
+        // Those that it served look for a successor.
+        CHECK(world.lost() >= direct);
+        world.elect(2);
+        world.advance(duration(5000));
+        CHECK(world.lost() == 0);
+        CHECK(world.daemonsCounted() == daemons - 1);
+    }
+}
+
 TEST_CASE("Few daemons are all served by the source")
 {
     auto world = settledWorld(mostServedDirectly);
