Entry: Await the first configuration for a moment, and read it once

A configuration of 1,769 routes came through a link of 20 Mbit/s twice: a read that may be old said that there is one, a current one said which.

Change: in a system that runs the first read is a current one. A request that finds no configuration waits for it, 0.3 s at most and only as long as the service seems to answer.

--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -4,11 +4,15 @@
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Entry/try_end.h"
 
+#include <thread>
+
 namespace vetchpost {
 
 namespace {
 
 constexpr event_log requestLog("request");
+/// Only in the first moments of a process.
+constexpr duration configurationPollPeriod(5);
 
 std::vector<counter> tryCounters(metrics &counters)
 {
@@ -67,6 +71,17 @@
     return vetchpost::mustSendElsewhere(keyBound(), m_store.configurationKnowledge(), now);
 }
 
+void relay_context::awaitConfiguration(instant until) const
+{
+    const auto hasConfiguration = [this] {
+        const auto view = currentView();
+        return view && view->routes;
+    };
+    while (!hasConfiguration() && m_store.isServiceAnswering() && monotonicNow() < until) {
+        std::this_thread::sleep_for(configurationPollPeriod);
+    }
+}
+
 refusal_reach relay_context::reachOfStaleConfiguration(instant now) const
 {
     const auto known = m_store.configurationKnowledge();
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -47,6 +47,8 @@
 
     /// Whether connections had better end with the answer at hand.
     bool mustSendElsewhere(instant now) const;
+    /// Waits for the first configuration, not beyond \a until, as long as the key-value service seems to answer.
+    void awaitConfiguration(instant until) const;
     /// Who else lacks a configuration that is known to be the newest.
     refusal_reach reachOfStaleConfiguration(instant now) const;
 
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -15,6 +15,8 @@
 constexpr duration defaultPatience(30000);
 /// With less time left than this no replica can answer.
 constexpr duration leastTimeLeft(15);
+/// A daemon that starts reads its configuration within this time, a large one through a small instance's link too.
+constexpr duration firstConfigurationWait(300);
 /// Places that could not be connected to are not counted as attempts; after so many of them the request is given up.
 constexpr int mostUnreachable = 4;
 /// Weight of the newest value in a smoothed time.
@@ -78,6 +80,11 @@
 
 bool request_run::findRoute()
 {
+    if (!m_view || !m_view->routes) {
+        // A refusal would use up a return of the client, who may meet another daemon that has just started.
+        m_context.awaitConfiguration(m_arrival + firstConfigurationWait);
+        m_view = m_context.currentView();
+    }
     if (!m_view || !m_view->routes) {
         refuse(error_kind::no_configuration, "no configuration has been read yet", m_context.reachOfStaleConfiguration(m_arrival));
         return false;
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -182,7 +182,8 @@
     {
         const auto asked = monotonicNow();
         reason why;
-        const auto freshness = isKnown ? read_freshness::current : read_freshness::may_be_stale;
+        // In a system that runs there is a configuration: to ask first whether there is brings a large one through the link twice.
+        const auto freshness = isKnown || hasTraffic ? read_freshness::current : read_freshness::may_be_stale;
         const auto entry = keyValue.get(dialect.configurationKey(), freshness, why);
         noteAnswer(entry.has_value(), why);
         if (entry && (freshness == read_freshness::current || entry->changed == key_revision())) {
