Assembly: Prepare hosts for losses as the losses that were seen ask for

Cause: after the first request hosts of serving groups were given another model's weights whether or not anything was lost: two at a time, all that the weight store feeds where a model lacked groups.

Change: each lost member of a group allows four such loads within a minute, two come without any loss. Before the first request nothing changes. The loss is counted where a group is closed for it.

Weighed: no preparing at all after the first request (what a loss used up is then never replaced); a share of the hosts (knows nothing of losses).

Figures: test in testAssembly (20 domains, unprepared hosts, no loss for 100 s, then six): at most 6 loads without losses, over 12 with them.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -40,6 +40,8 @@
     void join(planned_group &group);
     void open(planned_group &group);
     void watch(planned_group &group);
+    /// Counts the members that a group has lost, for what its loss asks of the others.
+    void noteLosses(const planned_group &group);
     void beginClose(planned_group &group, close_method method, const std::string &why);
     void close(planned_group &group);
     void leave(planned_group &group);
@@ -133,6 +135,7 @@
     /// Whether a live replica stands in no planned group.
     bool isUnused(const served_replica &replica) const;
     bool isAnyoneLost(const planned_group &group) const;
+    bool isLost(const planned_member &member) const;
     /// Whether the member has started again since it was given its place.
     bool hasStartedAgain(const planned_member &member) const;
     static readiness readinessOf(const served_replica &replica, const model_id &model);
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -177,6 +177,12 @@
     duration joinSlack{20000};
     /// Of the weight store's rate the part that is used, so that a predecessor's last loads find room in the same window.
     double loadRateShare = 0.5;
+    /// A lost member may use up what so many hosts were prepared with: so many loads then prepare others.
+    std::size_t preparationsPerLoss = 4;
+    /// ... and so many without any loss: the first one may come.
+    std::size_t leastPreparations = 2;
+    /// A loss says for so long that there will be others.
+    duration lossMemory{60000};
     /// Window over which loads are counted.
     duration loadWindow{5000};
     /// The coordinator hears of the first request within this time, wherever it comes.
@@ -211,6 +217,9 @@
     std::map<instance_id, instant> idleSince;
     /// Loads from the weight store that were ordered within the window.
     std::deque<instant> loads;
+    /// When members of groups were lost, and when loads began that only prepare for that; of the last while.
+    std::deque<instant> losses;
+    std::deque<instant> preparations;
     struct staging
     {
         model_id model;
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -80,6 +80,7 @@
     }
     const auto problem = memberProblem(group);
     if (!problem.empty()) {
+        noteLosses(group);
         beginClose(group, isAnyoneLost(group) ? close_method::cut : close_method::finish, problem);
         return;
     }
@@ -91,6 +92,15 @@
     }
 }
 
+void assembly_round::noteLosses(const planned_group &group)
+{
+    for (const auto &member : group.members) {
+        if (isLost(member)) {
+            m_state.losses.push_back(m_view.now);
+        }
+    }
+}
+
 void assembly_round::beginClose(planned_group &group, close_method method, const std::string &why)
 {
     group.closing = method;
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -20,6 +20,13 @@
     return member;
 }
 
+void forgetBefore(std::deque<instant> &moments, instant oldest)
+{
+    while (!moments.empty() && moments.front() <= oldest) {
+        moments.pop_front();
+    }
+}
+
 } // namespace
 
 assembly_round::assembly_round(assembly_state &state, const assembly_view &view)
@@ -28,9 +35,9 @@
     , m_seen(groupsOf(view.directory, view.service))
 {
     std::erase_if(m_state.avoidedUntil, [&](const auto &entry) { return entry.second <= m_view.now; });
-    while (!m_state.loads.empty() && m_view.now - m_state.loads.front() >= m_state.policy.loadWindow) {
-        m_state.loads.pop_front();
-    }
+    forgetBefore(m_state.loads, m_view.now - m_state.policy.loadWindow);
+    forgetBefore(m_state.losses, m_view.now - m_state.policy.lossMemory);
+    forgetBefore(m_state.preparations, m_view.now - m_state.policy.lossMemory);
     noteLives();
     noteDraining();
     noteSilence();
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -124,9 +124,12 @@
 
 bool assembly_round::isAnyoneLost(const planned_group &group) const
 {
-    return std::any_of(group.members.begin(), group.members.end(), [&](const planned_member &member) {
-        return find(member.instance) == nullptr || m_view.suspects.contains(member.instance) || hasStartedAgain(member);
-    });
+    return std::any_of(group.members.begin(), group.members.end(), [&](const planned_member &member) { return isLost(member); });
+}
+
+bool assembly_round::isLost(const planned_member &member) const
+{
+    return find(member.instance) == nullptr || m_view.suspects.contains(member.instance) || hasStartedAgain(member);
 }
 
 bool assembly_round::hasStartedAgain(const planned_member &member) const
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -152,12 +152,16 @@
 
 /// Whether a load may begin that prepares hosts for a model. Before the first request any number: loads are quick then however many run,
 /// and a host that holds another model than it runs lets the survivors of its first loss serve after a staged load in place of a whole one.
-/// Later all that the store feeds at a time where the model lacks groups, few otherwise.
+/// Later as many as the losses that were seen ask for: each load has its price, and where nothing is lost it buys nothing. Of these all
+/// that the store feeds at a time where the model lacks groups, few otherwise.
 bool assembly_round::hasRoomToPrepare(const group_model &model) const
 {
     if (m_view.isBeforeTraffic) {
         return true;
     }
+    if (m_state.preparations.size() >= m_state.policy.leastPreparations + m_state.policy.preparationsPerLoss * m_state.losses.size()) {
+        return false;
+    }
     const bool isWanted = presentPart(model) < m_state.policy.muchLacking;
     const auto most = isWanted ? static_cast<std::size_t>(m_view.engine.concurrentLoads) : idleStoreLoads;
     return m_state.stagings.size() < most;
@@ -172,6 +176,9 @@
     }
     if (readinessOf(*replica, other->id) == readiness::must_load && mayLoad(1)) {
         stage(*replica, other->id);
+        if (!m_view.isBeforeTraffic) {
+            m_state.preparations.push_back(m_view.now);
+        }
     }
 }
 
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -95,6 +95,30 @@
     CHECK(world.violation().empty());
 }
 
+// Where nothing is lost, hosts that hold one model only are as good as any, and each load has its price: 181 of them were begun on a day
+// on which no replica was lost, at 3,000 replicas whose hosts the first request found unprepared.
+TEST_CASE("Without losses few hosts are prepared for them after the first request, with losses as many as these ask for")
+{
+    assembly_world world(20, 8, 1);
+    world.sendSlowly(3);
+    while (world.servingGroups(small) < world.wantedGroups(small)) {
+        world.advance(duration(100));
+    }
+    world.beginTraffic();
+    const auto atFirstRequest = world.loadsBegun();
+    REQUIRE(atFirstRequest < 2 * 20 * 8 - 60);
+    world.advance(std::chrono::seconds(100));
+    const auto before = world.loadsBegun();
+    CHECK(before - atFirstRequest <= 6);
+    for (int i = 0; i < 6; ++i) {
+        world.lose(world.membersOfSomeGroup(big).back());
+        world.advance(std::chrono::seconds(5));
+    }
+    world.advance(std::chrono::seconds(60));
+    CHECK(world.loadsBegun() - before > 12);
+    CHECK(world.violation().empty());
+}
+
 TEST_CASE("A group that lost a member is whole again within the time of a staged load")
 {
     auto world = assembledWorld();
