--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -97,7 +97,7 @@
     return {};
 }
 
-// Eighteen groups gave way within two seconds of a day on which both models were short, and requests in time fell from 0.70 to 0.45.
+// Where both models are short, groups would else give way all over at the same time, and none of them serves meanwhile.
 bool assembly_round::isAnyoneGivingWay() const
 {
     return std::any_of(m_state.groups.begin(), m_state.groups.end(), [](const auto &entry) {
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -141,8 +141,7 @@
     const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= patience && (mayLeave || !hasEntry);
     const bool isCut = group.hasTakenClose && group.closing == close_method::cut;
     // A head that is cut off from everybody loses its entry before it gives up: it stands still and holds its group until the engines'
-    // stall time is over. Members were ordered elsewhere 0.3 s too early in a soak whose entries lapse after 1.2 s and whose groups stall
-    // for 1.5 s.
+    // stall time is over.
     if (isWaitOver || (group.headLostSince && isCut)) {
         m_state.deadHeads.insert(head.instance);
         dissolve(group, "its head is gone");
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -133,8 +133,8 @@
     }
     for (const auto &seen : m_seen) {
         // Entries that lapsed with the service come back one by one for two seconds, the members' before their head's too: a group counts
-        // from the moment in which any of it is there. Fifteen replicas joined other groups beside open heads when only the first round
-        // took groups over.
+        // from the moment in which any of it is there. If only the first round took groups over, members would join other groups beside
+        // open heads.
         const bool isFromBefore = seen.formed.value() < m_state.term * formationsPerTerm;
         const bool isNew = isFromBefore && m_state.metFormations.emplace(seen.id, seen.formed).second;
         const auto planned = m_state.groups.find(seen.id);
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -89,9 +89,8 @@
 
 /// A leaving member stays while its head has work, for some seconds: its group serves on until a replacement is ready, or until shortly
 /// before the end. A leaving head takes nothing new.
-/// Nothing is replaced at once where an entry merely went: when a tenth of 171 replicas was cut off from the key-value service for 5 s,
-/// twelve of 25 groups were closed within a second, eight of them for a member that served on, and requests in time fell from 0.9 to 0.2
-/// for 4 s.
+/// Nothing is replaced at once where an entry merely went: a cut between replicas and the key-value service would close groups all over,
+/// most of them for a member that serves on.
 bool assembly_round::mustReplaceNow(const planned_group &group, const served_replica &leaving) const
 {
     if (leaving.id == group.members.front().instance || group.stage != assembly_stage::serving) {
--- a/Libraries/Assembly/silent_replicas.cpp
+++ b/Libraries/Assembly/silent_replicas.cpp
@@ -11,15 +11,15 @@
 constexpr duration suspicionTime(10000);
 /// How often a member without an entry is looked at.
 constexpr duration unlistedLookPeriod(800);
-/// So many of them within the time of a look: when a tenth of 930 replicas was cut off from the key-value service, 136 looks a second took
-/// half of a small coordinator's processor (worked out), and its followers heard nothing for seconds.
+/// So many of them within the time of a look: when many replicas are cut off from the key-value service, looks at all of them would take
+/// a small coordinator's processor, and its followers would hear nothing.
 constexpr std::size_t unlistedLooksAtOnce = 8;
 /// ... and one that did not answer: within the time for which it is suspected.
 constexpr duration silentLookPeriod(4000);
 
 // What has crashed says nothing any more: an entry that was changed after its replica was found silent shows that it lives. It has stopped
-// listening, or will soon, and still finishes requests; while it was taken for dead its members were ordered into a second group
-// (testAssembly). An entry that is gone shows nothing.
+// listening, or will soon, and still finishes requests: taken for dead, its members would be ordered into a second group. An entry that is
+// gone shows nothing.
 bool hasSpokenSince(const replica_directory &directory, const instance_id &id)
 {
     const auto found = directory.replicas.find(id);
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -26,8 +26,7 @@
 constexpr auto coordinatorKey = "vetchpost/coordinator";
 /// How often the coordinator looks at its lease, and plans without being asked to.
 constexpr duration coordinatorPeriod(150);
-/// The least time between two plans: at 228 replicas a plan and its bookkeeping take about a millisecond of a core of which a daemon has an
-/// eighth.
+/// The least time between two plans: each takes a good part of a small instance's processor.
 constexpr duration planGatherTime(10);
 /// How often a daemon that hears no coordinator looks whether there is one; spread, so that not all try at once.
 constexpr duration followerPeriod(500);
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -12,8 +12,8 @@
 /// What a replica in another data centre costs more, in outstanding requests: bytes between data centres are paid for, and other daemons
 /// there load it as well.
 constexpr double otherDataCentreCost = 0.3;
-/// The same for a group while little is late: the near one is taken until it holds two requests of this daemon more than a far one. With 7
-/// daemons bytes between data centres fell from 0.0128 to 0.0097 of a day's worth, with 68 from 0.0164 to 0.0086, with as many in time.
+/// The same for a group while little is late: the near one is taken until it holds two requests of this daemon more than a far one, so
+/// that fewer bytes go between data centres.
 constexpr double otherDataCentreCostInCalm = 1.3;
 /// A replica that was never tried counts as this quick (milliseconds).
 constexpr double assumedAnswerTime = 100;
@@ -161,9 +161,8 @@
 }
 
 // A daemon among many holds a hundredth of a group's requests: their number tells little, and the smoothed time to the first event is from
-// seconds ago. Taking turns spreads the requests of all daemons more evenly than either. Requests that found 22 or more others, of 28
-// groups with 25 places at a mean of 14, 79 daemons (simulated): 0.077 by own number times own time, 0.024 by chance, 0.007 in turns; by
-// numbers that all daemons share each 0.75 s 0.067 (the better of two) or more, since all run to the same place, each 0.25 s 0.001.
+// seconds ago. Taking turns spreads the requests of all daemons more evenly than either, and than numbers that all daemons share at long
+// intervals: with these all run to the same place.
 const backend *chooseBackend(const std::vector<backend> &candidates,
                              const std::vector<instance_id> &tried,
                              const data_centre_id &dataCentre,
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -34,8 +34,8 @@
 }
 
 // A replica that gives up its place no longer says what it ran, but takes a place in a group of the same model within 0.2 s for the rest of
-// its life. Heads that were told to leave counted as without any model: domains in which four members could have served at once loaded one
-// of them for 16 s (seen in the log of a day with restarts of all daemons).
+// its life. If heads that were told to leave counted as without any model, domains whose members could serve at once would load
+// one of them anew.
 served_replica withModelKept(served_replica replica, const served_replica &before)
 {
     if (!replica.model && !isAnotherLife(replica.life, before.life)) {
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -211,8 +211,7 @@
 }
 
 /// Whether a try whose replica is silent may be given up for another: takes the repeat for it. A try is never given up before that is
-/// known, since the answer may still come: after a restart of 79 daemons 38 requests were ended at 0.9 of their 6 seconds although nobody
-/// else could take them (counted in the daemons' logs).
+/// known, since the answer may still come and nobody else may be able to take the request.
 bool request_run::takeRepeatElsewhere()
 {
     const bool mayGoOn = m_route->mayRunAgain() && m_attempts < m_route->maximumAttempts;
--- a/Libraries/Entry/service_presence.cpp
+++ b/Libraries/Entry/service_presence.cpp
@@ -17,8 +17,8 @@
     return hasChanged;
 }
 
-// Only after an absence may entries be missing whose replicas live. A service that has forgotten its history was there all the time: while
-// that counted as an absence, all of 195 daemons had to list for themselves.
+// Only after an absence may entries be missing whose replicas live. A service that has forgotten its history was there all the time: if
+// that counted as an absence, all daemons would have to list for themselves.
 duration absenceBefore(const service_presence &presence, duration remembered, instant now)
 {
     if (!presence.isReachable) {
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -26,12 +26,11 @@
 /// nearly without: each order waits for what the order before it changed.
 constexpr duration watchPause(500);
 constexpr duration sourceWatchPause(40);
-/// Before the first request nothing is routed yet, but whole groups come: a listing that may be a little old tells in two reads, at a
-/// tenth of the price, what some fifteen watches told (195 daemons, 930 replicas, 14 s; the watches are worked out, not counted).
+/// Before the first request nothing is routed yet, but whole groups come: a listing that may be a little old tells in a few cheap reads
+/// what many watches would.
 constexpr duration idleListingPeriod(3000);
 /// From so many changes on an answer is followed by the next watch at once: a service tells only some of them at a time (500 on the
-/// platform). With a pause after each, 195 daemons knew no place when the first request came, 20 s after 930 replicas had begun to start,
-/// and refused 1,242 of 1,501 requests in two seconds.
+/// platform). With a pause after each, daemons before many replicas would know no place when the first request comes.
 constexpr std::size_t manyChanges = 200;
 /// How often a daemon that is told looks whether it still is, and gives up lapsed entries.
 constexpr duration toldPeriod(400);
--- a/Libraries/Feed/feed_relays.cpp
+++ b/Libraries/Feed/feed_relays.cpp
@@ -55,7 +55,7 @@
 }
 
 // What a follower lacks is left to its relay: when many daemons lose their relays at once, the answers to all of them, of up to twelve
-// datagrams each, kept a source of 0.12 core busy for good (seen in the log of a day: followers heard nothing for ten seconds and more).
+// datagrams each, would keep a small source busy for good.
 std::vector<feed_datagram> answerOrRefer(feed_source &source, const feed_subscription &subscription, const endpoint &from, instant now)
 {
     noteSubscriber(source, subscription, from, now);
--- a/Libraries/Requests/load_shedding.cpp
+++ b/Libraries/Requests/load_shedding.cpp
@@ -18,16 +18,15 @@
 constexpr double stepDown = 0.15;
 constexpr double stepUp = 0.05;
 constexpr double leastShare = 0.65;
-/// Of a first event in the smoothed part of late ones: a daemon among 68 hears some two a second of a model.
+/// Of a first event in the smoothed part of late ones: a daemon among many hears a few a second of a model.
 constexpr double newestWeight = 0.06;
-/// On calm days three to five in a hundred are late, where groups lose members one after the other.
+/// A few in a hundred are late on calm days too, where groups lose members one after the other.
 constexpr double mostLateInCalm = 0.1;
 
 } // namespace
 
 // Engines serve as much with a queue as without one: the queue that a burst has left is kept up by what comes, and all are late. To refuse
-// a little more than the excess for some seconds serves the rest in time: a day with a burst of 1.5 for 14 s is worth 0.657 instead of
-// 0.509 with 79 daemons, 0.743 instead of 0.728 with 58 (one run each without processor time).
+// a little more than the excess for some seconds serves the rest in time.
 void noteFirstEvent(load_shedding &state, bool isLate, instant now)
 {
     if (now - state.lookedAt > forgetting) {
--- a/Libraries/Routing/key_bound.cpp
+++ b/Libraries/Routing/key_bound.cpp
@@ -30,8 +30,8 @@
 
 } // namespace
 
-// Refusing everybody while the key-value service is away answers a load that the replicas could still serve: of 714 requests asked within
-// four seconds of such an outage 75 were served in time. It is done only where the operator's settings ask for it.
+// Refusing everybody while the key-value service is away answers a load that the replicas could still serve: it is
+// done only where the operator's settings ask for it.
 bool areKeysUsable(const key_bound &bound, std::optional<instant> currentAt, instant now)
 {
     return isYounger(currentAt, bound.isStrict ? bound.revocation - keyMargin : longestKeyAge, now);
