--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -40,9 +40,10 @@
 class memory_store : public key_value_service
 {
 public:
-    explicit memory_store(std::map<std::string, std::string> &values, std::atomic<bool> &isUp)
+    memory_store(std::map<std::string, std::string> &values, std::atomic<bool> &isUp, std::atomic<bool> &hidesConfiguration)
         : m_values(values)
         , m_isUp(isUp)
+        , m_hidesConfiguration(hidesConfiguration)
     {
     }
 
@@ -52,7 +53,7 @@
             lastReason = {error_kind::platform_unavailable, "down"};
             return std::nullopt;
         }
-        const auto found = m_values.find(key);
+        const auto found = m_hidesConfiguration && key == "op/config" ? m_values.end() : m_values.find(key);
         return found == m_values.end() ? key_value_entry{key, {}, {}} : key_value_entry{key, found->second, key_revision(1)};
     }
 
@@ -99,6 +100,7 @@
 private:
     std::map<std::string, std::string> &m_values;
     std::atomic<bool> &m_isUp;
+    std::atomic<bool> &m_hidesConfiguration;
 };
 
 inline endpoint freePort()
@@ -225,10 +227,10 @@
         m_peers = settings.peers;
         m_daemon = std::make_unique<entry_daemon>(
             settings, std::make_unique<platform_dialect>(), [this](const endpoint & /*address*/, metrics & /*counters*/) {
-                return std::make_unique<memory_store>(m_values, m_isUp);
+                return std::make_unique<memory_store>(m_values, m_isUp, m_hidesConfiguration);
             });
         m_daemon->start();
-        for (int i = 0; i < 100 && hasConfiguration && !isReady(settings.readiness); ++i) {
+        for (int i = 0; i < 100 && hasConfiguration && !m_hidesConfiguration && !isReady(settings.readiness); ++i) {
             std::this_thread::sleep_for(duration(20));
         }
     }
@@ -256,6 +258,12 @@
         m_daemon->stop();
     }
 
+    /// Whether the key-value service holds no configuration yet.
+    void hideConfiguration(bool isHidden)
+    {
+        m_hidesConfiguration = isHidden;
+    }
+
     void stopStore()
     {
         m_isUp = false;
@@ -318,6 +326,7 @@
 
     std::map<std::string, std::string> m_values;
     std::atomic<bool> m_isUp = true;
+    std::atomic<bool> m_hidesConfiguration = false;
     bool m_isKeyRevocationStrict = true;
     duration m_stopGrace{3000};
     endpoint m_callers;
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -49,7 +49,9 @@
     std::this_thread::sleep_for(duration(1600));
     const auto refused = world.ask("/once/");
     CHECK(refused.status == 503);
-    CHECK_FALSE(refused.header("Retry-After").empty());
+    // Nobody has heard from the service since: it is away for all.
+    CHECK(std::stod(refused.header("Retry-After")) >= 0.8);
+    CHECK(std::stod(refused.header("Retry-After")) <= 1.2);
     CHECK(replica.requests().size() == 1);
 
     relay_world blank;
@@ -57,6 +59,30 @@
     CHECK(blank.ask("/once/").status == 503);
 }
 
+// All daemons started again, and clients came back to them before the configuration had been read: each refusal used up a client's return.
+TEST_CASE("A request that comes just before the first configuration waits for it, one that comes long before it does not")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    world.hideConfiguration(true);
+    world.start();
+    const auto asked = monotonicNow();
+    const auto refused = world.ask("/once/");
+    CHECK(refused.status == 503);
+    CHECK(monotonicNow() - asked < duration(600));
+    // It may come any moment, here or elsewhere.
+    CHECK(std::stod(refused.header("Retry-After")) <= 0.3);
+    // The service is asked each 0.25 s.
+    std::thread revealing([&] {
+        std::this_thread::sleep_for(duration(20));
+        world.hideConfiguration(false);
+    });
+    CHECK(world.ask("/once/", "good", "a2").status == 200);
+    revealing.join();
+    CHECK(replica.requests().size() == 1);
+}
+
 TEST_CASE("Without the key-value service requests are served with the keys at hand where the settings allow it")
 {
     const scripted_replica replica(good);
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -23,9 +23,15 @@
     /// The next watch is told so, after it has waited for longer than an absence takes to count.
     std::atomic<bool> isHistoryLost = false;
 
-    std::optional<key_value_entry> get(const std::string &key, read_freshness /*freshness*/, reason & /*lastReason*/) override
+    std::atomic<int> staleReads = 0;
+    std::atomic<int> currentReads = 0;
+    /// What a read of any key gives, with the service's revision 1; nothing where it is empty.
+    std::string value;
+
+    std::optional<key_value_entry> get(const std::string &key, read_freshness freshness, reason & /*lastReason*/) override
     {
-        return key_value_entry{key, {}, {}};
+        ++(freshness == read_freshness::current ? currentReads : staleReads);
+        return value.empty() ? key_value_entry{key, {}, {}} : key_value_entry{key, value, key_revision(1)};
     }
 
     std::optional<key_value_listing> list(const std::string & /*prefix*/, read_freshness /*freshness*/, reason &lastReason) override
@@ -107,6 +113,28 @@
     follower.stop();
 }
 
+// A large configuration takes a small instance's link for a quarter of a second. All daemons that had started again read it twice, one read
+// to learn that there is one, and refused every request until the second had come.
+TEST_CASE("A daemon that starts in a running system reads its first configuration once")
+{
+    for (const bool isRunning : {true, false}) {
+        CAPTURE(isRunning);
+        listing_store service;
+        service.value = R"({"Version":1,"Routes":[],"Services":[],"Tenants":[]})";
+        const platform_dialect dialect;
+        metrics counters;
+        store_follower follower(service, dialect, feedTiming(duration(2000)), counters, [] {});
+        if (isRunning) {
+            follower.noteTraffic();
+        }
+        follower.start();
+        REQUIRE(isWithin(duration(3000), [&] { return follower.routes() != nullptr; }));
+        CHECK(service.currentReads == 1);
+        CHECK(service.staleReads == (isRunning ? 0 : 1));
+        follower.stop();
+    }
+}
+
 TEST_CASE("A daemon that waits for its first request catches up with thousands of changes at once")
 {
     listing_store service;
