Assembly: Prepare hosts before the first request at a pace that the daemons can follow

Supposed, by reading: some 2,600 hosts were prepared in the last seconds before the first request; each changes its replica's entry at the begin and at the end, and the feed takes about 800 changes a second to a follower (96 a push), the leaving ones behind all others.

Change: 48 hosts in 0.3 s at most. Up to some 200 replicas that is within a second or two. Test: testAssembly, 480 hosts; with the pace off it fails (160 and 320 in 0.3 s).

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -146,6 +146,7 @@
     /// How many loads may begin within a window by this coordinator.
     double loadsPerWindow() const;
     bool mayLoadBeforeTraffic(std::size_t count) const;
+    std::size_t recentLoads() const;
     /// Whether a member's join begins a load.
     bool mustLoad(const planned_group &group, const planned_member &member) const;
     /// How many orders a replica has taken: none where it has nothing to show for one.
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -177,6 +177,9 @@
     duration joinSlack{20000};
     /// Of the weight store's rate the part that is used, so that a predecessor's last loads find room in the same window.
     double loadRateShare = 0.5;
+    /// Before the first request so many hosts may be prepared within that time: each changes its replica's entry, and all daemons must take
+    /// in what changes sooner than a leaving replica has to be known.
+    std::size_t preparationsPerNotice = 48;
     /// A lost member may use up what so many hosts were prepared with: so many loads then prepare others.
     std::size_t preparationsPerLoss = 4;
     /// ... and so many without any loss: the first one may come.
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -187,10 +187,16 @@
 /// and must keep within the rate. One group at a time may always load.
 bool assembly_round::mayLoadBeforeTraffic(std::size_t count) const
 {
-    const auto recent = m_state.loads.size() - m_olderLoads;
+    const auto recent = recentLoads();
     return recent == 0 || static_cast<double>(recent + count) <= loadsPerWindow();
 }
 
+/// Those that began so lately that a first request may have come since, unheard.
+std::size_t assembly_round::recentLoads() const
+{
+    return m_state.loads.size() - m_olderLoads;
+}
+
 bool assembly_round::mustLoad(const planned_group &group, const planned_member &member) const
 {
     const auto *replica = find(member.instance);
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -150,14 +150,14 @@
     return groups;
 }
 
-/// Whether a load may begin that prepares hosts for a model. Before the first request any number: loads are quick then however many run,
-/// and a host that holds another model than it runs lets the survivors of its first loss serve after a staged load in place of a whole one.
-/// Later as many as the losses that were seen ask for: each load has its price, and where nothing is lost it buys nothing. Of these all
-/// that the store feeds at a time where the model lacks groups, few otherwise.
+/// Whether a load may begin that prepares hosts for a model. Before the first request as many as the daemons can follow: loads are quick
+/// then however many run, and a host that holds another model than it runs lets the survivors of its first loss serve after a staged load
+/// in place of a whole one. Later as many as the losses that were seen ask for: each load has its price, and where nothing is lost it buys
+/// nothing. Of these all that the store feeds at a time where the model lacks groups, few otherwise.
 bool assembly_round::hasRoomToPrepare(const group_model &model) const
 {
     if (m_view.isBeforeTraffic) {
-        return true;
+        return recentLoads() < m_state.policy.preparationsPerNotice;
     }
     if (m_state.preparations.size() >= m_state.policy.leastPreparations + m_state.policy.preparationsPerLoss * m_state.losses.size()) {
         return false;
--- a/Tests/Assembly/assemblyWorld.cpp
+++ b/Tests/Assembly/assemblyWorld.cpp
@@ -227,6 +227,11 @@
     m_ordersPerTick = ordersPerTick;
 }
 
+void assembly_world::setLoadRate(double loadsPerSecond)
+{
+    m_engine.loadsPerSecond = loadsPerSecond;
+}
+
 bool assembly_world::isTrafficKnown() const
 {
     return m_hasTraffic && m_now >= m_hearsTrafficAt;
--- a/Tests/Assembly/assemblyWorld.h
+++ b/Tests/Assembly/assemblyWorld.h
@@ -70,6 +70,8 @@
     void beginTrafficElsewhere(duration heardAfter);
     /// The coordinator sends so many orders each 50 ms; the others wait for their turn.
     void sendSlowly(int ordersPerTick);
+    /// So many loads may begin a second.
+    void setLoadRate(double loadsPerSecond);
     /// From now on a dead replica stays listed until its heartbeats are missed, and daemons find it silent before.
     void detectDeaths();
     /// The coordinator looks at all replicas directly again and again for so long, as if requests stood still everywhere.
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -95,6 +95,26 @@
     CHECK(world.violation().empty());
 }
 
+// At 3,000 replicas some two thousand hosts were prepared in the seconds before the first request. Their entries' changes were still on the
+// way to the daemons five seconds later, and those of leaving replicas behind them: requests reached replicas that had said they leave.
+TEST_CASE("Hosts are prepared before the first request no faster than all daemons can take in what changes")
+{
+    constexpr int hosts = 60 * 8;
+    constexpr duration notice(300);
+    assembly_world world(60, 8, 1);
+    world.setLoadRate(1000);
+    world.advance(duration(1500));
+    // Each group's own loads come first, at the store's rate.
+    REQUIRE(world.loadsBegun() >= hosts);
+    for (int step = 0; step < 20; ++step) {
+        const auto before = world.loadsBegun();
+        world.advance(notice);
+        CHECK(world.loadsBegun() - before <= 2 * 48);
+    }
+    CHECK(world.loadsBegun() == 2 * hosts);
+    CHECK(world.violation().empty());
+}
+
 // Where nothing is lost, hosts that hold one model only are as good as any, and each load has its price: 181 of them were begun on a day
 // on which no replica was lost, at 3,000 replicas whose hosts the first request found unprepared.
 TEST_CASE("Without losses few hosts are prepared for them after the first request, with losses as many as these ask for")
