Entry, Platform: Show what replicas say of the work that they can take

Change: the adapter reads the three from answers of every kind; what an answer says anew is logged with its replica and request and counted by kind, values that cannot be read too. Requests to such a replica are counted and logged once a second. Nothing is decided by it yet.

Ruled out: a field in the lines of tries; requests that are served in time have none.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -86,6 +86,7 @@
     entry_view_snapshot view;
     store_follower store;
     shared_suspects suspects;
+    shared_constraints constraints;
     peer_feed feed;
     assembly_runner assembly;
     crash_guard crashes;
@@ -102,6 +103,7 @@
                                                    dialect->configurationKey()))
         , store(*keyValue, *dialect, feedTiming(settings.configurationApply), counters, [this] { rebuildView(); })
         , suspects(counters)
+        , constraints(counters)
         , feed(
               settings,
               store,
@@ -112,7 +114,15 @@
               [this](const group_doubt &doubt) { relay.doubt(doubt.head); })
         , assembly(settings, *keyValue, *dialect, store, feed, counters, [this] { return relay.held.counts(); })
         , crashes(*keyValue, *dialect, store, feed, suspects)
-        , relay(settings, *dialect, store, feed, view, crashes, counters, [this](const instance_id &head) { assembly.noteStall(head); })
+        , relay(settings,
+                *dialect,
+                store,
+                feed,
+                view,
+                crashes,
+                constraints,
+                counters,
+                [this](const instance_id &head) { assembly.noteStall(head); })
         , standing(counters)
     {
     }
--- a/Libraries/Entry/entry_dialect.h
+++ b/Libraries/Entry/entry_dialect.h
@@ -4,6 +4,7 @@
 #include "Libraries/Assembly/assembly_state.h"
 #include "Libraries/Base/error_kind.h"
 #include "Libraries/Http/http_message.h"
+#include "Libraries/Requests/replica_notice.h"
 #include "Libraries/Routing/replica_directory.h"
 #include "Libraries/Routing/served_configuration.h"
 
@@ -71,6 +72,8 @@
     virtual std::vector<http_header> replicaHeaders(const std::vector<http_header> &clientHeaders,
                                                     const replica_request_head &head) const = 0;
     virtual replica_answer_head readAnswer(int status, const std::vector<http_header> &headers) const = 0;
+    /// What an answer of any kind says of the work that the replica can take.
+    virtual replica_notice readNotice(int status, const std::vector<http_header> &headers) const = 0;
     /// The headers of a replica's answer that go on to the client.
     virtual std::vector<http_header> clientHeaders(const std::vector<http_header> &replicaHeaders) const = 0;
     /// The headers that an answer of the daemon's own carries.
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -33,10 +33,12 @@
                              const peer_feed &feed,
                              const entry_view_snapshot &view,
                              crash_guard &crashGuard,
+                             shared_constraints &replicaConstraints,
                              metrics &allCounters,
                              std::function<void(const instance_id &)> tellStall)
     : dialect(words)
     , crashes(crashGuard)
+    , constraints(replicaConstraints)
     , counters(allCounters)
     , noteStall(std::move(tellStall))
     , ends(allCounters)
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -11,6 +11,7 @@
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/request_outcome.h"
 #include "Libraries/Entry/request_roll.h"
+#include "Libraries/Entry/shared_constraints.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/client_patience.h"
 #include "Libraries/Requests/come_back.h"
@@ -37,6 +38,7 @@
                   const peer_feed &feed,
                   const entry_view_snapshot &view,
                   crash_guard &crashes,
+                  shared_constraints &constraints,
                   metrics &counters,
                   std::function<void(const instance_id &)> noteStall);
 
@@ -73,6 +75,7 @@
 
     const entry_dialect &dialect;
     crash_guard &crashes;
+    shared_constraints &constraints;
     metrics &counters;
     const std::function<void(const instance_id &)> noteStall;
     /// Connections end after the answer at hand.
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -262,6 +262,7 @@
         return try_end::lost;
     }
     ++m_attempts;
+    m_context.constraints.noteSent(target);
     const auto end = awaitHead(upstream, target);
     // Whatever ended early is cancelled: the replica drops a request whose connection closes.
     upstream.close();
--- a/Tests/PlatformAdapter/testPlatformDialect.cpp
+++ b/Tests/PlatformAdapter/testPlatformDialect.cpp
@@ -160,6 +160,26 @@
     CHECK(answer.isSigned);
 }
 
+TEST_CASE("What a replica says of the work that it can take is read from answers of every kind")
+{
+    const platform_dialect dialect;
+    for (const int status : {200, 421, 500, 503}) {
+        const auto notice = dialect.readNotice(status, {{"server-limit", "2.4"}, {"Server-Leaving", "1"}, {"Retry-After", "3"}});
+        CHECK(notice.rateLimit == 2.4);
+        CHECK(notice.isLeaving);
+        CHECK(notice.rest == (status == 503 ? std::optional(duration(3000)) : std::nullopt));
+    }
+    CHECK(dialect.readNotice(200, {}).isEmpty());
+    CHECK(dialect.readNotice(200, {}).tellsAll);
+    CHECK_FALSE(dialect.readNotice(421, {}).tellsAll);
+    const auto junk = dialect.readNotice(503, {{"Server-Limit", "much"}, {"Server-Leaving", "0"}, {"Retry-After", "soon"}});
+    CHECK_FALSE(junk.rateLimit);
+    CHECK_FALSE(junk.isLeaving);
+    CHECK_FALSE(junk.tellsAll);
+    CHECK(junk.rest == unreadableRest);
+    CHECK(junk.unreadable == "much");
+}
+
 TEST_CASE("Orders are written as the engines take them")
 {
     const platform_dialect dialect;
