Requests, Feed, Entry: Keep all daemons together to the limit that a replica names

Ruled out, with figures in docs/design/REPLICA-CONSTRAINTS.md: equal parts, holders by hashing, one daemon that holds the whole limit.

Change: the source of the feed issues permits at the limit's rate; a request goes to such a replica with a permit alone, which its daemon asks for when a request wants one and uses within a second. Limits and departures spread along the feed as suspects do (one piece for both now, table_spread, in place of suspect_spread), the later word holds. What a replica said belongs to its life. Where all places are shut the client is told at once when the first one opens; no repeat is taken out of the budget for a place that is shut.

Conclusion: the sum holds by construction. Without a source nobody sends to such a replica.

--- a/Libraries/Entry/crash_guard.cpp
+++ b/Libraries/Entry/crash_guard.cpp
@@ -38,7 +38,7 @@
         const auto &replica = loss.target.replica;
         if (!hasSaidItLeaves(replica)) {
             suspects.noteEnd(loss.request, loss.organisation, endOf(replica.value(), loss.target.life.value()));
-            feed.spreadSuspects();
+            feed.spreadTables();
         }
     }
 
--- a/Libraries/Entry/crash_record.cpp
+++ b/Libraries/Entry/crash_record.cpp
@@ -3,7 +3,7 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/json.h"
-#include "Libraries/Feed/evidence_codec.h"
+#include "Libraries/Feed/report_codec.h"
 
 #include <algorithm>
 #include <condition_variable>
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -108,6 +108,7 @@
               settings,
               store,
               suspects,
+              constraints,
               counters,
               [this] { return relay.held.counts(); },
               [this](const stall_notice &notice) { assembly.hearStall(notice); },
@@ -171,7 +172,7 @@
         constexpr int notFound = 404;
         if (exchange.path() == crashingRequestsPath) {
             answerCrashingRequests(exchange, suspects);
-            feed.spreadSuspects();
+            feed.spreadTables();
             return;
         }
         const bool isKnown = exchange.path() == metricsPath;
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -45,6 +45,7 @@
     const feed_timing timing;
     store_follower &store;
     shared_suspects &suspects;
+    shared_constraints &constraints;
     std::function<std::vector<model_demand>()> heldHere;
     std::function<void(const stall_notice &)> didHearStall;
     std::function<void(const group_doubt &)> didHearDoubt;
@@ -55,6 +56,8 @@
     mutable std::mutex mutex;
     feed_follower follower;
     feed_role role;
+    /// Where what this daemon is fed was read.
+    std::optional<endpoint> origin;
     std::map<instance_id, instant> passedNotices;
     /// Set with the first request, or from the start where the system runs already.
     std::atomic<bool> wantsReplicas = false;
@@ -65,6 +68,7 @@
     private_data(const entry_settings &entrySettings,
                  store_follower &follows,
                  shared_suspects &shared,
+                 shared_constraints &sharedConstraints,
                  metrics &counters,
                  std::function<std::vector<model_demand>()> held,
                  std::function<void(const stall_notice &)> hearStall,
@@ -73,6 +77,7 @@
         , timing(feedTiming(entrySettings.configurationApply))
         , store(follows)
         , suspects(shared)
+        , constraints(sharedConstraints)
         , heldHere(std::move(held))
         , didHearStall(std::move(hearStall))
         , didHearDoubt(std::move(hearDoubt))
@@ -100,7 +105,7 @@
                 sendAll(store.pendingPushes());
                 subscribeIfDue();
             }
-            spreadSuspects();
+            spreadTables();
         }
     }
 
@@ -111,16 +116,64 @@
         return !role.isSource && follower.wasHeard ? follower.source : std::nullopt;
     }
 
-    void spreadSuspects()
+    void spreadTables()
     {
-        sendAll(suspects.due(heardSource(), store.heardFollowers()));
+        const auto source = heardSource();
+        const auto followers = store.heardFollowers();
+        sendAll(suspects.due(source, followers));
+        sendAll(constraints.due(source, followers));
     }
 
     /// From any daemon: one that has just found another source may still hold what this one lacks.
     void take(const suspect_list &list, const endpoint &from)
     {
         send(suspects.take(list, from));
-        spreadSuspects();
+        spreadTables();
+    }
+
+    void take(const constraint_list &list, const endpoint &from)
+    {
+        send(constraints.take(list, from));
+        spreadTables();
+    }
+
+    void take(const constraint_receipt &receipt, const endpoint &from)
+    {
+        constraints.take(receipt, from);
+    }
+
+    /// Of the source alone: two daemons that issued permits for one replica would exceed its limit.
+    void take(const permit_question &question, const endpoint &from)
+    {
+        if (isSource()) {
+            send({{from}, constraints.issue(question, from)});
+        }
+    }
+
+    void take(const permit_answer &answer, const endpoint &from)
+    {
+        if (from == knownOrigin()) {
+            constraints.take(answer);
+        }
+    }
+
+    std::optional<endpoint> knownOrigin() const
+    {
+        const std::lock_guard lock(mutex);
+        return origin;
+    }
+
+    bool askForPermit(const permit_question &question)
+    {
+        if (isSource()) {
+            constraints.take(constraints.issue(question, settings.peers));
+            return true;
+        }
+        const auto to = knownOrigin();
+        if (to) {
+            send({{*to}, question});
+        }
+        return to.has_value();
     }
 
     void take(const suspect_receipt &receipt, const endpoint &from)
@@ -234,6 +287,7 @@
             asked = noteUpdate(follower, update, now);
             if (asked) {
                 role.wasFed = true;
+                origin = update.origin.source;
                 store.setOrigin({update.origin.source, update.origin.hops + 1}, follower.daemons.value_or(0));
             }
             if (asked && !follower.wasHeard) {
@@ -364,12 +418,13 @@
 peer_feed::peer_feed(const entry_settings &settings,
                      store_follower &store,
                      shared_suspects &suspects,
+                     shared_constraints &constraints,
                      metrics &counters,
                      std::function<std::vector<model_demand>()> heldHere,
                      std::function<void(const stall_notice &)> didHearStall,
                      std::function<void(const group_doubt &)> didHearDoubt)
     : d(std::make_unique<private_data>(
-        settings, store, suspects, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearDoubt)))
+        settings, store, suspects, constraints, counters, std::move(heldHere), std::move(didHearStall), std::move(didHearDoubt)))
 {
 }
 
@@ -415,6 +470,9 @@
         was = vetchpost::setSource(d->role, isSource);
     }
     d->store.setSource(isSource);
+    if (was != isSource) {
+        d->constraints.beginIssuing();
+    }
     if (isSource) {
         d->store.setOrigin({d->settings.peers, 0}, 0);
     }
@@ -444,9 +502,14 @@
     return d->wantsReplicas;
 }
 
-void peer_feed::spreadSuspects()
+void peer_feed::spreadTables()
+{
+    d->spreadTables();
+}
+
+bool peer_feed::askForPermit(const permit_question &question)
 {
-    d->spreadSuspects();
+    return d->askForPermit(question);
 }
 
 bool peer_feed::tellStall(const stall_notice &notice)
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/metrics.h"
+#include "Libraries/Entry/shared_constraints.h"
 #include "Libraries/Entry/shared_suspects.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Settings/entry_settings.h"
@@ -20,6 +21,7 @@
     peer_feed(const entry_settings &settings,
               store_follower &store,
               shared_suspects &suspects,
+              shared_constraints &constraints,
               metrics &counters,
               std::function<std::vector<model_demand>()> heldHere,
               std::function<void(const stall_notice &)> didHearStall,
@@ -45,8 +47,10 @@
     bool hasTraffic() const;
     /// Sends a notice to the source; false where none is known.
     bool tellStall(const stall_notice &notice);
-    /// Sends the neighbours what they lack of the suspects.
-    void spreadSuspects();
+    /// Sends the neighbours what they lack of the tables that all daemons keep.
+    void spreadTables();
+    /// Asks the source for a permit, wherever it is; false where none is known.
+    bool askForPermit(const permit_question &question);
     /// As the source: tells all followers that a group is likely to stand still.
     void tellDoubt(const instance_id &head);
 
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -30,7 +30,7 @@
 relay_context::relay_context(const entry_settings &settings,
                              const entry_dialect &words,
                              const store_follower &store,
-                             const peer_feed &feed,
+                             peer_feed &feed,
                              const entry_view_snapshot &view,
                              crash_guard &crashGuard,
                              shared_constraints &replicaConstraints,
@@ -90,6 +90,19 @@
     return vetchpost::reachOfStaleConfiguration(known.currentAt.has_value(), m_store.isServiceAnswering(), isLeftBehind(known, now));
 }
 
+void relay_context::noteNotice(const backend &place, const replica_notice &notice, const request_id &request)
+{
+    if (constraints.noteAnswer(place, notice, request)) {
+        m_feed.spreadTables();
+    }
+}
+
+bool relay_context::wantPermit(const std::vector<backend> &candidates, const std::vector<instance_id> &tried, std::uint64_t draw)
+{
+    const auto question = constraints.wantPermit(candidates, tried, draw);
+    return !question || m_feed.askForPermit(*question);
+}
+
 void relay_context::doubt(const instance_id &head) const
 {
     const auto view = currentView();
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -35,7 +35,7 @@
     relay_context(const entry_settings &settings,
                   const entry_dialect &dialect,
                   const store_follower &store,
-                  const peer_feed &feed,
+                  peer_feed &feed,
                   const entry_view_snapshot &view,
                   crash_guard &crashes,
                   shared_constraints &constraints,
@@ -49,6 +49,11 @@
 
     /// Whether connections had better end with the answer at hand.
     bool mustSendElsewhere(instant now) const;
+    /// Takes in what a replica's answer says of the work that it can take, and tells others of it.
+    void noteNotice(const backend &place, const replica_notice &notice, const request_id &request);
+    /// Asks for a permit for one of the places that have named a limit; false where nobody can be asked, or has just refused one.
+    bool wantPermit(const std::vector<backend> &candidates, const std::vector<instance_id> &tried, std::uint64_t draw);
+
     /// Waits for the first configuration, not beyond \a until, as long as the key-value service seems to answer.
     void awaitConfiguration(instant until) const;
     /// Who else lacks a configuration that is known to be the newest.
@@ -97,7 +102,7 @@
 
     const entry_settings &m_settings;
     const store_follower &m_store;
-    const peer_feed &m_feed;
+    peer_feed &m_feed;
     const entry_view_snapshot &m_view;
     std::atomic<std::uint64_t> m_turns = 0;
     std::mutex m_budgetMutex;
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -111,7 +111,7 @@
         m_lastWhy = "the answer is to another request: " + answer.attempt.value();
         return try_end::lost;
     }
-    m_context.constraints.noteAnswer(target, m_context.dialect.readNotice(head->status, head->headers), m_head.attempt);
+    m_context.noteNotice(target, m_context.dialect.readNotice(head->status, head->headers), m_head.attempt);
     if (answer.hasNotRun) {
         m_lastWhy = "the replica did not run it: status " + std::to_string(head->status);
         return try_end::not_run;
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -66,12 +66,23 @@
     } else if (m_mayHaveRun) {
         refuse(error_kind::backend_lost, "no replica gave a whole answer");
     } else if (end == try_end::not_run) {
-        refuse(error_kind::backend_refused, "the replicas take no more requests", refusal_reach::full_places);
+        refuseForWantOfPlace(error_kind::backend_refused, "the replicas take no more requests", refusal_reach::full_places);
     } else {
-        refuse(error_kind::no_serving_group, "no place takes requests", refusal_reach::whole_model);
+        refuseForWantOfPlace(error_kind::no_serving_group, "no place takes requests", refusal_reach::whole_model);
     }
 }
 
+/// Where all places are shut by their replicas' own word, the client is told when the first of them opens.
+void request_run::refuseForWantOfPlace(error_kind kind, const std::string &text, refusal_reach reach)
+{
+    const auto newest = m_context.currentView();
+    const auto &candidates = newest->backends(*m_service, m_head.model);
+    m_closed = m_context.constraints.closedPlaces(candidates, {});
+    const bool isAnyOpen = m_closed.replicas.size() < candidates.size();
+    const auto opensAfter = m_closed.opensAt && !isAnyOpen ? std::optional(*m_closed.opensAt - monotonicNow()) : std::nullopt;
+    refuse(kind, text, opensAfter ? comeBackOnceOpen(*opensAfter, drawNumber()) : comeBackAfter(reach, drawNumber()));
+}
+
 void request_run::refuse(error_kind kind, const std::string &text, refusal_reach reach)
 {
     if (reach == refusal_reach::this_daemon) {
@@ -96,6 +107,8 @@
                           {"why", text},
                           {"last_try", m_lastWhy},
                           {"no_repeat", m_noRepeatWhy},
+                          {"closed", m_closed.text()},
+                          {"come_back_ms", comeBackAfter.value_or(duration(0)).count()},
                           {"tries", m_attempts},
                           {"held_ms", held().count()},
                           {"time_left_ms", timeLeft().count()}});
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -19,6 +19,8 @@
 constexpr duration firstConfigurationWait(300);
 /// Places that could not be connected to are not counted as attempts; after so many of them the request is given up.
 constexpr int mostUnreachable = 4;
+/// A request without any other place waits so long for a permit: the question and its answer take a few milliseconds.
+constexpr duration longestPermitWait(100);
 /// Weight of the newest value in a smoothed time.
 constexpr double newestWeight = 0.2;
 
@@ -167,14 +169,42 @@
     return end;
 }
 
-std::optional<backend> request_run::choose() const
+std::optional<backend> request_run::choose()
+{
+    const auto until = monotonicNow() + std::min(longestPermitWait, timeLeft() - leastTimeLeft);
+    for (;;) {
+        // A place that went away while the request waited must not be taken: the newest view decides.
+        const auto newest = m_context.currentView();
+        const auto &candidates = newest->backends(*m_service, m_head.model);
+        m_closed = m_context.constraints.closedPlaces(candidates, m_tried);
+        const bool isAsked = m_closed.limited > 0 && m_context.wantPermit(candidates, m_tried, drawNumber());
+        auto passedOver = m_tried;
+        passedOver.insert(passedOver.end(), m_closed.replicas.begin(), m_closed.replicas.end());
+        const bool isCalm = m_context.shedding.isCalm(m_service->id, m_head.model);
+        const auto now = monotonicNow();
+        const auto *best = chooseBackend(candidates, passedOver, newest->dataCentre, now, m_context.nextTurn(), drawNumber(), isCalm);
+        if (best != nullptr && m_context.constraints.takePermit(*best)) {
+            return *best;
+        }
+        // Without an open place a permit that may come at once is waited for; the others are known to stay shut.
+        if (best == nullptr && (!isAsked || m_closed.opensAt.value_or(until) >= until || now >= until)) {
+            return std::nullopt;
+        }
+        if (best == nullptr) {
+            m_context.constraints.awaitPermit(until);
+        }
+    }
+}
+
+/// Whether a place that was not tried yet may take the request at once.
+bool request_run::hasOpenPlace() const
 {
-    // A place that went away while the request waited must not be taken: the newest view decides.
     const auto newest = m_context.currentView();
     const auto &candidates = newest->backends(*m_service, m_head.model);
-    const bool isCalm = m_context.shedding.isCalm(m_service->id, m_head.model);
-    const auto *best = chooseBackend(candidates, m_tried, newest->dataCentre, monotonicNow(), m_context.nextTurn(), drawNumber(), isCalm);
-    return best == nullptr ? std::nullopt : std::optional(*best);
+    const auto closed = m_context.constraints.closedPlaces(candidates, m_tried);
+    auto passedOver = m_tried;
+    passedOver.insert(passedOver.end(), closed.replicas.begin(), closed.replicas.end());
+    return hasUntried(candidates, passedOver);
 }
 
 bool request_run::mayTryAnother(try_end end)
@@ -199,6 +229,10 @@
         m_noRepeatWhy = "the route allows no more attempts";
         return false;
     }
+    if (!hasOpenPlace()) {
+        m_noRepeatWhy = "no other place takes requests";
+        return false;
+    }
     if (!std::exchange(m_hasRepeat, false) && !m_context.takeRepeat(m_service->id)) {
         m_noRepeatWhy = "the budget of repeats is used up";
         return false;
@@ -215,7 +249,7 @@
 bool request_run::takeRepeatElsewhere()
 {
     const bool mayGoOn = m_route->mayRunAgain() && m_attempts < m_route->maximumAttempts;
-    if (!mayGoOn || !hasUntried(m_context.currentView()->backends(*m_service, m_head.model), m_tried)) {
+    if (!mayGoOn || !hasOpenPlace()) {
         return false;
     }
     m_hasRepeat = m_context.takeRepeat(m_service->id);
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -42,6 +42,7 @@
     void finish(try_end end);
     void refuse(error_kind kind, const std::string &text, std::optional<duration> comeBackAfter = std::nullopt);
     void refuse(error_kind kind, const std::string &text, refusal_reach reach);
+    void refuseForWantOfPlace(error_kind kind, const std::string &text, refusal_reach reach);
 
     void tellAnswered(try_end end);
     bool tellEnd(request_outcome outcome);
@@ -56,7 +57,8 @@
     std::optional<duration> firstEvent() const;
     duration held() const;
 
-    std::optional<backend> choose() const;
+    std::optional<backend> choose();
+    bool hasOpenPlace() const;
     try_end tryOn(const backend &target);
     try_end runOn(const backend &target);
     http_call callTo(const backend &target) const;
@@ -94,6 +96,8 @@
     const served_organisation *m_organisation = nullptr;
     const served_service *m_service = nullptr;
     std::vector<instance_id> m_tried;
+    /// Of the places that were left when the last one was chosen, or none was.
+    closed_places m_closed;
     int m_attempts = 0;
     int m_unreachable = 0;
     /// A repeat was taken out of the budget for the next try.
--- a/Libraries/Entry/shared_constraints.cpp
+++ b/Libraries/Entry/shared_constraints.cpp
@@ -3,7 +3,11 @@
 
 #include "Libraries/Base/event_log.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
 
 namespace vetchpost {
@@ -13,12 +17,26 @@
 constexpr event_log constraintLog("constraint");
 /// The requests sent to a constrained replica are told this often.
 constexpr duration sendingPeriod(1000);
+/// How often what is out of date is looked for.
+constexpr duration cleaningPeriod(10000);
 
 replica_key keyOf(const backend &place)
 {
     return {place.replica, place.life};
 }
 
+bool isAmong(const std::vector<instance_id> &tried, const backend &place)
+{
+    return std::find(tried.begin(), tried.end(), place.replica) != tried.end();
+}
+
+void count(closed_places &closed, closure_cause cause)
+{
+    closed.resting += cause == closure_cause::rest ? 1 : 0;
+    closed.limited += cause == closure_cause::limit ? 1 : 0;
+    closed.leaving += cause == closure_cause::leaving ? 1 : 0;
+}
+
 /// Requests that this daemon sent to one constrained replica.
 struct sending_count
 {
@@ -28,23 +46,39 @@
 
 } // namespace
 
+std::string closed_places::text() const
+{
+    return resting + limited + leaving == 0 ? std::string() : fmt::format("{} rest, {} limited, {} leave", resting, limited, leaving);
+}
+
 struct shared_constraints::private_data
 {
     mutable std::mutex mutex;
+    mutable std::condition_variable answered;
     replica_constraints table;
+    table_spread<replica_constraints> spread;
+    permit_issuer issuer;
+    permit_wallet wallet;
     std::map<replica_key, sending_count> sendings;
+    instant cleanedAt;
     /// Whether anything is known at all: without it most requests take no lock.
     std::atomic<bool> hasAny = false;
     counter limits;
     counter rests;
     counter departures;
     counter unreadable;
+    counter issued;
+    counter used;
+    counter denied;
 
     explicit private_data(metrics &counters)
         : limits(addNoticeCounter(counters, "limit"))
         , rests(addNoticeCounter(counters, "rest"))
         , departures(addNoticeCounter(counters, "leaving"))
         , unreadable(addNoticeCounter(counters, "unreadable"))
+        , issued(addPermitCounter(counters, "issued"))
+        , used(addPermitCounter(counters, "used"))
+        , denied(addPermitCounter(counters, "denied"))
     {
     }
 
@@ -54,6 +88,12 @@
             "vetchpost_replica_notices_total", "Answers in which a replica said anew what it can take.", {{"kind", kind}});
     }
 
+    static counter addPermitCounter(metrics &counters, const std::string &what)
+    {
+        return counters.addCounter(
+            "vetchpost_permits_total", "Permits for requests to replicas that have named a limit.", {{"what", what}});
+    }
+
     void tell(const replica_key &replica, const replica_notice &notice, const constraint_change &change, const request_id &request) const
     {
         const auto &constraint = table.known.at(replica);
@@ -69,17 +109,41 @@
                                  {"request", request.value()}});
     }
 
+    static void tellReport(const constraint_report &report)
+    {
+        constraintLog.write("notice_heard",
+                            {{"replica", report.replica.replica.value()},
+                             {"life", report.replica.life.value()},
+                             {"limit", report.rateLimit.value_or(-1)},
+                             {"age_ms", report.rateAge.count()},
+                             {"leaving", report.isLeaving}});
+    }
+
     /// The mutex is held.
     void countSending(const replica_key &replica, instant now)
     {
-        auto &count = sendings[replica];
-        if (now - count.since >= sendingPeriod) {
-            if (count.sent > 0) {
-                constraintLog.write("sent_to_constrained", {{"replica", replica.replica.value()}, {"requests", count.sent}});
+        auto &counted = sendings[replica];
+        if (now - counted.since >= sendingPeriod) {
+            if (counted.sent > 0) {
+                constraintLog.write("sent_to_constrained", {{"replica", replica.replica.value()}, {"requests", counted.sent}});
             }
-            count = {0, now};
+            counted = {0, now};
+        }
+        ++counted.sent;
+    }
+
+    /// The mutex is held.
+    void clean(instant now)
+    {
+        if (now - cleanedAt < cleaningPeriod) {
+            return;
         }
-        ++count.sent;
+        cleanedAt = now;
+        forgetOld(table, now);
+        keepLimited(issuer, table);
+        keepLimited(wallet, table);
+        std::erase_if(sendings, [&](const auto &entry) { return !table.known.contains(entry.first); });
+        hasAny = !table.known.empty();
     }
 };
 
@@ -90,10 +154,10 @@
 
 shared_constraints::~shared_constraints() = default;
 
-void shared_constraints::noteAnswer(const backend &place, const replica_notice &notice, const request_id &request)
+bool shared_constraints::noteAnswer(const backend &place, const replica_notice &notice, const request_id &request)
 {
     if (notice.isEmpty() && !d->hasAny) {
-        return;
+        return false;
     }
     const std::lock_guard lock(d->mutex);
     const auto replica = keyOf(place);
@@ -106,6 +170,7 @@
         d->tell(replica, notice, change, request);
     }
     d->hasAny = !d->table.known.empty();
+    return change.hasLimit || change.isLeaving;
 }
 
 void shared_constraints::noteSent(const backend &place)
@@ -120,4 +185,146 @@
     }
 }
 
+closed_places shared_constraints::closedPlaces(const std::vector<backend> &candidates, const std::vector<instance_id> &tried) const
+{
+    closed_places closed;
+    if (!d->hasAny) {
+        return closed;
+    }
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    for (const auto &place : candidates) {
+        const auto closure = isAmong(tried, place) ? place_closure() : closureOf(d->table, d->wallet, keyOf(place), now);
+        if (closure.cause == closure_cause::none) {
+            continue;
+        }
+        closed.replicas.push_back(place.replica);
+        count(closed, closure.cause);
+        if (closure.until) {
+            closed.opensAt = std::min(closed.opensAt.value_or(*closure.until), *closure.until);
+        }
+    }
+    return closed;
+}
+
+std::optional<permit_question>
+shared_constraints::wantPermit(const std::vector<backend> &candidates, const std::vector<instance_id> &tried, std::uint64_t draw)
+{
+    if (!d->hasAny) {
+        return std::nullopt;
+    }
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto &place = candidates[(i + draw) % candidates.size()];
+        const auto replica = keyOf(place);
+        if (isAmong(tried, place) || closureOf(d->table, d->wallet, replica, now).cause != closure_cause::limit) {
+            continue;
+        }
+        if (auto question = vetchpost::wantPermit(d->wallet, replica, now)) {
+            question->report = evidenceOf(replica, *findConstraint(d->table, replica), now);
+            return question;
+        }
+    }
+    return std::nullopt;
+}
+
+bool shared_constraints::takePermit(const backend &place)
+{
+    if (!d->hasAny) {
+        return true;
+    }
+    const std::lock_guard lock(d->mutex);
+    const auto replica = keyOf(place);
+    const auto *known = findConstraint(d->table, replica);
+    if (known == nullptr || !known->rateLimit) {
+        return true;
+    }
+    const bool isTaken = vetchpost::takePermit(d->wallet, replica, monotonicNow());
+    d->used.increment(isTaken ? 1 : 0);
+    return isTaken;
+}
+
+void shared_constraints::awaitPermit(instant until) const
+{
+    std::unique_lock lock(d->mutex);
+    const auto wait = until - monotonicNow();
+    if (wait > duration()) {
+        d->answered.wait_for(lock, std::min(wait, longestWait));
+    }
+}
+
+std::vector<feed_datagram> shared_constraints::due(const std::optional<endpoint> &source, const std::vector<endpoint> &followers)
+{
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    d->clean(now);
+    return listsDue(d->spread, d->table, source, followers, now);
+}
+
+feed_datagram shared_constraints::take(const constraint_list &list, const endpoint &from)
+{
+    const std::lock_guard lock(d->mutex);
+    const auto before = d->table.changes;
+    auto receipt = takeList(d->spread, d->table, list, from, monotonicNow());
+    for (const auto &report : list.reports) {
+        const auto *known = findConstraint(d->table, report.replica);
+        if (known != nullptr && known->changed > before) {
+            d->tellReport(report);
+        }
+    }
+    d->hasAny = !d->table.known.empty();
+    return receipt;
+}
+
+void shared_constraints::take(const constraint_receipt &receipt, const endpoint &from)
+{
+    const std::lock_guard lock(d->mutex);
+    takeReceipt(d->spread, receipt, from);
+}
+
+permit_answer shared_constraints::issue(const permit_question &question, const endpoint &asker)
+{
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    takeEvidence(d->table, question.report, now);
+    d->hasAny = !d->table.known.empty();
+    const auto *known = findConstraint(d->table, question.report.replica);
+    // Where this daemon holds a later word that there is no limit, the asker will hear of it; until then its own word counts.
+    const auto limit = known != nullptr && known->rateLimit ? known->rateLimit : question.report.rateLimit;
+    const auto answer = issuePermits(d->issuer, question, limit.value_or(leastRateLimit), asker, now);
+    d->issued.increment(answer.granted);
+    return answer;
+}
+
+void shared_constraints::take(const permit_answer &answer)
+{
+    {
+        const std::lock_guard lock(d->mutex);
+        if (takeAnswer(d->wallet, answer, monotonicNow()) && answer.granted == 0) {
+            d->denied.increment();
+        }
+    }
+    d->answered.notify_all();
+}
+
+void shared_constraints::beginIssuing()
+{
+    const std::lock_guard lock(d->mutex);
+    d->issuer = {};
+}
+
+closed_places shared_constraints::counts() const
+{
+    closed_places counted;
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    for (const auto &[replica, constraint] : d->table.known) {
+        counted.resting += now < constraint.restsUntil ? 1 : 0;
+        counted.limited += constraint.rateLimit ? 1 : 0;
+        counted.leaving += constraint.isLeaving ? 1 : 0;
+    }
+    return counted;
+}
+
 } // namespace vetchpost
--- a/Libraries/Entry/shared_suspects.cpp
+++ b/Libraries/Entry/shared_suspects.cpp
@@ -30,7 +30,7 @@
 {
     mutable std::mutex mutex;
     crash_suspects table;
-    suspect_spread spread;
+    table_spread<crash_suspects> spread;
     recent_answers answers;
     std::atomic<bool> hasAny = false;
     counter ends;
@@ -165,13 +165,13 @@
 std::vector<feed_datagram> shared_suspects::due(const std::optional<endpoint> &source, const std::vector<endpoint> &followers)
 {
     const std::lock_guard lock(d->mutex);
-    return suspectsDue(d->spread, d->table, source, followers, monotonicNow());
+    return listsDue(d->spread, d->table, source, followers, monotonicNow());
 }
 
 feed_datagram shared_suspects::take(const suspect_list &list, const endpoint &from)
 {
     const std::lock_guard lock(d->mutex);
-    return d->change("another daemon tells of it", [&] { return takeSuspects(d->spread, d->table, list, from, monotonicNow()); });
+    return d->change("another daemon tells of it", [&] { return takeList(d->spread, d->table, list, from, monotonicNow()); });
 }
 
 void shared_suspects::take(const suspect_receipt &receipt, const endpoint &from)
--- a/Libraries/Entry/shared_suspects.h
+++ b/Libraries/Entry/shared_suspects.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/metrics.h"
-#include "Libraries/Feed/suspect_spread.h"
+#include "Libraries/Feed/table_spread.h"
 
 #include <atomic>
 #include <memory>
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -2,8 +2,8 @@
 #include "Libraries/Feed/feed_messages.h"
 
 #include "Libraries/Base/json.h"
-#include "Libraries/Feed/evidence_codec.h"
 #include "Libraries/Feed/replica_codec.h"
+#include "Libraries/Feed/report_codec.h"
 
 #include <algorithm>
 
@@ -21,6 +21,10 @@
 constexpr auto referralKind = "refer";
 constexpr auto suspectsKind = "suspects";
 constexpr auto receiptKind = "receipt";
+constexpr auto constraintsKind = "constraints";
+constexpr auto constraintReceiptKind = "constraint_receipt";
+constexpr auto questionKind = "ask_permits";
+constexpr auto answerKind = "permits";
 constexpr auto fromField = "from";
 constexpr auto nonceField = "nonce";
 constexpr auto upToField = "up_to";
@@ -43,7 +47,12 @@
 constexpr auto relayField = "relay";
 constexpr auto endingField = "ending";
 constexpr auto firstField = "first";
-constexpr auto suspectsField = "list";
+constexpr auto reportsField = "list";
+constexpr auto wantedField = "wanted";
+constexpr auto reportField = "report";
+constexpr auto lifeField = "life";
+constexpr auto grantedField = "granted";
+constexpr auto waitField = "wait";
 
 Json::Value number(std::uint64_t value)
 {
@@ -130,39 +139,111 @@
     return json;
 }
 
-Json::Value encoded(const suspect_list &message)
+Json::Value encodedReport(const crash_evidence &report)
+{
+    return encodedEvidence(report);
+}
+
+Json::Value encodedReport(const constraint_report &report)
+{
+    return encodedConstraint(report);
+}
+
+template <class Report>
+Json::Value encodedList(const char *kind, const spread_list<Report> &message)
 {
     Json::Value json;
-    json[kindField] = suspectsKind;
+    json[kindField] = kind;
     json[firstField] = message.isFirst;
     json[upToField] = number(message.upTo);
-    for (const auto &evidence : message.suspects) {
-        json[suspectsField].append(encodedEvidence(evidence));
+    for (const auto &report : message.reports) {
+        json[reportsField].append(encodedReport(report));
     }
     return json;
 }
 
+Json::Value encodedReceipt(const char *kind, std::uint64_t upTo)
+{
+    Json::Value json;
+    json[kindField] = kind;
+    json[upToField] = number(upTo);
+    return json;
+}
+
+Json::Value encoded(const suspect_list &message)
+{
+    return encodedList(suspectsKind, message);
+}
+
 Json::Value encoded(const suspect_receipt &message)
+{
+    return encodedReceipt(receiptKind, message.upTo);
+}
+
+Json::Value encoded(const constraint_list &message)
+{
+    return encodedList(constraintsKind, message);
+}
+
+Json::Value encoded(const constraint_receipt &message)
+{
+    return encodedReceipt(constraintReceiptKind, message.upTo);
+}
+
+Json::Value encoded(const permit_question &message)
 {
     Json::Value json;
-    json[kindField] = receiptKind;
-    json[upToField] = number(message.upTo);
+    json[kindField] = questionKind;
+    json[nonceField] = number(message.nonce);
+    json[wantedField] = message.wanted;
+    json[reportField] = encodedConstraint(message.report);
     return json;
 }
 
-std::optional<suspect_list> decodedSuspects(const Json::Value &json)
+Json::Value encoded(const permit_answer &message)
 {
-    suspect_list list{jsonFlag(json, firstField), jsonNumber(json, upToField), {}};
-    for (const auto &entry : jsonArray(json, suspectsField)) {
-        auto evidence = decodedEvidence(entry);
-        if (!evidence) {
+    Json::Value json;
+    json[kindField] = answerKind;
+    json[nonceField] = number(message.nonce);
+    json[replicaField] = message.replica.replica.value();
+    json[lifeField] = number(message.replica.life.value());
+    json[grantedField] = message.granted;
+    json[waitField] = Json::Int64(message.wait.count());
+    return json;
+}
+
+/// Nothing where one of the reports cannot be read.
+template <class Report>
+std::optional<feed_message> decodedList(const Json::Value &json, std::optional<Report> (*decoded)(const Json::Value &))
+{
+    spread_list<Report> list{jsonFlag(json, firstField), jsonNumber(json, upToField), {}};
+    for (const auto &entry : jsonArray(json, reportsField)) {
+        auto report = decoded(entry);
+        if (!report) {
             return std::nullopt;
         }
-        list.suspects.push_back(std::move(*evidence));
+        list.reports.push_back(std::move(*report));
     }
     return list;
 }
 
+std::optional<feed_message> decodedQuestion(const Json::Value &json)
+{
+    const auto report = decodedConstraint(json[reportField]);
+    if (!report) {
+        return std::nullopt;
+    }
+    return permit_question{jsonNumber(json, nonceField), static_cast<int>(jsonNumber(json, wantedField)), *report};
+}
+
+permit_answer decodedAnswer(const Json::Value &json)
+{
+    return {jsonNumber(json, nonceField),
+            {instance_id(jsonString(json, replicaField)), replica_life(jsonNumber(json, lifeField))},
+            std::min(mostPermitsAtOnce, static_cast<int>(jsonNumber(json, grantedField))),
+            duration(static_cast<std::int64_t>(jsonNumber(json, waitField)))};
+}
+
 feed_subscription decodedSubscription(const Json::Value &json)
 {
     feed_subscription subscription{daemon_id(jsonString(json, fromField)),
@@ -243,12 +324,23 @@
         return relay ? std::optional<feed_message>(feed_referral{*relay}) : std::nullopt;
     }
     if (kind == suspectsKind) {
-        auto list = decodedSuspects(*json);
-        return list ? std::optional<feed_message>(std::move(*list)) : std::nullopt;
+        return decodedList(*json, &decodedEvidence);
     }
     if (kind == receiptKind) {
         return suspect_receipt{jsonNumber(*json, upToField)};
     }
+    if (kind == constraintsKind) {
+        return decodedList(*json, &decodedConstraint);
+    }
+    if (kind == constraintReceiptKind) {
+        return constraint_receipt{jsonNumber(*json, upToField)};
+    }
+    if (kind == questionKind) {
+        return decodedQuestion(*json);
+    }
+    if (kind == answerKind) {
+        return decodedAnswer(*json);
+    }
     return std::nullopt;
 }
 
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -6,6 +6,7 @@
 #include "Libraries/Base/instant.h"
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Requests/crash_suspects.h"
+#include "Libraries/Requests/rate_permits.h"
 #include "Libraries/Routing/replica_directory.h"
 
 #include <optional>
@@ -113,24 +114,43 @@
     endpoint relay;
 };
 
-/// Requests under which replicas ended, as far as the receiver may not know.
-struct suspect_list
+/// Entries of a table that all daemons keep, as far as the receiver may not know them.
+template <class Report>
+struct spread_list
 {
     /// The sender has just begun to follow the receiver, and wants to be told all.
     bool isFirst = false;
     /// Of the sender's table; comes back in the receipt.
     std::uint64_t upTo = 0;
-    std::vector<crash_evidence> suspects;
+    std::vector<Report> reports;
 };
 
 /// A list has arrived.
-struct suspect_receipt
+template <class Report>
+struct spread_receipt
 {
     std::uint64_t upTo = 0;
 };
 
-using feed_message
-    = std::variant<feed_subscription, feed_update, stall_notice, group_doubt, feed_end, feed_referral, suspect_list, suspect_receipt>;
+/// Requests under which replicas ended.
+using suspect_list = spread_list<crash_evidence>;
+using suspect_receipt = spread_receipt<crash_evidence>;
+/// Replicas that named a limit, or leave.
+using constraint_list = spread_list<constraint_report>;
+using constraint_receipt = spread_receipt<constraint_report>;
+
+using feed_message = std::variant<feed_subscription,
+                                  feed_update,
+                                  stall_notice,
+                                  group_doubt,
+                                  feed_end,
+                                  feed_referral,
+                                  suspect_list,
+                                  suspect_receipt,
+                                  constraint_list,
+                                  constraint_receipt,
+                                  permit_question,
+                                  permit_answer>;
 
 std::string encodeFeedMessage(const feed_message &message);
 /// Nothing where the bytes are no message.
--- a/Libraries/Feed/evidence_codec.cpp
+++ b/Libraries/Feed/report_codec.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "Libraries/Feed/evidence_codec.h"
+#include "Libraries/Feed/report_codec.h"
 
 #include "Libraries/Base/json.h"
 
@@ -13,6 +13,10 @@
 constexpr auto endsField = "ends";
 constexpr auto roundField = "round";
 constexpr auto ageField = "age";
+constexpr auto replicaField = "replica";
+constexpr auto lifeField = "life";
+constexpr auto limitField = "limit";
+constexpr auto leavingField = "leaving";
 
 } // namespace
 
@@ -49,4 +53,37 @@
     return isGood ? std::optional(std::move(evidence)) : std::nullopt;
 }
 
+Json::Value encodedConstraint(const constraint_report &report)
+{
+    Json::Value json;
+    json[replicaField] = report.replica.replica.value();
+    json[lifeField] = Json::UInt64(report.replica.life.value());
+    if (report.rateLimit) {
+        json[limitField] = *report.rateLimit;
+    }
+    json[ageField] = Json::Int64(report.rateAge.count());
+    json[leavingField] = report.isLeaving;
+    return json;
+}
+
+std::optional<constraint_report> decodedConstraint(const Json::Value &json)
+{
+    if (!json.isObject()) {
+        return std::nullopt;
+    }
+    constraint_report report;
+    report.replica = {instance_id(jsonString(json, replicaField)), replica_life(jsonNumber(json, lifeField))};
+    report.rateAge = duration(static_cast<std::int64_t>(jsonNumber(json, ageField)));
+    report.isLeaving = jsonFlag(json, leavingField);
+    if (json.isMember(limitField)) {
+        const auto &limit = json[limitField];
+        if (!limit.isNumeric() || limit.asDouble() < leastRateLimit) {
+            return std::nullopt;
+        }
+        report.rateLimit = limit.asDouble();
+    }
+    const bool isGood = !report.replica.replica.isEmpty() && report.rateAge >= duration();
+    return isGood ? std::optional(std::move(report)) : std::nullopt;
+}
+
 } // namespace vetchpost
--- a/Libraries/Requests/come_back.cpp
+++ b/Libraries/Requests/come_back.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Requests/come_back.h"
 
+#include <algorithm>
 #include <array>
 
 namespace vetchpost {
@@ -34,6 +35,15 @@
     return time.least + duration(static_cast<std::int64_t>(draw % width));
 }
 
+duration comeBackOnceOpen(duration opensAfter, std::uint64_t draw)
+{
+    // Over a part of the wait, so that those who were refused together do not all come for the first place that opens.
+    constexpr int spreadPart = 4;
+    const auto least = std::max(opensAfter, times.at(static_cast<std::size_t>(refusal_reach::full_places)).least);
+    const auto width = static_cast<std::uint64_t>((least / spreadPart).count()) + 1;
+    return least + duration(static_cast<std::int64_t>(draw % width));
+}
+
 refusal_reach reachOfStaleConfiguration(bool hasAny, bool isServiceAnswering, bool isLeftBehind)
 {
     if (isLeftBehind) {
--- a/Libraries/Requests/come_back.h
+++ b/Libraries/Requests/come_back.h
@@ -26,6 +26,9 @@
 /// together do not come back together.
 duration comeBackAfter(refusal_reach reach, std::uint64_t draw);
 
+/// The same where all places are shut for a time that is known: not before the first of them opens.
+duration comeBackOnceOpen(duration opensAfter, std::uint64_t draw);
+
 /// Who else lacks what this daemon lacks, a configuration that is known to be the newest: nobody else where another daemon told that it has
 /// it (\a isLeftBehind), or where the key-value service answers; all where it does not. \a hasAny: this daemon has an old one.
 refusal_reach reachOfStaleConfiguration(bool hasAny, bool isServiceAnswering, bool isLeftBehind);
--- a/Libraries/Requests/crash_suspects.cpp
+++ b/Libraries/Requests/crash_suspects.cpp
@@ -172,4 +172,11 @@
     return suspect.ends.size() + 1 >= endsBeforeRefusal || suspect.round > 0;
 }
 
+bool isAsTold(const crash_suspects &table, const crash_evidence &evidence)
+{
+    const auto known = table.suspects.find(evidence.request);
+    return known != table.suspects.end() && known->second.round == evidence.round
+        && known->second.ends == std::set<replica_end>(evidence.ends.begin(), evidence.ends.end());
+}
+
 } // namespace vetchpost
--- a/Libraries/Requests/crash_suspects.h
+++ b/Libraries/Requests/crash_suspects.h
@@ -79,5 +79,17 @@
 crash_evidence evidenceOf(const request_identity &request, const crash_suspect &suspect, instant now);
 /// Whether all daemons have to know of it: one more end would have it refused, or it has been cleared.
 bool concernsAll(const crash_suspect &suspect);
+/// Whether the table holds just what another daemon told.
+bool isAsTold(const crash_suspects &table, const crash_evidence &evidence);
+
+inline const std::map<request_identity, crash_suspect> &entriesOf(const crash_suspects &table)
+{
+    return table.suspects;
+}
+
+inline const request_identity &keyOf(const crash_evidence &evidence)
+{
+    return evidence.request;
+}
 
 } // namespace vetchpost
--- a/Libraries/Requests/replica_constraints.h
+++ b/Libraries/Requests/replica_constraints.h
@@ -83,6 +83,16 @@
 /// Whether the table holds just what a report told.
 bool isAsTold(const replica_constraints &table, const constraint_report &report);
 
+inline const std::map<replica_key, replica_constraint> &entriesOf(const replica_constraints &table)
+{
+    return table.known;
+}
+
+inline const replica_key &keyOf(const constraint_report &report)
+{
+    return report.replica;
+}
+
 /// What is known of a replica; nullptr where nothing is.
 const replica_constraint *findConstraint(const replica_constraints &table, const replica_key &replica);
 
--- a/Tests/Feed/feedWorld.cpp
+++ b/Tests/Feed/feedWorld.cpp
@@ -80,6 +80,9 @@
             subscribeIfDue(number);
         }
         spreadSuspects(number);
+        if (didTick) {
+            didTick(number);
+        }
     }
     m_oldestSeen = std::max(m_oldestSeen, oldestConfiguration());
 }
@@ -120,7 +123,7 @@
 {
     auto &next = m_nodes[static_cast<std::size_t>(number)];
     const auto source = !next.role.isSource && next.follower.wasHeard ? next.follower.source : std::nullopt;
-    for (const auto &datagram : suspectsDue(next.spread, next.suspects, source, heardFollowers(next.feed, m_now), m_now)) {
+    for (const auto &datagram : listsDue(next.spread, next.suspects, source, heardFollowers(next.feed, m_now), m_now)) {
         send(number, datagram);
     }
 }
@@ -133,7 +136,7 @@
         return;
     }
     if (const auto *list = std::get_if<suspect_list>(&datagram.message)) {
-        send(datagram.to, takeSuspects(receiver.spread, receiver.suspects, *list, sender, m_now));
+        send(datagram.to, takeList(receiver.spread, receiver.suspects, *list, sender, m_now));
     } else if (const auto *receipt = std::get_if<suspect_receipt>(&datagram.message)) {
         takeReceipt(receiver.spread, *receipt, sender);
     } else if (const auto *subscription = std::get_if<feed_subscription>(&datagram.message)) {
@@ -144,6 +147,8 @@
         take(datagram.to, datagram.from, *referral);
     } else if (std::holds_alternative<feed_end>(datagram.message) && receiver.follower.source == sender) {
         loseSource(receiver.follower, m_now);
+    } else if (didReceive) {
+        didReceive(datagram.to, sender, datagram.message);
     }
 }
 
@@ -219,6 +224,44 @@
     source.upTo = m_revision;
 }
 
+instant feed_world::now() const
+{
+    return m_now;
+}
+
+endpoint feed_world::addressOf(int daemon) const
+{
+    return m_nodes[static_cast<std::size_t>(daemon)].address;
+}
+
+bool feed_world::isSource(int daemon) const
+{
+    return m_nodes[static_cast<std::size_t>(daemon)].role.isSource;
+}
+
+bool feed_world::isSuspended(int daemon) const
+{
+    return m_now < m_nodes[static_cast<std::size_t>(daemon)].suspendedUntil;
+}
+
+std::optional<endpoint> feed_world::sourceOf(int daemon) const
+{
+    const auto &next = m_nodes[static_cast<std::size_t>(daemon)];
+    return !next.role.isSource && next.follower.wasHeard ? next.follower.source : std::nullopt;
+}
+
+std::vector<endpoint> feed_world::followersOf(int daemon) const
+{
+    return heardFollowers(m_nodes[static_cast<std::size_t>(daemon)].feed, m_now);
+}
+
+std::optional<endpoint> feed_world::originOf(int daemon) const
+{
+    const auto &next = m_nodes[static_cast<std::size_t>(daemon)];
+    const bool isKnown = !next.role.isSource && next.feed.origin.source.port != 0;
+    return !isKnown ? std::nullopt : std::optional(next.feed.origin.source);
+}
+
 void feed_world::cutOff(int daemon)
 {
     auto &gone = m_nodes[static_cast<std::size_t>(daemon)];
--- a/Tests/Feed/feedWorld.h
+++ b/Tests/Feed/feedWorld.h
@@ -5,9 +5,10 @@
 #include "Libraries/Feed/feed_relays.h"
 #include "Libraries/Feed/feed_role.h"
 #include "Libraries/Feed/feed_timing.h"
-#include "Libraries/Feed/suspect_spread.h"
+#include "Libraries/Feed/table_spread.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <random>
 #include <vector>
@@ -37,6 +38,21 @@
     void restart(int daemon);
     /// The daemon does nothing and hears nothing for so long.
     void suspend(int daemon, duration time);
+    /// What runs on the daemons beside the feed: called for each daemon that is not suspended at each tick, and for each message that is
+    /// not the feed's own.
+    std::function<void(int daemon)> didTick;
+    std::function<void(int daemon, const endpoint &from, const feed_message &message)> didReceive;
+    void send(int from, const feed_datagram &datagram);
+    instant now() const;
+    endpoint addressOf(int daemon) const;
+    bool isSource(int daemon) const;
+    bool isSuspended(int daemon) const;
+    /// Whom a daemon follows, if it has heard it, and who follows the daemon.
+    std::optional<endpoint> sourceOf(int daemon) const;
+    std::vector<endpoint> followersOf(int daemon) const;
+    /// Where what the daemon is fed was read.
+    std::optional<endpoint> originOf(int daemon) const;
+
     /// A replica ends under a request of this daemon.
     void endReplica(int daemon, const request_identity &request, replica_end end);
     /// How long it takes until all daemons that are not cut off refuse a request; nothing where it takes longer than \a longest.
@@ -80,7 +96,7 @@
         traffic sent;
         instant suspendedUntil;
         crash_suspects suspects;
-        suspect_spread spread;
+        table_spread<crash_suspects> spread;
     };
     struct travelling
     {
@@ -100,7 +116,6 @@
     void take(int number, int from, const feed_referral &referral);
     void spreadSuspects(int number);
     void beginAnew(node &next);
-    void send(int from, const feed_datagram &datagram);
     int numberOf(const endpoint &address) const;
 
     feed_timing m_timing = feedTiming(duration(4000));
--- a/Tests/Feed/testSuspectSpread.cpp
+++ b/Tests/Feed/testSuspectSpread.cpp
@@ -115,12 +115,12 @@
     const auto &read = std::get<suspect_list>(*message);
     CHECK(read.isFirst);
     CHECK(read.upTo == 17);
-    REQUIRE(read.suspects.size() == 1);
-    CHECK(read.suspects[0].request == deadly);
-    CHECK(read.suspects[0].organisation == organisation_id("o"));
-    CHECK(read.suspects[0].ends == list.suspects[0].ends);
-    CHECK(read.suspects[0].round == 2);
-    CHECK(read.suspects[0].age == duration(1234));
+    REQUIRE(read.reports.size() == 1);
+    CHECK(read.reports[0].request == deadly);
+    CHECK(read.reports[0].organisation == organisation_id("o"));
+    CHECK(read.reports[0].ends == list.reports[0].ends);
+    CHECK(read.reports[0].round == 2);
+    CHECK(read.reports[0].age == duration(1234));
     CHECK(std::get<suspect_receipt>(*decodeFeedMessage(encodeFeedMessage(suspect_receipt{9}))).upTo == 9);
     CHECK_FALSE(decodeFeedMessage(R"({"kind":"suspects","list":[{"req":""}]})"));
     CHECK_FALSE(decodeFeedMessage(R"({"kind":"suspects","list":[5]})"));
