--- a/Meta/vetchpost.sh
+++ b/Meta/vetchpost.sh
@@ -16,7 +16,7 @@
                    The same for entry daemons on a stand-in of the users' platform, with one of them stopped in mid-stream.
   test             Install what is missing, build, run all tests, with the processes' ones.
   lint             Check the formatting and run the linter.
-  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes. The last lines are figures.
+  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes, limits. The last lines are figures.
   fuzz [--seed N] [--steps N]
                    Run the fuzzers for longer.
   soak [--seed N] [--seconds S] [--daemons N] [--replicas N] [--clients N] [--deadly N] [--base-port N] [--keep DIR]
@@ -185,6 +185,7 @@
     assembly) "$build/Benchmarks/benchAssembly" ;;
     repair) "$build/Benchmarks/benchRepair" ;;
     crashes) "$build/Benchmarks/benchCrashes" ;;
+    limits) "$build/Benchmarks/benchLimits" ;;
     *) echo "no benchmark $name" >&2; exit 2 ;;
     esac
 }
