Requests: Send nothing to a replica while it rests

Change: a place that asked this daemon for rest is passed over until that is over, by the life of the replica, also where no other place is left; then the refusal names the time at which the first of them takes requests again.

Conclusion: one piece of decision (place_closure) serves limits and rests.

--- a/Libraries/Requests/place_closure.cpp
+++ b/Libraries/Requests/place_closure.cpp
@@ -9,6 +9,9 @@
     if (known == nullptr) {
         return {};
     }
+    if (now < known->restsUntil) {
+        return {closure_cause::rest, known->restsUntil};
+    }
     if (known->rateLimit && !hasPermit(wallet, replica, now)) {
         return {closure_cause::limit, permitExpectedAt(wallet, replica, now)};
     }
--- a/Tests/Requests/testReplicaConstraints.cpp
+++ b/Tests/Requests/testReplicaConstraints.cpp
@@ -18,6 +18,13 @@
     return notice;
 }
 
+replica_notice restFor(duration time)
+{
+    replica_notice notice;
+    notice.rest = time;
+    return notice;
+}
+
 replica_notice withoutLimit()
 {
     replica_notice notice;
@@ -36,10 +43,22 @@
 {
     replica_constraints table;
     CHECK(noteAnswer(table, replica, limitOf(2), start).hasLimit);
-    CHECK(causeOf(table, replica, start) == closure_cause::limit);
+    CHECK(noteAnswer(table, replica, restFor(duration(3000)), start).hasRest);
+    CHECK(causeOf(table, replica, start + duration(9000)) == closure_cause::limit);
     CHECK(causeOf(table, nextLife, start) == closure_cause::none);
 }
 
+TEST_CASE("Rests that overlap end with the latest, and a suspension counts")
+{
+    replica_constraints table;
+    noteAnswer(table, replica, restFor(duration(3000)), start);
+    noteAnswer(table, replica, restFor(duration(500)), start + duration(1000));
+    CHECK(causeOf(table, replica, start + duration(2999)) == closure_cause::rest);
+    CHECK(closureOf(table, {}, replica, start).until == start + duration(3000));
+    CHECK(causeOf(table, replica, start + duration(3000)) == closure_cause::none);
+    CHECK(table.changes == 0);
+}
+
 TEST_CASE("A limit ends with an answer that names none, and with nothing less")
 {
     replica_constraints table;
