Explain, Entry: Tell why all places were closed to a request

A refusal for want of places names how many rest, are limited or leave; its story now holds the notices that closed them, also those that other requests had met.

--- a/Libraries/Entry/daemon_figures.cpp
+++ b/Libraries/Entry/daemon_figures.cpp
@@ -8,6 +8,12 @@
 /// Of a daemon that has not read any configuration.
 constexpr double unknownAge = -1;
 
+gauge addConstrainedGauge(metrics &counters, const std::string &kind)
+{
+    return counters.addGauge(
+        "vetchpost_replicas_constrained", "Replicas that asked this daemon for rest, have named a limit, or leave.", {{"kind", kind}});
+}
+
 } // namespace
 
 daemon_figures::daemon_figures(metrics &counters)
@@ -21,6 +27,9 @@
     , m_requests(counters.addGauge("vetchpost_requests_held", "Requests that are being served."))
     , m_crashingRequests(
           counters.addGauge("vetchpost_crashing_requests_refused", "Requests that are refused now, since replicas ended under them."))
+    , m_restingReplicas(addConstrainedGauge(counters, "rest"))
+    , m_limitedReplicas(addConstrainedGauge(counters, "limit"))
+    , m_leavingReplicas(addConstrainedGauge(counters, "leaving"))
 {
 }
 
@@ -34,6 +43,9 @@
     m_connections.set(static_cast<double>(standing.connections));
     m_requests.set(static_cast<double>(standing.requests));
     m_crashingRequests.set(static_cast<double>(standing.crashingRequests));
+    m_restingReplicas.set(standing.restingReplicas);
+    m_limitedReplicas.set(standing.limitedReplicas);
+    m_leavingReplicas.set(standing.leavingReplicas);
     const std::lock_guard lock(m_mutex);
     for (const auto &[part, count] : standing.linesLeftOut) {
         auto found = m_linesLeftOut.find(part);
--- a/Libraries/Entry/daemon_figures.h
+++ b/Libraries/Entry/daemon_figures.h
@@ -25,6 +25,10 @@
     std::size_t requests = 0;
     /// Refused now, since replicas ended under them.
     std::size_t crashingRequests = 0;
+    /// Replicas that rest, have a limit, leave by their own word.
+    int restingReplicas = 0;
+    int limitedReplicas = 0;
+    int leavingReplicas = 0;
     /// By part, since the start.
     std::map<std::string, std::uint64_t> linesLeftOut;
 };
@@ -46,6 +50,9 @@
     gauge m_connections;
     gauge m_requests;
     gauge m_crashingRequests;
+    gauge m_restingReplicas;
+    gauge m_limitedReplicas;
+    gauge m_leavingReplicas;
     std::mutex m_mutex;
     std::map<std::string, counter> m_linesLeftOut;
 };
--- a/Libraries/Explain/request_story.cpp
+++ b/Libraries/Explain/request_story.cpp
@@ -87,6 +87,14 @@
     return std::any_of(names.begin(), names.end(), [&](const std::string &name) { return text.find(name) != std::string::npos; });
 }
 
+/// Whether a line says that places were closed to the request.
+bool tellsOfClosedPlaces(const log_entry &entry)
+{
+    constexpr std::string_view field = "closed=";
+    const auto found = entry.details.find(field);
+    return entry.event == "refused" && found != std::string::npos && entry.details.substr(found + field.size(), 1) != " ";
+}
+
 std::string verdictOf(const std::vector<log_entry> &lines)
 {
     for (auto line = lines.rbegin(); line != lines.rend(); ++line) {
@@ -206,6 +214,7 @@
     }
     const auto byTime = [](const log_entry &left, const log_entry &right) { return left.milliseconds < right.milliseconds; };
     std::stable_sort(own.begin(), own.end(), byTime);
+    const bool hasMetClosed = std::any_of(own.begin(), own.end(), tellsOfClosedPlaces);
     story.verdict = verdictOf(own);
     story.entries = own;
     if (!own.empty()) {
@@ -218,8 +227,9 @@
             && entry.milliseconds <= own.back().milliseconds + millisecondsAfter;
         const bool bears = (entry.part == "assembly" && namesAny(entry.details, places))
             || (daemons.contains(entry.daemon) && isDaemonEvent(entry.event));
+        const bool closes = hasMetClosed && isNear && entry.part == "constraint" && daemons.contains(entry.daemon);
         const bool isSame = line.request != request && tellsOfSame(line, identities);
-        if ((line.request.empty() && isNear && bears) || isSame) {
+        if ((line.request.empty() && isNear && bears) || isSame || (closes && line.request != request)) {
             story.entries.push_back(entry);
         }
     }
--- a/Tests/Explain/testRequestStory.cpp
+++ b/Tests/Explain/testRequestStory.cpp
@@ -64,6 +64,23 @@
     CHECK(story.entries[2].event == "refused");
 }
 
+TEST_CASE("The story of a request that found all places closed names what the replicas had said")
+{
+    std::istringstream log(
+        R"({"ms":1000,"daemon":"d1","part":"constraint","event":"replica_notice","request":"r1","replica":"i-1","limit":-1,"rest_ms":3000}
+{"ms":1100,"daemon":"d2","part":"constraint","event":"replica_notice","request":"r2","replica":"i-2","limit":2.5,"rest_ms":0}
+{"ms":1500,"daemon":"d1","part":"request","event":"refused","request":"r3","closed":"1 rest, 0 limited, 0 leave","kind":"no_serving_group"}
+{"ms":1600,"daemon":"d1","part":"request","event":"refused","request":"r4","closed":"","kind":"no_serving_group"})");
+    log_collector collector;
+    collector.take(log);
+    const auto story = collector.storyOf("r3");
+    REQUIRE(story.entries.size() == 2);
+    CHECK(story.entries[0].event == "replica_notice");
+    CHECK(story.entries[0].details.find("i-1") != std::string::npos);
+    CHECK(story.entries[1].event == "refused");
+    CHECK(collector.storyOf("r4").entries.size() == 1);
+}
+
 TEST_CASE("Lines that are cut off or of another program are counted and passed over")
 {
     CHECK(storyOf("r1").unreadable == 2);
