Entry, Requests: Treat a replica that says it leaves as one whose entry says so

Cause: Server-Leaving in an answer was not read; only the key-value service told of a departure.

Change: such a replica gets nothing more from this daemon at once, in touch or not, until a new life; the directory that a daemon routes and plans by shows it as draining, so that its group is replaced; other daemons hear of it along the feed. The answers to orders and looks count too.

Ruled out: writing it into the store's feed; a departure that only one daemon was told of would then wait for the source's term.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -47,6 +47,7 @@
     store_follower &store;
     peer_feed &feed;
     std::function<std::vector<model_demand>()> heldHere;
+    answer_listener didAnswer;
     worker_pool orderWorkers{orderThreads};
     worker_pool noticeWorkers{noticeThreads};
     counter orders;
@@ -71,17 +72,20 @@
                  store_follower &follower,
                  peer_feed &peers,
                  metrics &counters,
-                 std::function<std::vector<model_demand>()> held)
+                 std::function<std::vector<model_demand>()> held,
+                 const answer_listener &tellAnswer)
         : settings(entrySettings)
         , keyValue(service)
         , dialect(words)
         , store(follower)
         , feed(peers)
         , heldHere(std::move(held))
+        , didAnswer(tellAnswer)
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
         , takeovers(counters.addCounter("vetchpost_takeovers_total", "Times that this daemon became coordinator."))
         , figures(counters)
-        , looks(service, words, follower, peers, figures, counters, [this] { planSoon(); })
+        , looks(
+              service, words, follower, peers, figures, counters, [this] { planSoon(); }, tellAnswer)
     {
     }
 
@@ -383,6 +387,9 @@
         const auto reply = sendOnFreshConnection(call, why);
         if (reply) {
             text = fmt::format("{} {}", reply->status, reply->body);
+            if (dialect.isLivenessAnswer(*reply)) {
+                didAnswer(order.to, *reply);
+            }
             return dialect.readOrderAnswer(order, *reply);
         }
         text = why.text;
@@ -423,8 +430,9 @@
                                  store_follower &store,
                                  peer_feed &feed,
                                  metrics &counters,
-                                 std::function<std::vector<model_demand>()> heldHere)
-    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, counters, std::move(heldHere)))
+                                 std::function<std::vector<model_demand>()> heldHere,
+                                 answer_listener didAnswer)
+    : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, counters, std::move(heldHere), didAnswer))
 {
 }
 
--- a/Libraries/Entry/assembly_runner.h
+++ b/Libraries/Entry/assembly_runner.h
@@ -18,13 +18,15 @@
 class assembly_runner
 {
 public:
+    /// \a didAnswer is called with each answer of a replica to an order or a look, on any thread.
     assembly_runner(const entry_settings &settings,
                     key_value_service &keyValue,
                     const entry_dialect &dialect,
                     store_follower &store,
                     peer_feed &feed,
                     metrics &counters,
-                    std::function<std::vector<model_demand>()> heldHere);
+                    std::function<std::vector<model_demand>()> heldHere,
+                    answer_listener didAnswer);
     ~assembly_runner();
     assembly_runner(const assembly_runner &) = delete;
     assembly_runner &operator=(const assembly_runner &) = delete;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -103,7 +103,7 @@
                                                    dialect->configurationKey()))
         , store(*keyValue, *dialect, feedTiming(settings.configurationApply), counters, [this] { rebuildView(); })
         , suspects(counters)
-        , constraints(counters)
+        , constraints(counters, [this] { store.noteLeaving(constraints.leaving()); })
         , feed(
               settings,
               store,
@@ -113,7 +113,15 @@
               [this] { return relay.held.counts(); },
               [this](const stall_notice &notice) { assembly.hearStall(notice); },
               [this](const group_doubt &doubt) { relay.doubt(doubt.head); })
-        , assembly(settings, *keyValue, *dialect, store, feed, counters, [this] { return relay.held.counts(); })
+        , assembly(
+              settings,
+              *keyValue,
+              *dialect,
+              store,
+              feed,
+              counters,
+              [this] { return relay.held.counts(); },
+              [this](const instance_id &replica, const http_reply &reply) { noteReply(replica, reply); })
         , crashes(*keyValue, *dialect, store, feed, suspects)
         , relay(settings,
                 *dialect,
@@ -128,6 +136,19 @@
     {
     }
 
+    /// A replica has answered a call of the daemon's own. Such an answer may say what a replica can take, but lacks nothing where it does
+    /// not.
+    void noteReply(const instance_id &replica, const http_reply &reply)
+    {
+        auto notice = dialect->readNotice(reply.status, reply.headers);
+        notice.tellsAll = false;
+        const auto directory = store.directory();
+        const auto known = directory->replicas.find(replica);
+        if (known != directory->replicas.end() && constraints.noteAnswer({replica, known->second.life}, notice)) {
+            feed.spreadTables();
+        }
+    }
+
     void rebuildView()
     {
         {
@@ -162,6 +183,10 @@
         now.connections = static_cast<std::size_t>(callers->openConnections());
         now.requests = static_cast<std::size_t>(callers->activeRequests());
         now.crashingRequests = suspects.refused().size();
+        const auto constrained = constraints.counts();
+        now.restingReplicas = constrained.resting;
+        now.limitedReplicas = constrained.limited;
+        now.leavingReplicas = constrained.leaving;
         now.linesLeftOut = droppedLogLinesByPart();
         return now;
     }
--- a/Libraries/Entry/entry_dialect.h
+++ b/Libraries/Entry/entry_dialect.h
@@ -8,6 +8,7 @@
 #include "Libraries/Routing/replica_directory.h"
 #include "Libraries/Routing/served_configuration.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -51,6 +52,9 @@
     bool hasNotRun = false;
 };
 
+/// Called with a replica's answer to a call of the daemon's own, on any thread.
+using answer_listener = std::function<void(const instance_id &, const http_reply &)>;
+
 /// The names and formats in which an entry daemon's surroundings speak. Decides nothing.
 class entry_dialect
 {
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -92,7 +92,7 @@
 
 void relay_context::noteNotice(const backend &place, const replica_notice &notice, const request_id &request)
 {
-    if (constraints.noteAnswer(place, notice, request)) {
+    if (constraints.noteAnswer({place.replica, place.life}, notice, request)) {
         m_feed.spreadTables();
     }
 }
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/replica_entries.h"
 
+#include <algorithm>
 #include <set>
 
 namespace vetchpost {
@@ -137,4 +138,28 @@
     return hasChanged;
 }
 
+void noteLeaving(leaving_replicas &leaving, const std::set<replica_key> &replicas, instant now)
+{
+    std::erase_if(leaving, [&](const auto &entry) { return !replicas.contains(entry.first); });
+    for (const auto &replica : replicas) {
+        leaving.try_emplace(replica, now);
+    }
+}
+
+void showLeaving(replica_directory &directory, const leaving_replicas &leaving)
+{
+    for (const auto &[key, since] : leaving) {
+        const auto found = directory.replicas.find(key.replica);
+        if (found == directory.replicas.end() || isAnotherLife(found->second.life, key.life)) {
+            continue;
+        }
+        auto &replica = found->second;
+        replica.isDraining = true;
+        // Its entry may have gone before it said anything.
+        replica.hasAnnounced = replica.hasAnnounced || replica.isUnlisted;
+        const auto [known, isNew] = directory.leavingSince.try_emplace(key.replica, since);
+        known->second = std::min(known->second, since);
+    }
+}
+
 } // namespace vetchpost
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -3,10 +3,12 @@
 
 #include "Libraries/Base/instant.h"
 #include "Libraries/Feed/feed_messages.h"
+#include "Libraries/Requests/replica_constraints.h"
 #include "Libraries/Routing/replica_directory.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace vetchpost {
@@ -39,4 +41,12 @@
 /// Gives up lapsed and unlisted replicas whose time is over; whether there were any.
 bool dropLapsed(replica_entries &entries, instant now);
 
+/// Replicas that said in answers that they leave, with when this was learned.
+using leaving_replicas = std::map<replica_key, instant>;
+
+/// Keeps those that are among \a replicas, and notes the new ones.
+void noteLeaving(leaving_replicas &leaving, const std::set<replica_key> &replicas, instant now);
+/// Shows them as draining in a directory, each in the life that said so.
+void showLeaving(replica_directory &directory, const leaving_replicas &leaving);
+
 } // namespace vetchpost
--- a/Libraries/Entry/replica_looks.cpp
+++ b/Libraries/Entry/replica_looks.cpp
@@ -46,6 +46,7 @@
     peer_feed &feed;
     assembly_figures &figures;
     std::function<void()> didChange;
+    answer_listener didAnswer;
     mutable std::mutex mutex;
     silent_replicas silent;
     own_trouble trouble;
@@ -61,13 +62,15 @@
                  peer_feed &peers,
                  assembly_figures &groupFigures,
                  metrics &counters,
-                 std::function<void()> tellChange)
+                 std::function<void()> tellChange,
+                 answer_listener tellAnswer)
         : keyValue(service)
         , dialect(words)
         , store(follower)
         , feed(peers)
         , figures(groupFigures)
         , didChange(std::move(tellChange))
+        , didAnswer(std::move(tellAnswer))
         , voidLooks(counters.addCounter("vetchpost_looks_void_total",
                                         "Looks at silent replicas that count for nothing, since others did not answer either."))
     {
@@ -90,7 +93,11 @@
         if (!reply) {
             return look_result::is_silent;
         }
-        return dialect.isLivenessAnswer(*reply) ? look_result::answers : look_result::is_replaced;
+        if (!dialect.isLivenessAnswer(*reply)) {
+            return look_result::is_replaced;
+        }
+        didAnswer(replica.id, *reply);
+        return look_result::answers;
     }
 
     /// Whether replicas elsewhere answered this daemon after the look at a silent one had begun.
@@ -189,8 +196,9 @@
                              peer_feed &feed,
                              assembly_figures &figures,
                              metrics &counters,
-                             std::function<void()> didChange)
-    : d(std::make_unique<private_data>(keyValue, dialect, store, feed, figures, counters, std::move(didChange)))
+                             std::function<void()> didChange,
+                             answer_listener didAnswer)
+    : d(std::make_unique<private_data>(keyValue, dialect, store, feed, figures, counters, std::move(didChange), std::move(didAnswer)))
 {
 }
 
--- a/Libraries/Entry/replica_looks.h
+++ b/Libraries/Entry/replica_looks.h
@@ -16,14 +16,15 @@
 class replica_looks
 {
 public:
-    /// \a didChange is called when something was found that planning should know.
+    /// \a didChange is called when something was found that planning should know, \a didAnswer with each answer of a replica.
     replica_looks(key_value_service &keyValue,
                   const entry_dialect &dialect,
                   store_follower &store,
                   peer_feed &feed,
                   assembly_figures &figures,
                   metrics &counters,
-                  std::function<void()> didChange);
+                  std::function<void()> didChange,
+                  answer_listener didAnswer);
     ~replica_looks();
     replica_looks(const replica_looks &) = delete;
     replica_looks &operator=(const replica_looks &) = delete;
--- a/Libraries/Entry/shared_constraints.cpp
+++ b/Libraries/Entry/shared_constraints.cpp
@@ -63,6 +63,7 @@
     instant cleanedAt;
     /// Whether anything is known at all: without it most requests take no lock.
     std::atomic<bool> hasAny = false;
+    std::function<void()> didLearnLeaving;
     counter limits;
     counter rests;
     counter departures;
@@ -71,8 +72,9 @@
     counter used;
     counter denied;
 
-    explicit private_data(metrics &counters)
-        : limits(addNoticeCounter(counters, "limit"))
+    private_data(metrics &counters, std::function<void()> tellLeaving)
+        : didLearnLeaving(std::move(tellLeaving))
+        , limits(addNoticeCounter(counters, "limit"))
         , rests(addNoticeCounter(counters, "rest"))
         , departures(addNoticeCounter(counters, "leaving"))
         , unreadable(addNoticeCounter(counters, "unreadable"))
@@ -147,29 +149,34 @@
     }
 };
 
-shared_constraints::shared_constraints(metrics &counters)
-    : d(std::make_unique<private_data>(counters))
+shared_constraints::shared_constraints(metrics &counters, std::function<void()> didLearnLeaving)
+    : d(std::make_unique<private_data>(counters, std::move(didLearnLeaving)))
 {
 }
 
 shared_constraints::~shared_constraints() = default;
 
-bool shared_constraints::noteAnswer(const backend &place, const replica_notice &notice, const request_id &request)
+bool shared_constraints::noteAnswer(const replica_key &replica, const replica_notice &notice, const request_id &request)
 {
     if (notice.isEmpty() && !d->hasAny) {
         return false;
     }
-    const std::lock_guard lock(d->mutex);
-    const auto replica = keyOf(place);
-    if (!notice.unreadable.empty()) {
-        d->unreadable.increment();
-        constraintLog.write("notice_unreadable", {{"replica", replica.replica.value()}, {"value", notice.unreadable}});
+    constraint_change change;
+    {
+        const std::lock_guard lock(d->mutex);
+        if (!notice.unreadable.empty()) {
+            d->unreadable.increment();
+            constraintLog.write("notice_unreadable", {{"replica", replica.replica.value()}, {"value", notice.unreadable}});
+        }
+        change = vetchpost::noteAnswer(d->table, replica, notice, monotonicNow());
+        if (change.isAny()) {
+            d->tell(replica, notice, change, request);
+        }
+        d->hasAny = !d->table.known.empty();
     }
-    const auto change = vetchpost::noteAnswer(d->table, replica, notice, monotonicNow());
-    if (change.isAny()) {
-        d->tell(replica, notice, change, request);
+    if (change.isLeaving) {
+        d->didLearnLeaving();
     }
-    d->hasAny = !d->table.known.empty();
     return change.hasLimit || change.isLeaving;
 }
 
@@ -264,16 +271,24 @@
 
 feed_datagram shared_constraints::take(const constraint_list &list, const endpoint &from)
 {
-    const std::lock_guard lock(d->mutex);
-    const auto before = d->table.changes;
-    auto receipt = takeList(d->spread, d->table, list, from, monotonicNow());
-    for (const auto &report : list.reports) {
-        const auto *known = findConstraint(d->table, report.replica);
-        if (known != nullptr && known->changed > before) {
-            d->tellReport(report);
+    feed_datagram receipt;
+    bool hasLeaving = false;
+    {
+        const std::lock_guard lock(d->mutex);
+        const auto before = d->table.changes;
+        receipt = takeList(d->spread, d->table, list, from, monotonicNow());
+        for (const auto &report : list.reports) {
+            const auto *known = findConstraint(d->table, report.replica);
+            if (known != nullptr && known->changed > before) {
+                d->tellReport(report);
+                hasLeaving = hasLeaving || known->isLeaving;
+            }
         }
+        d->hasAny = !d->table.known.empty();
+    }
+    if (hasLeaving) {
+        d->didLearnLeaving();
     }
-    d->hasAny = !d->table.known.empty();
     return receipt;
 }
 
@@ -314,6 +329,18 @@
     d->issuer = {};
 }
 
+std::set<replica_key> shared_constraints::leaving() const
+{
+    std::set<replica_key> result;
+    const std::lock_guard lock(d->mutex);
+    for (const auto &[replica, constraint] : d->table.known) {
+        if (constraint.isLeaving) {
+            result.insert(replica);
+        }
+    }
+    return result;
+}
+
 closed_places shared_constraints::counts() const
 {
     closed_places counted;
--- a/Libraries/Entry/shared_constraints.h
+++ b/Libraries/Entry/shared_constraints.h
@@ -6,7 +6,9 @@
 #include "Libraries/Feed/table_spread.h"
 #include "Libraries/Requests/place_closure.h"
 
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,13 +35,15 @@
 class shared_constraints
 {
 public:
-    explicit shared_constraints(metrics &counters);
+    /// \a didLearnLeaving is called, on any thread, after a replica was learned to leave.
+    shared_constraints(metrics &counters, std::function<void()> didLearnLeaving);
     ~shared_constraints();
     shared_constraints(const shared_constraints &) = delete;
     shared_constraints &operator=(const shared_constraints &) = delete;
 
-    /// Takes in what a replica's answer to a request says. True where other daemons have to know.
-    bool noteAnswer(const backend &place, const replica_notice &notice, const request_id &request);
+    /// Takes in what a replica's answer to a request says, or to a call of the daemon's own (then \a request is empty). True where other
+    /// daemons have to know.
+    bool noteAnswer(const replica_key &replica, const replica_notice &notice, const request_id &request = {});
     /// A request goes to the place now.
     void noteSent(const backend &place);
 
@@ -63,6 +67,8 @@
     /// This daemon becomes the source, or is none any more: what it issued before is void by then.
     void beginIssuing();
 
+    /// Those that leave by their own word.
+    std::set<replica_key> leaving() const;
     /// Replicas that rest, have a limit, leave.
     closed_places counts() const;
 
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -58,6 +58,7 @@
     key_revision configurationRevision;
     std::optional<instant> currentAt;
     replica_entries entries;
+    leaving_replicas leaving;
     std::shared_ptr<const replica_directory> published = std::make_shared<replica_directory>();
     std::optional<instant> lastListing;
     std::optional<instant> firstListing;
@@ -448,7 +449,9 @@
     {
         {
             const std::lock_guard lock(mutex);
-            published = std::make_shared<const replica_directory>(entries.directory);
+            auto directory = entries.directory;
+            showLeaving(directory, leaving);
+            published = std::make_shared<const replica_directory>(std::move(directory));
         }
         didChange();
     }
@@ -511,6 +514,15 @@
     d->takeUpdate(update, asked);
 }
 
+void store_follower::noteLeaving(const std::set<replica_key> &replicas)
+{
+    {
+        const std::lock_guard lock(d->mutex);
+        vetchpost::noteLeaving(d->leaving, replicas, monotonicNow());
+    }
+    d->publish();
+}
+
 std::uint64_t store_follower::replicasUpTo() const
 {
     return d->upTo();
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -6,12 +6,14 @@
 #include "Libraries/Feed/feed_source.h"
 #include "Libraries/Feed/feed_timing.h"
 #include "Libraries/Platform/key_value_service.h"
+#include "Libraries/Requests/replica_constraints.h"
 #include "Libraries/Routing/key_bound.h"
 #include "Libraries/Routing/route_table.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace vetchpost {
 
@@ -36,6 +38,8 @@
     void setSource(bool isSource);
     /// The first request has come, here or elsewhere.
     void noteTraffic();
+    /// Replicas that leave by their own word: the directory shows them as if their entries said so.
+    void noteLeaving(const std::set<replica_key> &replicas);
     /// Reads a whole new listing of the replicas before it returns.
     void listAgain();
 
--- a/Libraries/Requests/place_closure.cpp
+++ b/Libraries/Requests/place_closure.cpp
@@ -9,6 +9,9 @@
     if (known == nullptr) {
         return {};
     }
+    if (known->isLeaving) {
+        return {closure_cause::leaving, std::nullopt};
+    }
     if (now < known->restsUntil) {
         return {closure_cause::rest, known->restsUntil};
     }
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -30,6 +30,30 @@
 
 } // namespace
 
+TEST_CASE("A replica that leaves by its own word is shown as one whose entry says so, in that life alone")
+{
+    const instance_id id("a");
+    auto entries = known();
+    leaving_replicas leaving;
+    noteLeaving(leaving, {{id, {}}}, now);
+    noteLeaving(leaving, {{id, {}}}, now + duration(500));
+    auto directory = entries.directory;
+    showLeaving(directory, leaving);
+    CHECK(saysItLeaves(directory.replicas.at(id)));
+    CHECK(directory.leavingSince.at(id) == now);
+    CHECK_FALSE(directory.replicas.at(instance_id("b")).isDraining);
+
+    auto next = replica("a", 101);
+    next.replica->life = replica_life(2);
+    takeChange(entries, next, now);
+    directory = entries.directory;
+    showLeaving(directory, leaving);
+    CHECK_FALSE(directory.replicas.at(id).isDraining);
+
+    noteLeaving(leaving, {}, now);
+    CHECK(leaving.empty());
+}
+
 TEST_CASE("A replica that a listing no longer has is gone at once, while the service was there")
 {
     auto entries = known();
--- a/Tests/Feed/limitWorld.cpp
+++ b/Tests/Feed/limitWorld.cpp
@@ -98,6 +98,29 @@
     }));
 }
 
+void limit_world::tellLeaving(int daemon)
+{
+    replica_notice notice;
+    notice.isLeaving = true;
+    noteAnswer(m_nodes[static_cast<std::size_t>(daemon)].table, replica, notice, m_feed.now());
+}
+
+std::optional<duration> limit_world::allKnowLeavingAfter(duration longest)
+{
+    constexpr duration step(10);
+    const auto begin = m_feed.now();
+    const auto knows = [](const node &next) {
+        const auto *known = findConstraint(next.table, replica);
+        return known != nullptr && known->isLeaving;
+    };
+    for (; m_feed.now() - begin <= longest; m_feed.advance(step)) {
+        if (std::all_of(m_nodes.begin(), m_nodes.end(), knows)) {
+            return m_feed.now() - begin;
+        }
+    }
+    return std::nullopt;
+}
+
 void limit_world::tick(int daemon)
 {
     if (daemon == 0) {
--- a/Tests/Feed/limitWorld.h
+++ b/Tests/Feed/limitWorld.h
@@ -40,6 +40,10 @@
     static double allowed(double limit);
     /// All that reached the replica in the last \a time.
     int reachedInLast(duration time) const;
+    /// The replica says to one daemon that it leaves.
+    void tellLeaving(int daemon);
+    /// How long it takes until all daemons know; nothing where it takes longer than \a longest.
+    std::optional<duration> allKnowLeavingAfter(duration longest);
     /// Daemons that know of a limit.
     int informed() const;
     /// Questions for permits so far.
--- a/Tests/Feed/testSharedLimit.cpp
+++ b/Tests/Feed/testSharedLimit.cpp
@@ -124,3 +124,20 @@
     world.advance(duration(1000));
     CHECK(world.reachedInLast(duration(100000)) == before);
 }
+
+TEST_CASE("A departure that one daemon was told of is known everywhere in time, also where datagrams are lost")
+{
+    constexpr duration drainTime(2000);
+    for (const int daemons : {8, 79, 195, 350}) {
+        for (const double lost : {0.0, 0.2}) {
+            auto world = settledWorld(daemons, 0);
+            world.feed().loseDatagrams(lost);
+            world.tellLeaving(daemons / 2);
+            const auto time = world.allKnowLeavingAfter(drainTime);
+            INFO(daemons << " daemons, lost " << lost);
+            REQUIRE(time);
+            std::cout << daemons << " daemons, " << lost * 100 << " of 100 datagrams lost: a departure is known everywhere after "
+                      << time->count() << " ms\n";
+        }
+    }
+}
