Tests: Play limits, rests and departures in the stand-in and the soak

Three checks from what the replicas saw, with tests of their own (testSoakChecks): the sum of the told daemons, rests, departures by a daemon that was told.

--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -30,6 +30,7 @@
   --replicas=<n>          Replicas with an engine, in two fabric domains [default: 12].
   --clients=<n>           Clients at a time [default: 20].
   --deadly=<n>            Requests that end each replica which runs them and come again and again [default: 0].
+  --notices=<n>           Times that a replica names a limit, asks for rest or says that it leaves [default: 0].
   --keep=<folder>         For settings and logs.
   --daemon-binary=<file>  vetchpostd.
   --stand-ins=<folder>    Where the programs of the stand-ins are.
@@ -133,6 +134,7 @@
         = {std::chrono::seconds(number("--seconds")), static_cast<int>(number("--daemons")), static_cast<int>(number("--replicas"))};
     options.clients = static_cast<int>(number("--clients"));
     options.deadlyRequests = static_cast<int>(number("--deadly"));
+    options.notices = static_cast<int>(number("--notices"));
     options.folder = arguments.at("--keep").asString();
     options.daemonProgram = arguments.at("--daemon-binary").asString();
     options.standIns = arguments.at("--stand-ins").asString();
@@ -143,6 +145,9 @@
     for (const auto &fault : plan) {
         fmt::print("{}\n", describe(fault));
     }
+    for (const auto &notice : planNotices(options.seed, options.size, options.notices)) {
+        fmt::print("{}\n", describe(notice));
+    }
     std::fflush(stdout);
     try {
         const auto facts = runSoak(options, plan);
--- a/Tests/Soak/soak_checks.cpp
+++ b/Tests/Soak/soak_checks.cpp
@@ -192,6 +192,9 @@
     add(checkGroups(facts));
     add(checkRepeats(facts, bounds));
     add(checkDeadlyRequests(facts, bounds));
+    add(checkLimits(facts, bounds));
+    add(checkRests(facts, bounds));
+    add(checkToldLeaving(facts, bounds));
     add(checkWithdrawnKeys(facts, bounds));
     add(checkConfigurations(facts, bounds));
     add(checkStops(facts, bounds));
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -25,6 +25,13 @@
     std::size_t deadlySends = 3;
     /// How soon a replica must be free of a request whose client left, and what this machine may add: the process that plays all replicas
     /// and the client's clock each wake up some tens of milliseconds late when all processors are taken.
+    /// A daemon counts as told so long after an answer that holds a limit or a time of rest.
+    duration told{500};
+    /// Within each such window a replica gets its limit and a half, and some more.
+    duration limitWindow{4000};
+    double limitFactor = 1.5;
+    double limitSlack = 5;
+    std::ptrdiff_t restSends = 2;
     duration release{500};
     duration releaseMargin{250};
     duration recovery{12000};
@@ -52,6 +59,12 @@
 broken_promises checkRepeats(const soak_facts &facts, const soak_bounds &bounds);
 /// A request under which three replicas have ended is hardly sent to any more, once the daemons have had time to tell each other.
 broken_promises checkDeadlyRequests(const soak_facts &facts, const soak_bounds &bounds);
+/// What the daemons that a replica has told of its limit send it together stays within the limit.
+broken_promises checkLimits(const soak_facts &facts, const soak_bounds &bounds);
+/// A replica that asked a daemon for rest gets hardly anything from it in that time.
+broken_promises checkRests(const soak_facts &facts, const soak_bounds &bounds);
+/// A daemon that a replica has told that it leaves sends it nothing that came later, in touch or not.
+broken_promises checkToldLeaving(const soak_facts &facts, const soak_bounds &bounds);
 broken_promises checkWithdrawnKeys(const soak_facts &facts, const soak_bounds &bounds);
 /// A version is in force in time everywhere, and no daemon goes back behind one.
 broken_promises checkConfigurations(const soak_facts &facts, const soak_bounds &bounds);
--- a/Tests/Soak/soak_facts.h
+++ b/Tests/Soak/soak_facts.h
@@ -70,6 +70,8 @@
     bool isWhileOpen = false;
     /// Of a run: the group lacks members.
     bool isPartial = false;
+    /// Of a limit and of what an answer told: requests a second, seconds of rest.
+    double value = 0;
 };
 
 enum class disturbance_kind {
--- a/Tests/Soak/soak_platform.cpp
+++ b/Tests/Soak/soak_platform.cpp
@@ -81,6 +81,16 @@
     return reply && reply->isSuccess() ? parseJson(reply->body).value_or(Json::Value()) : Json::Value();
 }
 
+namespace {
+
+/// A number, or a text that holds one; 0 for any other.
+double valueOf(const Json::Value &value)
+{
+    return value.isNumeric() ? value.asDouble() : value.isString() ? std::strtod(value.asCString(), nullptr) : 0;
+}
+
+} // namespace
+
 std::vector<platform_event> newEvents(const endpoint &control, std::uint64_t &last)
 {
     std::vector<platform_event> events;
@@ -97,7 +107,8 @@
                           request_id(jsonString(*json, "attempt")),
                           instance_id(jsonString(*json, "replica")),
                           jsonFlag(*json, "while_open"),
-                          jsonFlag(*json, "partial")});
+                          jsonFlag(*json, "partial"),
+                          valueOf((*json)["value"])});
     }
     return events;
 }
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/Base/json.h"
 #include "Tests/Soak/soak_checks.h"
 #include "Tests/Soak/soak_cluster.h"
+#include "platform/names.h"
 
 #include <fmt/format.h>
 
@@ -154,6 +155,9 @@
             clients.push_back(std::make_unique<soak_client>(number, m_options.seed, m_cluster.directory(), m_log));
         }
         beginDeadlyRequests(begin);
+        for (const auto &notice : planNotices(m_options.seed, m_options.size, m_options.notices)) {
+            m_agenda.emplace(begin + notice.at, [this, notice] { beginNotice(notice); });
+        }
         instant nextEvents;
         instant nextSample;
         for (auto now = begin; now < end; now = monotonicNow()) {
@@ -334,6 +338,45 @@
         m_agenda.emplace(end, [this] { setFaults(m_cluster.replicaControl(), switchTo("revive", true)); });
     }
 
+    /// One that requests go to: the head of a group, or a plain one.
+    std::string servingReplica(int draw) const
+    {
+        std::vector<std::string> serving;
+        const auto facts = factsOf(m_cluster.replicaControl());
+        for (const auto &replica : facts["replicas"]) {
+            const auto &group = replica[platform_names::group];
+            const bool isOpenHead = group.isObject() && jsonString(group, platform_names::state) == platform_names::open;
+            if (jsonFlag(replica, "alive") && (isOpenHead || !replica.isMember(platform_names::models))) {
+                serving.push_back(jsonString(replica, "id"));
+            }
+        }
+        return serving.empty() ? std::string() : serving[static_cast<std::size_t>(draw) % serving.size()];
+    }
+
+    /// Lets a replica say something of itself for a while.
+    void beginNotice(const planned_notice &notice)
+    {
+        const auto id = servingReplica(notice.target);
+        const auto end = monotonicNow() + notice.lasts;
+        switch (notice.kind) {
+        case notice_kind::limit: {
+            char *rest = nullptr;
+            const auto value = std::strtod(notice.value.c_str(), &rest);
+            const auto limit = *rest == 0 ? switchTo(id.c_str(), value) : Json::Value(Json::objectValue);
+            return setForAWhile(m_cluster.replicaControl(), "limit", limit, switchTo(id.c_str(), Json::nullValue), end);
+        }
+        case notice_kind::rest:
+            return setForAWhile(m_cluster.replicaControl(), "rest", switchTo(id.c_str(), notice.value), switchTo(id.c_str(), ""), end);
+        case notice_kind::leaving:
+            break;
+        }
+        Json::Value ids(Json::arrayValue);
+        ids.append(id);
+        setFaults(m_cluster.replicaControl(), switchTo("say_leaving", ids));
+        // Its entry says so later.
+        m_agenda.emplace(end, [this, id] { strikeReplica("drain", id, monotonicNow() + drainLength); });
+    }
+
     void disturbReplicas(const planned_fault &fault, instant end)
     {
         constexpr double lostShare = 0.4;
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -15,6 +15,8 @@
     int clients = 12;
     /// Requests that end each replica which runs them; each comes again and again until the faults end.
     int deadlyRequests = 0;
+    /// Times that a replica names a limit, asks for rest or says that it leaves.
+    int notices = 0;
     /// For settings and logs.
     std::string folder;
     std::string daemonProgram;
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -127,4 +127,39 @@
     return fmt::format("{:>7} ms  {:<20} {:>3}  for {} ms", fault.at.count(), faultName(fault.kind), fault.target, fault.lasts.count());
 }
 
+std::vector<planned_notice> planNotices(std::uint64_t seed, const schedule_size &size, int count)
+{
+    constexpr std::array<std::string_view, 8> limits = {"0.5", "1.2", "2", "5", "10", "40", "100", "many"};
+    constexpr std::array<std::string_view, 7> rests = {"0.4", "1", "2.5", "3", "6", "-1", "soon"};
+    constexpr duration shortestNotice(1500);
+    constexpr int kinds = 3;
+    // Other numbers than those of the faults.
+    constexpr std::uint64_t ownStream = 0x9e3779b97f4a7c15ULL;
+    draw numbers(seed ^ ownStream);
+    std::vector<planned_notice> plan;
+    const auto time = size.length - calmEnd - calmBegin;
+    for (int number = 0; number < count; ++number) {
+        planned_notice notice;
+        notice.at = calmBegin + time * number / count;
+        notice.lasts = std::min(numbers.between(shortestNotice, longestFault), size.length - calmEnd - notice.at);
+        notice.kind = static_cast<notice_kind>(numbers.below(kinds));
+        notice.target = numbers.below(size.replicas + size.plainReplicas);
+        notice.value = notice.kind == notice_kind::limit ? limits.at(static_cast<std::size_t>(numbers.below(limits.size())))
+                                                         : rests.at(static_cast<std::size_t>(numbers.below(rests.size())));
+        plan.push_back(notice);
+    }
+    return plan;
+}
+
+std::string describe(const planned_notice &notice)
+{
+    constexpr std::array<std::string_view, 3> noticeNames = {"limit", "rest", "leaving"};
+    return fmt::format("{:>7} ms  says {:<15} {:>3}  for {} ms: {}",
+                       notice.at.count(),
+                       noticeNames.at(static_cast<std::size_t>(notice.kind)),
+                       notice.target,
+                       notice.lasts.count(),
+                       notice.value);
+}
+
 } // namespace vetchpost::test
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -78,4 +78,27 @@
 
 std::string describe(const planned_fault &fault);
 
+/// What a replica says of itself for a while.
+enum class notice_kind {
+    limit,
+    /// It rejects what comes, and asks for rest.
+    rest,
+    /// It says in its answers that it leaves, a while before its entry does.
+    leaving
+};
+
+struct planned_notice
+{
+    duration at{0};
+    duration lasts{0};
+    notice_kind kind = notice_kind::limit;
+    int target = 0;
+    /// As its answers write it.
+    std::string value;
+};
+
+/// So many notices, spread over the time of the faults; they overlap. Independent of the faults of the seed.
+std::vector<planned_notice> planNotices(std::uint64_t seed, const schedule_size &size, int count);
+std::string describe(const planned_notice &notice);
+
 } // namespace vetchpost::test
--- a/Tests/SoakChecks/testSoakChecks.cpp
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -303,3 +303,66 @@
     }
     CHECK(kinds.size() == faultKindCount);
 }
+
+TEST_CASE("Of the requests of told daemons a limit counts those in a window, and excuses a daemon that started again")
+{
+    std::vector<attempt_fact> attempts;
+    std::vector<platform_event> events{event(0, "limit_begins")};
+    events.back().value = 1;
+    const auto send = [&](int time, int daemon) {
+        auto fact = attempt(request_kind::stream, attempt_end::answered, time, time + 50, 200);
+        fact.id = request_id(std::to_string(attempts.size()));
+        fact.daemon = daemon;
+        attempts.push_back(fact);
+        events.push_back(event(time, "arrived", "i-1", fact.id.value()));
+    };
+    send(0, 1);
+    events.push_back(event(10, "told_limit", "i-1", "0"));
+    send(0, 2);
+    events.push_back(event(10, "told_limit", "i-1", "1"));
+    for (int number = 0; number < 6; ++number) {
+        send(3000 + number, 1);
+        send(3100 + number, 2);
+    }
+    // Eleven are allowed; nobody told the third daemon.
+    send(3200, 3);
+    CHECK(checkLimits(factsOf(attempts, events), bounds).size() == 1);
+    CHECK(checkLimits(factsOf(attempts, events, {fault(disturbance_kind::process, 500, 600, 2)}), bounds).empty());
+    auto ended = events;
+    ended.insert(ended.begin() + 1, event(2000, "limit_ends"));
+    CHECK(checkLimits(factsOf(attempts, ended), bounds).empty());
+}
+
+TEST_CASE("Two requests may reach a replica that rests, from the daemon that it asked")
+{
+    std::vector<attempt_fact> attempts;
+    std::vector<platform_event> events;
+    for (const int time : {0, 100, 600, 2000, 2900}) {
+        auto fact = attempt(request_kind::stream, attempt_end::answered, time, time + 50, 200);
+        fact.id = request_id(std::to_string(time));
+        attempts.push_back(fact);
+        events.push_back(event(time, "arrived", "i-1", fact.id.value()));
+    }
+    auto told = event(5, "told_rest", "i-1", "0");
+    told.value = 3;
+    events.push_back(told);
+    CHECK(checkRests(factsOf(attempts, events), bounds).size() == 1);
+    attempts.back().daemon = 1;
+    CHECK(checkRests(factsOf(attempts, events), bounds).empty());
+}
+
+TEST_CASE("A daemon that was told of a departure sends nothing there that came later, until a new life")
+{
+    std::vector<attempt_fact> attempts;
+    std::vector<platform_event> events;
+    for (const int time : {0, 1900, 2100}) {
+        auto fact = attempt(request_kind::stream, attempt_end::answered, time, time + 50, 200);
+        fact.id = request_id(std::to_string(time));
+        attempts.push_back(fact);
+        events.push_back(event(time, "arrived", "i-1", fact.id.value()));
+    }
+    events.push_back(event(5, "told_leaving", "i-1", "0"));
+    CHECK(checkToldLeaving(factsOf(attempts, events), bounds).size() == 1);
+    events.push_back(event(2050, "started"));
+    CHECK(checkToldLeaving(factsOf(attempts, events), bounds).empty());
+}
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -119,6 +119,7 @@
             }
             replica.isDark = replica.isDark || (json.isMember("dark") && isNamedIn(json["dark"], replica.id));
             replica.isDraining = replica.isDraining || (json.isMember("drain") && isNamedIn(json["drain"], replica.id));
+            setNotices(replica, json);
             if (json.isMember("slow") && json["slow"].isMember(replica.id)) {
                 replica.slowness = json["slow"][replica.id].asDouble();
             }
@@ -150,6 +151,45 @@
     }
 }
 
+/// Takes what a replica is to say in its answers from now on; with the mutex held.
+void replica_host::setNotices(stand_in_replica &replica, const Json::Value &json)
+{
+    if (json.isMember("limit") && json["limit"].isMember(replica.id)) {
+        const auto &limit = json["limit"][replica.id];
+        replica.rateLimit = limit.isNumeric() ? std::optional(limit.asDouble()) : std::nullopt;
+        Json::Value fields;
+        fields["replica"] = replica.id;
+        fields["value"] = replica.rateLimit.value_or(0);
+        m_world.events.push_back({replica.rateLimit ? "limit_begins" : "limit_ends", fields});
+        passEvents();
+    }
+    if (json.isMember("rest") && json["rest"].isMember(replica.id)) {
+        replica.rest = json["rest"][replica.id].asString();
+    }
+    replica.saysLeaving = replica.saysLeaving || (json.isMember("say_leaving") && isNamedIn(json["say_leaving"], replica.id));
+}
+
+/// What a replica says of itself in an answer with this status.
+std::vector<http_header> replica_host::noticesOf(const std::string &id, int status)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto *replica = findReplica(m_world, id);
+    std::vector<http_header> notices;
+    if (replica == nullptr) {
+        return notices;
+    }
+    if (replica->rateLimit) {
+        notices.push_back({names::serverLimit, fmt::format("{}", *replica->rateLimit)});
+    }
+    if (replica->saysLeaving || replica->isDraining) {
+        notices.push_back({names::serverLeaving, names::isSet});
+    }
+    if (status == names::unavailable && !replica->rest.empty()) {
+        notices.push_back({names::retryAfter, replica->rest});
+    }
+    return notices;
+}
+
 Json::Value replica_host::facts()
 {
     const std::lock_guard lock(m_mutex);
@@ -299,8 +339,14 @@
     if (!expected.empty() && expected != replica.id) {
         exchange.setHeader(names::attemptId, exchange.header(names::attemptId));
         exchange.setHeader(stand_in_names::instance, replica.id);
+        for (const auto &notice : noticesOf(replica.id, names::misdirected)) {
+            exchange.setHeader(notice.name, notice.value);
+        }
         exchange.send(names::misdirected, "text/plain", "another instance\n");
     } else if (exchange.path() == names::reportCall) {
+        for (const auto &notice : noticesOf(replica.id, 0)) {
+            exchange.setHeader(notice.name, notice.value);
+        }
         sendJson(exchange, reportOf(replica));
     } else if (exchange.path() == names::orderCall) {
         handleOrder(number, exchange);
@@ -327,6 +373,9 @@
         }
     }
     if (status != 0) {
+        for (const auto &notice : noticesOf(id, status)) {
+            exchange.setHeader(notice.name, notice.value);
+        }
         sendJson(exchange, Json::Value(Json::objectValue), status);
         return;
     }
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -100,7 +100,11 @@
     std::string stream(const running_request &request, http_exchange &exchange);
     std::string pause(const running_request &request, const http_exchange &exchange, duration time);
     void refuse(const running_request &request, http_exchange &exchange, int status);
-    std::vector<http_header> answerHeaders(const running_request &request) const;
+    std::vector<http_header> answerHeaders(const running_request &request);
+    std::vector<http_header> noticesOf(const std::string &id, int status);
+    void setNotices(stand_in_replica &replica, const Json::Value &json);
+    void addNotices(const running_request &request, http_exchange &exchange, int status);
+    void noteTold(const running_request &request, int status);
     void runTicks();
     void tick();
     void endDrained(instant now);
--- a/Tests/StandIns/platform/replica_model.cpp
+++ b/Tests/StandIns/platform/replica_model.cpp
@@ -302,10 +302,16 @@
     replica.staging.reset();
     replica.lastModel.clear();
     ++replica.serving;
+    replica.rateLimit.reset();
+    replica.rest.clear();
+    replica.saysLeaving = false;
 }
 
 int admissionStatus(const stand_in_replica &replica, const std::string &model)
 {
+    if (!replica.rest.empty()) {
+        return unavailable;
+    }
     if (replica.hasEngine) {
         if (!isHead(replica) || replica.membership->model != model) {
             return names::misdirected;
--- a/Tests/StandIns/platform/replica_model.h
+++ b/Tests/StandIns/platform/replica_model.h
@@ -57,6 +57,12 @@
     bool isDraining = false;
     /// A factor on its times.
     double slowness = 1;
+    /// Requests a second from all daemons together, which its answers name.
+    std::optional<double> rateLimit;
+    /// It rejects what comes with this time of rest, as its answers write it; empty while it takes requests.
+    std::string rest;
+    /// Its answers say that it leaves, whatever its entry says.
+    bool saysLeaving = false;
     std::optional<stand_in_membership> membership;
     /// The model that its host holds.
     std::string staged;
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -62,6 +62,7 @@
     exchange.setHeader(names::attemptId, request.attempt);
     exchange.setHeader(names::notExecuted, "1");
     exchange.setHeader(stand_in_names::faultyReplica, request.id);
+    addNotices(request, exchange, status);
     exchange.send(status, "text/plain", "not run\n");
 }
 
@@ -232,11 +233,35 @@
     return pause(request, exchange, endLength);
 }
 
-std::vector<http_header> replica_host::answerHeaders(const running_request &request) const
+std::vector<http_header> replica_host::answerHeaders(const running_request &request)
 {
-    return {{names::attemptId, request.attempt},
-            {names::serverStamp, fmt::format("{}.{}", request.id, request.attempt)},
-            {stand_in_names::weightVersions, "1"}};
+    std::vector<http_header> headers = {{names::attemptId, request.attempt},
+                                        {names::serverStamp, fmt::format("{}.{}", request.id, request.attempt)},
+                                        {stand_in_names::weightVersions, "1"}};
+    for (auto &notice : noticesOf(request.id, 0)) {
+        headers.push_back(std::move(notice));
+    }
+    noteTold(request, 0);
+    return headers;
+}
+
+void replica_host::addNotices(const running_request &request, http_exchange &exchange, int status)
+{
+    for (const auto &notice : noticesOf(request.id, status)) {
+        exchange.setHeader(notice.name, notice.value);
+    }
+    noteTold(request, status);
+}
+
+/// Writes down what the answer to a request says of its replica.
+void replica_host::noteTold(const running_request &request, int status)
+{
+    for (const auto &notice : noticesOf(request.id, status)) {
+        const auto *what = notice.name == names::serverLimit ? "told_limit"
+            : notice.name == names::serverLeaving            ? "told_leaving"
+                                                             : "told_rest";
+        note(what, request, "value", notice.value);
+    }
 }
 
 std::string replica_host::answer(const running_request &request, http_exchange &exchange)
@@ -245,6 +270,7 @@
     auto how = pause(request, exchange, m_options.step * plainSteps);
     if (how == "deadline") {
         exchange.setHeader(names::attemptId, request.attempt);
+        addNotices(request, exchange, deadlinePassed);
         exchange.send(deadlinePassed, "text/plain", "too late\n");
         return how;
     }
