--- a/Tests/StandIns/fault_switches.h
+++ b/Tests/StandIns/fault_switches.h
@@ -17,6 +17,10 @@
     std::atomic<std::uint64_t> delayMs = 0;
     /// Every call is refused with this status; 0 for none.
     std::atomic<std::uint64_t> refuseWith = 0;
+    /// A refusal says that nothing ran, and asks for so many seconds of rest; 0 for none.
+    std::atomic<std::uint64_t> restSeconds = 0;
+    /// Calls that were refused so.
+    mutable std::atomic<std::uint64_t> rejected = 0;
     /// So many of the next writes take effect, but their replies are lost.
     std::atomic<std::uint64_t> loseReplies = 0;
 
@@ -24,13 +28,28 @@
     {
         delayMs = jsonNumber(json, "delay_ms");
         refuseWith = jsonNumber(json, "refuse_with");
+        restSeconds = jsonNumber(json, "rest_seconds");
         loseReplies = jsonNumber(json, "lose_replies");
     }
 
+    Json::Value counts() const
+    {
+        Json::Value json;
+        json["rejected"] = Json::UInt64(rejected);
+        return json;
+    }
+
     /// Shows the faults that come before a call; false where the call has been answered.
     bool before(http_exchange &exchange) const
     {
         std::this_thread::sleep_for(std::chrono::milliseconds(delayMs));
+        if (refuseWith != 0 && restSeconds != 0) {
+            ++rejected;
+            exchange.setHeader("Retry-After", std::to_string(restSeconds));
+            exchange.setHeader("X-Request-Ran", "no");
+            exchange.send(static_cast<int>(refuseWith), "application/json", R"({"ran":"not_run","message":"it rests"})");
+            return false;
+        }
         if (refuseWith != 0) {
             exchange.send(static_cast<int>(refuseWith), "text/plain", "out of order\n");
             return false;
--- a/Tests/StandIns/standInEngine.cpp
+++ b/Tests/StandIns/standInEngine.cpp
@@ -59,7 +59,9 @@
 
     void handle(http_exchange &exchange)
     {
-        if (exchange.path() == "/faults") {
+        if (exchange.path() == "/faults" && exchange.method() == "GET") {
+            sendJson(exchange, m_faults.counts());
+        } else if (exchange.path() == "/faults") {
             const auto body = bodyOf(exchange);
             m_faults.set(body);
             m_streamFaults.set(body);
@@ -67,7 +69,7 @@
             sendJson(exchange, Json::Value(Json::objectValue));
         } else if (exchange.path() == "/runs") {
             showRuns(exchange);
-        } else if (m_faults.before(exchange)) {
+        } else if ((m_faults.restSeconds != 0 && exchange.path() != "/v1/completions") || m_faults.before(exchange)) {
             answer(exchange);
         }
     }
--- a/Tests/StandIns/standInService.cpp
+++ b/Tests/StandIns/standInService.cpp
@@ -30,6 +30,10 @@
 
     void handle(http_exchange &exchange)
     {
+        if (exchange.path() == "/faults" && exchange.method() == "GET") {
+            sendJson(exchange, m_faults.counts());
+            return;
+        }
         if (exchange.path() == "/faults") {
             m_faults.set(bodyOf(exchange));
             sendJson(exchange, Json::Value(Json::objectValue));
