Daemon: Send nothing to engines and services while they rest

Cause: the same as in the incident: Retry-After of a rejection was not read; a replica was avoided for one or two seconds, a service instance was only put behind the others.

Where all replicas of a model rest until after the deadline the request is refused at once; a service's refusal names the time at which the first instance has rested.

--- a/Libraries/Daemon/admission.cpp
+++ b/Libraries/Daemon/admission.cpp
@@ -56,14 +56,16 @@
 struct admission::private_data
 {
     const rcu_snapshot<routing_snapshot> &routing;
+    const replica_rests &rests;
     mutable std::mutex mutex;
     std::map<deployment_id, std::unique_ptr<deployment_queue>> queues;
     std::uint64_t lastTicket = 0;
     routing_policy policy;
     histogram waits;
 
-    private_data(const rcu_snapshot<routing_snapshot> &routes, metrics &counters)
+    private_data(const rcu_snapshot<routing_snapshot> &routes, const replica_rests &replicaRests, metrics &counters)
         : routing(routes)
+        , rests(replicaRests)
         , waits(counters.addTimeHistogram("vetchpost_queue_seconds", "How long requests waited for a replica."))
     {
     }
@@ -93,8 +95,12 @@
                 return std::nullopt;
             }
             const auto reserved = reservedShare(queue.queue, request.priority);
-            const replica_choices choices{routes->places,
-                                          [&](std::size_t place) { return loadOf(routes->replicas[place], request, reserved, now); }};
+            const replica_choices choices{routes->places, [&](std::size_t place) {
+                                              const auto &route = routes->replicas[place];
+                                              auto load = loadOf(route, request, reserved, now);
+                                              load.isExcluded = load.isExcluded || now < rests.restsUntil(route.leader);
+                                              return load;
+                                          }};
             const auto chosen = chooseReplica(choices, request.prefix, policy, queue.random);
             if (!chosen) {
                 return std::nullopt;
@@ -118,6 +124,11 @@
             if (!std::any_of(routes->replicas.begin(), routes->replicas.end(), isUntried)) {
                 return reason{error_kind::no_serving_group, "no replica of the model serves at the moment"};
             }
+            const auto opensInTime
+                = [&](const replica_route &route) { return isUntried(route) && rests.restsUntil(route.leader) < request.deadline; };
+            if (!std::any_of(routes->replicas.begin(), routes->replicas.end(), opensInTime)) {
+                return reason{error_kind::overloaded, "all replicas of the model rest until after the deadline"};
+            }
             return std::nullopt;
         });
     }
@@ -151,8 +162,8 @@
     }
 };
 
-admission::admission(const rcu_snapshot<routing_snapshot> &routing, metrics &counters)
-    : d(std::make_unique<private_data>(routing, counters))
+admission::admission(const rcu_snapshot<routing_snapshot> &routing, const replica_rests &rests, metrics &counters)
+    : d(std::make_unique<private_data>(routing, rests, counters))
 {
 }
 
--- a/Libraries/Daemon/admission.h
+++ b/Libraries/Daemon/admission.h
@@ -4,6 +4,7 @@
 #include "Libraries/Base/error_kind.h"
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Base/rcu_snapshot.h"
+#include "Libraries/Daemon/replica_rests.h"
 #include "Libraries/Daemon/routing_snapshot.h"
 #include "Libraries/Requests/fair_queue.h"
 
@@ -42,7 +43,7 @@
 class admission
 {
 public:
-    admission(const rcu_snapshot<routing_snapshot> &routing, metrics &counters);
+    admission(const rcu_snapshot<routing_snapshot> &routing, const replica_rests &rests, metrics &counters);
     ~admission();
     admission(const admission &) = delete;
     admission &operator=(const admission &) = delete;
--- a/Libraries/Daemon/gateway_context.h
+++ b/Libraries/Daemon/gateway_context.h
@@ -33,6 +33,7 @@
 {
     const daemon_settings &settings;
     cluster_state &cluster;
+    replica_rests &rests;
     admission &admissions;
     claim_service &claims;
     peer_service &peers;
--- a/Libraries/Daemon/model_gateway.cpp
+++ b/Libraries/Daemon/model_gateway.cpp
@@ -153,6 +153,7 @@
             return failed(why.kind == error_kind::backend_unreachable ? try_failure::not_sent : try_failure::no_answer, why.text);
         }
         if (*status != httpOk) {
+            m_context.rests.noteAnswer(route.leader, *status, stream.headers());
             return failedWith(*status, stream);
         }
         m_progress.mayHaveRun = true;
--- /dev/null
+++ b/Libraries/Daemon/replica_rests.cpp
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Daemon/replica_rests.h"
+
+#include "Libraries/Base/log.h"
+#include "Libraries/Requests/replica_constraints.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace vetchpost {
+
+namespace {
+
+constexpr part_log restLog("rest");
+constexpr int tooManyRequests = 429;
+constexpr int serviceUnavailable = 503;
+
+/// These interfaces tell no lives of an engine apart; a rest is over after its time in any case.
+replica_key keyOf(const endpoint &address)
+{
+    return {instance_id(address.text()), {}};
+}
+
+} // namespace
+
+struct replica_rests::private_data
+{
+    mutable std::mutex mutex;
+    replica_constraints table;
+    std::atomic<bool> hasAny = false;
+};
+
+replica_rests::replica_rests()
+    : d(std::make_unique<private_data>())
+{
+}
+
+replica_rests::~replica_rests() = default;
+
+void replica_rests::noteAnswer(const endpoint &from, int status, const std::vector<http_header> &headers)
+{
+    if (status != tooManyRequests && status != serviceUnavailable) {
+        return;
+    }
+    replica_notice notice;
+    notice.rest = restOf(headerValue(headers, "Retry-After"));
+    if (!notice.rest) {
+        return;
+    }
+    const std::lock_guard lock(d->mutex);
+    const auto now = monotonicNow();
+    forgetOld(d->table, now);
+    if (vetchpost::noteAnswer(d->table, keyOf(from), notice, now).hasRest) {
+        restLog.info("A backend server asks for rest. address={} rest_ms={}", from.text(), notice.rest->count());
+    }
+    d->hasAny = true;
+}
+
+instant replica_rests::restsUntil(const endpoint &address) const
+{
+    if (!d->hasAny) {
+        return {};
+    }
+    const std::lock_guard lock(d->mutex);
+    const auto *known = findConstraint(d->table, keyOf(address));
+    return known == nullptr ? instant() : known->restsUntil;
+}
+
+} // namespace vetchpost
--- a/Libraries/Daemon/service_gateway.cpp
+++ b/Libraries/Daemon/service_gateway.cpp
@@ -84,7 +84,7 @@
         context.cluster.routing().read([&](const routing_snapshot &snapshot) {
             const auto *routes = snapshot.find(deployment);
             for (const auto &route : routes == nullptr ? std::vector<service_route>() : routes->services) {
-                if (tried.contains(route.instance)) {
+                if (tried.contains(route.instance) || now < context.rests.restsUntil(route.address)) {
                     continue;
                 }
                 // One that had trouble a moment ago comes last, but it is better than none.
@@ -107,6 +107,21 @@
         return chosen;
     }
 
+    /// How long until the first of the service's instances has rested; nothing where one does not rest.
+    std::optional<duration> opensAfter(const deployment_id &deployment)
+    {
+        const auto now = monotonicNow();
+        std::optional<instant> first;
+        context.cluster.routing().read([&](const routing_snapshot &snapshot) {
+            const auto *routes = snapshot.find(deployment);
+            for (const auto &route : routes == nullptr ? std::vector<service_route>() : routes->services) {
+                const auto until = context.rests.restsUntil(route.address);
+                first = std::min(first.value_or(until), until);
+            }
+        });
+        return first && *first > now ? std::optional(*first - now) : std::nullopt;
+    }
+
     void release(const service_route &route, bool hadTrouble)
     {
         const std::lock_guard lock(mutex);
@@ -133,6 +148,9 @@
             context.requests.accepted.increment();
             // Each call has a connection of its own: one that the server is just closing would leave the outcome unknown.
             auto reply = sendOnFreshConnection(makeCall(exchange, request, target, *route), why);
+            if (reply) {
+                context.rests.noteAnswer(route->address, reply->status, reply->headers);
+            }
             const bool isUsable = reply && !saysNotRun(*reply) && !isForeign(*reply, request);
             release(*route, !isUsable);
             if (isUsable) {
@@ -205,7 +223,7 @@
         return;
     }
     context.counters.countRefusal(why.kind);
-    exchange.sendError(why, request.id.value());
+    exchange.sendError(why, request.id.value(), progress.mayHaveRun ? std::nullopt : d->opensAfter(request.target.id));
 }
 
 } // namespace vetchpost
--- a/Tests/Processes/testRest.sh
+++ b/Tests/Processes/testRest.sh
@@ -20,6 +20,7 @@
 for order in 1 2 3 4 5; do
     answer=$(work_order 1 "rest-$order")
     expect "an order while the service rests" "$answer" '"ran":"not_run"'
+    expect "tells when to come back" "$answer" '"retry_after_seconds":'
     sleep 0.3
 done
 expect "a service that rests is asked once" "=$(rejected_by "$(service_address 1)")=" "=1="
