Entry: Ask a place that rejects requests more and more seldom

Cause: a rejection without a time of rest left no trace.

Change: after a rejection the place is passed over for a quarter of a second, twice as long with each further one, two seconds at most; a request that it takes ends that. A preference, not an exclusion: where all reject, requests go there as before.

Test: testEntryView plays a group that rejects.

--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -96,6 +96,20 @@
     load.avoidedUntil = (now + avoidance).time_since_epoch().count();
 }
 
+void noteRejection(backend_load &load, instant now)
+{
+    // Beyond this many the time no longer grows.
+    constexpr int mostDoublings = 3;
+    const auto doublings = std::min(load.rejections.fetch_add(1), mostDoublings);
+    const auto time = std::min(firstRejectionAvoidance * (1 << doublings), longestRejectionAvoidance);
+    load.avoidedUntil = std::max(load.avoidedUntil.load(), (now + time).time_since_epoch().count());
+}
+
+void noteAdmission(backend_load &load)
+{
+    load.rejections = 0;
+}
+
 bool isQuiet(const backend_load &load, instant now)
 {
     const auto last = load.lastProgress.load();
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -24,6 +24,8 @@
     std::atomic<std::uint64_t> lastTurn = 0;
     /// Nothing is sent there before this time, while another place is there (milliseconds of the decision clock).
     std::atomic<std::int64_t> avoidedUntil = 0;
+    /// Rejections there since it last took a request.
+    std::atomic<int> rejections = 0;
     /// When bytes last came from there (milliseconds of the decision clock).
     std::atomic<std::int64_t> lastProgress = 0;
     /// When the coordinator last told that the place is likely to stand still (milliseconds of the decision clock).
@@ -36,6 +38,16 @@
 constexpr duration quietPause(300);
 
 void avoid(backend_load &load, instant now);
+
+/// A place that rejected a request without a time of rest is passed over for so long, while there is another; twice as long with each
+/// further rejection, up to the longest.
+constexpr duration firstRejectionAvoidance(250);
+constexpr duration longestRejectionAvoidance(2000);
+
+/// A place that rejects is quick and has nothing outstanding: without this it would look like the best one.
+void noteRejection(backend_load &load, instant now);
+/// The place has taken a request.
+void noteAdmission(backend_load &load);
 /// Whether requests wait at a place that sent nothing for a while.
 bool isQuiet(const backend_load &load, instant now);
 
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -343,6 +343,11 @@
 
 void request_run::noteTrouble(const backend &target, try_end end) const
 {
+    if (end == try_end::not_run) {
+        noteRejection(*target.load, monotonicNow());
+    } else if (m_hasProgress) {
+        noteAdmission(*target.load);
+    }
     const bool isTrouble = end == try_end::not_sent || end == try_end::lost || end == try_end::silent;
     if (!isTrouble) {
         return;
--- a/Tests/Entry/testEntryView.cpp
+++ b/Tests/Entry/testEntryView.cpp
@@ -221,3 +221,28 @@
     stuck.lastProgress = now.time_since_epoch().count();
     CHECK(chooseBackend(places, {}, data_centre_id("z"), now + duration(1), 1, 0)->replica == instance_id("r0"));
 }
+
+TEST_CASE("A group that rejects what comes is asked now and then, and as usual once it takes a request")
+{
+    std::vector<backend> candidates = {groupHead("rejects"), groupHead("busy"), groupHead("busier")};
+    candidates[1].load->outstanding = 3;
+    candidates[2].load->outstanding = 4;
+    int asked = 0;
+    std::uint64_t turn = 10;
+    const auto play = [&](instant from, bool rejects) {
+        for (auto at = from; at < from + duration(3000); at += duration(10)) {
+            const auto *best = chooseBackend(candidates, {}, here, at, ++turn, 0);
+            if (best->replica != instance_id("rejects")) {
+                continue;
+            }
+            ++asked;
+            rejects ? noteRejection(*best->load, at) : noteAdmission(*best->load);
+        }
+    };
+    play(now, true);
+    CHECK(asked >= 2);
+    CHECK(asked <= 5);
+    asked = 0;
+    play(now + duration(3000), false);
+    CHECK(asked > 100);
+}
