Entry, Requests: Ask again for a permit while a request waits, and keep departures

A request without an open place looked at the permits again only with the next answer, up to a tenth of a second, also where the source had put it off for a few milliseconds; a place whose permit may come at once now counts as open for a repeat. A departure was forgotten after ten minutes without a word; it holds until a new life.

--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -21,6 +21,8 @@
 constexpr int mostUnreachable = 4;
 /// A request without any other place waits so long for a permit: the question and its answer take a few milliseconds.
 constexpr duration longestPermitWait(100);
+/// A question that was put off is asked again while a request waits.
+constexpr duration permitPollPeriod(10);
 /// Weight of the newest value in a smoothed time.
 constexpr double newestWeight = 0.2;
 
@@ -29,6 +31,12 @@
     return std::any_of(engine.models.begin(), engine.models.end(), [&](const group_model &model) { return model.id == id; });
 }
 
+std::vector<instance_id> joined(std::vector<instance_id> first, const std::vector<instance_id> &second)
+{
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
 } // namespace
 
 request_run::request_run(relay_context &context, http_exchange &exchange)
@@ -178,8 +186,7 @@
         const auto &candidates = newest->backends(*m_service, m_head.model);
         m_closed = m_context.constraints.closedPlaces(candidates, m_tried);
         const bool isAsked = m_closed.limited > 0 && m_context.wantPermit(candidates, m_tried, drawNumber());
-        auto passedOver = m_tried;
-        passedOver.insert(passedOver.end(), m_closed.replicas.begin(), m_closed.replicas.end());
+        const auto passedOver = joined(m_tried, m_closed.replicas);
         const bool isCalm = m_context.shedding.isCalm(m_service->id, m_head.model);
         const auto now = monotonicNow();
         const auto *best = chooseBackend(candidates, passedOver, newest->dataCentre, now, m_context.nextTurn(), drawNumber(), isCalm);
@@ -191,20 +198,19 @@
             return std::nullopt;
         }
         if (best == nullptr) {
-            m_context.constraints.awaitPermit(until);
+            m_context.constraints.awaitPermit(std::min(until, now + permitPollPeriod));
         }
     }
 }
 
-/// Whether a place that was not tried yet may take the request at once.
-bool request_run::hasOpenPlace() const
+/// Whether a place that was not tried yet takes requests, or is likely to within \a time.
+bool request_run::hasOpenPlace(duration time) const
 {
     const auto newest = m_context.currentView();
     const auto &candidates = newest->backends(*m_service, m_head.model);
     const auto closed = m_context.constraints.closedPlaces(candidates, m_tried);
-    auto passedOver = m_tried;
-    passedOver.insert(passedOver.end(), closed.replicas.begin(), closed.replicas.end());
-    return hasUntried(candidates, passedOver);
+    const bool opensSoon = closed.opensAt && *closed.opensAt < monotonicNow() + time;
+    return opensSoon || hasUntried(candidates, joined(m_tried, closed.replicas));
 }
 
 bool request_run::mayTryAnother(try_end end)
@@ -229,7 +235,7 @@
         m_noRepeatWhy = "the route allows no more attempts";
         return false;
     }
-    if (!hasOpenPlace()) {
+    if (!hasOpenPlace(longestPermitWait)) {
         m_noRepeatWhy = "no other place takes requests";
         return false;
     }
@@ -249,7 +255,7 @@
 bool request_run::takeRepeatElsewhere()
 {
     const bool mayGoOn = m_route->mayRunAgain() && m_attempts < m_route->maximumAttempts;
-    if (!mayGoOn || !hasOpenPlace()) {
+    if (!mayGoOn || !hasOpenPlace(duration())) {
         return false;
     }
     m_hasRepeat = m_context.takeRepeat(m_service->id);
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -58,7 +58,7 @@
     duration held() const;
 
     std::optional<backend> choose();
-    bool hasOpenPlace() const;
+    bool hasOpenPlace(duration time) const;
     try_end tryOn(const backend &target);
     try_end runOn(const backend &target);
     http_call callTo(const backend &target) const;
--- a/Libraries/Requests/replica_constraints.cpp
+++ b/Libraries/Requests/replica_constraints.cpp
@@ -52,8 +52,11 @@
 
 void forgetOld(replica_constraints &table, instant now)
 {
-    std::erase_if(table.known,
-                  [&](const auto &entry) { return now - entry.second.learnedAt >= constraintLifetime && now >= entry.second.restsUntil; });
+    std::erase_if(table.known, [&](const auto &entry) {
+        const auto &constraint = entry.second;
+        const auto lifetime = constraint.isLeaving ? departureLifetime : constraintLifetime;
+        return now - constraint.learnedAt >= lifetime && now >= constraint.restsUntil;
+    });
 }
 
 bool takeEvidence(replica_constraints &table, const constraint_report &report, instant now)
--- a/Libraries/Requests/replica_constraints.h
+++ b/Libraries/Requests/replica_constraints.h
@@ -46,6 +46,8 @@
 
 /// Of which nothing was learned for so long is forgotten: the replica has ended, or nobody has asked it for anything.
 constexpr duration constraintLifetime(600000);
+/// A departure holds until the next life, however long the replica takes to end; what has ended must be forgotten at some time.
+constexpr duration departureLifetime(86400000);
 
 /// Which parts of what is known an answer changed.
 struct constraint_change
--- a/Tests/Requests/testReplicaConstraints.cpp
+++ b/Tests/Requests/testReplicaConstraints.cpp
@@ -101,6 +101,12 @@
     CHECK(table.known.size() == 1);
     forgetOld(table, start + constraintLifetime);
     CHECK(table.known.empty());
+
+    noteAnswer(table, replica, leaving(), start);
+    forgetOld(table, start + constraintLifetime);
+    CHECK(causeOf(table, replica, start + constraintLifetime) == closure_cause::leaving);
+    forgetOld(table, start + departureLifetime);
+    CHECK(table.known.empty());
 }
 
 TEST_CASE("A permit serves one request, within its time, whenever its answer is read")
