Entry, Requests: Tell of departures past the feed's backlog

With the first request followers begin to want the entries, and thousands have changed while groups formed; a follower gets some 800 a second. By the daemons' own code in virtual time the last of 3,000 changes is known after 3,080 ms at 79 daemons and 3,110 at 300.

Ruled out before: preparing hosts at a slower pace.

Change: a daemon that reads in an entry that a replica leaves tells the others by the table of constraints, which is empty but for such words and is sent at once.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -101,7 +101,17 @@
         , dialect(std::move(words))
         , keyValue(std::make_unique<paced_service>(std::make_unique<measured_store>(makeStore(settings.keyValue, counters), counters),
                                                    dialect->configurationKey()))
-        , store(*keyValue, *dialect, feedTiming(settings.configurationApply), counters, [this] { rebuildView(); })
+        , store(
+              *keyValue,
+              *dialect,
+              feedTiming(settings.configurationApply),
+              counters,
+              [this] { rebuildView(); },
+              [this](const std::vector<replica_key> &replicas) {
+                  if (constraints.noteDepartures(replicas)) {
+                      feed.spreadTables();
+                  }
+              })
         , suspects(counters)
         , constraints(counters, [this] { store.noteLeaving(constraints.leaving()); })
         , feed(
--- a/Libraries/Entry/shared_constraints.cpp
+++ b/Libraries/Entry/shared_constraints.cpp
@@ -180,6 +180,14 @@
     return change.hasLimit || change.isLeaving;
 }
 
+bool shared_constraints::noteDepartures(const std::vector<replica_key> &replicas)
+{
+    const std::lock_guard lock(d->mutex);
+    const bool isNews = vetchpost::noteDepartures(d->table, replicas, monotonicNow());
+    d->hasAny = !d->table.known.empty();
+    return isNews;
+}
+
 void shared_constraints::noteSent(const backend &place)
 {
     if (!d->hasAny) {
--- a/Libraries/Entry/shared_constraints.h
+++ b/Libraries/Entry/shared_constraints.h
@@ -44,6 +44,8 @@
     /// Takes in what a replica's answer to a request says, or to a call of the daemon's own (then \a request is empty). True where other
     /// daemons have to know.
     bool noteAnswer(const replica_key &replica, const replica_notice &notice, const request_id &request = {});
+    /// Takes in replicas whose entries say that they leave. True where other daemons have to know.
+    bool noteDepartures(const std::vector<replica_key> &replicas);
     /// A request goes to the place now.
     void noteSent(const backend &place);
 
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -43,6 +43,7 @@
     const entry_dialect &dialect;
     const feed_timing timing;
     std::function<void()> didChange;
+    std::function<void(const std::vector<replica_key> &)> didSeeLeaving;
     counter undecodable;
     mutable std::mutex mutex;
     std::condition_variable wake;
@@ -77,11 +78,13 @@
                  const entry_dialect &words,
                  const feed_timing &feedTiming,
                  metrics &counters,
-                 std::function<void()> changed)
+                 std::function<void()> changed,
+                 std::function<void(const std::vector<replica_key> &)> seeLeaving)
         : keyValue(service)
         , dialect(words)
         , timing(feedTiming)
         , didChange(std::move(changed))
+        , didSeeLeaving(std::move(seeLeaving))
         , undecodable(counters.addCounter("vetchpost_undecodable_entries_total", "Values of the key-value service that could not be read."))
     {
     }
@@ -294,6 +297,7 @@
         }
         const auto outage = replicasOutage();
         const auto replicas = decodeAll(listing->entries);
+        tellLeaving(replicas);
         {
             const std::lock_guard lock(mutex);
             takeListing(entries, replicas, listing->upTo, outage, monotonicNow());
@@ -330,6 +334,7 @@
         }
         isBehind = result->changes.size() >= manyChanges;
         const auto changes = decodeAll(result->changes);
+        tellLeaving(changes);
         bool hasChanged = takeChanges(changes);
         {
             const std::lock_guard lock(mutex);
@@ -357,6 +362,20 @@
         return changes;
     }
 
+    /// In the feed a departure stands behind all changes before it, which are thousands when the first request comes.
+    void tellLeaving(const std::vector<replica_change> &changes) const
+    {
+        std::vector<replica_key> leaving;
+        for (const auto &change : changes) {
+            if (change.replica && change.replica->isDraining) {
+                leaving.push_back({change.id, change.replica->life});
+            }
+        }
+        if (!leaving.empty()) {
+            didSeeLeaving(leaving);
+        }
+    }
+
     /// Whether there were any.
     bool takeChanges(const std::vector<replica_change> &changes)
     {
@@ -461,8 +480,9 @@
                                const entry_dialect &dialect,
                                const feed_timing &timing,
                                metrics &counters,
-                               std::function<void()> didChange)
-    : d(std::make_unique<private_data>(keyValue, dialect, timing, counters, std::move(didChange)))
+                               std::function<void()> didChange,
+                               std::function<void(const std::vector<replica_key> &)> didSeeLeaving)
+    : d(std::make_unique<private_data>(keyValue, dialect, timing, counters, std::move(didChange), std::move(didSeeLeaving)))
 {
 }
 
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace vetchpost {
 
@@ -22,12 +23,13 @@
 class store_follower
 {
 public:
-    /// \a didChange is called on either thread after anything changed.
+    /// \a didChange is called on either thread after anything changed, \a didSeeLeaving with replicas whose entries say that they leave.
     store_follower(key_value_service &keyValue,
                    const entry_dialect &dialect,
                    const feed_timing &timing,
                    metrics &counters,
-                   std::function<void()> didChange);
+                   std::function<void()> didChange,
+                   std::function<void(const std::vector<replica_key> &)> didSeeLeaving);
     ~store_follower();
     store_follower(const store_follower &) = delete;
     store_follower &operator=(const store_follower &) = delete;
--- a/Libraries/Requests/replica_constraints.cpp
+++ b/Libraries/Requests/replica_constraints.cpp
@@ -50,6 +50,17 @@
     return change;
 }
 
+bool noteDepartures(replica_constraints &table, const std::vector<replica_key> &replicas, instant now)
+{
+    replica_notice departure;
+    departure.isLeaving = true;
+    bool isNews = false;
+    for (const auto &replica : replicas) {
+        isNews = noteAnswer(table, replica, departure, now).isLeaving || isNews;
+    }
+    return isNews;
+}
+
 void forgetOld(replica_constraints &table, instant now)
 {
     std::erase_if(table.known, [&](const auto &entry) {
--- a/Libraries/Requests/replica_constraints.h
+++ b/Libraries/Requests/replica_constraints.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 /// What replicas said of the work that they can take, by their lives (docs/design/REPLICA-CONSTRAINTS.md). A limit and a departure concern
 /// all daemons, a rest the daemon that was asked for it.
@@ -64,6 +65,8 @@
 
 /// Takes in what an answer to this daemon says.
 constraint_change noteAnswer(replica_constraints &table, const replica_key &replica, const replica_notice &notice, instant now);
+/// Takes in replicas whose entries say that they leave; true where that was news.
+bool noteDepartures(replica_constraints &table, const std::vector<replica_key> &replicas, instant now);
 void forgetOld(replica_constraints &table, instant now);
 
 /// What one daemon tells another of a replica.
--- a/Tests/Feed/feedWorld.cpp
+++ b/Tests/Feed/feedWorld.cpp
@@ -15,9 +15,8 @@
 constexpr std::uint16_t basePort = 7000;
 
 /// One as long as they are on a platform.
-replica_change changeOf(std::uint64_t revision)
+replica_change changeOf(std::uint64_t revision, std::uint64_t replicas)
 {
-    constexpr std::uint64_t replicas = 900;
     replica_change change{instance_id(fmt::format("i-{:010}", revision % replicas)), revision, served_replica()};
     change.replica->id = change.id;
     change.replica->service = service_id("gode75a");
@@ -216,11 +215,11 @@
     return address.port - basePort;
 }
 
-void feed_world::change()
+void feed_world::change(std::uint64_t replicas)
 {
     ++m_revision;
     auto &source = *std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.role.isSource; });
-    noteChanges(source.feed, {changeOf(m_revision)}, m_revision);
+    noteChanges(source.feed, {changeOf(m_revision, replicas)}, m_revision);
     source.upTo = m_revision;
 }
 
--- a/Tests/Feed/feedWorld.h
+++ b/Tests/Feed/feedWorld.h
@@ -22,8 +22,8 @@
     feed_world(int daemons, int dataCentres);
 
     void advance(duration time);
-    /// The source takes in one change of a replica.
-    void change();
+    /// The source takes in one change of one of so many replicas.
+    void change(std::uint64_t replicas = 900);
     /// Nothing comes from or goes to a daemon any more.
     void cutOff(int daemon);
     /// All that have lost their source find this one.
--- a/Tests/Feed/limitWorld.cpp
+++ b/Tests/Feed/limitWorld.cpp
@@ -105,6 +105,11 @@
     noteAnswer(m_nodes[static_cast<std::size_t>(daemon)].table, replica, notice, m_feed.now());
 }
 
+void limit_world::readDeparture(int daemon)
+{
+    noteDepartures(m_nodes[static_cast<std::size_t>(daemon)].table, {replica}, m_feed.now());
+}
+
 std::optional<duration> limit_world::allKnowLeavingAfter(duration longest)
 {
     constexpr duration step(10);
--- a/Tests/Feed/limitWorld.h
+++ b/Tests/Feed/limitWorld.h
@@ -42,6 +42,8 @@
     int reachedInLast(duration time) const;
     /// The replica says to one daemon that it leaves.
     void tellLeaving(int daemon);
+    /// A daemon reads in the replica's entry that it leaves.
+    void readDeparture(int daemon);
     /// How long it takes until all daemons know; nothing where it takes longer than \a longest.
     std::optional<duration> allKnowLeavingAfter(duration longest);
     /// Daemons that know of a limit.
--- a/Tests/Feed/testSharedLimit.cpp
+++ b/Tests/Feed/testSharedLimit.cpp
@@ -141,3 +141,28 @@
         }
     }
 }
+
+// Before the first request followers list the entries now and then; with it they want all that has changed since, and a departure stands
+// behind that in the feed.
+TEST_CASE("A departure that the source reads is known everywhere in time, behind thousands of changes of other replicas")
+{
+    constexpr duration drainTime(2000);
+    constexpr int changes = 3000;
+    for (const int daemons : {79, 300}) {
+        auto world = settledWorld(daemons, 0);
+        for (int number = 0; number < changes; ++number) {
+            world.feed().change(changes);
+        }
+        world.readDeparture(0);
+        const auto time = world.allKnowLeavingAfter(drainTime);
+        INFO(daemons << " daemons");
+        CHECK(time);
+        const auto begin = world.feed().now();
+        while (!world.feed().haveAllChanges()) {
+            world.advance(duration(10));
+        }
+        std::cout << daemons << " daemons: a departure behind " << changes << " changes is known after "
+                  << time.value_or(duration(-1)).count() << " ms, the last change "
+                  << (world.feed().now() - begin + time.value_or(duration())).count() << " ms\n";
+    }
+}
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -100,7 +100,8 @@
     listing_store service;
     const platform_dialect dialect;
     metrics counters;
-    store_follower follower(service, dialect, feedTiming(duration(2000)), counters, [] {});
+    store_follower follower(
+        service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
     follower.noteTraffic();
     follower.start();
     REQUIRE(isWithin(duration(3000), [&] { return follower.listedAt().has_value(); }));
@@ -123,7 +124,8 @@
         service.value = R"({"Version":1,"Routes":[],"Services":[],"Tenants":[]})";
         const platform_dialect dialect;
         metrics counters;
-        store_follower follower(service, dialect, feedTiming(duration(2000)), counters, [] {});
+        store_follower follower(
+            service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
         if (isRunning) {
             follower.noteTraffic();
         }
@@ -141,7 +143,8 @@
     service.lastChange = 3300;
     const platform_dialect dialect;
     metrics counters;
-    store_follower follower(service, dialect, feedTiming(duration(2000)), counters, [] {});
+    store_follower follower(
+        service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
     follower.start();
     CHECK(isWithin(duration(2500), [&] { return follower.replicasUpTo() == 3300; }));
     follower.stop();
@@ -152,7 +155,8 @@
     listing_store service;
     const platform_dialect dialect;
     metrics counters;
-    store_follower follower(service, dialect, feedTiming(duration(2000)), counters, [] {});
+    store_follower follower(
+        service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
     follower.start();
     REQUIRE(isWithin(duration(2500), [&] { return follower.listedAt().has_value(); }));
     service.lastChange = 3300;
@@ -171,7 +175,8 @@
     listing_store service;
     const platform_dialect dialect;
     metrics counters;
-    store_follower follower(service, dialect, feedTiming(duration(2000)), counters, [] {});
+    store_follower follower(
+        service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
     follower.noteTraffic();
     follower.setSource(true);
     follower.start();
