--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -431,7 +431,7 @@
                                  peer_feed &feed,
                                  metrics &counters,
                                  std::function<std::vector<model_demand>()> heldHere,
-                                 answer_listener didAnswer)
+                                 const answer_listener &didAnswer)
     : d(std::make_unique<private_data>(settings, keyValue, dialect, store, feed, counters, std::move(heldHere), didAnswer))
 {
 }
--- a/Libraries/Entry/assembly_runner.h
+++ b/Libraries/Entry/assembly_runner.h
@@ -26,7 +26,7 @@
                     peer_feed &feed,
                     metrics &counters,
                     std::function<std::vector<model_demand>()> heldHere,
-                    answer_listener didAnswer);
+                    const answer_listener &didAnswer);
     ~assembly_runner();
     assembly_runner(const assembly_runner &) = delete;
     assembly_runner &operator=(const assembly_runner &) = delete;
--- a/Libraries/Entry/shared_constraints.cpp
+++ b/Libraries/Entry/shared_constraints.cpp
@@ -315,7 +315,7 @@
     const auto *known = findConstraint(d->table, question.report.replica);
     // Where this daemon holds a later word that there is no limit, the asker will hear of it; until then its own word counts.
     const auto limit = known != nullptr && known->rateLimit ? known->rateLimit : question.report.rateLimit;
-    const auto answer = issuePermits(d->issuer, question, limit.value_or(leastRateLimit), asker, now);
+    auto answer = issuePermits(d->issuer, question, limit.value_or(leastRateLimit), asker, now);
     d->issued.increment(answer.granted);
     return answer;
 }
