Assembly: Load what keeps a larger model without its groups

Two free replicas of one domain held its weights, a group beside them could give way, but its hosts had used those weights up. Hosts of serving groups are prepared as losses ask for (two without any loss); announced departures are no losses, and the two were spent, for a minute. All requests for the model were refused meanwhile.

Ruled out: the notices themselves (no place was closed by one), the daemons' readiness (all were ready), too few replicas (12 usable, 10 wanted).

Change: where a model lacks much of its groups and a domain could form one from free replicas and groups that may give way, the missing weights are loaded there without the limit for preparations, one exchange at a time, within the weight store's rate.

The new test failed before (no order in 10 s, 0 loads), passes now.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -74,6 +74,20 @@
     std::vector<planned_group *> victimsFor(const group_model &model);
     std::map<fabric_domain_id, std::vector<planned_group *>> smallerGroups(const group_model &model);
     std::vector<planned_group *> victimsAmong(std::vector<planned_group *> groups, const group_model &model, int ready) const;
+    /// Smaller groups of one domain that may give way to one of a larger model.
+    struct exchange
+    {
+        std::vector<planned_group *> groups;
+        /// Their members, after the free replicas of the domain.
+        std::vector<const served_replica *> replicas;
+        /// How many of these must still load the larger model's weights.
+        int lacking = 0;
+    };
+
+    void stageForLarger();
+    exchange cheapestExchange(const group_model &model);
+    exchange exchangeIn(const fabric_domain_id &domain, std::vector<planned_group *> groups, const group_model &model) const;
+    void stageExchange(const group_model &model, const exchange &chosen);
     bool mayGiveWay(const std::vector<planned_group *> &victims, const group_model &model) const;
     bool isAnyoneGivingWay() const;
     bool hasRoomWithout(const group_model &model, int groups) const;
--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -97,6 +97,74 @@
     return {};
 }
 
+/// Loads the weights that keep a larger model's group from being formed, on the hosts of smaller groups that may give way to it and on free
+/// replicas beside them. These loads wait for no loss as those do that prepare for one: the model lacks much already, and the groups that
+/// stay never end by themselves. One exchange at a time: a load takes what its host held.
+void assembly_round::stageForLarger()
+{
+    if (m_view.isBeforeTraffic || m_view.engine.stagedPerHost < 1 || isAnyoneGivingWay()) {
+        return;
+    }
+    for (const auto *model : modelsBySize()) {
+        if (presentPart(*model) < m_state.policy.muchLacking && bestDomain(*model) == nullptr) {
+            stageExchange(*model, cheapestExchange(*model));
+        }
+    }
+}
+
+/// The exchange that needs the fewest loads; without groups where none is allowed.
+assembly_round::exchange assembly_round::cheapestExchange(const group_model &model)
+{
+    exchange best;
+    for (auto &[domain, groups] : smallerGroups(model)) {
+        auto candidate = exchangeIn(domain, std::move(groups), model);
+        const bool isAllowed = !candidate.groups.empty() && mayGiveWay(candidate.groups, model);
+        if (isAllowed && (best.groups.empty() || candidate.lacking < best.lacking)) {
+            best = std::move(candidate);
+        }
+    }
+    return best;
+}
+
+/// The fewest groups of a domain whose members make room for one of the model together with its free replicas; none where they do not.
+assembly_round::exchange
+assembly_round::exchangeIn(const fabric_domain_id &domain, std::vector<planned_group *> groups, const group_model &model) const
+{
+    std::stable_sort(groups.begin(), groups.end(), [&](const planned_group *left, const planned_group *right) {
+        return readyMembers(*left, model.id) > readyMembers(*right, model.id);
+    });
+    exchange result;
+    if (const auto free = m_free.find(domain); free != m_free.end()) {
+        result.replicas = free->second;
+    }
+    for (auto *group : groups) {
+        if (static_cast<int>(result.replicas.size()) >= model.size) {
+            break;
+        }
+        result.groups.push_back(group);
+        for (const auto &member : group->members) {
+            if (isAlive(member.instance)) {
+                result.replicas.push_back(find(member.instance));
+            }
+        }
+    }
+    result.lacking = std::max(0, model.size - readyOrStaging(result.replicas, model.id));
+    return static_cast<int>(result.replicas.size()) >= model.size ? result : exchange();
+}
+
+void assembly_round::stageExchange(const group_model &model, const exchange &chosen)
+{
+    auto lacking = chosen.lacking;
+    for (const auto *replica : chosen.replicas) {
+        const bool mayTake
+            = !m_state.stagings.contains(replica->id) && !isAvoided(replica->id) && readinessOf(*replica, model.id) == readiness::must_load;
+        if (lacking > 0 && mayTake && mayLoad(1)) {
+            stage(*replica, model.id);
+            --lacking;
+        }
+    }
+}
+
 // Where both models are short, groups would else give way all over at the same time, and none of them serves meanwhile.
 bool assembly_round::isAnyoneGivingWay() const
 {
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -69,6 +69,7 @@
         return std::move(m_orders);
     }
     formExtra();
+    stageForLarger();
     stageSpares();
     stageServing();
     return std::move(m_orders);
--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -225,6 +225,66 @@
     CHECK(loads == 1);
 }
 
+namespace {
+
+/// Four groups of the smaller model on two domains of six, each of which has two free replicas that are ready for the larger one.
+replica_directory smallGroupsAndReadySpares()
+{
+    replica_directory directory;
+    for (int i = 0; i < 12; ++i) {
+        served_replica replica;
+        replica.id = instance_id("r" + std::to_string(100 + i));
+        replica.service = service_id("large");
+        replica.domain = fabric_domain_id("rack" + std::to_string(i / 6));
+        const int place = i % 6;
+        if (place < 4) {
+            const auto number = static_cast<std::uint64_t>(i / 6 * 2 + place / 2 + 1);
+            replica.model = small;
+            replica.membership = {group_id("g" + std::to_string(number)),
+                                  formation(number),
+                                  place % 2,
+                                  place % 2 == 0 ? member_state::open : member_state::ready};
+        } else {
+            replica.staged = {big};
+        }
+        directory.replicas[replica.id] = replica;
+    }
+    return directory;
+}
+
+} // namespace
+
+// Replicas left one after another until the larger model had no group. Departures are no losses, and the two loads that are allowed without
+// one were spent: no host was prepared again, and each of its requests was refused for a minute.
+TEST_CASE("A model without groups is not left without them where the members of others may load its weights")
+{
+    const instant now(duration(1000000));
+    auto directory = smallGroupsAndReadySpares();
+    const assembly_world world(1, 1, 1);
+    const std::set<instance_id> nobody;
+    assembly_state state;
+    state.term = 1;
+    state.preparations.assign(state.policy.leastPreparations, now);
+    std::set<fabric_domain_id> loadedIn;
+    int loads = 0;
+    bool givesWay = false;
+    for (auto after = duration(); after < std::chrono::seconds(10) && !givesWay; after += duration(1000)) {
+        for (const auto &order : planAssembly(state, {directory, service_id("large"), world.engine(), nobody, false, now + after})) {
+            noteOrderResult(state, order, {order_result::taken, 0}, now + after);
+            auto &replica = directory.replicas.at(order.to);
+            givesWay = givesWay || order.kind == order_kind::close;
+            if (order.kind == order_kind::stage) {
+                replica.staged = {order.model};
+                loadedIn.insert(replica.domain);
+                ++loads;
+            }
+        }
+    }
+    CHECK(givesWay);
+    CHECK(loads == 2);
+    CHECK(loadedIn.size() == 1);
+}
+
 TEST_CASE("What a domain has over whole groups counts for no group's target")
 {
     const instant now(duration(1000000));
