Entry: Make the view anew once for departures that come together

Each list of departures from a neighbour had the daemon copy its directory, build its view and plan anew, one list after the other, also where the entry itself had said so before. Now the feed's thread tells of them once for all datagrams that it took together, and nothing is made anew where the directory shows them already. A place is closed to requests by the list itself, as before: only the view and the plan come up to one turn of that thread later.

--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -97,6 +97,8 @@
         instant nextPush = monotonicNow();
         while (!isStopping) {
             receiveFor(isSource() ? pushPeriod : untilSubscription(), buffer);
+            // Once for all that came together: each time the daemon's view is made anew.
+            constraints.tellLearned();
             if (isSource() && monotonicNow() >= nextPush) {
                 nextPush = monotonicNow() + pushPeriod;
                 sendAll(store.pendingPushes());
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -146,6 +146,15 @@
     }
 }
 
+bool areShown(const replica_directory &directory, const leaving_replicas &leaving)
+{
+    return std::all_of(leaving.begin(), leaving.end(), [&](const auto &entry) {
+        const auto found = directory.replicas.find(entry.first.replica);
+        const bool isMeant = found != directory.replicas.end() && !isAnotherLife(found->second.life, entry.first.life);
+        return !isMeant || saysItLeaves(found->second) || found->second.hasAnnounced;
+    });
+}
+
 void showLeaving(replica_directory &directory, const leaving_replicas &leaving)
 {
     for (const auto &[key, since] : leaving) {
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -48,5 +48,7 @@
 void noteLeaving(leaving_replicas &leaving, const std::set<replica_key> &replicas, instant now);
 /// Shows them as draining in a directory, each in the life that said so.
 void showLeaving(replica_directory &directory, const leaving_replicas &leaving);
+/// Whether a directory shows them already, so that it need not be made anew.
+bool areShown(const replica_directory &directory, const leaving_replicas &leaving);
 
 } // namespace vetchpost
--- a/Libraries/Entry/shared_constraints.cpp
+++ b/Libraries/Entry/shared_constraints.cpp
@@ -64,6 +64,8 @@
     /// Whether anything is known at all: without it most requests take no lock.
     std::atomic<bool> hasAny = false;
     std::function<void()> didLearnLeaving;
+    /// Lists have told of departures that didLearnLeaving has not been called for.
+    std::atomic<bool> hasLeavingToTell = false;
     counter limits;
     counter rests;
     counter departures;
@@ -279,25 +281,25 @@
 
 feed_datagram shared_constraints::take(const constraint_list &list, const endpoint &from)
 {
-    feed_datagram receipt;
-    bool hasLeaving = false;
-    {
-        const std::lock_guard lock(d->mutex);
-        const auto before = d->table.changes;
-        receipt = takeList(d->spread, d->table, list, from, monotonicNow());
-        for (const auto &report : list.reports) {
-            const auto *known = findConstraint(d->table, report.replica);
-            if (known != nullptr && known->changed > before) {
-                d->tellReport(report);
-                hasLeaving = hasLeaving || known->isLeaving;
-            }
+    const std::lock_guard lock(d->mutex);
+    const auto before = d->table.changes;
+    auto receipt = takeList(d->spread, d->table, list, from, monotonicNow());
+    for (const auto &report : list.reports) {
+        const auto *known = findConstraint(d->table, report.replica);
+        if (known != nullptr && known->changed > before) {
+            d->tellReport(report);
+            d->hasLeavingToTell = d->hasLeavingToTell || known->isLeaving;
         }
-        d->hasAny = !d->table.known.empty();
     }
-    if (hasLeaving) {
+    d->hasAny = !d->table.known.empty();
+    return receipt;
+}
+
+void shared_constraints::tellLearned()
+{
+    if (d->hasLeavingToTell.exchange(false)) {
         d->didLearnLeaving();
     }
-    return receipt;
 }
 
 void shared_constraints::take(const constraint_receipt &receipt, const endpoint &from)
--- a/Libraries/Entry/shared_constraints.h
+++ b/Libraries/Entry/shared_constraints.h
@@ -35,7 +35,7 @@
 class shared_constraints
 {
 public:
-    /// \a didLearnLeaving is called, on any thread, after a replica was learned to leave.
+    /// \a didLearnLeaving is called after a replica was learned to leave: by an answer on its thread, by lists in tellLearned().
     shared_constraints(metrics &counters, std::function<void()> didLearnLeaving);
     ~shared_constraints();
     shared_constraints(const shared_constraints &) = delete;
@@ -62,6 +62,8 @@
     // The neighbours.
     std::vector<feed_datagram> due(const std::optional<endpoint> &source, const std::vector<endpoint> &followers);
     feed_datagram take(const constraint_list &list, const endpoint &from);
+    /// Calls didLearnLeaving where lists have told of departures since the last call.
+    void tellLearned();
     void take(const constraint_receipt &receipt, const endpoint &from);
     /// As the source: issues permits.
     permit_answer issue(const permit_question &question, const endpoint &asker);
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -539,6 +539,9 @@
     {
         const std::lock_guard lock(d->mutex);
         vetchpost::noteLeaving(d->leaving, replicas, monotonicNow());
+        if (areShown(*d->published, d->leaving)) {
+            return;
+        }
     }
     d->publish();
 }
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -54,6 +54,41 @@
     CHECK(leaving.empty());
 }
 
+TEST_CASE("A directory is made anew only for departures that it does not show")
+{
+    const instance_id id("a");
+    auto entries = known();
+    leaving_replicas leaving;
+    CHECK(areShown(entries.directory, leaving));
+    noteLeaving(leaving, {{id, {}}, {instance_id("elsewhere"), {}}, {instance_id("b"), replica_life(7)}}, now);
+    CHECK_FALSE(areShown(entries.directory, leaving));
+
+    auto shown = entries.directory;
+    showLeaving(shown, leaving);
+    CHECK(areShown(shown, leaving));
+
+    auto draining = replica("a", 101);
+    draining.replica->isDraining = true;
+    takeChange(entries, draining, now);
+    CHECK(areShown(entries.directory, leaving));
+}
+
+TEST_CASE("A member whose entry went without a word is shown anew once it is known to have said that it leaves")
+{
+    const instance_id id("a");
+    replica_entries entries;
+    auto member = replica("a");
+    member.replica->membership = {group_id("g"), formation(1), 1, member_state::ready};
+    takeListing(entries, {member}, 100, duration(0), now);
+    takeChange(entries, removal("a", 101), now);
+    REQUIRE(entries.directory.replicas.at(id).isUnlisted);
+    leaving_replicas leaving;
+    noteLeaving(leaving, {{id, {}}}, now);
+    CHECK_FALSE(areShown(entries.directory, leaving));
+    showLeaving(entries.directory, leaving);
+    CHECK(areShown(entries.directory, leaving));
+}
+
 TEST_CASE("A replica that a listing no longer has is gone at once, while the service was there")
 {
     auto entries = known();
