Requests: Let one function say by which limit the source issues permits

It stood in the entry daemon's shell and again in the tests' world, so that the oracle of the sum tested its own copy. Behaviour is the same: testSharedLimit (8 to 350 daemons) passes with the function in place of it.

--- a/Libraries/Entry/shared_constraints.cpp
+++ b/Libraries/Entry/shared_constraints.cpp
@@ -311,13 +311,8 @@
 permit_answer shared_constraints::issue(const permit_question &question, const endpoint &asker)
 {
     const std::lock_guard lock(d->mutex);
-    const auto now = monotonicNow();
-    takeEvidence(d->table, question.report, now);
+    auto answer = answerQuestion(d->issuer, d->table, question, asker, monotonicNow());
     d->hasAny = !d->table.known.empty();
-    const auto *known = findConstraint(d->table, question.report.replica);
-    // Where this daemon holds a later word that there is no limit, the asker will hear of it; until then its own word counts.
-    const auto limit = known != nullptr && known->rateLimit ? known->rateLimit : question.report.rateLimit;
-    auto answer = issuePermits(d->issuer, question, limit.value_or(leastRateLimit), asker, now);
     d->issued.increment(answer.granted);
     return answer;
 }
--- a/Libraries/Requests/rate_permits.cpp
+++ b/Libraries/Requests/rate_permits.cpp
@@ -66,6 +66,16 @@
     return {question.nonce, question.report.replica, granted, granted < wanted ? waitOf(bucket) : duration()};
 }
 
+permit_answer
+answerQuestion(permit_issuer &issuer, replica_constraints &table, const permit_question &question, const endpoint &asker, instant now)
+{
+    takeEvidence(table, question.report, now);
+    const auto *known = findConstraint(table, question.report.replica);
+    // Where the table holds a later word that there is no limit, the asker will hear of it; until then its own word counts.
+    const auto limit = known != nullptr && known->rateLimit ? known->rateLimit : question.report.rateLimit;
+    return issuePermits(issuer, question, limit.value_or(leastRateLimit), asker, now);
+}
+
 bool hasPermit(const permit_wallet &wallet, const replica_key &replica, instant now)
 {
     const auto found = wallet.held.find(replica);
--- a/Libraries/Requests/rate_permits.h
+++ b/Libraries/Requests/rate_permits.h
@@ -57,6 +57,9 @@
 
 /// Issues what the limit allows now. A bucket begins empty: what an earlier source issued may be in use still.
 permit_answer issuePermits(permit_issuer &issuer, const permit_question &question, double perSecond, const endpoint &asker, instant now);
+/// The same by the limit that \a table knows once it has taken in what the asker knows; else by the asker's own word.
+permit_answer
+answerQuestion(permit_issuer &issuer, replica_constraints &table, const permit_question &question, const endpoint &asker, instant now);
 
 // The asker's side.
 
--- a/Tests/Feed/limitWorld.cpp
+++ b/Tests/Feed/limitWorld.cpp
@@ -163,10 +163,7 @@
 permit_answer limit_world::issue(int daemon, const permit_question &question, const endpoint &asker)
 {
     auto &source = m_nodes[static_cast<std::size_t>(daemon)];
-    takeEvidence(source.table, question.report, m_feed.now());
-    const auto *known = findConstraint(source.table, replica);
-    const auto limit = known != nullptr && known->rateLimit ? known->rateLimit : question.report.rateLimit;
-    return issuePermits(source.issuer, question, limit.value_or(leastRateLimit), asker, m_feed.now());
+    return answerQuestion(source.issuer, source.table, question, asker, m_feed.now());
 }
 
 void limit_world::ask(int daemon, const permit_question &question)
