Settings, Entry: Read the configuration as often as the keys' bound asks

Not the change that was being tested, and not the load by itself: the test's daemon takes keys for 1.3 s (bound 1.5 s, strict), and a daemon without a source read its configuration each 0.65 of configuration-apply-ms (2 s): 1.3 s too. Until each answer was there all requests were refused; the load only moved the test's requests into that gap. With a bound still shorter than that, a daemon would refuse most of the time.

The periods of the feed now follow the shorter of both bounds where the keys' is strict. Deployments whose keys' bound is the longer one are as before.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -104,7 +104,7 @@
         , store(
               *keyValue,
               *dialect,
-              feedTiming(settings.configurationApply),
+              feedTiming(oldestConfiguration(settings)),
               counters,
               [this] { rebuildView(); },
               [this](const std::vector<replica_key> &replicas) {
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -74,7 +74,7 @@
                  std::function<void(const stall_notice &)> hearStall,
                  std::function<void(const group_doubt &)> hearDoubt)
         : settings(entrySettings)
-        , timing(feedTiming(entrySettings.configurationApply))
+        , timing(feedTiming(oldestConfiguration(entrySettings)))
         , store(follows)
         , suspects(shared)
         , constraints(sharedConstraints)
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -4,6 +4,8 @@
 #include "Libraries/Base/digest.h"
 #include "Libraries/Settings/setting_values.h"
 
+#include <algorithm>
+
 namespace vetchpost {
 
 namespace {
@@ -65,4 +67,11 @@
     return settings;
 }
 
+// Keys go out of date with the configuration that they stand in. Read only as often as the bound for configurations asks, it would let a
+// daemon refuse all requests for the time of each reading.
+duration oldestConfiguration(const entry_settings &settings)
+{
+    return settings.isKeyRevocationStrict ? std::min(settings.configurationApply, settings.keyRevocation) : settings.configurationApply;
+}
+
 } // namespace vetchpost
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -57,4 +57,8 @@
 /// Reads and checks the settings. Nothing where there is any problem.
 std::optional<entry_settings> readEntrySettings(const std::string &text, const std::string &file, std::vector<yaml_problem> &problems);
 
+/// How old a daemon's configuration may become: the bound for putting one in force, or that for withdrawn keys where it is strict and
+/// shorter.
+duration oldestConfiguration(const entry_settings &settings);
+
 } // namespace vetchpost
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -96,6 +96,22 @@
     CHECK(world.ask("/once/", "bad").status == 401);
 }
 
+// The configuration was read again only after the time that its own bound allows, which may be longer than the keys' bound: each time the
+// requests of some 20 ms were refused, until the answer was there.
+TEST_CASE("Keys do not go out of date between two readings of the configuration")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    world.start();
+    const auto end = monotonicNow() + duration(5000);
+    int refused = 0;
+    for (int number = 0; monotonicNow() < end; ++number) {
+        refused += world.ask("/once/", "good", "a" + std::to_string(number)).status == 200 ? 0 : 1;
+    }
+    CHECK(refused == 0);
+}
+
 TEST_CASE("A client that comes back too late to be served in time goes behind the others")
 {
     const scripted_replica replica(good);
