--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -2,17 +2,12 @@
 #include "Libraries/Entry/peer_feed.h"
 
 #include "Libraries/Base/event_log.h"
+#include "Libraries/Entry/feed_socket.h"
 #include "Libraries/Entry/notice_pacing.h"
 #include "Libraries/Feed/feed_follower.h"
 #include "Libraries/Feed/feed_relays.h"
 #include "Libraries/Feed/feed_role.h"
-#include "Libraries/Http/poco_timespan.h"
 
-#include <Poco/Net/DatagramSocket.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-
-#include <array>
 #include <atomic>
 #include <mutex>
 #include <random>
@@ -28,15 +23,9 @@
 constexpr duration pushPeriod(120);
 /// A thread without anything to send looks this often whether it should stop.
 constexpr duration idlePeriod(250);
-constexpr std::size_t largestDatagram = 65536;
 /// Datagrams that are taken before anything is sent: a second's from some hundred followers.
 constexpr std::size_t datagramsPerRound = 256;
 
-endpoint endpointOf(const Poco::Net::SocketAddress &address)
-{
-    return {address.host().toString(), address.port()};
-}
-
 } // namespace
 
 struct peer_feed::private_data
@@ -49,9 +38,7 @@
     std::function<std::vector<model_demand>()> heldHere;
     std::function<void(const stall_notice &)> didHearStall;
     std::function<void(const group_doubt &)> didHearDoubt;
-    counter sent;
-    counter received;
-    counter unreadable;
+    feed_socket socket;
 
     mutable std::mutex mutex;
     feed_follower follower;
@@ -62,7 +49,6 @@
     /// Set with the first request, or from the start where the system runs already.
     std::atomic<bool> wantsReplicas = false;
     std::atomic<bool> isStopping = false;
-    Poco::Net::DatagramSocket socket;
     std::thread thread;
 
     private_data(const entry_settings &entrySettings,
@@ -81,9 +67,7 @@
         , heldHere(std::move(held))
         , didHearStall(std::move(hearStall))
         , didHearDoubt(std::move(hearDoubt))
-        , sent(counters.addCounter("vetchpost_feed_datagrams_sent_total", "Datagrams sent to other daemons."))
-        , received(counters.addCounter("vetchpost_feed_datagrams_received_total", "Datagrams received from other daemons."))
-        , unreadable(counters.addCounter("vetchpost_feed_datagrams_unreadable_total", "Datagrams that are no message."))
+        , socket(counters)
     {
         wantsReplicas = !settings.isFirstStart;
         // Answers to an earlier run of this daemon must not pass for answers to this one.
@@ -93,18 +77,17 @@
 
     void run()
     {
-        std::vector<char> buffer(largestDatagram);
         instant nextPush = monotonicNow();
         while (!isStopping) {
-            receiveFor(isSource() ? pushPeriod : untilSubscription(), buffer);
+            receiveFor(isSource() ? pushPeriod : untilSubscription());
             // Once for all that came together: each time the daemon's view is made anew.
             constraints.tellLearned();
             if (isSource() && monotonicNow() >= nextPush) {
                 nextPush = monotonicNow() + pushPeriod;
-                sendAll(store.pendingPushes());
+                socket.sendAll(store.pendingPushes());
             } else if (!isSource()) {
                 // What a relay reads itself while it has no source.
-                sendAll(store.pendingPushes());
+                socket.sendAll(store.pendingPushes());
                 subscribeIfDue();
             }
             spreadTables();
@@ -122,20 +105,20 @@
     {
         const auto source = heardSource();
         const auto followers = store.heardFollowers();
-        sendAll(suspects.due(source, followers));
-        sendAll(constraints.due(source, followers));
+        socket.sendAll(suspects.due(source, followers));
+        socket.sendAll(constraints.due(source, followers));
     }
 
     /// From any daemon: one that has just found another source may still hold what this one lacks.
     void take(const suspect_list &list, const endpoint &from)
     {
-        send(suspects.take(list, from));
+        socket.send(suspects.take(list, from));
         spreadTables();
     }
 
     void take(const constraint_list &list, const endpoint &from)
     {
-        send(constraints.take(list, from));
+        socket.send(constraints.take(list, from));
         spreadTables();
     }
 
@@ -148,7 +131,7 @@
     void take(const permit_question &question, const endpoint &from)
     {
         if (isSource()) {
-            send({{from}, constraints.issue(question, from)});
+            socket.send({{from}, constraints.issue(question, from)});
         }
     }
 
@@ -173,7 +156,7 @@
         }
         const auto to = knownOrigin();
         if (to) {
-            send({{*to}, question});
+            socket.send({{*to}, question});
         }
         return to.has_value();
     }
@@ -192,12 +175,12 @@
 
     /// Takes the datagrams that are there, or the first that comes in time. Of the subscriptions of one follower only the latest is
     /// answered: a source that is behind would else answer questions whose askers no longer wait, and never catch up.
-    void receiveFor(duration time, std::vector<char> &buffer)
+    void receiveFor(duration time)
     {
         std::map<endpoint, feed_subscription> subscriptions;
         auto wait = time;
         for (std::size_t count = 0; count < datagramsPerRound; ++count) {
-            const auto datagram = receiveOne(wait, buffer);
+            const auto datagram = socket.receive(wait);
             if (!datagram) {
                 break;
             }
@@ -213,39 +196,17 @@
         }
     }
 
-    /// Nothing where none came in time, or none that is a message.
-    std::optional<std::pair<endpoint, feed_message>> receiveOne(duration time, std::vector<char> &buffer)
-    {
-        try {
-            if (!socket.poll(timespanOf(time), Poco::Net::Socket::SELECT_READ)) {
-                return std::nullopt;
-            }
-            Poco::Net::SocketAddress from;
-            const auto size = socket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
-            received.increment();
-            auto message = decodeFeedMessage({buffer.data(), static_cast<std::size_t>(std::max(0, size))});
-            if (message) {
-                return std::pair(endpointOf(from), std::move(*message));
-            }
-            unreadable.increment();
-        } catch (const Poco::Exception &error) {
-            // A datagram to a daemon that has ended comes back as an error; the next ones are not concerned.
-            feedLog.write("receive_failed", {{"why", error.displayText()}});
-        }
-        return std::nullopt;
-    }
-
     void take(const feed_subscription &subscription, const endpoint &from)
     {
         if (!passesOn()) {
-            send({{from}, feed_end()});
+            socket.send({{from}, feed_end()});
             return;
         }
         if (subscription.wantsReplicas) {
             store.noteTraffic();
             noteTraffic();
         }
-        sendAll(store.answerSubscription(subscription, from, isSource()));
+        socket.sendAll(store.answerSubscription(subscription, from, isSource()));
     }
 
     /// Tells its own source at once: the coordinator's loads are counted from the first request on.
@@ -299,7 +260,7 @@
         }
         store.takeUpdate(update, asked);
         // At once, so that a relay adds nothing to the time for which the source gathers changes.
-        sendAll(store.pendingPushes());
+        socket.sendAll(store.pendingPushes());
     }
 
     void take(const stall_notice &notice, const endpoint & /*from*/)
@@ -326,7 +287,7 @@
             to = follower.source;
         }
         if (to) {
-            send({{*to}, notice});
+            socket.send({{*to}, notice});
         }
         return to.has_value();
     }
@@ -341,7 +302,7 @@
     {
         if (isFromSource(from)) {
             didHearDoubt(doubt);
-            send({store.heardFollowers(), doubt});
+            socket.send({store.heardFollowers(), doubt});
         }
     }
 
@@ -388,32 +349,7 @@
         for (auto &held : heldHere()) {
             demand.push_back(std::move(held));
         }
-        send(datagram);
-    }
-
-    void send(const feed_datagram &datagram)
-    {
-        const auto bytes = encodeFeedMessage(datagram.message);
-        for (const auto &to : datagram.to) {
-            sendBytes(to, bytes);
-        }
-    }
-
-    void sendBytes(const endpoint &to, const std::string &bytes)
-    {
-        try {
-            socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(to.host, to.port));
-            sent.increment();
-        } catch (const Poco::Exception &error) {
-            feedLog.write("send_failed", {{"to", to.text()}, {"why", error.displayText()}});
-        }
-    }
-
-    void sendAll(const std::vector<feed_datagram> &datagrams)
-    {
-        for (const auto &datagram : datagrams) {
-            send(datagram);
-        }
+        socket.send(datagram);
     }
 };
 
@@ -437,7 +373,7 @@
 
 void peer_feed::start()
 {
-    d->socket.bind(Poco::Net::SocketAddress(d->settings.peers.host, d->settings.peers.port), true);
+    d->socket.bind(d->settings.peers);
     d->thread = std::thread([this] { d->run(); });
 }
 
@@ -460,7 +396,7 @@
         mustTell = !std::exchange(d->role.isEnding, true) && !d->role.isSource;
     }
     if (mustTell) {
-        d->sendAll(d->store.endOfFeed());
+        d->socket.sendAll(d->store.endOfFeed());
     }
 }
 
@@ -479,7 +415,7 @@
         d->store.setOrigin({d->settings.peers, 0}, 0);
     }
     if (was && !isSource) {
-        d->sendAll(d->store.endOfFeed());
+        d->socket.sendAll(d->store.endOfFeed());
     }
 }
 
@@ -521,7 +457,7 @@
 
 void peer_feed::tellDoubt(const instance_id &head)
 {
-    d->send({d->store.heardFollowers(), group_doubt{head}});
+    d->socket.send({d->store.heardFollowers(), group_doubt{head}});
     d->didHearDoubt({head});
 }
 
