--- a/Libraries/Daemon/admission.cpp
+++ b/Libraries/Daemon/admission.cpp
@@ -238,6 +238,20 @@
     }
 }
 
+std::optional<duration> admission::opensAfter(const deployment_id &deployment) const
+{
+    std::optional<instant> first;
+    d->routing.read([&](const routing_snapshot &snapshot) {
+        const auto *routes = snapshot.find(deployment);
+        for (const auto &route : routes == nullptr ? std::vector<replica_route>() : routes->replicas) {
+            const auto until = d->rests.restsUntil(route.leader);
+            first = std::min(first.value_or(until), until);
+        }
+    });
+    const auto now = monotonicNow();
+    return first && *first > now ? std::optional(*first - now) : std::nullopt;
+}
+
 bool admission::takeRetryFor(const deployment_id &deployment)
 {
     auto &queue = d->queueOf(deployment);
--- a/Libraries/Daemon/admission.h
+++ b/Libraries/Daemon/admission.h
@@ -55,6 +55,8 @@
     void release(const deployment_id &deployment, const replica_route &route);
     /// Looks whether waiting requests can go on, after the routes have changed or time has passed.
     void wake();
+    /// How long until the first of the model's replicas has rested; nothing where one does not rest.
+    std::optional<duration> opensAfter(const deployment_id &deployment) const;
     /// Whether the deployment's retry budget has room; takes one retry out of it.
     bool takeRetryFor(const deployment_id &deployment);
     std::vector<queue_status> queues() const;
--- a/Libraries/Daemon/answer_sink.cpp
+++ b/Libraries/Daemon/answer_sink.cpp
@@ -47,10 +47,10 @@
     return true;
 }
 
-void answer_sink::fail(const reason &why)
+void answer_sink::fail(const reason &why, std::optional<duration> comeBackAfter)
 {
     if (!m_hasBegun) {
-        m_exchange.sendError(why, m_request.id.value());
+        m_exchange.sendError(why, m_request.id.value(), comeBackAfter);
         return;
     }
     const auto &answer = errorAnswer(why.kind);
--- a/Libraries/Daemon/answer_sink.h
+++ b/Libraries/Daemon/answer_sink.h
@@ -4,6 +4,7 @@
 #include "Libraries/Daemon/caller_request.h"
 #include "Libraries/Http/http_server.h"
 
+#include <optional>
 #include <string>
 
 namespace vetchpost {
@@ -18,8 +19,9 @@
     bool deliver(const std::string &text, const std::string &finishReason);
     /// Sends the end of a whole answer; false once the caller has gone.
     bool complete();
-    /// Says that there will be no whole answer. A stream that has begun ends without its end marker.
-    void fail(const reason &why);
+    /// Says that there will be no whole answer, and when the caller had better ask again where that is known. A stream that has begun ends
+    /// without its end marker.
+    void fail(const reason &why, std::optional<duration> comeBackAfter);
     /// All text delivered so far.
     const std::string &text() const;
     /// The answer as one body.
--- a/Libraries/Daemon/model_gateway.cpp
+++ b/Libraries/Daemon/model_gateway.cpp
@@ -251,7 +251,7 @@
     bool giveUp(const reason &why)
     {
         note(why.kind);
-        m_sink.fail(why);
+        m_sink.fail(why, m_progress.mayHaveRun ? std::nullopt : m_context.admissions.opensAfter(m_request.target.id));
         return false;
     }
 
--- a/Tests/Processes/testRest.sh
+++ b/Tests/Processes/testRest.sh
@@ -16,6 +16,16 @@
 every_engine '{}'
 wait_for 10 "answer after the rest" chat 1 "the question"
 
+# A request whose deadline comes before the first of them has rested is refused at once, with the time at which that is.
+every_engine '{"refuse_with":503,"rest_seconds":3}'
+chat 1 "asks both" -m 0.5 >/dev/null || true
+answer=$(chat 1 "too early" -H "X-Deadline-Ms: 300")
+expect "a request that comes too early" "$answer" '"ran":"not_run"'
+after=$(sed -n 's/.*"retry_after_seconds":\([0-9.]*\).*/\1/p' <<<"$answer")
+expect "tells when the first replica has rested: $after s" "=$(awk -v after="$after" 'BEGIN { print (after > 2.1 && after <= 3) }')=" "=1="
+every_engine '{}'
+wait_for 10 "answer after the second rest" chat 1 "the question"
+
 fault "$(service_address 1)" '{"refuse_with":503,"rest_seconds":3}'
 for order in 1 2 3 4 5; do
     answer=$(work_order 1 "rest-$order")
