--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -240,7 +240,7 @@
         replica.domain = fabric_domain_id("rack" + std::to_string(i / 6));
         const int place = i % 6;
         if (place < 4) {
-            const auto number = static_cast<std::uint64_t>(i / 6 * 2 + place / 2 + 1);
+            const std::uint64_t number = i / 6 * 2 + place / 2 + 1;
             replica.model = small;
             replica.membership = {group_id("g" + std::to_string(number)),
                                   formation(number),
