--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -301,6 +301,16 @@
         connection.close();
     }
 
+    /// The same after so long, whatever has come until then.
+    void askAndLeaveAfter(const std::string &path, const std::string &attempt, duration time) const
+    {
+        http_upstream connection;
+        reason why;
+        REQUIRE(connection.send(callFor(path, "good", attempt), why));
+        std::this_thread::sleep_for(time);
+        connection.close();
+    }
+
 private:
     http_call callFor(const std::string &path, const std::string &key, const std::string &attempt) const
     {
--- a/Tests/PlatformAdapter/scriptedReplica.cpp
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -65,6 +65,12 @@
     return m_requests;
 }
 
+std::optional<std::chrono::steady_clock::time_point> scripted_replica::givenUpAt() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_givenUpAt;
+}
+
 void scripted_replica::run()
 {
     while (!m_isStopping) {
@@ -106,8 +112,8 @@
                 endAndStartAgain(connection);
                 return;
             }
-            if (end < answer.size()) {
-                std::this_thread::sleep_for(pauseTime);
+            if (end < answer.size() && !pauseWhileWanted(connection)) {
+                return;
             }
             start = end + 1;
         }
@@ -118,6 +124,23 @@
     }
 }
 
+/// False where the daemon has closed the connection.
+bool scripted_replica::pauseWhileWanted(Poco::Net::StreamSocket &connection)
+{
+    const auto end = std::chrono::steady_clock::now() + pauseTime;
+    if (!connection.poll(Poco::Timespan(std::chrono::microseconds(pauseTime).count()), Poco::Net::Socket::SELECT_READ)) {
+        return true;
+    }
+    char next = 0;
+    if (connection.receiveBytes(&next, 1) > 0) {
+        std::this_thread::sleep_until(end);
+        return true;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_givenUpAt = std::chrono::steady_clock::now();
+    return false;
+}
+
 void scripted_replica::endAndStartAgain(Poco::Net::StreamSocket &connection)
 {
     m_socket.close();
--- a/Tests/PlatformAdapter/scriptedReplica.h
+++ b/Tests/PlatformAdapter/scriptedReplica.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -33,10 +35,13 @@
     std::string address() const;
     /// The clients' requests that came, with their heads and bodies. Questions whether it lives are answered beside the script.
     std::vector<std::string> requests() const;
+    /// When the daemon closed a connection before the answer's end, for the last time; noticed in pauses.
+    std::optional<std::chrono::steady_clock::time_point> givenUpAt() const;
 
 private:
     void run();
     void serve(Poco::Net::StreamSocket &connection);
+    bool pauseWhileWanted(Poco::Net::StreamSocket &connection);
     void endAndStartAgain(Poco::Net::StreamSocket &connection);
 
     script m_answer;
@@ -44,6 +49,7 @@
     const Poco::Net::SocketAddress m_address;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
+    std::optional<std::chrono::steady_clock::time_point> m_givenUpAt;
     std::atomic<bool> m_isStopping = false;
     std::thread m_thread;
 };
