Feed: Keep an older listing from passing for all that was known

Two listings may be under way at a source, its thread's and that of a daemon that has just become the coordinator. Where the older one came last, and the service had been away before it, the source forgot every change, but said that it was complete from the older listing on: a follower in between would have missed what had changed there. The test failed before.

--- a/Libraries/Feed/feed_source.cpp
+++ b/Libraries/Feed/feed_source.cpp
@@ -90,7 +90,8 @@
 {
     if (!isContinuous || source.upTo == 0) {
         source.latest.clear();
-        source.completeAfter = upTo;
+        // An older listing may come last: what was known beyond it goes with the rest.
+        source.completeAfter = std::max(upTo, source.upTo);
     } else {
         std::set<instance_id> present;
         for (const auto &change : listed) {
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -234,6 +234,15 @@
     CHECK(updateOf(answerSubscription(source, {daemon_id("d1"), 2, 110}, there, start).at(0)).isHistoryLost);
 }
 
+TEST_CASE("An older listing that comes last, after an outage, does not pass for all that was known")
+{
+    auto source = sourceWith(3);
+    noteChanges(source, {entry("r7", "new", 130)}, 130);
+    noteListing(source, {entry("r0", "first", 1)}, 120, false);
+    const auto answer = answerSubscription(source, {daemon_id("d1"), 1, 125}, there, start);
+    CHECK(updateOf(answer.at(0)).isHistoryLost);
+}
+
 TEST_CASE("The followers that were heard lately are known by their addresses")
 {
     auto source = sourceWith(1);
