Entry: Keep an older listing's answer from counting as the last

Timeline, by the log: the coordinator of term 70 took it at 10.2 s, asked for a listing and had it 1 ms later (revision 70). 198 ms later came the answer to a listing that the daemon's own thread had asked for before, through a slow link (revision 69). From then on the coordinator logged no plan until the end, 35 s later, though it kept the lease: it plans only by a listing that began in its term, and the older answer had set that moment back. Nothing asks for another while the watches go on well. The same where the coordinator's own listing fails and the older one succeeds: it cleared the wish for another.

Ruled out: the lease (renewed all the time), the stand-in's replicas (they answered its looks), notices.

Change: the last listing's moment never goes back, and a listing that is wanted counts as done only by one that was asked for after that moment. The same for how new the configuration at hand is known to be.

The test failed before, both ways, and passes now (three runs).

--- a/Libraries/Entry/configuration_reading.cpp
+++ b/Libraries/Entry/configuration_reading.cpp
@@ -77,7 +77,7 @@
     {
         const std::lock_guard lock(mutex);
         if (entry.changed == configurationRevision) {
-            currentAt = asked;
+            currentAt = std::max(currentAt.value_or(asked), asked);
             return true;
         }
     }
--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -47,7 +47,7 @@
 bool store_follower::private_data::needsListing(bool isFed) const
 {
     const std::lock_guard lock(mutex);
-    return replicasUpTo == 0 || (mustList && !isFed);
+    return replicasUpTo == 0 || (mustListSince && !isFed);
 }
 
 std::uint64_t store_follower::private_data::upTo() const
@@ -76,7 +76,7 @@
     if (!listing) {
         // A coordinator that has just begun plans nothing before it has the listing that it asked for.
         const std::lock_guard lock(mutex);
-        mustList = true;
+        mustListSince = asked;
         return false;
     }
     const auto outage = replicasOutage();
@@ -87,9 +87,12 @@
         takeListing(entries, replicas, listing->upTo, outage, monotonicNow());
         noteListing(feed, replicas, listing->upTo, outage < lapsingOutage);
         replicasUpTo = std::max(replicasUpTo, listing->upTo);
-        replicasSeenAt = monotonicNow();
-        mustList = false;
-        lastListing = asked;
+        // Another listing may be under way on another thread: the answer to the older one may come last.
+        replicasSeenAt = std::max(replicasSeenAt.value_or(asked), asked);
+        if (mustListSince && *mustListSince <= asked) {
+            mustListSince.reset();
+        }
+        lastListing = std::max(lastListing.value_or(asked), asked);
         firstListing = firstListing.value_or(asked);
         storeLog.write("replicas_listed", {{"count", replicas.size()}, {"lapsed", entries.lapsed.size()}, {"revision", listing->upTo}});
     }
@@ -112,7 +115,7 @@
     noteAnswer(result.has_value(), why);
     if (!result || result->isHistoryLost) {
         const std::lock_guard lock(mutex);
-        mustList = true;
+        mustListSince = monotonicNow();
         return false;
     }
     isBehind = result->changes.size() >= manyChanges;
@@ -194,7 +197,7 @@
         } else if (replicasUpTo != 0 && update.after <= replicasUpTo) {
             noteChanges(feed, update.changes, update.upTo);
             replicasUpTo = std::max(replicasUpTo, update.upTo);
-            mustList = false;
+            mustListSince.reset();
             if (asked && update.replicasAge) {
                 replicasSeenAt = std::max(replicasSeenAt.value_or(*asked), *asked - *update.replicasAge);
             }
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -46,8 +46,8 @@
     std::optional<instant> firstListing;
     /// The service's revision up to which the entries are known; 0 where they must be listed.
     std::uint64_t replicasUpTo = 0;
-    /// A watch had no answer: only a listing, or the source, tells what was missed.
-    bool mustList = false;
+    /// A watch or a listing had no answer: only a listing that is asked for from then on, or the source, tells what was missed.
+    std::optional<instant> mustListSince;
     /// The last watch brought so much that there is more. Of the thread that watches alone.
     bool isBehind = false;
     /// When all changes of the replicas up to then were known.
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -17,6 +17,9 @@
 {
 public:
     std::atomic<int> failures = 0;
+    /// The next listing waits until this is off again, and succeeds then.
+    std::atomic<bool> holdsListing = false;
+    std::atomic<bool> isListingHeld = false;
     /// Changes that wait; a watch tells at most 500 of them.
     std::atomic<std::uint64_t> lastChange = 1;
     std::atomic<int> watches = 0;
@@ -36,6 +39,12 @@
 
     std::optional<key_value_listing> list(const std::string & /*prefix*/, read_freshness /*freshness*/, reason &lastReason) override
     {
+        if (holdsListing && !isListingHeld.exchange(true)) {
+            while (holdsListing) {
+                std::this_thread::sleep_for(duration(5));
+            }
+            return key_value_listing{{}, lastChange};
+        }
         if (failures > 0) {
             --failures;
             lastReason = {error_kind::platform_unavailable, "too many calls"};
@@ -114,6 +123,33 @@
     follower.stop();
 }
 
+// A daemon had asked for a listing when it became the coordinator. It asked for another, before which it plans nothing, and had its answer
+// first. The older answer then passed for the last one: for the rest of its term, 24 s, the coordinator formed and closed no group.
+TEST_CASE("The answer to an older listing does not count for one that was asked for later")
+{
+    const bool isNewerLost = GENERATE(false, true);
+    CAPTURE(isNewerLost);
+    listing_store service;
+    service.holdsListing = true;
+    const platform_dialect dialect;
+    metrics counters;
+    store_follower follower(
+        service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
+    follower.noteTraffic();
+    follower.start();
+    REQUIRE(isWithin(duration(3000), [&] { return service.isListingHeld.load(); }));
+    std::this_thread::sleep_for(duration(20));
+    follower.setSource(true);
+    service.failures = isNewerLost ? 1 : 0;
+    const auto asked = monotonicNow();
+    follower.listAgain();
+    CHECK(follower.listedAt().has_value() != isNewerLost);
+    service.holdsListing = false;
+    std::this_thread::sleep_for(duration(300));
+    CHECK(isWithin(duration(3000), [&] { return *follower.listedAt() >= asked; }));
+    follower.stop();
+}
+
 // A large configuration takes a small instance's link for a quarter of a second. All daemons that had started again read it twice, one read
 // to learn that there is one, and refused every request until the second had come.
 TEST_CASE("A daemon that starts in a running system reads its first configuration once")
