Assembly, Entry: Let the later of two looks at a replica count

A look without an answer waits for a check of the daemon's own link before it is noted (up to three other replicas, a fifth of a second each), and the next look at the same replica may begin after 0.4 s. So the later look's answer could come first, and the replica was suspected for ten seconds all the same, its group closed and formed anew. Looks are now compared by when they began.

Looked at and found sound: the feed's entries and the service's (by revision), the platform's configuration (one thread, by version), suspects, constraints (by age), and the own interfaces: an instance has one look at a time (observer), the coordinator one read, registers have versions.

The test failed before (4 checks), passes now.

--- a/Libraries/Assembly/silent_replicas.cpp
+++ b/Libraries/Assembly/silent_replicas.cpp
@@ -36,6 +36,7 @@
 
 silence_report reportSilence(silent_replicas &silent, const replica_directory &directory, instant now)
 {
+    std::erase_if(silent.lastAnswered, [&](const auto &entry) { return !directory.replicas.contains(entry.first); });
     std::erase_if(silent.suspected, [&](const auto &entry) { return isOver(entry.second, directory, entry.first, now); });
     std::erase_if(silent.notLeaving,
                   [&](const instance_id &id) { return !silent.suspected.contains(id) || hasSpokenSince(directory, id); });
@@ -99,14 +100,23 @@
 
 bool noteLook(silent_replicas &silent, const instance_id &replica, const direct_look &look)
 {
+    const auto known = silent.suspected.find(replica);
+    const bool isSuspected = known != silent.suspected.end();
+    if (isSuspected && known->second.began > look.began) {
+        return false;
+    }
+    auto &answered = silent.lastAnswered[replica];
     if (look.hasAnswered) {
+        answered = std::max(answered, look.began);
         silent.suspected.erase(replica);
         silent.notLeaving.erase(replica);
         return false;
     }
-    const auto known = silent.suspected.find(replica);
-    const bool isNew = known == silent.suspected.end() || isAnotherLife(known->second.life, look.life);
-    silent.suspected[replica] = {look.when + suspicionTime, look.life};
+    if (answered > look.began) {
+        return false;
+    }
+    const bool isNew = !isSuspected || isAnotherLife(known->second.life, look.life);
+    silent.suspected[replica] = {look.began, look.began + suspicionTime, look.life};
     return isNew;
 }
 
--- a/Libraries/Assembly/silent_replicas.h
+++ b/Libraries/Assembly/silent_replicas.h
@@ -16,7 +16,7 @@
 /// What the coordinator found when it looked at a replica directly.
 struct direct_look
 {
-    instant when;
+    instant began;
     bool hasAnswered = false;
     /// The start of the replica that was looked at.
     replica_life life = {};
@@ -25,6 +25,8 @@
 /// A replica that is believed dead.
 struct suspicion
 {
+    /// When the look began that it stands on.
+    instant began;
     instant until;
     replica_life life;
 };
@@ -37,6 +39,8 @@
     /// Of these the ones whose entry, read afterwards, said that they do not leave.
     std::set<instance_id> notLeaving;
     std::map<instance_id, instant> lastLooks;
+    /// When the latest look began that each replica answered.
+    std::map<instance_id, instant> lastAnswered;
     /// No member without an entry is looked at before.
     instant nextUnlistedLooks;
 };
@@ -56,7 +60,7 @@
 /// The members of the group that a replica heads, as far as they were not looked at just now and are not suspected. Notes that they are.
 std::vector<served_replica>
 membersToLookAt(silent_replicas &silent, const replica_directory &directory, const instance_id &head, instant now);
-/// Takes in what a look found; true where the replica was not suspected before and is now.
+/// Takes in what a look found, unless a later one has been taken in; true where the replica was not suspected before and is now.
 bool noteLook(silent_replicas &silent, const instance_id &replica, const direct_look &look);
 /// The head of the group that a replica says it stands in.
 std::optional<instance_id> headOfGroup(const replica_directory &directory, const served_replica &replica);
--- a/Libraries/Entry/replica_looks.cpp
+++ b/Libraries/Entry/replica_looks.cpp
@@ -155,7 +155,7 @@
         bool isNew = false;
         {
             const std::lock_guard lock(mutex);
-            isNew = noteLook(silent, replica.id, {monotonicNow(), hasAnswered, replica.life});
+            isNew = noteLook(silent, replica.id, {began, hasAnswered, replica.life});
         }
         if (!hasAnswered) {
             didChange();
--- a/Tests/Assembly/testSilentReplicas.cpp
+++ b/Tests/Assembly/testSilentReplicas.cpp
@@ -50,6 +50,27 @@
     CHECK(reportSilence(silent, directory, start + duration(400)).suspects.empty());
 }
 
+// A look without an answer is counted only after others were asked whether they answer this daemon. A later look had its answer meanwhile,
+// and the replica was suspected for ten seconds all the same.
+TEST_CASE("Of two looks at a replica the one that began later counts, whichever ends first")
+{
+    silent_replicas silent;
+    const auto directory = oneGroup();
+    SECTION("the later one had an answer")
+    {
+        CHECK_FALSE(noteLook(silent, member, {start + duration(400), true}));
+        CHECK_FALSE(noteLook(silent, member, {start, false}));
+        CHECK(reportSilence(silent, directory, start + duration(800)).suspects.empty());
+        CHECK(noteLook(silent, member, {start + duration(900), false}));
+    }
+    SECTION("the later one had none")
+    {
+        CHECK(noteLook(silent, member, {start + duration(400), false}));
+        CHECK_FALSE(noteLook(silent, member, {start, true}));
+        CHECK(reportSilence(silent, directory, start + duration(800)).suspects == std::set{member});
+    }
+}
+
 TEST_CASE("A silent replica has crashed only where its entry, read afterwards, said that it does not leave")
 {
     silent_replicas silent;
