Entry: Log that a coordinator cannot plan yet, and why

A coordinator without a listing of its term kept its lease and logged nothing: only the absence of `standing` lines told that no group was formed or closed.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -2,7 +2,6 @@
 #include "Libraries/Entry/assembly_runner.h"
 
 #include "Libraries/Assembly/coordination_term.h"
-#include "Libraries/Assembly/domain_summary.h"
 #include "Libraries/Assembly/own_trouble.h"
 #include "Libraries/Assembly/plan_pacing.h"
 #include "Libraries/Base/digest.h"
@@ -11,6 +10,7 @@
 #include "Libraries/Entry/assembly_figures.h"
 #include "Libraries/Entry/notice_pacing.h"
 #include "Libraries/Entry/replica_looks.h"
+#include "Libraries/Entry/standing_log.h"
 #include "Libraries/Http/http_client.h"
 
 #include <fmt/format.h>
@@ -264,7 +264,11 @@
         std::uint64_t number = 0;
         {
             const std::lock_guard lock(mutex);
-            if (!routes || !term || !listedAt || *listedAt < termSince) {
+            if (!term) {
+                return;
+            }
+            if (!routes || !listedAt || *listedAt < termSince) {
+                logWaiting(routes ? "no listing that was asked for in this term" : "no configuration", now);
                 return;
             }
             number = term->number;
@@ -279,6 +283,15 @@
         }
     }
 
+    /// The mutex is held.
+    void logWaiting(const char *why, instant now)
+    {
+        if (now >= nextStandingLog) {
+            nextStandingLog = now + standingLogPeriod;
+            assemblyLog.write("planning_waits", {{"why", why}, {"for_ms", (now - termSince).count()}});
+        }
+    }
+
     /// The mutex is held.
     void planService(const served_service &service,
                      const replica_directory &directory,
@@ -306,7 +319,10 @@
             assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
         }
         assembly.decisions.clear();
-        logStanding(view, assembly, now);
+        if (now >= nextStandingLog) {
+            nextStandingLog = now + standingLogPeriod;
+            logStanding(view, assembly);
+        }
         std::move(next.begin(), next.end(), std::back_inserter(planned));
     }
 
@@ -322,29 +338,6 @@
         return demand;
     }
 
-    void logStanding(const assembly_view &view, const assembly_state &assembly, instant now)
-    {
-        if (now < nextStandingLog) {
-            return;
-        }
-        nextStandingLog = now + standingLogPeriod;
-        assemblyLog.write("domains", {{"service", view.service.value()}, {"what", summariseDomains(assembly, view)}});
-        for (const auto &model : standingOf(assembly, view.engine)) {
-            assemblyLog.write("standing",
-                              {{"service", view.service.value()},
-                               {"model", model.model.value()},
-                               {"wanted", model.wanted},
-                               {"requests", model.requests},
-                               {"serving", model.serving},
-                               {"forming", model.forming},
-                               {"ending", model.ending},
-                               {"usable", assembly.usable},
-                               {"free", assembly.idleSince.size()},
-                               {"suspected", view.suspects.size()},
-                               {"loading", assembly.stagings.size()}});
-        }
-    }
-
     void perform(const replica_order &order, std::uint64_t number)
     {
         bool isAllowed = false;
