Entry: Let requests wait for the first listing of the replicas

Change: where a daemon has no place for a request and has not listed the replicas, the request waits for that, one second at most and while the service seems to answer, as it does for the first configuration. Where it does not come, the refusal says that the replicas have not been listed, and when daemons that started together are likely to have done so. What the feed brings before the first listing is used as before.

A listing shows in the directory in the same moment in which it counts as there: in between the coordinator could have planned by an older one.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -256,8 +256,9 @@
     void plan()
     {
         const auto routes = store.routes();
-        const auto directory = store.directory();
+        // Asked before the directory, which may become newer in between, but not older.
         const auto listedAt = store.listedAt();
+        const auto directory = store.directory();
         const auto now = monotonicNow();
         const auto silence = looks.report(*directory, now);
         std::vector<replica_order> planned;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -163,7 +163,9 @@
     {
         {
             const std::lock_guard lock(viewMutex);
-            view.replace(views.build(store.routes(), *store.directory(), settings.dataCentre));
+            // Asked before the directory, which may become newer in between, but not older.
+            const bool isListed = store.listedAt().has_value();
+            view.replace(views.build(store.routes(), *store.directory(), isListed, settings.dataCentre));
         }
         assembly.replan();
     }
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -139,10 +139,13 @@
     return {replica.id, replica.address, replica.dataCentre, group, std::max(1, replica.slots), std::move(load), replica.life};
 }
 
-std::shared_ptr<const entry_view>
-entry_view_builder::build(std::shared_ptr<const route_table> routes, const replica_directory &directory, const data_centre_id &dataCentre)
+std::shared_ptr<const entry_view> entry_view_builder::build(std::shared_ptr<const route_table> routes,
+                                                            const replica_directory &directory,
+                                                            bool isListed,
+                                                            const data_centre_id &dataCentre)
 {
     auto view = std::make_shared<entry_view>();
+    view->isListed = isListed;
     view->dataCentre = dataCentre;
     if (routes) {
         for (const auto &service : routes->configuration().services) {
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -67,6 +67,8 @@
 struct entry_view
 {
     std::shared_ptr<const route_table> routes;
+    /// The replicas' entries have been listed: what is not here is not there.
+    bool isListed = false;
     /// The replicas of plain services.
     std::map<service_id, std::vector<backend>> replicas;
     /// The heads of groups that take requests.
@@ -81,7 +83,7 @@
 {
 public:
     std::shared_ptr<const entry_view>
-    build(std::shared_ptr<const route_table> routes, const replica_directory &directory, const data_centre_id &dataCentre);
+    build(std::shared_ptr<const route_table> routes, const replica_directory &directory, bool isListed, const data_centre_id &dataCentre);
 
 private:
     backend makeBackend(const served_replica &replica, const group_id &group, formation formed);
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -12,7 +12,7 @@
 
 constexpr event_log requestLog("request");
 /// Only in the first moments of a process.
-constexpr duration configurationPollPeriod(5);
+constexpr duration viewPollPeriod(5);
 
 std::vector<counter> tryCounters(metrics &counters)
 {
@@ -73,17 +73,22 @@
     return vetchpost::mustSendElsewhere(keyBound(), m_store.configurationKnowledge(), now);
 }
 
-void relay_context::awaitConfiguration(instant until) const
+void relay_context::awaitView(instant until, const std::function<bool(const entry_view &)> &isEnough) const
 {
-    const auto hasConfiguration = [this] {
+    const auto hasCome = [&] {
         const auto view = currentView();
-        return view && view->routes;
+        return view && isEnough(*view);
     };
-    while (!hasConfiguration() && m_store.isServiceAnswering() && monotonicNow() < until) {
-        std::this_thread::sleep_for(configurationPollPeriod);
+    while (!hasCome() && m_store.isServiceAnswering() && monotonicNow() < until) {
+        std::this_thread::sleep_for(viewPollPeriod);
     }
 }
 
+refusal_reach relay_context::reachWithoutListing() const
+{
+    return m_store.isServiceAnswering() ? refusal_reach::starting : refusal_reach::all_daemons;
+}
+
 refusal_reach relay_context::reachOfStaleConfiguration(instant now) const
 {
     const auto known = m_store.configurationKnowledge();
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -54,8 +54,10 @@
     /// Asks for a permit for one of the places that have named a limit; false where nobody can be asked, or has just refused one.
     bool wantPermit(const std::vector<backend> &candidates, const std::vector<instance_id> &tried, std::uint64_t draw);
 
-    /// Waits for the first configuration, not beyond \a until, as long as the key-value service seems to answer.
-    void awaitConfiguration(instant until) const;
+    /// Waits for a view with enough in it, not beyond \a until, as long as the key-value service seems to answer.
+    void awaitView(instant until, const std::function<bool(const entry_view &)> &isEnough) const;
+    /// Who else has not listed the replicas yet.
+    refusal_reach reachWithoutListing() const;
     /// Who else lacks a configuration that is known to be the newest.
     refusal_reach reachOfStaleConfiguration(instant now) const;
 
--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -95,8 +95,10 @@
         lastListing = std::max(lastListing.value_or(asked), asked);
         firstListing = firstListing.value_or(asked);
         storeLog.write("replicas_listed", {{"count", replicas.size()}, {"lapsed", entries.lapsed.size()}, {"revision", listing->upTo}});
+        // At once: whoever learns that there is a listing must find what it brought.
+        showEntries();
     }
-    publish();
+    didChange();
     return true;
 }
 
@@ -229,11 +231,16 @@
 {
     {
         const std::lock_guard lock(mutex);
-        auto directory = entries.directory;
-        showLeaving(directory, leaving);
-        published = std::make_shared<const replica_directory>(std::move(directory));
+        showEntries();
     }
     didChange();
 }
 
+void store_follower::private_data::showEntries()
+{
+    auto directory = entries.directory;
+    showLeaving(directory, leaving);
+    published = std::make_shared<const replica_directory>(std::move(directory));
+}
+
 } // namespace vetchpost
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -17,6 +17,8 @@
 constexpr duration leastTimeLeft(15);
 /// A daemon that starts reads its configuration within this time, a large one through a small instance's link too.
 constexpr duration firstConfigurationWait(300);
+/// ... and its replicas, thousands of them through such a link and beside all others, within this one.
+constexpr duration firstListingWait(1000);
 /// Places that could not be connected to are not counted as attempts; after so many of them the request is given up.
 constexpr int mostUnreachable = 4;
 /// A request without any other place waits so long for a permit: the question and its answer take a few milliseconds.
@@ -92,7 +94,7 @@
 {
     if (!m_view || !m_view->routes) {
         // A refusal would use up a return of the client, who may meet another daemon that has just started.
-        m_context.awaitConfiguration(m_arrival + firstConfigurationWait);
+        m_context.awaitView(m_arrival + firstConfigurationWait, [](const entry_view &view) { return view.routes != nullptr; });
         m_view = m_context.currentView();
     }
     if (!m_view || !m_view->routes) {
@@ -142,6 +144,10 @@
         refuse(error_kind::crashing_request, "replicas have ended under it, again and again", time);
         return;
     }
+    if (!mayKnowPlaces()) {
+        refuse(error_kind::platform_unavailable, "the replicas have not been listed yet", m_context.reachWithoutListing());
+        return;
+    }
     m_context.noteFirstTry(m_service->id);
     if (m_head.patience) {
         m_waitedBefore = m_context.waitedBefore(m_route->name, *m_head.patience, m_arrival);
@@ -162,6 +168,15 @@
     finish(end);
 }
 
+/// Whether the places at hand are all there are, or at least some: a daemon that starts reads the replicas after its configuration. What
+/// comes before that waits, since a refusal would use up a return of the client, who may meet another daemon that has just started.
+bool request_run::mayKnowPlaces() const
+{
+    const auto isEnough = [this](const entry_view &view) { return view.isListed || !view.backends(*m_service, m_head.model).empty(); };
+    m_context.awaitView(std::min(m_arrival + firstListingWait, m_deadline - leastTimeLeft), isEnough);
+    return isEnough(*m_context.currentView());
+}
+
 try_end request_run::tryUntilDone()
 {
     auto end = try_end::not_sent;
--- a/Libraries/Entry/request_run.h
+++ b/Libraries/Entry/request_run.h
@@ -35,6 +35,7 @@
     bool readRequest();
     bool findRoute();
     bool checkKey();
+    bool mayKnowPlaces() const;
     void tryReplicas();
     try_end tryUntilDone();
     bool mayTryAnother(try_end end);
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -106,6 +106,8 @@
     std::optional<served_replica> decode(const key_value_entry &entry);
     /// Shows what is known in a new directory, and tells that it did.
     void publish();
+    /// Shows it. The mutex is held.
+    void showEntries();
 
     // What the source tells.
     void takeUpdate(const feed_update &update, std::optional<instant> asked);
--- a/Tests/Entry/testEntryView.cpp
+++ b/Tests/Entry/testEntryView.cpp
@@ -169,12 +169,12 @@
         directory.replicas[replica.id] = replica;
     }
     entry_view_builder builder;
-    const auto first = builder.build(table, directory, here);
+    const auto first = builder.build(table, directory, true, here);
     const auto &service = table->configuration().services.front();
     REQUIRE(first->backends(service, model_id()).size() == 2);
     first->backends(service, model_id()).front().load->answerTime = 42;
     directory.replicas[instance_id("b")].isDraining = true;
-    const auto second = builder.build(table, directory, here);
+    const auto second = builder.build(table, directory, true, here);
     REQUIRE(second->backends(service, model_id()).size() == 1);
     CHECK(second->backends(service, model_id()).front().load->answerTime == 42);
 }
@@ -192,11 +192,11 @@
     replica.membership = {group_id("g"), formation(1), 0, member_state::open};
     directory.replicas[replica.id] = replica;
     entry_view_builder builder;
-    const auto first = builder.build(table, directory, here);
+    const auto first = builder.build(table, directory, true, here);
     REQUIRE(first->backends(service, model_id("small")).size() == 1);
     first->backends(service, model_id("small")).front().load->answerTime = 900;
     directory.replicas[replica.id].membership->formed = formation(2);
-    const auto second = builder.build(table, directory, here);
+    const auto second = builder.build(table, directory, true, here);
     CHECK(second->backends(service, model_id("small")).front().load->answerTime == 0);
     CHECK(second->backends(service, model_id("big")).empty());
 }
--- a/Tests/PlatformAdapter/relayWorld.h
+++ b/Tests/PlatformAdapter/relayWorld.h
@@ -40,10 +40,14 @@
 class memory_store : public key_value_service
 {
 public:
-    memory_store(std::map<std::string, std::string> &values, std::atomic<bool> &isUp, std::atomic<bool> &hidesConfiguration)
+    memory_store(std::map<std::string, std::string> &values,
+                 std::atomic<bool> &isUp,
+                 std::atomic<bool> &hidesConfiguration,
+                 duration listingTime)
         : m_values(values)
         , m_isUp(isUp)
         , m_hidesConfiguration(hidesConfiguration)
+        , m_listingTime(listingTime)
     {
     }
 
@@ -59,6 +63,7 @@
 
     std::optional<key_value_listing> list(const std::string &prefix, read_freshness /*freshness*/, reason & /*lastReason*/) override
     {
+        std::this_thread::sleep_for(m_listingTime);
         key_value_listing listing;
         // Without a revision it would count as no listing, and be asked for again and again without a pause.
         listing.upTo = 1;
@@ -101,6 +106,7 @@
     std::map<std::string, std::string> &m_values;
     std::atomic<bool> &m_isUp;
     std::atomic<bool> &m_hidesConfiguration;
+    duration m_listingTime;
 };
 
 inline endpoint freePort()
@@ -227,10 +233,11 @@
         m_peers = settings.peers;
         m_daemon = std::make_unique<entry_daemon>(
             settings, std::make_unique<platform_dialect>(), [this](const endpoint & /*address*/, metrics & /*counters*/) {
-                return std::make_unique<memory_store>(m_values, m_isUp, m_hidesConfiguration);
+                return std::make_unique<memory_store>(m_values, m_isUp, m_hidesConfiguration, m_listingTime);
             });
         m_daemon->start();
-        for (int i = 0; i < 100 && hasConfiguration && !m_hidesConfiguration && !isReady(settings.readiness); ++i) {
+        const bool willBeReady = hasConfiguration && !m_hidesConfiguration && m_listingTime == duration();
+        for (int i = 0; i < 100 && willBeReady && !isReady(settings.readiness); ++i) {
             std::this_thread::sleep_for(duration(20));
         }
     }
@@ -252,6 +259,12 @@
         m_stopGrace = grace;
     }
 
+    /// From the next start on each listing of the replicas takes so long, and the daemon is not waited for until it is ready.
+    void slowListings(duration time)
+    {
+        m_listingTime = time;
+    }
+
     /// The daemon stops as planned; returns when it has.
     void stopDaemon()
     {
@@ -338,6 +351,7 @@
     std::atomic<bool> m_isUp = true;
     std::atomic<bool> m_hidesConfiguration = false;
     bool m_isKeyRevocationStrict = true;
+    duration m_listingTime{};
     duration m_stopGrace{3000};
     endpoint m_callers;
     endpoint m_peers;
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -96,6 +96,34 @@
     CHECK(world.ask("/once/", "bad").status == 401);
 }
 
+// After all daemons had been killed at 930 replicas, they knew their configuration at once and their replicas half a second later. 1,839
+// requests that came between were told that no place takes requests, and to come back in a second.
+TEST_CASE("A request that comes before the first listing of the replicas waits for it, and is not told that there is no place")
+{
+    const scripted_replica replica(good);
+    relay_world world;
+    world.addPlain("i-1", replica);
+    SECTION("it comes soon")
+    {
+        world.slowListings(duration(600));
+        world.start(true, true);
+        CHECK(world.ask("/once/").status == 200);
+        CHECK(replica.requests().size() == 1);
+    }
+    SECTION("it takes long")
+    {
+        world.slowListings(duration(4000));
+        world.start(true, true);
+        const auto asked = monotonicNow();
+        const auto refused = world.ask("/once/");
+        CHECK(refused.status == 503);
+        CHECK(monotonicNow() - asked < duration(1300));
+        // Others that started with it may know them any moment.
+        CHECK(std::stod(refused.header("Retry-After")) <= 0.3);
+        CHECK(refused.body.find("listed") != std::string::npos);
+    }
+}
+
 // The configuration was read again only after the time that its own bound allows, which may be longer than the keys' bound: each time the
 // requests of some 20 ms were refused, until the answer was there.
 TEST_CASE("Keys do not go out of date between two readings of the configuration")
