--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -98,8 +98,8 @@
 }
 
 /// Loads the weights that keep a larger model's group from being formed, on the hosts of smaller groups that may give way to it and on free
-/// replicas beside them. These loads wait for no loss as those do that prepare for one: the model lacks much already, and the groups that
-/// stay never end by themselves. One exchange at a time: a load takes what its host held.
+/// replicas beside them. Unlike loads that prepare for a loss they wait for none: the model lacks much already, and while nothing is lost
+/// the smaller groups stay as they are. One exchange at a time: a load takes what its host held.
 void assembly_round::stageForLarger()
 {
     if (m_view.isBeforeTraffic || m_view.engine.stagedPerHost < 1 || isAnyoneGivingWay()) {
