Daemon: Let requests wait for what a daemon that has just started lacks

The same as at the platform's entry, looked for on the own interfaces: a daemon that was started again took its first request before its peers had told it of any group, refused it with "no replica of the model serves at the moment", and asked its caller to come back in five seconds. Now such a request waits for the configuration and for replicas of its deployment, three seconds at most and not beyond its deadline; where neither comes it is refused as before. A daemon that has heard of all groups, or runs longer than fifteen seconds, never waits.

Processes.DaemonLoss asks a daemon in that moment: refused before, served now.

--- a/Libraries/Daemon/caller_interface.cpp
+++ b/Libraries/Daemon/caller_interface.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 
 #include <charconv>
+#include <functional>
+#include <thread>
 
 namespace vetchpost {
 
@@ -20,6 +22,9 @@
 constexpr std::size_t longestKey = 255;
 /// A daemon that has not heard of all groups after this time serves what it has heard of.
 constexpr duration longestLearning(15000);
+/// A request that comes to a daemon which has just started waits so long for what it lacks: its peers tell it within a second or two.
+constexpr duration longestWaitAtStart(3000);
+constexpr duration pollPeriodAtStart(10);
 
 /// The value of a header that must be a whole number; nothing where it is not one.
 std::optional<std::int64_t> wholeNumber(const std::string &text)
@@ -67,6 +72,30 @@
         return context.cluster.routing().read([](const routing_snapshot &snapshot) { return snapshot.hasHeardOfGroups; });
     }
 
+    /// Whether replicas of the deployment are known, or that there are none.
+    bool mayKnowReplicas(const deployment_id &target) const
+    {
+        return context.cluster.routing().read([&](const routing_snapshot &snapshot) {
+            const auto *routes = snapshot.find(target);
+            return snapshot.hasHeardOfGroups || (routes != nullptr && !(routes->replicas.empty() && routes->services.empty()));
+        });
+    }
+
+    /// Waits as long as this daemon has just started, not beyond \a until.
+    void awaitAtStart(instant until, const std::function<bool()> &isKnown) const
+    {
+        const auto end = std::min(until, started + longestLearning);
+        while (!isKnown() && monotonicNow() < end) {
+            std::this_thread::sleep_for(pollPeriodAtStart);
+        }
+    }
+
+    /// Without it the caller would be told that nobody serves, and to come back in seconds, where the daemon's peers know replicas.
+    void awaitReplicas(const caller_request &request) const
+    {
+        awaitAtStart(std::min(request.received + longestWaitAtStart, request.deadline), [&] { return mayKnowReplicas(request.target.id); });
+    }
+
     void answerReady(http_exchange &exchange)
     {
         if (!isReady) {
@@ -169,6 +198,7 @@
             refuse(exchange, {error_kind::organisation_limit, "the organisation's tokens of this second are used up"}, request->id);
             return;
         }
+        awaitReplicas(*request);
         answerModelRequest(context, exchange, *request, *body);
     }
 
@@ -191,6 +221,7 @@
         request->target = *target;
         request->isRepeatable = request->isRepeatable && isRepeatable(*target, exchange.method());
         const auto path = slash == std::string::npos ? std::string("/") : rest.substr(slash);
+        awaitReplicas(*request);
         services.answer(exchange, *request, exchange.query().empty() ? path : path + "?" + exchange.query());
     }
 };
@@ -216,6 +247,7 @@
         d->refuse(exchange, {error_kind::stopping, "this daemon is stopping"});
         return;
     }
+    d->awaitAtStart(monotonicNow() + longestWaitAtStart, [this] { return d->wanted() != nullptr; });
     const auto wanted = d->wanted();
     if (!wanted) {
         d->refuse(exchange, {error_kind::no_configuration, "this daemon knows no configuration yet"});
--- a/Tests/Processes/testDaemonLoss.sh
+++ b/Tests/Processes/testDaemonLoss.sh
@@ -34,6 +34,9 @@
 
 # kill -9 of the coordinator: one of those left serves and takes over.
 start_daemon "$stopped" ikeja "$other"
+# The first request that it takes comes before it has heard of any group.
+until answer=$(chat "$stopped" "just after the start"); do sleep 0.02; done
+expect "a daemon that has just started waits for what it lacks" "$answer" '"finish_reason":"stop"'
 wait_for 20 "ready daemon $stopped" is_ready "$stopped"
 wait_for 20 "coordinator" has_coordinator "$stopped"
 killed=$(coordinator "$stopped")
