--- a/Benchmarks/benchAssembly.cpp
+++ b/Benchmarks/benchAssembly.cpp
@@ -94,7 +94,8 @@
     configuration.services = {{service, "/health", 100, engine}};
     const auto routes = std::make_shared<const route_table>(configuration);
     entry_view_builder views;
-    const auto view = millisecondsOf([&](int /*i*/) { copied += views.build(routes, directory, true, data_centre_id("centre"))->groups.size(); });
+    const auto view
+        = millisecondsOf([&](int /*i*/) { copied += views.build(routes, directory, true, data_centre_id("centre"))->groups.size(); });
     fmt::print("{:>8} {:>8} {:>10.3f} {:>14.3f} {:>10.3f} {:>10.3f}\n", replicas, largeSize, steady, afterLosses, copy, view);
 }
 
