--- a/Tests/Assembly/testAssembly.cpp
+++ b/Tests/Assembly/testAssembly.cpp
@@ -256,8 +256,7 @@
 
 } // namespace
 
-// Replicas left one after another until the larger model had no group. Departures are no losses, and the two loads that are allowed without
-// one were spent: no host was prepared again, and each of its requests was refused for a minute.
+// Departures are no losses, and the loads that are allowed without one are spent.
 TEST_CASE("A model without groups is not left without them where the members of others may load its weights")
 {
     const instant now(duration(1000000));
--- a/Tests/Assembly/testSilentReplicas.cpp
+++ b/Tests/Assembly/testSilentReplicas.cpp
@@ -50,8 +50,7 @@
     CHECK(reportSilence(silent, directory, start + duration(400)).suspects.empty());
 }
 
-// A look without an answer is counted only after others were asked whether they answer this daemon. A later look had its answer meanwhile,
-// and the replica was suspected for ten seconds all the same.
+// A look without an answer counts late, after a check of the daemon's own link.
 TEST_CASE("Of two looks at a replica the one that began later counts, whichever ends first")
 {
     silent_replicas silent;
--- a/Tests/PlatformAdapter/testRelay.cpp
+++ b/Tests/PlatformAdapter/testRelay.cpp
@@ -96,8 +96,7 @@
     CHECK(world.ask("/once/", "bad").status == 401);
 }
 
-// After all daemons had been killed at 930 replicas, they knew their configuration at once and their replicas half a second later. 1,839
-// requests that came between were told that no place takes requests, and to come back in a second.
+// Daemons that start together know their configuration at once, and thousands of replicas much later.
 TEST_CASE("A request that comes before the first listing of the replicas waits for it, and is not told that there is no place")
 {
     const scripted_replica replica(good);
@@ -124,8 +123,7 @@
     }
 }
 
-// The configuration was read again only after the time that its own bound allows, which may be longer than the keys' bound: each time the
-// requests of some 20 ms were refused, until the answer was there.
+// The keys' bound may be shorter than that for putting a configuration in force.
 TEST_CASE("Keys do not go out of date between two readings of the configuration")
 {
     const scripted_replica replica(good);
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -123,8 +123,7 @@
     follower.stop();
 }
 
-// A daemon had asked for a listing when it became the coordinator. It asked for another, before which it plans nothing, and had its answer
-// first. The older answer then passed for the last one: for the rest of its term, 24 s, the coordinator formed and closed no group.
+// A coordinator plans nothing before the answer to a listing that it asked for in its term.
 TEST_CASE("The answer to an older listing does not count for one that was asked for later")
 {
     const bool isNewerLost = GENERATE(false, true);
