Daemon: Find the first end of rest in one place

admission and service_gateway each folded the rests of their routes into the time until the first is over, and copied all routes for it. replica_rests does it for both now, from addresses.

--- a/Libraries/Daemon/admission.cpp
+++ b/Libraries/Daemon/admission.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <condition_variable>
+#include <iterator>
 #include <map>
 #include <mutex>
 
@@ -240,16 +241,15 @@
 
 std::optional<duration> admission::opensAfter(const deployment_id &deployment) const
 {
-    std::optional<instant> first;
+    std::vector<endpoint> leaders;
     d->routing.read([&](const routing_snapshot &snapshot) {
-        const auto *routes = snapshot.find(deployment);
-        for (const auto &route : routes == nullptr ? std::vector<replica_route>() : routes->replicas) {
-            const auto until = d->rests.restsUntil(route.leader);
-            first = std::min(first.value_or(until), until);
+        if (const auto *routes = snapshot.find(deployment)) {
+            std::transform(routes->replicas.begin(), routes->replicas.end(), std::back_inserter(leaders), [](const replica_route &route) {
+                return route.leader;
+            });
         }
     });
-    const auto now = monotonicNow();
-    return first && *first > now ? std::optional(*first - now) : std::nullopt;
+    return d->rests.opensAfter(leaders);
 }
 
 bool admission::takeRetryFor(const deployment_id &deployment)
--- a/Libraries/Daemon/replica_rests.cpp
+++ b/Libraries/Daemon/replica_rests.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/Base/log.h"
 #include "Libraries/Requests/replica_constraints.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 
@@ -66,4 +67,15 @@
     return known == nullptr ? instant() : known->restsUntil;
 }
 
+std::optional<duration> replica_rests::opensAfter(const std::vector<endpoint> &addresses) const
+{
+    std::optional<instant> first;
+    for (const auto &address : addresses) {
+        const auto until = restsUntil(address);
+        first = std::min(first.value_or(until), until);
+    }
+    const auto now = monotonicNow();
+    return first && *first > now ? std::optional(*first - now) : std::nullopt;
+}
+
 } // namespace vetchpost
--- a/Libraries/Daemon/replica_rests.h
+++ b/Libraries/Daemon/replica_rests.h
@@ -6,6 +6,8 @@
 #include "Libraries/Http/http_message.h"
 
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace vetchpost {
 
@@ -23,6 +25,8 @@
     void noteAnswer(const endpoint &from, int status, const std::vector<http_header> &headers);
     /// When it takes requests again; the beginning of time where it does not rest.
     instant restsUntil(const endpoint &address) const;
+    /// How long until the first of them has rested; nothing where one does not rest, or there is none.
+    std::optional<duration> opensAfter(const std::vector<endpoint> &addresses) const;
 
 private:
     struct private_data;
--- a/Libraries/Daemon/service_gateway.cpp
+++ b/Libraries/Daemon/service_gateway.cpp
@@ -7,6 +7,8 @@
 #include "Libraries/Http/http_client.h"
 #include "Libraries/Requests/recovery.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <random>
@@ -110,16 +112,16 @@
     /// How long until the first of the service's instances has rested; nothing where one does not rest.
     std::optional<duration> opensAfter(const deployment_id &deployment)
     {
-        const auto now = monotonicNow();
-        std::optional<instant> first;
+        std::vector<endpoint> addresses;
         context.cluster.routing().read([&](const routing_snapshot &snapshot) {
-            const auto *routes = snapshot.find(deployment);
-            for (const auto &route : routes == nullptr ? std::vector<service_route>() : routes->services) {
-                const auto until = context.rests.restsUntil(route.address);
-                first = std::min(first.value_or(until), until);
+            if (const auto *routes = snapshot.find(deployment)) {
+                std::transform(routes->services.begin(),
+                               routes->services.end(),
+                               std::back_inserter(addresses),
+                               [](const service_route &route) { return route.address; });
             }
         });
-        return first && *first > now ? std::optional(*first - now) : std::nullopt;
+        return context.rests.opensAfter(addresses);
     }
 
     void release(const service_route &route, bool hadTrouble)
