Daemon: Ask for the configuration once a request

The wait at the start asked for it and each request asked again; and replicas of the target were looked up before the flag that makes it needless. No change of behaviour: Processes.DaemonLoss (12 checks) passes.

--- a/Libraries/Daemon/caller_interface.cpp
+++ b/Libraries/Daemon/caller_interface.cpp
@@ -76,8 +76,11 @@
     bool mayKnowReplicas(const deployment_id &target) const
     {
         return context.cluster.routing().read([&](const routing_snapshot &snapshot) {
+            if (snapshot.hasHeardOfGroups) {
+                return true;
+            }
             const auto *routes = snapshot.find(target);
-            return snapshot.hasHeardOfGroups || (routes != nullptr && !(routes->replicas.empty() && routes->services.empty()));
+            return routes != nullptr && !(routes->replicas.empty() && routes->services.empty());
         });
     }
 
@@ -247,8 +250,11 @@
         d->refuse(exchange, {error_kind::stopping, "this daemon is stopping"});
         return;
     }
-    d->awaitAtStart(monotonicNow() + longestWaitAtStart, [this] { return d->wanted() != nullptr; });
-    const auto wanted = d->wanted();
+    std::shared_ptr<const configuration> wanted;
+    d->awaitAtStart(monotonicNow() + longestWaitAtStart, [&] {
+        wanted = d->wanted();
+        return wanted != nullptr;
+    });
     if (!wanted) {
         d->refuse(exchange, {error_kind::no_configuration, "this daemon knows no configuration yet"});
         return;
