Entry: Let the wait for a view say whether it came

Each request took the view and looked for its places once more after the wait to learn how it had ended.

--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -73,15 +73,19 @@
     return vetchpost::mustSendElsewhere(keyBound(), m_store.configurationKnowledge(), now);
 }
 
-void relay_context::awaitView(instant until, const std::function<bool(const entry_view &)> &isEnough) const
+bool relay_context::awaitView(instant until, const std::function<bool(const entry_view &)> &isEnough) const
 {
     const auto hasCome = [&] {
         const auto view = currentView();
         return view && isEnough(*view);
     };
-    while (!hasCome() && m_store.isServiceAnswering() && monotonicNow() < until) {
+    while (!hasCome()) {
+        if (!m_store.isServiceAnswering() || monotonicNow() >= until) {
+            return false;
+        }
         std::this_thread::sleep_for(viewPollPeriod);
     }
+    return true;
 }
 
 refusal_reach relay_context::reachWithoutListing() const
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -54,8 +54,8 @@
     /// Asks for a permit for one of the places that have named a limit; false where nobody can be asked, or has just refused one.
     bool wantPermit(const std::vector<backend> &candidates, const std::vector<instance_id> &tried, std::uint64_t draw);
 
-    /// Waits for a view with enough in it, not beyond \a until, as long as the key-value service seems to answer.
-    void awaitView(instant until, const std::function<bool(const entry_view &)> &isEnough) const;
+    /// Waits for a view with enough in it, not beyond \a until, as long as the key-value service seems to answer. Whether it is there.
+    bool awaitView(instant until, const std::function<bool(const entry_view &)> &isEnough) const;
     /// Who else has not listed the replicas yet.
     refusal_reach reachWithoutListing() const;
     /// Who else lacks a configuration that is known to be the newest.
--- a/Libraries/Entry/request_run.cpp
+++ b/Libraries/Entry/request_run.cpp
@@ -173,8 +173,7 @@
 bool request_run::mayKnowPlaces() const
 {
     const auto isEnough = [this](const entry_view &view) { return view.isListed || !view.backends(*m_service, m_head.model).empty(); };
-    m_context.awaitView(std::min(m_arrival + firstListingWait, m_deadline - leastTimeLeft), isEnough);
-    return isEnough(*m_context.currentView());
+    return m_context.awaitView(std::min(m_arrival + firstListingWait, m_deadline - leastTimeLeft), isEnough);
 }
 
 try_end request_run::tryUntilDone()
