Assembly: Order the groups that may give way in one place

The choice of groups to take apart and that of hosts to load for sorted them by the same words. The two choices stay apart: one asks for groups whose members are ready, the other for the fewest loads. No change of behaviour.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -92,6 +92,7 @@
     bool isAnyoneGivingWay() const;
     bool hasRoomWithout(const group_model &model, int groups) const;
     int readyMembers(const planned_group &group, const model_id &model) const;
+    void sortByReadyMembers(std::vector<planned_group *> &groups, const group_model &model) const;
     int readyWith(const planned_group &group, const model_id &model) const;
     static int quickCount(const std::vector<const served_replica *> &replicas, const model_id &model);
     double partWithoutEnding(const group_model &model) const;
--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -33,7 +33,15 @@
     }));
 }
 
-/// ... and with them of the free replicas of its domain.
+/// Those first with the most members that are ready for a model.
+void assembly_round::sortByReadyMembers(std::vector<planned_group *> &groups, const group_model &model) const
+{
+    std::stable_sort(groups.begin(), groups.end(), [&](const planned_group *left, const planned_group *right) {
+        return readyMembers(*left, model.id) > readyMembers(*right, model.id);
+    });
+}
+
+/// How many members of a group, with the free replicas of its domain, are ready for a model.
 int assembly_round::readyWith(const planned_group &group, const model_id &model) const
 {
     const auto *replica = find(group.members.front().instance);
@@ -83,9 +91,7 @@
 /// not.
 std::vector<planned_group *> assembly_round::victimsAmong(std::vector<planned_group *> groups, const group_model &model, int ready) const
 {
-    std::stable_sort(groups.begin(), groups.end(), [&](const planned_group *left, const planned_group *right) {
-        return readyMembers(*left, model.id) > readyMembers(*right, model.id);
-    });
+    sortByReadyMembers(groups, model);
     std::vector<planned_group *> victims;
     for (auto *group : groups) {
         ready += readyMembers(*group, model.id);
@@ -130,9 +136,7 @@
 assembly_round::exchange
 assembly_round::exchangeIn(const fabric_domain_id &domain, std::vector<planned_group *> groups, const group_model &model) const
 {
-    std::stable_sort(groups.begin(), groups.end(), [&](const planned_group *left, const planned_group *right) {
-        return readyMembers(*left, model.id) > readyMembers(*right, model.id);
-    });
+    sortByReadyMembers(groups, model);
     exchange result;
     if (const auto free = m_free.find(domain); free != m_free.end()) {
         result.replicas = free->second;
