Requests: Pace each daemon's requests to cold replicas

A cold replica fails above its rate, summed over all daemons, and no message may be needed to keep the sum.

--- a/Libraries/Requests/replica_block.cpp
+++ b/Libraries/Requests/replica_block.cpp
@@ -21,4 +21,10 @@
     return {};
 }
 
+replica_block blockOf(const cold_pacing &pacing, const replica_key &replica, instant now)
+{
+    const auto until = coldBlockUntil(pacing, replica, now);
+    return until ? replica_block{block_cause::cold, until} : replica_block();
+}
+
 } // namespace vetchpost
--- a/Libraries/Requests/replica_block.h
+++ b/Libraries/Requests/replica_block.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Requests/cold_pacing.h"
 #include "Libraries/Requests/rate_permits.h"
 
 #include <optional>
@@ -15,7 +16,9 @@
     /// The replica has a rate limit, and this daemon holds no permit.
     limit,
     /// The replica is about to terminate.
-    leaving
+    leaving,
+    /// The replica is cold, and this daemon may not send it the next request yet.
+    cold
 };
 
 /// Whether and how long a replica must not be sent a request.
@@ -28,5 +31,7 @@
 
 /// Returns the block of a replica; its cause is none if a request may be sent.
 replica_block blockOf(const replica_constraints &table, const permit_holder &holder, const replica_key &replica, instant now);
+/// Returns the block of a replica by its cold time alone.
+replica_block blockOf(const cold_pacing &pacing, const replica_key &replica, instant now);
 
 } // namespace vetchpost
--- a/Libraries/Requests/replica_notice.cpp
+++ b/Libraries/Requests/replica_notice.cpp
@@ -23,6 +23,27 @@
 
 } // namespace
 
+cold_notice parseColdTimes(const std::vector<std::string> &values)
+{
+    cold_notice notice;
+    for (const auto &text : values) {
+        std::uint32_t value = 0;
+        const auto *end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, value);
+        const bool isValid = parsed.ec == std::errc() && parsed.ptr == end;
+        if (isValid) {
+            notice.left = std::max(notice.left.value_or(duration()), duration(value));
+        }
+        if (!isValid || values.size() > 1) {
+            notice.unreadable += (notice.unreadable.empty() ? "" : ", ") + text;
+        }
+    }
+    if (values.size() == 1 && values.front().empty()) {
+        notice.unreadable = "(empty)";
+    }
+    return notice;
+}
+
 bool isDecimal(const std::string &text)
 {
     return parseDecimal(text).has_value();
--- a/Libraries/Requests/replica_notice.h
+++ b/Libraries/Requests/replica_notice.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace vetchpost {
 
@@ -28,6 +29,19 @@
     }
 };
 
+/// What a replica's answer says about its remaining cold time.
+struct cold_notice
+{
+    /// Nothing if the answer does not say it.
+    std::optional<duration> left;
+    /// A value that could not be parsed; empty if all could.
+    std::string unreadable = {};
+};
+
+/// Reads the values of the header with the remaining cold time, in milliseconds. If it is given several times, the longest valid value
+/// applies and all are reported as unreadable.
+cold_notice parseColdTimes(const std::vector<std::string> &values);
+
 /// Requests per second. A replica that accepts no requests at all still gets this many, to find out whether that has changed.
 constexpr double minRateLimit = 0.05;
 /// The longest backoff that is applied; a replica that needs more has to announce it again.
