Entry: Place requests on cold replicas by their pacing

An entry's ColdLeftMs and an answer's Cold-Ms say how long a replica is cold. Requests pass over a cold replica whose turn has not come; if all are cold, a request reserves a turn within its remaining objective or is refused at once with the time of the next one. The feed sends the time that remains. An invalid ColdLeftMs rejects the entry as before, and the log now names the field. Off without cold.overrun and cold.slack in the settings, or without ColdPerS.

--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -31,6 +31,7 @@
     , m_replicasInBackoff(addConstrainedGauge(counters, "rest"))
     , m_rateLimitedReplicas(addConstrainedGauge(counters, "limit"))
     , m_leavingReplicas(addConstrainedGauge(counters, "leaving"))
+    , m_coldReplicas(counters.addGauge("vetchpost_cold_replicas", "Replicas that are cold."))
 {
 }
 
@@ -47,6 +48,7 @@
     m_replicasInBackoff.set(status.replicasInBackoff);
     m_rateLimitedReplicas.set(status.rateLimitedReplicas);
     m_leavingReplicas.set(status.leavingReplicas);
+    m_coldReplicas.set(status.coldReplicas);
     const std::lock_guard lock(m_mutex);
     for (const auto &[part, count] : status.droppedLinesByPart) {
         auto found = m_droppedLines.find(part);
--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -35,6 +35,8 @@
     int rateLimitedReplicas = 0;
     /// Replicas that announced that they leave.
     int leavingReplicas = 0;
+    /// Replicas that are cold.
+    int coldReplicas = 0;
     /// Log lines dropped since the start, by the part of the program that wrote them.
     std::map<std::string, std::uint64_t> droppedLinesByPart;
 };
@@ -59,6 +61,7 @@
     gauge m_replicasInBackoff;
     gauge m_rateLimitedReplicas;
     gauge m_leavingReplicas;
+    gauge m_coldReplicas;
     std::mutex m_mutex;
     std::map<std::string, counter> m_droppedLines;
 };
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -28,6 +28,8 @@
 constexpr duration stopPollPeriod(50);
 constexpr std::size_t clientThreadStackBytes = 128U * 1024U;
 constexpr int readinessThreads = 4;
+/// The part of a cold replica's rate that is paced. No requests reach cold replicas by other means.
+constexpr double coldShare = 1;
 constexpr auto metricsPath = "/metrics";
 /// Clients reuse connections that were idle for a little less than the configured idle time.
 constexpr duration keepAliveTimeout(20000);
@@ -144,6 +146,10 @@
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
     {
+        if (settings.cold) {
+            store.setColdPaced(true);
+            constraints.cold().turnOn({settings.cold->overrun, settings.cold->slack}, coldShare, [this] { return feed.daemons(); });
+        }
     }
 
     /// Records the constraints in a replica's answer to an order or a probe. Such an answer may state constraints, but one that states none
@@ -154,6 +160,13 @@
         notice.isExhaustive = false;
         const auto directory = store.directory();
         const auto known = directory->replicas.find(replica);
+        if (known != directory->replicas.end() && constraints.cold().isOn()) {
+            const auto routes = store.routes();
+            const auto *service = routes ? routes->findService(known->second.service) : nullptr;
+            constraints.cold().applyNotice({replica, known->second.incarnation},
+                                           service == nullptr ? 0 : service->coldPerSecond,
+                                           dialect->readColdNotice(reply.status, reply.headers));
+        }
         if (known != directory->replicas.end() && constraints.applyNotice({replica, known->second.incarnation}, notice)) {
             feed.syncTables();
         }
@@ -165,7 +178,13 @@
             const std::lock_guard lock(viewMutex);
             // Read before the directory, which may become newer in between, but not older.
             const bool isListed = store.listedAt().has_value();
-            view.replace(views.build(store.routes(), *store.directory(), isListed, settings.dataCentre));
+            const auto routes = store.routes();
+            const auto directory = store.directory();
+            if (routes) {
+                // Before the view shows a replica, so that no request is placed on a cold one without pacing.
+                constraints.cold().applyEntries(*directory, *routes);
+            }
+            view.replace(views.build(routes, *directory, isListed, settings.dataCentre));
         }
         assembly.replan();
     }
@@ -200,6 +219,7 @@
         status.replicasInBackoff = constrained.inBackoff;
         status.rateLimitedReplicas = constrained.limited;
         status.leavingReplicas = constrained.leaving;
+        status.coldReplicas = constraints.cold().count();
         status.droppedLinesByPart = droppedLogLinesByPart();
         return status;
     }
--- a/Libraries/Entry/entry_dialect.h
+++ b/Libraries/Entry/entry_dialect.h
@@ -79,6 +79,8 @@
     virtual replica_answer_head readAnswer(int status, const std::vector<http_header> &headers) const = 0;
     /// The rate limit, backoff and departure that an answer of any status announces for its replica.
     virtual replica_notice readNotice(int status, const std::vector<http_header> &headers) const = 0;
+    /// The remaining cold time that an answer of any status announces for its replica.
+    virtual cold_notice readColdNotice(int status, const std::vector<http_header> &headers) const = 0;
     /// The headers of a replica's answer that are relayed to the client.
     virtual std::vector<http_header> clientHeaders(const std::vector<http_header> &replicaHeaders) const = 0;
     /// The headers of an answer that the daemon generates itself.
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Requests/replica_constraints.h"
 #include "Libraries/Routing/replica_directory.h"
 #include "Libraries/Routing/route_table.h"
 
@@ -68,6 +69,12 @@
     replica_incarnation incarnation = {};
 };
 
+/// Returns the key under which constraints of the backend are kept.
+inline replica_key keyOf(const backend &target)
+{
+    return {target.replica, target.incarnation};
+}
+
 /// An immutable snapshot of everything that requests are routed by.
 struct entry_view
 {
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -70,6 +70,20 @@
 
 } // namespace
 
+void recordReceipt(std::vector<replica_change> &changes, bool isColdPaced, instant now)
+{
+    for (auto &change : changes) {
+        if (!change.replica || change.replica->coldLeft <= duration()) {
+            continue;
+        }
+        if (isColdPaced) {
+            change.replica->coldUntil = now + change.replica->coldLeft;
+        } else {
+            change.replica->coldLeft = {};
+        }
+    }
+}
+
 void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, std::uint64_t upTo, duration outage, instant now)
 {
     std::set<instance_id> present;
@@ -98,6 +112,8 @@
 
 void applyChange(replica_entries &entries, const replica_change &change, instant now)
 {
+    const auto revision = entries.revisions.find(change.id);
+    const bool isRepeated = revision != entries.revisions.end() && revision->second == change.revision;
     if (!updateRevision(entries, change.id, change.revision)) {
         return;
     }
@@ -107,7 +123,10 @@
     }
     updateLeavingSince(entries.directory, *change.replica, now);
     auto &known = entries.directory.replicas[change.id];
+    const auto coldUntil = isRepeated ? known.coldUntil : change.replica->coldUntil;
     known = withModelKept(*change.replica, known);
+    // An entry that is received again is not newer: its remaining cold time counts from when it was first received.
+    known.coldUntil = coldUntil;
     entries.lapsed.erase(change.id);
     entries.unlisted.erase(change.id);
 }
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -31,6 +31,9 @@
 /// Live replicas write their entries again within this time after an outage (the platform promises two seconds).
 constexpr duration lapsedGrace(2200);
 
+/// Records when changes were received, so that the remaining cold times in them become points in time. Removes the cold times unless
+/// \a isColdPaced, for a daemon that does not pace requests to cold replicas.
+void recordReceipt(std::vector<replica_change> &changes, bool isColdPaced, instant now);
 /// Applies a complete listing of \a replicas as of the service's revision \a upTo; known changes that are newer stay. \a outage is the
 /// duration of a recent outage of the service: if it was long enough, missing replicas are kept for lapsedGrace.
 void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, std::uint64_t upTo, duration outage, instant now);
--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -148,6 +148,7 @@
             changes.push_back({replicaIdOf(entry), entry.changed.value(), std::move(replica)});
         }
     }
+    recordReceipt(changes, isColdPaced, monotonicNow());
     return changes;
 }
 
@@ -193,13 +194,15 @@
     if (asked && update.configurationAge) {
         recordSourceConfiguration(update.configuration, *asked - *update.configurationAge);
     }
-    const bool hasChanged = applyReplicaChanges(update.changes);
+    auto changes = update.changes;
+    recordReceipt(changes, isColdPaced, monotonicNow());
+    const bool hasChanged = applyReplicaChanges(changes);
     {
         const std::lock_guard lock(mutex);
         if (update.isHistoryLost) {
             replicasUpTo = 0;
         } else if (replicasUpTo != 0 && update.after <= replicasUpTo) {
-            applyChanges(feed, update.changes, update.upTo);
+            applyChanges(feed, changes, update.upTo);
             replicasUpTo = std::max(replicasUpTo, update.upTo);
             mustListSince.reset();
             if (asked && update.replicasAge) {
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -117,6 +117,10 @@
         return attempt_outcome::lost;
     }
     m_context.applyNotice(target, m_context.dialect.readNotice(head->status, head->headers), m_head.requestId);
+    if (m_context.constraints.cold().isOn()) {
+        m_context.constraints.cold().applyNotice(
+            keyOf(target), m_service->coldPerSecond, m_context.dialect.readColdNotice(head->status, head->headers));
+    }
     if (answer.hasNotRun) {
         m_lastReason = "the replica did not run it: status " + std::to_string(head->status);
         return attempt_outcome::not_run;
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/Entry/random_number.h"
 
 #include <algorithm>
+#include <thread>
 
 namespace vetchpost {
 
@@ -25,6 +26,8 @@
 constexpr duration maximumPermitWait(100);
 /// How often a waiting request asks again for a permit whose request was put off.
 constexpr duration permitPollPeriod(10);
+/// How often a request that waits for its turn at a cold replica checks whether another replica has become available.
+constexpr duration coldPollPeriod(25);
 /// Weight of the newest value in an exponential moving average of answer times.
 constexpr double newestWeight = 0.2;
 
@@ -197,16 +200,21 @@
     return outcome;
 }
 
-/// Chooses the replica for the next attempt and takes the permit that it needs, waiting briefly for a permit if no other replica is
-/// available. Returns nothing if no untried replica accepts the request.
+/// Chooses the replica for the next attempt and takes the permit that it needs, waiting for a permit or its turn at a cold replica if no
+/// other replica is available. Returns nothing if no untried replica accepts the request.
 std::optional<backend> request_handler::chooseReplica()
 {
     const auto until = monotonicNow() + std::min(maximumPermitWait, timeLeft() - minimumTimeLeft);
+    std::optional<cold_reservation> reserved;
+    bool hasPassedOver = false;
     for (;;) {
         // A replica may have been removed while the request waited, so the newest view is used.
         const auto newest = m_context.currentView();
         const auto &candidates = newest->backends(*m_service, m_head.model);
         m_blockedBackends = m_context.constraints.blockedBackends(candidates, m_triedReplicas);
+        if (!m_blockedBackends.cold.empty() && !std::exchange(hasPassedOver, true)) {
+            m_context.constraints.cold().countPassedOver(m_blockedBackends.cold.size());
+        }
         const bool isPermitRequested
             = m_blockedBackends.limited > 0 && m_context.requestAnyPermit(candidates, m_triedReplicas, randomNumber());
         const auto excluded = joined(m_triedReplicas, m_blockedBackends.replicas);
@@ -214,9 +222,22 @@
         const auto now = monotonicNow();
         const auto *best = chooseBackend(
             candidates, excluded, newest->dataCentre, now, m_context.nextSequenceNumber(), randomNumber(), hasSpareCapacity);
-        if (best != nullptr && m_context.constraints.consumePermit(*best)) {
+        if (best != nullptr && m_context.constraints.cold().takeSend(keyOf(*best)) && m_context.constraints.consumePermit(*best)) {
             return *best;
         }
+        if (best == nullptr && !m_blockedBackends.cold.empty()) {
+            if (!reserved) {
+                reserved = reserveColdReplica(now);
+            }
+            if (reserved && now < reserved->at) {
+                std::this_thread::sleep_for(std::min(coldPollPeriod, reserved->at - now));
+                continue;
+            }
+            if (auto target = reserved ? takeReserved(*reserved, candidates) : std::nullopt) {
+                return target;
+            }
+            reserved.reset();
+        }
         // If no replica accepts requests, it is only worth waiting if a permit may arrive and a replica is unblocked in time.
         if (best == nullptr && (!isPermitRequested || m_blockedBackends.unblockedAt.value_or(until) >= until || now >= until)) {
             return std::nullopt;
@@ -227,6 +248,25 @@
     }
 }
 
+/// Reserves a request to a cold replica if no other replica is available: the earliest that is due within the remaining objective. A later
+/// one is not waited for, so that the client learns at once when to come back.
+std::optional<cold_reservation> request_handler::reserveColdReplica(instant now) const
+{
+    const auto objectiveEnd = m_hasBegun ? now + maximumPermitWait : m_arrival + m_route->objective - m_priorWait;
+    const auto until = std::min(objectiveEnd, m_deadline - minimumTimeLeft);
+    return m_context.constraints.cold().reserveSend(m_blockedBackends.cold, until);
+}
+
+/// Returns the backend for which a request is reserved and due, unless it is gone or blocked for another reason.
+std::optional<backend> request_handler::takeReserved(const cold_reservation &reserved, const std::vector<backend> &candidates) const
+{
+    const auto &cold = m_blockedBackends.cold;
+    const auto target = std::find_if(
+        candidates.begin(), candidates.end(), [&](const backend &candidate) { return keyOf(candidate) == reserved.replica; });
+    const bool isReady = target != candidates.end() && std::find(cold.begin(), cold.end(), reserved.replica) != cold.end();
+    return isReady && m_context.constraints.consumePermit(*target) ? std::optional(*target) : std::nullopt;
+}
+
 /// Whether an untried replica accepts requests, or is expected to within \a time.
 bool request_handler::hasAvailableReplica(duration time) const
 {
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -61,6 +61,8 @@
     duration elapsed() const;
 
     std::optional<backend> chooseReplica();
+    std::optional<cold_reservation> reserveColdReplica(instant now) const;
+    std::optional<backend> takeReserved(const cold_reservation &reserved, const std::vector<backend> &candidates) const;
     bool hasAvailableReplica(duration time) const;
     attempt_outcome runAttempt(const backend &target);
     attempt_outcome sendAndRelay(const backend &target);
--- a/Libraries/Entry/shared_constraints.cpp
+++ b/Libraries/Entry/shared_constraints.cpp
@@ -20,11 +20,6 @@
 /// How often outdated entries are removed.
 constexpr duration cleanupPeriod(10000);
 
-replica_key keyOf(const backend &target)
-{
-    return {target.replica, target.incarnation};
-}
-
 bool wasTried(const std::vector<instance_id> &tried, const backend &target)
 {
     return std::find(tried.begin(), tried.end(), target.replica) != tried.end();
@@ -48,7 +43,11 @@
 
 std::string blocked_backends::text() const
 {
-    return inBackoff + limited + leaving == 0 ? std::string() : fmt::format("{} rest, {} limited, {} leave", inBackoff, limited, leaving);
+    if (inBackoff + limited + leaving == 0 && cold.empty()) {
+        return {};
+    }
+    const auto text = fmt::format("{} rest, {} limited, {} leave", inBackoff, limited, leaving);
+    return cold.empty() ? text : text + fmt::format(", {} cold", cold.size());
 }
 
 struct shared_constraints::private_data
@@ -59,6 +58,7 @@
     table_sync<replica_constraints> sync;
     permit_issuer issuer;
     permit_holder permitHolder;
+    cold_replicas cold;
     std::map<replica_key, send_count> sendCounts;
     instant cleanedAt;
     /// Whether any constraint is known. While there is none, requests need not lock the mutex.
@@ -75,7 +75,8 @@
     counter denied;
 
     private_data(metrics &counters, std::function<void()> leavingListener)
-        : didLearnLeaving(std::move(leavingListener))
+        : cold(counters)
+        , didLearnLeaving(std::move(leavingListener))
         , limits(addNoticeCounter(counters, "limit"))
         , backoffs(addNoticeCounter(counters, "rest"))
         , departures(addNoticeCounter(counters, "leaving"))
@@ -205,7 +206,8 @@
 blocked_backends shared_constraints::blockedBackends(const std::vector<backend> &candidates, const std::vector<instance_id> &tried) const
 {
     blocked_backends blocked;
-    if (!d->hasAny) {
+    const bool hasCold = d->cold.hasAny();
+    if (!d->hasAny && !hasCold) {
         return blocked;
     }
     const std::lock_guard lock(d->mutex);
@@ -215,12 +217,21 @@
     for (const auto &target : candidates) {
         replica.replica = target.replica;
         replica.incarnation = target.incarnation;
-        const auto block = wasTried(tried, target) ? replica_block() : blockOf(d->table, d->permitHolder, replica, now);
+        if (wasTried(tried, target)) {
+            continue;
+        }
+        auto block = blockOf(d->table, d->permitHolder, replica, now);
+        if (hasCold && block.cause == block_cause::none) {
+            block = d->cold.blockOf(replica, now);
+        }
         if (block.cause == block_cause::none) {
             continue;
         }
         blocked.replicas.push_back(target.replica);
         count(blocked, block.cause);
+        if (block.cause == block_cause::cold) {
+            blocked.cold.push_back(replica);
+        }
         if (block.until) {
             blocked.unblockedAt = std::min(blocked.unblockedAt.value_or(*block.until), *block.until);
         }
@@ -277,6 +288,7 @@
 
 std::vector<feed_datagram> shared_constraints::dueBatches(const std::optional<endpoint> &source, const std::vector<endpoint> &followers)
 {
+    d->cold.removeWarm();
     const std::lock_guard lock(d->mutex);
     const auto now = monotonicNow();
     d->clean(now);
@@ -338,6 +350,11 @@
     d->issuer = {};
 }
 
+cold_replicas &shared_constraints::cold() const
+{
+    return d->cold;
+}
+
 std::set<replica_key> shared_constraints::leaving() const
 {
     std::set<replica_key> result;
--- a/Libraries/Entry/shared_constraints.h
+++ b/Libraries/Entry/shared_constraints.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/metrics.h"
+#include "Libraries/Entry/cold_replicas.h"
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Feed/table_sync.h"
 #include "Libraries/Requests/replica_block.h"
@@ -27,6 +28,9 @@
     /// Number of them that are leaving.
     int leaving = 0;
 
+    /// Those of them that are only blocked because they are cold.
+    std::vector<replica_key> cold;
+
     /// Returns the numbers for the log; empty if all are zero.
     std::string text() const;
 };
@@ -52,7 +56,7 @@
     /// Counts a request that is sent to a backend, for the log of requests to constrained replicas.
     void recordSent(const backend &target);
 
-    /// Returns those of \a candidates that must not be sent a request now, without those in \a tried.
+    /// Returns those of \a candidates that must not be sent a request now, cold ones included, without those in \a tried.
     blocked_backends blockedBackends(const std::vector<backend> &candidates, const std::vector<instance_id> &tried) const;
     /// Returns a request for a permit for one of the candidates that lack one, with the search starting at the random number \a draw;
     /// nothing if no such request is due.
@@ -79,6 +83,9 @@
     /// Discards the record of issued permits, when this daemon becomes the source or stops being it: those have expired by then.
     void resetPermits();
 
+    /// The cold replicas, to which this daemon paces its requests.
+    cold_replicas &cold() const;
+
     /// Returns the replicas that are known to leave.
     std::set<replica_key> leaving() const;
     /// Returns the numbers of replicas in a backoff, with a rate limit, and leaving. Lists no replicas.
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -119,6 +119,11 @@
     d->applyUpdate(update, asked);
 }
 
+void store_follower::setColdPaced(bool isColdPaced)
+{
+    d->isColdPaced = isColdPaced;
+}
+
 void store_follower::updateLeaving(const std::set<replica_key> &replicas)
 {
     {
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -42,6 +42,8 @@
     void setSource(bool isSource);
     /// Records that a first request has arrived, here or at another daemon. From then on the replicas' changes are followed one by one.
     void recordTraffic();
+    /// Sets whether the remaining cold times of replicas are kept and passed on; they are not by default.
+    void setColdPaced(bool isColdPaced);
     /// Replaces the set of replicas that announced that they leave. The directory marks them as if their entries said so.
     void updateLeaving(const std::set<replica_key> &replicas);
     /// Reads a new listing of the replicas before it returns. If that fails, the thread that follows them lists again.
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -32,6 +32,7 @@
     bool isStopping = false;
     std::atomic<bool> isSource = false;
     std::atomic<bool> hasTraffic = false;
+    std::atomic<bool> isColdPaced = false;
     /// The source has announced a newer configuration.
     bool mustReadConfiguration = false;
     /// When the source's configuration was last known to be the newest in the service.
--- a/Libraries/Feed/feed_publisher.cpp
+++ b/Libraries/Feed/feed_publisher.cpp
@@ -14,9 +14,25 @@
 void applyChange(feed_publisher &publisher, const replica_change &change)
 {
     auto &known = publisher.latest[change.id];
-    if (known.revision <= change.revision) {
-        known = change;
+    if (known.revision > change.revision) {
+        return;
+    }
+    const bool isKnown = known.revision == change.revision && known.replica && change.replica;
+    const auto coldUntil = isKnown ? known.replica->coldUntil : instant();
+    known = change;
+    if (isKnown) {
+        // An entry that is received again is not newer: its remaining cold time counts from when it was first received.
+        known.replica->coldUntil = coldUntil;
+    }
+}
+
+/// Returns a change whose remaining cold time counts from now, as it is sent now.
+replica_change withColdLeft(replica_change change, instant now)
+{
+    if (change.replica) {
+        change.replica->coldLeft = std::max(duration(), change.replica->coldUntil - now);
     }
+    return change;
 }
 
 void dropRemoved(feed_publisher &publisher)
@@ -78,7 +94,7 @@
             updates.back().after = last;
             updates.back().upTo = publisher.upTo;
         }
-        updates.back().changes.push_back(*change);
+        updates.back().changes.push_back(withColdLeft(*change, now));
         last = change->revision;
     }
     return updates;
--- a/Libraries/Feed/replica_codec.cpp
+++ b/Libraries/Feed/replica_codec.cpp
@@ -25,7 +25,8 @@
     state_index,
 };
 constexpr Json::ArrayIndex removedSize = revision_index + 1;
-/// Size of the array for a replica that belongs to no group.
+/// Size of the array for a replica that belongs to no group. A cold replica has one more value at the end: the remaining cold time in
+/// milliseconds. It is absent otherwise, so that daemons of versions without it read the changes of all other replicas.
 constexpr Json::ArrayIndex ungroupedSize = model_index + 1;
 constexpr Json::ArrayIndex groupedSize = state_index + 1;
 constexpr std::uint64_t largestPort = 65535;
@@ -40,9 +41,20 @@
     return json[index].isUInt64();
 }
 
+bool isGrouped(const Json::Value &json)
+{
+    return json.size() >= groupedSize;
+}
+
+bool isCold(const Json::Value &json)
+{
+    return json.size() == ungroupedSize + 1 || json.size() == groupedSize + 1;
+}
+
 bool isReplica(const Json::Value &json)
 {
-    const bool hasValidSize = json.size() == ungroupedSize || json.size() == groupedSize;
+    const bool hasValidSize = json.size() == ungroupedSize || json.size() == groupedSize
+        || (isCold(json) && json[json.size() - 1].isInt() && json[json.size() - 1].asInt() >= 0);
     return hasValidSize && isNumber(json, life_index) && isText(json, service_index) && isText(json, host_index)
         && isNumber(json, port_index) && json[port_index].asUInt64() <= largestPort && isText(json, data_centre_index)
         && json[slots_index].isInt() && json[draining_index].isBool() && isText(json, domain_index) && json[staged_index].isArray()
@@ -93,6 +105,9 @@
         json.append(replica.membership->rank);
         json.append(static_cast<int>(replica.membership->state));
     }
+    if (replica.coldLeft > duration()) {
+        json.append(Json::Int64(replica.coldLeft.count()));
+    }
     return json;
 }
 
@@ -123,7 +138,10 @@
     if (const auto model = json[model_index].asString(); !model.empty()) {
         replica.model = model_id(model);
     }
-    if (json.size() == groupedSize) {
+    if (isCold(json)) {
+        replica.coldLeft = duration(json[json.size() - 1].asInt());
+    }
+    if (isGrouped(json)) {
         replica.membership = decodeMembership(json);
         if (!replica.membership) {
             return std::nullopt;
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -65,6 +65,10 @@
     /// The model that it runs or loads, or the last one that this incarnation ran.
     std::optional<model_id> model;
     std::optional<group_membership> membership;
+    /// How much longer it is cold, as its entry or the feed says; from the time when this was received.
+    duration coldLeft{};
+    /// Until when it is cold; the epoch of the clock if it is not, or as long as the time of receipt is not recorded.
+    instant coldUntil{};
 
     auto operator<=>(const served_replica &) const = default;
 };
--- a/Libraries/Routing/served_configuration.h
+++ b/Libraries/Routing/served_configuration.h
@@ -100,7 +100,11 @@
     /// Number of connections that one replica accepts from all daemons together.
     int maximumConnections = 0;
     /// Set only if the service runs models in groups.
-    std::optional<engine_description> engine;
+    std::optional<engine_description> engine = {};
+    /// How long a replica is cold after it started during traffic.
+    duration coldTime{};
+    /// Requests per second that a cold replica accepts; 0 if replicas are never cold.
+    double coldPerSecond = 0;
 };
 
 /// Bounds on what a client may send and how long it may take.
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -38,6 +38,16 @@
     reader.refuseUnknownKeys();
 }
 
+void readCold(yaml_reader reader, entry_settings &settings)
+{
+    // Both are needed: a bound with a default part could be above the one that the platform checks.
+    if (!reader.has("overrun") || !reader.has("slack")) {
+        reader.report(reader.has("overrun") ? "slack" : "overrun", "a number, as cold replicas have a bound");
+    }
+    settings.cold = cold_settings{reader.number("overrun", 0, 1000, 1), reader.number("slack", 0, 1000000, 0)};
+    reader.refuseUnknownKeys();
+}
+
 } // namespace
 
 std::optional<entry_settings> readEntrySettings(const std::string &text, const std::string &file, std::vector<yaml_problem> &problems)
@@ -57,6 +67,9 @@
     readListeners(reader.map("listen"), settings);
     readTiming(reader.map("timing"), settings);
     readRetries(reader.map("retries"), settings);
+    if (reader.has("cold")) {
+        readCold(reader.map("cold"), settings);
+    }
     settings.digest = fingerprintOf(text);
     settings.isLogOn = reader.flag("log", true);
     settings.lowestLogLevel = readLogLevel(reader);
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -13,6 +13,13 @@
 
 namespace vetchpost {
 
+/// The bound on the requests that all daemons together may send to one cold replica in any second: overrun x its rate + slack.
+struct cold_settings
+{
+    double overrun = 0;
+    double slack = 0;
+};
+
 /// The settings that an entry daemon reads at its start. docs/OPERATIONS.md describes every key.
 struct entry_settings
 {
@@ -49,6 +56,8 @@
     int retrySlack = 0;
     /// The time after which the coordinator's lease expires unless it is renewed.
     duration leaseTime{};
+    /// Nothing if requests to cold replicas are not paced.
+    std::optional<cold_settings> cold;
     /// Whether decisions are logged to standard output.
     bool isLogOn = true;
     /// The digest of the text of the settings, to distinguish different settings.
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -259,3 +259,22 @@
     applyChange(entries, next, now + duration(1000));
     CHECK(entries.directory.leavingSince.at(instance_id("a")) == instant());
 }
+
+// Guards against a cold time that is extended each time the same entry is received again, or that is kept where it is not paced.
+TEST_CASE("A remaining cold time counts from the first receipt of its entry, and a newer entry replaces it")
+{
+    replica_entries entries;
+    const auto receive = [&](std::uint64_t revision, int coldLeft, bool isPaced, instant at) {
+        auto change = replica("a", revision);
+        change.replica->coldLeft = duration(coldLeft);
+        std::vector changes{change};
+        recordReceipt(changes, isPaced, at);
+        applyChange(entries, changes.front(), at);
+        return entries.directory.replicas.at(instance_id("a")).coldUntil;
+    };
+    CHECK(receive(5, 3000, true, now) == now + duration(3000));
+    CHECK(receive(5, 3000, true, now + duration(2000)) == now + duration(3000));
+    CHECK(receive(6, 3000, true, now + duration(2000)) == now + duration(5000));
+    CHECK(receive(7, 0, true, now + duration(2100)) == instant());
+    CHECK(receive(8, 3000, false, now + duration(2200)) == instant());
+}
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -2,6 +2,8 @@
 #include "Libraries/Feed/feed_follower.h"
 #include "Libraries/Feed/feed_publisher.h"
 
+#include "Libraries/Feed/replica_codec.h"
+
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <rapidcheck.h>
@@ -208,6 +210,7 @@
     std::vector<replica_change> changes;
     for (std::uint64_t i = 0; i < 100; ++i) {
         changes.push_back(makeFullChange(fmt::format("i-{:010}", i), "boye40dcee", 101 + i));
+        changes.back().replica->coldUntil = start + duration(999999);
     }
     applyChanges(publisher, changes, 300);
     const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, start);
@@ -411,3 +414,32 @@
     recordDaemonCount(follower, 1, start + duration(500));
     CHECK(follower.daemons == 79);
 }
+
+// Guards against a follower that takes a cold time from an earlier moment for the remaining one, or loses it.
+TEST_CASE("A cold replica's change is sent with the cold time that remains")
+{
+    auto publisher = publisherWith(0);
+    auto cold = makeFullChange("i-1", "m", 101);
+    cold.replica->coldUntil = start + duration(3000);
+    applyChanges(publisher, {cold}, 101);
+    auto again = cold;
+    again.replica->coldUntil = start + duration(9000);
+    applyChanges(publisher, {again}, 101);
+    const auto coldLeftAt = [&](instant at) {
+        const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, at);
+        const auto read = decodeFeedMessage(encodeFeedMessage(answer.back().message));
+        REQUIRE(read);
+        return std::get<feed_update>(*read).changes.at(0).replica->coldLeft;
+    };
+    CHECK(coldLeftAt(start + duration(1000)) == duration(2000));
+    CHECK(coldLeftAt(start + duration(3000)) == duration());
+    const auto json = encodeChange(cold);
+    CHECK(json == encodeChange(*decodeChange(json)));
+    cold.replica->coldLeft = duration(1500);
+    auto invalid = encodeChange(cold);
+    CHECK(decodeChange(invalid)->replica->coldLeft == duration(1500));
+    invalid[invalid.size() - 1] = -1;
+    CHECK_FALSE(decodeChange(invalid));
+    invalid[invalid.size() - 1] = "1500";
+    CHECK_FALSE(decodeChange(invalid));
+}
--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -174,15 +174,23 @@
     }
 
     /// Adds the head of an open group that serves the model.
-    void addGroupHead(const std::string &id, const scripted_replica &replica)
+    void addGroupHead(const std::string &id, const scripted_replica &replica, int coldLeftMs = 0)
     {
         m_values["servers/" + id] = fmt::format(
-            R"({{"Service":"large","Address":"{}","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1,"Models":[{{"Name":"m","Version":1}}],
+            R"({{"Service":"large","Address":"{}","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":{},"Seq":1,"Models":[{{"Name":"m","Version":1}}],
                 "group":{{"Name":"g-{}","epoch":1,"rank":0,"State":"open"}}}})",
             replica.address(),
+            coldLeftMs,
             id);
     }
 
+    /// From the next start on, cold replicas of the service with models accept \a perSecond requests, and the daemon paces its own.
+    void setColdRate(int perSecond, bool isPaced = true)
+    {
+        m_coldFields = fmt::format(R"("Name":"large","ColdStartS":3,"ColdPerS":{},)", perSecond);
+        m_isColdPaced = isPaced;
+    }
+
     static identity_key identityKey()
     {
         return identity_key(std::string(64, 'a'));
@@ -214,7 +222,9 @@
         // Without a coordinator no daemon creates this record.
         m_values.try_emplace(crashRefusalsKey, encodeCrashRefusals({identityKey(), {}}, 0));
         if (hasConfiguration) {
-            m_values["op/config"] = configurationText;
+            std::string text = configurationText;
+            const std::string name = R"("Name":"large",)";
+            m_values["op/config"] = m_coldFields.empty() ? text : text.replace(text.find(name), name.size(), m_coldFields);
         }
         entry_settings settings;
         settings.daemon = daemon_id("d1");
@@ -235,6 +245,9 @@
         // Without a coordinator the number of daemons is unknown, so that the daemon's share of the retries is that of the largest number
         // of daemons: eight retries.
         settings.retrySlack = 3500;
+        if (m_isColdPaced) {
+            settings.cold = cold_settings{1.5, 5};
+        }
         m_callers = settings.callers;
         m_peers = settings.peers;
         m_daemon = std::make_unique<entry_daemon>(
@@ -357,6 +370,8 @@
     std::atomic<bool> m_isUp = true;
     std::atomic<bool> m_hidesConfiguration = false;
     bool m_isKeyRevocationStrict = true;
+    bool m_isColdPaced = false;
+    std::string m_coldFields;
     duration m_listingTime{};
     duration m_stopGrace{3000};
     endpoint m_callers;
--- a/Tests/PlatformAdapter/testPlatformDialect.cpp
+++ b/Tests/PlatformAdapter/testPlatformDialect.cpp
@@ -322,3 +322,53 @@
     CHECK(answer.acceptedOrders == 3);
     CHECK(answer.incarnation == replica_incarnation(1764720000123));
 }
+
+// Guards against a misread cold time, after which a replica would be sent too many requests, and against a rejection without its reason.
+TEST_CASE("A replica's remaining cold time is read, and an invalid one rejects the entry with a reason that names it")
+{
+    reason why;
+    const auto cold = platform_dialect().readReplica(instance_id("i-1"), entryWith("ColdLeftMs", 2500), why);
+    REQUIRE(cold);
+    CHECK(cold->coldLeft == duration(2500));
+    const std::vector<Json::Value> invalid
+        = {Json::Value(-1), Json::Value(Json::UInt64(1) << 40U), Json::Value("2500"), Json::Value(1e30), Json::Value()};
+    for (const auto &value : invalid) {
+        INFO(toJsonText(value));
+        CHECK_FALSE(platform_dialect().readReplica(instance_id("i-1"), entryWith("ColdLeftMs", value), why));
+        CHECK(why.text.find("ColdLeftMs") != std::string::npos);
+    }
+    why = {};
+    CHECK_FALSE(platform_dialect().readReplica(instance_id("i-1"), entryWithout("ColdLeftMs"), why));
+    CHECK(why.text.find("ColdLeftMs") != std::string::npos);
+}
+
+// Guards against a header of another replica, and against a copy of the header that is overlooked.
+TEST_CASE("The remaining cold time of an answer is read from all its headers, but not from a misdirected request's answer")
+{
+    const platform_dialect dialect;
+    CHECK(dialect.readColdNotice(200, {{"cold-ms", "1500"}, {"Cold-Ms", "2500"}}).left == duration(2500));
+    CHECK_FALSE(dialect.readColdNotice(200, {{"cold-ms", "1500"}, {"Cold-Ms", "2500"}}).unreadable.empty());
+    CHECK_FALSE(dialect.readColdNotice(421, {{"Cold-Ms", "1500"}}).left);
+    CHECK_FALSE(dialect.readColdNotice(200, {{"Server-Limit", "3"}}).left);
+}
+
+// Guards against a service whose invalid cold rate would be taken for none.
+TEST_CASE("A service's cold rate is read, and an invalid one rejects the configuration")
+{
+    const auto withRate = [](const std::string &rate) {
+        auto text = configurationText;
+        const std::string name = R"({"Name":"s2","HealthPath")";
+        return text.replace(text.find(name), name.size(), R"({"Name":"s2","ColdStartS":3,"ColdPerS":)" + rate + R"(,"HealthPath")");
+    };
+    reason why;
+    const auto configuration = platform_dialect().readConfiguration(withRate("23"), why);
+    REQUIRE(configuration);
+    CHECK(configuration->services[0].coldPerSecond == 0);
+    CHECK(configuration->services[1].coldPerSecond == 23);
+    CHECK(configuration->services[1].coldTime == duration(3000));
+    for (const auto *invalid : {"-1", "1e300", "\"23\"", "[]", "true"}) {
+        INFO(invalid);
+        CHECK_FALSE(platform_dialect().readConfiguration(withRate(invalid), why));
+        CHECK(why.text.find("ColdPerS") != std::string::npos);
+    }
+}
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -105,3 +105,18 @@
     CHECK_FALSE(settings->isLogOn);
     CHECK(problemsOf(validSettings + "log: loud\n").size() == 1);
 }
+
+// Guards against a half bound, which would let more requests reach a cold replica than the platform allows.
+TEST_CASE("Cold replicas have a bound only if the settings give it, and give it whole")
+{
+    std::vector<yaml_problem> problems;
+    CHECK_FALSE(readEntrySettings(validSettings, "entry.yaml", problems)->cold);
+    const auto settings = readEntrySettings(validSettings + "cold:\n  overrun: 1.5\n  slack: 5.0\n", "entry.yaml", problems);
+    REQUIRE(settings);
+    REQUIRE(settings->cold);
+    CHECK(settings->cold->overrun == 1.5);
+    CHECK(settings->cold->slack == 5);
+    CHECK(problemsOf(validSettings + "cold:\n  overrun: 1.5\n").size() == 1);
+    CHECK(problemsOf(validSettings + "cold:\n  overrun: much\n  slack: 5\n").size() == 1);
+    CHECK(problemsOf(validSettings + "cold:\n  overrun: -1\n  slack: 5\n").size() == 1);
+}
