Soak: Make replicas cold, and let them fail above their rate

The stand-in's replicas are cold after each start but their first, and all at once at times; a cold one crashes at the request above the bound. The soak counts each such crash as a broken promise.

--- a/Tests/PlatformStandIn/testReplicaModel.cpp
+++ b/Tests/PlatformStandIn/testReplicaModel.cpp
@@ -259,3 +259,24 @@
     CHECK(findReplica(simulation, "a")->staged == "pair");
     CHECK(giveOrder(simulation, "a", json, start + duration(300)) == done);
 }
+
+// Guards against a stand-in that bears any number of requests while it is cold, or remains cold.
+TEST_CASE("A cold replica fails at the request above its bound within a second")
+{
+    replica_simulation simulation;
+    simulation.coldBound = 2;
+    simulation.replicas.resize(1);
+    auto &replica = simulation.replicas.front();
+    replica.isAlive = true;
+    const instant start(duration(100000));
+    makeCold(simulation, replica, duration(3000), start);
+    advance(simulation, start + duration(1));
+    CHECK(entryOf(replica)["ColdLeftMs"].asInt() == 3000);
+    CHECK(bearsArrival(simulation, replica, start));
+    CHECK(bearsArrival(simulation, replica, start + duration(999)));
+    CHECK(bearsArrival(simulation, replica, start + duration(1000)));
+    CHECK_FALSE(bearsArrival(simulation, replica, start + duration(1001)));
+    CHECK(bearsArrival(simulation, replica, start + duration(3000)));
+    advance(simulation, start + duration(3000));
+    CHECK(entryOf(replica)["ColdLeftMs"].asInt() == 0);
+}
--- a/Tests/Soak/soak_checks.cpp
+++ b/Tests/Soak/soak_checks.cpp
@@ -198,6 +198,7 @@
     add(checkLimits(facts, bounds));
     add(checkBackoffs(facts, bounds));
     add(checkLeaveNotices(facts, bounds));
+    add(checkColdReplicas(facts));
     add(checkWithdrawnKeys(facts, bounds));
     add(checkConfigurations(facts, bounds));
     add(checkStops(facts, bounds));
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -77,6 +77,8 @@
 /// Checks that a daemon that learned from a replica's answer that it leaves sends it no request that a client sent after the drain time. A
 /// disturbed link to the store is no excuse.
 broken_promises checkLeaveNotices(const soak_facts &facts, const soak_bounds &bounds);
+/// Checks that no cold replica has failed because all daemons together sent it too many requests within a second. Nothing excuses that.
+broken_promises checkColdReplicas(const soak_facts &facts);
 /// Checks that no request with a withdrawn key runs once the time for its revocation has passed, whatever is disturbed.
 broken_promises checkWithdrawnKeys(const soak_facts &facts, const soak_bounds &bounds);
 /// Checks that undisturbed daemons apply each configuration in time and that no daemon reverts to an earlier version while it runs.
--- a/Tests/Soak/soak_cluster.cpp
+++ b/Tests/Soak/soak_cluster.cpp
@@ -121,13 +121,17 @@
            "--models=m0:4,m1:2",
            fmt::format("--domains={}", fabricDomains),
            fmt::format("--per-domain={}", m_options.size.replicas / fabricDomains),
+           fmt::format("--cold-ms={}", m_options.coldPerSecond > 0 ? coldTime.count() : 0),
+           fmt::format("--cold-bound={}", coldOverrun * m_options.coldPerSecond + coldSlack),
            fmt::format("--services={}:{}", plainService, m_options.size.plainReplicas)});
     waitFor("replicas", [&] { return !fetchFacts(m_replicaControl).isNull(); });
 }
 
 void soak_cluster::startDaemons()
 {
-    const daemon_options options{m_options.daemonProgram, m_options.folder, m_options.basePort, soak_bounds().retrySlack};
+    const auto coldSettings
+        = m_options.coldPerSecond > 0 ? fmt::format("cold:\n  overrun: {}\n  slack: {}\n", coldOverrun, coldSlack) : std::string();
+    const daemon_options options{m_options.daemonProgram, m_options.folder, m_options.basePort, soak_bounds().retrySlack, coldSettings};
     std::vector<endpoint> callers;
     for (int number = 0; number < m_options.size.daemons; ++number) {
         m_daemons.emplace_back(std::make_unique<soak_daemon>(number, options, m_store));
@@ -278,7 +282,7 @@
 std::string soak_cluster::changeConfiguration(bool withdrawsKey)
 {
     const auto withdrawn = withdrawsKey ? keyName(m_keyNumber++) : std::string();
-    const auto acceptedAt = writeConfiguration(m_store, ++m_version, keyName(m_keyNumber));
+    const auto acceptedAt = writeConfiguration(m_store, ++m_version, keyName(m_keyNumber), m_options.coldPerSecond);
     if (!acceptedAt) {
         throw std::runtime_error("the store did not accept a configuration");
     }
--- a/Tests/Soak/soak_daemon.cpp
+++ b/Tests/Soak/soak_daemon.cpp
@@ -88,14 +88,15 @@
   group-stall-ms: 1500
 retries:
   slack: {}
-)",
+{})",
                        m_number,
                        endpointAt("127.0.0.1", m_options.basePort, storeProxyOffset + m_number).text(),
                        isFirstStart,
                        endpointAt(host(), m_options.basePort, callersOffset).text(),
                        readiness().text(),
                        endpointAt(host(), m_options.basePort, peersOffset).text(),
-                       m_options.retrySlack);
+                       m_options.retrySlack,
+                       m_options.moreSettings);
 }
 
 void soak_daemon::start(bool isFirstStart)
--- a/Tests/Soak/soak_platform.cpp
+++ b/Tests/Soak/soak_platform.cpp
@@ -48,24 +48,25 @@
                        routeTimeout.count());
 }
 
-std::string configurationText(std::uint64_t version, const std::string &changingKey)
+std::string configurationText(std::uint64_t version, const std::string &changingKey, int coldPerSecond)
 {
     const auto routes = routeText(streamPath, names::streaming, engineService, true) + ','
         + routeText(idempotentPath, names::idempotent, plainService, false) + ','
         + routeText(nonIdempotentPath, names::nonIdempotent, plainService, false) + ','
         + routeText(versionPath(version), names::idempotent, plainService, false);
     return fmt::format(
-        R"({{"Version":{},"Routes":[{}],"Services":[{{"Name":"{}","HealthPath":"/healthz","MaxConns":400,"Engine":{{"Slots":26,
+        R"({{"Version":{0},"Routes":[{1}],"Services":[{{"Name":"{2}","HealthPath":"/healthz","MaxConns":400,{6}"Engine":{{"Slots":26,
         "Models":[{{"Name":"m0","size":4,"Share":0.5,"pace":1,"LoadS":0.3,"WarmS":0.1}},{{"Name":"m1","size":2,"Share":0.5,"pace":1,"LoadS":0.3,"WarmS":0.1}}],
-        "LoadsPerS":8,"loads_at_once":6,"Contents":1,"FormMs":50}}}},{{"Name":"{}","HealthPath":"/healthz","MaxConns":400}}],
+        "LoadsPerS":8,"loads_at_once":6,"Contents":1,"FormMs":50}}}},{{"Name":"{3}","HealthPath":"/healthz",{6}"MaxConns":400}}],
         "Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},
-        "Tenants":[{{"Name":"lasting","ApiKeys":["{}"],"Priority":1}},{{"Name":"changing","ApiKeys":["{}"],"Priority":1}}]}})",
+        "Tenants":[{{"Name":"lasting","ApiKeys":["{4}"],"Priority":1}},{{"Name":"changing","ApiKeys":["{5}"],"Priority":1}}]}})",
         version,
         routes,
         engineService,
         plainService,
         lastingKey,
-        changingKey);
+        changingKey,
+        coldPerSecond > 0 ? fmt::format(R"("ColdStartS":3,"ColdPerS":{},)", coldPerSecond) : std::string());
 }
 
 } // namespace
@@ -113,11 +114,11 @@
     return events;
 }
 
-std::optional<instant> writeConfiguration(const endpoint &store, std::uint64_t version, const std::string &changingKey)
+std::optional<instant> writeConfiguration(const endpoint &store, std::uint64_t version, const std::string &changingKey, int coldPerSecond)
 {
     Json::Value item;
     item[names::key] = names::configurationKey;
-    item[names::value] = encodeBase64(configurationText(version, changingKey));
+    item[names::value] = encodeBase64(configurationText(version, changingKey, coldPerSecond));
     item[names::lease] = 0;
     Json::Value transaction;
     transaction[names::writes].append(item);
--- a/Tests/Soak/soak_platform.h
+++ b/Tests/Soak/soak_platform.h
@@ -26,7 +26,7 @@
 
 /// Writes a version of the configuration as the operator does. It accepts \a changingKey beside the lasting key. Returns the time after the
 /// store accepted it, or nothing if the store did not.
-std::optional<instant> writeConfiguration(const endpoint &store, std::uint64_t version, const std::string &changingKey);
+std::optional<instant> writeConfiguration(const endpoint &store, std::uint64_t version, const std::string &changingKey, int coldPerSecond);
 
 /// Returns whether a daemon reports that it is ready.
 bool isReady(const endpoint &readiness);
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -158,6 +158,7 @@
         for (const auto &notice : planNotices(m_options.seed, m_options.size, m_options.notices)) {
             m_scheduledActions.emplace(begin + notice.at, [this, notice] { startNotice(notice); });
         }
+        scheduleColdTimes(begin);
         instant nextEvents;
         instant nextSample;
         for (auto now = begin; now < end; now = monotonicNow()) {
@@ -354,6 +355,16 @@
         return serving.empty() ? std::string() : serving[static_cast<std::size_t>(randomNumber) % serving.size()];
     }
 
+    /// Makes all replicas cold at once several times, as if their data centre had returned.
+    void scheduleColdTimes(instant begin)
+    {
+        constexpr duration betweenColdTimes(5000);
+        const auto latest = m_options.size.length - recoveryLength - coldTime;
+        for (auto at = betweenColdTimes; m_options.coldPerSecond > 0 && at < latest; at += betweenColdTimes) {
+            m_scheduledActions.emplace(begin + at, [this] { setFaults(m_cluster.replicaControl(), makeSwitch("cold", true)); });
+        }
+    }
+
     /// Makes a replica send the notice in its answers until the notice ends.
     void startNotice(const planned_notice &notice)
     {
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -8,6 +8,12 @@
 
 namespace vetchpost::test {
 
+/// How long a replica is cold after each start but its first. Within any second all daemons together may send it coldOverrun times its cold
+/// rate, plus coldSlack requests.
+constexpr duration coldTime(3000);
+constexpr int coldOverrun = 2;
+constexpr int coldSlack = 2;
+
 /// The options of a soak run.
 struct soak_options
 {
@@ -18,6 +24,9 @@
     int deadlyRequests = 0;
     /// How many times a replica reports a rate limit, asks for a backoff or announces that it leaves.
     int notices = 0;
+    /// Requests per second that a replica accepts while it is cold: after each start but its first, and several times all at once; 0 if
+    /// replicas are never cold.
+    int coldPerSecond = 0;
     /// The folder for settings and logs.
     std::string folder;
     std::string daemonProgram;
--- a/Tests/SoakChecks/testSoakChecks.cpp
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -369,3 +369,11 @@
     events.push_back(event(2050, "started"));
     CHECK(checkLeaveNotices(makeFacts(attempts, events), bounds).empty());
 }
+
+// Guards against a soak that passes although daemons overran a cold replica.
+TEST_CASE("A cold replica that failed under its requests is reported, whatever was disturbed")
+{
+    const auto facts = makeFacts({}, {event(0, "cold"), event(500, "cold_overrun")}, {fault(disturbance_kind::store, 0, 1000)});
+    CHECK(checkColdReplicas(facts).size() == 1);
+    CHECK(checkColdReplicas(makeFacts({}, {event(0, "cold")})).empty());
+}
--- a/Tests/StandIns/platform/replica_entry.cpp
+++ b/Tests/StandIns/platform/replica_entry.cpp
@@ -39,7 +39,7 @@
     json[names::version] = "v1";
     json[names::slots] = replica.slots;
     json[names::state] = replica.isDraining ? names::draining : names::ready;
-    json[names::coldTime] = 0;
+    json[names::coldTime] = Json::Int64(replica.coldLeft.count());
     json[names::sequence] = 0;
     json[names::born] = Json::UInt64(replica.born);
     if (!replica.hasEngine) {
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -81,6 +81,9 @@
         Json::Value fields;
         fields["replica"] = replica.id;
         m_simulation.events.push_back({"started", fields});
+        if (m_incarnations[number] > 1 && m_simulation.timing.cold > duration()) {
+            makeCold(m_simulation, replica, m_simulation.timing.cold, monotonicNow());
+        }
         flushEvents();
     }
     http_server_limits limits;
@@ -121,6 +124,9 @@
             replica.isCutOff = replica.isCutOff || (json.isMember("dark") && isNamedIn(json["dark"], replica.id));
             replica.isDraining = replica.isDraining || (json.isMember("drain") && isNamedIn(json["drain"], replica.id));
             setNoticeFaults(replica, json);
+            if (jsonFlag(json, "cold") && replica.isAlive) {
+                makeCold(m_simulation, replica, m_simulation.timing.cold, monotonicNow());
+            }
             if (json.isMember("slow") && json["slow"].isMember(replica.id)) {
                 replica.slowness = json["slow"][replica.id].asDouble();
             }
@@ -182,6 +188,9 @@
     if (replica->rateLimit) {
         notices.push_back({names::serverLimit, fmt::format("{}", *replica->rateLimit)});
     }
+    if (replica->coldUntil > monotonicNow()) {
+        notices.push_back({names::coldHeader, std::to_string(replica->coldLeft.count())});
+    }
     if (replica->announcesLeaving || replica->isDraining) {
         notices.push_back({names::serverLeaving, names::isSet});
     }
--- a/Tests/StandIns/platform/replica_model.cpp
+++ b/Tests/StandIns/platform/replica_model.cpp
@@ -60,6 +60,14 @@
     return replica.membership && replica.membership->members.front() == replica.id;
 }
 
+/// Updates the remaining cold time, rounded up so that the entry is written a few times only.
+void advanceCold(stand_in_replica &replica, instant now)
+{
+    constexpr duration step(500);
+    const auto left = std::max(duration(), replica.coldUntil - now);
+    replica.coldLeft = (left + step - duration(1)) / step * step;
+}
+
 void advanceStaging(replica_simulation &simulation, stand_in_replica &replica, instant now)
 {
     if (replica.staging && replica.staging->second <= now) {
@@ -267,6 +275,7 @@
 void advance(replica_simulation &simulation, instant now)
 {
     for (auto &replica : simulation.replicas) {
+        advanceCold(replica, now);
         if (replica.isAlive) {
             advanceStaging(simulation, replica, now);
         }
@@ -308,6 +317,34 @@
     replica.rateLimit.reset();
     replica.backoff.clear();
     replica.announcesLeaving = false;
+    replica.coldUntil = {};
+    replica.coldLeft = {};
+}
+
+void makeCold(replica_simulation &simulation, stand_in_replica &replica, duration time, instant now)
+{
+    replica.coldUntil = now + time;
+    replica.coldLeft = time;
+    replica.coldArrivals.clear();
+    recordEvent(simulation, "cold", replica)["value"] = Json::Int64(time.count());
+}
+
+bool bearsArrival(replica_simulation &simulation, stand_in_replica &replica, instant now)
+{
+    constexpr duration second(1000);
+    if (now >= replica.coldUntil) {
+        return true;
+    }
+    auto &arrivals = replica.coldArrivals;
+    arrivals.push_back(now);
+    while (now - arrivals.front() >= second) {
+        arrivals.pop_front();
+    }
+    const bool isBorne = static_cast<double>(arrivals.size()) <= simulation.coldBound;
+    if (!isBorne) {
+        recordEvent(simulation, "cold_overrun", replica)["value"] = Json::UInt64(arrivals.size());
+    }
+    return isBorne;
 }
 
 int admissionStatus(const stand_in_replica &replica, const std::string &model)
--- a/Tests/StandIns/platform/replica_model.h
+++ b/Tests/StandIns/platform/replica_model.h
@@ -6,6 +6,7 @@
 
 #include <json/value.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -63,6 +64,11 @@
     std::string backoff;
     /// Whether its answers announce that it is leaving, even if its entry does not.
     bool announcesLeaving = false;
+    /// Until when it is cold, and what its entry and its answers say about that, as of the last tick.
+    instant coldUntil;
+    duration coldLeft{};
+    /// When requests arrived in the last second of the cold time.
+    std::deque<instant> coldArrivals;
     std::optional<stand_in_membership> membership;
     /// The model whose weights its host holds.
     std::string staged;
@@ -92,6 +98,8 @@
     duration form{50};
     /// From the loss of a member until the head gives up and its group is broken.
     duration stall{1500};
+    /// How long a replica is cold after each start but the first; 0 if it never is.
+    duration cold{0};
 };
 
 /// An event to be written to the journal.
@@ -107,6 +115,8 @@
     replica_timing timing;
     /// Number of replicas in a group, by model.
     std::map<std::string, unsigned> sizes;
+    /// Requests that a cold replica bears within any second; it fails at the next one.
+    double coldBound = 0;
     std::vector<stand_in_replica> replicas;
     /// Memberships that have been ready at some time, by group, epoch and replica. A group in which one has never been ready is partial.
     std::set<std::string> everReadyMemberships;
@@ -125,6 +135,10 @@
 /// Ends the replica's current incarnation, with or without notice.
 void endIncarnation(replica_simulation &simulation, stand_in_replica &replica);
 
+/// Makes a replica cold for \a time, and records that.
+void makeCold(replica_simulation &simulation, stand_in_replica &replica, duration time, instant now);
+/// Records that a request arrived. Returns false if the replica is cold and fails because too many have arrived within a second.
+bool bearsArrival(replica_simulation &simulation, stand_in_replica &replica, instant now);
 /// Returns 200 if a request for the model may queue at the replica, otherwise the HTTP status of the refusal.
 int admissionStatus(const stand_in_replica &replica, const std::string &model);
 request_state requestState(const stand_in_replica &replica, std::uint64_t serving);
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -100,6 +100,12 @@
         if (!request.attempt.empty()) {
             status = admissionStatus(replica, exchange.header(names::model));
         }
+        // A request for another instance has been answered before, and does not count.
+        if (!bearsArrival(m_simulation, replica, monotonicNow())) {
+            m_crashedReplicas.push_back({number, replica.id, monotonicNow() + crashDowntime});
+            status = unavailable;
+        }
+        flushEvents();
         if (status == 200) {
             ++replica.waiting;
         }
@@ -257,6 +263,9 @@
 void replica_host::recordNotices(const running_request &request, int status)
 {
     for (const auto &notice : noticeHeaders(request.id, status)) {
+        if (notice.name == names::coldHeader) {
+            continue;
+        }
         const auto *what = notice.name == names::serverLimit ? "told_limit"
             : notice.name == names::serverLeaving            ? "told_leaving"
                                                              : "told_rest";
--- a/Tests/StandIns/platform/standInReplicas.cpp
+++ b/Tests/StandIns/platform/standInReplicas.cpp
@@ -32,6 +32,8 @@
   --warm-ms=<ms>         Time to load weights from the host's copy [default: 100].
   --form-ms=<ms>         Time to open a group [default: 50].
   --stall-ms=<ms>        Time for which a group that lost a member stalls before it breaks [default: 1500].
+  --cold-ms=<ms>         Time for which a replica is cold after each start but its first; 0: never [default: 0].
+  --cold-bound=<n>       Requests that a cold replica bears within any second [default: 0].
   --step-ms=<ms>         Time for a token [default: 10].
 )";
 
@@ -73,6 +75,8 @@
     simulation.timing.warm = duration(number("--warm-ms"));
     simulation.timing.form = duration(number("--form-ms"));
     simulation.timing.stall = duration(number("--stall-ms"));
+    simulation.timing.cold = duration(number("--cold-ms"));
+    simulation.coldBound = static_cast<double>(number("--cold-bound"));
     for (const auto &[model, size] : parseCounts(arguments.at("--models").asString())) {
         simulation.sizes[model] = size;
     }
