--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -222,7 +222,9 @@
         const auto now = monotonicNow();
         const auto *best = chooseBackend(
             candidates, excluded, newest->dataCentre, now, m_context.nextSequenceNumber(), randomNumber(), hasSpareCapacity);
-        if (best != nullptr && m_context.constraints.cold().takeSend(keyOf(*best)) && m_context.constraints.consumePermit(*best)) {
+        auto &cold = m_context.constraints.cold();
+        const bool mayTake = best != nullptr && (!cold.hasAny() || cold.takeSend(keyOf(*best)));
+        if (mayTake && m_context.constraints.consumePermit(*best)) {
             return *best;
         }
         if (best == nullptr && !m_blockedBackends.cold.empty()) {
--- a/Libraries/Requests/cold_pacing.cpp
+++ b/Libraries/Requests/cold_pacing.cpp
@@ -91,10 +91,15 @@
 
 bool applyEntry(cold_pacing &pacing, const cold_report &report, std::uint64_t draw, instant now)
 {
+    if (!(report.perSecond > 0)) {
+        pacing.replicas.erase(report.replica);
+        return false;
+    }
     bool isNew = false;
     auto *replica = findOrBegin(pacing, report, draw, now, isNew);
     if (replica != nullptr) {
         replica->coldUntilByEntry = report.until;
+        replica->perSecond = report.perSecond;
     }
     return isNew;
 }
--- a/Libraries/Requests/cold_pacing.h
+++ b/Libraries/Requests/cold_pacing.h
@@ -86,7 +86,7 @@
     replica_key replica;
     /// When its cold time ends.
     instant until;
-    /// Requests per second that it accepts while it is cold; with 0 the report has no effect.
+    /// Requests per second that it accepts while it is cold; with 0 the replica is never cold.
     double perSecond = 0;
 };
 
--- a/Tests/Requests/testColdPacing.cpp
+++ b/Tests/Requests/testColdPacing.cpp
@@ -213,6 +213,10 @@
     CHECK_FALSE(applyHeader(pacing, {replica(1), start + coldTime, -1}, 0, start));
     CHECK(pacing.replicas.empty());
     CHECK(takeSend(pacing, replica(1), start));
+    // The configuration may take the rate away while a replica is cold.
+    applyEntry(pacing, {replica(1), start + coldTime, coldPerSecond}, 1, start);
+    CHECK_FALSE(applyEntry(pacing, {replica(1), start + coldTime, 0}, 1, start));
+    CHECK(pacing.replicas.empty());
 }
 
 // Guards against a header that is ignored because one of its copies is invalid, and against invalid ones that are not reported.
