--- a/Libraries/Entry/cold_replicas.cpp
+++ b/Libraries/Entry/cold_replicas.cpp
@@ -167,7 +167,7 @@
 {
     const auto now = d->updateDaemons();
     const std::lock_guard lock(d->mutex);
-    const auto reserved = vetchpost::reserveSend(d->pacing, replicas, now, until);
+    auto reserved = vetchpost::reserveSend(d->pacing, replicas, now, until);
     if (reserved) {
         ++d->sent[reserved->replica];
     }
