Entry, Requests: Hedge silent streams on networks that lose packets

Cause: a lost segment waits for the sender's retransmission timeout of 200 ms, so that a stream with a pause limit of 200 ms is late although its group is healthy. Change: a silent stream is requested from a second group after several usual pauses; the first of the two that sends an event goes on.

--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -26,6 +26,19 @@
     return result;
 }
 
+/// A counter for each way in which a hedged stream went on.
+std::map<std::string, counter> hedgeCountersByEnd(metrics &counters)
+{
+    std::map<std::string, counter> result;
+    for (const auto *end : {"first", "second", "neither", "unreachable"}) {
+        result.emplace(end,
+                       counters.addCounter("vetchpost_hedges_total",
+                                           "Silent streams for which a second group was asked, by the group that went on.",
+                                           {{"end", end}}));
+    }
+    return result;
+}
+
 } // namespace
 
 relay_context::relay_context(const entry_settings &settings,
@@ -44,6 +57,7 @@
     , reportStall(std::move(stallReporter))
     , requestMetrics(allCounters)
     , attemptCounters(countersByOutcome(allCounters))
+    , hedgeCounters(hedgeCountersByEnd(allCounters))
     , served(allCounters.addCounter("vetchpost_requests_served_total", "Requests whose whole answer was passed on."))
     , resumed(allCounters.addCounter("vetchpost_streams_resumed_total", "Streams that another replica went on with."))
     , retried(allCounters.addCounter("vetchpost_requests_retried_total", "Requests that were sent to a second replica."))
@@ -174,10 +188,16 @@
     vetchpost::recordFirstAttempt(budgetOf(service));
 }
 
-bool relay_context::consumeRetry(const service_id &service)
+bool relay_context::consumeRetry(const service_id &service, double reservedShare)
 {
     const std::lock_guard lock(m_budgetMutex);
-    return spendRetry(budgetOf(service));
+    auto &budget = budgetOf(service);
+    return budget.available >= reservedShare * budget.maximum && spendRetry(budget);
+}
+
+const counter &relay_context::hedgeCounter(const std::string &end) const
+{
+    return hedgeCounters.at(end);
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -7,6 +7,7 @@
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Entry/in_flight_requests.h"
+#include "Libraries/Entry/model_habits.h"
 #include "Libraries/Entry/model_shedding.h"
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/request_id_batch.h"
@@ -76,7 +77,11 @@
     /// Adds the share of a new request to this daemon's part of the service's retry budget.
     void recordFirstAttempt(const service_id &service);
     /// Consumes one retry of this daemon's part of the service's retry budget. Returns false if it is exhausted.
-    bool consumeRetry(const service_id &service);
+    /// With \a reservedShare, the budget keeps at least this part of its maximum.
+    bool consumeRetry(const service_id &service, double reservedShare = 0);
+    /// The counter of hedged streams that were continued by the first group, by the second one, by neither, or whose second group could
+    /// not be reached.
+    const counter &hedgeCounter(const std::string &end) const;
 
     /// An estimate of how long a client has already waited in earlier attempts, from the waiting time \a patience that this request has
     /// left and that of other requests on the same route.
@@ -95,11 +100,13 @@
     std::atomic<bool> isDraining = false;
     in_flight_requests inFlight;
     model_shedding shedding;
+    model_habits habits;
     /// Requests without log lines of their own.
     request_id_batch requestIds;
     const request_metrics requestMetrics;
     /// Indexed by attempt_outcome.
     const std::vector<counter> attemptCounters;
+    const std::map<std::string, counter> hedgeCounters;
     counter served;
     counter resumed;
     counter retried;
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -61,15 +61,27 @@
 
 /// Waits for the head of the replica's answer and relays the answer. Gives the attempt up if the replica is silent for too long and the
 /// request may be retried elsewhere, or if the attempt must be withdrawn.
-attempt_outcome request_handler::awaitAnswer(http_upstream &upstream, const backend &target)
+attempt_outcome request_handler::awaitAnswer(http_upstream &upstream, backend &target)
 {
     for (;;) {
         const bool mayMove = m_attempts < m_route->maximumAttempts && m_route->mayRunAgain();
         const auto answerDeadline = firstAnswerDeadline();
+        const auto hedgeAfter = silenceBeforeHedge(target, false);
         auto wait = upstream_event::timeout;
         do {
-            const auto until = isStream() ? std::min(answerDeadline, monotonicNow() + stallWarningCheckPeriod) : answerDeadline;
+            auto until = isStream() ? std::min(answerDeadline, monotonicNow() + stallWarningCheckPeriod) : answerDeadline;
+            const auto hedgeAt = hedgeAfter && !m_isHedged ? std::optional(m_attemptStart + *hedgeAfter) : std::nullopt;
+            until = std::min(until, hedgeAt.value_or(until));
             wait = upstream.waitForAnswer(std::min(m_deadline, until), m_exchange.socketDescriptor());
+            if (wait == upstream_event::timeout && hedgeAt && monotonicNow() >= *hedgeAt && isStillSilent(upstream)) {
+                auto result = hedge(upstream, target, false);
+                if (result.winner == race_end::neither) {
+                    return m_hedgeFailure;
+                }
+                if (result.head) {
+                    return relayAnswer(upstream, *result.head, target);
+                }
+            }
         } while (wait == upstream_event::timeout && monotonicNow() < std::min(m_deadline, answerDeadline) && !hasStallWarning(target)
                  && !mustWithdraw());
         if (wait == upstream_event::data) {
@@ -102,33 +114,57 @@
     }
 }
 
-/// Reads the head of the replica's answer, checks that it belongs to this request, and relays the answer.
-attempt_outcome request_handler::relayAnswer(http_upstream &upstream, const backend &target)
+/// Whether a connection on which a wait has ended without data still has none. After a suspension of this daemon, bytes may have arrived
+/// that the wait did not see.
+bool request_handler::isStillSilent(http_upstream &upstream) const
+{
+    return upstream.waitForAnswer(monotonicNow(), -1) == upstream_event::timeout;
+}
+
+/// Reads the head of the replica's answer and checks that it belongs to this request. Returns nothing and sets \a failure if the replica
+/// did not run the request or the answer is unusable.
+std::optional<upstream_head> request_handler::readHead(http_upstream &upstream, const backend &target, attempt_outcome &failure)
 {
     reason why;
-    const auto head = upstream.readHead(why);
+    failure = attempt_outcome::lost;
+    auto head = upstream.readHead(why);
     if (!head) {
         m_lastReason = why.text;
-        return attempt_outcome::lost;
+        return std::nullopt;
     }
     const auto answer = m_context.dialect.readAnswer(head->status, head->headers);
     if (answer.requestId != m_head.requestId) {
         m_lastReason = "the answer is to another request: " + answer.requestId.value();
-        return attempt_outcome::lost;
+        return std::nullopt;
     }
     m_context.applyNotice(target, m_context.dialect.readNotice(head->status, head->headers), m_head.requestId);
     if (answer.hasNotRun) {
         m_lastReason = "the replica did not run it: status " + std::to_string(head->status);
-        return attempt_outcome::not_run;
+        failure = attempt_outcome::not_run;
+        return std::nullopt;
     }
     if (isSuccessStatus(head->status) && !answer.hasServerStamp) {
         m_lastReason = "a success status without the replica's stamp";
-        return attempt_outcome::lost;
+        return std::nullopt;
     }
-    if (isStream() && isSuccessStatus(head->status)) {
-        return relayEvents(upstream, *head, target);
+    return head;
+}
+
+/// Reads the head of the replica's answer and relays the answer.
+attempt_outcome request_handler::relayAnswer(http_upstream &upstream, backend &target)
+{
+    auto failure = attempt_outcome::lost;
+    const auto head = readHead(upstream, target, failure);
+    return head ? relayAnswer(upstream, *head, target) : failure;
+}
+
+/// Relays an answer whose head was read.
+attempt_outcome request_handler::relayAnswer(http_upstream &upstream, const upstream_head &head, backend &target)
+{
+    if (isStream() && isSuccessStatus(head.status)) {
+        return relayEvents(upstream, head, target);
     }
-    const auto outcome = relayBuffered(upstream, *head);
+    const auto outcome = relayBuffered(upstream, head);
     if (outcome == attempt_outcome::answered) {
         recordProgress(target);
     }
@@ -162,13 +198,35 @@
 }
 
 /// Relays the complete events of a stream as they arrive. Gives the attempt up if the stream stalls and another replica can resume it.
-attempt_outcome request_handler::relayEvents(http_upstream &upstream, const upstream_head &head, const backend &target)
+attempt_outcome request_handler::relayEvents(http_upstream &upstream, upstream_head head, backend &target)
 {
-    m_events.discardPartial();
+    if (m_hedgedEvents.empty()) {
+        m_events.discardPartial();
+    } else if (!relayHedgedEvents(head, target)) {
+        return attempt_outcome::caller_left;
+    }
     std::string piece;
     for (;;) {
         const auto pauseStart = monotonicNow();
-        auto wait = upstream.nextPiece(piece, std::min(m_deadline, pauseStart + stallReportPause), m_exchange.socketDescriptor());
+        const auto hedgeAfter = silenceBeforeHedge(target, true);
+        auto wait = upstream.nextPiece(piece,
+                                       std::min(m_deadline, pauseStart + std::min(stallReportPause, hedgeAfter.value_or(stallReportPause))),
+                                       m_exchange.socketDescriptor());
+        if (wait == upstream_event::timeout && hedgeAfter && monotonicNow() < m_deadline && isStillSilent(upstream)) {
+            auto result = hedge(upstream, target, true);
+            if (result.winner == race_end::neither) {
+                return m_hedgeFailure;
+            }
+            if (result.winner == race_end::second) {
+                head = std::move(*result.head);
+                if (!m_hedgedEvents.empty() && !relayHedgedEvents(head, target)) {
+                    return attempt_outcome::caller_left;
+                }
+                continue;
+            }
+            wait = upstream.nextPiece(
+                piece, std::min(m_deadline, std::max(pauseStart + stallReportPause, monotonicNow())), m_exchange.socketDescriptor());
+        }
         if (wait == upstream_event::timeout && monotonicNow() < m_deadline) {
             m_context.reportStall(target.replica);
             while (wait == upstream_event::timeout && monotonicNow() < std::min(m_deadline, pauseStart + stallPause)
@@ -178,6 +236,7 @@
             }
         }
         if (wait == upstream_event::data) {
+            recordEventTime(target, monotonicNow() - pauseStart);
             recordProgress(target);
             if (!relayPiece(piece, head)) {
                 return attempt_outcome::caller_left;
@@ -199,6 +258,17 @@
     }
 }
 
+/// Sends the events that a second group's connection has delivered while the two were waited for. Returns false if the client has closed
+/// the connection.
+bool request_handler::relayHedgedEvents(const upstream_head &head, const backend &target)
+{
+    recordEventTime(target, duration());
+    recordProgress(target);
+    beginStream(head);
+    recordSent();
+    return m_exchange.write(std::exchange(m_hedgedEvents, {}));
+}
+
 /// Relays the complete events of a received piece. Returns false if the client has closed the connection.
 bool request_handler::relayPiece(const std::string &piece, const upstream_head &head)
 {
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -158,6 +158,7 @@
     }
     // Clients must not be able to grow the counts with unknown model names.
     const bool isCounted = m_service->engine && isKnownModel(*m_service->engine, m_head.model);
+    m_isModelKnown = isCounted;
     if (isCounted && isStream() && !m_context.shedding.isAdmitted(m_service->id, m_head.model, randomNumber(), m_arrival)) {
         refuse(error_kind::overloaded, "the model is overloaded: most first events are late", refusal_scope::whole_model);
         return;
@@ -290,17 +291,19 @@
 }
 
 /// Runs one attempt on a replica, and updates what is known of the replica and of the request.
-attempt_outcome request_handler::runAttempt(const backend &target)
+attempt_outcome request_handler::runAttempt(const backend &chosen)
 {
-    m_triedReplicas.push_back(target.replica);
+    m_triedReplicas.push_back(chosen.replica);
     m_attemptStart = monotonicNow();
     m_hasProgress = false;
-    m_concurrentRequests = target.load->outstanding.fetch_add(1);
+    m_concurrentRequests = chosen.load->outstanding.fetch_add(1);
     if (m_concurrentRequests == 0) {
         // No answer was pending at the replica, so a pause is measured from now.
-        target.load->lastProgress = m_attemptStart.time_since_epoch().count();
+        chosen.load->lastProgress = m_attemptStart.time_since_epoch().count();
     }
     m_replicaLiveness.reset();
+    // A second group may take the first one's place.
+    auto target = chosen;
     const auto outcome = sendAndRelay(target);
     target.load->outstanding.fetch_sub(1);
     if (outcome == attempt_outcome::lost) {
@@ -314,7 +317,7 @@
 }
 
 /// Sends the request to a replica and relays its answer.
-attempt_outcome request_handler::sendAndRelay(const backend &target)
+attempt_outcome request_handler::sendAndRelay(backend &target)
 {
     http_upstream upstream;
     reason why;
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -63,17 +63,42 @@
     std::optional<backend> chooseReplica();
     bool hasAvailableReplica(duration time) const;
     attempt_outcome runAttempt(const backend &target);
-    attempt_outcome sendAndRelay(const backend &target);
+    attempt_outcome sendAndRelay(backend &target);
     http_call replicaCall(const backend &target) const;
-    attempt_outcome awaitAnswer(http_upstream &upstream, const backend &target);
-    attempt_outcome relayAnswer(http_upstream &upstream, const backend &target);
+    attempt_outcome awaitAnswer(http_upstream &upstream, backend &target);
+    std::optional<upstream_head> readHead(http_upstream &upstream, const backend &target, attempt_outcome &failure);
+    attempt_outcome relayAnswer(http_upstream &upstream, backend &target);
+    attempt_outcome relayAnswer(http_upstream &upstream, const upstream_head &head, backend &target);
     attempt_outcome relayBuffered(http_upstream &upstream, const upstream_head &head);
-    attempt_outcome relayEvents(http_upstream &upstream, const upstream_head &head, const backend &target);
+    attempt_outcome relayEvents(http_upstream &upstream, upstream_head head, backend &target);
+    bool isStillSilent(http_upstream &upstream) const;
+    bool relayHedgedEvents(const upstream_head &head, const backend &target);
     bool relayPiece(const std::string &piece, const upstream_head &head);
     void beginStream(const upstream_head &head);
     bool sendBuffered(const buffered_answer &answer);
     void recordSent();
 
+    // Streams that are requested from a second group (stream_hedge.cpp).
+    enum class race_end { first, second, neither };
+    struct hedge_race;
+    struct hedge_result
+    {
+        race_end winner = race_end::first;
+        /// The head of the winner's answer, if it was read by the race.
+        std::optional<upstream_head> head;
+    };
+    bool isHedgeable() const;
+    void recordEventTime(const backend &target, duration pause) const;
+    std::optional<duration> silenceBeforeHedge(const backend &target, bool hasHead) const;
+    bool isServing(const instance_id &head, instant now) const;
+    std::optional<backend> reserveHedge();
+    hedge_result hedge(http_upstream &upstream, backend &target, bool hasHead);
+    race_end runRace(hedge_race &race);
+    bool isFirstUsable(hedge_race &race);
+    bool readSecond(hedge_race &race);
+    void adoptSecond(hedge_race &race, backend &target);
+    void logHedge(const hedge_race &race, const char *winner) const;
+
     void recordProgress(const backend &target);
     void updateLoad(const backend &target, attempt_outcome outcome) const;
     bool isStalled(const backend &target) const;
@@ -124,6 +149,14 @@
     std::optional<instant> m_lastSent;
     duration m_longestPause{};
     event_splitter m_events;
+    /// The model is one of the service's, so that its habits may be recorded.
+    bool m_isModelKnown = false;
+    /// A second group was asked, or could not be, while the first one was silent. This happens once for a request.
+    bool m_isHedged = false;
+    /// Events of the second group that are to be sent next.
+    std::string m_hedgedEvents;
+    /// Why neither of two groups went on with the stream.
+    attempt_outcome m_hedgeFailure = attempt_outcome::lost;
     /// A replica's error answer, kept in case no other replica succeeds.
     std::optional<buffered_answer> m_failure;
     std::string m_lastReason;
--- a/Libraries/Http/http_upstream.cpp
+++ b/Libraries/Http/http_upstream.cpp
@@ -11,6 +11,7 @@
 #include <Poco/Net/NetException.h>
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -106,6 +107,8 @@
 }
 
 http_upstream::~http_upstream() = default;
+http_upstream::http_upstream(http_upstream &&other) noexcept = default;
+http_upstream &http_upstream::operator=(http_upstream &&other) noexcept = default;
 
 bool http_upstream::send(const http_call &call, reason &lastReason)
 {
@@ -193,4 +196,45 @@
     d->session.reset();
 }
 
+bool http_upstream::isOpen() const
+{
+    return d->session != nullptr;
+}
+
+bool http_upstream::isAtEnd() const
+{
+    char next = 0;
+    const auto count = recv(d->session->socket().impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool hasNothingYet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return d->received.empty() && count <= 0 && !hasNothingYet;
+}
+
+upstream_pair::upstream_pair(const http_upstream &first, const http_upstream &second)
+    : m_first(first)
+    , m_second(second)
+{
+}
+
+upstream_pair_event upstream_pair::wait(instant deadline, int clientSocket) const
+{
+    const auto socketOf
+        = [](const http_upstream &upstream) { return upstream.isOpen() ? upstream.d->session->socket().impl()->sockfd() : -1; };
+    const auto hasBuffered = [](const http_upstream &upstream) { return upstream.isOpen() && !upstream.d->received.empty(); };
+    for (;;) {
+        std::array<pollfd, 3> sockets{{{socketOf(m_first), POLLIN, 0}, {socketOf(m_second), POLLIN, 0}, {clientSocket, POLLRDHUP, 0}}};
+        const bool isAnyBuffered = hasBuffered(m_first) || hasBuffered(m_second);
+        const auto left = isAnyBuffered ? 0 : std::clamp<std::int64_t>((deadline - monotonicNow()).count(), 0, maxSteadyWait.count());
+        const auto ready = poll(sockets.data(), sockets.size(), static_cast<int>(left));
+        if (ready < 0 && errno == EINTR) {
+            continue;
+        }
+        const upstream_pair_event event{sockets[0].revents != 0 || hasBuffered(m_first),
+                                        sockets[1].revents != 0 || hasBuffered(m_second),
+                                        (sockets[2].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0};
+        if (event.isFirstReady || event.isSecondReady || event.hasCallerLeft || monotonicNow() >= deadline) {
+            return event;
+        }
+    }
+}
+
 } // namespace vetchpost
--- a/Libraries/Http/http_upstream.h
+++ b/Libraries/Http/http_upstream.h
@@ -40,6 +40,8 @@
     ~http_upstream();
     http_upstream(const http_upstream &) = delete;
     http_upstream &operator=(const http_upstream &) = delete;
+    http_upstream(http_upstream &&other) noexcept;
+    http_upstream &operator=(http_upstream &&other) noexcept;
 
     /// Connects and sends the request. Returns false on an error and sets \a lastReason: backend_unreachable if nothing was sent, otherwise
     /// backend_lost.
@@ -53,10 +55,38 @@
     upstream_event nextPiece(std::string &piece, instant deadline, int clientSocket);
     /// Closes the connection immediately.
     void close();
+    /// Whether the connection is open.
+    bool isOpen() const;
+    /// Whether the peer has closed or reset the connection and all that it sent was read. Does not wait.
+    bool isAtEnd() const;
 
 private:
+    friend class upstream_pair;
     struct private_data;
     std::unique_ptr<private_data> d;
 };
 
+/// Which of two upstream connections has bytes or was closed by its peer.
+struct upstream_pair_event
+{
+    bool isFirstReady = false;
+    bool isSecondReady = false;
+    /// The client for which the requests are sent has disconnected.
+    bool hasCallerLeft = false;
+};
+
+/// Waits on two upstream connections at once.
+class upstream_pair
+{
+public:
+    upstream_pair(const http_upstream &first, const http_upstream &second);
+    /// Waits until \a deadline for bytes on a connection that is open. Also watches \a clientSocket, unless it is negative. All flags are
+    /// false after a timeout.
+    upstream_pair_event wait(instant deadline, int clientSocket) const;
+
+private:
+    const http_upstream &m_first;
+    const http_upstream &m_second;
+};
+
 } // namespace vetchpost
--- a/Tests/PlatformAdapter/scriptedReplica.cpp
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -15,6 +15,7 @@
 constexpr int readSize = 4096;
 const Poco::Timespan pollTime(0, 20000);
 constexpr std::chrono::milliseconds pauseTime(100);
+constexpr std::chrono::milliseconds shortPauseTime(20);
 constexpr std::chrono::milliseconds restartTime(200);
 
 /// Whether the text contains the whole head and body of a request.
@@ -104,7 +105,8 @@
         }
         const auto answer = m_answer(request);
         for (std::size_t start = 0; start < answer.size();) {
-            const auto end = std::min(answer.find_first_of({pauseMarker, restartMarker}, start), answer.size());
+            const auto end
+                = std::min(answer.find_first_of(std::string{pauseMarker, shortPauseMarker, restartMarker}, start), answer.size());
             if (end > start) {
                 connection.sendBytes(answer.data() + start, static_cast<int>(end - start));
             }
@@ -112,7 +114,7 @@
                 restart(connection);
                 return;
             }
-            if (end < answer.size() && !pauseUnlessClosed(connection)) {
+            if (end < answer.size() && !pauseUnlessClosed(connection, answer[end] == pauseMarker ? pauseTime : shortPauseTime)) {
                 return;
             }
             start = end + 1;
@@ -124,11 +126,11 @@
     }
 }
 
-/// Pauses for pauseTime. Returns false at once if the daemon closes the connection.
-bool scripted_replica::pauseUnlessClosed(Poco::Net::StreamSocket &connection)
+/// Pauses for \a time. Returns false at once if the daemon closes the connection.
+bool scripted_replica::pauseUnlessClosed(Poco::Net::StreamSocket &connection, std::chrono::milliseconds time)
 {
-    const auto end = std::chrono::steady_clock::now() + pauseTime;
-    if (!connection.poll(Poco::Timespan(std::chrono::microseconds(pauseTime).count()), Poco::Net::Socket::SELECT_READ)) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    if (!connection.poll(Poco::Timespan(std::chrono::microseconds(time).count()), Poco::Net::Socket::SELECT_READ)) {
         return true;
     }
     char next = 0;
--- a/Tests/PlatformAdapter/scriptedReplica.h
+++ b/Tests/PlatformAdapter/scriptedReplica.h
@@ -18,6 +18,8 @@
 
 /// A character in a script's answer that makes the replica send nothing for 100 ms.
 constexpr char pauseMarker = '\x01';
+/// A character in a script's answer that makes the replica send nothing for 20 ms.
+constexpr char shortPauseMarker = '\x03';
 /// A character in a script's answer that makes the replica stop, and restart at its address after 200 ms.
 constexpr char restartMarker = '\x02';
 
@@ -41,7 +43,7 @@
 private:
     void run();
     void serve(Poco::Net::StreamSocket &connection);
-    bool pauseUnlessClosed(Poco::Net::StreamSocket &connection);
+    bool pauseUnlessClosed(Poco::Net::StreamSocket &connection, std::chrono::milliseconds time);
     void restart(Poco::Net::StreamSocket &connection);
 
     script m_answer;
