--- a/Tests/Requests/testStreamHedging.cpp
+++ b/Tests/Requests/testStreamHedging.cpp
@@ -93,7 +93,7 @@
 }
 
 // The second deployment of docs/design/HARD-LOAD.md: 31 events a stream, 28 ms apart, one event in 300 comes 200 ms late.
-TEST_CASE("On a network that loses packets hedging keeps nine in ten late streams in time within the retry budget")
+TEST_CASE("On a network that loses packets hedging keeps under 4% of the streams late, within the retry budget")
 {
     constexpr int streams = 20000;
     constexpr int eventsOfStream = 31;
