--- a/Libraries/Entry/model_habits.h
+++ b/Libraries/Entry/model_habits.h
@@ -9,7 +9,7 @@
 
 namespace vetchpost {
 
-/// The observed habits of the streams of each model of each service. Thread-safe.
+/// The observed habits of the streams of each model of each service, and the observed losses of the network. Thread-safe.
 class model_habits
 {
 public:
@@ -18,12 +18,13 @@
     auto with(const service_id &service, const model_id &model, Access access)
     {
         const std::lock_guard lock(m_mutex);
-        return access(m_habits[{service, model}]);
+        return access(m_habits[{service, model}], m_losses);
     }
 
 private:
     std::mutex m_mutex;
     std::map<std::pair<service_id, model_id>, stream_habits> m_habits;
+    observed_losses m_losses;
 };
 
 } // namespace vetchpost
--- a/Libraries/Entry/stream_hedge.cpp
+++ b/Libraries/Entry/stream_hedge.cpp
@@ -41,9 +41,11 @@
         return;
     }
     const auto now = monotonicNow();
-    m_context.habits.with(m_service->id, m_head.model, [&](stream_habits &habits) {
+    m_context.habits.with(m_service->id, m_head.model, [&](stream_habits &habits, observed_losses &losses) {
         if (m_hasProgress) {
-            recordPause(habits, target.replica, pause, now);
+            if (recordPause(habits, target.replica, pause, now)) {
+                recordRetransmission(losses, now);
+            }
         } else {
             recordFirstEventTime(habits, now - m_attemptStart);
         }
@@ -63,24 +65,26 @@
         return std::nullopt;
     }
     const auto now = monotonicNow();
-    return m_context.habits.with(m_service->id, m_head.model, [&](stream_habits &habits) -> std::optional<duration> {
-        confirmHedges(
-            habits, [&](const instance_id &head) { return isServing(head, now); }, now);
-        if (!losesPackets(habits, now)) {
-            return std::nullopt;
-        }
-        const auto untilLate = m_route->objective - m_priorWait - (m_attemptStart - m_arrival);
-        return hasHead ? pauseBeforeHedge(habits, target.replica, m_route->pauseLimit) : firstEventBeforeHedge(habits, untilLate);
-    });
+    return m_context.habits.with(
+        m_service->id, m_head.model, [&](const stream_habits &habits, observed_losses &losses) -> std::optional<duration> {
+            confirmHedges(
+                losses, [&](const instance_id &head) { return isServing(head, now); }, now);
+            if (!losesPackets(losses, now)) {
+                return std::nullopt;
+            }
+            const auto untilLate = m_route->objective - m_priorWait - (m_attemptStart - m_arrival);
+            return hasHead ? pauseBeforeHedge(habits, target.replica, m_route->pauseLimit) : firstEventBeforeHedge(habits, untilLate);
+        });
 }
 
 /// Whether the group of this head still accepts requests and is not avoided.
 bool request_handler::isServing(const instance_id &head, instant now) const
 {
     const auto view = m_context.currentView();
-    const auto &candidates = view->backends(*m_service, m_head.model);
-    return std::any_of(candidates.begin(), candidates.end(), [&](const backend &candidate) {
-        return candidate.replica == head && candidate.load->avoidedUntil.load() <= now.time_since_epoch().count();
+    return std::any_of(view->groups.begin(), view->groups.end(), [&](const auto &entry) {
+        return std::any_of(entry.second.begin(), entry.second.end(), [&](const backend &candidate) {
+            return candidate.replica == head && candidate.load->avoidedUntil.load() <= now.time_since_epoch().count();
+        });
     });
 }
 
@@ -151,8 +155,9 @@
     m_events = race.secondEvents;
     m_attemptStart = race.secondSentAt;
     m_hasProgress = false;
-    m_context.habits.with(
-        m_service->id, m_head.model, [&](stream_habits &habits) { recordHedgeWon(habits, race.firstTarget.replica, now); });
+    m_context.habits.with(m_service->id, m_head.model, [&](const stream_habits & /*habits*/, observed_losses &losses) {
+        recordHedgeWon(losses, race.firstTarget.replica, now);
+    });
 }
 
 /// Waits until one of the two connections has an event, or only the first one is left.
--- a/Libraries/Requests/stream_hedging.cpp
+++ b/Libraries/Requests/stream_hedging.cpp
@@ -16,6 +16,11 @@
 /// between the passes of a stream, which doubles a pause now and then.
 constexpr double unusualPauses = 3;
 constexpr double unusualDeviations = 4;
+/// The lowest multiple and number of deviations, for groups whose usual pause leaves little time for the second group.
+constexpr double minUnusualPauses = 2.2;
+constexpr double minUnusualDeviations = 3;
+/// The second group is likely to need no more than this part of the usual time to the first event: it is chosen for its free slots.
+constexpr double likelyFirstEventShare = 0.8;
 /// The first event depends on the length of the prompt and varies more; fewer deviations keep enough time for the second group.
 constexpr double unusualFirstDeviations = 3;
 constexpr double minFirstDeviations = 2;
@@ -42,14 +47,6 @@
     return pause >= minRetransmission && pause <= maxRetransmission + asDuration(usual.mean);
 }
 
-void addRetransmission(stream_habits &habits, instant at)
-{
-    habits.retransmissions.push_back(at);
-    while (habits.retransmissions.size() > minRetransmissions) {
-        habits.retransmissions.pop_front();
-    }
-}
-
 /// The habits of a group once they are reliable, otherwise those of the model.
 const usual_time &usualPause(const stream_habits &habits, const instance_id &head)
 {
@@ -82,18 +79,26 @@
 }
 
 // Pauses that a lost packet explains do not belong to the habit of a group: they would raise the time after which one is recognised.
-void recordPause(stream_habits &habits, const instance_id &head, duration pause, instant now)
+bool recordPause(stream_habits &habits, const instance_id &head, duration pause, instant now)
 {
     const auto &usual = usualPause(habits, head);
     if (usual.count >= minTimes && isRetransmission(pause, usual) && static_cast<double>(pause.count()) > unusualPauses * usual.mean) {
-        addRetransmission(habits, now);
-        return;
+        return true;
     }
     recordTime(habits.pause, pause);
     auto &group = habits.groups[head];
     recordTime(group.pause, pause);
     group.updatedAt = now;
     forgetOldGroups(habits, now);
+    return false;
+}
+
+void recordRetransmission(observed_losses &losses, instant at)
+{
+    losses.retransmissions.push_back(at);
+    while (losses.retransmissions.size() > minRetransmissions) {
+        losses.retransmissions.pop_front();
+    }
 }
 
 void recordFirstEventTime(stream_habits &habits, duration time)
@@ -101,27 +106,27 @@
     recordTime(habits.firstEvent, time);
 }
 
-void recordHedgeWon(stream_habits &habits, const instance_id &head, instant now)
+void recordHedgeWon(observed_losses &losses, const instance_id &head, instant now)
 {
-    if (habits.unconfirmed.size() < maxUnconfirmed) {
-        habits.unconfirmed.push_back({head, now});
+    if (losses.unconfirmed.size() < maxUnconfirmed) {
+        losses.unconfirmed.push_back({head, now});
     }
 }
 
-void confirmHedges(stream_habits &habits, const std::function<bool(const instance_id &)> &isServing, instant now)
+void confirmHedges(observed_losses &losses, const std::function<bool(const instance_id &)> &isServing, instant now)
 {
-    while (!habits.unconfirmed.empty() && now - habits.unconfirmed.front().at >= confirmationTime) {
-        if (isServing(habits.unconfirmed.front().head)) {
-            addRetransmission(habits, habits.unconfirmed.front().at);
+    while (!losses.unconfirmed.empty() && now - losses.unconfirmed.front().at >= confirmationTime) {
+        if (isServing(losses.unconfirmed.front().head)) {
+            recordRetransmission(losses, losses.unconfirmed.front().at);
         }
-        habits.unconfirmed.pop_front();
+        losses.unconfirmed.pop_front();
     }
 }
 
-bool losesPackets(const stream_habits &habits, instant now)
+bool losesPackets(const observed_losses &losses, instant now)
 {
     const auto recent = std::count_if(
-        habits.retransmissions.begin(), habits.retransmissions.end(), [&](instant at) { return now - at < retransmissionMemory; });
+        losses.retransmissions.begin(), losses.retransmissions.end(), [&](instant at) { return now - at < retransmissionMemory; });
     return static_cast<std::size_t>(recent) >= minRetransmissions;
 }
 
@@ -132,8 +137,9 @@
         return std::nullopt;
     }
     const auto unusual = asDuration(std::max(unusualPauses * usual.mean, usual.mean + unusualDeviations * usual.deviation));
-    const auto latest = pauseLimit - margin - asDuration(habits.firstEvent.mean);
-    return unusual <= latest ? std::optional(unusual) : std::nullopt;
+    const auto earliest = asDuration(std::max(minUnusualPauses * usual.mean, usual.mean + minUnusualDeviations * usual.deviation));
+    const auto latest = pauseLimit - margin - asDuration(likelyFirstEventShare * habits.firstEvent.mean);
+    return earliest <= latest ? std::optional(std::min(unusual, latest)) : std::nullopt;
 }
 
 std::optional<duration> firstEventBeforeHedge(const stream_habits &habits, duration timeLeft)
--- a/Libraries/Requests/stream_hedging.h
+++ b/Libraries/Requests/stream_hedging.h
@@ -46,27 +46,34 @@
     /// From sending a request to its first event.
     usual_time firstEvent;
     std::map<instance_id, group_pauses> groups;
-    /// When pauses as long as a retransmission ended by themselves, within the last retransmissionMemory.
+};
+
+/// What one daemon has observed of the network's losses.
+struct observed_losses
+{
+    /// When the last pauses as long as a retransmission ended by themselves.
     std::deque<instant> retransmissions;
     std::deque<unconfirmed_hedge> unconfirmed;
 };
 
-/// How long an observed retransmission counts.
-constexpr duration retransmissionMemory(30000);
+/// How long an observed retransmission counts. One daemon of many has few streams, and a network rarely changes.
+constexpr duration retransmissionMemory(300000);
 /// Without this many observed retransmissions the network counts as one without losses, and no stream is hedged.
-constexpr std::size_t minRetransmissions = 3;
+constexpr std::size_t minRetransmissions = 2;
 
-/// Records the time between two events on one connection to the group of \a head.
-void recordPause(stream_habits &habits, const instance_id &head, duration pause, instant now);
+/// Records the time between two events on one connection to the group of \a head. Returns whether it shows that a packet was lost.
+bool recordPause(stream_habits &habits, const instance_id &head, duration pause, instant now);
+/// Records that a pause ended which shows that a packet was lost.
+void recordRetransmission(observed_losses &losses, instant at);
 /// Records the time from sending a request to its first event.
 void recordFirstEventTime(stream_habits &habits, duration time);
 /// Records that a second group has continued a stream of the group of \a head.
-void recordHedgeWon(stream_habits &habits, const instance_id &head, instant now);
+void recordHedgeWon(observed_losses &losses, const instance_id &head, instant now);
 /// Decides about streams that a second group continued some time ago: those whose first group still serves (\a isServing) were held up by
 /// the network and count as retransmissions.
-void confirmHedges(stream_habits &habits, const std::function<bool(const instance_id &)> &isServing, instant now);
+void confirmHedges(observed_losses &losses, const std::function<bool(const instance_id &)> &isServing, instant now);
 /// Whether the network has lost packets recently.
-bool losesPackets(const stream_habits &habits, instant now);
+bool losesPackets(const observed_losses &losses, instant now);
 
 /// Returns how long a stream at the group of \a head may pause before a second group is asked; nothing if no time is known, or if the
 /// second group could not send an event within \a pauseLimit.
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -32,6 +32,7 @@
   --clients=<n>           Clients at a time [default: 20].
   --deadly=<n>            Requests that end each replica that runs them and are sent repeatedly [default: 0].
   --notices=<n>           Times that a replica reports a rate limit, asks for a backoff or announces that it leaves [default: 0].
+  --losses=<n>            Of a thousand events of streams, the number that arrive as late as a retransmitted packet [default: 0].
   --keep=<folder>         Folder for settings and logs.
   --daemon-binary=<file>  vetchpostd.
   --stand-ins=<folder>    Folder with the programs of the stand-ins.
@@ -137,6 +138,7 @@
     options.clients = static_cast<int>(number("--clients"));
     options.deadlyRequests = static_cast<int>(number("--deadly"));
     options.notices = static_cast<int>(number("--notices"));
+    options.lossesPerThousand = static_cast<int>(number("--losses"));
     options.folder = arguments.at("--keep").asString();
     options.daemonProgram = arguments.at("--daemon-binary").asString();
     options.standIns = arguments.at("--stand-ins").asString();
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -182,9 +182,12 @@
         std::for_each(clients.begin(), clients.end(), [](const auto &client) { client->requestStop(); });
     }
 
-    /// Schedules the starts of the deadly clients, spread over the time of the faults, and their stop at the end of it.
+    /// Sets the faults that last for the whole run. Schedules the starts of the deadly clients, spread over the time of the faults, and
+    /// their stop at the end of it.
     void scheduleDeadlyRequests(instant begin)
     {
+        constexpr double thousand = 1000;
+        setFaults(m_cluster.replicaControl(), makeSwitch("retransmit", m_options.lossesPerThousand / thousand));
         setFaults(m_cluster.replicaControl(), makeSwitch("deadly_body", m_options.deadlyRequests > 0 ? deadlyBodyPrefix : ""));
         const auto time = m_facts.faultsEndedAt - begin;
         for (int number = 0; number < m_options.deadlyRequests; ++number) {
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -18,6 +18,8 @@
     int deadlyRequests = 0;
     /// How many times a replica reports a rate limit, asks for a backoff or announces that it leaves.
     int notices = 0;
+    /// Of a thousand events of streams, the number that arrive as late as a retransmitted packet.
+    int lossesPerThousand = 0;
     /// The folder for settings and logs.
     std::string folder;
     std::string daemonProgram;
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -22,6 +22,8 @@
     /// Orders are not answered and take effect after a delay.
     fault_probability delayOrders;
     std::atomic<std::int64_t> orderDelayMs = 3000;
+    /// An event arrives late, as if its packet were lost and retransmitted.
+    fault_probability retransmissions;
     /// Prefix of the bodies of requests that crash each replica that runs them; empty for none.
     std::string deadlyBody;
 };
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -22,6 +22,8 @@
 /// Number of tokens in an event of a stream.
 constexpr int tokensPerEvent = 5;
 constexpr int defaultEvents = 6;
+/// The lower limit of TCP's retransmission timeout on common systems.
+constexpr duration retransmissionTimeout(200);
 /// Number of steps that an answer of a plain service takes.
 constexpr int plainSteps = 3;
 constexpr std::int64_t defaultDeadlineMs = 30000;
@@ -298,7 +300,8 @@
     const duration time(static_cast<std::int64_t>(static_cast<double>(m_options.step.count() * tokensPerEvent) * slowness));
     const bool isLost = m_faults.loseAnswers.occurs();
     for (int event = request.firstEvent; event <= request.lastEvent; ++event) {
-        if (auto outcome = workFor(request, exchange, time); !outcome.empty()) {
+        const auto delay = m_faults.retransmissions.occurs() ? retransmissionTimeout : duration();
+        if (auto outcome = workFor(request, exchange, time + delay); !outcome.empty()) {
             // A request counts as not run until its first token.
             const bool isRefused = !exchange.hasBegun() && (outcome == "broken" || outcome == "deadline");
             if (isRefused) {
