--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -27,6 +27,8 @@
     /// Requests per second that a replica accepts while it is cold: after each start but its first, and several times all at once; 0 if
     /// replicas are never cold.
     int coldPerSecond = 0;
+    /// Of a thousand events of streams, the number that arrive as late as a retransmitted packet.
+    int lossesPerThousand = 0;
     /// The folder for settings and logs.
     std::string folder;
     std::string daemonProgram;
