Entry: Hedge by rejections, not by the share of late first events

Cause: a model whose groups lose members often has many late first events although its other groups have free slots, so that its streams were not hedged.

--- a/Libraries/Entry/model_shedding.cpp
+++ b/Libraries/Entry/model_shedding.cpp
@@ -11,6 +11,13 @@
     return found == m_states.end() || vetchpost::isAdmitted(found->second, static_cast<double>(draw % parts) / parts, now);
 }
 
+bool model_shedding::isShedding(const service_id &service, const model_id &model, instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_states.find({service, model});
+    return found != m_states.end() && vetchpost::isShedding(found->second, now);
+}
+
 bool model_shedding::hasSpareCapacity(const service_id &service, const model_id &model) const
 {
     const std::lock_guard lock(m_mutex);
--- a/Libraries/Entry/stream_hedge.cpp
+++ b/Libraries/Entry/stream_hedge.cpp
@@ -91,16 +91,18 @@
 /// Chooses the second group, if another one has spare capacity and the retry budget is large enough.
 std::optional<backend> request_handler::reserveHedge()
 {
-    if (!m_context.shedding.hasSpareCapacity(m_service->id, m_head.model) || timeLeft() < m_route->pauseLimit) {
+    const auto now = monotonicNow();
+    if (m_context.shedding.isShedding(m_service->id, m_head.model, now) || timeLeft() < m_route->pauseLimit) {
         return std::nullopt;
     }
     const auto newest = m_context.currentView();
     const auto &candidates = newest->backends(*m_service, m_head.model);
     auto excluded = m_context.constraints.blockedBackends(candidates, m_triedReplicas).replicas;
     excluded.insert(excluded.end(), m_triedReplicas.begin(), m_triedReplicas.end());
-    const auto now = monotonicNow();
     const auto *chosen = chooseBackend(candidates, excluded, newest->dataCentre, now, m_context.nextSequenceNumber(), randomNumber(), true);
-    const bool isUsable = chosen != nullptr && chosen->load->avoidedUntil.load() <= now.time_since_epoch().count();
+    // A group that rejected this daemon's last request is full.
+    const bool isUsable
+        = chosen != nullptr && chosen->load->avoidedUntil.load() <= now.time_since_epoch().count() && chosen->load->rejections.load() == 0;
     if (!isUsable || !m_context.consumeRetry(m_service->id, reservedBudgetShare) || !m_context.constraints.consumePermit(*chosen)) {
         return std::nullopt;
     }
--- a/Libraries/Requests/load_shedding.cpp
+++ b/Libraries/Requests/load_shedding.cpp
@@ -54,9 +54,14 @@
     return state.lateness < spareCapacityLateShare;
 }
 
+bool isShedding(const load_shedding &state, instant now)
+{
+    return state.admittedShare < 1 && now - state.evaluatedAt <= resetTime;
+}
+
 bool isAdmitted(const load_shedding &state, double draw, instant now)
 {
-    return draw < state.admittedShare || now - state.evaluatedAt > resetTime;
+    return draw < state.admittedShare || !isShedding(state, now);
 }
 
 } // namespace vetchpost
--- a/Libraries/Requests/load_shedding.h
+++ b/Libraries/Requests/load_shedding.h
@@ -23,6 +23,8 @@
 void recordFirstEvent(load_shedding &state, bool isLate, instant now);
 /// Returns whether few first events are late, which means that every replica has spare capacity.
 bool hasSpareCapacity(const load_shedding &state);
+/// Returns whether requests are refused now because most first events are late, which means that all replicas have a queue.
+bool isShedding(const load_shedding &state, instant now);
 /// Returns whether to admit a request, given a random number \a draw from 0 to 1. Without a recent first event all are admitted.
 bool isAdmitted(const load_shedding &state, double draw, instant now);
 
