Evacuation: Read the evacuated data centres, pass them on and keep requests out (in progress)

Cause: operators evacuate a data centre by a key of the key-value service, which no daemon read. Change: the source watches the prefix, a daemon without a current source lists it, the feed carries the set, the view has no backends there, the planner leaves replicas and groups there alone, and operators see the state.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -15,7 +15,7 @@
 enum class readiness { same_model, staged, must_load };
 
 /// One round of planAssembly(). The implementation is split over plan_assembly, group_steps, group_forming, group_preemption,
-/// weight_staging and round_queries.
+/// weight_staging, evacuated_groups and round_queries.
 class assembly_round
 {
 public:
@@ -49,6 +49,12 @@
     void dissolve(planned_group &group, const std::string &why);
     void erase(planned_group &group, const std::string &why);
 
+    // Evacuated data centres.
+
+    void updateEvacuatedGroups();
+    bool isEvacuated(const served_replica &replica) const;
+    bool isEvacuated(const planned_group &group) const;
+
     // Formation of groups from free replicas.
 
     void collectFreeReplicas();
--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -57,7 +57,7 @@
         model_group_counts standing{
             model.id, targets.at(model.id), held == state.demand.outstanding.end() ? 0 : static_cast<int>(held->second)};
         for (const auto &[id, group] : state.groups) {
-            if (group.model == model.id) {
+            if (group.model == model.id && !state.evacuatedGroups.contains(id)) {
                 const bool isForming = group.stage == assembly_stage::joining || group.stage == assembly_stage::opening;
                 standing.serving += group.stage == assembly_stage::serving ? 1 : 0;
                 standing.forming += isForming ? 1 : 0;
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -239,6 +239,8 @@
     /// The background load that each replica was ordered to begin and that is not over yet.
     std::map<instance_id, staging> stagings;
     smoothed_demand demand;
+    /// Groups in evacuated data centres, as of the last round.
+    std::set<group_id> evacuatedGroups;
     /// The number of usable replicas.
     int usable = 0;
     /// Since when `usable` has had its value.
@@ -262,6 +264,9 @@
     /// Since when this daemon has followed the entries. A head whose entry vanished since then is still in the directory, or has had the
     /// time to end.
     instant followedSince = {};
+    /// Data centres in which no replica may be used: no group is formed or repaired and no weights are staged there, and the groups that
+    /// serve there do not count.
+    std::set<data_centre_id> evacuated = {};
 };
 
 /// Plans one round and returns the orders to send next. An order counts as pending until its result is passed to recordOrderResult().
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -28,6 +28,10 @@
         if (replica.service != m_view.service) {
             continue;
         }
+        if (isEvacuated(replica)) {
+            m_state.idleSince.erase(id);
+            continue;
+        }
         if (!replica.isDraining && !m_view.suspects.contains(id)) {
             ++usable[replica.domain];
         }
@@ -151,6 +155,9 @@
     if (!m_counts) {
         m_counts.emplace();
         for (const auto &[id, group] : m_state.groups) {
+            if (isEvacuated(group)) {
+                continue;
+            }
             const bool isEnding = group.stage == assembly_stage::closing || group.stage == assembly_stage::leaving;
             const bool isThere = !isEnding || m_view.now - group.stageSince < m_state.policy.closingGrace;
             auto &count = (*m_counts)[group.model];
--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -57,7 +57,8 @@
     for (auto &[id, group] : m_state.groups) {
         const auto *smaller = findModel(group.model);
         const auto *head = find(group.members.front().instance);
-        const bool isSmaller = group.stage == assembly_stage::serving && smaller != nullptr && smaller->size < model.size;
+        const bool isSmaller
+            = group.stage == assembly_stage::serving && !isEvacuated(group) && smaller != nullptr && smaller->size < model.size;
         if (isSmaller && head != nullptr && !isBusy(head->domain)) {
             groups[head->domain].push_back(&group);
         }
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -33,6 +33,10 @@
         dissolve(group, problem.empty() ? group.why : problem);
         return;
     }
+    if (isEvacuated(group)) {
+        dissolve(group, "its data centre is evacuated");
+        return;
+    }
     auto &head = group.members.front();
     if (!head.hasJoined) {
         sendJoin(group, head);
@@ -95,7 +99,7 @@
 void assembly_round::recordLosses(const planned_group &group)
 {
     for (const auto &member : group.members) {
-        if (isLost(member)) {
+        if (isLost(member) && !isEvacuated(group)) {
             m_state.losses.push_back(m_view.now);
         }
     }
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -51,6 +51,7 @@
 std::vector<replica_order> assembly_round::run()
 {
     adoptGroups();
+    updateEvacuatedGroups();
     closeUnplannedHeads();
     std::vector<group_id> ids;
     for (const auto &[id, group] : m_state.groups) {
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -110,7 +110,7 @@
 
 bool assembly_round::isUnused(const served_replica &replica) const
 {
-    return isAlive(replica.id) && !isAvoided(replica.id)
+    return isAlive(replica.id) && !isAvoided(replica.id) && !isEvacuated(replica)
         && std::none_of(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
                const auto &members = entry.second.members;
                return std::any_of(
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -140,7 +140,7 @@
     std::vector<std::pair<int, const planned_group *>> candidates;
     for (const auto &[id, group] : m_state.groups) {
         const auto *other = otherModel(group.model);
-        if (group.stage == assembly_stage::serving && other != nullptr) {
+        if (group.stage == assembly_stage::serving && other != nullptr && !isEvacuated(group)) {
             candidates.emplace_back(presentFraction(*other) < 1 ? other->size - countReadyWithFree(group, other->id) : 0, &group);
         }
     }
@@ -162,7 +162,9 @@
     if (m_view.isBeforeTraffic) {
         return recentLoads() < m_state.policy.preparationsPerReportDelay;
     }
-    if (m_state.preparatoryLoads.size() >= m_state.policy.minPreparations + m_state.policy.preparationsPerLoss * m_state.losses.size()) {
+    // An evacuation takes away more replicas than any loss, and the model has to make do with the others at once.
+    const bool isShortByEvacuation = !m_view.evacuated.empty() && presentFraction(model) < 1;
+    if (!isShortByEvacuation && m_state.preparatoryLoads.size() >= m_state.policy.minPreparations + m_state.policy.preparationsPerLoss * m_state.losses.size()) {
         return false;
     }
     const bool isWanted = presentFraction(model) < m_state.policy.shortageThreshold;
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -262,6 +262,7 @@
         // Read before the directory, which may become newer in between, but not older.
         const auto listedAt = store.listedAt();
         const auto directory = store.directory();
+        const auto evacuated = store.evacuatedDataCentres();
         const auto now = monotonicNow();
         const auto silence = prober.report(*directory, now);
         std::vector<replica_order> planned;
@@ -275,10 +276,14 @@
                 logWaiting(routes ? "no listing that was asked for in this term" : "no configuration", now);
                 return;
             }
+            if (!evacuated || !store.areEvacuationsKnownSince(termSince)) {
+                logWaiting("the evacuated data centres are not known as of this term", now);
+                return;
+            }
             termNumber = term->number;
             for (const auto &service : routes->configuration().services) {
                 if (service.engine) {
-                    planService(service, *directory, silence, now, planned);
+                    planService(service, *directory, *evacuated, silence, now, planned);
                 }
             }
         }
@@ -299,6 +304,7 @@
     /// Plans one service and appends its orders to \a planned. Requires the mutex to be held.
     void planService(const served_service &service,
                      const replica_directory &directory,
+                     const std::set<data_centre_id> &evacuated,
                      const suspicion_report &silence,
                      instant now,
                      std::vector<replica_order> &planned)
@@ -314,7 +320,8 @@
                                  !feed.hasTraffic(),
                                  now,
                                  silence.notLeaving,
-                                 store.followedSince().value_or(now)};
+                                 store.followedSince().value_or(now),
+                                 evacuated};
         auto next = planAssembly(assembly, view);
         if (!assembly.decisions.empty() || now >= nextStatusLog) {
             groupMetrics.recordModels(service.id, groupCounts(assembly, *service.engine), assembly.idleSince.size(), now);
--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -31,6 +31,9 @@
     , m_replicasInBackoff(addConstrainedGauge(counters, "rest"))
     , m_rateLimitedReplicas(addConstrainedGauge(counters, "limit"))
     , m_leavingReplicas(addConstrainedGauge(counters, "leaving"))
+    , m_evacuatedDataCentres(counters.addGauge("vetchpost_evacuated_data_centres", "Evacuated data centres that have replicas."))
+    , m_evacuatedRequests(
+          counters.addGauge("vetchpost_evacuated_requests", "Requests of this daemon in flight in evacuated data centres."))
 {
 }
 
@@ -47,6 +50,8 @@
     m_replicasInBackoff.set(status.replicasInBackoff);
     m_rateLimitedReplicas.set(status.rateLimitedReplicas);
     m_leavingReplicas.set(status.leavingReplicas);
+    m_evacuatedDataCentres.set(status.evacuatedDataCentres);
+    m_evacuatedRequests.set(status.evacuatedRequests);
     const std::lock_guard lock(m_mutex);
     for (const auto &[part, count] : status.droppedLinesByPart) {
         auto found = m_droppedLines.find(part);
--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -35,6 +35,10 @@
     int rateLimitedReplicas = 0;
     /// Replicas that announced that they leave.
     int leavingReplicas = 0;
+    /// Data centres that are evacuated and have replicas.
+    int evacuatedDataCentres = 0;
+    /// Requests of this daemon that are in flight in evacuated data centres.
+    int evacuatedRequests = 0;
     /// Log lines dropped since the start, by the part of the program that wrote them.
     std::map<std::string, std::uint64_t> droppedLinesByPart;
 };
@@ -59,6 +63,8 @@
     gauge m_replicasInBackoff;
     gauge m_rateLimitedReplicas;
     gauge m_leavingReplicas;
+    gauge m_evacuatedDataCentres;
+    gauge m_evacuatedRequests;
     std::mutex m_mutex;
     std::map<std::string, counter> m_droppedLines;
 };
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/Entry/assembly_runner.h"
 #include "Libraries/Entry/crash_interface.h"
 #include "Libraries/Entry/daemon_metrics.h"
+#include "Libraries/Entry/evacuation_status.h"
 #include "Libraries/Entry/request_handler.h"
 #include "Libraries/Platform/circuit_breaking_service.h"
 #include "Libraries/Platform/measured_store.h"
@@ -144,6 +145,7 @@
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
     {
+        store.enableEvacuations(settings.evacuation);
     }
 
     /// Records the constraints in a replica's answer to an order or a probe. Such an answer may state constraints, but one that states none
@@ -165,15 +167,16 @@
             const std::lock_guard lock(viewMutex);
             // Read before the directory, which may become newer in between, but not older.
             const bool isListed = store.listedAt().has_value();
-            view.replace(views.build(store.routes(), *store.directory(), isListed, settings.dataCentre));
+            view.replace(views.build(store.routes(), *store.directory(), isListed, settings.dataCentre, store.evacuatedDataCentres()));
         }
+        feed.pushEvacuations();
         assembly.replan();
     }
 
     bool isReady() const
     {
         const key_revocation_policy bound{settings.keyRevocation, settings.isKeyRevocationStrict};
-        return !relay.isDraining && store.listedAt()
+        return !relay.isDraining && store.listedAt() && store.evacuatedDataCentres()
             && areKeysUsableForNewConnections(bound, store.configurationKnowledge(), monotonicNow());
     }
 
@@ -201,9 +204,19 @@
         status.rateLimitedReplicas = constrained.limited;
         status.leavingReplicas = constrained.leaving;
         status.droppedLinesByPart = droppedLogLinesByPart();
+        for (const auto &evacuated : currentEvacuations(store.evacuations())) {
+            // An unknown name has no effect.
+            status.evacuatedDataCentres += evacuated.replicas > 0 ? 1 : 0;
+            status.evacuatedRequests += evacuated.requests;
+        }
         return status;
     }
 
+    std::vector<evacuation_status> currentEvacuations(const evacuation_set &known) const
+    {
+        return evacuationStatus(known, *store.directory(), store.routes().get(), relay.requestsByPlace);
+    }
+
     void answerOperator(http_exchange &exchange)
     {
         constexpr int found = 200;
@@ -213,6 +226,11 @@
             feed.syncTables();
             return;
         }
+        if (exchange.path() == evacuationsPath) {
+            const auto known = store.evacuations();
+            answerEvacuations(exchange, known, currentEvacuations(known));
+            return;
+        }
         const bool isKnown = exchange.path() == metricsPath;
         if (isKnown) {
             exportedMetrics.update(currentStatus());
--- a/Libraries/Entry/entry_dialect.h
+++ b/Libraries/Entry/entry_dialect.h
@@ -69,6 +69,8 @@
     virtual std::string configurationKey() const = 0;
     /// The key prefix of the replicas' entries; the rest of a key is the replica's id.
     virtual std::string replicaPrefix() const = 0;
+    /// The key prefix of the evacuations; the rest of a key is the name of the evacuated data centre.
+    virtual std::string evacuationPrefix() const = 0;
     virtual std::optional<served_configuration> readConfiguration(const std::string &text, reason &lastReason) const = 0;
     virtual std::optional<served_replica> readReplica(const instance_id &id, const std::string &text, reason &lastReason) const = 0;
 
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -146,19 +146,20 @@
 std::shared_ptr<const entry_view> entry_view_builder::build(std::shared_ptr<const route_table> routes,
                                                             const replica_directory &directory,
                                                             bool isListed,
-                                                            const data_centre_id &dataCentre)
+                                                            const data_centre_id &dataCentre,
+                                                            const std::optional<std::set<data_centre_id>> &evacuated)
 {
     auto view = std::make_shared<entry_view>();
-    view->isListed = isListed;
+    view->isListed = isListed && evacuated;
     view->dataCentre = dataCentre;
-    if (routes) {
+    if (routes && evacuated) {
         for (const auto &service : routes->configuration().services) {
             if (!service.engine) {
                 continue;
             }
             for (const auto &group : groupsOf(directory, service.id)) {
                 for (const auto &model : service.engine->models) {
-                    if (model.id == group.model && acceptsRequests(group, model.size)) {
+                    if (model.id == group.model && acceptsRequests(group, model.size) && !evacuated->contains(group.head()->dataCentre)) {
                         view->groups[{service.id, model.id}].push_back(makeBackend(*group.head(), group.id, group.formed));
                     }
                 }
@@ -166,7 +167,8 @@
         }
         for (const auto &[id, replica] : directory.replicas) {
             const auto *service = routes->findService(replica.service);
-            if (service != nullptr && !service->engine && !replica.isDraining) {
+            const bool isEvacuated = evacuated->contains(replica.dataCentre);
+            if (service != nullptr && !service->engine && !replica.isDraining && !isEvacuated) {
                 view->replicas[replica.service].push_back(makeBackend(replica, {}, {}));
             }
         }
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace vetchpost {
@@ -89,8 +91,13 @@
 class entry_view_builder
 {
 public:
-    std::shared_ptr<const entry_view>
-    build(std::shared_ptr<const route_table> routes, const replica_directory &directory, bool isListed, const data_centre_id &dataCentre);
+    /// \a evacuated: the data centres to whose replicas no request may be sent. While they are not known the view has no backends and does
+    /// not count as listed.
+    std::shared_ptr<const entry_view> build(std::shared_ptr<const route_table> routes,
+                                            const replica_directory &directory,
+                                            bool isListed,
+                                            const data_centre_id &dataCentre,
+                                            const std::optional<std::set<data_centre_id>> &evacuated = std::set<data_centre_id>());
 
 private:
     backend makeBackend(const served_replica &replica, const group_id &group, formation formed);
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -467,6 +467,11 @@
     d->didReceiveStallWarning({head});
 }
 
+void peer_feed::pushEvacuations()
+{
+    d->socket.sendAll(d->store.pendingEvacuationPushes());
+}
+
 bool peer_feed::isSourceActive() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -55,6 +55,8 @@
     /// Requests a permit from the source; the answer arrives on the feed's thread, or at once if this daemon is the source. Returns false
     /// if no source is known.
     bool requestPermit(const permit_request &request);
+    /// Sends the latest change of the evacuated data centres to the followers that lack it.
+    void pushEvacuations();
     /// As the source: warns all followers, and this daemon, that the group of \a head is likely to be stalled.
     void sendStallWarning(const instance_id &head);
 
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -11,6 +11,7 @@
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/request_id_batch.h"
 #include "Libraries/Entry/request_outcome.h"
+#include "Libraries/Entry/requests_by_place.h"
 #include "Libraries/Entry/shared_constraints.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/client_patience.h"
@@ -94,6 +95,7 @@
     /// The daemon is stopping: connections are closed after their current answer.
     std::atomic<bool> isDraining = false;
     in_flight_requests inFlight;
+    requests_by_place requestsByPlace;
     model_shedding shedding;
     /// Requests without log lines of their own.
     request_id_batch requestIds;
--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -100,6 +100,7 @@
         // Before the mutex is released, so that whoever sees the new listing time also finds the listed entries.
         rebuildDirectory();
     }
+    logEvacuations();
     didChange();
     return true;
 }
@@ -190,6 +191,7 @@
 
 void store_follower::private_data::applyUpdate(const feed_update &update, std::optional<instant> asked)
 {
+    finishEvacuationChange(applyEvacuations(update, asked));
     if (asked && update.configurationAge) {
         recordSourceConfiguration(update.configuration, *asked - *update.configurationAge);
     }
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -301,7 +301,9 @@
         target.load->lastProgress = m_attemptStart.time_since_epoch().count();
     }
     m_replicaLiveness.reset();
+    m_context.requestsByPlace.add(target.dataCentre);
     const auto outcome = sendAndRelay(target);
+    m_context.requestsByPlace.remove(target.dataCentre);
     target.load->outstanding.fetch_sub(1);
     if (outcome == attempt_outcome::lost) {
         recordLoss(target);
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -80,6 +80,9 @@
 {
     d->threads.emplace_back([this] { d->followConfiguration(); });
     d->threads.emplace_back([this] { d->followReplicas(); });
+    if (d->areEvacuationsOn) {
+        d->threads.emplace_back([this] { d->followEvacuations(); });
+    }
 }
 
 void store_follower::stop()
@@ -98,6 +101,11 @@
 void store_follower::setSource(bool isSource)
 {
     d->isSource = isSource;
+    if (isSource) {
+        // Locks the mutex so that a waiting thread cannot miss the wake-up.
+        const std::lock_guard lock(d->mutex);
+        d->wake.notify_all();
+    }
 }
 
 void store_follower::recordTraffic()
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -35,6 +35,9 @@
     store_follower(const store_follower &) = delete;
     store_follower &operator=(const store_follower &) = delete;
 
+    /// Turns on the reading of evacuated data centres, which have to be in force everywhere within \a bound. Without this call, or with a
+    /// bound of 0, they are never read. Called before start().
+    void enableEvacuations(duration bound);
     void start();
     void stop();
     /// Sets whether this daemon is the source, which relays what it reads to its followers. A source reads often, and watches the replicas
@@ -56,6 +59,8 @@
     std::vector<feed_datagram> answerSubscription(const feed_subscription &subscription, const endpoint &from, bool mayRefer = false);
     /// Returns the changes that active followers have not been sent yet.
     std::vector<feed_datagram> pendingPushes();
+    /// Returns the updates for present followers that lack the latest change of the evacuated data centres.
+    std::vector<feed_datagram> pendingEvacuationPushes();
     /// Sets which daemon read this copy from the service, and the number of daemons reported by the source; 0 if this daemon read it.
     void setOrigin(const feed_origin &origin, int sourceDaemonCount);
     /// Removes all followers, and returns the messages which tell them that this daemon is no longer their source.
@@ -73,6 +78,12 @@
     std::shared_ptr<const route_table> routes() const;
     /// Returns the current directory of the replicas, which is empty before the first listing.
     std::shared_ptr<const replica_directory> directory() const;
+    /// Returns the evacuated data centres; nothing before they are known. Empty if they are never read.
+    std::optional<std::set<data_centre_id>> evacuatedDataCentres() const;
+    /// Returns what is known of the evacuated data centres.
+    evacuation_set evacuations() const;
+    /// Whether the evacuated data centres are known as of \a time or later, or are never read.
+    bool areEvacuationsKnownSince(instant time) const;
     /// Returns the latest time at which the configuration is known to have been the newest: the start of a read, here or at the source.
     std::optional<instant> configurationCurrentAt() const;
     /// Returns when the configuration here, and that of the source, were last known to be the newest.
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -16,9 +16,11 @@
 constexpr event_log storeLog("store");
 /// Pause after a failed call of the service.
 constexpr duration retryPause(250);
+/// Limit on the unreadable evacuations that are remembered so that each is logged once.
+constexpr std::size_t maxUnreadableEvacuations = 100;
 
-/// The state that the two threads of a store_follower share, and the functions of each, which are defined in configuration_reading.cpp and
-/// replica_reading.cpp.
+/// The state that the threads of a store_follower share, and the functions of each, which are defined in configuration_reading.cpp,
+/// replica_reading.cpp and evacuation_reading.cpp.
 struct store_follower::private_data
 {
     key_value_service &keyValue;
@@ -59,6 +61,15 @@
     bool isBehind = false;
     /// The latest time up to which all changes of the replicas are known.
     std::optional<instant> replicasCurrentAt;
+    /// Whether evacuated data centres are read. Set before the threads start.
+    bool areEvacuationsOn = false;
+    evacuation_timing evacuationTimes;
+    /// A watch cannot tell the present set: the history was lost, or an entry was removed.
+    bool isEvacuationListingDue = false;
+    /// The evacuated data centres that were logged.
+    std::set<data_centre_id> loggedEvacuations;
+    /// The keys of unreadable evacuations that were logged, each with its problem.
+    std::set<std::pair<std::string, std::string>> unreadableEvacuations;
     service_availability availability{monotonicNow()};
     std::vector<std::thread> threads;
 
@@ -127,6 +138,24 @@
     /// Rebuilds the published directory from the entries and the announced departures. Requires the mutex to be held.
     void rebuildDirectory();
 
+    // Evacuated data centres
+    /// The loop of the thread that follows the evacuated data centres.
+    void followEvacuations();
+    /// Whether the evacuations must be listed. \a isNewSource: this daemon has not listed them since it became the source.
+    bool mustListEvacuations(bool isNewSource) const;
+    /// Lists the evacuations. Returns false if the service did not answer.
+    bool listEvacuations();
+    /// Waits for changes of the evacuations. Returns false if the service did not answer.
+    bool watchEvacuations();
+    /// Returns the data centre that an entry evacuates; nothing if its name is invalid, which is logged.
+    std::optional<data_centre_id> readEvacuation(const key_value_entry &entry);
+    void logUnreadableEvacuation(const std::string &key, const std::string &why);
+    /// Applies the set in an update of the source. Returns whether the data centres have changed.
+    bool applyEvacuations(const feed_update &update, std::optional<instant> asked);
+    /// Logs and publishes the new set if it has changed.
+    void finishEvacuationChange(bool hasChanged);
+    void logEvacuations();
+
     // Updates from the source
     void applyUpdate(const feed_update &update, std::optional<instant> asked);
     /// Records that \a configuration was the newest revision at \a at, and triggers a read if this daemon has an older one.
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Feed/feed_messages.h"
 
 #include "Libraries/Base/json.h"
+#include "Libraries/Feed/evacuation_codec.h"
 #include "Libraries/Feed/replica_codec.h"
 #include "Libraries/Feed/report_codec.h"
 
@@ -53,6 +54,8 @@
 constexpr auto incarnationField = "life";
 constexpr auto grantedField = "granted";
 constexpr auto waitField = "wait";
+constexpr auto evacuationsField = "evac";
+constexpr auto evacuationsAgeField = "evac_age";
 
 Json::Value number(std::uint64_t value)
 {
@@ -101,6 +104,12 @@
     json[afterField] = number(message.after);
     json[upToField] = number(message.upTo);
     json[historyLostField] = message.isHistoryLost;
+    if (message.evacuations) {
+        json[evacuationsField] = encodeEvacuations(*message.evacuations);
+    }
+    if (message.evacuationsAge) {
+        json[evacuationsAgeField] = Json::Int64(message.evacuationsAge->count());
+    }
     for (const auto &change : message.changes) {
         json[changesField].append(encodeChange(change));
     }
@@ -279,6 +288,18 @@
     update.after = jsonNumber(json, afterField);
     update.upTo = jsonNumber(json, upToField);
     update.isHistoryLost = jsonFlag(json, historyLostField);
+    if (json.isMember(evacuationsField)) {
+        update.evacuations = decodeEvacuations(json[evacuationsField]);
+        if (!update.evacuations) {
+            return std::nullopt;
+        }
+    }
+    if (json.isMember(evacuationsAgeField)) {
+        update.evacuationsAge = decodeAge(json[evacuationsAgeField]);
+        if (!update.evacuationsAge) {
+            return std::nullopt;
+        }
+    }
     for (const auto &entry : jsonArray(json, changesField)) {
         auto change = decodeChange(entry);
         if (!change) {
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -7,6 +7,7 @@
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Requests/crash_suspects.h"
 #include "Libraries/Requests/rate_permits.h"
+#include "Libraries/Routing/evacuations.h"
 #include "Libraries/Routing/replica_directory.h"
 
 #include <optional>
@@ -89,6 +90,10 @@
     std::vector<replica_change> changes;
     /// Whether the sender no longer has all changes since the requested revision, so that the follower must list the entries itself.
     bool isHistoryLost = false;
+    /// All evacuated data centres; empty if the sender does not know them, or never reads them.
+    std::optional<evacuation_report> evacuations = {};
+    /// Time since \a evacuations was known to be the newest; empty if that is not known.
+    std::optional<duration> evacuationsAge = {};
 };
 
 /// Sent to the source: the sender's requests make no progress at a replica.
--- a/Libraries/Feed/feed_publisher.cpp
+++ b/Libraries/Feed/feed_publisher.cpp
@@ -42,6 +42,12 @@
     if (publisher.replicasCurrentAt) {
         update.replicasAge = now - *publisher.replicasCurrentAt;
     }
+    if (publisher.evacuations.isKnown) {
+        update.evacuations = publisher.evacuations.report;
+        if (publisher.evacuations.currentAt) {
+            update.evacuationsAge = now - *publisher.evacuations.currentAt;
+        }
+    }
     return update;
 }
 
@@ -154,6 +160,7 @@
         subscriber.sentUpTo = std::max(subscription.replicasUpTo, updates.back().upTo);
     }
     updates.back().nonce = subscription.nonce;
+    subscriber.sentEvacuations = publisher.evacuations.changes;
     std::vector<feed_datagram> datagrams;
     datagrams.reserve(updates.size());
     for (auto &update : updates) {
@@ -191,6 +198,24 @@
     return datagrams;
 }
 
+std::vector<feed_datagram> evacuationPushes(feed_publisher &publisher, instant now)
+{
+    std::vector<endpoint> lacking;
+    for (auto &[id, subscriber] : publisher.subscribers) {
+        if (isSubscribed(subscriber, now) && subscriber.sentEvacuations != publisher.evacuations.changes) {
+            lacking.push_back(subscriber.address);
+            subscriber.sentEvacuations = publisher.evacuations.changes;
+        }
+    }
+    if (lacking.empty()) {
+        return {};
+    }
+    auto update = emptyUpdate(publisher, now);
+    // The update covers no revisions, so that it brings only a follower that lacks none up to date.
+    update.after = update.upTo = publisher.upTo;
+    return {{std::move(lacking), std::move(update)}};
+}
+
 std::vector<endpoint> activeFollowers(const feed_publisher &publisher, instant now)
 {
     std::vector<endpoint> followers;
--- a/Libraries/Feed/feed_publisher.h
+++ b/Libraries/Feed/feed_publisher.h
@@ -38,6 +38,8 @@
     bool isRelay = false;
     /// Followers that were recently referred to this relay, and when. They are missing from its own count until its next subscription.
     std::map<daemon_id, instant> recentReferrals;
+    /// Changes of the evacuated data centres up to this number (evacuation_set::changes) were sent to it.
+    std::uint64_t sentEvacuations = 0;
 };
 
 /// State of a daemon that serves the feed, as the source or as a relay: the latest change of each replica's entry, the revision since which
@@ -54,6 +56,8 @@
     std::optional<instant> configurationCurrentAt;
     /// The last moment at which all changes of replicas' entries were known.
     std::optional<instant> replicasCurrentAt;
+    /// The evacuated data centres, which are part of each update once they are known.
+    evacuation_set evacuations;
     std::map<daemon_id, feed_subscriber> subscribers;
     /// The daemon that read this state from the key-value service: this one, or the source from which it was relayed.
     feed_origin origin;
@@ -78,6 +82,9 @@
 answerSubscription(feed_publisher &publisher, const feed_subscription &subscription, const endpoint &from, instant now);
 /// Returns the changes that present followers have not been sent yet, marks them as sent, and removes followers that are no longer present.
 std::vector<feed_datagram> pendingPushes(feed_publisher &publisher, instant now);
+/// Returns the updates that are not gathered with others: one for the present followers that were not sent the latest change of the evacuated
+/// data centres. Marks it as sent; the next update repeats it.
+std::vector<feed_datagram> evacuationPushes(feed_publisher &publisher, instant now);
 /// Returns the addresses of the followers that are present.
 std::vector<endpoint> activeFollowers(const feed_publisher &publisher, instant now);
 /// Returns how many requests of a service the present followers hold, by model.
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -23,6 +23,7 @@
     settings.keyRevocation = readDuration(reader, "key-revocation-ms", 500, 600000, 5000);
     settings.isKeyRevocationStrict = reader.flag("key-revocation-is-strict", true);
     settings.configurationApply = readDuration(reader, "configuration-apply-ms", 500, 600000, 2000);
+    settings.evacuation = readDuration(reader, "evacuation-ms", 500, 600000, 0);
     settings.stopGrace = readDuration(reader, "stop-grace-ms", 500, 600000, 8000);
     settings.heartbeat = readDuration(reader, "replica-heartbeat-ms", 100, 60000, 1200);
     settings.stallTime = readDuration(reader, "group-stall-ms", 100, 600000, 5000);
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -35,6 +35,8 @@
     bool isKeyRevocationStrict = true;
     /// The time within which an accepted configuration must be in force at every daemon.
     duration configurationApply{};
+    /// The time within which the evacuation of a data centre must be in force at every daemon; 0 if the platform has no evacuations.
+    duration evacuation{};
     /// The time between SIGTERM and SIGKILL.
     duration stopGrace{};
     /// The period at which a replica writes its entry. The entry is removed after three missing writes.
--- a/Tests/Assembly/assemblySimulation.cpp
+++ b/Tests/Assembly/assemblySimulation.cpp
@@ -54,6 +54,7 @@
     replica.reportedState.service = m_service;
     replica.reportedState.address = {"127.0.0.1", static_cast<std::uint16_t>(m_replicaCount)};
     replica.reportedState.domain = fabric_domain_id(fmt::format("rack{}", domain));
+    replica.reportedState.dataCentre = data_centre_id(fmt::format("centre{}", domain));
     replica.reportedState.staged = staged;
     m_replicas.emplace(replica.reportedState.id, replica);
 }
@@ -212,6 +213,39 @@
     addReplica(domain, {});
 }
 
+void assembly_simulation::evacuate(const std::set<int> &domains)
+{
+    m_evacuated.clear();
+    for (const auto domain : domains) {
+        m_evacuated.insert(data_centre_id(fmt::format("centre{}", domain)));
+    }
+}
+
+int assembly_simulation::openGroupsIn(int domain, const model_id &model) const
+{
+    const fabric_domain_id name(fmt::format("rack{}", domain));
+    return static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(), [&](const auto &entry) {
+        const auto &state = entry.second.reportedState;
+        return entry.second.isAlive && state.domain == name && state.model == model && state.membership
+            && state.membership->state == member_state::open;
+    }));
+}
+
+std::uint64_t assembly_simulation::ordersAcceptedIn(int domain) const
+{
+    const fabric_domain_id name(fmt::format("rack{}", domain));
+    std::uint64_t sum = 0;
+    for (const auto &[id, replica] : m_replicas) {
+        sum += replica.reportedState.domain == name ? replica.acceptedOrders : 0;
+    }
+    return sum;
+}
+
+int assembly_simulation::domainOf(const instance_id &replica) const
+{
+    return std::stoi(m_replicas.at(replica).reportedState.domain.value().substr(4));
+}
+
 void assembly_simulation::beginTraffic()
 {
     m_hasTraffic = true;
@@ -360,7 +394,7 @@
             suspects.insert(id);
         }
     }
-    const assembly_view view{m_directory, m_service, m_engine, suspects, !isTrafficKnown(), m_now, suspects};
+    const assembly_view view{m_directory, m_service, m_engine, suspects, !isTrafficKnown(), m_now, suspects, {}, m_evacuated};
     for (auto &order : planAssembly(m_state, view)) {
         m_waiting.push_back(std::move(order));
     }
@@ -632,7 +666,8 @@
 {
     int usable = 0;
     for (const auto &[id, replica] : m_replicas) {
-        usable += replica.isAlive && !replica.reportedState.isDraining ? 1 : 0;
+        const bool isEvacuated = m_evacuated.contains(replica.reportedState.dataCentre);
+        usable += replica.isAlive && !replica.reportedState.isDraining && !isEvacuated ? 1 : 0;
     }
     return groupTargets(m_engine, demandShares({}, m_engine), usable, m_state.policy.spareShare).at(wanted);
 }
--- a/Tests/Assembly/assemblySimulation.h
+++ b/Tests/Assembly/assemblySimulation.h
@@ -65,6 +65,14 @@
     /// Ends all replicas of a domain. After \a time new ones start with the same hosts' weights.
     void loseDomain(int domain, duration time);
     void addEmpty(int domain);
+    /// Evacuates the data centres of these domains; each domain has one of its own.
+    void evacuate(const std::set<int> &domains);
+    /// How many open groups of a model a domain has.
+    int openGroupsIn(int domain, const model_id &model) const;
+    /// How many orders the replicas of a domain have accepted.
+    std::uint64_t ordersAcceptedIn(int domain) const;
+    /// The number of a replica's domain.
+    int domainOf(const instance_id &replica) const;
     void beginTraffic();
     /// The first request comes to another daemon; the coordinator learns of it after \a reportDelay.
     void beginTrafficOnOtherDaemon(duration reportDelay);
@@ -160,6 +168,7 @@
         instant back;
     };
     std::vector<dark_host> m_darkHosts;
+    std::set<data_centre_id> m_evacuated;
     bool m_detectsDeaths = false;
     silent_replicas m_silent;
     self_check_state m_selfCheck;
--- a/Tests/Entry/testEntryView.cpp
+++ b/Tests/Entry/testEntryView.cpp
@@ -246,3 +246,39 @@
     play(now + duration(3000), false);
     CHECK(asked > 100);
 }
+
+TEST_CASE("No replica and no group in an evacuated data centre is a backend, and none at all before the evacuations are known")
+{
+    served_service plain{service_id("plain")};
+    served_service large{service_id("large")};
+    large.engine.emplace();
+    large.engine->models = {{model_id("m"), 1, 1.0, 1.0, duration(), duration()}};
+    served_configuration configuration;
+    configuration.services = {plain, large};
+    const auto routes = std::make_shared<const route_table>(std::move(configuration));
+    replica_directory directory;
+    for (const auto *place : {"y", "z"}) {
+        served_replica replica;
+        replica.id = instance_id(std::string("r-") + place);
+        replica.service = plain.id;
+        replica.dataCentre = data_centre_id(place);
+        directory.replicas.emplace(replica.id, replica);
+        replica.id = instance_id(std::string("h-") + place);
+        replica.service = large.id;
+        replica.model = model_id("m");
+        replica.membership = {group_id(std::string("g-") + place), formation(1), 0, member_state::open};
+        directory.replicas.emplace(replica.id, replica);
+    }
+    entry_view_builder builder;
+    const auto countIn = [&](const std::optional<std::set<data_centre_id>> &evacuated) {
+        const auto view = builder.build(routes, directory, true, here, evacuated);
+        return std::pair(view->backends(plain, {}).size(), view->backends(large, model_id("m")).size());
+    };
+    CHECK(countIn(std::set<data_centre_id>()) == std::pair<std::size_t, std::size_t>(2, 2));
+    CHECK(countIn(std::set{data_centre_id("z")}) == std::pair<std::size_t, std::size_t>(1, 1));
+    CHECK(countIn(std::set{data_centre_id("z"), data_centre_id("y")}) == std::pair<std::size_t, std::size_t>(0, 0));
+    CHECK(countIn(std::set{data_centre_id("nowhere")}) == std::pair<std::size_t, std::size_t>(2, 2));
+    CHECK(countIn(std::nullopt) == std::pair<std::size_t, std::size_t>(0, 0));
+    CHECK_FALSE(builder.build(routes, directory, true, here, std::nullopt)->isListed);
+    CHECK(builder.build(routes, directory, true, here, std::set{data_centre_id("z")})->isListed);
+}
--- a/Tests/Feed/feedSimulation.cpp
+++ b/Tests/Feed/feedSimulation.cpp
@@ -92,6 +92,9 @@
 {
     reader.currentAt = m_now;
     reader.feed.configurationCurrentAt = m_now;
+    if (reader.role.isSource) {
+        reader.feed.evacuations.currentAt = m_now;
+    }
 }
 
 void feed_simulation::push(int number)
@@ -174,7 +177,8 @@
     if (next.role.isSource || m_nodes[static_cast<std::size_t>(from)].address != next.follower.source) {
         return;
     }
-    if (const auto subscribedAt = acceptUpdate(next.follower, update, m_now)) {
+    const auto answeredAt = acceptUpdate(next.follower, update, m_now);
+    if (const auto subscribedAt = answeredAt) {
         next.follower.hasSourceAnswered = true;
         next.role.hasReceivedFeed = true;
         next.lastUpdateAt = m_now;
@@ -185,12 +189,64 @@
             next.feed.configurationCurrentAt = next.currentAt;
         }
     }
+    if (update.evacuations) {
+        const auto currentAt = answeredAt && update.evacuationsAge ? std::optional(*answeredAt - *update.evacuationsAge) : std::nullopt;
+        applyReport(next.feed.evacuations, *update.evacuations, currentAt);
+        pushEvacuations(number);
+    }
     if (update.after <= next.upTo) {
         applyChanges(next.feed, update.changes, update.upTo);
         next.upTo = std::max(next.upTo, update.upTo);
     }
 }
 
+void feed_simulation::pushEvacuations(int number)
+{
+    for (const auto &datagram : evacuationPushes(m_nodes[static_cast<std::size_t>(number)].feed, m_now)) {
+        send(number, datagram);
+    }
+}
+
+void feed_simulation::setEvacuated(const std::set<data_centre_id> &dataCentres)
+{
+    for (int number = 0; number < daemons(); ++number) {
+        auto &next = m_nodes[static_cast<std::size_t>(number)];
+        if (next.role.isSource) {
+            evacuation_report report{{}, ++m_revision};
+            for (const auto &dataCentre : dataCentres) {
+                report.since.emplace(dataCentre, 1);
+            }
+            applyReport(next.feed.evacuations, report, m_now);
+            next.feed.upTo = next.upTo = m_revision;
+            pushEvacuations(number);
+        }
+    }
+}
+
+std::optional<duration> feed_simulation::timeUntilEvacuatedEverywhere(const std::set<data_centre_id> &dataCentres, duration longest)
+{
+    const auto begin = m_now;
+    const auto isKnown = [&](const node &next) { return next.isDisconnected || evacuatedDataCentres(next.feed.evacuations) == dataCentres; };
+    while (!std::all_of(m_nodes.begin(), m_nodes.end(), isKnown)) {
+        if (m_now - begin >= longest) {
+            return std::nullopt;
+        }
+        tick();
+    }
+    return m_now - begin;
+}
+
+duration feed_simulation::maxEvacuationAge() const
+{
+    duration oldest{};
+    for (const auto &next : m_nodes) {
+        if (!next.isDisconnected) {
+            oldest = std::max(oldest, next.feed.evacuations.currentAt ? m_now - *next.feed.evacuations.currentAt : duration::max());
+        }
+    }
+    return oldest;
+}
+
 void feed_simulation::handle(int number, int from, const feed_referral &referral)
 {
     auto &next = m_nodes[static_cast<std::size_t>(number)];
--- a/Tests/Feed/feedSimulation.h
+++ b/Tests/Feed/feedSimulation.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace vetchpost::test {
@@ -26,6 +27,13 @@
     void advance(duration time);
     /// Applies a change of the next one of \a replicas replicas at the source.
     void changeReplica(std::uint64_t replicas = 900);
+    /// Lets the source learn that exactly these data centres are evacuated, and push the change.
+    void setEvacuated(const std::set<data_centre_id> &dataCentres);
+    /// Advances the time until all daemons that are not disconnected know that exactly these data centres are evacuated. Returns how long
+    /// that takes, or nothing if it takes longer than \a longest.
+    std::optional<duration> timeUntilEvacuatedEverywhere(const std::set<data_centre_id> &dataCentres, duration longest);
+    /// Returns the highest age of the evacuated data centres at a daemon that is not disconnected.
+    duration maxEvacuationAge() const;
     /// Loses all further datagrams from and to a daemon, and ends its term if it is the source.
     void disconnect(int daemon);
     /// Makes a daemon the source; all daemons without a source begin to follow it.
@@ -124,6 +132,7 @@
     void syncSuspects(int number);
     void resetNode(node &next);
     int daemonAt(const endpoint &address) const;
+    void pushEvacuations(int number);
 
     feed_timing m_timing = feedTiming(duration(4000));
     std::vector<node> m_nodes;
--- a/Utilities/vetchpost/commands.h
+++ b/Utilities/vetchpost/commands.h
@@ -56,5 +56,6 @@
 exit_code explainRequest(const command_options &options);
 exit_code showCrashingRequests(const command_options &options);
 exit_code allowCrashingRequest(const command_options &options);
+exit_code showEvacuations(const command_options &options);
 
 } // namespace vetchpost
--- a/Utilities/vetchpost/main.cpp
+++ b/Utilities/vetchpost/main.cpp
@@ -23,6 +23,7 @@
   vetchpost explain REQUEST [LOGFILE...]
   vetchpost crashing [--daemon ADDRESS] [--json]
   vetchpost allow IDENTITY [--daemon ADDRESS]
+  vetchpost evacuations [--daemon ADDRESS] [--json]
   vetchpost (-h | --help)
   vetchpost --version
 
@@ -40,6 +41,7 @@
   explain  Print what happened to a request, from the logs of entry daemons; without files, from the standard input.
   crashing Show which requests an entry daemon refuses because replicas terminated while running them.
   allow    Let the request with this identity run again, at all daemons.
+  evacuations  Show which data centres are evacuated, and what an entry daemon still has in flight there.
 
 Options:
   --daemon ADDRESS   Address of any daemon's operators' interface; of an entry daemon, its address for peers [default: 127.0.0.1:8101].
--- a/Utilities/vetchpost/view_commands.cpp
+++ b/Utilities/vetchpost/view_commands.cpp
@@ -128,6 +128,7 @@
         {"explain", explainRequest},
         {"crashing", showCrashingRequests},
         {"allow", allowCrashingRequest},
+        {"evacuations", showEvacuations},
     };
     return all;
 }
