--- a/Tests/PlatformAdapter/sharedStore.h
+++ b/Tests/PlatformAdapter/sharedStore.h
@@ -50,6 +50,8 @@
 struct store_link
 {
     std::atomic<bool> isUp = true;
+    /// Calls for evacuations get no answer.
+    std::atomic<bool> hidesEvacuations = false;
     std::atomic<int> evacuationCalls = 0;
 };
 
@@ -70,7 +72,9 @@
 
     std::optional<key_value_listing> list(const std::string &prefix, read_freshness /*freshness*/, reason &lastReason) override
     {
-        countCall(prefix);
+        if (!admitsCall(prefix, lastReason)) {
+            return std::nullopt;
+        }
         return answer(lastReason, [&](auto &store) {
             key_value_listing listing{{}, std::max<std::uint64_t>(1, store.lastRevision)};
             for (const auto &[key, entry] : store.entries) {
@@ -106,7 +110,9 @@
 
     std::optional<watch_result> watch(const std::string &prefix, std::uint64_t after, duration wait, reason &lastReason) override
     {
-        countCall(prefix);
+        if (!admitsCall(prefix, lastReason)) {
+            return std::nullopt;
+        }
         const auto until = monotonicNow() + wait;
         for (;;) {
             auto result = answer(lastReason, [&](auto &store) {
@@ -136,9 +142,15 @@
         return m_store.with(call);
     }
 
-    void countCall(const std::string &prefix)
+    bool admitsCall(const std::string &prefix, reason &lastReason)
     {
-        m_link.evacuationCalls += prefix == "op/evacuate/" ? 1 : 0;
+        const bool isForEvacuations = prefix == "op/evacuate/";
+        m_link.evacuationCalls += isForEvacuations ? 1 : 0;
+        if (isForEvacuations && m_link.hidesEvacuations) {
+            lastReason = {error_kind::platform_unavailable, "no answer"};
+            return false;
+        }
+        return true;
     }
 
     shared_store &m_store;
