--- a/Libraries/Assembly/evacuated_groups.cpp
+++ b/Libraries/Assembly/evacuated_groups.cpp
@@ -21,9 +21,8 @@
 {
     std::erase_if(m_state.evacuatedGroups, [&](const group_id &id) { return !m_state.groups.contains(id); });
     for (const auto &[id, group] : m_state.groups) {
-        const auto listed = std::find_if(group.members.begin(), group.members.end(), [&](const planned_member &member) {
-            return find(member.instance) != nullptr;
-        });
+        const auto listed = std::find_if(
+            group.members.begin(), group.members.end(), [&](const planned_member &member) { return find(member.instance) != nullptr; });
         if (listed == group.members.end()) {
             continue;
         }
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -164,7 +164,8 @@
     }
     // An evacuation takes away more replicas than any loss, and the model has to make do with the others at once.
     const bool isShortByEvacuation = !m_view.evacuated.empty() && presentFraction(model) < 1;
-    if (!isShortByEvacuation && m_state.preparatoryLoads.size() >= m_state.policy.minPreparations + m_state.policy.preparationsPerLoss * m_state.losses.size()) {
+    if (!isShortByEvacuation
+        && m_state.preparatoryLoads.size() >= m_state.policy.minPreparations + m_state.policy.preparationsPerLoss * m_state.losses.size()) {
         return false;
     }
     const bool isWanted = presentFraction(model) < m_state.policy.shortageThreshold;
--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -32,8 +32,7 @@
     , m_rateLimitedReplicas(addConstrainedGauge(counters, "limit"))
     , m_leavingReplicas(addConstrainedGauge(counters, "leaving"))
     , m_evacuatedDataCentres(counters.addGauge("vetchpost_evacuated_data_centres", "Evacuated data centres that have replicas."))
-    , m_evacuatedRequests(
-          counters.addGauge("vetchpost_evacuated_requests", "Requests of this daemon in flight in evacuated data centres."))
+    , m_evacuatedRequests(counters.addGauge("vetchpost_evacuated_requests", "Requests of this daemon in flight in evacuated data centres."))
 {
 }
 
--- a/Libraries/Entry/evacuation_reading.cpp
+++ b/Libraries/Entry/evacuation_reading.cpp
@@ -66,9 +66,8 @@
         return false;
     }
     // The oldest entries stay if there are too many.
-    std::stable_sort(listing->entries.begin(), listing->entries.end(), [](const auto &left, const auto &right) {
-        return left.changed < right.changed;
-    });
+    std::stable_sort(
+        listing->entries.begin(), listing->entries.end(), [](const auto &left, const auto &right) { return left.changed < right.changed; });
     evacuation_report report;
     report.revision = listing->upTo;
     for (const auto &entry : listing->entries) {
--- a/Libraries/Entry/evacuation_status.cpp
+++ b/Libraries/Entry/evacuation_status.cpp
@@ -36,9 +36,9 @@
     auto groups = groupsByDataCentre(directory, routes);
     std::vector<evacuation_status> result;
     for (const auto &[dataCentre, since] : known.report.since) {
-        const auto replicas = std::count_if(directory.replicas.begin(), directory.replicas.end(), [&, name = dataCentre](const auto &entry) {
-            return entry.second.dataCentre == name;
-        });
+        const auto replicas = std::count_if(directory.replicas.begin(),
+                                            directory.replicas.end(),
+                                            [&, name = dataCentre](const auto &entry) { return entry.second.dataCentre == name; });
         result.push_back({dataCentre, since, requests.count(dataCentre), groups[dataCentre], static_cast<int>(replicas)});
     }
     return result;
--- a/Libraries/Feed/feed_publisher.h
+++ b/Libraries/Feed/feed_publisher.h
@@ -82,8 +82,8 @@
 answerSubscription(feed_publisher &publisher, const feed_subscription &subscription, const endpoint &from, instant now);
 /// Returns the changes that present followers have not been sent yet, marks them as sent, and removes followers that are no longer present.
 std::vector<feed_datagram> pendingPushes(feed_publisher &publisher, instant now);
-/// Returns the updates that are not gathered with others: one for the present followers that were not sent the latest change of the evacuated
-/// data centres. Marks it as sent; the next update repeats it.
+/// Returns the updates that are not gathered with others: one for the present followers that were not sent the latest change of the
+/// evacuated data centres. Marks it as sent; the next update repeats it.
 std::vector<feed_datagram> evacuationPushes(feed_publisher &publisher, instant now);
 /// Returns the addresses of the followers that are present.
 std::vector<endpoint> activeFollowers(const feed_publisher &publisher, instant now);
--- a/Libraries/Routing/evacuations.cpp
+++ b/Libraries/Routing/evacuations.cpp
@@ -44,11 +44,8 @@
     return hasChanged;
 }
 
-bool addEvacuations(evacuation_set &known,
-                    const std::vector<data_centre_id> &added,
-                    std::uint64_t upTo,
-                    instant currentAt,
-                    std::int64_t calendar)
+bool addEvacuations(
+    evacuation_set &known, const std::vector<data_centre_id> &added, std::uint64_t upTo, instant currentAt, std::int64_t calendar)
 {
     auto next = known.report;
     next.revision = std::max(next.revision, upTo);
--- a/Libraries/Routing/evacuations.h
+++ b/Libraries/Routing/evacuations.h
@@ -67,11 +67,8 @@
 bool applyReport(evacuation_set &known, const evacuation_report &report, std::optional<instant> currentAt);
 /// Adds data centres whose evacuation was found at \a calendar (milliseconds) by a watch that covers all changes up to \a upTo. Returns
 /// whether the data centres have changed.
-bool addEvacuations(evacuation_set &known,
-                    const std::vector<data_centre_id> &added,
-                    std::uint64_t upTo,
-                    instant currentAt,
-                    std::int64_t calendar);
+bool addEvacuations(
+    evacuation_set &known, const std::vector<data_centre_id> &added, std::uint64_t upTo, instant currentAt, std::int64_t calendar);
 /// Returns the names of the evacuated data centres.
 std::set<data_centre_id> evacuatedDataCentres(const evacuation_set &known);
 /// Returns the differences between the data centres that were \a logged before and the present ones.
--- a/Tests/Feed/feedSimulation.cpp
+++ b/Tests/Feed/feedSimulation.cpp
@@ -226,7 +226,8 @@
 std::optional<duration> feed_simulation::timeUntilEvacuatedEverywhere(const std::set<data_centre_id> &dataCentres, duration longest)
 {
     const auto begin = m_now;
-    const auto isKnown = [&](const node &next) { return next.isDisconnected || evacuatedDataCentres(next.feed.evacuations) == dataCentres; };
+    const auto isKnown
+        = [&](const node &next) { return next.isDisconnected || evacuatedDataCentres(next.feed.evacuations) == dataCentres; };
     while (!std::all_of(m_nodes.begin(), m_nodes.end(), isKnown)) {
         if (m_now - begin >= longest) {
             return std::nullopt;
--- a/Tests/PlatformAdapter/testEvacuation.cpp
+++ b/Tests/PlatformAdapter/testEvacuation.cpp
@@ -117,6 +117,10 @@
             REQUIRE(isWithin(duration(6000), [&] { return daemon(number).isReady(); }));
             // The first daemon becomes the coordinator before the others start.
             std::this_thread::sleep_for(duration(number == 0 ? 1200 : 0));
+            const auto isFollowing = [&] {
+                return daemon(number).get(daemon(number).peers, "/metrics").body.find("vetchpost_daemons_known 0") == std::string::npos;
+            };
+            REQUIRE(isWithin(duration(5000), isFollowing));
         }
     }
 
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -32,6 +32,7 @@
   --clients=<n>           Clients at a time [default: 20].
   --deadly=<n>            Requests that end each replica that runs them and are sent repeatedly [default: 0].
   --notices=<n>           Times that a replica reports a rate limit, asks for a backoff or announces that it leaves [default: 0].
+  --evacuations=<n>       Evacuations of one of two data centres, over which the replicas are then spread [default: 0].
   --keep=<folder>         Folder for settings and logs.
   --daemon-binary=<file>  vetchpostd.
   --stand-ins=<folder>    Folder with the programs of the stand-ins.
@@ -137,6 +138,7 @@
     options.clients = static_cast<int>(number("--clients"));
     options.deadlyRequests = static_cast<int>(number("--deadly"));
     options.notices = static_cast<int>(number("--notices"));
+    options.evacuations = static_cast<int>(number("--evacuations"));
     options.folder = arguments.at("--keep").asString();
     options.daemonProgram = arguments.at("--daemon-binary").asString();
     options.standIns = arguments.at("--stand-ins").asString();
@@ -150,6 +152,9 @@
     for (const auto &notice : planNotices(options.seed, options.size, options.notices)) {
         fmt::print("{}\n", describe(notice));
     }
+    for (const auto &evacuation : planEvacuations(options.seed, options.size, options.evacuations)) {
+        fmt::print("{}\n", describe(evacuation));
+    }
     std::fflush(stdout);
     try {
         const auto facts = runSoak(options, plan);
@@ -157,6 +162,9 @@
         const auto explain = arguments.at("--explain").isString() ? arguments.at("--explain").asString() : std::string();
         writeEvents(facts, options.folder);
         printCounts(facts, broken);
+        fmt::print("evacuations {}, last arrival of an undisturbed daemon {} ms after the write\n",
+                   facts.evacuations.size(),
+                   longestEvacuation(facts, soak_bounds()).count());
         printBroken(facts, broken, explain, options.folder);
         return broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
     } catch (const std::exception &error) {
--- a/Tests/Soak/soak_checks.cpp
+++ b/Tests/Soak/soak_checks.cpp
@@ -199,6 +199,7 @@
     add(checkBackoffs(facts, bounds));
     add(checkLeaveNotices(facts, bounds));
     add(checkWithdrawnKeys(facts, bounds));
+    add(checkEvacuations(facts, bounds));
     add(checkConfigurations(facts, bounds));
     add(checkStops(facts, bounds));
     add(checkAbandonedRequests(facts, bounds));
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -22,6 +22,8 @@
     duration rollbackSlack{250};
     /// How soon daemons must refuse a key after the store accepted its withdrawal.
     duration keyRevocation{5000};
+    /// How soon an evacuation must be in force at every daemon that reaches the store.
+    duration evacuation{5000};
     /// How long a daemon must have been undisturbed before the bounds on time apply to it.
     duration settlingTime{3000};
     /// How often a request may still be sent that has ended three replicas, counted from the settling time after the third.
@@ -79,6 +81,11 @@
 broken_promises checkLeaveNotices(const soak_facts &facts, const soak_bounds &bounds);
 /// Checks that no request with a withdrawn key runs once the time for its revocation has passed, whatever is disturbed.
 broken_promises checkWithdrawnKeys(const soak_facts &facts, const soak_bounds &bounds);
+/// Checks that no undisturbed daemon sends a request to an evacuated data centre once the evacuation must be in force.
+broken_promises checkEvacuations(const soak_facts &facts, const soak_bounds &bounds);
+/// Returns the longest time between the write of an evacuation and the last arrival of a request of an undisturbed daemon in its data
+/// centre.
+duration longestEvacuation(const soak_facts &facts, const soak_bounds &bounds);
 /// Checks that undisturbed daemons apply each configuration in time and that no daemon reverts to an earlier version while it runs.
 broken_promises checkConfigurations(const soak_facts &facts, const soak_bounds &bounds);
 /// Checks that a daemon that is asked to stop ends within its grace period, and that no daemon ends by itself.
--- a/Tests/Soak/soak_cluster.cpp
+++ b/Tests/Soak/soak_cluster.cpp
@@ -83,6 +83,11 @@
     return *m_directory;
 }
 
+const endpoint &soak_cluster::store() const
+{
+    return m_store;
+}
+
 const endpoint &soak_cluster::storeControl() const
 {
     return m_storeControl;
@@ -121,13 +126,18 @@
            "--models=m0:4,m1:2",
            fmt::format("--domains={}", fabricDomains),
            fmt::format("--per-domain={}", m_options.size.replicas / fabricDomains),
-           fmt::format("--services={}:{}", plainService, m_options.size.plainReplicas)});
+           fmt::format("--services={}:{}", plainService, m_options.size.plainReplicas),
+           m_options.evacuations > 0 ? fmt::format("--zones={},{}", soakZones[0], soakZones[1]) : fmt::format("--zones={}", soakZones[0])});
     waitFor("replicas", [&] { return !fetchFacts(m_replicaControl).isNull(); });
 }
 
 void soak_cluster::startDaemons()
 {
-    const daemon_options options{m_options.daemonProgram, m_options.folder, m_options.basePort, soak_bounds().retrySlack};
+    const daemon_options options{m_options.daemonProgram,
+                                 m_options.folder,
+                                 m_options.basePort,
+                                 soak_bounds().retrySlack,
+                                 m_options.evacuations > 0 ? soak_bounds().evacuation : duration(0)};
     std::vector<endpoint> callers;
     for (int number = 0; number < m_options.size.daemons; ++number) {
         m_daemons.emplace_back(std::make_unique<soak_daemon>(number, options, m_store));
--- a/Tests/Soak/soak_cluster.h
+++ b/Tests/Soak/soak_cluster.h
@@ -27,6 +27,7 @@
 
     soak_daemon &daemon(int number);
     soak_directory &directory();
+    const endpoint &store() const;
     const endpoint &storeControl() const;
     const endpoint &replicaControl() const;
 
--- a/Tests/Soak/soak_daemon.cpp
+++ b/Tests/Soak/soak_daemon.cpp
@@ -85,7 +85,7 @@
   peers: {}
 timing:
   replica-heartbeat-ms: 400
-  group-stall-ms: 1500
+  group-stall-ms: 1500{}
 retries:
   slack: {}
 )",
@@ -95,6 +95,7 @@
                        endpointAt(host(), m_options.basePort, callersOffset).text(),
                        readiness().text(),
                        endpointAt(host(), m_options.basePort, peersOffset).text(),
+                       m_options.evacuation > duration(0) ? fmt::format("\n  evacuation-ms: {}", m_options.evacuation.count()) : "",
                        m_options.retrySlack);
 }
 
--- a/Tests/Soak/soak_daemon.h
+++ b/Tests/Soak/soak_daemon.h
@@ -16,6 +16,8 @@
     std::string folder;
     std::uint16_t basePort = 0;
     int retrySlack = 0;
+    /// 0 if there are no evacuations.
+    duration evacuation{};
 };
 
 /// One daemon across the restarts of its process, with the proxies between clients and it and between it and the store.
--- a/Tests/Soak/soak_facts.h
+++ b/Tests/Soak/soak_facts.h
@@ -73,6 +73,8 @@
     bool isPartial = false;
     /// For a rate limit, requests per second; for a backoff, seconds.
     double value = 0;
+    /// For an arrival, the data centre of the replica.
+    std::string zone;
 };
 
 /// What a disturbance affects.
@@ -110,6 +112,16 @@
     std::string withdrawnKey;
 };
 
+/// An evacuation of a data centre.
+struct evacuation_fact
+{
+    std::string zone;
+    /// When the store had accepted the key.
+    instant writtenAt;
+    /// When the removal of the key was requested.
+    instant removedAt = instant::max();
+};
+
 /// A planned stop of a daemon.
 struct daemon_stop
 {
@@ -144,6 +156,7 @@
     std::vector<platform_event> events;
     std::vector<disturbance> disturbances;
     std::vector<accepted_configuration> configurations;
+    std::vector<evacuation_fact> evacuations;
     std::vector<daemon_stop> stops;
     std::vector<daemon_crash> crashes;
     std::vector<resource_sample> samples;
--- a/Tests/Soak/soak_platform.cpp
+++ b/Tests/Soak/soak_platform.cpp
@@ -108,7 +108,8 @@
                           instance_id(jsonString(*json, "replica")),
                           jsonFlag(*json, "while_open"),
                           jsonFlag(*json, "partial"),
-                          parseNumber((*json)["value"])});
+                          parseNumber((*json)["value"]),
+                          jsonString(*json, "zone")});
     }
     return events;
 }
@@ -125,6 +126,26 @@
     return reply && reply->isSuccess() ? std::optional(monotonicNow()) : std::nullopt;
 }
 
+std::optional<instant> writeEvacuation(const endpoint &store, const std::string &zone, const std::string &value)
+{
+    Json::Value item;
+    item[names::key] = std::string(names::evacuationPrefix) + zone;
+    item[names::value] = encodeBase64(value);
+    item[names::lease] = 0;
+    Json::Value transaction;
+    transaction[names::writes].append(item);
+    const auto reply = call(store, names::transactionCall, toJsonText(transaction), callTimeout);
+    return reply && reply->isSuccess() ? std::optional(monotonicNow()) : std::nullopt;
+}
+
+bool removeEvacuation(const endpoint &store, const std::string &zone)
+{
+    Json::Value transaction;
+    transaction[names::removals].append(std::string(names::evacuationPrefix) + zone);
+    const auto reply = call(store, names::transactionCall, toJsonText(transaction), callTimeout);
+    return reply && reply->isSuccess();
+}
+
 bool isReady(const endpoint &readiness)
 {
     const auto reply = call(readiness, "/readyz", {}, readinessTimeout);
--- a/Tests/Soak/soak_platform.h
+++ b/Tests/Soak/soak_platform.h
@@ -28,6 +28,11 @@
 /// store accepted it, or nothing if the store did not.
 std::optional<instant> writeConfiguration(const endpoint &store, std::uint64_t version, const std::string &changingKey);
 
+/// Writes the key of an evacuation as the operator does. Returns the time after the store accepted it, or nothing if the store did not.
+std::optional<instant> writeEvacuation(const endpoint &store, const std::string &zone, const std::string &value = "{}");
+/// Removes the key of an evacuation. Returns whether the store accepted it.
+bool removeEvacuation(const endpoint &store, const std::string &zone);
+
 /// Returns whether a daemon reports that it is ready.
 bool isReady(const endpoint &readiness);
 
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -158,6 +158,9 @@
         for (const auto &notice : planNotices(m_options.seed, m_options.size, m_options.notices)) {
             m_scheduledActions.emplace(begin + notice.at, [this, notice] { startNotice(notice); });
         }
+        for (const auto &evacuation : planEvacuations(m_options.seed, m_options.size, m_options.evacuations)) {
+            m_scheduledActions.emplace(begin + evacuation.at, [this, evacuation] { beginEvacuation(evacuation); });
+        }
         instant nextEvents;
         instant nextSample;
         for (auto now = begin; now < end; now = monotonicNow()) {
@@ -235,6 +238,31 @@
         }
     }
 
+    // Evacuations.
+
+    void beginEvacuation(const planned_evacuation &evacuation)
+    {
+        const auto writtenAt = writeEvacuation(m_cluster.store(), evacuation.zone);
+        if (!writtenAt) {
+            // The write may have taken effect. An operator repeats it until its acknowledgement arrives.
+            m_scheduledActions.emplace(monotonicNow() + eventPeriod, [this, evacuation] { beginEvacuation(evacuation); });
+            return;
+        }
+        const auto index = m_facts.evacuations.size();
+        m_facts.evacuations.push_back({evacuation.zone, *writtenAt});
+        m_scheduledActions.emplace(*writtenAt + evacuation.lasts, [this, index] { endEvacuation(index); });
+    }
+
+    /// Repeats the removal until the store accepts it, as an operator would.
+    void endEvacuation(std::size_t index)
+    {
+        auto &evacuation = m_facts.evacuations.at(index);
+        evacuation.removedAt = std::min(evacuation.removedAt, monotonicNow());
+        if (!removeEvacuation(m_cluster.store(), evacuation.zone)) {
+            m_scheduledActions.emplace(monotonicNow() + eventPeriod, [this, index] { endEvacuation(index); });
+        }
+    }
+
     // Faults.
 
     void apply(const planned_fault &fault)
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -18,6 +18,8 @@
     int deadlyRequests = 0;
     /// How many times a replica reports a rate limit, asks for a backoff or announces that it leaves.
     int notices = 0;
+    /// The number of evacuations of one of the two data centres.
+    int evacuations = 0;
     /// The folder for settings and logs.
     std::string folder;
     std::string daemonProgram;
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -163,4 +163,26 @@
                        notice.value);
 }
 
+std::vector<planned_evacuation> planEvacuations(std::uint64_t seed, const schedule_size &size, int count)
+{
+    constexpr duration pause(1500);
+    constexpr std::uint64_t evacuationSeedMask = 0xc2b2ae3d27d4eb4fULL;
+    deterministic_random randomNumbers(seed ^ evacuationSeedMask);
+    std::vector<planned_evacuation> plan;
+    const auto time = count > 0 ? (size.length - recoveryLength - initialQuietTime) / count : duration(0);
+    for (int number = 0; number < count; ++number) {
+        planned_evacuation evacuation;
+        evacuation.at = initialQuietTime + time * number;
+        evacuation.lasts = randomNumbers.between(time / 2, time - pause);
+        evacuation.zone = soakZones.at(static_cast<std::size_t>(randomNumbers.below(soakZones.size())));
+        plan.push_back(evacuation);
+    }
+    return plan;
+}
+
+std::string describe(const planned_evacuation &evacuation)
+{
+    return fmt::format("{:>7} ms  evacuates {:<15} for {} ms", evacuation.at.count(), evacuation.zone, evacuation.lasts.count());
+}
+
 } // namespace vetchpost::test
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/instant.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -114,4 +115,21 @@
 /// Returns the printed line for a notice of the schedule.
 std::string describe(const planned_notice &notice);
 
+/// The data centres of a run with evacuations.
+constexpr std::array<std::string_view, 2> soakZones = {"ikeja", "lekki"};
+
+/// An evacuation with its time and its data centre.
+struct planned_evacuation
+{
+    duration at{0};
+    duration lasts{0};
+    std::string zone;
+};
+
+/// Returns \a count evacuations for a seed, spread over the time of the faults and one after the other. Their random numbers are
+/// independent of those of planFaults().
+std::vector<planned_evacuation> planEvacuations(std::uint64_t seed, const schedule_size &size, int count);
+/// Returns the printed line for an evacuation of the schedule.
+std::string describe(const planned_evacuation &evacuation);
+
 } // namespace vetchpost::test
--- a/Tests/SoakChecks/testSoakChecks.cpp
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -369,3 +369,31 @@
     events.push_back(event(2050, "started"));
     CHECK(checkLeaveNotices(makeFacts(attempts, events), bounds).empty());
 }
+
+TEST_CASE("An evacuated data centre may receive requests for as long as the evacuation need not be in force, and not afterwards")
+{
+    const auto countBroken = [&](int arrivesAt, const std::string &zone, std::vector<disturbance> disturbances = {}) {
+        auto arrival = event(arrivesAt, "arrived");
+        arrival.zone = zone;
+        auto facts
+            = makeFacts({attempt(request_kind::stream, attempt_end::answered, arrivesAt, arrivesAt + 10, 200)}, {arrival}, disturbances);
+        facts.evacuations = {{"z", at(0), at(9000)}};
+        return checkEvacuations(facts, bounds).size();
+    };
+    CHECK(countBroken(4900, "z") == 0);
+    CHECK(countBroken(5100, "z") == 1);
+    CHECK(countBroken(5100, "y") == 0);
+    CHECK(countBroken(9100, "z") == 0);
+    CHECK(countBroken(6000, "z", {fault(disturbance_kind::store, 4000, 5000)}) == 0);
+    CHECK(countBroken(8500, "z", {fault(disturbance_kind::store, 4000, 5000)}) == 1);
+}
+
+TEST_CASE("Evacuations of a schedule follow each other and end before the recovery")
+{
+    const schedule_size size{duration(45000), 3, 12};
+    const auto plan = planEvacuations(4, size, 2);
+    REQUIRE(plan.size() == 2);
+    CHECK(plan[0].at + plan[0].lasts < plan[1].at);
+    CHECK(plan[1].at + plan[1].lasts < size.length - recoveryLength);
+    CHECK(plan[0].lasts > bounds.evacuation);
+}
--- a/Tests/StandIns/platform/replica_entry.cpp
+++ b/Tests/StandIns/platform/replica_entry.cpp
@@ -35,7 +35,7 @@
     Json::Value json;
     json[names::service] = replica.service;
     json[names::address] = replica.address;
-    json[names::zone] = "ikeja";
+    json[names::zone] = replica.zone;
     json[names::version] = "v1";
     json[names::slots] = replica.slots;
     json[names::state] = replica.isDraining ? names::draining : names::ready;
--- a/Tests/StandIns/platform/replica_model.h
+++ b/Tests/StandIns/platform/replica_model.h
@@ -48,6 +48,8 @@
     std::uint64_t born = 0;
     std::string service;
     std::string domain;
+    /// The data centre.
+    std::string zone = "ikeja";
     std::string address;
     int slots = 0;
     bool hasEngine = false;
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -94,6 +94,7 @@
         fields["tenant"] = exchange.header(names::tenant);
         fields["group"] = replica.membership ? replica.membership->group : "";
         fields["path"] = exchange.path();
+        fields["zone"] = replica.zone;
         fields["last_event"] = request.firstEvent - 1;
         m_simulation.events.push_back({"arrived", fields});
         flushEvents();
--- a/Tests/StandIns/platform/standInReplicas.cpp
+++ b/Tests/StandIns/platform/standInReplicas.cpp
@@ -27,6 +27,7 @@
   --domains=<n>          Number of fabric domains.
   --per-domain=<n>       Number of replicas with an engine in each fabric domain.
   --services=<list>      Plain services with their numbers of replicas, as plain:3.
+  --zones=<list>         Names of the data centres; fabric domains and plain replicas are spread over them in turn [default: ikeja].
   --heartbeat-ms=<ms>    Time between two renewals of an entry [default: 400].
   --load-ms=<ms>         Time to load weights from the store [default: 300].
   --warm-ms=<ms>         Time to load weights from the host's copy [default: 100].
@@ -50,6 +51,17 @@
     return result;
 }
 
+/// Splits a list such as "a,b".
+std::vector<std::string> parseNames(const std::string &text)
+{
+    std::vector<std::string> result;
+    std::istringstream in(text);
+    for (std::string part; std::getline(in, part, ',');) {
+        result.push_back(part);
+    }
+    return result;
+}
+
 stand_in_replica makeReplica(const std::string &service, const std::string &domain, int slots)
 {
     stand_in_replica replica;
@@ -76,13 +88,19 @@
     for (const auto &[model, size] : parseCounts(arguments.at("--models").asString())) {
         simulation.sizes[model] = size;
     }
+    const auto zones = parseNames(arguments.at("--zones").asString());
+    const auto zoneOf = [&](std::size_t number) { return zones.at(number % zones.size()); };
     for (long domain = 0; domain < number("--domains"); ++domain) {
         for (long index = 0; index < number("--per-domain"); ++index) {
             simulation.replicas.push_back(makeReplica(stand_in_names::engineService, fmt::format("d{}", domain), engineSlots));
+            simulation.replicas.back().zone = zoneOf(static_cast<std::size_t>(domain));
         }
     }
     for (const auto &[service, count] : parseCounts(arguments.at("--services").asString())) {
-        simulation.replicas.insert(simulation.replicas.end(), count, makeReplica(service, {}, plainSlots));
+        for (unsigned index = 0; index < count; ++index) {
+            simulation.replicas.push_back(makeReplica(service, {}, plainSlots));
+            simulation.replicas.back().zone = zoneOf(index);
+        }
     }
     host_options options;
     options.heartbeat = duration(number("--heartbeat-ms"));
