Evacuation: Bound the tests' waits and check the settings

Cause: with the exclusion taken out of entry_view the test waited without an end. Change: it ends after twice the bound; invalid bounds in the settings are checked.

--- a/Tests/PlatformAdapter/testEvacuation.cpp
+++ b/Tests/PlatformAdapter/testEvacuation.cpp
@@ -157,11 +157,13 @@
         return requestsIn(dataCentre) - before;
     }
 
-    /// Sends requests until none of some reaches z. Returns when the last one arrived there, counted from \a since.
+    /// Sends requests until none of some reaches z, for at most twice the bound. Returns when the last one arrived there, counted from \a
+    /// since.
     duration timeUntilEmpty(int number, instant since)
     {
         auto last = since;
-        for (auto quietSince = monotonicNow(); monotonicNow() - quietSince < duration(600);) {
+        const auto latest = since + 2 * evacuationBound;
+        for (auto quietSince = monotonicNow(); monotonicNow() - quietSince < duration(600) && monotonicNow() < latest;) {
             if (sendSome(number, 'z') > 0) {
                 quietSince = last = monotonicNow();
             }
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -105,3 +105,19 @@
     CHECK_FALSE(settings->isLogOn);
     CHECK(problemsOf(validSettings + "log: loud\n").size() == 1);
 }
+
+// A bound that is read as 0 by mistake would turn evacuations off without a word.
+TEST_CASE("The bound of evacuations is off without the key, and an invalid one is a problem")
+{
+    std::vector<yaml_problem> problems;
+    CHECK(readEntrySettings(validSettings, "entry.yaml", problems)->evacuation == duration(0));
+    const auto withBound = [](const std::string &value) {
+        auto text = validSettings;
+        return text.insert(text.find("timing:\n") + 8, "  evacuation-ms: " + value + "\n");
+    };
+    CHECK(readEntrySettings(withBound("5000"), "entry.yaml", problems)->evacuation == duration(5000));
+    for (const auto *value : {"0", "-5000", "soon", "1e30", "[]"}) {
+        CAPTURE(value);
+        CHECK(problemsOf(withBound(value)).size() == 1);
+    }
+}
