--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -33,6 +33,7 @@
     , m_leavingReplicas(addConstrainedGauge(counters, "leaving"))
     , m_evacuatedDataCentres(counters.addGauge("vetchpost_evacuated_data_centres", "Evacuated data centres that have replicas."))
     , m_evacuatedRequests(counters.addGauge("vetchpost_evacuated_requests", "Requests of this daemon in flight in evacuated data centres."))
+    , m_coldReplicas(counters.addGauge("vetchpost_cold_replicas", "Replicas that are cold."))
 {
 }
 
@@ -51,6 +52,7 @@
     m_leavingReplicas.set(status.leavingReplicas);
     m_evacuatedDataCentres.set(status.evacuatedDataCentres);
     m_evacuatedRequests.set(status.evacuatedRequests);
+    m_coldReplicas.set(status.coldReplicas);
     const std::lock_guard lock(m_mutex);
     for (const auto &[part, count] : status.droppedLinesByPart) {
         auto found = m_droppedLines.find(part);
--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -39,6 +39,8 @@
     int evacuatedDataCentres = 0;
     /// Requests of this daemon that are in flight in evacuated data centres.
     int evacuatedRequests = 0;
+    /// Replicas that are cold.
+    int coldReplicas = 0;
     /// Log lines dropped since the start, by the part of the program that wrote them.
     std::map<std::string, std::uint64_t> droppedLinesByPart;
 };
@@ -65,6 +67,7 @@
     gauge m_leavingReplicas;
     gauge m_evacuatedDataCentres;
     gauge m_evacuatedRequests;
+    gauge m_coldReplicas;
     std::mutex m_mutex;
     std::map<std::string, counter> m_droppedLines;
 };
--- a/Tests/Soak/soak_cluster.cpp
+++ b/Tests/Soak/soak_cluster.cpp
@@ -126,6 +126,8 @@
            "--models=m0:4,m1:2",
            fmt::format("--domains={}", fabricDomains),
            fmt::format("--per-domain={}", m_options.size.replicas / fabricDomains),
+           fmt::format("--cold-ms={}", m_options.coldPerSecond > 0 ? coldTime.count() : 0),
+           fmt::format("--cold-bound={}", coldOverrun * m_options.coldPerSecond + coldSlack),
            fmt::format("--services={}:{}", plainService, m_options.size.plainReplicas),
            m_options.evacuations > 0 ? fmt::format("--zones={},{}", soakZones[0], soakZones[1]) : fmt::format("--zones={}", soakZones[0])});
     waitFor("replicas", [&] { return !fetchFacts(m_replicaControl).isNull(); });
@@ -133,11 +135,12 @@
 
 void soak_cluster::startDaemons()
 {
-    const daemon_options options{m_options.daemonProgram,
-                                 m_options.folder,
-                                 m_options.basePort,
-                                 soak_bounds().retrySlack,
-                                 m_options.evacuations > 0 ? soak_bounds().evacuation : duration(0)};
+    const auto coldSettings
+        = m_options.coldPerSecond > 0 ? fmt::format("cold:\n  overrun: {}\n  slack: {}\n", coldOverrun, coldSlack) : std::string();
+    const auto evacuationSettings
+        = m_options.evacuations > 0 ? fmt::format("  evacuation-ms: {}\n", soak_bounds().evacuation.count()) : std::string();
+    const daemon_options options{
+        m_options.daemonProgram, m_options.folder, m_options.basePort, soak_bounds().retrySlack, coldSettings, evacuationSettings};
     std::vector<endpoint> callers;
     for (int number = 0; number < m_options.size.daemons; ++number) {
         m_daemons.emplace_back(std::make_unique<soak_daemon>(number, options, m_store));
@@ -288,7 +291,7 @@
 std::string soak_cluster::changeConfiguration(bool withdrawsKey)
 {
     const auto withdrawn = withdrawsKey ? keyName(m_keyNumber++) : std::string();
-    const auto acceptedAt = writeConfiguration(m_store, ++m_version, keyName(m_keyNumber));
+    const auto acceptedAt = writeConfiguration(m_store, ++m_version, keyName(m_keyNumber), m_options.coldPerSecond);
     if (!acceptedAt) {
         throw std::runtime_error("the store did not accept a configuration");
     }
--- a/Tests/Soak/soak_daemon.h
+++ b/Tests/Soak/soak_daemon.h
@@ -16,8 +16,10 @@
     std::string folder;
     std::uint16_t basePort = 0;
     int retrySlack = 0;
-    /// 0 if there are no evacuations.
-    duration evacuation{};
+    /// Text that is appended to the settings.
+    std::string moreSettings = {};
+    /// Lines that are appended to the times in the settings.
+    std::string moreTiming = {};
 };
 
 /// One daemon across the restarts of its process, with the proxies between clients and it and between it and the store.
--- a/Tests/SoakChecks/testSoakChecks.cpp
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -397,3 +397,11 @@
     CHECK(plan[1].at + plan[1].lasts < size.length - recoveryLength);
     CHECK(plan[0].lasts > bounds.evacuation);
 }
+
+// Guards against a soak that passes although daemons overran a cold replica.
+TEST_CASE("A cold replica that failed under its requests is reported, whatever was disturbed")
+{
+    const auto facts = makeFacts({}, {event(0, "cold"), event(500, "cold_overrun")}, {fault(disturbance_kind::store, 0, 1000)});
+    CHECK(checkColdReplicas(facts).size() == 1);
+    CHECK(checkColdReplicas(makeFacts({}, {event(0, "cold")})).empty());
+}
