Explain: Show evacuations in a request's timeline

Cause: a refusal during an evacuation showed no reason in the timeline. Change: the beginning and the end of an evacuation count among the daemons' events.

--- a/Libraries/Explain/request_timeline.cpp
+++ b/Libraries/Explain/request_timeline.cpp
@@ -23,13 +23,15 @@
 /// Fields left out of the details because they are printed in columns of their own or add nothing.
 constexpr std::array<std::string_view, 5> omittedFields = {"ms", "steady_ms", "daemon", "part", "event"};
 /// Events of a daemon that affect all of its requests.
-constexpr std::array<std::string_view, 14> daemonEvents = {"started",
+constexpr std::array<std::string_view, 16> daemonEvents = {"started",
                                                            "stopping",
                                                            "stopped",
                                                            "store_lost",
                                                            "store_regained",
                                                            "configuration_in_force",
                                                            "configuration_unreadable",
+                                                           "evacuation_began",
+                                                           "evacuation_ended",
                                                            "coordination_taken",
                                                            "coordination_lost",
                                                            "source_heard",
