--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/Entry/assembly_runner.h"
 #include "Libraries/Entry/crash_interface.h"
 #include "Libraries/Entry/daemon_metrics.h"
+#include "Libraries/Entry/evacuation_status.h"
 #include "Libraries/Entry/request_handler.h"
 #include "Libraries/Platform/circuit_breaking_service.h"
 #include "Libraries/Platform/measured_store.h"
@@ -146,6 +147,7 @@
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
     {
+        store.enableEvacuations(settings.evacuation);
         if (settings.cold) {
             store.setColdPaced(true);
             constraints.cold().turnOn({settings.cold->overrun, settings.cold->slack}, coldShare, [this] { return feed.daemons(); });
@@ -184,15 +186,16 @@
                 // Before the view shows a replica, so that no request is placed on a cold one without pacing.
                 constraints.cold().applyEntries(*directory, *routes);
             }
-            view.replace(views.build(routes, *directory, isListed, settings.dataCentre));
+            view.replace(views.build(routes, *directory, isListed, settings.dataCentre, store.evacuatedDataCentres()));
         }
+        feed.pushEvacuations();
         assembly.replan();
     }
 
     bool isReady() const
     {
         const key_revocation_policy bound{settings.keyRevocation, settings.isKeyRevocationStrict};
-        return !relay.isDraining && store.listedAt()
+        return !relay.isDraining && store.listedAt() && store.evacuatedDataCentres()
             && areKeysUsableForNewConnections(bound, store.configurationKnowledge(), monotonicNow());
     }
 
@@ -221,9 +224,19 @@
         status.leavingReplicas = constrained.leaving;
         status.coldReplicas = constraints.cold().count();
         status.droppedLinesByPart = droppedLogLinesByPart();
+        for (const auto &evacuated : currentEvacuations(store.evacuations())) {
+            // An unknown name has no effect.
+            status.evacuatedDataCentres += evacuated.replicas > 0 ? 1 : 0;
+            status.evacuatedRequests += evacuated.requests;
+        }
         return status;
     }
 
+    std::vector<evacuation_status> currentEvacuations(const evacuation_set &known) const
+    {
+        return evacuationStatus(known, *store.directory(), store.routes().get(), relay.requestsByPlace);
+    }
+
     void answerOperator(http_exchange &exchange)
     {
         constexpr int found = 200;
@@ -233,6 +246,11 @@
             feed.syncTables();
             return;
         }
+        if (exchange.path() == evacuationsPath) {
+            const auto known = store.evacuations();
+            answerEvacuations(exchange, known, currentEvacuations(known));
+            return;
+        }
         const bool isKnown = exchange.path() == metricsPath;
         if (isKnown) {
             exportedMetrics.update(currentStatus());
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -346,7 +346,9 @@
     m_replicaLiveness.reset();
     // A second group may take the first one's place.
     auto target = chosen;
+    m_context.requestsByPlace.add(chosen.dataCentre);
     const auto outcome = sendAndRelay(target);
+    m_context.requestsByPlace.remove(chosen.dataCentre);
     target.load->outstanding.fetch_sub(1);
     if (outcome == attempt_outcome::lost) {
         recordLoss(target);
