Assembly: Let groups of any size give way to a model that is scarce

Only smaller groups were preempted, so that five groups of the larger model kept the smaller one at none. Preemption is one decision now (domain_packing): it compares what each domain could serve, counts the members of groups that are about to end, and reserves the domain until the group is formed.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Assembly/assembly_state.h"
+#include "Libraries/Assembly/domain_packing.h"
 
 namespace vetchpost {
 
@@ -69,32 +70,30 @@
         int staying = 0;
     };
     const group_count &groupCountOf(const model_id &model) const;
-    void preemptForLargerModels();
     void formExtraGroups();
     bool isBusy(const fabric_domain_id &domain) const;
-    std::vector<planned_group *> victimsFor(const group_model &model);
-    std::map<fabric_domain_id, std::vector<planned_group *>> smallerGroups(const group_model &model);
-    std::vector<planned_group *> victimsAmong(std::vector<planned_group *> groups, const group_model &model, int ready) const;
-    /// Smaller groups of one domain that could be preempted for a group of a larger model.
-    struct preemption_option
-    {
-        std::vector<planned_group *> groups;
-        /// The free replicas of the domain, then the members of `groups`.
-        std::vector<const served_replica *> replicas;
-        /// How many of `replicas` must still load the larger model's weights.
-        int requiredLoads = 0;
-    };
 
-    void stageForLargerModels();
-    preemption_option cheapestPreemption(const group_model &model);
-    preemption_option preemptionIn(const fabric_domain_id &domain, std::vector<planned_group *> groups, const group_model &model) const;
-    void stageForPreemption(const group_model &model, const preemption_option &chosen);
-    bool mayPreempt(const std::vector<planned_group *> &victims, const group_model &model) const;
+    // Preemption.
+
+    void updateReservations();
+    int reservationsFor(const model_id &model) const;
+    bool isScarce(const group_model &model) const;
+    void preemptForShortModels();
+    void preempt(const group_model &model, const packing_choice &choice);
+    void stageForShortModels();
+    void stageForPreemption(const group_model &model, const packing_choice &choice);
+    /// The short models that no free replicas can serve, the scarcest first.
+    std::vector<const group_model *> unservedModels() const;
+    std::vector<packing_model> packingModels() const;
+    packing_model packingModel(const group_model &model) const;
+    std::vector<packing_domain> packingDomains() const;
+    packing_limits packingLimits() const;
+    void addTo(packing_group &counts, const served_replica &replica) const;
+    bool isReleasedSoon(const planned_group &group) const;
     bool isPreemptionUnderWay() const;
-    bool hasCapacityWithout(const group_model &model, int groups) const;
-    int countReadyMembers(const planned_group &group, const model_id &model) const;
-    void sortByReadyMembers(std::vector<planned_group *> &groups, const group_model &model) const;
+    int unneededGroups(const group_model &model) const;
     int countReadyWithFree(const planned_group &group, const model_id &model) const;
+    int countReadyMembers(const planned_group &group, const model_id &model) const;
     static int countReady(const std::vector<const served_replica *> &replicas, const model_id &model);
     double stayingFraction(const group_model &model) const;
     std::vector<const served_replica *> availableFor(const group_model &model, const fabric_domain_id &domain) const;
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -135,7 +135,7 @@
     std::optional<instant> headLostSince;
     /// Why the group cannot be formed; empty if no join of a member has failed.
     std::string why;
-    /// Whether the group is closed to make room for a group of a larger model.
+    /// Whether the group is closed to make room for a group of another model.
     bool isPreempted = false;
 };
 
@@ -161,10 +161,15 @@
     duration refusalBackoff{2000};
     /// A head that is silent and no longer listed may still hold its group for this time; set from the engines' stall time.
     duration silentHeadTimeout{5000};
-    /// A smaller group is preempted only if the present fraction of its model's groups afterwards exceeds the larger model's by this much.
+    /// A group is preempted only if the present fraction of its model's groups afterwards exceeds the short model's by this much.
     double preemptionMargin = 0.1;
     /// Several groups are preempted only if the remaining ones have at most this fraction of their slots in use; above it requests queue.
     double maxPreemptionLoad = 0.75;
+    /// A model with less than this fraction of its groups is scarce: it comes first, and groups of any size may be preempted for it.
+    double scarcityThreshold = 0.5;
+    /// A domain stays reserved for the group that is to be formed there for this time after the last preempted group was seen closing. A
+    /// group whose head falls silent meanwhile releases its members much later.
+    duration reservationTime{2000};
     /// A model with less than this fraction of its groups is short: all loads that the weight store can feed at a time may prepare hosts
     /// for it.
     double shortageThreshold = 0.8;
@@ -238,6 +243,13 @@
     };
     /// The background load that each replica was ordered to begin and that is not over yet.
     std::map<instance_id, staging> stagings;
+    struct reservation
+    {
+        model_id model;
+        instant until;
+    };
+    /// Domains where a group of a short model is formed once the groups that are closed for it have released their members.
+    std::map<fabric_domain_id, reservation> reservations;
     smoothed_demand demand;
     /// The number of usable replicas.
     int usable = 0;
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -130,7 +130,8 @@
     for (const auto *model : modelsBySize()) {
         const auto part = presentFraction(*model);
         if (part < smallest && bestDomain(*model) != nullptr) {
-            if (isEnough) {
+            // A scarce larger model comes first: its group needs many replicas of one domain, which smaller groups would take one by one.
+            if (isEnough || isScarce(*model)) {
                 return model;
             }
             neediest = model;
@@ -212,7 +213,13 @@
 std::vector<const served_replica *> assembly_round::availableFor(const group_model &model, const fabric_domain_id &domain) const
 {
     auto replicas = m_free.at(domain);
-    if (m_view.isBeforeTraffic) {
+    const auto reserved = m_state.reservations.find(domain);
+    if (reserved != m_state.reservations.end() && reserved->second.model != model.id) {
+        std::erase_if(replicas, [&](const served_replica *replica) {
+            return readinessOf(*replica, reserved->second.model) != readiness::must_load;
+        });
+    }
+    if (m_view.isBeforeTraffic || isScarce(model)) {
         return replicas;
     }
     const auto part = presentFraction(model);
@@ -297,6 +304,10 @@
         }
         std::erase(free, replica);
     }
+    if (const auto reserved = m_state.reservations.find(domain);
+        reserved != m_state.reservations.end() && reserved->second.model == model.id) {
+        m_state.reservations.erase(reserved);
+    }
     auto &planned = m_state.groups[group.id] = std::move(group);
     m_counts.reset();
     logDecision(planned, fmt::format("forming in domain={}", domain.value()));
--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -1,168 +1,234 @@
 // SPDX-License-Identifier: Apache-2.0
-// Preemption of smaller models' groups in favour of a larger model.
+// Preemption of groups in favour of a model that is short of groups.
 #include "Libraries/Assembly/assembly_round.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <cmath>
 
 namespace vetchpost {
 
-/// Closes groups of smaller models in a domain if their members and the domain's free replicas include enough ones that are ready for a
-/// group of a larger model.
-void assembly_round::preemptForLargerModels()
+/// Removes the reservations that are not needed any more, and prolongs those whose preempted groups are still closing.
+void assembly_round::updateReservations()
 {
-    for (const auto *model : modelsBySize()) {
-        if (presentFraction(*model) >= 1 || bestDomain(*model) != nullptr) {
-            continue;
+    for (const auto &[id, group] : m_state.groups) {
+        const auto *head = find(group.members.front().instance);
+        const auto reserved = head == nullptr ? m_state.reservations.end() : m_state.reservations.find(head->domain);
+        if (reserved != m_state.reservations.end() && group.isPreempted && isReleasedSoon(group)) {
+            reserved->second.until = m_view.now + m_state.policy.reservationTime;
         }
-        const auto victims = victimsFor(*model);
-        for (auto *victim : victims) {
-            victim->isPreempted = true;
-            beginClose(*victim, close_method::finish, "its members complete a group of " + model->id.value());
+    }
+    std::erase_if(m_state.reservations, [&](const auto &entry) {
+        const auto *model = findModel(entry.second.model);
+        const bool isNeeded = model != nullptr && presentFraction(*model) < 1;
+        if (!isNeeded || m_view.now > entry.second.until) {
+            m_state.decisions.push_back(fmt::format("reservation ended: domain={} model={} {}", entry.first.value(),
+                                                    entry.second.model.value(), isNeeded ? "no group could be formed" : "no more needed"));
+            return true;
         }
-        if (!victims.empty()) {
+        return false;
+    });
+}
+
+int assembly_round::reservationsFor(const model_id &model) const
+{
+    return static_cast<int>(std::count_if(
+        m_state.reservations.begin(), m_state.reservations.end(), [&](const auto &entry) { return entry.second.model == model; }));
+}
+
+bool assembly_round::isScarce(const group_model &model) const
+{
+    return presentFraction(model) < m_state.policy.scarcityThreshold;
+}
+
+/// Closes groups of other models in a domain if their members and the replicas that are free or become free soon include enough ones that
+/// are ready for a group of a short model.
+void assembly_round::preemptForShortModels()
+{
+    for (const auto *model : unservedModels()) {
+        const auto choice
+            = choosePacking(packingModel(*model), packingModels(), packingDomains(), packingLimits(), packing_basis::ready);
+        if (choice) {
+            preempt(*model, *choice);
             return;
         }
     }
 }
 
-/// How many members of a group are ready for a model.
-int assembly_round::countReadyMembers(const planned_group &group, const model_id &model) const
+void assembly_round::preempt(const group_model &model, const packing_choice &choice)
 {
-    return static_cast<int>(std::count_if(group.members.begin(), group.members.end(), [&](const planned_member &member) {
-        const auto *replica = find(member.instance);
-        return replica != nullptr && readinessOf(*replica, model) != readiness::must_load;
-    }));
+    const auto why = fmt::format("its members complete a group of {} in domain={}, of which {} of {} groups are present",
+                                 model.id.value(), choice.domain.value(), presentGroups(model.id), m_targets.at(model.id));
+    m_state.reservations[choice.domain] = {model.id, m_view.now + m_state.policy.reservationTime};
+    m_state.decisions.push_back(
+        fmt::format("reserved: domain={} model={} closed_groups={}", choice.domain.value(), model.id.value(), choice.closed.size()));
+    for (const auto &id : choice.closed) {
+        auto &group = m_state.groups.at(id);
+        group.isPreempted = true;
+        beginClose(group, close_method::finish, why);
+    }
 }
 
-/// Sorts groups by the number of members that are ready for a model, most first.
-void assembly_round::sortByReadyMembers(std::vector<planned_group *> &groups, const group_model &model) const
+std::vector<const group_model *> assembly_round::unservedModels() const
 {
-    std::stable_sort(groups.begin(), groups.end(), [&](const planned_group *left, const planned_group *right) {
-        return countReadyMembers(*left, model.id) > countReadyMembers(*right, model.id);
+    auto models = modelsBySize();
+    std::erase_if(models, [&](const group_model *model) {
+        return presentFraction(*model, reservationsFor(model->id)) >= 1 || bestDomain(*model) != nullptr;
+    });
+    std::stable_sort(models.begin(), models.end(), [&](const group_model *left, const group_model *right) {
+        return presentFraction(*left, reservationsFor(left->id)) < presentFraction(*right, reservationsFor(right->id));
     });
+    return models;
 }
 
-/// How many members of a group and free replicas of its domain are ready for a model.
-int assembly_round::countReadyWithFree(const planned_group &group, const model_id &model) const
+packing_model assembly_round::packingModel(const group_model &model) const
 {
-    const auto *replica = find(group.members.front().instance);
-    const auto free = replica == nullptr ? m_free.end() : m_free.find(replica->domain);
-    return countReadyMembers(group, model) + (free == m_free.end() ? 0 : countReady(free->second, model));
+    const auto present = presentGroups(model.id) + reservationsFor(model.id);
+    return {model.id, model.size, m_targets.at(model.id), present, unneededGroups(model)};
 }
 
-/// The serving groups of smaller models in each domain where nothing is being formed or closed.
-std::map<fabric_domain_id, std::vector<planned_group *>> assembly_round::smallerGroups(const group_model &model)
+std::vector<packing_model> assembly_round::packingModels() const
 {
-    std::map<fabric_domain_id, std::vector<planned_group *>> groups;
-    for (auto &[id, group] : m_state.groups) {
-        const auto *smaller = findModel(group.model);
-        const auto *head = find(group.members.front().instance);
-        const bool isSmaller = group.stage == assembly_stage::serving && smaller != nullptr && smaller->size < model.size;
-        if (isSmaller && head != nullptr && !isBusy(head->domain)) {
-            groups[head->domain].push_back(&group);
-        }
+    std::vector<packing_model> models;
+    for (const auto &model : m_view.engine.models) {
+        models.push_back(packingModel(model));
+        // Only groups that stay can be spared.
+        models.back().present = std::min(models.back().present, groupCountOf(model.id).staying);
     }
-    return groups;
+    return models;
 }
 
-/// Whether the model's requests still fit if it has \a groups fewer groups.
-bool assembly_round::hasCapacityWithout(const group_model &model, int groups) const
+/// Whether the group is being closed and its head answers, so that its members become free once its requests have finished.
+bool assembly_round::isReleasedSoon(const planned_group &group) const
 {
-    const auto held = m_state.demand.outstanding.find(model.id);
-    const auto remainingSlots = static_cast<double>(groupCountOf(model.id).staying - groups) * m_view.engine.slots;
-    return held == m_state.demand.outstanding.end() || held->second <= m_state.policy.maxPreemptionLoad * remainingSlots;
+    const bool isEnding = group.stage == assembly_stage::closing || group.stage == assembly_stage::leaving;
+    const auto &head = group.members.front().instance;
+    return isEnding && !group.headLostSince && find(head) != nullptr && !m_view.suspects.contains(head);
 }
 
-/// The groups to preempt for a group of a larger model, from the domain where the fewest are needed; empty if there are none.
-std::vector<planned_group *> assembly_round::victimsFor(const group_model &model)
+void assembly_round::addTo(packing_group &counts, const served_replica &replica) const
 {
-    std::vector<planned_group *> best;
-    for (const auto &[domain, groups] : smallerGroups(model)) {
-        const auto free = m_free.find(domain);
-        const auto ready = free == m_free.end() ? 0 : countReady(free->second, model.id);
-        auto victims = victimsAmong(groups, model, ready);
-        if (!victims.empty() && (best.empty() || victims.size() < best.size())) {
-            best = std::move(victims);
-        }
+    if (!isAlive(replica.id) || isAvoided(replica.id)) {
+        return;
+    }
+    ++counts.alive;
+    const auto staging = m_state.stagings.find(replica.id);
+    for (const auto &model : m_view.engine.models) {
+        const bool isReady = readinessOf(replica, model.id) != readiness::must_load;
+        const bool isLoading = staging != m_state.stagings.end() && staging->second.model == model.id;
+        counts.ready[model.id] += isReady ? 1 : 0;
+        counts.readyOrLoading[model.id] += isReady || isLoading ? 1 : 0;
     }
-    return best;
 }
 
-/// The fewest of a domain's groups whose members, together with \a ready free replicas, complete a group of the model. Empty if they do not
-/// suffice or may not be preempted.
-std::vector<planned_group *> assembly_round::victimsAmong(std::vector<planned_group *> groups, const group_model &model, int ready) const
+/// The domains that are not reserved, with what could be closed there.
+std::vector<packing_domain> assembly_round::packingDomains() const
 {
-    sortByReadyMembers(groups, model);
-    std::vector<planned_group *> victims;
-    for (auto *group : groups) {
-        ready += countReadyMembers(*group, model.id);
-        victims.push_back(group);
-        if (ready >= model.size) {
-            return mayPreempt(victims, model) ? victims : std::vector<planned_group *>();
+    std::map<fabric_domain_id, packing_domain> domains;
+    for (const auto &[domain, free] : m_free) {
+        for (const auto *replica : free) {
+            addTo(domains[domain].unassigned, *replica);
         }
     }
-    return {};
-}
-
-/// Loads the weights that a larger model's group still needs, on hosts of smaller groups that may be preempted for it and on free replicas
-/// of the same domain. Unlike preparatory loads these do not depend on past losses, since the model is short already and, as long as
-/// nothing is lost, the smaller groups would stay as they are. Nothing is loaded while a preemption is in progress: a load evicts what its
-/// host held.
-void assembly_round::stageForLargerModels()
-{
-    if (m_view.isBeforeTraffic || m_view.engine.stagedPerHost < 1 || isPreemptionUnderWay()) {
-        return;
+    for (const auto &[id, group] : m_state.groups) {
+        const auto *head = find(group.members.front().instance);
+        const bool isServing = group.stage == assembly_stage::serving;
+        if (head == nullptr || !(isServing || isReleasedSoon(group))) {
+            continue;
+        }
+        auto &domain = domains[head->domain];
+        packing_group counts;
+        counts.id = id;
+        counts.model = group.model;
+        auto &target = isServing ? counts : domain.unassigned;
+        for (const auto &member : group.members) {
+            if (const auto *replica = find(member.instance)) {
+                addTo(target, *replica);
+            }
+        }
+        if (isServing) {
+            domain.groups.push_back(std::move(counts));
+        }
     }
-    for (const auto *model : modelsBySize()) {
-        if (presentFraction(*model) < m_state.policy.shortageThreshold && bestDomain(*model) == nullptr) {
-            stageForPreemption(*model, cheapestPreemption(*model));
+    std::vector<packing_domain> result;
+    for (auto &[id, domain] : domains) {
+        domain.id = id;
+        if (!m_state.reservations.contains(id)) {
+            result.push_back(std::move(domain));
         }
     }
+    return result;
 }
 
-/// The allowed preemption that needs the fewest loads; without groups if none is allowed.
-assembly_round::preemption_option assembly_round::cheapestPreemption(const group_model &model)
+packing_limits assembly_round::packingLimits() const
 {
-    preemption_option best;
-    for (auto &[domain, groups] : smallerGroups(model)) {
-        auto candidate = preemptionIn(domain, std::move(groups), model);
-        const bool isAllowed = !candidate.groups.empty() && mayPreempt(candidate.groups, model);
-        if (isAllowed && (best.groups.empty() || candidate.requiredLoads < best.requiredLoads)) {
-            best = std::move(candidate);
-        }
+    return {m_state.policy.preemptionMargin, m_state.policy.scarcityThreshold, !isPreemptionUnderWay()};
+}
+
+/// How many groups of a model can be closed so that its requests still fit into the remaining ones.
+int assembly_round::unneededGroups(const group_model &model) const
+{
+    const auto held = m_state.demand.outstanding.find(model.id);
+    const auto staying = groupCountOf(model.id).staying;
+    if (held == m_state.demand.outstanding.end()) {
+        return staying;
     }
-    return best;
+    const auto perGroup = m_state.policy.maxPreemptionLoad * std::max(1, m_view.engine.slots);
+    return std::max(0, staying - static_cast<int>(std::ceil(held->second / perGroup)));
+}
+
+/// How many members of a group are ready for a model.
+int assembly_round::countReadyMembers(const planned_group &group, const model_id &model) const
+{
+    return static_cast<int>(std::count_if(group.members.begin(), group.members.end(), [&](const planned_member &member) {
+        const auto *replica = find(member.instance);
+        return replica != nullptr && readinessOf(*replica, model) != readiness::must_load;
+    }));
+}
+
+/// How many members of a group and free replicas of its domain are ready for a model.
+int assembly_round::countReadyWithFree(const planned_group &group, const model_id &model) const
+{
+    const auto *replica = find(group.members.front().instance);
+    const auto free = replica == nullptr ? m_free.end() : m_free.find(replica->domain);
+    return countReadyMembers(group, model) + (free == m_free.end() ? 0 : countReady(free->second, model));
 }
 
-/// The fewest groups of a domain whose members, together with its free replicas, suffice for a group of the model. Without groups if they
-/// do not suffice.
-assembly_round::preemption_option
-assembly_round::preemptionIn(const fabric_domain_id &domain, std::vector<planned_group *> groups, const group_model &model) const
+/// Loads the weights that a short model's group still needs, on free replicas and on hosts of groups that may be preempted for it in the
+/// same domain. Unlike preparatory loads these do not depend on past losses, since the model is short already and, as long as nothing is
+/// lost, the other groups would stay as they are. Nothing is loaded while a preemption is in progress: a load evicts what its host held.
+void assembly_round::stageForShortModels()
 {
-    sortByReadyMembers(groups, model);
-    preemption_option result;
-    if (const auto free = m_free.find(domain); free != m_free.end()) {
-        result.replicas = free->second;
+    if (m_view.isBeforeTraffic || m_view.engine.stagedPerHost < 1 || isPreemptionUnderWay()) {
+        return;
     }
-    for (auto *group : groups) {
-        if (static_cast<int>(result.replicas.size()) >= model.size) {
-            break;
+    for (const auto *model : unservedModels()) {
+        if (presentFraction(*model) >= m_state.policy.shortageThreshold) {
+            continue;
         }
-        result.groups.push_back(group);
-        for (const auto &member : group->members) {
-            if (isAlive(member.instance)) {
-                result.replicas.push_back(find(member.instance));
-            }
+        const auto choice = choosePacking(packingModel(*model), packingModels(), packingDomains(), packingLimits(), packing_basis::alive);
+        if (choice && !choice->closed.empty()) {
+            stageForPreemption(*model, *choice);
         }
     }
-    result.requiredLoads = std::max(0, model.size - readyOrStaging(result.replicas, model.id));
-    return static_cast<int>(result.replicas.size()) >= model.size ? result : preemption_option();
 }
 
-void assembly_round::stageForPreemption(const group_model &model, const preemption_option &chosen)
+void assembly_round::stageForPreemption(const group_model &model, const packing_choice &choice)
 {
-    auto requiredLoads = chosen.requiredLoads;
-    for (const auto *replica : chosen.replicas) {
+    std::vector<const served_replica *> replicas;
+    if (const auto free = m_free.find(choice.domain); free != m_free.end()) {
+        replicas = free->second;
+    }
+    for (const auto &id : choice.closed) {
+        for (const auto &member : m_state.groups.at(id).members) {
+            if (isAlive(member.instance)) {
+                replicas.push_back(find(member.instance));
+            }
+        }
+    }
+    auto requiredLoads = choice.requiredLoads;
+    for (const auto *replica : replicas) {
         const bool mayTake
             = !m_state.stagings.contains(replica->id) && !isAvoided(replica->id) && readinessOf(*replica, model.id) == readiness::must_load;
         if (requiredLoads > 0 && mayTake && mayLoad(1)) {
@@ -181,25 +247,4 @@
     });
 }
 
-/// Whether the smaller models can spare these groups. A single group may be preempted if the present fraction of its model's groups then
-/// still exceeds the larger model's by policy.preemptionMargin. Several groups are preempted one set at a time, only if their models keep
-/// all wanted groups and their requests fit into the remaining ones: each preemption costs the time of a close and an opening.
-bool assembly_round::mayPreempt(const std::vector<planned_group *> &victims, const group_model &model) const
-{
-    std::map<model_id, int> preempted;
-    for (const auto *victim : victims) {
-        ++preempted[victim->model];
-    }
-    const bool areSeveral = victims.size() > 1;
-    if (areSeveral && isPreemptionUnderWay()) {
-        return false;
-    }
-    const auto minFraction = areSeveral ? 1 : presentFraction(model) + m_state.policy.preemptionMargin;
-    return std::all_of(preempted.begin(), preempted.end(), [&](const auto &entry) {
-        const auto *smaller = findModel(entry.first);
-        return smaller != nullptr && presentFraction(*smaller, -entry.second) >= minFraction
-            && (!areSeveral || hasCapacityWithout(*smaller, entry.second));
-    });
-}
-
 } // namespace vetchpost
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -63,13 +63,14 @@
     if (!isSettled()) {
         return std::move(m_orders);
     }
-    preemptForLargerModels();
+    updateReservations();
+    preemptForShortModels();
     formGroups();
     if (isFormingThrottled()) {
         return std::move(m_orders);
     }
     formExtraGroups();
-    stageForLargerModels();
+    stageForShortModels();
     stageSpares();
     stageServing();
     return std::move(m_orders);
--- a/Tests/Assembly/assemblySimulation.cpp
+++ b/Tests/Assembly/assemblySimulation.cpp
@@ -27,18 +27,32 @@
 constexpr duration lapseTime(3600);
 constexpr duration detectionTime(600);
 
+/// Groups of four and two.
+engine_description usualEngine()
+{
+    engine_description engine;
+    engine.slots = 26;
+    engine.loadsPerSecond = loadsPerSecond;
+    engine.concurrentLoads = 6;
+    engine.stagedPerHost = 1;
+    engine.formTime = duration(300);
+    engine.models = {{model_id("big"), 4, 0.67, 1.0, duration(16000), duration(1600)},
+                     {model_id("small"), 2, 0.33, 0.6, duration(12000), duration(1100)}};
+    return engine;
+}
+
 } // namespace
 
 assembly_simulation::assembly_simulation(int domains, int perDomain, std::uint64_t seed)
-    : m_randomState(seed)
+    : assembly_simulation(usualEngine(), domains, perDomain, seed)
+{
+}
+
+assembly_simulation::assembly_simulation(engine_description engine, int domains, int perDomain, std::uint64_t seed)
+    : m_engine(std::move(engine))
+    , m_loadsAllowed(std::max(loadsAllowed, static_cast<std::size_t>(m_engine.loadsPerSecond * loadsAllowed / loadsPerSecond)))
+    , m_randomState(seed)
 {
-    m_engine.slots = 26;
-    m_engine.loadsPerSecond = loadsPerSecond;
-    m_engine.concurrentLoads = 6;
-    m_engine.stagedPerHost = 1;
-    m_engine.formTime = duration(300);
-    m_engine.models = {{model_id("big"), 4, 0.67, 1.0, duration(16000), duration(1600)},
-                       {model_id("small"), 2, 0.33, 0.6, duration(12000), duration(1100)}};
     for (int domain = 0; domain < domains; ++domain) {
         for (int i = 0; i < perDomain; ++i) {
             addReplica(domain, {});
@@ -364,6 +378,11 @@
     for (auto &order : planAssembly(m_state, view)) {
         m_waiting.push_back(std::move(order));
     }
+    for (const auto &decision : m_state.decisions) {
+        if (m_printsDecisions) {
+            fmt::print("{:>7} {}\n", (m_now - m_start).count(), decision);
+        }
+    }
     m_state.decisions.clear();
 }
 
@@ -602,7 +621,7 @@
     while (m_loads.front() + loadWindow <= m_now) {
         m_loads.pop_front();
     }
-    if (m_loads.size() > loadsAllowed) {
+    if (m_loads.size() > m_loadsAllowed) {
         recordViolation("more loads began than the weight store allows");
     }
 }
@@ -706,6 +725,56 @@
     return found == m_downtime.end() ? duration() : found->second;
 }
 
+std::map<fabric_domain_id, std::vector<const fake_replica *>> assembly_simulation::outsideGroups() const
+{
+    std::set<instance_id> serving;
+    for (const auto &entry : m_engine.models) {
+        for (const auto &members : openGroups(entry.id)) {
+            serving.insert(members.begin(), members.end());
+        }
+    }
+    std::map<fabric_domain_id, std::vector<const fake_replica *>> outside;
+    for (const auto &[id, replica] : m_replicas) {
+        if (replica.isAlive && !serving.contains(id)) {
+            outside[replica.reportedState.domain].push_back(&replica);
+        }
+    }
+    return outside;
+}
+
+int assembly_simulation::readyOutsideGroups(const model_id &wanted) const
+{
+    std::ptrdiff_t most = 0;
+    for (const auto &[domain, replicas] : outsideGroups()) {
+        most = std::max(most, std::count_if(replicas.begin(), replicas.end(), [&](const fake_replica *replica) {
+                            const auto &staged = replica->reportedState.staged;
+                            return !replica->reportedState.isDraining
+                                && (replica->reportedState.model == wanted
+                                    || std::find(staged.begin(), staged.end(), wanted) != staged.end());
+                        }));
+    }
+    return static_cast<int>(most);
+}
+
+int assembly_simulation::idleReplicas() const
+{
+    std::size_t count = 0;
+    for (const auto &[domain, replicas] : outsideGroups()) {
+        count += replicas.size();
+    }
+    return static_cast<int>(count);
+}
+
+void assembly_simulation::printDecisions()
+{
+    m_printsDecisions = true;
+}
+
+void assembly_simulation::suspendPlanningFor(duration time)
+{
+    m_planningStartsAt = m_now + time;
+}
+
 std::string assembly_simulation::summary() const
 {
     std::map<fabric_domain_id, std::pair<std::string, std::string>> domains;
--- a/Tests/Assembly/assemblySimulation.h
+++ b/Tests/Assembly/assemblySimulation.h
@@ -51,6 +51,7 @@
 {
 public:
     assembly_simulation(int domains, int perDomain, std::uint64_t seed);
+    assembly_simulation(engine_description engine, int domains, int perDomain, std::uint64_t seed);
 
     void apply(const assembly_step &step);
     void advance(duration time);
@@ -80,6 +81,8 @@
     void slowOwnLinkFor(duration time);
     /// How many replicas the coordinator suspects because of its own probes.
     std::size_t suspectedReplicas() const;
+    /// For \a time the coordinator holds no lease: it plans and sends nothing.
+    void suspendPlanningFor(duration time);
 
     const std::string &violation() const;
     int servingGroups(const model_id &model) const;
@@ -98,6 +101,12 @@
     std::string describe() const;
     /// One line with, for each domain, the sizes of its open groups and the models that its other replicas are ready for.
     std::string summary() const;
+    /// How many replicas of the fullest domain are in no serving group and are ready for the model.
+    int readyOutsideGroups(const model_id &model) const;
+    /// Replicas that are alive and in no serving group.
+    int idleReplicas() const;
+    /// From now on the coordinator's decisions are printed.
+    void printDecisions();
     /// The time since beginTraffic() during which wanted groups of the model did not serve, summed over the missing groups.
     duration downtime(const model_id &model) const;
 
@@ -139,6 +148,8 @@
     std::uint64_t random();
     duration randomDelay(duration limit);
     void addReplica(int domain, const std::vector<model_id> &staged);
+    /// The alive replicas that are in no open group, by domain.
+    std::map<fabric_domain_id, std::vector<const fake_replica *>> outsideGroups() const;
 
     std::map<instance_id, fake_replica> m_replicas;
     replica_directory m_directory;
@@ -147,6 +158,7 @@
     std::vector<answer_in_transit> m_answers;
     assembly_state m_state;
     engine_description m_engine;
+    std::size_t m_loadsAllowed;
     service_id m_service{"large"};
     instant m_now{duration(1000000)};
     instant m_start{duration(1000000)};
@@ -161,6 +173,7 @@
     };
     std::vector<dark_host> m_darkHosts;
     bool m_detectsDeaths = false;
+    bool m_printsDecisions = false;
     silent_replicas m_silent;
     self_check_state m_selfCheck;
     instant m_probesUntil;
