Assembly: Let shares follow the use of slots, no faster than weights load

The share of a model was measured by the requests that it holds, so a model that lost groups lost its share too; a limit of a quarter hid that. The use of the serving groups' slots replaces it, requests beyond the slots do not count, and the limit is gone. A share rises over the time of a load from the host as far as hosts are prepared, beyond that over one from the weight store.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -55,6 +55,7 @@
     void collectFreeReplicas();
     int smallestGroupSize() const;
     bool isSettled();
+    void updateShares();
     void formGroups();
     bool isFormingThrottled() const;
     std::vector<const group_model *> modelsBySize() const;
@@ -97,6 +98,8 @@
     static int countReady(const std::vector<const served_replica *> &replicas, const model_id &model);
     double stayingFraction(const group_model &model) const;
     std::vector<const served_replica *> availableFor(const group_model &model, const fabric_domain_id &domain) const;
+    bool isReadyForLarger(const served_replica &replica, const group_model &model) const;
+    int roomForLarger(const std::vector<const served_replica *> &replicas, const group_model &model) const;
     const fabric_domain_id *bestDomain(const group_model &model) const;
     std::vector<const served_replica *> soonestReady(std::vector<const served_replica *> replicas, const group_model &model) const;
     bool formBestGroup(const group_model &model);
--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -50,7 +50,8 @@
 
 std::vector<model_group_counts> groupCounts(const assembly_state &state, const engine_description &engine)
 {
-    const auto targets = groupTargets(engine, demandShares(state.demand, engine), state.usable, state.policy.spareShare);
+    const auto shares = state.shares.values.empty() ? demandShares(state.demand, engine) : state.shares.values;
+    const auto targets = groupTargets(engine, shares, state.usable, state.policy.spareShare);
     std::vector<model_group_counts> result;
     for (const auto &model : engine.models) {
         const auto held = state.demand.outstanding.find(model.id);
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -251,6 +251,10 @@
     /// Domains where a group of a short model is formed once the groups that are closed for it have released their members.
     std::map<fabric_domain_id, reservation> reservations;
     smoothed_demand demand;
+    /// The fraction of the replicas that each model should have now.
+    followed_shares shares;
+    /// The shares that were last added to `decisions`.
+    std::map<model_id, double> loggedShares;
     /// The number of usable replicas.
     int usable = 0;
     /// Since when `usable` has had its value.
--- a/Libraries/Assembly/demand_shares.h
+++ b/Libraries/Assembly/demand_shares.h
@@ -16,10 +16,28 @@
     std::optional<instant> updatedAt;
 };
 
+/// The shares in force, which follow the demand with a delay.
+struct followed_shares
+{
+    std::map<model_id, double> values;
+    std::optional<instant> updatedAt;
+};
+
 /// Updates the smoothed demand with the number of requests that are held for each model at \a now.
 void updateDemand(smoothed_demand &demand, const std::map<model_id, int> &outstanding, instant now);
-/// The fraction of the replicas that each model should have. It lies between the configured share and the share at which all groups would
-/// hold equally many requests, and deviates from the configured one by at most a quarter.
-std::map<model_id, double> demandShares(const smoothed_demand &demand, const engine_description &engine);
+/// The fraction of the replicas that each model should have, between the configured share and the share at which all groups would hold
+/// equally many requests. \a serving are the groups of each model that serve and \a current the shares in force; without them all held
+/// requests count as they are.
+std::map<model_id, double> demandShares(const smoothed_demand &demand,
+                                        const engine_description &engine,
+                                        const std::map<model_id, int> &serving = {},
+                                        const std::map<model_id, double> &current = {});
+/// Moves the shares towards \a wanted. A share rises over the time of a load from the host as far as \a prepared goes, the fraction of the
+/// replicas that run another model and hold this one's weights, and over the time of a load from the weight store beyond that.
+void followShares(followed_shares &shares,
+                  const std::map<model_id, double> &wanted,
+                  const std::map<model_id, double> &prepared,
+                  const engine_description &engine,
+                  instant now);
 
 } // namespace vetchpost
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -4,6 +4,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace vetchpost {
 
@@ -61,10 +63,43 @@
         m_state.usable = m_usable;
         m_state.usableSince = m_view.now;
     }
-    m_targets = groupTargets(m_view.engine, demandShares(m_state.demand, m_view.engine), m_usable, m_state.policy.spareShare);
+    updateShares();
+    m_targets = groupTargets(m_view.engine, m_state.shares.values, m_usable, m_state.policy.spareShare);
     return !m_view.isBeforeTraffic || m_view.now - m_state.usableSince >= m_state.policy.settleTime;
 }
 
+/// Lets the shares follow the demand, no faster than replicas can load the weights of the models whose shares rise.
+void assembly_round::updateShares()
+{
+    constexpr double loggedChange = 0.05;
+    std::map<model_id, int> serving;
+    for (const auto &[id, group] : m_state.groups) {
+        serving[group.model] += group.stage == assembly_stage::serving ? 1 : 0;
+    }
+    std::map<model_id, double> prepared;
+    for (const auto &[id, replica] : m_view.directory.replicas) {
+        for (const auto &model : m_view.engine.models) {
+            const bool isPrepared = replica.service == m_view.service && isAlive(id) && replica.model != model.id
+                && readinessOf(replica, model.id) == readiness::staged;
+            prepared[model.id] += isPrepared ? 1.0 / std::max(1, m_usable) : 0;
+        }
+    }
+    followShares(m_state.shares, demandShares(m_state.demand, m_view.engine, serving, m_state.shares.values), prepared, m_view.engine, m_view.now);
+    auto &logged = m_state.loggedShares;
+    const bool isChanged = std::any_of(m_state.shares.values.begin(), m_state.shares.values.end(), [&](const auto &entry) {
+        const auto before = logged.find(entry.first);
+        return before != logged.end() && std::abs(before->second - entry.second) >= loggedChange;
+    });
+    for (const auto &[model, share] : m_state.shares.values) {
+        if (isChanged) {
+            m_state.decisions.push_back(fmt::format("share: model={} share={:.2f} before={:.2f}", model.value(), share, logged[model]));
+        }
+    }
+    if (isChanged || logged.empty()) {
+        logged = m_state.shares.values;
+    }
+}
+
 void assembly_round::formGroups()
 {
     for (;;) {
@@ -232,12 +267,27 @@
     return replicas;
 }
 
-/// The domain in which a group of the model needs the fewest loads, and among equals the one with the most available replicas; nullptr if
-/// no domain can form one now.
+bool assembly_round::isReadyForLarger(const served_replica &replica, const group_model &model) const
+{
+    return std::any_of(m_view.engine.models.begin(), m_view.engine.models.end(), [&](const group_model &larger) {
+        return larger.size > model.size && readinessOf(replica, larger.id) != readiness::must_load;
+    });
+}
+
+/// How many of the replicas are ready for a larger model. A smaller group goes to the domain with the fewest, so that room for a larger
+/// one remains elsewhere.
+int assembly_round::roomForLarger(const std::vector<const served_replica *> &replicas, const group_model &model) const
+{
+    return static_cast<int>(std::count_if(
+        replicas.begin(), replicas.end(), [&](const served_replica *replica) { return isReadyForLarger(*replica, model); }));
+}
+
+/// The domain in which a group of the model needs the fewest loads, and among equals the one with the least room for a larger model's
+/// group, then the one with the most available replicas; nullptr if no domain can form one now.
 const fabric_domain_id *assembly_round::bestDomain(const group_model &model) const
 {
     const fabric_domain_id *best = nullptr;
-    std::pair<std::size_t, std::size_t> bestCost;
+    std::tuple<std::size_t, int, std::size_t> bestCost;
     for (const auto &[domain, free] : m_free) {
         const auto size = static_cast<std::size_t>(model.size);
         const auto replicas = availableFor(model, domain);
@@ -252,7 +302,7 @@
         if (loads > 0 && !(m_view.isBeforeTraffic && mayLoad(loads))) {
             continue;
         }
-        const std::pair cost(loads, SIZE_MAX - replicas.size());
+        const std::tuple cost(loads, m_view.isBeforeTraffic ? 0 : roomForLarger(replicas, model), SIZE_MAX - replicas.size());
         if (best == nullptr || cost < bestCost) {
             best = &domain;
             bestCost = cost;
@@ -264,8 +314,13 @@
 std::vector<const served_replica *> assembly_round::soonestReady(std::vector<const served_replica *> replicas,
                                                                  const group_model &model) const
 {
+    // Of the replicas that need no load, those that a larger model cannot use come first, even if they become ready a second later.
+    const auto rankOf = [&](const served_replica *replica) {
+        const auto soon = readinessOf(*replica, model.id);
+        return std::tuple(soon == readiness::must_load, isReadyForLarger(*replica, model), soon);
+    };
     std::stable_sort(replicas.begin(), replicas.end(), [&](const served_replica *left, const served_replica *right) {
-        return readinessOf(*left, model.id) < readinessOf(*right, model.id);
+        return rankOf(left) < rankOf(right);
     });
     replicas.resize(static_cast<std::size_t>(model.size));
     // A former head becomes a head again: a late order to open its earlier group then finds it in the new formation.
--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -73,8 +73,11 @@
 std::vector<const group_model *> assembly_round::unservedModels() const
 {
     auto models = modelsBySize();
+    const auto smallest = smallestGroupSize();
     std::erase_if(models, [&](const group_model *model) {
-        return presentFraction(*model, reservationsFor(model->id)) >= 1 || bestDomain(*model) != nullptr;
+        // Groups of the smallest size fit wherever something is free; a reservation for them would only keep larger ones out.
+        const bool isHard = model->size > smallest || isScarce(*model);
+        return !isHard || presentFraction(*model, reservationsFor(model->id)) >= 1 || bestDomain(*model) != nullptr;
     });
     std::stable_sort(models.begin(), models.end(), [&](const group_model *left, const group_model *right) {
         return presentFraction(*left, reservationsFor(left->id)) < presentFraction(*right, reservationsFor(right->id));
--- a/Tests/Assembly/assemblySimulation.cpp
+++ b/Tests/Assembly/assemblySimulation.cpp
@@ -725,44 +725,37 @@
     return found == m_downtime.end() ? duration() : found->second;
 }
 
-std::map<fabric_domain_id, std::vector<const fake_replica *>> assembly_simulation::outsideGroups() const
+int assembly_simulation::freeAndReady(const model_id &wanted) const
 {
-    std::set<instance_id> serving;
-    for (const auto &entry : m_engine.models) {
-        for (const auto &members : openGroups(entry.id)) {
-            serving.insert(members.begin(), members.end());
+    std::set<instance_id> planned;
+    for (const auto &[id, group] : m_state.groups) {
+        for (const auto &member : group.members) {
+            planned.insert(member.instance);
         }
     }
-    std::map<fabric_domain_id, std::vector<const fake_replica *>> outside;
+    std::map<fabric_domain_id, int> counts;
+    int most = 0;
     for (const auto &[id, replica] : m_replicas) {
-        if (replica.isAlive && !serving.contains(id)) {
-            outside[replica.reportedState.domain].push_back(&replica);
+        const auto &reported = replica.reportedState;
+        const bool isReady = reported.model == wanted
+            || std::find(reported.staged.begin(), reported.staged.end(), wanted) != reported.staged.end();
+        if (replica.isAlive && !reported.isDraining && isReady && !planned.contains(id)) {
+            most = std::max(most, ++counts[reported.domain]);
         }
     }
-    return outside;
-}
-
-int assembly_simulation::readyOutsideGroups(const model_id &wanted) const
-{
-    std::ptrdiff_t most = 0;
-    for (const auto &[domain, replicas] : outsideGroups()) {
-        most = std::max(most, std::count_if(replicas.begin(), replicas.end(), [&](const fake_replica *replica) {
-                            const auto &staged = replica->reportedState.staged;
-                            return !replica->reportedState.isDraining
-                                && (replica->reportedState.model == wanted
-                                    || std::find(staged.begin(), staged.end(), wanted) != staged.end());
-                        }));
-    }
-    return static_cast<int>(most);
+    return most;
 }
 
 int assembly_simulation::idleReplicas() const
 {
-    std::size_t count = 0;
-    for (const auto &[domain, replicas] : outsideGroups()) {
-        count += replicas.size();
+    std::size_t idle = 0;
+    for (const auto &[id, replica] : m_replicas) {
+        idle += replica.isAlive ? 1 : 0;
+    }
+    for (const auto &entry : m_engine.models) {
+        idle -= openGroups(entry.id).size() * static_cast<std::size_t>(entry.size);
     }
-    return static_cast<int>(count);
+    return static_cast<int>(idle);
 }
 
 void assembly_simulation::printDecisions()
--- a/Tests/Assembly/assemblySimulation.h
+++ b/Tests/Assembly/assemblySimulation.h
@@ -101,9 +101,9 @@
     std::string describe() const;
     /// One line with, for each domain, the sizes of its open groups and the models that its other replicas are ready for.
     std::string summary() const;
-    /// How many replicas of the fullest domain are in no serving group and are ready for the model.
-    int readyOutsideGroups(const model_id &model) const;
-    /// Replicas that are alive and in no serving group.
+    /// The most replicas of one domain that are in no planned group and are ready for the model.
+    int freeAndReady(const model_id &model) const;
+    /// The number of replicas that are alive and in no open group.
     int idleReplicas() const;
     /// From now on the coordinator's decisions are printed.
     void printDecisions();
@@ -148,8 +148,6 @@
     std::uint64_t random();
     duration randomDelay(duration limit);
     void addReplica(int domain, const std::vector<model_id> &staged);
-    /// The alive replicas that are in no open group, by domain.
-    std::map<fabric_domain_id, std::vector<const fake_replica *>> outsideGroups() const;
 
     std::map<instance_id, fake_replica> m_replicas;
     replica_directory m_directory;
