--- a/Benchmarks/benchRepair.cpp
+++ b/Benchmarks/benchRepair.cpp
@@ -43,6 +43,8 @@
     int smallSize = 0;
     double largeShare = 0;
     int concurrentLoads = 0;
+    /// Whether the hosts hold only the weights of the model that they run when the losses begin.
+    bool isUnprepared = false;
 };
 
 struct outcome
@@ -89,6 +91,9 @@
         simulation.printDecisions();
     }
     simulation.detectDeaths();
+    if (scenario.isUnprepared) {
+        simulation.evictOtherWeights();
+    }
     const auto wantedLarge = simulation.servingGroups(models[0].id);
     const auto wantedSmall = simulation.servingGroups(models[1].id);
     const auto loadsBefore = simulation.loadsBegun();
@@ -209,6 +214,7 @@
         {"wide-losses", 12, 19, seconds(40), duration(1000), seconds(5), seconds(11), {}, 0},
         {"pair-losses", 6, 37, seconds(90), duration(3000), seconds(5), {}, {}, 0, 2, true, 16, 4, 0.45, 28},
         {"pair-losses-few-loads", 6, 37, seconds(90), duration(3000), seconds(5), {}, {}, 0, 2, true, 16, 4, 0.45, 6},
+        {"pair-losses-cold", 6, 37, seconds(90), duration(3000), seconds(5), {}, {}, 0, 2, true, 16, 4, 0.45, 28, true},
         {"pair-losses-domain", 6, 37, seconds(90), duration(3000), seconds(5), seconds(21), {}, 0, 2, true, 16, 4, 0.45, 28},
         {"pair-losses-eights", 9, 18, seconds(90), duration(3000), seconds(5), {}, {}, 0, 2, true, 8, 2, 0.6, 28},
     };
--- a/Tests/Assembly/assemblySimulation.cpp
+++ b/Tests/Assembly/assemblySimulation.cpp
@@ -205,6 +205,17 @@
     return m_silent.suspected.size();
 }
 
+void assembly_simulation::evictOtherWeights()
+{
+    for (auto &[id, replica] : m_replicas) {
+        replica.reportedState.staged.clear();
+        replica.stagedAt.reset();
+        if (replica.reportedState.model) {
+            replica.reportedState.staged = {*replica.reportedState.model};
+        }
+    }
+}
+
 void assembly_simulation::drain(const instance_id &replica)
 {
     m_replicas.at(replica).reportedState.isDraining = true;
--- a/Tests/Assembly/assemblySimulation.h
+++ b/Tests/Assembly/assemblySimulation.h
@@ -79,6 +79,8 @@
     void probeAllFor(duration time);
     /// For \a time no replica answers the coordinator in time, since its own link or processor is overloaded.
     void slowOwnLinkFor(duration time);
+    /// Leaves each host only the weights of the model that its replica runs.
+    void evictOtherWeights();
     /// How many replicas the coordinator suspects because of its own probes.
     std::size_t suspectedReplicas() const;
     /// The coordinator loses its lease. After \a time another one begins with empty state.
