--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -22,6 +22,8 @@
 /// Number of tokens in an event of a stream.
 constexpr int tokensPerEvent = 5;
 constexpr int defaultEvents = 6;
+/// The lower limit of TCP's retransmission timeout on common systems.
+constexpr duration retransmissionTimeout(200);
 /// Number of steps that an answer of a plain service takes.
 constexpr int plainSteps = 3;
 constexpr std::int64_t defaultDeadlineMs = 30000;
@@ -100,6 +102,12 @@
         if (!request.attempt.empty()) {
             status = admissionStatus(replica, exchange.header(names::model));
         }
+        // A request for another instance has been answered before, and does not count.
+        if (!bearsArrival(m_simulation, replica, monotonicNow())) {
+            m_crashedReplicas.push_back({number, replica.id, monotonicNow() + crashDowntime});
+            status = unavailable;
+        }
+        flushEvents();
         if (status == 200) {
             ++replica.waiting;
         }
@@ -257,6 +265,9 @@
 void replica_host::recordNotices(const running_request &request, int status)
 {
     for (const auto &notice : noticeHeaders(request.id, status)) {
+        if (notice.name == names::coldHeader) {
+            continue;
+        }
         const auto *what = notice.name == names::serverLimit ? "told_limit"
             : notice.name == names::serverLeaving            ? "told_leaving"
                                                              : "told_rest";
@@ -298,7 +309,8 @@
     const duration time(static_cast<std::int64_t>(static_cast<double>(m_options.step.count() * tokensPerEvent) * slowness));
     const bool isLost = m_faults.loseAnswers.occurs();
     for (int event = request.firstEvent; event <= request.lastEvent; ++event) {
-        if (auto outcome = workFor(request, exchange, time); !outcome.empty()) {
+        const auto delay = m_faults.retransmissions.occurs() ? retransmissionTimeout : duration();
+        if (auto outcome = workFor(request, exchange, time + delay); !outcome.empty()) {
             // A request counts as not run until its first token.
             const bool isRefused = !exchange.hasBegun() && (outcome == "broken" || outcome == "deadline");
             if (isRefused) {
