--- a/Tests/Assembly/testDemandShares.cpp
+++ b/Tests/Assembly/testDemandShares.cpp
@@ -52,7 +52,7 @@
     CHECK(demandShares(demand, halves(), {{small, 20}}).at(large) >= 0.5);
 }
 
-// Limits around the configured share left a model that was used four times as much as the other one late for minutes.
+// With a limit around the configured share an idle model would keep groups that the other one needs.
 TEST_CASE("A share follows the demand beyond a quarter of the configured one, and an idle model keeps some groups")
 {
     smoothed_demand demand;
