--- a/Tests/Assembly/assemblySimulation.cpp
+++ b/Tests/Assembly/assemblySimulation.cpp
@@ -27,18 +27,32 @@
 constexpr duration lapseTime(3600);
 constexpr duration detectionTime(600);
 
+/// Groups of four and two.
+engine_description usualEngine()
+{
+    engine_description engine;
+    engine.slots = 26;
+    engine.loadsPerSecond = loadsPerSecond;
+    engine.concurrentLoads = 6;
+    engine.stagedPerHost = 1;
+    engine.formTime = duration(300);
+    engine.models = {{model_id("big"), 4, 0.67, 1.0, duration(16000), duration(1600)},
+                     {model_id("small"), 2, 0.33, 0.6, duration(12000), duration(1100)}};
+    return engine;
+}
+
 } // namespace
 
 assembly_simulation::assembly_simulation(int domains, int perDomain, std::uint64_t seed)
-    : m_randomState(seed)
+    : assembly_simulation(usualEngine(), domains, perDomain, seed)
+{
+}
+
+assembly_simulation::assembly_simulation(engine_description engine, int domains, int perDomain, std::uint64_t seed)
+    : m_engine(std::move(engine))
+    , m_loadsAllowed(std::max(loadsAllowed, static_cast<std::size_t>(m_engine.loadsPerSecond * loadsAllowed / loadsPerSecond)))
+    , m_randomState(seed)
 {
-    m_engine.slots = 26;
-    m_engine.loadsPerSecond = loadsPerSecond;
-    m_engine.concurrentLoads = 6;
-    m_engine.stagedPerHost = 1;
-    m_engine.formTime = duration(300);
-    m_engine.models = {{model_id("big"), 4, 0.67, 1.0, duration(16000), duration(1600)},
-                       {model_id("small"), 2, 0.33, 0.6, duration(12000), duration(1100)}};
     for (int domain = 0; domain < domains; ++domain) {
         for (int i = 0; i < perDomain; ++i) {
             addReplica(domain, {});
@@ -192,6 +206,17 @@
     return m_silent.suspected.size();
 }
 
+void assembly_simulation::evictOtherWeights()
+{
+    for (auto &[id, replica] : m_replicas) {
+        replica.reportedState.staged.clear();
+        replica.stagedAt.reset();
+        if (replica.reportedState.model) {
+            replica.reportedState.staged = {*replica.reportedState.model};
+        }
+    }
+}
+
 void assembly_simulation::drain(const instance_id &replica)
 {
     m_replicas.at(replica).reportedState.isDraining = true;
@@ -289,6 +314,7 @@
     for (auto replica = m_replicas.begin(); replica != m_replicas.end();) {
         replica = replica->second.reportedState.isDraining || !replica->second.isAlive ? m_replicas.erase(replica) : std::next(replica);
     }
+    std::erase_if(m_deadSince, [&](const auto &entry) { return !m_replicas.contains(entry.first); });
     advance(maxOrderDelay);
     const auto end = m_now + time;
     const auto isWhole = [&] {
@@ -398,6 +424,11 @@
     for (auto &order : planAssembly(m_state, view)) {
         m_waiting.push_back(std::move(order));
     }
+    for (const auto &decision : m_state.decisions) {
+        if (m_printsDecisions) {
+            fmt::print("{:>7} {}\n", (m_now - m_start).count(), decision);
+        }
+    }
     m_state.decisions.clear();
 }
 
@@ -636,7 +667,7 @@
     while (m_loads.front() + loadWindow <= m_now) {
         m_loads.pop_front();
     }
-    if (m_loads.size() > loadsAllowed) {
+    if (m_loads.size() > m_loadsAllowed) {
         recordViolation("more loads began than the weight store allows");
     }
 }
@@ -741,6 +772,50 @@
     return found == m_downtime.end() ? duration() : found->second;
 }
 
+int assembly_simulation::freeAndReady(const model_id &wanted) const
+{
+    std::set<instance_id> planned;
+    for (const auto &[id, group] : m_state.groups) {
+        for (const auto &member : group.members) {
+            planned.insert(member.instance);
+        }
+    }
+    std::map<fabric_domain_id, int> counts;
+    int most = 0;
+    for (const auto &[id, replica] : m_replicas) {
+        const auto &reported = replica.reportedState;
+        const bool isReady
+            = reported.model == wanted || std::find(reported.staged.begin(), reported.staged.end(), wanted) != reported.staged.end();
+        if (replica.isAlive && !reported.isDraining && isReady && !planned.contains(id)) {
+            most = std::max(most, ++counts[reported.domain]);
+        }
+    }
+    return most;
+}
+
+int assembly_simulation::idleReplicas() const
+{
+    std::size_t idle = 0;
+    for (const auto &[id, replica] : m_replicas) {
+        idle += replica.isAlive ? 1 : 0;
+    }
+    for (const auto &entry : m_engine.models) {
+        idle -= openGroups(entry.id).size() * static_cast<std::size_t>(entry.size);
+    }
+    return static_cast<int>(idle);
+}
+
+void assembly_simulation::printDecisions()
+{
+    m_printsDecisions = true;
+}
+
+void assembly_simulation::loseLeaseFor(duration time)
+{
+    takeOver();
+    m_planningStartsAt = m_now + time;
+}
+
 std::string assembly_simulation::summary() const
 {
     std::map<fabric_domain_id, std::pair<std::string, std::string>> domains;
--- a/Tests/Assembly/assemblySimulation.h
+++ b/Tests/Assembly/assemblySimulation.h
@@ -51,6 +51,7 @@
 {
 public:
     assembly_simulation(int domains, int perDomain, std::uint64_t seed);
+    assembly_simulation(engine_description engine, int domains, int perDomain, std::uint64_t seed);
 
     void apply(const assembly_step &step);
     void advance(duration time);
@@ -86,8 +87,12 @@
     void probeAllFor(duration time);
     /// For \a time no replica answers the coordinator in time, since its own link or processor is overloaded.
     void slowOwnLinkFor(duration time);
+    /// Leaves each host only the weights of the model that its replica runs.
+    void evictOtherWeights();
     /// How many replicas the coordinator suspects because of its own probes.
     std::size_t suspectedReplicas() const;
+    /// The coordinator loses its lease. After \a time another one begins with empty state.
+    void loseLeaseFor(duration time);
 
     const std::string &violation() const;
     int servingGroups(const model_id &model) const;
@@ -106,6 +111,12 @@
     std::string describe() const;
     /// One line with, for each domain, the sizes of its open groups and the models that its other replicas are ready for.
     std::string summary() const;
+    /// The most replicas of one domain that are in no planned group and are ready for the model.
+    int freeAndReady(const model_id &model) const;
+    /// The number of replicas that are alive and in no open group.
+    int idleReplicas() const;
+    /// From now on the coordinator's decisions are printed.
+    void printDecisions();
     /// The time since beginTraffic() during which wanted groups of the model did not serve, summed over the missing groups.
     duration downtime(const model_id &model) const;
 
@@ -155,6 +166,7 @@
     std::vector<answer_in_transit> m_answers;
     assembly_state m_state;
     engine_description m_engine;
+    std::size_t m_loadsAllowed;
     service_id m_service{"large"};
     instant m_now{duration(1000000)};
     instant m_start{duration(1000000)};
@@ -170,6 +182,7 @@
     std::vector<dark_host> m_darkHosts;
     std::set<data_centre_id> m_evacuated;
     bool m_detectsDeaths = false;
+    bool m_printsDecisions = false;
     silent_replicas m_silent;
     self_check_state m_selfCheck;
     instant m_probesUntil;
--- a/Tests/ReplicaCold/testReplicaCold.cpp
+++ b/Tests/ReplicaCold/testReplicaCold.cpp
@@ -90,6 +90,8 @@
     const auto retryAfter = std::stod(refused.header("Retry-After"));
     CHECK(retryAfter <= 4.5);
     std::this_thread::sleep_for(duration(static_cast<std::int64_t>(retryAfter * 1000)));
+    CHECK(sendRequests(fixture, 1).first == 1);
+    sleepUntil(started + duration(3500));
     CHECK(sendRequests(fixture, 10).first == 10);
 }
 
