Dispatch: Grant, queue and refuse requests by predicted times

They wait only if they can be in time, and are refused with a booked time to come back otherwise. The platform's configuration gives the fields of the prediction.

--- /dev/null
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -0,0 +1,302 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Dispatch/slot_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace vetchpost {
+
+namespace {
+
+/// A new request waits only if its slack is this multiple of the expected wait, because slots become free at random.
+constexpr double admissionMargin = 1.2;
+/// A waiting request is refused early once the expected wait is this multiple of its slack: its turn is then out of reach.
+constexpr double hopelessMargin = 1.3;
+/// Every priority with waiting requests gets at least one slot in this number.
+constexpr int slotsPerTurn = 10;
+/// The share of the freed slots that refused clients are told to come back for. A larger share refuses more new requests, which then come
+/// back in turn; a smaller one makes the refused wait longer.
+constexpr double bookedShare = 0.25;
+/// The earliest time for a client to come back. Before it, the requests that wait now hold their slots.
+constexpr duration shortestReturn(200);
+/// The latest time to come back. Clients that would come later are told this time without a booking.
+constexpr duration longestReturn(30000);
+constexpr int spreadDivisor = 4;
+/// How long a booking remains after its time, for clients that come back late.
+constexpr duration bookingGrace(1500);
+/// The slack of a client that came back at the time that it was told.
+constexpr duration returnedSlack(100);
+/// The slack of a request whose prompt alone takes most of its objective, as a part of the objective. It would never be served otherwise.
+constexpr int longPromptSlackDivisor = 4;
+/// How long a client that came back too early may wait for a spare slot.
+constexpr duration longestSpareWait(2000);
+constexpr int mostSpares = 200;
+/// Assumed while no slot is known to become free.
+constexpr double leastFreedPerMs = 0.001;
+
+double costOf(const slot_request &request)
+{
+    return std::max(1, request.promptTokens + request.expectedTokens);
+}
+
+auto orderOf(const waiting_request &entry)
+{
+    // Only requests in time compete by organisation. The others are served as they came.
+    return std::tuple(entry.claim, entry.request.priority, entry.claim == slot_claim::in_time ? entry.startTag : 0);
+}
+
+duration waitFor(int ahead, double freedPerMs)
+{
+    return duration(static_cast<std::int64_t>((ahead + 1) / std::max(leastFreedPerMs, freedPerMs)));
+}
+
+/// Counts the requests ahead of each position of a queue, with regard to the slots that each priority gets at least.
+struct position_counter
+{
+    int all = 0;
+    std::map<int, int> byPriority = {};
+
+    /// Returns how many slots become free before the one for a request of this priority at the current position.
+    int ahead(int priority) const
+    {
+        const auto own = byPriority.find(priority);
+        return std::min(all, slotsPerTurn * ((own == byPriority.end() ? 0 : own->second) + 1) - 1);
+    }
+
+    void pass(int priority)
+    {
+        ++all;
+        ++byPriority[priority];
+    }
+};
+
+void countWaiting(slot_queue &queue, const waiting_request &entry, int difference)
+{
+    if (entry.claim == slot_claim::spare) {
+        return;
+    }
+    auto &level = queue.priorities[entry.request.priority];
+    level.waiting += difference;
+    if (level.waiting == 0) {
+        level.passedOver = 0;
+    }
+}
+
+void insertWaiting(slot_queue &queue, waiting_request entry)
+{
+    countWaiting(queue, entry, 1);
+    const auto order = orderOf(entry);
+    const auto position = std::find_if(queue.waiting.begin(), queue.waiting.end(), [&](const auto &next) { return order < orderOf(next); });
+    queue.waiting.insert(position, std::move(entry));
+}
+
+/// Returns the time for which a request can wait for a slot without being late because of it.
+duration slackOf(const slot_request &request, const slot_supply &supply)
+{
+    const auto slack = request.untilLate - duration(static_cast<std::int64_t>(supply.firstEventMs));
+    const bool isLongPrompt = 2 * supply.readMs >= static_cast<double>(request.untilLate.count());
+    return isLongPrompt ? std::max(slack, request.untilLate / longPromptSlackDivisor) : slack;
+}
+
+/// Adds a request that is to be in time. Returns false if its turn would come too late.
+bool enqueueInTime(slot_queue &queue, const waiting_request &entry, double freedPerMs, std::list<waiting_request> &displaced, instant now)
+{
+    const auto order = orderOf(entry);
+    position_counter counter;
+    auto position = queue.waiting.begin();
+    for (; position != queue.waiting.end() && !(order < orderOf(*position)); ++position) {
+        counter.pass(position->request.priority);
+    }
+    const auto wait = waitFor(counter.ahead(entry.request.priority), freedPerMs);
+    if (now + duration(static_cast<std::int64_t>(admissionMargin * static_cast<double>(wait.count()))) > entry.startBy) {
+        return false;
+    }
+    counter.pass(entry.request.priority);
+    while (position != queue.waiting.end() && position->claim != slot_claim::spare) {
+        const auto next = position++;
+        if (now + waitFor(counter.ahead(next->request.priority), freedPerMs) > next->startBy) {
+            countWaiting(queue, *next, -1);
+            displaced.splice(displaced.end(), queue.waiting, next);
+        } else {
+            counter.pass(next->request.priority);
+        }
+    }
+    insertWaiting(queue, entry);
+    return true;
+}
+
+/// A number that is different for each request, to spread the times at which clients come back.
+std::uint64_t drawOf(const slot_request &request, const endpoint &asker)
+{
+    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15;
+    constexpr int highBits = 32;
+    auto value = request.ticket * multiplier + std::hash<std::string>()(asker.host) + asker.port;
+    value = (value ^ (value >> highBits)) * multiplier;
+    return value >> highBits;
+}
+
+} // namespace
+
+bool isLate(const slot_request &request, const slot_supply &supply)
+{
+    return request.untilLate <= duration() || slackOf(request, supply) < duration();
+}
+
+std::optional<duration> enqueueRequest(slot_queue &queue,
+                                       const slot_request &request,
+                                       const endpoint &asker,
+                                       const slot_supply &supply,
+                                       std::list<waiting_request> &displaced,
+                                       instant now)
+{
+    waiting_request entry{request, asker, slot_claim::in_time, now, now + slackOf(request, supply), 0};
+    auto &level = queue.priorities[request.priority];
+    entry.startTag = std::max(level.virtualTime, level.finishTags[request.organisation]);
+    int spares = 0;
+    for (const auto &other : queue.waiting) {
+        const bool isSameShare = other.request.priority == request.priority && other.request.organisation == request.organisation;
+        entry.startTag += isSameShare ? costOf(other.request) : 0;
+        spares += other.claim == slot_claim::spare ? 1 : 0;
+    }
+    if (request.hasReturned && takeBooking(queue, request, now)) {
+        entry.claim = slot_claim::returned;
+        entry.startBy = std::max(entry.startBy, now + returnedSlack);
+    }
+    if (entry.claim == slot_claim::returned || !isLate(request, supply)) {
+        if (enqueueInTime(queue, entry, supply.freedPerMs, displaced, now)) {
+            return std::max(duration(), entry.startBy - now);
+        }
+    }
+    if (!request.hasReturned || request.timeLeft <= duration() || spares >= mostSpares) {
+        return std::nullopt;
+    }
+    const auto wait = std::min(request.timeLeft, longestSpareWait);
+    entry.claim = slot_claim::spare;
+    entry.startBy = now + wait;
+    insertWaiting(queue, std::move(entry));
+    return wait;
+}
+
+void removeWaiting(slot_queue &queue, std::list<waiting_request>::iterator position)
+{
+    countWaiting(queue, *position, -1);
+    queue.waiting.erase(position);
+}
+
+void recordServed(slot_queue &queue, const slot_request &request)
+{
+    for (auto &[priority, level] : queue.priorities) {
+        level.passedOver += level.waiting > 0 ? 1 : 0;
+    }
+    auto &level = queue.priorities[request.priority];
+    level.passedOver = 0;
+    auto &finish = level.finishTags[request.organisation];
+    level.virtualTime = std::max(level.virtualTime, finish);
+    finish = level.virtualTime + costOf(request);
+}
+
+std::list<waiting_request> removeOverdue(slot_queue &queue, double freedPerMs, instant now)
+{
+    std::list<waiting_request> overdue;
+    position_counter counter;
+    for (auto position = queue.waiting.begin(); position != queue.waiting.end();) {
+        const auto next = position++;
+        const auto wait = waitFor(counter.ahead(next->request.priority), freedPerMs).count();
+        const auto slack = static_cast<double>((next->startBy - now).count());
+        const bool isHopeless = next->claim == slot_claim::in_time && static_cast<double>(wait) > hopelessMargin * slack + 1;
+        if (now > next->startBy || isHopeless) {
+            countWaiting(queue, *next, -1);
+            overdue.splice(overdue.end(), queue.waiting, next);
+        } else {
+            counter.pass(next->request.priority);
+        }
+    }
+    return overdue;
+}
+
+void promoteReturned(slot_queue &queue, instant now)
+{
+    for (auto position = queue.waiting.begin(); position != queue.waiting.end();) {
+        const auto next = position++;
+        if (next->claim == slot_claim::spare && takeBooking(queue, next->request, now)) {
+            auto promoted = std::move(*next);
+            queue.waiting.erase(next);
+            promoted.claim = slot_claim::returned;
+            promoted.startBy = std::max(promoted.startBy, now + returnedSlack);
+            insertWaiting(queue, std::move(promoted));
+        }
+    }
+}
+
+bool takeBooking(slot_queue &queue, const slot_request &request, instant now)
+{
+    const auto found = queue.bookings.find(request.organisation);
+    if (found == queue.bookings.end()) {
+        return false;
+    }
+    auto &bookings = found->second;
+    std::erase_if(bookings, [&](const return_booking &booking) { return booking.due + bookingGrace < now; });
+    const auto due = std::find_if(bookings.begin(), bookings.end(), [&](const return_booking &booking) {
+        return booking.priority == request.priority && booking.due <= now;
+    });
+    const bool isDue = due != bookings.end();
+    if (isDue) {
+        bookings.erase(due);
+    }
+    if (bookings.empty()) {
+        queue.bookings.erase(found);
+    }
+    return isDue;
+}
+
+duration bookReturn(slot_queue &queue, const slot_request &request, const endpoint &asker, double freedPerMs, instant now)
+{
+    auto &bookings = queue.bookings[request.organisation];
+    if (request.hasReturned) {
+        // A client that came back too early has a booking already; a further one would reward that.
+        const auto last = std::find_if(bookings.rbegin(), bookings.rend(), [&](const return_booking &booking) {
+            return booking.priority == request.priority && booking.due > now;
+        });
+        if (last != bookings.rend()) {
+            return last->due - now;
+        }
+    }
+    const auto nowMs = static_cast<double>(now.time_since_epoch().count());
+    const auto first = nowMs + static_cast<double>(shortestReturn.count());
+    const auto next = std::max(queue.bookedUntilMs, first) + 1 / (bookedShare * std::max(leastFreedPerMs, freedPerMs));
+    const auto wait = duration(static_cast<std::int64_t>(next - nowMs));
+    const auto spread
+        = duration(static_cast<std::int64_t>(drawOf(request, asker) % static_cast<std::uint64_t>(wait.count() / spreadDivisor + 1)));
+    if (wait > longestReturn) {
+        return longestReturn + spread;
+    }
+    queue.bookedUntilMs = next;
+    bookings.push_back({request.priority, now + wait + spread});
+    return wait + spread;
+}
+
+std::list<waiting_request>::iterator nextWaiting(slot_queue &queue)
+{
+    for (const auto &[priority, level] : queue.priorities) {
+        if (level.waiting > 0 && level.passedOver >= slotsPerTurn - 1) {
+            return std::find_if(queue.waiting.begin(), queue.waiting.end(), [wanted = priority](const waiting_request &entry) {
+                return entry.request.priority == wanted;
+            });
+        }
+    }
+    return queue.waiting.begin();
+}
+
+std::list<waiting_request>::iterator findWaiting(slot_queue &queue, const slot_ticket &ticket)
+{
+    return std::find_if(queue.waiting.begin(), queue.waiting.end(), [&](const waiting_request &entry) {
+        return entry.request.ticket == ticket.number && entry.asker == ticket.asker;
+    });
+}
+
+bool hasClaims(const slot_queue &queue)
+{
+    return !queue.waiting.empty() && queue.waiting.front().claim != slot_claim::spare;
+}
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Dispatch/slot_queue.h
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Dispatch/slot_ledger.h"
+
+#include <deque>
+#include <list>
+#include <optional>
+
+namespace vetchpost {
+
+/// The right of a waiting request to a freed slot, from the first to the last.
+enum class slot_claim {
+    /// The client was refused before and came back at the time that it was told.
+    returned,
+    /// The first event can be in time.
+    in_time,
+    /// The first event is late anyway, or the client came back too early: takes only slots that no request in time needs.
+    spare
+};
+
+struct waiting_request
+{
+    slot_request request;
+    endpoint asker;
+    slot_claim claim = slot_claim::in_time;
+    instant arrivedAt;
+    /// The request is refused if it has not got a slot by then.
+    instant startBy;
+    /// Its place in the virtual time of its priority, in tokens per organisation: the lowest is served first.
+    double startTag = 0;
+};
+
+/// What organisations were served at one priority: start-time fair queueing by tokens.
+struct served_tokens
+{
+    std::map<organisation_id, double> finishTags;
+    double virtualTime = 0;
+    /// Requests that wait for a slot in time.
+    int waiting = 0;
+    /// Slots that went to other priorities while a request of this one waited.
+    int passedOver = 0;
+};
+
+/// A time at which a refused client was told to come back.
+struct return_booking
+{
+    int priority = 0;
+    instant due;
+};
+
+/// The requests that wait for a slot of one model, in the order in which they get one, and the clients that were refused.
+struct slot_queue
+{
+    std::list<waiting_request> waiting;
+    std::map<int, served_tokens> priorities;
+    std::map<organisation_id, std::deque<return_booking>> bookings;
+    /// The last booked time, in milliseconds of the monotonic clock.
+    double bookedUntilMs = 0;
+};
+
+/// What the queue needs to know of the slots to judge a request.
+struct slot_supply
+{
+    /// Slots that are expected to become free per millisecond.
+    double freedPerMs = 0;
+    /// The time from the grant to the first event of the request, and the part of it for which its prompt is read.
+    double firstEventMs = 0;
+    double readMs = 0;
+};
+
+// Commands.
+
+/// Adds a request if it can be served in time, or later by a spare slot if the client was refused before. Returns its longest wait; nothing
+/// if it is to be refused. Moves requests that cannot be in time any more because of the new one to \a displaced.
+std::optional<duration> enqueueRequest(slot_queue &queue,
+                                       const slot_request &request,
+                                       const endpoint &asker,
+                                       const slot_supply &supply,
+                                       std::list<waiting_request> &displaced,
+                                       instant now);
+/// Removes a request that got a slot or was cancelled.
+void removeWaiting(slot_queue &queue, std::list<waiting_request>::iterator position);
+/// Records that a request got a slot, for the shares of organisations and priorities.
+void recordServed(slot_queue &queue, const slot_request &request);
+/// Removes and returns the requests that cannot be served any more.
+std::list<waiting_request> removeOverdue(slot_queue &queue, double freedPerMs, instant now);
+/// Gives waiting clients that came back too early their place once their time has come.
+void promoteReturned(slot_queue &queue, instant now);
+/// Removes the booking of a client that came back. Returns false if its organisation has none that is due.
+bool takeBooking(slot_queue &queue, const slot_request &request, instant now);
+/// Chooses the time after which a refused client is to come back, and books a slot for it unless that was done before.
+duration bookReturn(slot_queue &queue, const slot_request &request, const endpoint &asker, double freedPerMs, instant now);
+
+// Queries.
+
+/// Returns the request that is to get the next slot, or the end if none waits.
+std::list<waiting_request>::iterator nextWaiting(slot_queue &queue);
+/// Returns the waiting request of a ticket, or the end.
+std::list<waiting_request>::iterator findWaiting(slot_queue &queue, const slot_ticket &ticket);
+/// Whether a request waits that is to get a slot before any new one.
+bool hasClaims(const slot_queue &queue);
+/// Whether the first event of a request that gets a slot now is late by its own fault, not by the length of its prompt.
+bool isLate(const slot_request &request, const slot_supply &supply);
+
+} // namespace vetchpost
--- a/Libraries/Dispatch/slot_request.h
+++ b/Libraries/Dispatch/slot_request.h
@@ -53,7 +53,7 @@
     slot_verdict verdict = slot_verdict::unknown_model;
     /// The head of the group that has the slot; set if granted.
     instance_id head;
-    /// Waiting: the expected wait. Refused: the time after which the client should come back.
+    /// Waiting: the time within which a second answer follows. Refused: the time after which the client should come back.
     duration wait{};
 };
 
--- a/Libraries/Routing/served_configuration.h
+++ b/Libraries/Routing/served_configuration.h
@@ -77,6 +77,16 @@
     duration stagedLoadTime{};
 };
 
+/// An addition to the latency of requests from one data centre to replicas of one version.
+struct path_delay
+{
+    /// The sender's data centre; empty for any.
+    data_centre_id from;
+    /// Empty for any.
+    std::string targetVersion;
+    duration delay{};
+};
+
 /// Properties of a service's model engines.
 struct engine_description
 {
@@ -91,6 +101,19 @@
     int stagedPerHost = 1;
     /// Time from the order to open a group until it serves.
     duration formTime{};
+    /// A pass writes one token of each running request. It takes stepMs + perSequenceMs x running requests, in milliseconds, times the
+    /// model's pace. Zero if the description does not give it.
+    double stepMs = 0;
+    double perSequenceMs = 0;
+    /// Tokens of prompts that a group reads per second, at pace 1, in chunks between the passes.
+    double readPerSecond = 0;
+    int chunkTokens = 0;
+    /// Passes from one event of a stream to the next.
+    int stride = 1;
+    /// Tokens of a usual request.
+    int usualPromptTokens = 0;
+    int usualAnswerTokens = 0;
+    std::vector<path_delay> delays;
 };
 
 struct served_service
