--- a/Libraries/Dispatch/slot_dispatcher.cpp
+++ b/Libraries/Dispatch/slot_dispatcher.cpp
@@ -2,7 +2,7 @@
 #include "Libraries/Dispatch/slot_dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace vetchpost {
@@ -11,6 +11,8 @@
 
 /// The part of a model's slots that is left to requests in time, when a request that is late anyway takes a slot.
 constexpr int sparedDivisor = 20;
+/// Waiting requests that are offered a free slot which the first of them cannot take. It limits the time of one decision.
+constexpr int mostOffers = 16;
 
 int slotsOf(const model_ledger &model)
 {
@@ -21,6 +23,17 @@
     return slots;
 }
 
+/// The terms of a request whose first event is late anyway, or that another refusal would hit.
+slot_terms lateTerms(const model_ledger &model)
+{
+    return {std::numeric_limits<double>::max(), slotsOf(model) / sparedDivisor};
+}
+
+slot_terms termsInTime(const slot_request &request, const slot_supply &supply)
+{
+    return {static_cast<double>(latestFirstEvent(request, supply).count()), 0};
+}
+
 slot_supply supplyOf(const slot_dispatcher &dispatcher, const model_ledger &model, const slot_request &request, instant now)
 {
     const auto first = firstEventAfterWait(dispatcher.ledger, model, request, now);
@@ -42,37 +55,44 @@
     return {request.ticket, asker, slot_verdict::granted, group.group.head, {}};
 }
 
-/// Grants a slot to a waiting request. Returns false if no group is open to it.
-bool serve(slot_dispatcher &dispatcher, model_ledger &model, slot_queue &queue, std::list<waiting_request>::iterator position, instant now)
+/// Grants a slot to a request that waited, on the given terms. Returns false if no group is open to it.
+bool serve(
+    slot_dispatcher &dispatcher, model_ledger &model, slot_queue &queue, const waiting_request &entry, const slot_terms &terms, instant now)
 {
     // The objective and the deadline come nearer while the request waits.
-    auto request = position->request;
-    request.untilLate -= now - position->arrivedAt;
-    request.timeLeft -= now - position->arrivedAt;
-    const auto spared = position->claim == slot_claim::spare ? slotsOf(model) / sparedDivisor : 0;
-    auto *group = bestGroup(dispatcher.ledger, model, request, spared, now);
+    auto request = entry.request;
+    request.untilLate -= now - entry.arrivedAt;
+    request.timeLeft -= now - entry.arrivedAt;
+    auto *group = bestGroup(dispatcher.ledger, model, request, terms, now);
     if (group == nullptr) {
         return false;
     }
-    const auto asker = position->asker;
-    removeWaiting(queue, position);
-    dispatcher.pending.push_back(grant(dispatcher, queue, *group, request, asker, now));
+    dispatcher.pending.push_back(grant(dispatcher, queue, *group, request, entry.asker, now));
     return true;
 }
 
+/// Grants a slot to the waiting request at \a position and removes it. Returns false if no group is open to it.
+bool serveAt(
+    slot_dispatcher &dispatcher, model_ledger &model, slot_queue &queue, std::list<waiting_request>::iterator position, instant now)
+{
+    const auto terms = position->claim == slot_claim::spare ? lateTerms(model)
+                                                            : slot_terms{static_cast<double>((position->firstEventBy - now).count()), 0};
+    const bool isServed = serve(dispatcher, model, queue, *position, terms, now);
+    if (isServed) {
+        removeWaiting(queue, position);
+    }
+    return isServed;
+}
+
 void serveWaiting(slot_dispatcher &dispatcher, model_ledger &model, slot_queue &queue, instant now)
 {
     bool isServed = true;
-    while (isServed && !queue.waiting.empty()) {
-        isServed = serve(dispatcher, model, queue, nextWaiting(queue), now);
-        for (auto position = queue.waiting.begin(); !isServed && position != queue.waiting.end();) {
-            const auto next = position++;
-            // Only a request that was tried at some groups leaves a free slot to those behind it.
-            const bool isSelective = !next->request.excluded.empty();
-            isServed = serve(dispatcher, model, queue, next, now);
-            if (!isServed && !isSelective) {
-                return;
-            }
+    while (isServed && !queue.waiting.empty() && hasOpenSlot(dispatcher.ledger, model, now)) {
+        isServed = serveAt(dispatcher, model, queue, nextWaiting(queue), now);
+        // A request may find no group although a slot is free, if it was tried there or if the group has a long prompt to read.
+        int offers = 0;
+        for (auto position = queue.waiting.begin(); !isServed && position != queue.waiting.end() && ++offers <= mostOffers;) {
+            isServed = serveAt(dispatcher, model, queue, position++, now);
         }
     }
 }
@@ -103,8 +123,8 @@
     }
     const auto supply = supplyOf(dispatcher, model->second, request, now);
     if (!hasClaims(queue)) {
-        const auto spared = isLate(request, supply) ? slotsOf(model->second) / sparedDivisor : 0;
-        if (auto *group = bestGroup(dispatcher.ledger, model->second, request, spared, now)) {
+        const auto terms = isLate(request, supply) ? lateTerms(model->second) : termsInTime(request, supply);
+        if (auto *group = bestGroup(dispatcher.ledger, model->second, request, terms, now)) {
             if (request.hasReturned) {
                 takeBooking(queue, request, now);
             }
@@ -146,7 +166,10 @@
         promoteReturned(queue, now);
         serveWaiting(dispatcher, model, queue, now);
         const auto freed = freedPerMs(dispatcher.ledger, model, now);
-        refuse(dispatcher, queue, removeOverdue(queue, freed, now), freed, now);
+        auto overdue = removeOverdue(queue, freed, now);
+        // A slot that no request in time needs is better than a refusal.
+        overdue.remove_if([&](const waiting_request &entry) { return serve(dispatcher, model, queue, entry, lateTerms(model), now); });
+        refuse(dispatcher, queue, overdue, freed, now);
     }
     return std::exchange(dispatcher.pending, {});
 }
--- a/Libraries/Dispatch/slot_ledger.cpp
+++ b/Libraries/Dispatch/slot_ledger.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace vetchpost {
 
@@ -27,9 +26,11 @@
 constexpr int expiryMultiple = 3;
 constexpr duration shortestExpiry(1000);
 constexpr duration expirySearchInterval(20);
-/// The step by which the observed slowness approaches the median ratio. A group that is three times slower than described is known as
-/// such after about fifteen requests, which is one set of slots.
-constexpr double slownessStep = 1.08;
+/// The step by which the observed slowness approaches the median ratio, multiplied by the number of successive steps in one direction. A
+/// group that is three times slower than described is known as such after about fifteen requests, which is one set of slots; a group as
+/// described varies by a few percent.
+constexpr double slownessStep = 0.01;
+constexpr int mostSlownessSteps = 15;
 constexpr double leastSlowness = 0.2;
 constexpr double mostSlowness = 20;
 /// Weight of one request in the smoothed time for which a slot is held.
@@ -103,6 +104,13 @@
     return areAllAvoided ? instant::max() : now;
 }
 
+/// Returns the free slots of a group, or none while it must not be sent a request.
+int openSlotsOf(const slot_ledger &ledger, const model_ledger &model, const group_ledger &group, instant avoidedFrom, instant now)
+{
+    const bool isPaced = isCold(ledger, group, now) && now < group.nextColdGrant;
+    return avoidedFrom < group.avoidedUntil || isPaced ? 0 : group.group.slots - runningAt(model, group, now);
+}
+
 group_ledger *findGroup(slot_ledger &ledger, const slot_grant &grant)
 {
     const auto model = ledger.models.find(grant.model);
@@ -129,7 +137,9 @@
     group.rejections = 0;
     // Expected tokens are right in the median only, so the median of the ratio is followed instead of its mean.
     const bool isSlower = took > group.slowness * static_cast<double>(grant.described.count());
-    group.slowness = std::clamp(isSlower ? group.slowness * slownessStep : group.slowness / slownessStep, leastSlowness, mostSlowness);
+    const auto run = isSlower ? std::max(0, group.slowerRun) + 1 : std::min(0, group.slowerRun) - 1;
+    group.slowerRun = std::clamp(run, -mostSlownessSteps, mostSlownessSteps);
+    group.slowness = std::clamp(group.slowness * std::exp(slownessStep * group.slowerRun), leastSlowness, mostSlowness);
 }
 
 void recordRejection(group_ledger &group, instant now)
@@ -206,7 +216,9 @@
     ledger.grants[{asker, request.ticket}]
         = {group.group.model, group.group.head, group.group.incarnation, now, expires, millisecondsOf(expected.endMs / group.slowness)};
     ++group.granted;
-    group.readUntil = std::max(now, group.readUntil) + millisecondsOf(readMs(ledger, group, request.promptTokens));
+    const auto pass = passMs(ledger, group, runningAt(model, group, now));
+    const auto read = readMs(ledger, group, request.promptTokens) + chunksOf(ledger, request) * pass;
+    group.readUntil = std::max(now, group.readUntil) + millisecondsOf(read);
     if (isCold(ledger, group, now)) {
         group.nextColdGrant = now + coldInterval(ledger);
     }
@@ -262,30 +274,36 @@
     return group.granted + static_cast<int>(std::lround(hiddenAt(model, group, now)));
 }
 
-group_ledger *bestGroup(slot_ledger &ledger, model_ledger &model, const slot_request &request, int spared, instant now)
+group_ledger *bestGroup(slot_ledger &ledger, model_ledger &model, const slot_request &request, const slot_terms &terms, instant now)
 {
     group_ledger *best = nullptr;
-    std::tuple<bool, double> least;
+    double least = 0;
     int free = 0;
     const auto avoidedFrom = avoidanceStart(model, now);
     for (auto &group : model.groups) {
-        const auto running = runningAt(model, group, now);
-        const bool isPaced = isCold(ledger, group, now) && now < group.nextColdGrant;
-        if (running >= group.group.slots || avoidedFrom < group.avoidedUntil || isPaced) {
+        const auto openSlots = openSlotsOf(ledger, model, group, avoidedFrom, now);
+        if (openSlots <= 0) {
             continue;
         }
-        free += group.group.slots - running;
+        free += openSlots;
         if (std::find(request.excluded.begin(), request.excluded.end(), group.group.head) != request.excluded.end()) {
             continue;
         }
-        const auto expected = forecastOf(ledger, group, request, running, now);
-        const std::tuple next(expected.firstEventMs > static_cast<double>(request.untilLate.count()), expected.endMs);
-        if (best == nullptr || next < least) {
+        const auto expected = forecastOf(ledger, group, request, group.group.slots - openSlots, now);
+        if (expected.firstEventMs <= terms.latestFirstMs && (best == nullptr || expected.endMs < least)) {
             best = &group;
-            least = next;
+            least = expected.endMs;
         }
     }
-    return free > spared ? best : nullptr;
+    return free > terms.sparedSlots ? best : nullptr;
+}
+
+bool hasOpenSlot(const slot_ledger &ledger, const model_ledger &model, instant now)
+{
+    const auto avoidedFrom = avoidanceStart(model, now);
+    return std::any_of(model.groups.begin(), model.groups.end(), [&](const group_ledger &group) {
+        return openSlotsOf(ledger, model, group, avoidedFrom, now) > 0;
+    });
 }
 
 double firstEventAfterWait(const slot_ledger &ledger, const model_ledger &model, const slot_request &request, instant now)
--- a/Libraries/Dispatch/slot_ledger.h
+++ b/Libraries/Dispatch/slot_ledger.h
@@ -45,6 +45,8 @@
     instant hiddenAt;
     /// The observed median ratio of a request's time to the described one.
     double slowness = 1;
+    /// Number of successive requests that took longer than that; negative if they took less.
+    int slowerRun = 0;
     /// When the prompts of all granted requests are expected to be read.
     instant readUntil;
     instant avoidedUntil;
@@ -96,6 +98,15 @@
     double endMs = 0;
 };
 
+/// On which terms a request may get a slot.
+struct slot_terms
+{
+    /// The latest time of the first event, from now, in milliseconds.
+    double latestFirstMs = 0;
+    /// Slots of the model that remain free for others.
+    int sparedSlots = 0;
+};
+
 // Commands.
 
 /// Replaces the groups. What is known of a group stays while its head's incarnation stays; grants at groups that are gone are dropped.
@@ -113,9 +124,10 @@
 int runningAt(const model_ledger &model, const group_ledger &group, instant now);
 /// Forecasts a request at a group where \a others requests run.
 slot_forecast forecastOf(const slot_ledger &ledger, const group_ledger &group, const slot_request &request, double others, instant now);
-/// Returns the group with a free slot where the request is expected to complete first, a group where its first event is in time before all
-/// others; nullptr if no group is open to it. Leaves \a spared slots of the model free.
-group_ledger *bestGroup(slot_ledger &ledger, model_ledger &model, const slot_request &request, int spared, instant now);
+/// Returns the group with a free slot where the request is expected to complete first; nullptr if none is open to it on these terms.
+group_ledger *bestGroup(slot_ledger &ledger, model_ledger &model, const slot_request &request, const slot_terms &terms, instant now);
+/// Whether a group of the model has a free slot and may be sent a request.
+bool hasOpenSlot(const slot_ledger &ledger, const model_ledger &model, instant now);
 /// Forecasts the time from the grant to the first event for a request that waits until a busy group has a free slot.
 double firstEventAfterWait(const slot_ledger &ledger, const model_ledger &model, const slot_request &request, instant now);
 /// Returns how many slots of the model are expected to become free per millisecond while requests wait.
--- a/Libraries/Dispatch/slot_queue.cpp
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -93,9 +93,7 @@
 /// Returns the time for which a request can wait for a slot without being late because of it.
 duration slackOf(const slot_request &request, const slot_supply &supply)
 {
-    const auto slack = request.untilLate - duration(static_cast<std::int64_t>(supply.firstEventMs));
-    const bool isLongPrompt = 2 * supply.readMs >= static_cast<double>(request.untilLate.count());
-    return isLongPrompt ? std::max(slack, request.untilLate / longPromptSlackDivisor) : slack;
+    return latestFirstEvent(request, supply) - duration(static_cast<std::int64_t>(supply.firstEventMs));
 }
 
 /// Adds a request that is to be in time. Returns false if its turn would come too late.
@@ -137,6 +135,13 @@
 
 } // namespace
 
+duration latestFirstEvent(const slot_request &request, const slot_supply &supply)
+{
+    const bool isLongPrompt = request.untilLate > duration() && 2 * supply.readMs >= static_cast<double>(request.untilLate.count());
+    const auto longest = duration(static_cast<std::int64_t>(supply.firstEventMs)) + request.untilLate / longPromptSlackDivisor;
+    return isLongPrompt ? std::max(request.untilLate, longest) : request.untilLate;
+}
+
 bool isLate(const slot_request &request, const slot_supply &supply)
 {
     return request.untilLate <= duration() || slackOf(request, supply) < duration();
@@ -149,7 +154,8 @@
                                        std::list<waiting_request> &displaced,
                                        instant now)
 {
-    waiting_request entry{request, asker, slot_claim::in_time, now, now + slackOf(request, supply), 0};
+    waiting_request entry{
+        request, asker, slot_claim::in_time, now, now + slackOf(request, supply), now + latestFirstEvent(request, supply), 0};
     auto &level = queue.priorities[request.priority];
     entry.startTag = std::max(level.virtualTime, level.finishTags[request.organisation]);
     int spares = 0;
@@ -161,6 +167,7 @@
     if (request.hasReturned && takeBooking(queue, request, now)) {
         entry.claim = slot_claim::returned;
         entry.startBy = std::max(entry.startBy, now + returnedSlack);
+        entry.firstEventBy = instant::max();
     }
     if (entry.claim == slot_claim::returned || !isLate(request, supply)) {
         if (enqueueInTime(queue, entry, supply.freedPerMs, displaced, now)) {
@@ -173,6 +180,7 @@
     const auto wait = std::min(request.timeLeft, longestSpareWait);
     entry.claim = slot_claim::spare;
     entry.startBy = now + wait;
+    entry.firstEventBy = instant::max();
     insertWaiting(queue, std::move(entry));
     return wait;
 }
--- a/Libraries/Dispatch/slot_queue.h
+++ b/Libraries/Dispatch/slot_queue.h
@@ -27,6 +27,8 @@
     instant arrivedAt;
     /// The request is refused if it has not got a slot by then.
     instant startBy;
+    /// The first event must be expected by then at the group that gets the request.
+    instant firstEventBy;
     /// Its place in the virtual time of its priority, in tokens per organisation: the lowest is served first.
     double startTag = 0;
 };
@@ -100,7 +102,10 @@
 std::list<waiting_request>::iterator findWaiting(slot_queue &queue, const slot_ticket &ticket);
 /// Whether a request waits that is to get a slot before any new one.
 bool hasClaims(const slot_queue &queue);
-/// Whether the first event of a request that gets a slot now is late by its own fault, not by the length of its prompt.
+/// Returns the latest time to the first event with which a request is in time. It exceeds the objective for a prompt that alone takes most
+/// of it.
+duration latestFirstEvent(const slot_request &request, const slot_supply &supply);
+/// Whether the first event is late even if the request gets a slot now.
 bool isLate(const slot_request &request, const slot_supply &supply);
 
 } // namespace vetchpost
