--- a/Libraries/Dispatch/slot_queue.cpp
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -2,7 +2,7 @@
 #include "Libraries/Dispatch/slot_queue.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace vetchpost {
 
@@ -10,6 +10,8 @@
 
 /// A new request waits only if its slack is this multiple of the expected wait, because slots become free at random.
 constexpr double admissionMargin = 1.2;
+/// The same for a request that will probably be overtaken.
+constexpr double overtakenMargin = 3;
 /// A waiting request is refused early once the expected wait is this multiple of its slack: its turn is then out of reach.
 constexpr double hopelessMargin = 1.3;
 /// Every priority with waiting requests gets at least one slot in this number.
@@ -26,6 +28,8 @@
 constexpr duration bookingGrace(1500);
 /// The slack of a client that came back at the time that it was told.
 constexpr duration returnedSlack(100);
+/// A request that must start within this time is not overtaken by others of its priority: it would be refused after it has waited.
+constexpr duration keptSlack(60);
 /// The slack of a request whose prompt alone takes most of its objective, as a part of the objective. It would never be served otherwise.
 constexpr int longPromptSlackDivisor = 4;
 /// How long a client that came back too early may wait for a spare slot.
@@ -39,10 +43,36 @@
     return std::max(1, request.promptTokens + request.expectedTokens);
 }
 
-auto orderOf(const waiting_request &entry)
+/// Whether an organisation has been served so much more than others that their requests overtake its own. Small differences are no reason
+/// to overtake: a request that is overtaken after it has waited may have to be refused.
+bool isAheadOfShare(double startTag, double otherTag, double cost)
 {
-    // Only requests in time compete by organisation. The others are served as they came.
-    return std::tuple(entry.claim, entry.request.priority, entry.claim == slot_claim::in_time ? entry.startTag : 0);
+    constexpr double toleratedRequests = 8;
+    return startTag > otherTag + toleratedRequests * cost;
+}
+
+/// Whether a new request gets a slot before one that waits already.
+bool overtakes(const waiting_request &entry, const waiting_request &other, instant now)
+{
+    const std::pair kind(entry.claim, entry.request.priority);
+    const std::pair otherKind(other.claim, other.request.priority);
+    if (entry.request.priority == other.request.priority && other.claim == slot_claim::in_time && other.startBy - now < keptSlack) {
+        return false;
+    }
+    if (kind != otherKind) {
+        return kind < otherKind;
+    }
+    return entry.claim == slot_claim::in_time && isAheadOfShare(other.startTag, entry.startTag, costOf(entry.request));
+}
+
+/// Returns the place of a new request: behind the last one that it does not overtake.
+std::list<waiting_request>::iterator placeOf(slot_queue &queue, const waiting_request &entry, instant now)
+{
+    auto place = queue.waiting.end();
+    while (place != queue.waiting.begin() && overtakes(entry, *std::prev(place), now)) {
+        --place;
+    }
+    return place;
 }
 
 duration waitFor(int ahead, double freedPerMs)
@@ -82,12 +112,10 @@
     }
 }
 
-void insertWaiting(slot_queue &queue, waiting_request entry)
+void insertWaiting(slot_queue &queue, const waiting_request &entry, instant now)
 {
     countWaiting(queue, entry, 1);
-    const auto order = orderOf(entry);
-    const auto position = std::find_if(queue.waiting.begin(), queue.waiting.end(), [&](const auto &next) { return order < orderOf(next); });
-    queue.waiting.insert(position, std::move(entry));
+    queue.waiting.insert(placeOf(queue, entry, now), entry);
 }
 
 /// Returns the time for which a request can wait for a slot without being late because of it.
@@ -99,17 +127,24 @@
 /// Adds a request that is to be in time. Returns false if its turn would come too late.
 bool enqueueInTime(slot_queue &queue, const waiting_request &entry, double freedPerMs, std::list<waiting_request> &displaced, instant now)
 {
-    const auto order = orderOf(entry);
     position_counter counter;
-    auto position = queue.waiting.begin();
-    for (; position != queue.waiting.end() && !(order < orderOf(*position)); ++position) {
-        counter.pass(position->request.priority);
+    auto position = placeOf(queue, entry, now);
+    for (auto ahead = queue.waiting.begin(); ahead != position; ++ahead) {
+        counter.pass(ahead->request.priority);
     }
-    const auto wait = waitFor(counter.ahead(entry.request.priority), freedPerMs);
-    if (now + duration(static_cast<std::int64_t>(admissionMargin * static_cast<double>(wait.count()))) > entry.startBy) {
+    const auto &level = queue.priorities[entry.request.priority];
+    const bool isOvertaken = isAheadOfShare(entry.startTag, level.virtualTime, costOf(entry.request));
+    const auto margin = isOvertaken ? overtakenMargin : admissionMargin;
+    // Clients that come back at their time go first.
+    const bool areReturnsDue
+        = entry.claim == slot_claim::in_time && queue.bookedUntilMs > static_cast<double>(now.time_since_epoch().count());
+    const auto wait = waitFor(counter.ahead(entry.request.priority), areReturnsDue ? (1 - bookedShare) * freedPerMs : freedPerMs);
+    if (now + duration(static_cast<std::int64_t>(margin * static_cast<double>(wait.count()))) > entry.startBy) {
         return false;
     }
     counter.pass(entry.request.priority);
+    queue.waiting.insert(position, entry);
+    countWaiting(queue, entry, 1);
     while (position != queue.waiting.end() && position->claim != slot_claim::spare) {
         const auto next = position++;
         if (now + waitFor(counter.ahead(next->request.priority), freedPerMs) > next->startBy) {
@@ -119,7 +154,6 @@
             counter.pass(next->request.priority);
         }
     }
-    insertWaiting(queue, entry);
     return true;
 }
 
@@ -181,7 +215,7 @@
     entry.claim = slot_claim::spare;
     entry.startBy = now + wait;
     entry.firstEventBy = instant::max();
-    insertWaiting(queue, std::move(entry));
+    insertWaiting(queue, entry, now);
     return wait;
 }
 
@@ -227,11 +261,11 @@
     for (auto position = queue.waiting.begin(); position != queue.waiting.end();) {
         const auto next = position++;
         if (next->claim == slot_claim::spare && takeBooking(queue, next->request, now)) {
-            auto promoted = std::move(*next);
+            auto promoted = *next;
             queue.waiting.erase(next);
             promoted.claim = slot_claim::returned;
             promoted.startBy = std::max(promoted.startBy, now + returnedSlack);
-            insertWaiting(queue, std::move(promoted));
+            insertWaiting(queue, promoted, now);
         }
     }
 }
