--- a/Libraries/Dispatch/slot_dispatcher.cpp
+++ b/Libraries/Dispatch/slot_dispatcher.cpp
@@ -163,6 +163,7 @@
     expireGrants(dispatcher.ledger, now);
     for (auto &[id, model] : dispatcher.ledger.models) {
         auto &queue = dispatcher.queues[id];
+        ageBookings(queue, now);
         promoteReturned(queue, now);
         serveWaiting(dispatcher, model, queue, now);
         const auto freed = freedPerMs(dispatcher.ledger, model, now);
@@ -178,6 +179,11 @@
 {
     dispatcher.ledger.coldPerSecond = dispatcher.coldPerSecond;
     replaceGroups(dispatcher.ledger, groups, engine, now);
+    for (const auto &[id, model] : dispatcher.ledger.models) {
+        if (const auto [entry, isNew] = dispatcher.queues.try_emplace(id); isNew) {
+            entry->second.startedAt = now;
+        }
+    }
     std::erase_if(dispatcher.queues, [&](const auto &entry) {
         if (dispatcher.ledger.models.contains(entry.first)) {
             return false;
--- a/Libraries/Dispatch/slot_queue.cpp
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -24,8 +24,11 @@
 /// The latest time to come back. Clients that would come later are told this time without a booking.
 constexpr duration longestReturn(30000);
 constexpr int spreadDivisor = 4;
-/// How long a booking remains after its time, for clients that come back late.
-constexpr duration bookingGrace(1500);
+/// How long a booking remains that of its organisation, and how long it remains at all.
+constexpr duration ownBookingTime(200);
+constexpr duration openBookingTime(2000);
+/// How long a new dispatcher takes every client that comes back for one that its predecessor refused.
+constexpr duration unknownBookingTime(5000);
 /// The slack of a client that came back at the time that it was told.
 constexpr duration returnedSlack(100);
 /// A request that must start within this time is not overtaken by others of its priority: it would be refused after it has waited.
@@ -272,36 +275,42 @@
 
 bool takeBooking(slot_queue &queue, const slot_request &request, instant now)
 {
-    const auto found = queue.bookings.find(request.organisation);
-    if (found == queue.bookings.end()) {
-        return false;
-    }
-    auto &bookings = found->second;
-    std::erase_if(bookings, [&](const return_booking &booking) { return booking.due + bookingGrace < now; });
-    const auto due = std::find_if(bookings.begin(), bookings.end(), [&](const return_booking &booking) {
-        return booking.priority == request.priority && booking.due <= now;
-    });
-    const bool isDue = due != bookings.end();
-    if (isDue) {
-        bookings.erase(due);
+    const auto takeFirst = [&](std::deque<instant> &bookings) {
+        const bool isDue = !bookings.empty() && bookings.front() <= now;
+        if (isDue) {
+            bookings.pop_front();
+        }
+        return isDue;
+    };
+    const auto own = queue.bookings.find({request.organisation, request.priority});
+    // A new dispatcher does not know whom its predecessor refused.
+    return (own != queue.bookings.end() && takeFirst(own->second)) || takeFirst(queue.openBookings[request.priority])
+        || now - queue.startedAt < unknownBookingTime;
+}
+
+void ageBookings(slot_queue &queue, instant now)
+{
+    for (auto entry = queue.bookings.begin(); entry != queue.bookings.end();) {
+        auto &[key, bookings] = *entry;
+        while (!bookings.empty() && bookings.front() + ownBookingTime < now) {
+            queue.openBookings[key.second].push_back(bookings.front());
+            bookings.pop_front();
+        }
+        entry = bookings.empty() ? queue.bookings.erase(entry) : std::next(entry);
     }
-    if (bookings.empty()) {
-        queue.bookings.erase(found);
+    for (auto &[priority, bookings] : queue.openBookings) {
+        while (!bookings.empty() && bookings.front() + openBookingTime < now) {
+            bookings.pop_front();
+        }
     }
-    return isDue;
 }
 
 duration bookReturn(slot_queue &queue, const slot_request &request, const endpoint &asker, double freedPerMs, instant now)
 {
-    auto &bookings = queue.bookings[request.organisation];
-    if (request.hasReturned) {
+    auto &bookings = queue.bookings[{request.organisation, request.priority}];
+    if (request.hasReturned && !bookings.empty() && bookings.back() > now) {
         // A client that came back too early has a booking already; a further one would reward that.
-        const auto last = std::find_if(bookings.rbegin(), bookings.rend(), [&](const return_booking &booking) {
-            return booking.priority == request.priority && booking.due > now;
-        });
-        if (last != bookings.rend()) {
-            return last->due - now;
-        }
+        return bookings.back() - now;
     }
     const auto nowMs = static_cast<double>(now.time_since_epoch().count());
     const auto first = nowMs + static_cast<double>(shortestReturn.count());
@@ -313,8 +322,9 @@
         return longestReturn + spread;
     }
     queue.bookedUntilMs = next;
-    bookings.push_back({request.priority, now + wait + spread});
-    return wait + spread;
+    const auto due = now + wait + spread;
+    bookings.insert(std::upper_bound(bookings.begin(), bookings.end(), due), due);
+    return due - now;
 }
 
 std::list<waiting_request>::iterator nextWaiting(slot_queue &queue)
--- a/Libraries/Dispatch/slot_queue.h
+++ b/Libraries/Dispatch/slot_queue.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <list>
 #include <optional>
+#include <utility>
 
 namespace vetchpost {
 
@@ -44,19 +45,18 @@
     int passedOver = 0;
 };
 
-/// A time at which a refused client was told to come back.
-struct return_booking
-{
-    int priority = 0;
-    instant due;
-};
-
 /// The requests that wait for a slot of one model, in the order in which they get one, and the clients that were refused.
 struct slot_queue
 {
     std::list<waiting_request> waiting;
     std::map<int, served_tokens> priorities;
-    std::map<organisation_id, std::deque<return_booking>> bookings;
+    /// When refused clients were told to come back, in order, by organisation and priority.
+    std::map<std::pair<organisation_id, int>, std::deque<instant>> bookings;
+    /// Bookings by priority whose clients did not come back at once. They may have gone to another dispatcher of the model, as clients of
+    /// that one come here.
+    std::map<int, std::deque<instant>> openBookings;
+    /// When the dispatcher began to serve the model.
+    instant startedAt;
     /// The last booked time, in milliseconds of the monotonic clock.
     double bookedUntilMs = 0;
 };
@@ -87,9 +87,11 @@
 void recordServed(slot_queue &queue, const slot_request &request);
 /// Removes and returns the requests that cannot be served any more.
 std::list<waiting_request> removeOverdue(slot_queue &queue, double freedPerMs, instant now);
+/// Opens the bookings whose clients did not come to other clients, and drops them later.
+void ageBookings(slot_queue &queue, instant now);
 /// Gives waiting clients that came back too early their place once their time has come.
 void promoteReturned(slot_queue &queue, instant now);
-/// Removes the booking of a client that came back. Returns false if its organisation has none that is due.
+/// Removes the booking of a client that came back. Returns false if there is none for it that is due.
 bool takeBooking(slot_queue &queue, const slot_request &request, instant now);
 /// Chooses the time after which a refused client is to come back, and books a slot for it unless that was done before.
 duration bookReturn(slot_queue &queue, const slot_request &request, const endpoint &asker, double freedPerMs, instant now);
