--- a/Libraries/Dispatch/slot_dispatcher.cpp
+++ b/Libraries/Dispatch/slot_dispatcher.cpp
@@ -44,6 +44,7 @@
 
 slot_answer refusalOf(slot_queue &queue, const slot_request &request, const endpoint &asker, double freed, instant now)
 {
+    recordDecision(queue, request.priority, false, now);
     return {request.ticket, asker, slot_verdict::refused, {}, bookReturn(queue, request, asker, freed, now)};
 }
 
@@ -128,14 +129,18 @@
             if (request.hasReturned) {
                 takeBooking(queue, request, now);
             }
+            recordDecision(queue, request.priority, true, now);
             return grant(dispatcher, queue, *group, request, asker, now);
         }
     }
     std::list<waiting_request> displaced;
     const auto wait = enqueueRequest(queue, request, asker, supply, displaced, now);
     refuse(dispatcher, queue, displaced, supply.freedPerMs, now);
-    return wait ? slot_answer{request.ticket, asker, slot_verdict::waiting, {}, *wait}
-                : refusalOf(queue, request, asker, supply.freedPerMs, now);
+    if (!wait) {
+        return refusalOf(queue, request, asker, supply.freedPerMs, now);
+    }
+    recordDecision(queue, request.priority, true, now);
+    return {request.ticket, asker, slot_verdict::waiting, {}, *wait};
 }
 
 std::vector<slot_answer> releaseSlot(slot_dispatcher &dispatcher, std::uint64_t ticket, const endpoint &asker, slot_end end, instant now)
--- a/Libraries/Dispatch/slot_queue.cpp
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -19,6 +19,12 @@
 /// The share of the freed slots that refused clients are told to come back for. A larger share refuses more new requests, which then come
 /// back in turn; a smaller one makes the refused wait longer.
 constexpr double bookedShare = 0.25;
+/// Weight of one decision in a priority's share of accepted requests.
+constexpr double newestDecisionWeight = 0.02;
+/// By how much more often than a more urgent request another one is accepted.
+constexpr double toleratedShare = 0.02;
+/// How long a refusal counts. Without a newer one the requests of its priority are served.
+constexpr duration refusalTime(300);
 /// The earliest time for a client to come back. Before it, the requests that wait now hold their slots.
 constexpr duration shortestReturn(200);
 /// The latest time to come back. Clients that would come later are told this time without a booking.
@@ -127,6 +133,18 @@
     return latestFirstEvent(request, supply) - duration(static_cast<std::int64_t>(supply.firstEventMs));
 }
 
+/// Whether more urgent requests are refused more often than requests of this priority.
+bool isFavoured(const slot_queue &queue, int priority, instant now)
+{
+    const auto own = queue.priorities.find(priority);
+    const auto share = own == queue.priorities.end() ? 1 : own->second.acceptedShare;
+    return std::any_of(queue.priorities.begin(), queue.priorities.end(), [&](const auto &entry) {
+        const auto &[otherPriority, other] = entry;
+        const bool isRefused = other.lastRefusal > instant() && now - other.lastRefusal < refusalTime;
+        return otherPriority < priority && isRefused && other.acceptedShare + toleratedShare < share;
+    });
+}
+
 /// Adds a request that is to be in time. Returns false if its turn would come too late.
 bool enqueueInTime(slot_queue &queue, const waiting_request &entry, double freedPerMs, std::list<waiting_request> &displaced, instant now)
 {
@@ -206,7 +224,7 @@
         entry.startBy = std::max(entry.startBy, now + returnedSlack);
         entry.firstEventBy = instant::max();
     }
-    if (entry.claim == slot_claim::returned || !isLate(request, supply)) {
+    if (entry.claim == slot_claim::returned || !(isLate(request, supply) || isFavoured(queue, request.priority, now))) {
         if (enqueueInTime(queue, entry, supply.freedPerMs, displaced, now)) {
             return std::max(duration(), entry.startBy - now);
         }
@@ -240,6 +258,13 @@
     finish = level.virtualTime + costOf(request);
 }
 
+void recordDecision(slot_queue &queue, int priority, bool isAccepted, instant now)
+{
+    auto &level = queue.priorities[priority];
+    level.acceptedShare += newestDecisionWeight * ((isAccepted ? 1 : 0) - level.acceptedShare);
+    level.lastRefusal = isAccepted ? level.lastRefusal : now;
+}
+
 std::list<waiting_request> removeOverdue(slot_queue &queue, double freedPerMs, instant now)
 {
     std::list<waiting_request> overdue;
--- a/Libraries/Dispatch/slot_queue.h
+++ b/Libraries/Dispatch/slot_queue.h
@@ -34,8 +34,8 @@
     double startTag = 0;
 };
 
-/// What organisations were served at one priority: start-time fair queueing by tokens.
-struct served_tokens
+/// The requests of one priority. Organisations share by start-time fair queueing of tokens.
+struct priority_level
 {
     std::map<organisation_id, double> finishTags;
     double virtualTime = 0;
@@ -43,13 +43,16 @@
     int waiting = 0;
     /// Slots that went to other priorities while a request of this one waited.
     int passedOver = 0;
+    /// The share of new requests that were not refused, smoothed over about the last fifty.
+    double acceptedShare = 1;
+    instant lastRefusal;
 };
 
 /// The requests that wait for a slot of one model, in the order in which they get one, and the clients that were refused.
 struct slot_queue
 {
     std::list<waiting_request> waiting;
-    std::map<int, served_tokens> priorities;
+    std::map<int, priority_level> priorities;
     /// When refused clients were told to come back, in order, by organisation and priority.
     std::map<std::pair<organisation_id, int>, std::deque<instant>> bookings;
     /// Bookings by priority whose clients did not come back at once. They may have gone to another dispatcher of the model, as clients of
@@ -85,9 +88,11 @@
 void removeWaiting(slot_queue &queue, std::list<waiting_request>::iterator position);
 /// Records that a request got a slot, for the shares of organisations and priorities.
 void recordServed(slot_queue &queue, const slot_request &request);
+/// Records whether a new request of a priority was accepted or refused.
+void recordDecision(slot_queue &queue, int priority, bool isAccepted, instant now);
 /// Removes and returns the requests that cannot be served any more.
 std::list<waiting_request> removeOverdue(slot_queue &queue, double freedPerMs, instant now);
-/// Opens the bookings whose clients did not come to other clients, and drops them later.
+/// Opens the bookings whose clients did not come back to other clients, and drops them later.
 void ageBookings(slot_queue &queue, instant now);
 /// Gives waiting clients that came back too early their place once their time has come.
 void promoteReturned(slot_queue &queue, instant now);
