--- a/Libraries/Dispatch/slot_dispatcher.cpp
+++ b/Libraries/Dispatch/slot_dispatcher.cpp
@@ -45,7 +45,7 @@
 slot_answer refusalOf(slot_queue &queue, const slot_request &request, const endpoint &asker, double freed, instant now)
 {
     recordDecision(queue, request.priority, false, now);
-    return {request.ticket, asker, slot_verdict::refused, {}, bookReturn(queue, request, asker, freed, now)};
+    return {request.ticket, asker, slot_verdict::refused, {}, bookReturn(queue.bookings, request, asker, freed, now)};
 }
 
 slot_answer
@@ -98,6 +98,19 @@
     }
 }
 
+/// Returns a request whose values are in the range that the decisions can calculate with.
+slot_request bounded(slot_request request)
+{
+    constexpr duration longest(std::chrono::hours(1));
+    constexpr int mostTokens = 10000000;
+    request.priority = std::clamp(request.priority, 0, priorityCount - 1);
+    request.promptTokens = std::clamp(request.promptTokens, 0, mostTokens);
+    request.expectedTokens = std::clamp(request.expectedTokens, 0, mostTokens);
+    request.untilLate = std::clamp(request.untilLate, -longest, longest);
+    request.timeLeft = std::clamp(request.timeLeft, duration(), longest);
+    return request;
+}
+
 /// Refuses requests that do not wait any more.
 void refuse(slot_dispatcher &dispatcher, slot_queue &queue, const std::list<waiting_request> &requests, double freed, instant now)
 {
@@ -108,8 +121,9 @@
 
 } // namespace
 
-slot_answer requestSlot(slot_dispatcher &dispatcher, const slot_request &request, const endpoint &asker, instant now)
+slot_answer requestSlot(slot_dispatcher &dispatcher, const slot_request &asked, const endpoint &asker, instant now)
 {
+    const auto request = bounded(asked);
     const slot_ticket ticket{asker, request.ticket};
     if (const auto known = dispatcher.ledger.grants.find(ticket); known != dispatcher.ledger.grants.end()) {
         return {request.ticket, asker, slot_verdict::granted, known->second.head, {}};
@@ -127,7 +141,7 @@
         const auto terms = isLate(request, supply) ? lateTerms(model->second) : termsInTime(request, supply);
         if (auto *group = bestGroup(dispatcher.ledger, model->second, request, terms, now)) {
             if (request.hasReturned) {
-                takeBooking(queue, request, now);
+                takeBooking(queue.bookings, request, now);
             }
             recordDecision(queue, request.priority, true, now);
             return grant(dispatcher, queue, *group, request, asker, now);
@@ -168,8 +182,11 @@
     expireGrants(dispatcher.ledger, now);
     for (auto &[id, model] : dispatcher.ledger.models) {
         auto &queue = dispatcher.queues[id];
-        ageBookings(queue, now);
+        ageBookings(queue.bookings, now);
         promoteReturned(queue, now);
+        if (queue.waiting.empty()) {
+            continue;
+        }
         serveWaiting(dispatcher, model, queue, now);
         const auto freed = freedPerMs(dispatcher.ledger, model, now);
         auto overdue = removeOverdue(queue, freed, now);
@@ -186,7 +203,7 @@
     replaceGroups(dispatcher.ledger, groups, engine, now);
     for (const auto &[id, model] : dispatcher.ledger.models) {
         if (const auto [entry, isNew] = dispatcher.queues.try_emplace(id); isNew) {
-            entry->second.startedAt = now;
+            entry->second.bookings.startedAt = now;
         }
     }
     std::erase_if(dispatcher.queues, [&](const auto &entry) {
--- a/Libraries/Dispatch/slot_ledger.cpp
+++ b/Libraries/Dispatch/slot_ledger.cpp
@@ -13,8 +13,8 @@
 constexpr double assumedHoldMs = 1000;
 /// Additional time to a group in another data centre, in milliseconds; equal groups are preferred near the caller.
 constexpr double remoteMs = 5;
-/// The share of slots that a new dispatcher presumes to be taken by requests granted before it. Groups with more reject a request, which
-/// tells the true number; a larger share would refuse requests that could be served.
+/// The share of slots of an unknown group that is presumed to be taken by requests which another dispatcher granted. A group with more
+/// rejects a request, which tells the true number; a larger share would refuse requests that could be served.
 constexpr double presumedBusyShare = 0.7;
 /// How long a group is avoided that rejected a request, doubled for each further rejection. The group was full, and a slot becomes free
 /// within this time.
@@ -182,6 +182,11 @@
 void replaceGroups(slot_ledger &ledger, const std::vector<dispatch_group> &groups, const engine_description &engine, instant now)
 {
     ledger.engine = engine;
+    std::size_t before = 0;
+    for (const auto &[id, model] : ledger.models) {
+        before += model.groups.size();
+    }
+    std::size_t kept = 0;
     std::map<model_id, model_ledger> next;
     for (const auto &group : groups) {
         auto &model = next[group.model];
@@ -192,7 +197,9 @@
         slot_grant key{group.model, group.head, group.incarnation, {}, {}, {}};
         const auto *known = findGroup(ledger, key);
         group_ledger entry = known != nullptr ? *known : group_ledger();
-        if (known == nullptr && !ledger.hasGroups) {
+        if (known != nullptr) {
+            ++kept;
+        } else {
             entry.hidden = presumedBusyShare * group.slots;
             entry.hiddenAt = now;
         }
@@ -203,8 +210,9 @@
         model.groups.push_back(std::move(entry));
     }
     ledger.models = std::move(next);
-    ledger.hasGroups = ledger.hasGroups || !groups.empty();
-    std::erase_if(ledger.grants, [&](const auto &grant) { return findGroup(ledger, grant.second) == nullptr; });
+    if (kept < before) {
+        std::erase_if(ledger.grants, [&](const auto &grant) { return findGroup(ledger, grant.second) == nullptr; });
+    }
 }
 
 void grantSlot(slot_ledger &ledger, group_ledger &group, const slot_request &request, const endpoint &asker, instant now)
--- a/Libraries/Dispatch/slot_ledger.h
+++ b/Libraries/Dispatch/slot_ledger.h
@@ -87,8 +87,6 @@
     std::map<model_id, model_ledger> models;
     std::map<slot_ticket, slot_grant> grants;
     instant expirySearchedAt;
-    /// Whether groups were known before, so that a new group has only just begun to serve.
-    bool hasGroups = false;
 };
 
 /// When a request is expected to progress at a group, counted from the grant, in milliseconds.
--- a/Libraries/Dispatch/slot_queue.cpp
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Dispatch/slot_queue.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace vetchpost {
@@ -16,25 +17,12 @@
 constexpr double hopelessMargin = 1.3;
 /// Every priority with waiting requests gets at least one slot in this number.
 constexpr int slotsPerTurn = 10;
-/// The share of the freed slots that refused clients are told to come back for. A larger share refuses more new requests, which then come
-/// back in turn; a smaller one makes the refused wait longer.
-constexpr double bookedShare = 0.25;
 /// Weight of one decision in a priority's share of accepted requests.
 constexpr double newestDecisionWeight = 0.02;
 /// By how much more often than a more urgent request another one is accepted.
 constexpr double toleratedShare = 0.02;
 /// How long a refusal counts. Without a newer one the requests of its priority are served.
 constexpr duration refusalTime(300);
-/// The earliest time for a client to come back. Before it, the requests that wait now hold their slots.
-constexpr duration shortestReturn(200);
-/// The latest time to come back. Clients that would come later are told this time without a booking.
-constexpr duration longestReturn(30000);
-constexpr int spreadDivisor = 4;
-/// How long a booking remains that of its organisation, and how long it remains at all.
-constexpr duration ownBookingTime(200);
-constexpr duration openBookingTime(2000);
-/// How long a new dispatcher takes every client that comes back for one that its predecessor refused.
-constexpr duration unknownBookingTime(5000);
 /// The slack of a client that came back at the time that it was told.
 constexpr duration returnedSlack(100);
 /// A request that must start within this time is not overtaken by others of its priority: it would be refused after it has waited.
@@ -44,6 +32,10 @@
 /// How long a client that came back too early may wait for a spare slot.
 constexpr duration longestSpareWait(2000);
 constexpr int mostSpares = 200;
+/// Bounds the time of one decision.
+constexpr std::size_t mostWaiting = 1000;
+/// Organisations whose served tokens are kept; those that are not ahead of their share need not be.
+constexpr std::size_t mostFinishTags = 1000;
 /// Assumed while no slot is known to become free.
 constexpr double leastFreedPerMs = 0.001;
 
@@ -93,19 +85,18 @@
 struct position_counter
 {
     int all = 0;
-    std::map<int, int> byPriority = {};
+    std::array<int, priorityCount> byPriority = {};
 
     /// Returns how many slots become free before the one for a request of this priority at the current position.
     int ahead(int priority) const
     {
-        const auto own = byPriority.find(priority);
-        return std::min(all, slotsPerTurn * ((own == byPriority.end() ? 0 : own->second) + 1) - 1);
+        return std::min(all, slotsPerTurn * (byPriority.at(static_cast<std::size_t>(priority)) + 1) - 1);
     }
 
     void pass(int priority)
     {
         ++all;
-        ++byPriority[priority];
+        ++byPriority.at(static_cast<std::size_t>(priority));
     }
 };
 
@@ -157,9 +148,8 @@
     const bool isOvertaken = isAheadOfShare(entry.startTag, level.virtualTime, costOf(entry.request));
     const auto margin = isOvertaken ? overtakenMargin : admissionMargin;
     // Clients that come back at their time go first.
-    const bool areReturnsDue
-        = entry.claim == slot_claim::in_time && queue.bookedUntilMs > static_cast<double>(now.time_since_epoch().count());
-    const auto wait = waitFor(counter.ahead(entry.request.priority), areReturnsDue ? (1 - bookedShare) * freedPerMs : freedPerMs);
+    const auto ownShare = entry.claim == slot_claim::in_time && areReturnsDue(queue.bookings, now) ? 1 - bookedShare : 1;
+    const auto wait = waitFor(counter.ahead(entry.request.priority), ownShare * freedPerMs);
     if (now + duration(static_cast<std::int64_t>(margin * static_cast<double>(wait.count()))) > entry.startBy) {
         return false;
     }
@@ -178,16 +168,6 @@
     return true;
 }
 
-/// A number that is different for each request, to spread the times at which clients come back.
-std::uint64_t drawOf(const slot_request &request, const endpoint &asker)
-{
-    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15;
-    constexpr int highBits = 32;
-    auto value = request.ticket * multiplier + std::hash<std::string>()(asker.host) + asker.port;
-    value = (value ^ (value >> highBits)) * multiplier;
-    return value >> highBits;
-}
-
 } // namespace
 
 duration latestFirstEvent(const slot_request &request, const slot_supply &supply)
@@ -213,13 +193,16 @@
         request, asker, slot_claim::in_time, now, now + slackOf(request, supply), now + latestFirstEvent(request, supply), 0};
     auto &level = queue.priorities[request.priority];
     entry.startTag = std::max(level.virtualTime, level.finishTags[request.organisation]);
+    if (queue.waiting.size() >= mostWaiting) {
+        return std::nullopt;
+    }
     int spares = 0;
     for (const auto &other : queue.waiting) {
         const bool isSameShare = other.request.priority == request.priority && other.request.organisation == request.organisation;
         entry.startTag += isSameShare ? costOf(other.request) : 0;
         spares += other.claim == slot_claim::spare ? 1 : 0;
     }
-    if (request.hasReturned && takeBooking(queue, request, now)) {
+    if (request.hasReturned && takeBooking(queue.bookings, request, now)) {
         entry.claim = slot_claim::returned;
         entry.startBy = std::max(entry.startBy, now + returnedSlack);
         entry.firstEventBy = instant::max();
@@ -256,6 +239,9 @@
     auto &finish = level.finishTags[request.organisation];
     level.virtualTime = std::max(level.virtualTime, finish);
     finish = level.virtualTime + costOf(request);
+    if (level.finishTags.size() > mostFinishTags) {
+        std::erase_if(level.finishTags, [&](const auto &entry) { return entry.second <= level.virtualTime; });
+    }
 }
 
 void recordDecision(slot_queue &queue, int priority, bool isAccepted, instant now)
@@ -288,7 +274,7 @@
 {
     for (auto position = queue.waiting.begin(); position != queue.waiting.end();) {
         const auto next = position++;
-        if (next->claim == slot_claim::spare && takeBooking(queue, next->request, now)) {
+        if (next->claim == slot_claim::spare && takeBooking(queue.bookings, next->request, now)) {
             auto promoted = *next;
             queue.waiting.erase(next);
             promoted.claim = slot_claim::returned;
@@ -298,60 +284,6 @@
     }
 }
 
-bool takeBooking(slot_queue &queue, const slot_request &request, instant now)
-{
-    const auto takeFirst = [&](std::deque<instant> &bookings) {
-        const bool isDue = !bookings.empty() && bookings.front() <= now;
-        if (isDue) {
-            bookings.pop_front();
-        }
-        return isDue;
-    };
-    const auto own = queue.bookings.find({request.organisation, request.priority});
-    // A new dispatcher does not know whom its predecessor refused.
-    return (own != queue.bookings.end() && takeFirst(own->second)) || takeFirst(queue.openBookings[request.priority])
-        || now - queue.startedAt < unknownBookingTime;
-}
-
-void ageBookings(slot_queue &queue, instant now)
-{
-    for (auto entry = queue.bookings.begin(); entry != queue.bookings.end();) {
-        auto &[key, bookings] = *entry;
-        while (!bookings.empty() && bookings.front() + ownBookingTime < now) {
-            queue.openBookings[key.second].push_back(bookings.front());
-            bookings.pop_front();
-        }
-        entry = bookings.empty() ? queue.bookings.erase(entry) : std::next(entry);
-    }
-    for (auto &[priority, bookings] : queue.openBookings) {
-        while (!bookings.empty() && bookings.front() + openBookingTime < now) {
-            bookings.pop_front();
-        }
-    }
-}
-
-duration bookReturn(slot_queue &queue, const slot_request &request, const endpoint &asker, double freedPerMs, instant now)
-{
-    auto &bookings = queue.bookings[{request.organisation, request.priority}];
-    if (request.hasReturned && !bookings.empty() && bookings.back() > now) {
-        // A client that came back too early has a booking already; a further one would reward that.
-        return bookings.back() - now;
-    }
-    const auto nowMs = static_cast<double>(now.time_since_epoch().count());
-    const auto first = nowMs + static_cast<double>(shortestReturn.count());
-    const auto next = std::max(queue.bookedUntilMs, first) + 1 / (bookedShare * std::max(leastFreedPerMs, freedPerMs));
-    const auto wait = duration(static_cast<std::int64_t>(next - nowMs));
-    const auto spread
-        = duration(static_cast<std::int64_t>(drawOf(request, asker) % static_cast<std::uint64_t>(wait.count() / spreadDivisor + 1)));
-    if (wait > longestReturn) {
-        return longestReturn + spread;
-    }
-    queue.bookedUntilMs = next;
-    const auto due = now + wait + spread;
-    bookings.insert(std::upper_bound(bookings.begin(), bookings.end(), due), due);
-    return due - now;
-}
-
 std::list<waiting_request>::iterator nextWaiting(slot_queue &queue)
 {
     for (const auto &[priority, level] : queue.priorities) {
--- a/Libraries/Dispatch/slot_queue.h
+++ b/Libraries/Dispatch/slot_queue.h
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Dispatch/return_bookings.h"
 #include "Libraries/Dispatch/slot_ledger.h"
 
-#include <deque>
 #include <list>
+#include <map>
 #include <optional>
-#include <utility>
 
 namespace vetchpost {
 
@@ -53,15 +53,7 @@
 {
     std::list<waiting_request> waiting;
     std::map<int, priority_level> priorities;
-    /// When refused clients were told to come back, in order, by organisation and priority.
-    std::map<std::pair<organisation_id, int>, std::deque<instant>> bookings;
-    /// Bookings by priority whose clients did not come back at once. They may have gone to another dispatcher of the model, as clients of
-    /// that one come here.
-    std::map<int, std::deque<instant>> openBookings;
-    /// When the dispatcher began to serve the model.
-    instant startedAt;
-    /// The last booked time, in milliseconds of the monotonic clock.
-    double bookedUntilMs = 0;
+    return_bookings bookings;
 };
 
 /// What the queue needs to know of the slots to judge a request.
@@ -92,14 +84,8 @@
 void recordDecision(slot_queue &queue, int priority, bool isAccepted, instant now);
 /// Removes and returns the requests that cannot be served any more.
 std::list<waiting_request> removeOverdue(slot_queue &queue, double freedPerMs, instant now);
-/// Opens the bookings whose clients did not come back to other clients, and drops them later.
-void ageBookings(slot_queue &queue, instant now);
 /// Gives waiting clients that came back too early their place once their time has come.
 void promoteReturned(slot_queue &queue, instant now);
-/// Removes the booking of a client that came back. Returns false if there is none for it that is due.
-bool takeBooking(slot_queue &queue, const slot_request &request, instant now);
-/// Chooses the time after which a refused client is to come back, and books a slot for it unless that was done before.
-duration bookReturn(slot_queue &queue, const slot_request &request, const endpoint &asker, double freedPerMs, instant now);
 
 // Queries.
 
--- a/Libraries/Dispatch/slot_request.h
+++ b/Libraries/Dispatch/slot_request.h
@@ -9,6 +9,9 @@
 
 namespace vetchpost {
 
+/// Number of priorities. Requests of less urgent ones count as of the last.
+constexpr int priorityCount = 10;
+
 /// One request that needs a slot at a group.
 struct slot_request
 {
