--- a/Meta/vetchpost.sh
+++ b/Meta/vetchpost.sh
@@ -16,7 +16,7 @@
                    The same for entry daemons on a stand-in of the users' platform; one daemon is stopped during a stream.
   test             Install missing packages, build, run all tests, including the process tests.
   lint             Check the formatting and run the linter.
-  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes, limits. The last lines are the results.
+  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes, limits, dispatch. The last lines are the results.
   fuzz [--seed N] [--steps N]
                    Run the fuzzers for longer, by default for 100000 steps.
   soak [--seed N] [--seconds S] [--daemons N] [--replicas N] [--clients N] [--deadly N] [--notices N] [--base-port N] [--keep DIR]
@@ -186,6 +186,7 @@
     repair) "$build/Benchmarks/benchRepair" ;;
     crashes) "$build/Benchmarks/benchCrashes" ;;
     limits) "$build/Benchmarks/benchLimits" ;;
+    dispatch) "$build/Benchmarks/benchDispatch" ;;
     *) echo "no benchmark $name" >&2; exit 2 ;;
     esac
 }
--- a/Tests/Dispatch/loadModel.h
+++ b/Tests/Dispatch/loadModel.h
@@ -78,7 +78,5 @@
 load_result runLoad(const load_options &options);
 /// The share of the callers of one kind to which something applies; -1 if there is no such caller.
 double shareOf(const load_result &result, const std::function<bool(const caller &)> &kind, const std::function<bool(const caller &)> &what);
-/// Prints the outcome by class, organisation and length.
-void printLoad(const char *name, const load_result &result);
 
 } // namespace vetchpost::test
