--- a/Benchmarks/benchDispatch.cpp
+++ b/Benchmarks/benchDispatch.cpp
@@ -36,7 +36,7 @@
     }
     const auto back = [&](const caller &next) { return kind(next) && !next.isHasty && !next.refusals.empty(); };
     const auto taken = shareOf(result, back, [](const caller &next) { return next.refusals.size() == 1 && next.firstEvent >= duration(); });
-    fmt::print("  {:14}: in time at once {:5.1f}%, in time {:5.1f}%, late {:5.1f}%, refused {:5.1f}% (after p50 {} p95 {} ms, told p50 {} "
+    fmt::print("  {:14}: in time at once {:5.1f}%, in time {:5.1f}%, late {:5.1f}%, refused {:5.1f}% (after p50 {} p99 {} ms, told p50 {} "
                "p99 {} ms, "
                "{:.1f}% taken on return), never served {:.1f}%\n",
                name,
@@ -45,7 +45,7 @@
                share([](const caller &next) { return next.isLate(); }),
                share([](const caller &next) { return !next.refusals.empty(); }),
                percentile(after, 50),
-               percentile(after, 95),
+               percentile(after, 99),
                percentile(told, 50),
                percentile(told, 99),
                100 * taken,
--- a/Libraries/Dispatch/slot_dispatcher.cpp
+++ b/Libraries/Dispatch/slot_dispatcher.cpp
@@ -34,6 +34,13 @@
     return {static_cast<double>(latestFirstEvent(request, supply).count()), 0};
 }
 
+slot_terms waitingTerms(const waiting_request &entry, instant now)
+{
+    // Beyond this time a refusal costs the client more than a first event that may be a little late.
+    const bool isAnyGroupBetter = now - entry.arrivedAt > promptRefusalTime;
+    return {isAnyGroupBetter ? std::numeric_limits<double>::max() : static_cast<double>((entry.firstEventBy - now).count()), 0};
+}
+
 slot_supply supplyOf(const slot_dispatcher &dispatcher, const model_ledger &model, const slot_request &request, instant now)
 {
     const auto first = firstEventAfterWait(dispatcher.ledger, model, request, now);
@@ -76,8 +83,7 @@
 bool serveAt(
     slot_dispatcher &dispatcher, model_ledger &model, slot_queue &queue, std::list<waiting_request>::iterator position, instant now)
 {
-    const auto terms = position->claim == slot_claim::spare ? lateTerms(model)
-                                                            : slot_terms{static_cast<double>((position->firstEventBy - now).count()), 0};
+    const auto terms = position->claim == slot_claim::spare ? lateTerms(model) : waitingTerms(*position, now);
     const bool isServed = serve(dispatcher, model, queue, *position, terms, now);
     if (isServed) {
         removeWaiting(queue, position);
@@ -134,7 +140,7 @@
     }
     auto &queue = dispatcher.queues[request.model];
     if (const auto waiting = findWaiting(queue, ticket); waiting != queue.waiting.end()) {
-        return {request.ticket, asker, slot_verdict::waiting, {}, std::max(duration(), waiting->startBy - now)};
+        return {request.ticket, asker, slot_verdict::waiting, {}, std::max(duration(), endOfWait(*waiting) - now)};
     }
     const auto supply = supplyOf(dispatcher, model->second, request, now);
     if (!hasClaims(queue)) {
--- a/Libraries/Dispatch/slot_queue.cpp
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -13,8 +13,10 @@
 constexpr double admissionMargin = 1.2;
 /// The same for a request that will probably be overtaken.
 constexpr double overtakenMargin = 3;
-/// A waiting request is refused early once the expected wait is this multiple of its slack: its turn is then out of reach.
-constexpr double hopelessMargin = 1.3;
+/// A waiting request is refused early if its slack is less than this multiple of the expected wait.
+constexpr double hopelessMargin = 1.1;
+/// How much longer a request waits for which a prompt refusal is no longer possible. A late first event is better than a late refusal.
+constexpr duration keptTime(300);
 /// Every priority with waiting requests gets at least one slot in this number.
 constexpr int slotsPerTurn = 10;
 /// Weight of one decision in a priority's share of accepted requests.
@@ -100,6 +102,12 @@
     }
 };
 
+/// Whether a prompt refusal of a waiting request is still possible.
+bool isNew(const waiting_request &entry, instant now)
+{
+    return now - entry.arrivedAt <= promptRefusalTime;
+}
+
 void countWaiting(slot_queue &queue, const waiting_request &entry, int difference)
 {
     if (entry.claim == slot_claim::spare) {
@@ -158,7 +166,7 @@
     countWaiting(queue, entry, 1);
     while (position != queue.waiting.end() && position->claim != slot_claim::spare) {
         const auto next = position++;
-        if (now + waitFor(counter.ahead(next->request.priority), freedPerMs) > next->startBy) {
+        if (isNew(*next, now) && now + waitFor(counter.ahead(next->request.priority), freedPerMs) > next->startBy) {
             countWaiting(queue, *next, -1);
             displaced.splice(displaced.end(), queue.waiting, next);
         } else {
@@ -177,6 +185,12 @@
     return isLongPrompt ? std::max(request.untilLate, longest) : request.untilLate;
 }
 
+instant endOfWait(const waiting_request &entry)
+{
+    const bool isKept = entry.claim != slot_claim::spare && entry.startBy - entry.arrivedAt > promptRefusalTime;
+    return isKept ? entry.startBy + keptTime : entry.startBy;
+}
+
 bool isLate(const slot_request &request, const slot_supply &supply)
 {
     return request.untilLate <= duration() || slackOf(request, supply) < duration();
@@ -209,7 +223,7 @@
     }
     if (entry.claim == slot_claim::returned || !(isLate(request, supply) || isFavoured(queue, request.priority, now))) {
         if (enqueueInTime(queue, entry, supply.freedPerMs, displaced, now)) {
-            return std::max(duration(), entry.startBy - now);
+            return endOfWait(entry) - now;
         }
     }
     if (!request.hasReturned || request.timeLeft <= duration() || spares >= mostSpares) {
@@ -259,8 +273,9 @@
         const auto next = position++;
         const auto wait = waitFor(counter.ahead(next->request.priority), freedPerMs).count();
         const auto slack = static_cast<double>((next->startBy - now).count());
-        const bool isHopeless = next->claim == slot_claim::in_time && static_cast<double>(wait) > hopelessMargin * slack + 1;
-        if (now > next->startBy || isHopeless) {
+        const bool isHopeless
+            = next->claim == slot_claim::in_time && isNew(*next, now) && hopelessMargin * static_cast<double>(wait) > slack + 1;
+        if (now > endOfWait(*next) || isHopeless) {
             countWaiting(queue, *next, -1);
             overdue.splice(overdue.end(), queue.waiting, next);
         } else {
--- a/Libraries/Dispatch/slot_queue.h
+++ b/Libraries/Dispatch/slot_queue.h
@@ -26,7 +26,7 @@
     endpoint asker;
     slot_claim claim = slot_claim::in_time;
     instant arrivedAt;
-    /// The request is refused if it has not got a slot by then.
+    /// The latest start with which it is in time; for a spare request, the end of its wait.
     instant startBy;
     /// The first event must be expected by then at the group that gets the request.
     instant firstEventBy;
@@ -66,6 +66,9 @@
     double readMs = 0;
 };
 
+/// The time within which a request is refused that cannot be served, with a margin to 50 ms for the way of the answer.
+constexpr duration promptRefusalTime(45);
+
 // Commands.
 
 /// Adds a request if it can be served in time, or later by a spare slot if the client was refused before. Returns its longest wait; nothing
@@ -93,6 +96,8 @@
 std::list<waiting_request>::iterator nextWaiting(slot_queue &queue);
 /// Returns the waiting request of a ticket, or the end.
 std::list<waiting_request>::iterator findWaiting(slot_queue &queue, const slot_ticket &ticket);
+/// Returns when a waiting request is refused that has not got a slot.
+instant endOfWait(const waiting_request &entry);
 /// Whether a request waits that is to get a slot before any new one.
 bool hasClaims(const slot_queue &queue);
 /// Returns the latest time to the first event with which a request is in time. It exceeds the objective for a prompt that alone takes most
