--- a/Libraries/Dispatch/slot_dispatcher.cpp
+++ b/Libraries/Dispatch/slot_dispatcher.cpp
@@ -41,12 +41,15 @@
     return {isAnyGroupBetter ? std::numeric_limits<double>::max() : static_cast<double>((entry.firstEventBy - now).count()), 0};
 }
 
-slot_supply supplyOf(const slot_dispatcher &dispatcher, const model_ledger &model, const slot_request &request, instant now)
+slot_supply
+supplyOf(const slot_dispatcher &dispatcher, const model_ledger &model, const slot_queue &queue, const slot_request &request, instant now)
 {
     const auto first = firstEventAfterWait(dispatcher.ledger, model, request, now);
     auto unread = request;
     unread.promptTokens = 0;
-    return {freedPerMs(dispatcher.ledger, model, now), first, first - firstEventAfterWait(dispatcher.ledger, model, unread, now)};
+    return {expectedServed(queue, freedPerMs(dispatcher.ledger, model, now)),
+            first,
+            first - firstEventAfterWait(dispatcher.ledger, model, unread, now)};
 }
 
 slot_answer refusalOf(slot_queue &queue, const slot_request &request, const endpoint &asker, double freed, instant now)
@@ -59,7 +62,7 @@
 grant(slot_dispatcher &dispatcher, slot_queue &queue, group_ledger &group, const slot_request &request, const endpoint &asker, instant now)
 {
     grantSlot(dispatcher.ledger, group, request, asker, now);
-    recordServed(queue, request);
+    recordServed(queue, request, now);
     return {request.ticket, asker, slot_verdict::granted, group.group.head, {}};
 }
 
@@ -142,7 +145,7 @@
     if (const auto waiting = findWaiting(queue, ticket); waiting != queue.waiting.end()) {
         return {request.ticket, asker, slot_verdict::waiting, {}, std::max(duration(), endOfWait(*waiting) - now)};
     }
-    const auto supply = supplyOf(dispatcher, model->second, request, now);
+    const auto supply = supplyOf(dispatcher, model->second, queue, request, now);
     if (!hasClaims(queue)) {
         const auto terms = isLate(request, supply) ? lateTerms(model->second) : termsInTime(request, supply);
         if (auto *group = bestGroup(dispatcher.ledger, model->second, request, terms, now)) {
@@ -194,7 +197,7 @@
             continue;
         }
         serveWaiting(dispatcher, model, queue, now);
-        const auto freed = freedPerMs(dispatcher.ledger, model, now);
+        const auto freed = expectedServed(queue, freedPerMs(dispatcher.ledger, model, now));
         auto overdue = removeOverdue(queue, freed, now);
         // A slot that no request in time needs is better than a refusal.
         overdue.remove_if([&](const waiting_request &entry) { return serve(dispatcher, model, queue, entry, lateTerms(model), now); });
--- a/Libraries/Dispatch/slot_queue.cpp
+++ b/Libraries/Dispatch/slot_queue.cpp
@@ -22,7 +22,7 @@
 /// Weight of one decision in a priority's share of accepted requests.
 constexpr double newestDecisionWeight = 0.02;
 /// By how much more often than a more urgent request another one is accepted.
-constexpr double toleratedShare = 0.02;
+constexpr double toleratedShare = 0;
 /// How long a refusal counts. Without a newer one the requests of its priority are served.
 constexpr duration refusalTime(300);
 /// The slack of a client that came back at the time that it was told.
@@ -38,6 +38,8 @@
 constexpr std::size_t mostWaiting = 1000;
 /// Organisations whose served tokens are kept; those that are not ahead of their share need not be.
 constexpr std::size_t mostFinishTags = 1000;
+/// The time over which the rate is measured at which the queue is served.
+constexpr duration servedWindow(100);
 /// Assumed while no slot is known to become free.
 constexpr double leastFreedPerMs = 0.001;
 
@@ -220,6 +222,9 @@
         entry.claim = slot_claim::returned;
         entry.startBy = std::max(entry.startBy, now + returnedSlack);
         entry.firstEventBy = instant::max();
+    } else if (!request.excluded.empty() && !isLate(request, supply)) {
+        // It had its turn already at a group that failed.
+        entry.claim = slot_claim::returned;
     }
     if (entry.claim == slot_claim::returned || !(isLate(request, supply) || isFavoured(queue, request.priority, now))) {
         if (enqueueInTime(queue, entry, supply.freedPerMs, displaced, now)) {
@@ -243,8 +248,25 @@
     queue.waiting.erase(position);
 }
 
-void recordServed(slot_queue &queue, const slot_request &request)
+double expectedServed(const slot_queue &queue, double freedPerMs)
+{
+    return queue.servedPerMs > 0 ? std::min(freedPerMs, queue.servedPerMs) : freedPerMs;
+}
+
+void recordServed(slot_queue &queue, const slot_request &request, instant now)
 {
+    if (!hasClaims(queue)) {
+        queue.servedPerMs = 0;
+        queue.servedInWindow = 0;
+        queue.windowStart = now;
+    }
+    ++queue.servedInWindow;
+    if (const auto window = now - queue.windowStart; window >= servedWindow) {
+        const auto rate = queue.servedInWindow / static_cast<double>(window.count());
+        queue.servedPerMs = queue.servedPerMs > 0 ? (queue.servedPerMs + rate) / 2 : rate;
+        queue.servedInWindow = 0;
+        queue.windowStart = now;
+    }
     for (auto &[priority, level] : queue.priorities) {
         level.passedOver += level.waiting > 0 ? 1 : 0;
     }
--- a/Libraries/Dispatch/slot_queue.h
+++ b/Libraries/Dispatch/slot_queue.h
@@ -12,7 +12,7 @@
 
 /// The right of a waiting request to a freed slot, from the first to the last.
 enum class slot_claim {
-    /// The client was refused before and came back at the time that it was told.
+    /// The request had a turn before: the client came back at the time that it was told, or a group failed to serve the request.
     returned,
     /// The first event can be in time.
     in_time,
@@ -53,6 +53,10 @@
 {
     std::list<waiting_request> waiting;
     std::map<int, priority_level> priorities;
+    /// Smoothed rate at which requests got slots while others waited, per millisecond; 0 while unknown.
+    double servedPerMs = 0;
+    int servedInWindow = 0;
+    instant windowStart;
     return_bookings bookings;
 };
 
@@ -81,8 +85,8 @@
                                        instant now);
 /// Removes a request that got a slot or was cancelled.
 void removeWaiting(slot_queue &queue, std::list<waiting_request>::iterator position);
-/// Records that a request got a slot, for the shares of organisations and priorities.
-void recordServed(slot_queue &queue, const slot_request &request);
+/// Records that a request got a slot, for the shares of organisations and priorities, and for the rate at which the queue is served.
+void recordServed(slot_queue &queue, const slot_request &request, instant now);
 /// Records whether a new request of a priority was accepted or refused.
 void recordDecision(slot_queue &queue, int priority, bool isAccepted, instant now);
 /// Removes and returns the requests that cannot be served any more.
@@ -96,6 +100,8 @@
 std::list<waiting_request>::iterator nextWaiting(slot_queue &queue);
 /// Returns the waiting request of a ticket, or the end.
 std::list<waiting_request>::iterator findWaiting(slot_queue &queue, const slot_ticket &ticket);
+/// Returns how many requests are expected to get a slot per millisecond, given the number of slots that are expected to become free.
+double expectedServed(const slot_queue &queue, double freedPerMs);
 /// Returns when a waiting request is refused that has not got a slot.
 instant endOfWait(const waiting_request &entry);
 /// Whether a request waits that is to get a slot before any new one.
--- a/Tests/Dispatch/loadModel.cpp
+++ b/Tests/Dispatch/loadModel.cpp
@@ -231,7 +231,7 @@
     void refuse(std::size_t index, duration told)
     {
         auto &from = m_result.callers[index];
-        from.refusals.push_back({m_now, m_now - from.asked, told});
+        from.refusals.push_back({m_now, m_now - from.asked, told, from.sent});
         const auto returns = static_cast<int>(from.refusals.size());
         if (from.isHasty ? returns <= mostHastyReturns : returns <= mostReturns) {
             later(from.isHasty ? duration(20) : told, [=, this] { ask(index); });
--- a/Tests/Dispatch/loadModel.h
+++ b/Tests/Dispatch/loadModel.h
@@ -39,6 +39,8 @@
     /// The time from the request to the refusal.
     duration after{};
     duration told{};
+    /// How often the request had been sent to a group, which rejected it.
+    int sent = 0;
 };
 
 /// One caller, with all its requests.
--- a/Tests/Dispatch/testSlotLoad.cpp
+++ b/Tests/Dispatch/testSlotLoad.cpp
@@ -103,6 +103,7 @@
               [&](const caller &next) { return isInBurst(next) && wasRefused(next); },
               [](const caller &next) { return next.refusals.front().after <= duration(50); })
           == 1);
+    for (const auto &next : result.callers) { if (isInBurst(next) && wasRefused(next) && next.refusals.front().after > duration(50)) printf("DBG after %ld tried %zu prompt %d first %ld at %ld refusals %zu\n", (long)next.refusals.front().after.count(), (size_t)next.refusals.front().sent, next.promptTokens, (long)next.firstEvent.count(), (long)next.refusals.front().at.time_since_epoch().count(), next.refusals.size()); }
     CHECK(takenOnReturn(result) > 0.98);
     std::vector<duration> firstEvents;
     for (const auto &next : result.callers) {
