--- a/Libraries/Dispatch/slot_ledger.cpp
+++ b/Libraries/Dispatch/slot_ledger.cpp
@@ -272,6 +272,9 @@
         }
         if (auto *group = findGroup(ledger, entry.second); group != nullptr) {
             --group->granted;
+            // Its release was lost, or its answer is much longer than expected.
+            group->hidden = hiddenAt(ledger.models.at(entry.second.model), *group, now) + 1;
+            group->hiddenAt = std::max(now, group->hiddenAt);
         }
         return true;
     });
--- a/Tests/PlatformAdapter/testPlatformDialect.cpp
+++ b/Tests/PlatformAdapter/testPlatformDialect.cpp
@@ -76,6 +76,39 @@
     CHECK_FALSE(configuration->organisations->at(1).priority);
 }
 
+TEST_CASE("The description of an engine's times is decoded, and unusable values count as not given")
+{
+    const platform_dialect dialect;
+    const auto engineOf = [&](const std::string &fields) {
+        reason why;
+        const auto text = R"({"Routes":[],"Services":[{"Name":"s","Engine":{"Slots":20,)" + fields + "}}]}";
+        const auto configuration = dialect.readConfiguration(text, why);
+        REQUIRE(configuration);
+        return configuration->services.at(0).engine.value();
+    };
+    const auto engine = engineOf(R"("step_ms":4.5,"per_seq_ms":0.1,"read_per_s":30000,"chunk":512,"Stride":4,"usual":{"prompt":400,"answer":112},
+        "delays":[{"From":"ikeja","TargetVersion":"v2","delay_ms":40},7])");
+    CHECK(engine.stepMs == 4.5);
+    CHECK(engine.perSequenceMs == 0.1);
+    CHECK(engine.readPerSecond == 30000);
+    CHECK(engine.chunkTokens == 512);
+    CHECK(engine.stride == 4);
+    CHECK(engine.usualPromptTokens == 400);
+    CHECK(engine.usualAnswerTokens == 112);
+    REQUIRE(engine.delays.size() == 1);
+    CHECK(engine.delays[0].from == data_centre_id("ikeja"));
+    CHECK(engine.delays[0].targetVersion == "v2");
+    CHECK(engine.delays[0].delay == duration(40));
+    const auto unusable = engineOf(R"("step_ms":-1,"per_seq_ms":"x","read_per_s":1e300,"chunk":null,"Stride":0,"usual":[],"delays":{"From":3})");
+    CHECK(unusable.stepMs == 0);
+    CHECK(unusable.perSequenceMs == 0);
+    CHECK(unusable.readPerSecond == 0);
+    CHECK(unusable.chunkTokens == 0);
+    CHECK(unusable.stride == 1);
+    CHECK(unusable.usualPromptTokens == 0);
+    CHECK(unusable.delays.empty());
+}
+
 TEST_CASE("An invalid configuration or replica entry is rejected with a reason")
 {
     const platform_dialect dialect;
