--- a/Libraries/Entry/entry_dialect.h
+++ b/Libraries/Entry/entry_dialect.h
@@ -15,6 +15,28 @@
 
 namespace vetchpost {
 
+/// What the contracts that a platform keeps allow the daemons to do.
+struct platform_features
+{
+    /// Requests may be placed by dispatchers.
+    bool hasSlotDispatch = false;
+    /// Contracts with names that are not known.
+    std::vector<std::string> unknown;
+};
+
+/// The size of a request as its client states it, in tokens. Values outside the possible range have been clamped.
+struct token_counts
+{
+    /// Tokens of the prompt; nothing if not stated.
+    std::optional<int> prompt;
+    /// The largest number of tokens that the answer may have; nothing if not stated.
+    std::optional<int> maximumAnswer;
+    /// The client's guess of the number of tokens of the answer; nothing if not stated.
+    std::optional<int> expectedAnswer;
+    /// Whether a stated value was not a number, or was clamped.
+    bool isInvalid = false;
+};
+
 /// The header fields of a client's request that the daemon interprets.
 struct client_request_head
 {
@@ -26,6 +48,7 @@
     model_id model;
     /// The id of the last event that the client has received of a stream to be resumed; empty for a new stream.
     std::string lastEvent;
+    token_counts tokens = {};
 };
 
 /// What a daemon adds to the header of a request that it sends to a replica.
@@ -72,6 +95,9 @@
     virtual std::optional<served_configuration> readConfiguration(const std::string &text, reason &lastReason) const = 0;
     virtual std::optional<served_replica> readReplica(const instance_id &id, const std::string &text, reason &lastReason) const = 0;
 
+    /// Translates the platform's names of contracts.
+    virtual platform_features featuresOf(const std::vector<std::string> &contracts) const = 0;
+
     virtual client_request_head readRequest(const std::vector<http_header> &headers) const = 0;
     /// The headers of a request to a replica: the client's headers without the hop-by-hop ones, and those that the daemon adds.
     virtual std::vector<http_header> replicaHeaders(const std::vector<http_header> &clientHeaders,
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -15,6 +15,10 @@
     settings.callers = readEndpoint(reader, "callers");
     settings.readiness = readEndpoint(reader, "readiness");
     settings.peers = readEndpoint(reader, "peers");
+    // A template leaves the value empty if the platform has none.
+    if (!reader.string("dispatch", "").empty()) {
+        settings.dispatch = readEndpoint(reader, "dispatch");
+    }
     reader.refuseUnknownKeys();
 }
 
@@ -57,10 +61,21 @@
     readListeners(reader.map("listen"), settings);
     readTiming(reader.map("timing"), settings);
     readRetries(reader.map("retries"), settings);
+    if (const auto contracts = reader.node("contracts"); contracts.IsDefined() && !contracts.IsNull()) {
+        settings.contracts = reader.strings("contracts");
+    }
+    if (!reader.string("dispatch", "").empty()) {
+        settings.dispatchSwitch = reader.flag("dispatch", false);
+    }
+    // The smallest instances have a tenth of a core.
+    settings.processorShare = reader.number("processor-share", 0.001, 1024, 1);
     settings.digest = fingerprintOf(text);
     settings.isLogOn = reader.flag("log", true);
     settings.lowestLogLevel = readLogLevel(reader);
     reader.refuseUnknownKeys();
+    if (settings.dispatchSwitch.value_or(false) && !settings.dispatch) {
+        reader.report("dispatch", "the address listen.dispatch, which slot dispatch needs");
+    }
     if (problems.size() != problemsBefore) {
         return std::nullopt;
     }
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -24,6 +24,8 @@
     endpoint readiness;
     /// Serves calls from other daemons and the metrics.
     endpoint peers;
+    /// Receives slot requests and their answers; nothing if the settings name no address.
+    std::optional<endpoint> dispatch;
     endpoint keyValue;
     /// Whether this is the first start of the whole system, before anything serves requests.
     bool isFirstStart = false;
@@ -49,6 +51,12 @@
     int retrySlack = 0;
     /// The time after which the coordinator's lease expires unless it is renewed.
     duration leaseTime{};
+    /// The contracts that the platform says it keeps, by its names for them.
+    std::vector<std::string> contracts;
+    /// Whether dispatchers place the requests; nothing if the contracts decide that.
+    std::optional<bool> dispatchSwitch;
+    /// The share of a core that this daemon may use.
+    double processorShare = 1;
     /// Whether decisions are logged to standard output.
     bool isLogOn = true;
     /// The digest of the text of the settings, to distinguish different settings.
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -105,3 +105,31 @@
     CHECK_FALSE(settings->isLogOn);
     CHECK(problemsOf(validSettings + "log: loud\n").size() == 1);
 }
+
+TEST_CASE("Slot dispatch has a switch, an address, contracts and a processor share, all of which may be missing")
+{
+    std::vector<yaml_problem> problems;
+    const auto without = readEntrySettings(validSettings + "contracts: \nprocessor-share: \ndispatch: \n", "entry.yaml", problems);
+    REQUIRE(without);
+    CHECK_FALSE(without->dispatch);
+    CHECK_FALSE(without->dispatchSwitch);
+    CHECK(without->contracts.empty());
+    CHECK(without->processorShare == 1);
+
+    auto text = validSettings;
+    text.replace(text.find("timing:"), 0, "  dispatch: 10.0.0.2:7341\n");
+    const auto filled
+        = readEntrySettings(text + "contracts: [\"pressure\",\"other\"]\nprocessor-share: 0.12\ndispatch: on\n", "entry.yaml", problems);
+    REQUIRE(filled);
+    CHECK(filled->dispatch->port == 7341);
+    CHECK(filled->dispatchSwitch == true);
+    CHECK(filled->contracts == std::vector<std::string>{"pressure", "other"});
+    CHECK(filled->processorShare == 0.12);
+
+    CHECK(problemsOf(validSettings + "dispatch: on\n").size() == 1);
+    CHECK(problemsOf(validSettings + "dispatch: perhaps\n").size() == 1);
+    CHECK(problemsOf(validSettings + "contracts: 7\n").size() == 1);
+    CHECK(problemsOf(validSettings + "processor-share: 0\n").size() == 1);
+    text.replace(text.find("10.0.0.2:7341"), 13, "nowhere");
+    CHECK(problemsOf(text).size() == 1);
+}
