--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -147,7 +147,12 @@
 std::vector<feed_datagram> store_follower::pendingPushes()
 {
     const std::lock_guard lock(d->mutex);
-    return vetchpost::pendingPushes(d->feed, monotonicNow());
+    const auto now = monotonicNow();
+    auto datagrams = vetchpost::pendingPushes(d->feed, now);
+    if (auto dispatchers = pendingDispatchers(d->feed, now)) {
+        datagrams.push_back(std::move(*dispatchers));
+    }
+    return datagrams;
 }
 
 void store_follower::setOrigin(const feed_origin &origin, int sourceDaemonCount)
@@ -179,6 +184,19 @@
     return totalDemand(d->feed, monotonicNow());
 }
 
+void store_follower::setDispatchers(const dispatcher_list &dispatchers)
+{
+    const std::lock_guard lock(d->mutex);
+    d->feed.dispatchers = dispatchers;
+    d->feed.dispatchersDigest = digestOf(dispatchers);
+}
+
+std::vector<dispatcher_candidate> store_follower::dispatcherCandidates(duration window) const
+{
+    const std::lock_guard lock(d->mutex);
+    return vetchpost::dispatcherCandidates(d->feed, window, monotonicNow());
+}
+
 std::vector<endpoint> store_follower::activeFollowers() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -64,6 +64,10 @@
     std::map<model_id, int> followersDemand(const service_id &service) const;
     /// Returns the number of requests for each model that the followers hold, over all services.
     std::vector<model_demand> followersDemand() const;
+    /// Sets the list of dispatchers, which pendingPushes() sends to the followers.
+    void setDispatchers(const dispatcher_list &dispatchers);
+    /// Returns the daemons that followers reported within \a window and that may be dispatchers.
+    std::vector<dispatcher_candidate> dispatcherCandidates(duration window) const;
     /// Returns the addresses of the followers that subscribed recently.
     std::vector<endpoint> activeFollowers() const;
     /// Returns the number of daemons that subscribed recently, directly or through a relay, plus this one.
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Feed/feed_messages.h"
 
 #include "Libraries/Base/json.h"
+#include "Libraries/Feed/dispatcher_codec.h"
 #include "Libraries/Feed/replica_codec.h"
 #include "Libraries/Feed/report_codec.h"
 
@@ -53,6 +54,9 @@
 constexpr auto incarnationField = "life";
 constexpr auto grantedField = "granted";
 constexpr auto waitField = "wait";
+constexpr auto candidatesField = "candidates";
+constexpr auto dispatchersDigestField = "dispatch_digest";
+constexpr auto dispatchersField = "dispatch";
 
 Json::Value number(std::uint64_t value)
 {
@@ -80,6 +84,12 @@
         entry[outstandingField] = demand.outstanding;
         json[demandField].append(std::move(entry));
     }
+    for (const auto &candidate : message.candidates) {
+        json[candidatesField].append(encodeCandidate(candidate));
+    }
+    if (message.dispatchersDigest) {
+        json[dispatchersDigestField] = number(*message.dispatchersDigest);
+    }
     return json;
 }
 
@@ -104,6 +114,9 @@
     for (const auto &change : message.changes) {
         json[changesField].append(encodeChange(change));
     }
+    if (message.dispatchers) {
+        json[dispatchersField] = encodeDispatchers(*message.dispatchers);
+    }
     return json;
 }
 
@@ -260,6 +273,10 @@
                                        model_id(jsonString(entry, modelField)),
                                        static_cast<int>(jsonNumber(entry, outstandingField))});
     }
+    subscription.candidates = decodeCandidates(jsonArray(json, candidatesField));
+    if (json.isMember(dispatchersDigestField)) {
+        subscription.dispatchersDigest = jsonNumber(json, dispatchersDigestField);
+    }
     return subscription;
 }
 
@@ -286,6 +303,13 @@
         }
         update.changes.push_back(std::move(*change));
     }
+    if (json.isMember(dispatchersField)) {
+        // The list has a datagram of its own, so that nothing else is lost with an invalid one.
+        update.dispatchers = decodeDispatchers(json[dispatchersField]);
+        if (!update.dispatchers) {
+            return std::nullopt;
+        }
+    }
     return update;
 }
 
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -4,6 +4,7 @@
 #include "Libraries/Base/endpoint.h"
 #include "Libraries/Base/identifier.h"
 #include "Libraries/Base/instant.h"
+#include "Libraries/Feed/dispatcher_list.h"
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Requests/crash_suspects.h"
 #include "Libraries/Requests/rate_permits.h"
@@ -47,6 +48,10 @@
     std::optional<endpoint> lostRelay = {};
     /// Whether the follower is shutting down: no other follower should be referred to it.
     bool isEnding = false;
+    /// The follower and some of the daemons behind it, if the source may name them as dispatchers.
+    std::vector<dispatcher_candidate> candidates = {};
+    /// Digest of the list of dispatchers that the follower has, 0 if it has none; empty if it wants none.
+    std::optional<std::uint64_t> dispatchersDigest = {};
 };
 
 /// The latest write or removal of a replica's entry in the key-value service.
@@ -89,6 +94,8 @@
     std::vector<replica_change> changes;
     /// Whether the sender no longer has all changes since the requested revision, so that the follower must list the entries itself.
     bool isHistoryLost = false;
+    /// The dispatchers of all models; empty if the follower has them already.
+    std::optional<dispatcher_list> dispatchers = {};
 };
 
 /// Sent to the source: the sender's requests make no progress at a replica.
--- a/Libraries/Feed/feed_publisher.cpp
+++ b/Libraries/Feed/feed_publisher.cpp
@@ -125,6 +125,8 @@
     subscriber.demand = subscription.demand;
     subscriber.dataCentre = subscription.dataCentre;
     subscriber.daemons = subscription.daemons;
+    subscriber.candidates = subscription.candidates;
+    subscriber.dispatchersDigest = subscription.dispatchersDigest;
 }
 
 feed_datagram
@@ -191,6 +193,37 @@
     return datagrams;
 }
 
+// Sent in a datagram of its own, since an update may already fill an Ethernet frame with changes.
+std::optional<feed_datagram> pendingDispatchers(feed_publisher &publisher, instant now)
+{
+    std::vector<endpoint> lacking;
+    for (auto &[id, subscriber] : publisher.subscribers) {
+        if (isSubscribed(subscriber, now) && publisher.dispatchersDigest != 0 && subscriber.dispatchersDigest
+            && *subscriber.dispatchersDigest != publisher.dispatchersDigest) {
+            subscriber.dispatchersDigest = publisher.dispatchersDigest;
+            lacking.push_back(subscriber.address);
+        }
+    }
+    if (lacking.empty()) {
+        return std::nullopt;
+    }
+    auto update = emptyUpdate(publisher, now);
+    update.after = update.upTo = publisher.upTo;
+    update.dispatchers = publisher.dispatchers;
+    return feed_datagram{std::move(lacking), std::move(update)};
+}
+
+std::vector<dispatcher_candidate> dispatcherCandidates(const feed_publisher &publisher, duration window, instant now)
+{
+    std::vector<dispatcher_candidate> candidates;
+    for (const auto &[id, subscriber] : publisher.subscribers) {
+        if (now - subscriber.lastSubscribedAt <= window) {
+            candidates.insert(candidates.end(), subscriber.candidates.begin(), subscriber.candidates.end());
+        }
+    }
+    return candidates;
+}
+
 std::vector<endpoint> activeFollowers(const feed_publisher &publisher, instant now)
 {
     std::vector<endpoint> followers;
--- a/Libraries/Feed/feed_publisher.h
+++ b/Libraries/Feed/feed_publisher.h
@@ -5,6 +5,7 @@
 #include "Libraries/Feed/feed_messages.h"
 
 #include <map>
+#include <optional>
 
 namespace vetchpost {
 
@@ -34,6 +35,10 @@
     data_centre_id dataCentre;
     /// Number of daemons behind the follower, itself included.
     int daemons = 1;
+    /// The follower and daemons behind it that may be dispatchers.
+    std::vector<dispatcher_candidate> candidates;
+    /// Digest of the list of dispatchers that was last sent to the follower or that it has reported; empty if it wants none.
+    std::optional<std::uint64_t> dispatchersDigest;
     /// Whether the follower was chosen to relay the feed to other daemons of its data centre.
     bool isRelay = false;
     /// Followers that were recently referred to this relay, and when. They are missing from its own count until its next subscription.
@@ -59,6 +64,10 @@
     feed_origin origin;
     /// Number of daemons that this daemon's own source reported; 0 on the source itself.
     int sourceDaemonCount = 0;
+    /// The dispatchers that this daemon chose as the source, or that its source reported.
+    dispatcher_list dispatchers;
+    /// Digest of \a dispatchers.
+    std::uint64_t dispatchersDigest = 0;
 };
 
 /// Applies a listing of all replicas' entries as of the key-value service's revision \a upTo. With \a isContinuous no entry can have
@@ -78,6 +87,10 @@
 answerSubscription(feed_publisher &publisher, const feed_subscription &subscription, const endpoint &from, instant now);
 /// Returns the changes that present followers have not been sent yet, marks them as sent, and removes followers that are no longer present.
 std::vector<feed_datagram> pendingPushes(feed_publisher &publisher, instant now);
+/// Returns the list of dispatchers for the followers that lack it, and marks it as sent.
+std::optional<feed_datagram> pendingDispatchers(feed_publisher &publisher, instant now);
+/// Returns the candidates that followers reported within \a window.
+std::vector<dispatcher_candidate> dispatcherCandidates(const feed_publisher &publisher, duration window, instant now);
 /// Returns the addresses of the followers that are present.
 std::vector<endpoint> activeFollowers(const feed_publisher &publisher, instant now);
 /// Returns how many requests of a service the present followers hold, by model.
