Explain: Say how dispatchers placed the attempts of a request

The field dispatch of a request's lines is turned into a sentence for each attempt, and changes of the dispatchers are part of the timeline.

--- a/Libraries/Explain/request_timeline.cpp
+++ b/Libraries/Explain/request_timeline.cpp
@@ -23,7 +23,7 @@
 /// Fields left out of the details because they are printed in columns of their own or add nothing.
 constexpr std::array<std::string_view, 5> omittedFields = {"ms", "steady_ms", "daemon", "part", "event"};
 /// Events of a daemon that affect all of its requests.
-constexpr std::array<std::string_view, 14> daemonEvents = {"started",
+constexpr std::array<std::string_view, 17> daemonEvents = {"started",
                                                            "stopping",
                                                            "stopped",
                                                            "store_lost",
@@ -36,7 +36,10 @@
                                                            "source_lost",
                                                            "repeats_shared",
                                                            "lines_left_out",
-                                                           "settings_read"};
+                                                           "settings_read",
+                                                           "dispatchers_named",
+                                                           "dispatcher_silent",
+                                                           "dispatcher_back"};
 
 /// Event of the line that holds a batch of request ids, for requests that have no lines of their own.
 constexpr std::string_view batchEvent = "roll";
@@ -97,6 +100,23 @@
     return entry.event == "refused" && found != std::string::npos && entry.details.substr(found + field.size(), 1) != " ";
 }
 
+bool containsText(const std::string &text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// Describes what a dispatcher's answer meant for an attempt.
+std::string describePlacement(const std::string &dispatch, const std::string &replica)
+{
+    if (containsText(dispatch, ": refused")) {
+        return fmt::format("A dispatcher refused the request, because it expected no slot in time ({})", dispatch);
+    }
+    if (containsText(dispatch, ": granted") && !containsText(dispatch, "not used")) {
+        return fmt::format("A dispatcher placed an attempt{} ({})", replica.empty() ? "" : " at " + replica, dispatch);
+    }
+    return fmt::format("An attempt was placed without a dispatcher ({})", dispatch);
+}
+
 std::string summariseOutcome(const std::vector<log_entry> &lines)
 {
     for (auto line = lines.rbegin(); line != lines.rend(); ++line) {
@@ -132,6 +152,7 @@
         line.replica = jsonString(*json, "replica");
         line.group = jsonString(*json, "group");
         line.identity = jsonString(*json, "identity");
+        line.dispatch = jsonString(*json, "dispatch");
         line.outcome = jsonString(*json, line.entry.event == "try_ended" ? "end" : "outcome");
         if (line.entry.event == batchEvent) {
             line.arrived = jsonString(*json, "arrived");
@@ -195,6 +216,7 @@
     std::set<std::string> daemons;
     std::set<std::string> identities;
     std::vector<log_entry> ownEntries;
+    std::string lastDispatch;
     for (const auto &line : m_lines) {
         if (const auto batchEntry = entryFromBatch(line, request)) {
             ownEntries.push_back(*batchEntry);
@@ -205,6 +227,11 @@
         }
         ownEntries.push_back(line.entry);
         daemons.insert(line.entry.daemon);
+        // The line on the end of the request repeats the answer for its last attempt.
+        if (!line.dispatch.empty() && line.dispatch != lastDispatch) {
+            timeline.placements.push_back(describePlacement(line.dispatch, line.replica));
+            lastDispatch = line.dispatch;
+        }
         if (!line.identity.empty()) {
             identities.insert(line.identity);
         }
--- a/Libraries/Explain/request_timeline.h
+++ b/Libraries/Explain/request_timeline.h
@@ -33,6 +33,8 @@
     std::vector<log_entry> entries;
     /// A sentence on how the request ended; empty if no line names the request.
     std::string outcomeSummary;
+    /// How dispatchers placed or refused the attempts of the request, or why they did not, one sentence for each attempt that says so.
+    std::vector<std::string> placements;
     /// The outcomes of other requests at the replicas of the request in the same period, one sentence for each replica that had any.
     /// Requests that were served in time are not counted.
     std::vector<std::string> otherRequests;
@@ -60,6 +62,8 @@
         std::string identity;
         /// The outcome of an attempt or of an answer.
         std::string outcome;
+        /// What a dispatcher answered for an attempt; empty if none was asked.
+        std::string dispatch;
         /// Ids of the requests that arrived and of those that were served in time, separated by spaces; empty unless the line is a batch of
         /// request ids.
         std::string arrived;
--- a/Tests/Explain/testRequestTimeline.cpp
+++ b/Tests/Explain/testRequestTimeline.cpp
@@ -128,3 +128,25 @@
         "i-1 in the same period, except those served in time: 1 late, 2 silent"));
     CHECK(collector.timelineOf("r6").otherRequests.empty());
 }
+
+TEST_CASE("The timeline says how dispatchers placed or refused the attempts, once for each attempt")
+{
+    std::istringstream log(
+        R"({"ms":900,"daemon":"d1","part":"dispatch","event":"dispatcher_silent","dispatcher":"d4"}
+{"ms":1000,"daemon":"d1","part":"request","event":"try_ended","request":"r1","replica":"h-1","end":"not_run","dispatch":"d3: granted after 12 ms"}
+{"ms":1050,"daemon":"d1","part":"request","event":"answered","request":"r1","replica":"h-2","dispatch":"d4: not asked, it does not answer"}
+{"ms":1060,"daemon":"d1","part":"request","event":"try_ended","request":"r2","replica":"h-2","end":"lost","dispatch":"d3: granted after 2 ms"}
+{"ms":1070,"daemon":"d1","part":"request","event":"answered","request":"r2","replica":"h-2","dispatch":"d3: granted after 2 ms"}
+{"ms":1080,"daemon":"d1","part":"request","event":"refused","request":"r3","dispatch":"d3: refused after 4 ms"}
+{"ms":1090,"daemon":"d1","part":"request","event":"answered","request":"r4","replica":"h-2","dispatch":""})");
+    log_collector collector;
+    collector.addLog(log);
+    const auto placements = collector.timelineOf("r1").placements;
+    REQUIRE(placements.size() == 2);
+    CHECK(placements[0] == "A dispatcher placed an attempt at h-1 (d3: granted after 12 ms)");
+    CHECK(placements[1] == "An attempt was placed without a dispatcher (d4: not asked, it does not answer)");
+    CHECK(collector.timelineOf("r1").entries.front().event == "dispatcher_silent");
+    CHECK(collector.timelineOf("r2").placements.size() == 1);
+    CHECK(collector.timelineOf("r3").placements.front().starts_with("A dispatcher refused the request"));
+    CHECK(collector.timelineOf("r4").placements.empty());
+}
--- a/Utilities/vetchpost/explain_command.cpp
+++ b/Utilities/vetchpost/explain_command.cpp
@@ -32,6 +32,9 @@
     for (const auto &entry : timeline.entries) {
         fmt::print("{:>7} ms  {:<20} {:<9} {:<22} {}\n", entry.milliseconds - begin, entry.daemon, entry.part, entry.event, entry.details);
     }
+    for (const auto &sentence : timeline.placements) {
+        fmt::print("{}\n", sentence);
+    }
     for (const auto &sentence : timeline.otherRequests) {
         fmt::print("{}\n", sentence);
     }
