Entry: Let dispatchers place the requests for groups

A request asks a dispatcher for a slot before each attempt, waits while its client stays, and is refused at once with the dispatcher's time. Without an answer it is placed by turns as before.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/Entry/assembly_runner.h"
 #include "Libraries/Entry/crash_interface.h"
 #include "Libraries/Entry/daemon_metrics.h"
+#include "Libraries/Entry/dispatch_service.h"
 #include "Libraries/Entry/request_handler.h"
 #include "Libraries/Platform/circuit_breaking_service.h"
 #include "Libraries/Platform/measured_store.h"
@@ -73,13 +74,23 @@
     std::thread m_thread;
 };
 
+/// Returns the settings without an address for slot requests if slot dispatch is off. A switch in the settings goes before the contracts.
+entry_settings withDispatchDecided(entry_settings settings, const platform_features &features)
+{
+    if (!settings.dispatchSwitch.value_or(features.hasSlotDispatch)) {
+        settings.dispatch.reset();
+    }
+    return settings;
+}
+
 } // namespace
 
 struct entry_daemon::private_data
 {
+    std::unique_ptr<entry_dialect> dialect;
+    const platform_features features;
     entry_settings settings;
     metrics counters;
-    std::unique_ptr<entry_dialect> dialect;
     std::unique_ptr<key_value_service> keyValue;
     std::mutex viewMutex;
     entry_view_builder views;
@@ -87,6 +98,11 @@
     store_follower store;
     shared_suspects suspects;
     shared_constraints constraints;
+    dispatcher_directory dispatchers;
+    dispatch_socket dispatchSocket;
+    dispatch_client dispatchClient;
+    dispatch_service dispatch;
+    gauge unknownContracts;
     peer_feed feed;
     assembly_runner assembly;
     crash_guard crashes;
@@ -97,8 +113,9 @@
     std::unique_ptr<http_server> operatorServer;
 
     private_data(const entry_settings &entrySettings, std::unique_ptr<entry_dialect> entryDialect, const store_maker &makeStore)
-        : settings(entrySettings)
-        , dialect(std::move(entryDialect))
+        : dialect(std::move(entryDialect))
+        , features(dialect->featuresOf(entrySettings.contracts))
+        , settings(withDispatchDecided(entrySettings, features))
         , keyValue(std::make_unique<circuit_breaking_service>(
               std::make_unique<measured_store>(makeStore(settings.keyValue, counters), counters), dialect->configurationKey()))
         , store(
@@ -114,11 +131,16 @@
               })
         , suspects(counters)
         , constraints(counters, [this] { store.updateLeaving(constraints.leaving()); })
+        , dispatchSocket(counters)
+        , dispatchClient(dispatchSocket, dispatchers, counters)
+        , dispatch(settings, dispatchSocket, dispatchClient, dispatchers, counters)
+        , unknownContracts(counters.addGauge("vetchpost_contracts_unknown", "Contracts in the settings with unknown names."))
         , feed(
               settings,
               store,
               suspects,
               constraints,
+              dispatchers,
               counters,
               [this] { return relay.inFlight.counts(); },
               [this](const stall_report &report) { assembly.handleStallReport(report); },
@@ -140,6 +162,7 @@
                 view,
                 crashes,
                 constraints,
+                dispatchClient,
                 counters,
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
@@ -159,13 +182,31 @@
         }
     }
 
+    /// Logs the contracts that are not known, and slot dispatch that has no address.
+    void reportContracts() const
+    {
+        unknownContracts.set(static_cast<double>(features.unknown.size()));
+        for (const auto &contract : features.unknown) {
+            daemonLog.write("contract_unknown", {{"contract", contract}});
+        }
+        if (settings.dispatch) {
+            daemonLog.write("dispatch_on", {{"address", settings.dispatch->text()}, {"processor_share", settings.processorShare}});
+        } else if (settings.dispatchSwitch.value_or(features.hasSlotDispatch)) {
+            daemonLog.write("dispatch_without_address", {});
+        }
+    }
+
     void rebuildView()
     {
         {
             const std::lock_guard lock(viewMutex);
             // Read before the directory, which may become newer in between, but not older.
             const bool isListed = store.listedAt().has_value();
-            view.replace(views.build(store.routes(), *store.directory(), isListed, settings.dataCentre));
+            auto newest = views.build(store.routes(), *store.directory(), isListed, settings.dataCentre);
+            if (settings.dispatch) {
+                dispatch.updateView(newest);
+            }
+            view.replace(std::move(newest));
         }
         assembly.replan();
     }
@@ -241,6 +282,7 @@
     d->operatorServer.reset();
     d->assembly.stop();
     d->crashes.stop();
+    d->dispatch.stop();
     d->feed.stop();
     d->store.stop();
     // The log's thread calls the relay's logRequestIds(), so it stops before the relay is destroyed.
@@ -272,6 +314,8 @@
     if (!d->settings.isFirstStart) {
         d->store.recordTraffic();
     }
+    d->reportContracts();
+    d->dispatch.start();
     d->feed.start();
     d->assembly.start();
     d->store.start();
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Entry/peer_feed.h"
 
 #include "Libraries/Base/event_log.h"
+#include "Libraries/Entry/dispatcher_naming.h"
 #include "Libraries/Entry/feed_socket.h"
 #include "Libraries/Entry/stall_report_limit.h"
 #include "Libraries/Feed/feed_follower.h"
@@ -38,6 +39,7 @@
     std::function<std::vector<model_demand>()> localDemand;
     std::function<void(const stall_report &)> didReceiveStallReport;
     std::function<void(const group_stall_warning &)> didReceiveStallWarning;
+    dispatcher_naming dispatcherNaming;
     feed_socket socket;
 
     mutable std::mutex mutex;
@@ -55,6 +57,7 @@
                  store_follower &storeFollower,
                  shared_suspects &sharedSuspects,
                  shared_constraints &sharedConstraints,
+                 dispatcher_directory &dispatchers,
                  metrics &counters,
                  std::function<std::vector<model_demand>()> demandSource,
                  std::function<void(const stall_report &)> handleStallReport,
@@ -67,6 +70,7 @@
         , localDemand(std::move(demandSource))
         , didReceiveStallReport(std::move(handleStallReport))
         , didReceiveStallWarning(std::move(stallWarningListener))
+        , dispatcherNaming(entrySettings, storeFollower, dispatchers, localDemand)
         , socket(counters)
     {
         wantsReplicas = !settings.isFirstStart;
@@ -84,6 +88,7 @@
             constraints.notifyDepartures();
             if (isSource() && monotonicNow() >= nextPush) {
                 nextPush = monotonicNow() + pushPeriod;
+                dispatcherNaming.chooseIfDue();
                 socket.sendAll(store.pendingPushes());
             } else if (!isSource()) {
                 // The changes that a relay reads itself while it has no source.
@@ -258,6 +263,7 @@
                 feedLog.write("source_heard", {{"source", from.text()}, {"hops", update.origin.hops}, {"daemons", update.daemons}});
             }
         }
+        dispatcherNaming.apply(update);
         store.applyUpdate(update, asked);
         // Sent at once, so that a relay adds nothing to the time for which the source gathers changes.
         socket.sendAll(store.pendingPushes());
@@ -345,6 +351,7 @@
             datagram = {{*follower.source}, std::move(subscription)};
         }
         auto &demand = std::get<feed_subscription>(datagram.message).demand;
+        dispatcherNaming.addTo(std::get<feed_subscription>(datagram.message));
         demand = store.followersDemand();
         for (auto &held : localDemand()) {
             demand.push_back(std::move(held));
@@ -357,6 +364,7 @@
                      store_follower &store,
                      shared_suspects &suspects,
                      shared_constraints &constraints,
+                     dispatcher_directory &dispatchers,
                      metrics &counters,
                      std::function<std::vector<model_demand>()> localDemand,
                      std::function<void(const stall_report &)> didReceiveStallReport,
@@ -365,6 +373,7 @@
                                        store,
                                        suspects,
                                        constraints,
+                                       dispatchers,
                                        counters,
                                        std::move(localDemand),
                                        std::move(didReceiveStallReport),
@@ -397,6 +406,7 @@
 void peer_feed::endRelaying()
 {
     bool mustNotify = false;
+    d->dispatcherNaming.end();
     {
         const std::lock_guard lock(d->mutex);
         mustNotify = !std::exchange(d->role.isEnding, true) && !d->role.isSource;
@@ -414,6 +424,7 @@
         wasSource = vetchpost::setSource(d->role, isSource);
     }
     d->store.setSource(isSource);
+    d->dispatcherNaming.setSource(isSource);
     if (wasSource != isSource) {
         d->constraints.resetPermits();
     }
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/metrics.h"
+#include "Libraries/Entry/dispatcher_directory.h"
 #include "Libraries/Entry/shared_constraints.h"
 #include "Libraries/Entry/shared_suspects.h"
 #include "Libraries/Entry/store_follower.h"
@@ -24,6 +25,7 @@
               store_follower &store,
               shared_suspects &suspects,
               shared_constraints &constraints,
+              dispatcher_directory &dispatchers,
               metrics &counters,
               std::function<std::vector<model_demand>()> localDemand,
               std::function<void(const stall_report &)> didReceiveStallReport,
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -35,11 +35,13 @@
                              const entry_view_snapshot &view,
                              crash_guard &crashGuard,
                              shared_constraints &replicaConstraints,
+                             dispatch_client &dispatchClient,
                              metrics &allCounters,
                              std::function<void(const instance_id &)> stallReporter)
     : dialect(entryDialect)
     , crashes(crashGuard)
     , constraints(replicaConstraints)
+    , dispatch(dispatchClient)
     , counters(allCounters)
     , reportStall(std::move(stallReporter))
     , requestMetrics(allCounters)
@@ -47,6 +49,8 @@
     , served(allCounters.addCounter("vetchpost_requests_served_total", "Requests whose whole answer was passed on."))
     , resumed(allCounters.addCounter("vetchpost_streams_resumed_total", "Streams that another replica went on with."))
     , retried(allCounters.addCounter("vetchpost_requests_retried_total", "Requests that were sent to a second replica."))
+    , invalidTokenCounts(allCounters.addCounter("vetchpost_token_counts_invalid_total",
+                                                "Requests whose stated numbers of tokens are no numbers or out of range."))
     , m_settings(settings)
     , m_store(store)
     , m_feed(feed)
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -4,6 +4,7 @@
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Base/rcu_snapshot.h"
 #include "Libraries/Entry/crash_guard.h"
+#include "Libraries/Entry/dispatch_client.h"
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Entry/in_flight_requests.h"
@@ -39,6 +40,7 @@
                   const entry_view_snapshot &view,
                   crash_guard &crashes,
                   shared_constraints &constraints,
+                  dispatch_client &dispatch,
                   metrics &counters,
                   std::function<void(const instance_id &)> reportStall);
 
@@ -75,6 +77,12 @@
 
     /// Adds the share of a new request to this daemon's part of the service's retry budget.
     void recordFirstAttempt(const service_id &service);
+    /// Whether dispatchers place the requests for models in groups.
+    bool isDispatchOn() const
+    {
+        return m_settings.dispatch.has_value();
+    }
+
     /// Consumes one retry of this daemon's part of the service's retry budget. Returns false if it is exhausted.
     bool consumeRetry(const service_id &service);
 
@@ -88,6 +96,7 @@
     const entry_dialect &dialect;
     crash_guard &crashes;
     shared_constraints &constraints;
+    dispatch_client &dispatch;
     metrics &counters;
     /// Reports that the group with this head seems to have stalled.
     const std::function<void(const instance_id &)> reportStall;
@@ -103,6 +112,8 @@
     counter served;
     counter resumed;
     counter retried;
+    /// Requests whose stated size is not valid.
+    counter invalidTokenCounts;
 
 private:
     key_revocation_policy keyBound() const;
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -30,6 +30,10 @@
         logAnswered(outcome);
         return;
     }
+    if (m_refusal) {
+        refuse(error_kind::overloaded, m_refusal->text, m_refusal->retryAfter);
+        return;
+    }
     if (m_hasBegun) {
         recordResult(request_outcome::broken_off);
         requestLog.writeEssential("broken_off",
@@ -43,7 +47,8 @@
                                    {"held_ms", elapsed().count()},
                                    {"first_ms", timeToFirstEvent().value_or(duration(-1)).count()},
                                    {"pause_ms", m_longestPause.count()},
-                                   {"last_event", m_events.lastId()}});
+                                   {"last_event", m_events.lastId()},
+                                   {"dispatch", m_dispatchText}});
         m_exchange.abort();
         return;
     }
@@ -56,7 +61,8 @@
                                    {"status", m_failure->head.status},
                                    {"no_repeat", m_noRetryReason},
                                    {"tries", m_attempts},
-                                   {"held_ms", elapsed().count()}});
+                                   {"held_ms", elapsed().count()},
+                                   {"dispatch", m_dispatchText}});
         return;
     }
     if (m_mayHaveRun && !m_route->mayRunAgain()) {
@@ -113,6 +119,7 @@
                                {"last_try", m_lastReason},
                                {"no_repeat", m_noRetryReason},
                                {"closed", m_blockedBackends.text()},
+                               {"dispatch", m_dispatchText},
                                {"come_back_ms", retryAfter.value_or(duration(0)).count()},
                                {"tries", m_attempts},
                                {"held_ms", elapsed().count()},
@@ -144,7 +151,8 @@
                                {"time_left_ms", timeLeft().count()},
                                {"first_ms", first.value_or(duration(-1)).count()},
                                {"pause_ms", m_longestPause.count()},
-                               {"last_event", m_events.lastId()}});
+                               {"last_event", m_events.lastId()},
+                               {"dispatch", m_dispatchText}});
 }
 
 /// Counts the outcome of the request. Returns true if its id is logged in a batch, so that no line of its own is needed.
@@ -181,7 +189,8 @@
                                {"replica_found", m_replicaLiveness ? replicaLivenessName(*m_replicaLiveness) : ""},
                                {"others_there", m_concurrentRequests},
                                {"try_ms", (monotonicNow() - m_attemptStart).count()},
-                               {"last_event", m_events.lastId()}});
+                               {"last_event", m_events.lastId()},
+                               {"dispatch", m_dispatchText}});
 }
 
 /// The time from the request's arrival until the first part of its answer was sent; empty if none was.
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/request_handler.h"
 
-#include "Libraries/Entry/random_number.h"
+#include "Libraries/Base/event_log.h"
 
 #include <algorithm>
 
@@ -9,36 +9,16 @@
 
 namespace {
 
+constexpr event_log requestLog("request");
 /// Connections within a site are established in a few milliseconds; an address that does not answer is given up after this time.
 constexpr duration connectTimeout(250);
 /// The time limit of a request that states none.
 constexpr duration defaultTimeout(30000);
-/// No replica can answer in less time than this.
-constexpr duration minimumTimeLeft(15);
 /// A starting daemon reads its configuration within this time, even a large one through a small instance's network link.
 constexpr duration firstConfigurationWait(300);
-/// A starting daemon lists its replicas within this time, even thousands of them through such a link while other daemons do the same.
-constexpr duration firstListingWait(1000);
-/// Replicas that could not be connected to do not count as attempts; the request is given up after this many of them.
-constexpr int maximumUnreachable = 4;
-/// The time that a request waits for a permit if no other replica is available. A permit takes one round trip of a few milliseconds.
-constexpr duration maximumPermitWait(100);
-/// How often a waiting request asks again for a permit whose request was put off.
-constexpr duration permitPollPeriod(10);
 /// Weight of the newest value in an exponential moving average of answer times.
 constexpr double newestWeight = 0.2;
 
-bool isKnownModel(const engine_description &engine, const model_id &id)
-{
-    return std::any_of(engine.models.begin(), engine.models.end(), [&](const group_model &model) { return model.id == id; });
-}
-
-std::vector<instance_id> joined(std::vector<instance_id> first, const std::vector<instance_id> &second)
-{
-    first.insert(first.end(), second.begin(), second.end());
-    return first;
-}
-
 } // namespace
 
 request_handler::request_handler(relay_context &context, http_exchange &exchange)
@@ -68,6 +48,10 @@
     m_headers = m_exchange.headers();
     m_head = m_context.dialect.readRequest(m_headers);
     m_context.requestIds.addArrival(m_head.requestId.value());
+    if (m_head.tokens.isInvalid && m_context.isDispatchOn()) {
+        m_context.invalidTokenCounts.increment();
+        requestLog.write("token_counts_invalid", {{"request", m_head.requestId.value()}});
+    }
     m_deadline = m_arrival + m_head.patience.value_or(defaultTimeout);
     const bool hasLength = !m_exchange.header("Content-Length").empty();
     const bool isChunked = !m_exchange.header("Transfer-Encoding").empty();
@@ -135,160 +119,6 @@
 
 // Attempts.
 
-/// Chooses the service, checks whether the request is admitted, and runs it on replicas until it is finished.
-void request_handler::dispatch()
-{
-    const auto *chosen = chooseService(*m_route, randomNumber());
-    m_service = chosen == nullptr ? nullptr : m_view->routes->findService(*chosen);
-    if (m_service == nullptr) {
-        refuse(error_kind::no_serving_group, "the route has no service", refusal_scope::all_daemons);
-        return;
-    }
-    if (const auto time = refusedFor()) {
-        refuse(error_kind::crashing_request, "several replicas have ended while running this request", time);
-        return;
-    }
-    if (!awaitReplicaList()) {
-        refuse(error_kind::platform_unavailable, "the replicas have not been listed yet", m_context.scopeWithoutListing());
-        return;
-    }
-    m_context.recordFirstAttempt(m_service->id);
-    if (m_head.patience) {
-        m_priorWait = m_context.priorWait(m_route->name, *m_head.patience, m_arrival);
-    }
-    // Clients must not be able to grow the counts with unknown model names.
-    const bool isCounted = m_service->engine && isKnownModel(*m_service->engine, m_head.model);
-    if (isCounted && isStream() && !m_context.shedding.isAdmitted(m_service->id, m_head.model, randomNumber(), m_arrival)) {
-        refuse(error_kind::overloaded, "the model is overloaded: most first events are late", refusal_scope::whole_model);
-        return;
-    }
-    if (isCounted) {
-        m_context.inFlight.add(m_service->id, m_head.model);
-    }
-    const auto outcome = runAttempts();
-    if (isCounted) {
-        m_context.inFlight.remove(m_service->id, m_head.model);
-    }
-    finish(outcome);
-}
-
-/// Waits until the replicas have been listed or at least one replica for the request is known, and returns whether that is so. A starting
-/// daemon lists the replicas after it has read its configuration. Requests that arrive earlier wait, since clients retry only a few times
-/// and the next daemon may have just started as well.
-bool request_handler::awaitReplicaList() const
-{
-    const auto isEnough = [this](const entry_view &view) { return view.isListed || !view.backends(*m_service, m_head.model).empty(); };
-    return m_context.awaitView(std::min(m_arrival + firstListingWait, m_deadline - minimumTimeLeft), isEnough);
-}
-
-/// Runs the request on one replica after another until it is finished or may not be retried. Returns the outcome of the last attempt.
-attempt_outcome request_handler::runAttempts()
-{
-    auto outcome = attempt_outcome::not_sent;
-    do {
-        const auto target = chooseReplica();
-        if (!target) {
-            m_lastReason += m_lastReason.empty() ? "no replica accepts requests" : "; no other replica accepts requests";
-            m_noRetryReason = "no other replica accepts requests";
-            break;
-        }
-        outcome = runAttempt(*target);
-    } while (mayRetry(outcome));
-    return outcome;
-}
-
-/// Chooses the replica for the next attempt and takes the permit that it needs, waiting briefly for a permit if no other replica is
-/// available. Returns nothing if no untried replica accepts the request.
-std::optional<backend> request_handler::chooseReplica()
-{
-    const auto until = monotonicNow() + std::min(maximumPermitWait, timeLeft() - minimumTimeLeft);
-    for (;;) {
-        // A replica may have been removed while the request waited, so the newest view is used.
-        const auto newest = m_context.currentView();
-        const auto &candidates = newest->backends(*m_service, m_head.model);
-        m_blockedBackends = m_context.constraints.blockedBackends(candidates, m_triedReplicas);
-        const bool isPermitRequested
-            = m_blockedBackends.limited > 0 && m_context.requestAnyPermit(candidates, m_triedReplicas, randomNumber());
-        const auto excluded = joined(m_triedReplicas, m_blockedBackends.replicas);
-        const bool hasSpareCapacity = m_context.shedding.hasSpareCapacity(m_service->id, m_head.model);
-        const auto now = monotonicNow();
-        const auto *best = chooseBackend(
-            candidates, excluded, newest->dataCentre, now, m_context.nextSequenceNumber(), randomNumber(), hasSpareCapacity);
-        if (best != nullptr && m_context.constraints.consumePermit(*best)) {
-            return *best;
-        }
-        // If no replica accepts requests, it is only worth waiting if a permit may arrive and a replica is unblocked in time.
-        if (best == nullptr && (!isPermitRequested || m_blockedBackends.unblockedAt.value_or(until) >= until || now >= until)) {
-            return std::nullopt;
-        }
-        if (best == nullptr) {
-            m_context.constraints.awaitPermit(std::min(until, now + permitPollPeriod));
-        }
-    }
-}
-
-/// Whether an untried replica accepts requests, or is expected to within \a time.
-bool request_handler::hasAvailableReplica(duration time) const
-{
-    const auto newest = m_context.currentView();
-    const auto &candidates = newest->backends(*m_service, m_head.model);
-    const auto blocked = m_context.constraints.blockedBackends(candidates, m_triedReplicas);
-    const bool isUnblockedSoon = blocked.unblockedAt && *blocked.unblockedAt < monotonicNow() + time;
-    return isUnblockedSoon || hasUntried(candidates, joined(m_triedReplicas, blocked.replicas));
-}
-
-/// Whether the request may be sent to another replica after an attempt with this outcome. Consumes a retry of the budget unless one has
-/// been reserved or nothing was sent. Sets m_noRetryReason where it returns false.
-bool request_handler::mayRetry(attempt_outcome outcome)
-{
-    if (outcome == attempt_outcome::answered || outcome == attempt_outcome::caller_left || outcome == attempt_outcome::timed_out
-        || timeLeft() < minimumTimeLeft) {
-        m_noRetryReason = "no time is left";
-        return false;
-    }
-    if (outcome == attempt_outcome::withdrawn || refusedFor()) {
-        m_noRetryReason = "replicas have ended while running the same request";
-        return false;
-    }
-    if (outcome == attempt_outcome::not_sent) {
-        m_noRetryReason = "too many replicas could not be reached";
-        return ++m_unreachableReplicas < maximumUnreachable;
-    }
-    if (outcome != attempt_outcome::not_run && !m_route->mayRunAgain()) {
-        m_noRetryReason = "the request may have run";
-        return false;
-    }
-    if (m_attempts >= m_route->maximumAttempts) {
-        m_noRetryReason = "the route allows no more attempts";
-        return false;
-    }
-    if (!hasAvailableReplica(maximumPermitWait)) {
-        m_noRetryReason = "no other replica accepts requests";
-        return false;
-    }
-    if (!std::exchange(m_hasReservedRetry, false) && !m_context.consumeRetry(m_service->id)) {
-        m_noRetryReason = "the retry budget is exhausted";
-        return false;
-    }
-    m_context.retried.increment();
-    if (m_hasBegun) {
-        m_context.resumed.increment();
-    }
-    return true;
-}
-
-/// Whether an attempt at a silent replica may be abandoned for another one; if so, a retry is consumed from the budget and reserved. This
-/// is decided before the attempt is abandoned, since the answer may still arrive and no other replica may be able to take the request.
-bool request_handler::reserveRetry()
-{
-    const bool isRetryAllowed = m_route->mayRunAgain() && m_attempts < m_route->maximumAttempts;
-    if (!isRetryAllowed || !hasAvailableReplica(duration())) {
-        return false;
-    }
-    m_hasReservedRetry = m_context.consumeRetry(m_service->id);
-    return m_hasReservedRetry;
-}
-
 /// Runs one attempt on a replica, and updates what is known of the replica and of the request.
 attempt_outcome request_handler::runAttempt(const backend &target)
 {
@@ -349,8 +179,7 @@
     head.timeLeft = timeLeft();
     head.organisation = organisation();
     head.lastEvent = m_events.lastId().empty() ? m_head.lastEvent : m_events.lastId();
-    const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority;
-    head.priority = replicaPriority(hasOwnPriority ? *m_organisation->priority : m_route->priority, isLate());
+    head.priority = replicaPriority(priority(), isLate());
     http_call call;
     call.to = target.address;
     call.method = m_exchange.method();
@@ -397,6 +226,13 @@
     }
 }
 
+/// The priority of the request: its organisation's, or that of the route.
+int request_handler::priority() const
+{
+    const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority;
+    return hasOwnPriority ? *m_organisation->priority : m_route->priority;
+}
+
 /// The organisation whose key the request carries; empty on routes that require no key.
 organisation_id request_handler::organisation() const
 {
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -15,8 +15,9 @@
 
 namespace vetchpost {
 
-/// Handles one client request on the thread of its connection. request_handler.cpp holds validation and the choice of replicas,
-/// request_answer.cpp the relaying of a replica's answer, request_finish.cpp the final answer and the log.
+/// Handles one client request on the thread of its connection. request_handler.cpp holds validation and the sending of an
+/// attempt, request_placement.cpp the choice of replicas and retries, request_answer.cpp the relaying of a replica's answer,
+/// request_finish.cpp the final answer and the log.
 class request_handler
 {
 public:
@@ -28,12 +29,21 @@
     void serve();
 
 private:
+    /// No replica can answer in less time than this.
+    static constexpr duration minimumTimeLeft{15};
+
     struct buffered_answer
     {
         upstream_head head;
         std::string body;
     };
 
+    struct pending_refusal
+    {
+        std::string text;
+        std::optional<duration> retryAfter;
+    };
+
     bool readRequest();
     bool findRoute();
     bool authenticate();
@@ -60,7 +70,14 @@
     std::optional<duration> timeToFirstEvent() const;
     duration elapsed() const;
 
-    std::optional<backend> chooseReplica();
+    std::optional<backend> placeByDispatcher();
+    slot_request slotRequest() const;
+    duration untilLate() const;
+    std::optional<backend> takeOpenReplica(const instance_id &head) const;
+    void releasePlace(attempt_outcome outcome);
+    bool isShed() const;
+    int priority() const;
+    std::optional<backend> chooseReplica(const std::vector<instance_id> &others);
     bool hasAvailableReplica(duration time) const;
     attempt_outcome runAttempt(const backend &target);
     attempt_outcome sendAndRelay(const backend &target);
@@ -101,6 +118,16 @@
     std::vector<instance_id> m_triedReplicas;
     /// The untried replicas that accepted no requests when a replica was last chosen.
     blocked_backends m_blockedBackends;
+    /// Whether dispatchers are asked to place the attempts.
+    bool m_isDispatched = false;
+    /// The slot of the current attempt, if a dispatcher granted one.
+    std::optional<slot_place> m_place;
+    /// What the last dispatcher answered, for the log.
+    std::string m_dispatchText;
+    /// Set if the request is refused as overloaded before it is sent.
+    std::optional<pending_refusal> m_refusal;
+    /// The client left while the request waited for a slot.
+    bool m_hasCallerLeft = false;
     /// Attempts in which a replica was reached.
     int m_attempts = 0;
     int m_unreachableReplicas = 0;
--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -222,6 +222,8 @@
         settings.callers = freePort();
         settings.readiness = freePort();
         settings.peers = freePort();
+        settings.dispatch = m_dispatch;
+        settings.dispatchSwitch = m_dispatch.has_value();
         settings.maximumConnections = 16;
         settings.keyRevocation = duration(1500);
         settings.isKeyRevocationStrict = m_isKeyRevocationStrict;
@@ -254,6 +256,12 @@
         m_values["vetchpost/coordinator"] = address;
     }
 
+    /// From the next start on, dispatchers place the requests for models in groups.
+    void enableDispatch(const endpoint &address)
+    {
+        m_dispatch = address;
+    }
+
     endpoint peers() const
     {
         return m_peers;
@@ -361,6 +369,7 @@
     duration m_stopGrace{3000};
     endpoint m_callers;
     endpoint m_peers;
+    std::optional<endpoint> m_dispatch;
     std::unique_ptr<entry_daemon> m_daemon;
 };
 
--- a/Tests/PlatformAdapter/testRelayTimeouts.cpp
+++ b/Tests/PlatformAdapter/testRelayTimeouts.cpp
@@ -1,12 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // How long a request waits for a replica, and when it is retried elsewhere.
 #include "Tests/PlatformAdapter/relayFixture.h"
-
-#include "Libraries/Feed/feed_messages.h"
-
-#include <Poco/Net/DatagramSocket.h>
-
-#include <array>
+#include "Tests/PlatformAdapter/scriptedCoordinator.h"
 
 using namespace vetchpost;
 using namespace vetchpost::test;
@@ -64,40 +59,6 @@
 
 namespace {
 
-/// A coordinator that sends only what a test makes it send.
-class scripted_coordinator
-{
-public:
-    scripted_coordinator()
-        : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
-    {
-    }
-
-    std::string address() const
-    {
-        return m_socket.address().toString();
-    }
-
-    /// Waits until the daemon follows it.
-    bool isFollowed()
-    {
-        std::array<char, 2048> bytes{};
-        constexpr int patienceSeconds = 5;
-        return m_socket.poll(Poco::Timespan(patienceSeconds, 0), Poco::Net::Socket::SELECT_READ)
-            && m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size())) > 0;
-    }
-
-    /// Sends a warning that the group with this head has probably stalled.
-    void sendStallWarning(const std::string &head, const endpoint &to)
-    {
-        const auto bytes = encodeFeedMessage(group_stall_warning{instance_id(head)});
-        m_socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(to.host, to.port));
-    }
-
-private:
-    Poco::Net::DatagramSocket m_socket;
-};
-
 /// The number of clients' requests that the replica received; the daemon's own probes are not counted.
 std::ptrdiff_t clientRequests(const scripted_replica &replica)
 {
