--- a/Meta/vetchpost.sh
+++ b/Meta/vetchpost.sh
@@ -16,7 +16,7 @@
                    The same for entry daemons on a stand-in of the users' platform; one daemon is stopped during a stream.
   test             Install missing packages, build, run all tests, including the process tests.
   lint             Check the formatting and run the linter.
-  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes, limits, dispatch. The last lines are the results.
+  bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes, limits, dispatch, slots. The last lines are the results.
   fuzz [--seed N] [--steps N]
                    Run the fuzzers for longer, by default for 100000 steps.
   soak [--seed N] [--seconds S] [--daemons N] [--replicas N] [--clients N] [--deadly N] [--notices N] [--base-port N] [--keep DIR]
@@ -187,6 +187,7 @@
     crashes) "$build/Benchmarks/benchCrashes" ;;
     limits) "$build/Benchmarks/benchLimits" ;;
     dispatch) "$build/Benchmarks/benchDispatch" ;;
+    slots) "$build/Benchmarks/benchSlotCosts" ;;
     *) echo "no benchmark $name" >&2; exit 2 ;;
     esac
 }
