--- a/Benchmarks/benchDispatch.cpp
+++ b/Benchmarks/benchDispatch.cpp
@@ -91,6 +91,7 @@
     constexpr int decisions = 20000;
     slot_dispatcher dispatcher;
     std::vector<dispatch_group> told;
+    told.reserve(groups);
     for (int i = 0; i < groups; ++i) {
         told.push_back(
             {instance_id("replica-" + std::to_string(i)), replica_incarnation(1), model_id("m"), data_centre_id("a"), slots, 1, {}, {}});
--- a/Libraries/Dispatch/slot_dispatcher.cpp
+++ b/Libraries/Dispatch/slot_dispatcher.cpp
@@ -128,6 +128,21 @@
     }
 }
 
+void advanceQueue(slot_dispatcher &dispatcher, model_ledger &model, slot_queue &queue, instant now)
+{
+    ageBookings(queue.bookings, now);
+    promoteReturned(queue, now);
+    if (queue.waiting.empty()) {
+        return;
+    }
+    serveWaiting(dispatcher, model, queue, now);
+    const auto freed = expectedServed(queue, freedPerMs(dispatcher.ledger, model, now));
+    auto overdue = removeOverdue(queue, freed, now);
+    // A slot that no request in time needs is better than a refusal.
+    overdue.remove_if([&](const waiting_request &entry) { return serve(dispatcher, model, queue, entry, lateTerms(model), now); });
+    refuse(dispatcher, queue, overdue, freed, now);
+}
+
 } // namespace
 
 slot_answer requestSlot(slot_dispatcher &dispatcher, const slot_request &asked, const endpoint &asker, instant now)
@@ -190,18 +205,7 @@
 {
     expireGrants(dispatcher.ledger, now);
     for (auto &[id, model] : dispatcher.ledger.models) {
-        auto &queue = dispatcher.queues[id];
-        ageBookings(queue.bookings, now);
-        promoteReturned(queue, now);
-        if (queue.waiting.empty()) {
-            continue;
-        }
-        serveWaiting(dispatcher, model, queue, now);
-        const auto freed = expectedServed(queue, freedPerMs(dispatcher.ledger, model, now));
-        auto overdue = removeOverdue(queue, freed, now);
-        // A slot that no request in time needs is better than a refusal.
-        overdue.remove_if([&](const waiting_request &entry) { return serve(dispatcher, model, queue, entry, lateTerms(model), now); });
-        refuse(dispatcher, queue, overdue, freed, now);
+        advanceQueue(dispatcher, model, dispatcher.queues[id], now);
     }
     return std::exchange(dispatcher.pending, {});
 }
--- a/Tests/PlatformAdapter/testPlatformDialect.cpp
+++ b/Tests/PlatformAdapter/testPlatformDialect.cpp
@@ -86,7 +86,8 @@
         REQUIRE(configuration);
         return configuration->services.at(0).engine.value();
     };
-    const auto engine = engineOf(R"("step_ms":4.5,"per_seq_ms":0.1,"read_per_s":30000,"chunk":512,"Stride":4,"usual":{"prompt":400,"answer":112},
+    const auto engine
+        = engineOf(R"("step_ms":4.5,"per_seq_ms":0.1,"read_per_s":30000,"chunk":512,"Stride":4,"usual":{"prompt":400,"answer":112},
         "delays":[{"From":"ikeja","TargetVersion":"v2","delay_ms":40},7])");
     CHECK(engine.stepMs == 4.5);
     CHECK(engine.perSequenceMs == 0.1);
@@ -99,7 +100,8 @@
     CHECK(engine.delays[0].from == data_centre_id("ikeja"));
     CHECK(engine.delays[0].targetVersion == "v2");
     CHECK(engine.delays[0].delay == duration(40));
-    const auto unusable = engineOf(R"("step_ms":-1,"per_seq_ms":"x","read_per_s":1e300,"chunk":null,"Stride":0,"usual":[],"delays":{"From":3})");
+    const auto unusable
+        = engineOf(R"("step_ms":-1,"per_seq_ms":"x","read_per_s":1e300,"chunk":null,"Stride":0,"usual":[],"delays":{"From":3})");
     CHECK(unusable.stepMs == 0);
     CHECK(unusable.perSequenceMs == 0);
     CHECK(unusable.readPerSecond == 0);
