--- a/Meta/platform.sh
+++ b/Meta/platform.sh
@@ -11,6 +11,7 @@
 
 entry_callers() { echo "127.0.0.1:$((port_base + 100 + $1 * 10))"; }
 entry_readiness() { echo "127.0.0.1:$((port_base + 101 + $1 * 10))"; }
+entry_dispatch() { echo "127.0.0.1:$((port_base + 103 + $1 * 10))"; }
 entry_peers() { echo "127.0.0.1:$((port_base + 102 + $1 * 10))"; }
 
 # fault ADDRESS JSON: sets the faults that a stand-in injects. facts ADDRESS: prints the state of a stand-in.
@@ -52,7 +53,8 @@
     curl -sf -m 5 -H 'X-Stand-In: yes' -d "{\"ExpectedRev\":[],\"SetKeys\":[{\"Key\":\"op/config\",\"Value\":\"$value\",\"Lease\":0}],\"Delete\":[]}" "http://$store/kv-txn" >/dev/null
 }
 
-# start_entry NUMBER: starts an entry daemon, which logs its decisions to entry-NUMBER.log.
+# start_entry NUMBER: starts an entry daemon, which logs its decisions to entry-NUMBER.log. The variable contracts sets the names of the
+# platform's contracts, as a list in YAML.
 start_entry() {
     cat >"$work/entry-$1.yaml" <<YAML
 daemon: entry-$1
@@ -64,6 +66,8 @@
   callers: $(entry_callers "$1")
   readiness: $(entry_readiness "$1")
   peers: $(entry_peers "$1")
+  dispatch: $(entry_dispatch "$1")
+contracts: ${contracts:-[]}
 timing:
   replica-heartbeat-ms: 400
   group-stall-ms: 1500
