--- a/Libraries/Entry/request_placement.cpp
+++ b/Libraries/Entry/request_placement.cpp
@@ -76,6 +76,7 @@
     }
     // Clients must not be able to grow the counts with unknown model names.
     const bool isCounted = m_service->engine && isKnownModel(*m_service->engine, m_head.model);
+    m_isModelKnown = isCounted;
     m_isDispatched = isCounted && m_context.isDispatchOn();
     if (isCounted && !m_isDispatched && isShed()) {
         refuse(error_kind::overloaded, sheddingText, refusal_scope::whole_model);
