--- a/Libraries/Entry/dispatcher_naming.cpp
+++ b/Libraries/Entry/dispatcher_naming.cpp
@@ -3,7 +3,6 @@
 
 #include "Libraries/Feed/feed_relays.h"
 
-#include <algorithm>
 #include <map>
 
 namespace vetchpost {
@@ -12,8 +11,6 @@
 
 /// How often the source chooses. A lost dispatcher is found by the askers themselves before that.
 constexpr duration choicePeriod(250);
-/// Number of candidates in a subscription of a relay. Enough for the source to find those with the largest processor shares.
-constexpr std::size_t candidatesPerSubscription = 4;
 /// A daemon is present while one of its last three subscriptions arrived.
 constexpr int subscriptionsPerWindow = 3;
 
@@ -49,20 +46,7 @@
     if (!m_settings.dispatch) {
         return;
     }
-    const auto list = m_directory.current();
-    const auto isNamed = [&](const dispatcher_candidate &candidate) {
-        return std::any_of(list->models.begin(), list->models.end(), [&](const model_dispatchers &model) {
-            return std::find(model.dispatchers.begin(), model.dispatchers.end(), candidate.daemon) != model.dispatchers.end();
-        });
-    };
-    auto candidates = presentCandidates();
-    // Named dispatchers come first: the source replaces one that is no longer reported.
-    std::stable_sort(candidates.begin(), candidates.end(), [&](const auto &left, const auto &right) {
-        return std::pair(isNamed(left), left.processorShare) > std::pair(isNamed(right), right.processorShare);
-    });
-    const auto named = std::count_if(candidates.begin(), candidates.end(), isNamed);
-    candidates.resize(std::min(candidates.size(), std::max(candidatesPerSubscription, static_cast<std::size_t>(named))));
-    subscription.candidates = std::move(candidates);
+    subscription.candidates = reportedCandidates(presentCandidates(), *m_directory.current());
     subscription.dispatchersDigest = m_directory.digest();
 }
 
--- a/Libraries/Feed/dispatcher_choice.cpp
+++ b/Libraries/Feed/dispatcher_choice.cpp
@@ -113,6 +113,22 @@
     choice.list = std::move(next);
 }
 
+// The source replaces a named dispatcher that is no longer reported.
+std::vector<dispatcher_candidate> reportedCandidates(std::vector<dispatcher_candidate> candidates, const dispatcher_list &list)
+{
+    const auto isNamed = [&](const dispatcher_candidate &candidate) {
+        return std::any_of(list.models.begin(), list.models.end(), [&](const model_dispatchers &model) {
+            return std::find(model.dispatchers.begin(), model.dispatchers.end(), candidate.daemon) != model.dispatchers.end();
+        });
+    };
+    std::stable_sort(candidates.begin(), candidates.end(), [&](const auto &left, const auto &right) {
+        return std::pair(isNamed(left), left.processorShare) > std::pair(isNamed(right), right.processorShare);
+    });
+    const auto named = std::count_if(candidates.begin(), candidates.end(), isNamed);
+    candidates.resize(std::min(candidates.size(), std::max(candidatesPerSubscription, static_cast<std::size_t>(named))));
+    return candidates;
+}
+
 int dispatchersNeeded(int outstanding, int present)
 {
     const auto bounded = [](int count) { return std::clamp(count, 1, maxDispatchersPerModel); };
--- a/Tests/Feed/testDispatcherChoice.cpp
+++ b/Tests/Feed/testDispatcherChoice.cpp
@@ -105,6 +105,24 @@
     CHECK(dispatchersOf(choice, modelA) == names{"d3", "d1"});
 }
 
+// Behind a relay there may be dozens of daemons. One that is named and not reported would be replaced for no reason.
+TEST_CASE("A relay reports all named dispatchers behind it, and otherwise those with the largest shares")
+{
+    std::vector<dispatcher_candidate> behind;
+    for (int number = 1; number <= 20; ++number) {
+        behind.push_back(candidate(number, number / 100.0));
+    }
+    CHECK(reportedCandidates(behind, {}).size() == candidatesPerSubscription);
+    CHECK(reportedCandidates(behind, {}).front().daemon == candidate(20, 0).daemon);
+    model_dispatchers named{service, modelA, {}};
+    for (const int number : {1, 2, 3, 4, 5}) {
+        named.dispatchers.push_back(candidate(number, 0).daemon);
+    }
+    const auto reported = reportedCandidates(behind, {{named}});
+    CHECK(reported.size() == 5);
+    CHECK(reported.back().daemon == candidate(1, 0).daemon);
+}
+
 TEST_CASE("The list is sent once to each follower that wants one and lacks it, and again if it was lost")
 {
     feed_publisher publisher;
