--- a/Benchmarks/benchSlotCosts.cpp
+++ b/Benchmarks/benchSlotCosts.cpp
@@ -82,6 +82,7 @@
     slot_dispatcher dispatcher;
     std::vector<dispatch_group> groups;
     const auto count = std::max(1, static_cast<int>(std::ceil(daemons * groupsPerDaemon / dispatchers)));
+    groups.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         groups.push_back(
             {instance_id(fmt::format("i-{:010x}", i)), replica_incarnation(1), model, data_centre_id("olazti"), slotsPerGroup});
@@ -94,7 +95,7 @@
     std::deque<std::pair<instant, std::uint64_t>> held;
     std::vector<slot_release> releases;
     const auto send = [&](const slot_message &message) {
-        const auto bytes = *encodeSlotMessage(message);
+        auto bytes = *encodeSlotMessage(message);
         result.bytes += bytes.size();
         ++result.datagrams;
         return bytes;
