--- a/Libraries/Entry/dispatch_service.cpp
+++ b/Libraries/Entry/dispatch_service.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Dispatch/finished_tickets.h"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -25,7 +26,7 @@
 } // namespace
 
 std::vector<dispatch_group>
-ownedGroups(const entry_view &view, const served_service &service, const dispatcher_list &list, const endpoint &address)
+ownedGroups(const entry_view &view, const served_service &service, const dispatcher_list &list, const endpoint &address, instant now)
 {
     std::vector<dispatch_group> groups;
     if (!service.engine) {
@@ -39,7 +40,13 @@
         for (const auto &head : view.backends(service, model.id)) {
             const auto &owner = named->dispatchers[dispatcherIndex(head.replica, named->dispatchers.size())];
             if (owner.address == address) {
-                groups.push_back({head.replica, head.incarnation, model.id, head.dataCentre, head.slots, model.pace, {}});
+                groups.push_back({head.replica,
+                                  head.incarnation,
+                                  model.id,
+                                  head.dataCentre,
+                                  head.slots,
+                                  model.pace,
+                                  std::max(duration(), head.coldUntil - now)});
             }
         }
     }
@@ -194,10 +201,12 @@
             if (!service.engine) {
                 continue;
             }
-            const auto groups = ownedGroups(*view, service, *list, *settings.dispatch);
+            const auto groups = ownedGroups(*view, service, *list, *settings.dispatch, now);
             const auto known = dispatchers.find(service.id);
             if (known != dispatchers.end() || !groups.empty()) {
-                updateGroups(dispatchers[service.id], groups, *service.engine, now);
+                auto &dispatcher = dispatchers[service.id];
+                dispatcher.coldPerSecond = settings.cold ? service.coldPerSecond : 0;
+                updateGroups(dispatcher, groups, *service.engine, now);
             }
         }
     }
--- a/Libraries/Entry/dispatch_service.h
+++ b/Libraries/Entry/dispatch_service.h
@@ -38,8 +38,8 @@
     std::unique_ptr<private_data> d;
 };
 
-/// Returns the groups of a service that the daemon at \a address owns as a dispatcher.
+/// Returns the groups of a service that the daemon at \a address owns as a dispatcher, with their cold times as of \a now.
 std::vector<dispatch_group>
-ownedGroups(const entry_view &view, const served_service &service, const dispatcher_list &list, const endpoint &address);
+ownedGroups(const entry_view &view, const served_service &service, const dispatcher_list &list, const endpoint &address, instant now);
 
 } // namespace vetchpost
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Requests/replica_constraints.h"
 #include "Libraries/Routing/replica_directory.h"
 #include "Libraries/Routing/route_table.h"
 
@@ -66,8 +67,16 @@
     int slots = 1;
     std::shared_ptr<backend_load> load;
     replica_incarnation incarnation = {};
+    /// Until when it is cold, as its entry says; the epoch of the clock if it is not.
+    instant coldUntil = {};
 };
 
+/// Returns the key under which constraints of the backend are kept.
+inline replica_key keyOf(const backend &target)
+{
+    return {target.replica, target.incarnation};
+}
+
 /// An immutable snapshot of everything that requests are routed by.
 struct entry_view
 {
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -138,6 +138,10 @@
         return std::nullopt;
     }
     m_context.applyNotice(target, m_context.dialect.readNotice(head->status, head->headers), m_head.requestId);
+    if (m_context.constraints.cold().isOn()) {
+        m_context.constraints.cold().applyNotice(
+            keyOf(target), m_service->coldPerSecond, m_context.dialect.readColdNotice(head->status, head->headers));
+    }
     if (answer.hasNotRun) {
         m_lastReason = "the replica did not run it: status " + std::to_string(head->status);
         failure = attempt_outcome::not_run;
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -78,6 +78,8 @@
     bool isShed() const;
     int priority() const;
     std::optional<backend> chooseReplica(const std::vector<instance_id> &others);
+    std::optional<cold_reservation> reserveColdReplica(instant now) const;
+    std::optional<backend> takeReserved(const cold_reservation &reserved, const std::vector<backend> &candidates) const;
     bool hasAvailableReplica(duration time) const;
     attempt_outcome runAttempt(const backend &target);
     attempt_outcome sendAndRelay(backend &target);
--- a/Tests/Entry/testSlotDispatch.cpp
+++ b/Tests/Entry/testSlotDispatch.cpp
@@ -331,10 +331,10 @@
     }
     std::size_t owned = 0;
     for (const auto &address : addresses) {
-        const auto groups = ownedGroups(*view, view->routes->configuration().services.front(), {{named}}, address);
+        const auto groups = ownedGroups(*view, view->routes->configuration().services.front(), {{named}}, address, monotonicNow());
         CHECK_FALSE(groups.empty());
         owned += groups.size();
     }
     CHECK(owned == 40);
-    CHECK(ownedGroups(*view, view->routes->configuration().services.front(), {{named}}, {"10.0.0.4", 1}).empty());
+    CHECK(ownedGroups(*view, view->routes->configuration().services.front(), {{named}}, {"10.0.0.4", 1}, monotonicNow()).empty());
 }
