--- a/Tests/Entry/testSlotDispatch.cpp
+++ b/Tests/Entry/testSlotDispatch.cpp
@@ -338,3 +338,17 @@
     CHECK(owned == 40);
     CHECK(ownedGroups(*view, view->routes->configuration().services.front(), {{named}}, {"10.0.0.4", 1}, monotonicNow()).empty());
 }
+
+// A dispatcher that does not know that a group is cold would send it as many requests as it has slots.
+TEST_CASE("A dispatcher is told how much longer its groups are cold")
+{
+    auto groups = heads(2);
+    groups[0].coldUntil = instant(duration(5000));
+    const auto view = viewOf(groups);
+    const endpoint address{"10.0.0.1", 1};
+    const dispatcher_list list{{{service, model, {{daemon_id("d"), address}}}}};
+    const auto owned = ownedGroups(*view, view->routes->configuration().services.front(), list, address, instant(duration(4200)));
+    REQUIRE(owned.size() == 2);
+    CHECK(owned[0].coldLeft == duration(800));
+    CHECK(owned[1].coldLeft == duration());
+}
