--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include "Libraries/Entry/crash_interface.h"
 #include "Libraries/Entry/daemon_metrics.h"
 #include "Libraries/Entry/dispatch_service.h"
+#include "Libraries/Entry/evacuation_status.h"
 #include "Libraries/Entry/request_handler.h"
 #include "Libraries/Platform/circuit_breaking_service.h"
 #include "Libraries/Platform/measured_store.h"
@@ -170,6 +171,7 @@
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
     {
+        store.enableEvacuations(settings.evacuation);
         if (settings.cold) {
             store.setColdPaced(true);
             const auto share = settings.dispatch ? coldShareBesideDispatch : coldShareAlone;
@@ -223,19 +225,20 @@
                 // Before the view shows a replica, so that no request is placed on a cold one without pacing.
                 constraints.cold().applyEntries(*directory, *routes);
             }
-            auto newest = views.build(routes, *directory, isListed, settings.dataCentre);
+            auto newest = views.build(routes, *directory, isListed, settings.dataCentre, store.evacuatedDataCentres());
             if (settings.dispatch) {
                 dispatch.updateView(newest);
             }
             view.replace(std::move(newest));
         }
+        feed.pushEvacuations();
         assembly.replan();
     }
 
     bool isReady() const
     {
         const key_revocation_policy bound{settings.keyRevocation, settings.isKeyRevocationStrict};
-        return !relay.isDraining && store.listedAt()
+        return !relay.isDraining && store.listedAt() && store.evacuatedDataCentres()
             && areKeysUsableForNewConnections(bound, store.configurationKnowledge(), monotonicNow());
     }
 
@@ -264,9 +267,19 @@
         status.leavingReplicas = constrained.leaving;
         status.coldReplicas = constraints.cold().count();
         status.droppedLinesByPart = droppedLogLinesByPart();
+        for (const auto &evacuated : currentEvacuations(store.evacuations())) {
+            // An unknown name has no effect.
+            status.evacuatedDataCentres += evacuated.replicas > 0 ? 1 : 0;
+            status.evacuatedRequests += evacuated.requests;
+        }
         return status;
     }
 
+    std::vector<evacuation_status> currentEvacuations(const evacuation_set &known) const
+    {
+        return evacuationStatus(known, *store.directory(), store.routes().get(), relay.requestsByPlace);
+    }
+
     void answerOperator(http_exchange &exchange)
     {
         constexpr int found = 200;
@@ -276,6 +289,11 @@
             feed.syncTables();
             return;
         }
+        if (exchange.path() == evacuationsPath) {
+            const auto known = store.evacuations();
+            answerEvacuations(exchange, known, currentEvacuations(known));
+            return;
+        }
         const bool isKnown = exchange.path() == metricsPath;
         if (isKnown) {
             exportedMetrics.update(currentStatus());
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -13,6 +13,7 @@
 #include "Libraries/Entry/peer_feed.h"
 #include "Libraries/Entry/request_id_batch.h"
 #include "Libraries/Entry/request_outcome.h"
+#include "Libraries/Entry/requests_by_place.h"
 #include "Libraries/Entry/shared_constraints.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/client_patience.h"
@@ -108,6 +109,7 @@
     /// The daemon is stopping: connections are closed after their current answer.
     std::atomic<bool> isDraining = false;
     in_flight_requests inFlight;
+    requests_by_place requestsByPlace;
     model_shedding shedding;
     model_habits habits;
     /// Requests without log lines of their own.
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -134,6 +134,22 @@
     CHECK(problemsOf(text).size() == 1);
 }
 
+// A bound that is read as 0 by mistake would turn evacuations off without a word.
+TEST_CASE("The bound of evacuations is off without the key, and an invalid one is a problem")
+{
+    std::vector<yaml_problem> problems;
+    CHECK(readEntrySettings(validSettings, "entry.yaml", problems)->evacuation == duration(0));
+    const auto withBound = [](const std::string &value) {
+        auto text = validSettings;
+        return text.insert(text.find("timing:\n") + 8, "  evacuation-ms: " + value + "\n");
+    };
+    CHECK(readEntrySettings(withBound("5000"), "entry.yaml", problems)->evacuation == duration(5000));
+    for (const auto *value : {"0", "-5000", "soon", "1e30", "[]"}) {
+        CAPTURE(value);
+        CHECK(problemsOf(withBound(value)).size() == 1);
+    }
+}
+
 // Guards against a half bound, which would let more requests reach a cold replica than the platform allows.
 TEST_CASE("Cold replicas have a bound only if the settings give it, and give it whole")
 {
--- a/Tests/Soak/soak_cluster.cpp
+++ b/Tests/Soak/soak_cluster.cpp
@@ -83,6 +83,11 @@
     return *m_directory;
 }
 
+const endpoint &soak_cluster::store() const
+{
+    return m_store;
+}
+
 const endpoint &soak_cluster::storeControl() const
 {
     return m_storeControl;
@@ -123,7 +128,8 @@
            fmt::format("--per-domain={}", m_options.size.replicas / fabricDomains),
            fmt::format("--cold-ms={}", m_options.coldPerSecond > 0 ? coldTime.count() : 0),
            fmt::format("--cold-bound={}", coldOverrun * m_options.coldPerSecond + coldSlack),
-           fmt::format("--services={}:{}", plainService, m_options.size.plainReplicas)});
+           fmt::format("--services={}:{}", plainService, m_options.size.plainReplicas),
+           m_options.evacuations > 0 ? fmt::format("--zones={},{}", soakZones[0], soakZones[1]) : fmt::format("--zones={}", soakZones[0])});
     waitFor("replicas", [&] { return !fetchFacts(m_replicaControl).isNull(); });
 }
 
@@ -131,7 +137,10 @@
 {
     const auto coldSettings
         = m_options.coldPerSecond > 0 ? fmt::format("cold:\n  overrun: {}\n  slack: {}\n", coldOverrun, coldSlack) : std::string();
-    const daemon_options options{m_options.daemonProgram, m_options.folder, m_options.basePort, soak_bounds().retrySlack, coldSettings};
+    const auto evacuationSettings
+        = m_options.evacuations > 0 ? fmt::format("  evacuation-ms: {}\n", soak_bounds().evacuation.count()) : std::string();
+    const daemon_options options{
+        m_options.daemonProgram, m_options.folder, m_options.basePort, soak_bounds().retrySlack, coldSettings, evacuationSettings};
     std::vector<endpoint> callers;
     for (int number = 0; number < m_options.size.daemons; ++number) {
         m_daemons.emplace_back(std::make_unique<soak_daemon>(number, options, m_store));
--- a/Tests/Soak/soak_daemon.cpp
+++ b/Tests/Soak/soak_daemon.cpp
@@ -86,7 +86,7 @@
 timing:
   replica-heartbeat-ms: 400
   group-stall-ms: 1500
-retries:
+{}retries:
   slack: {}
 {})",
                        m_number,
@@ -95,6 +95,7 @@
                        endpointAt(host(), m_options.basePort, callersOffset).text(),
                        readiness().text(),
                        endpointAt(host(), m_options.basePort, peersOffset).text(),
+                       m_options.moreTiming,
                        m_options.retrySlack,
                        m_options.moreSettings);
 }
--- a/Tests/Soak/soak_daemon.h
+++ b/Tests/Soak/soak_daemon.h
@@ -18,6 +18,8 @@
     int retrySlack = 0;
     /// Text that is appended to the settings.
     std::string moreSettings = {};
+    /// Lines that are appended to the times in the settings.
+    std::string moreTiming = {};
 };
 
 /// One daemon across the restarts of its process, with the proxies between clients and it and between it and the store.
