--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/Entry/assembly_runner.h"
 #include "Libraries/Entry/crash_interface.h"
 #include "Libraries/Entry/daemon_metrics.h"
+#include "Libraries/Entry/dispatch_service.h"
 #include "Libraries/Entry/evacuation_status.h"
 #include "Libraries/Entry/request_handler.h"
 #include "Libraries/Platform/circuit_breaking_service.h"
@@ -29,8 +30,9 @@
 constexpr duration stopPollPeriod(50);
 constexpr std::size_t clientThreadStackBytes = 128U * 1024U;
 constexpr int readinessThreads = 4;
-/// The part of a cold replica's rate that is paced. No requests reach cold replicas by other means.
-constexpr double coldShare = 1;
+/// The part of a cold replica's rate that is paced by each daemon. Dispatchers use the other half where they place requests.
+constexpr double coldShareAlone = 1;
+constexpr double coldShareBesideDispatch = 0.5;
 constexpr auto metricsPath = "/metrics";
 /// Clients reuse connections that were idle for a little less than the configured idle time.
 constexpr duration keepAliveTimeout(20000);
@@ -76,13 +78,23 @@
     std::thread m_thread;
 };
 
+/// Returns the settings without an address for slot requests if slot dispatch is off. A switch in the settings goes before the contracts.
+entry_settings withDispatchDecided(entry_settings settings, const platform_features &features)
+{
+    if (!settings.dispatchSwitch.value_or(features.hasSlotDispatch)) {
+        settings.dispatch.reset();
+    }
+    return settings;
+}
+
 } // namespace
 
 struct entry_daemon::private_data
 {
+    std::unique_ptr<entry_dialect> dialect;
+    const platform_features features;
     entry_settings settings;
     metrics counters;
-    std::unique_ptr<entry_dialect> dialect;
     std::unique_ptr<key_value_service> keyValue;
     std::mutex viewMutex;
     entry_view_builder views;
@@ -90,6 +102,11 @@
     store_follower store;
     shared_suspects suspects;
     shared_constraints constraints;
+    dispatcher_directory dispatchers;
+    dispatch_socket dispatchSocket;
+    dispatch_client dispatchClient;
+    dispatch_service dispatch;
+    gauge unknownContracts;
     peer_feed feed;
     assembly_runner assembly;
     crash_guard crashes;
@@ -100,8 +117,9 @@
     std::unique_ptr<http_server> operatorServer;
 
     private_data(const entry_settings &entrySettings, std::unique_ptr<entry_dialect> entryDialect, const store_maker &makeStore)
-        : settings(entrySettings)
-        , dialect(std::move(entryDialect))
+        : dialect(std::move(entryDialect))
+        , features(dialect->featuresOf(entrySettings.contracts))
+        , settings(withDispatchDecided(entrySettings, features))
         , keyValue(std::make_unique<circuit_breaking_service>(
               std::make_unique<measured_store>(makeStore(settings.keyValue, counters), counters), dialect->configurationKey()))
         , store(
@@ -117,11 +135,16 @@
               })
         , suspects(counters)
         , constraints(counters, [this] { store.updateLeaving(constraints.leaving()); })
+        , dispatchSocket(counters)
+        , dispatchClient(dispatchSocket, dispatchers, counters)
+        , dispatch(settings, dispatchSocket, dispatchClient, dispatchers, counters)
+        , unknownContracts(counters.addGauge("vetchpost_contracts_unknown", "Contracts in the settings with unknown names."))
         , feed(
               settings,
               store,
               suspects,
               constraints,
+              dispatchers,
               counters,
               [this] { return relay.inFlight.counts(); },
               [this](const stall_report &report) { assembly.handleStallReport(report); },
@@ -143,6 +166,7 @@
                 view,
                 crashes,
                 constraints,
+                dispatchClient,
                 counters,
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
@@ -150,7 +174,8 @@
         store.enableEvacuations(settings.evacuation);
         if (settings.cold) {
             store.setColdPaced(true);
-            constraints.cold().turnOn({settings.cold->overrun, settings.cold->slack}, coldShare, [this] { return feed.daemons(); });
+            const auto share = settings.dispatch ? coldShareBesideDispatch : coldShareAlone;
+            constraints.cold().turnOn({settings.cold->overrun, settings.cold->slack}, share, [this] { return feed.daemons(); });
         }
     }
 
@@ -174,6 +199,20 @@
         }
     }
 
+    /// Logs the contracts that are not known, and slot dispatch that has no address.
+    void reportContracts() const
+    {
+        unknownContracts.set(static_cast<double>(features.unknown.size()));
+        for (const auto &contract : features.unknown) {
+            daemonLog.write("contract_unknown", {{"contract", contract}});
+        }
+        if (settings.dispatch) {
+            daemonLog.write("dispatch_on", {{"address", settings.dispatch->text()}, {"processor_share", settings.processorShare}});
+        } else if (settings.dispatchSwitch.value_or(features.hasSlotDispatch)) {
+            daemonLog.write("dispatch_without_address", {});
+        }
+    }
+
     void rebuildView()
     {
         {
@@ -186,7 +225,11 @@
                 // Before the view shows a replica, so that no request is placed on a cold one without pacing.
                 constraints.cold().applyEntries(*directory, *routes);
             }
-            view.replace(views.build(routes, *directory, isListed, settings.dataCentre, store.evacuatedDataCentres()));
+            auto newest = views.build(routes, *directory, isListed, settings.dataCentre, store.evacuatedDataCentres());
+            if (settings.dispatch) {
+                dispatch.updateView(newest);
+            }
+            view.replace(std::move(newest));
         }
         feed.pushEvacuations();
         assembly.replan();
@@ -279,6 +322,7 @@
     d->operatorServer.reset();
     d->assembly.stop();
     d->crashes.stop();
+    d->dispatch.stop();
     d->feed.stop();
     d->store.stop();
     // The log's thread calls the relay's logRequestIds(), so it stops before the relay is destroyed.
@@ -310,6 +354,8 @@
     if (!d->settings.isFirstStart) {
         d->store.recordTraffic();
     }
+    d->reportContracts();
+    d->dispatch.start();
     d->feed.start();
     d->assembly.start();
     d->store.start();
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -140,7 +140,14 @@
         load = std::make_shared<backend_load>();
         m_loads[key] = load;
     }
-    return {replica.id, replica.address, replica.dataCentre, group, std::max(1, replica.slots), std::move(load), replica.incarnation};
+    return {replica.id,
+            replica.address,
+            replica.dataCentre,
+            group,
+            std::max(1, replica.slots),
+            std::move(load),
+            replica.incarnation,
+            replica.coldUntil};
 }
 
 std::shared_ptr<const entry_view> entry_view_builder::build(std::shared_ptr<const route_table> routes,
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -69,6 +69,8 @@
     int slots = 1;
     std::shared_ptr<backend_load> load;
     replica_incarnation incarnation = {};
+    /// Until when it is cold, as its entry says; the epoch of the clock if it is not.
+    instant coldUntil = {};
 };
 
 /// Returns the key under which constraints of the backend are kept.
--- a/Libraries/Entry/stream_hedge.cpp
+++ b/Libraries/Entry/stream_hedge.cpp
@@ -158,6 +158,8 @@
     target.load->outstanding.fetch_sub(1);
     target = race.secondTarget;
     target.load->outstanding.fetch_add(1);
+    // The second group was chosen without a dispatcher. The first one is not to blame: the network loses packets.
+    releasePlace(attempt_outcome::answered);
     m_events = race.secondEvents;
     m_attemptStart = race.secondSentAt;
     m_hasProgress = false;
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Feed/feed_messages.h"
 
 #include "Libraries/Base/json.h"
+#include "Libraries/Feed/dispatcher_codec.h"
 #include "Libraries/Feed/evacuation_codec.h"
 #include "Libraries/Feed/replica_codec.h"
 #include "Libraries/Feed/report_codec.h"
@@ -54,6 +55,9 @@
 constexpr auto incarnationField = "life";
 constexpr auto grantedField = "granted";
 constexpr auto waitField = "wait";
+constexpr auto candidatesField = "candidates";
+constexpr auto dispatchersDigestField = "dispatch_digest";
+constexpr auto dispatchersField = "dispatch";
 constexpr auto evacuationsField = "evac";
 constexpr auto evacuationsAgeField = "evac_age";
 
@@ -83,6 +87,12 @@
         entry[outstandingField] = demand.outstanding;
         json[demandField].append(std::move(entry));
     }
+    for (const auto &candidate : message.candidates) {
+        json[candidatesField].append(encodeCandidate(candidate));
+    }
+    if (message.dispatchersDigest) {
+        json[dispatchersDigestField] = number(*message.dispatchersDigest);
+    }
     return json;
 }
 
@@ -113,6 +123,9 @@
     for (const auto &change : message.changes) {
         json[changesField].append(encodeChange(change));
     }
+    if (message.dispatchers) {
+        json[dispatchersField] = encodeDispatchers(*message.dispatchers);
+    }
     return json;
 }
 
@@ -269,6 +282,10 @@
                                        model_id(jsonString(entry, modelField)),
                                        static_cast<int>(jsonNumber(entry, outstandingField))});
     }
+    subscription.candidates = decodeCandidates(jsonArray(json, candidatesField));
+    if (json.isMember(dispatchersDigestField)) {
+        subscription.dispatchersDigest = jsonNumber(json, dispatchersDigestField);
+    }
     return subscription;
 }
 
@@ -307,6 +324,13 @@
         }
         update.changes.push_back(std::move(*change));
     }
+    if (json.isMember(dispatchersField)) {
+        // The list has a datagram of its own, so that nothing else is lost with an invalid one.
+        update.dispatchers = decodeDispatchers(json[dispatchersField]);
+        if (!update.dispatchers) {
+            return std::nullopt;
+        }
+    }
     return update;
 }
 
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -4,6 +4,7 @@
 #include "Libraries/Base/endpoint.h"
 #include "Libraries/Base/identifier.h"
 #include "Libraries/Base/instant.h"
+#include "Libraries/Feed/dispatcher_list.h"
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Requests/crash_suspects.h"
 #include "Libraries/Requests/rate_permits.h"
@@ -48,6 +49,10 @@
     std::optional<endpoint> lostRelay = {};
     /// Whether the follower is shutting down: no other follower should be referred to it.
     bool isEnding = false;
+    /// The follower and some of the daemons behind it, if the source may name them as dispatchers.
+    std::vector<dispatcher_candidate> candidates = {};
+    /// Digest of the list of dispatchers that the follower has, 0 if it has none; empty if it wants none.
+    std::optional<std::uint64_t> dispatchersDigest = {};
 };
 
 /// The latest write or removal of a replica's entry in the key-value service.
@@ -90,6 +95,8 @@
     std::vector<replica_change> changes;
     /// Whether the sender no longer has all changes since the requested revision, so that the follower must list the entries itself.
     bool isHistoryLost = false;
+    /// The dispatchers of all models; empty if the follower has them already.
+    std::optional<dispatcher_list> dispatchers = {};
     /// All evacuated data centres; empty if the sender does not know them, or never reads them.
     std::optional<evacuation_report> evacuations = {};
     /// Time since \a evacuations was known to be the newest; empty if that is not known.
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -31,6 +31,8 @@
     endpoint readiness;
     /// Serves calls from other daemons and the metrics.
     endpoint peers;
+    /// Receives slot requests and their answers; nothing if the settings name no address.
+    std::optional<endpoint> dispatch;
     endpoint keyValue;
     /// Whether this is the first start of the whole system, before anything serves requests.
     bool isFirstStart = false;
@@ -58,6 +60,12 @@
     int retrySlack = 0;
     /// The time after which the coordinator's lease expires unless it is renewed.
     duration leaseTime{};
+    /// The contracts that the platform says it keeps, by its names for them.
+    std::vector<std::string> contracts;
+    /// Whether dispatchers place the requests; nothing if the contracts decide that.
+    std::optional<bool> dispatchSwitch;
+    /// The share of a core that this daemon may use.
+    double processorShare = 1;
     /// Nothing if requests to cold replicas are not paced.
     std::optional<cold_settings> cold;
     /// Whether decisions are logged to standard output.
