Dispatch: Build messages without a warning of the release build

GCC 12 reports overlapping copies for a literal + a temporary string, and an uninitialised member of an aggregate, at -O3, which is an error here. The development build has -O2 and did not show it.

--- a/Libraries/Dispatch/slot_messages.cpp
+++ b/Libraries/Dispatch/slot_messages.cpp
@@ -106,7 +106,8 @@
     }
     std::string excluded;
     for (const auto &head : request.excluded) {
-        excluded += (excluded.empty() ? "" : ",") + quotedJson(head.value());
+        excluded += excluded.empty() ? "" : ",";
+        excluded += quotedJson(head.value());
     }
     return excluded.empty() ? text : text + fmt::format(R"(,"{}":[{}])", excludedField, excluded);
 }
@@ -255,7 +256,12 @@
     if (!ticket || !verdict || !wait || (verdict == slot_verdict::granted && head.isEmpty())) {
         return std::nullopt;
     }
-    return slot_answer{*ticket, {}, *verdict, head, duration(*wait)};
+    slot_answer answer;
+    answer.ticket = *ticket;
+    answer.verdict = *verdict;
+    answer.head = head;
+    answer.wait = duration(*wait);
+    return answer;
 }
 
 } // namespace
