--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -13,6 +13,9 @@
 #include "Libraries/Platform/measured_store.h"
 #include "Libraries/Routing/key_revocation_policy.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -203,8 +206,8 @@
     void reportContracts() const
     {
         unknownContracts.set(static_cast<double>(features.unknown.size()));
-        for (const auto &contract : features.unknown) {
-            daemonLog.write("contract_unknown", {{"contract", contract}});
+        if (!features.unknown.empty()) {
+            daemonLog.write("contract_unknown", {{"contracts", fmt::format("{}", fmt::join(features.unknown, " "))}});
         }
         if (settings.dispatch) {
             daemonLog.write("dispatch_on", {{"address", settings.dispatch->text()}, {"processor_share", settings.processorShare}});
--- a/Tests/PlatformAdapter/testTokenHeaders.cpp
+++ b/Tests/PlatformAdapter/testTokenHeaders.cpp
@@ -16,6 +16,9 @@
     CHECK_FALSE(counts.isInvalid);
     CHECK(readTokenCounts("512/128", "").maximumAnswer == 128);
     CHECK_FALSE(readTokenCounts("", "").isInvalid);
+    // Guesses are often far off.
+    CHECK(readTokenCounts("512,128", "700").expectedAnswer == 128);
+    CHECK_FALSE(readTokenCounts("512,128", "700").isInvalid);
     CHECK_FALSE(readTokenCounts("", "").prompt);
 
     const auto head = platform_dialect().readRequest({{"Token-Counts", "7 9"}, {"Length-Hint", "3"}});
