--- a/Tests/SoakChecks/testSoakChecks.cpp
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -372,7 +372,7 @@
 
 TEST_CASE("An evacuated data centre may receive requests for as long as the evacuation need not be in force, and not afterwards")
 {
-    const auto countBroken = [&](int arrivesAt, const std::string &zone, std::vector<disturbance> disturbances = {}) {
+    const auto countBroken = [&](int arrivesAt, const std::string &zone, const std::vector<disturbance> &disturbances = {}) {
         auto arrival = event(arrivesAt, "arrived");
         arrival.zone = zone;
         auto facts
