--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -196,7 +196,8 @@
 {
     const std::lock_guard lock(m_budgetMutex);
     auto &budget = budgetOf(service);
-    return budget.available >= reservedShare * budget.maximum && spendRetry(budget);
+    // What is left after this retry: a small budget may hold half of its maximum and yet less than one retry more.
+    return budget.available - 1 >= reservedShare * budget.maximum && spendRetry(budget);
 }
 
 const counter &relay_context::hedgeCounter(const std::string &end) const
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -86,7 +86,7 @@
     }
 
     /// Consumes one retry of this daemon's part of the service's retry budget. Returns false if it is exhausted.
-    /// With \a reservedShare, the budget keeps at least this part of its maximum.
+    /// With \a reservedShare, at least this part of the budget's maximum has to be left afterwards.
     bool consumeRetry(const service_id &service, double reservedShare = 0);
     /// The counter of hedged streams that were continued by the first group, by the second one, by neither, or whose second group could
     /// not be reached.
--- a/Tests/Requests/testStreamHedging.cpp
+++ b/Tests/Requests/testStreamHedging.cpp
@@ -122,7 +122,7 @@
             auto pause = duration(static_cast<std::int64_t>(std::max(5.0, pauses(random)))) + (isLost ? retransmission : duration());
             wouldBeLate = wouldBeLate || pause > pauseLimit;
             const auto after = isHedged || !losesPackets(losses, now) ? std::nullopt : pauseBeforeHedge(habits, head, pauseLimit);
-            if (after && pause > *after && budget.available >= budget.maximum / 2 && spendRetry(budget)) {
+            if (after && pause > *after && budget.available - 1 >= budget.maximum / 2 && spendRetry(budget)) {
                 isHedged = true;
                 ++hedges;
                 const auto second = *after + duration(static_cast<std::int64_t>(std::max(20.0, firstEvents(random))));
