Entry: Log how a daemon learns of a departure, and lost histories

replica_leaving names the way (listing, watch, feed) and the revision, history_lost the position that the service rejected, replicas_listed the position from which the next watch goes on. No decision changes.

--- a/Libraries/Entry/evacuation_reading.cpp
+++ b/Libraries/Entry/evacuation_reading.cpp
@@ -102,6 +102,9 @@
     if (!result || result->isHistoryLost) {
         const std::lock_guard lock(mutex);
         isEvacuationListingDue = isEvacuationListingDue || result.has_value();
+        if (result) {
+            storeLog.write("history_lost", {{"prefix", dialect.evacuationPrefix()}, {"after", after}});
+        }
         return result.has_value();
     }
     std::vector<data_centre_id> added;
--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -83,6 +83,7 @@
     }
     const auto outage = recentOutage();
     const auto replicas = decodeAll(listing->entries);
+    logLeaving(replicas, "listing");
     reportLeaving(replicas);
     {
         const std::lock_guard lock(mutex);
@@ -96,7 +97,9 @@
         }
         lastListing = std::max(lastListing.value_or(asked), asked);
         firstListing = firstListing.value_or(asked);
-        storeLog.write("replicas_listed", {{"count", replicas.size()}, {"lapsed", entries.lapsed.size()}, {"revision", listing->upTo}});
+        storeLog.write(
+            "replicas_listed",
+            {{"count", replicas.size()}, {"lapsed", entries.lapsed.size()}, {"revision", listing->upTo}, {"up_to", replicasUpTo}});
         // Before the mutex is released, so that whoever sees the new listing time also finds the listed entries.
         rebuildDirectory();
     }
@@ -121,10 +124,14 @@
     if (!result || result->isHistoryLost) {
         const std::lock_guard lock(mutex);
         mustListSince = monotonicNow();
+        if (result) {
+            storeLog.write("history_lost", {{"prefix", dialect.replicaPrefix()}, {"after", after}});
+        }
         return false;
     }
     isBehind = result->changes.size() >= manyChanges;
     const auto changes = decodeAll(result->changes);
+    logLeaving(changes, "watch");
     reportLeaving(changes);
     bool hasChanged = applyReplicaChanges(changes);
     {
@@ -166,6 +173,22 @@
     }
 }
 
+void store_follower::private_data::logLeaving(const std::vector<replica_change> &changes, const char *from)
+{
+    const std::lock_guard lock(mutex);
+    for (const auto &change : changes) {
+        if (!change.replica || !change.replica->isDraining) {
+            continue;
+        }
+        if (loggedLeaving.size() >= maxLoggedLeaving) {
+            loggedLeaving.clear();
+        }
+        if (loggedLeaving.insert({change.id, change.replica->incarnation}).second) {
+            storeLog.write("replica_leaving", {{"replica", change.id.value()}, {"revision", change.revision}, {"from", from}});
+        }
+    }
+}
+
 bool store_follower::private_data::applyReplicaChanges(const std::vector<replica_change> &changes)
 {
     const std::lock_guard lock(mutex);
@@ -198,6 +221,7 @@
     }
     auto changes = update.changes;
     recordReceipt(changes, isColdPaced, monotonicNow());
+    logLeaving(changes, "feed");
     const bool hasChanged = applyReplicaChanges(changes);
     {
         const std::lock_guard lock(mutex);
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -18,6 +18,8 @@
 constexpr duration retryPause(250);
 /// Limit on the unreadable evacuations that are remembered so that each is logged once.
 constexpr std::size_t maxUnreadableEvacuations = 100;
+/// Limit on the leaving replicas that are remembered so that each is logged once.
+constexpr std::size_t maxLoggedLeaving = 2000;
 
 /// The state that the threads of a store_follower share, and the functions of each, which are defined in configuration_reading.cpp,
 /// replica_reading.cpp and evacuation_reading.cpp.
@@ -67,6 +69,8 @@
     evacuation_timing evacuationTimes;
     /// A watch cannot tell the present set: the history was lost, or an entry was removed.
     bool isEvacuationListingDue = false;
+    /// The replicas whose departure was logged.
+    std::set<replica_key> loggedLeaving;
     /// The evacuated data centres that were logged.
     std::set<data_centre_id> loggedEvacuations;
     /// The keys of unreadable evacuations that were logged, each with its problem.
@@ -127,6 +131,8 @@
     /// Reports the replicas whose entries say that they leave to didSeeLeaving. The feed alone would be too slow: it sends a departure
     /// after all earlier changes, which are thousands when the first request arrives.
     void reportLeaving(const std::vector<replica_change> &changes) const;
+    /// Logs each replica whose entry says that it leaves, once for each incarnation. \a from names where the entry was received.
+    void logLeaving(const std::vector<replica_change> &changes, const char *from);
     /// Applies changes of entries. Returns whether there were any.
     bool applyReplicaChanges(const std::vector<replica_change> &changes);
     /// Removes lapsed and unlisted replicas whose time is over, and publishes a new directory if there were any.
