StandIns: Let the platform's store come back from an older copy

The users' platform team has announced that the store may come back from a copy some seconds old: later changes and leases are gone, revisions are given out again, a watch from one that it does not have gets 410, and the header Store-Era rises by one. What the operator and the replicas wrote is written again.

The model of the store does this (restoreCopy), the stand-in sends the header in all its answers and has the faults save_copy and restore_copy_ms (the delay of the rewrites). Calls of the protocol are applied in store_calls, so that tests can serve the model in their own process.

--- a/Tests/PlatformStandIn/testStoreModel.cpp
+++ b/Tests/PlatformStandIn/testStoreModel.cpp
@@ -133,3 +133,26 @@
     CHECK(rest[names::morePages] == false);
     CHECK(size + rest[names::entries].size() == keys);
 }
+
+TEST_CASE("A store that comes back from a copy gives revisions out again, and rejects watches from those that it does not have")
+{
+    store_model store;
+    transact(store, writeOf("servers/i-1", "YQ=="), true);
+    const auto copy = store;
+    const auto lease = grantLease(store, Json::Value(), now);
+    transact(store, writeOf("my/leader", "YQ==", {}, jsonNumber(lease.body, names::lease)), false);
+    transact(store, writeOf("servers/i-1", "Yg=="), true);
+    transact(store, writeOf("servers/i-2", "YQ=="), true);
+    const auto rewrites = restoreCopy(store, copy, now);
+    CHECK(store.era == copy.era + 1);
+    CHECK(readKey(store, "my/leader").status == notFound);
+    CHECK(renewLease(store, lease_number(jsonNumber(lease.body, names::lease)), now).status == notFound);
+    CHECK(readChanges(store, "servers/", 4).status == historyGone);
+    REQUIRE(rewrites.size() == 2);
+    CHECK(jsonNumber(transact(store, rewrites[0], true).body, names::revision) == 2);
+    CHECK(readKey(store, "servers/i-1").body[names::value] == "Yg==");
+    transact(store, rewrites[1], true);
+    CHECK(readKey(store, "servers/i-2").status == 200);
+    // The change at revision 3 replaced another one, but a watch from there cannot tell.
+    CHECK(readChanges(store, "servers/", 3).status == 200);
+}
--- a/Tests/StandIns/platform/standInStore.cpp
+++ b/Tests/StandIns/platform/standInStore.cpp
@@ -3,14 +3,16 @@
 #include "Tests/StandIns/fault_switches.h"
 #include "Tests/StandIns/platform/event_journal.h"
 #include "Tests/StandIns/platform/stand_in_names.h"
-#include "Tests/StandIns/platform/store_model.h"
+#include "Tests/StandIns/platform/store_calls.h"
 #include "platform/base64.h"
 #include "platform/platform_dialect.h"
 
 #include <docopt/docopt.h>
 
 #include <condition_variable>
+#include <deque>
 #include <mutex>
+#include <optional>
 
 namespace {
 
@@ -25,7 +27,6 @@
 )";
 
 constexpr int badRequest = 400;
-constexpr int notFound = 404;
 constexpr int unavailable = 503;
 constexpr duration tick(20);
 constexpr std::uint64_t maxWatchMs = 30000;
@@ -94,13 +95,20 @@
         } else if (!isPrivileged && shouldLoseAnswer(exchange)) {
             leaveUnanswered(exchange, [this] { return m_isStopping.load(); });
         } else {
-            sendJson(exchange, answer.body, answer.status);
+            sendAnswer(exchange, answer.first, answer.second);
         }
     }
 
     void setFaults(const Json::Value &json)
     {
         m_faults.set(json);
+        if (jsonFlag(json, "save_copy")) {
+            const std::lock_guard lock(m_mutex);
+            m_copy = m_store;
+        }
+        if (json.isMember("restore_copy_ms")) {
+            restore(duration(json["restore_copy_ms"].asInt64()));
+        }
         if (jsonFlag(json, "forget_history")) {
             const std::lock_guard lock(m_mutex);
             discardHistory(m_store);
@@ -113,6 +121,7 @@
         const std::lock_guard lock(m_mutex);
         Json::Value json;
         json["revision"] = Json::UInt64(m_store.keys.lastRevision);
+        json["era"] = Json::UInt64(m_store.era);
         json["leases"] = Json::UInt64(m_store.keys.leases.size());
         json["calls"] = Json::UInt64(m_calls.load());
         json["entries"] = Json::Value(Json::objectValue);
@@ -152,40 +161,64 @@
         return m_faults.loseAnswers.occurs() || (isListing && m_faults.loseListings > 0 && m_faults.loseListings-- > 0);
     }
 
-    store_answer dispatch(const http_exchange &exchange, const Json::Value &body, bool isPrivileged)
+    /// Returns the answer to a call, and the era in which it was made.
+    std::pair<store_answer, std::uint64_t> dispatch(const http_exchange &exchange, const Json::Value &body, bool isPrivileged)
     {
-        const auto &path = exchange.path();
-        if (path == names::watchCall) {
+        if (exchange.path() == names::watchCall) {
             return watch(exchange);
         }
         const std::lock_guard lock(m_mutex);
         expire();
-        if (path == names::keyCall) {
-            return readKey(m_store, exchange.queryParameter(names::key));
-        }
-        if (path == names::rangeCall) {
-            return readRange(m_store, exchange.queryParameter(names::prefix), exchange.queryParameter(names::after));
-        }
-        if (path == names::transactionCall) {
-            return write(body, isPrivileged);
-        }
-        if (path == names::grantLeaseCall) {
-            return grantLease(m_store, body, monotonicNow());
+        if (exchange.path() == names::transactionCall) {
+            return {write(body, isPrivileged), m_store.era};
         }
-        if (path.starts_with(names::renewLeaseCall)) {
-            return renewLease(m_store, leaseIn(path, names::renewLeaseCall), monotonicNow());
+        auto answer = applyCall(m_store, exchange, body, isPrivileged, monotonicNow());
+        m_changed.notify_all();
+        return {std::move(answer), m_store.era};
+    }
+
+    /// Comes back from the copy that was saved last. What the operator and the replicas wrote since is written again after \a rewriteDelay,
+    /// one entry at a time.
+    void restore(duration rewriteDelay)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_copy) {
+            return;
         }
-        if (path.starts_with(names::endLeaseCall)) {
-            endLease(m_store, leaseIn(path, names::endLeaseCall), monotonicNow());
-            m_changed.notify_all();
-            return {};
+        const auto rewrites = restoreCopy(m_store, *m_copy, monotonicNow());
+        m_rewrites.assign(rewrites.begin(), rewrites.end());
+        m_rewriteAt = monotonicNow() + rewriteDelay;
+        Json::Value fields;
+        fields["era"] = Json::UInt64(m_store.era);
+        fields["revision"] = Json::UInt64(m_store.keys.lastRevision);
+        m_journal.recordEvent("restored", fields);
+    }
+
+    /// Writes one of the entries again that were lost with the restoration, if that is due. The caller holds m_mutex.
+    void rewriteOne()
+    {
+        if (m_rewrites.empty() || monotonicNow() < m_rewriteAt) {
+            return;
         }
-        return {notFound, {}};
+        transact(m_store, m_rewrites.front(), true);
+        m_rewrites.pop_front();
+        m_changed.notify_all();
     }
 
-    static lease_number leaseIn(const std::string &path, const std::string &call)
+    /// Drops the pending rewrites of the keys that a call of the operator or a replica writes, which are newer. The caller holds m_mutex.
+    void dropRewrites(const Json::Value &body)
     {
-        return lease_number(std::stoull("0" + path.substr(call.size())));
+        const auto firstKey = [](const Json::Value &transaction) {
+            const auto &writes = jsonArray(transaction, names::writes);
+            return writes.empty() ? jsonArray(transaction, names::removals)[0].asString() : jsonString(writes[0], names::key);
+        };
+        const auto isWritten = [&](const std::string &key) {
+            const auto &writes = jsonArray(body, names::writes);
+            const auto &removals = jsonArray(body, names::removals);
+            return std::any_of(writes.begin(), writes.end(), [&](const auto &write) { return jsonString(write, names::key) == key; })
+                || std::any_of(removals.begin(), removals.end(), [&](const auto &removal) { return removal.asString() == key; });
+        };
+        std::erase_if(m_rewrites, [&](const Json::Value &rewrite) { return isWritten(firstKey(rewrite)); });
     }
 
     store_answer write(const Json::Value &body, bool isPrivileged)
@@ -195,6 +228,7 @@
         }
         auto answer = transact(m_store, body, isPrivileged);
         if (answer.status == 200) {
+            dropRewrites(body);
             for (const auto &written : jsonArray(body, names::writes)) {
                 recordAcknowledgement(jsonString(written, names::key), answer, isPrivileged);
             }
@@ -227,17 +261,15 @@
         m_journal.recordEvent("acked", fields);
     }
 
-    store_answer watch(const http_exchange &exchange)
+    std::pair<store_answer, std::uint64_t> watch(const http_exchange &exchange)
     {
-        const auto prefix = exchange.queryParameter(names::prefix);
-        const auto after = std::stoull("0" + exchange.queryParameter(names::after));
         const auto wait = std::min<std::uint64_t>(maxWatchMs, std::stoull("0" + exchange.queryParameter(names::waitTime)));
-        store_answer answer;
+        std::pair<store_answer, std::uint64_t> answer;
         {
             std::unique_lock lock(m_mutex);
             m_changed.wait_for(lock, std::chrono::milliseconds(wait), [&] {
-                answer = readChanges(m_store, prefix, after);
-                return answer.status != 200 || !answer.body[names::events].empty() || m_isStopping;
+                answer = {applyCall(m_store, exchange, Json::Value(), false, monotonicNow()), m_store.era};
+                return answer.first.status != 200 || !answer.first.body[names::events].empty() || m_isStopping;
             });
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(m_faults.holdWatchesMs));
@@ -264,6 +296,7 @@
             std::this_thread::sleep_for(tick);
             const std::lock_guard lock(m_mutex);
             expire();
+            rewriteOne();
         }
         m_changed.notify_all();
     }
@@ -276,6 +309,9 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     store_model m_store;
+    std::optional<store_model> m_copy;
+    std::deque<Json::Value> m_rewrites;
+    instant m_rewriteAt;
     std::thread m_expiry;
 };
 
--- a/Tests/StandIns/platform/store_model.cpp
+++ b/Tests/StandIns/platform/store_model.cpp
@@ -5,6 +5,7 @@
 #include "Tests/StandIns/platform/stand_in_names.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace vetchpost::test {
 
@@ -148,7 +149,7 @@
 
 store_answer readChanges(const store_model &store, const std::string &prefix, std::uint64_t after)
 {
-    if (after < store.discardedUpTo) {
+    if (after < store.discardedUpTo || after > store.keys.lastRevision) {
         return {historyGone, {}};
     }
     store_answer answer;
@@ -244,4 +245,42 @@
     store.discardedUpTo = store.keys.lastRevision;
 }
 
+std::vector<Json::Value> restoreCopy(store_model &store, const store_model &copy, instant now)
+{
+    const auto before = std::exchange(store, copy);
+    store.era = before.era + 1;
+    // Lease numbers are not given out again.
+    store.keys.lastLease = before.keys.lastLease;
+    for (auto &[number, lease] : store.keys.leases) {
+        lease.ends = now + lease.time;
+    }
+    std::vector<Json::Value> rewrites;
+    for (const auto &[key, entry] : before.keys.entries) {
+        const auto copied = store.keys.entries.find(key);
+        const bool isSame = copied != store.keys.entries.end() && copied->second.value == entry.value;
+        if (!isReservedKey(key) || isSame) {
+            continue;
+        }
+        if (const auto lease = before.keys.leases.find(entry.lease); lease != before.keys.leases.end()) {
+            // A replica that finds its lease gone acquires one and writes its entry under it; here it gets the same lease again.
+            store.keys.leases[entry.lease] = {lease->second.time, now + lease->second.time};
+        }
+        Json::Value write;
+        write[names::key] = key;
+        write[names::value] = entry.value.substr(1);
+        write[names::lease] = Json::UInt64(entry.lease.value());
+        Json::Value transaction;
+        transaction[names::writes].append(write);
+        rewrites.push_back(std::move(transaction));
+    }
+    for (const auto &[key, entry] : copy.keys.entries) {
+        if (isReservedKey(key) && !before.keys.entries.contains(key)) {
+            Json::Value transaction;
+            transaction[names::removals].append(key);
+            rewrites.push_back(std::move(transaction));
+        }
+    }
+    return rewrites;
+}
+
 } // namespace vetchpost::test
--- a/Tests/StandIns/platform/store_model.h
+++ b/Tests/StandIns/platform/store_model.h
@@ -15,6 +15,8 @@
     std::map<std::string, std::uint64_t> created;
     /// Last revision whose changes have been discarded.
     std::uint64_t discardedUpTo = 0;
+    /// Increases each time that the store comes back from an older copy.
+    std::uint64_t era = 1;
 };
 
 struct store_answer
@@ -30,7 +32,7 @@
 store_answer readKey(const store_model &store, const std::string &key);
 /// Returns a page of the entries whose keys start with \a prefix and follow \a lastKey.
 store_answer readRange(const store_model &store, const std::string &prefix, const std::string &lastKey);
-/// Returns the changes under \a prefix after a revision; 410 if they have been discarded.
+/// Returns the changes under \a prefix after a revision; 410 if they have been discarded, or the store does not have the revision.
 store_answer readChanges(const store_model &store, const std::string &prefix, std::uint64_t after);
 /// Applies a transaction completely or not at all; 412 with the current entries if one of its conditions does not hold.
 store_answer transact(store_model &store, const Json::Value &transaction, bool mayWriteReserved);
@@ -40,5 +42,9 @@
 std::vector<lease_number> expireLeases(store_model &store, instant now);
 void endLease(store_model &store, lease_number lease, instant now);
 void discardHistory(store_model &store);
+/// Replaces the store by an older copy of itself, which begins a new era: all later changes are gone, and their revisions are given out
+/// again. Returns the transactions with which the operator and the replicas write again what they had written since the copy was made, in
+/// the order of the keys.
+std::vector<Json::Value> restoreCopy(store_model &store, const store_model &copy, instant now);
 
 } // namespace vetchpost::test
