--- /dev/null
+++ b/Tests/StoreRestore/restorableStore.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Base/endpoint.h"
+#include "Libraries/Base/instant.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace vetchpost::test {
+
+/// The platform's store in the test's process, reached by its protocol, which can come back from an older copy. Thread-safe.
+class restorable_store
+{
+public:
+    restorable_store();
+    ~restorable_store();
+    restorable_store(const restorable_store &) = delete;
+    restorable_store &operator=(const restorable_store &) = delete;
+
+    const endpoint &address() const;
+    std::uint64_t revision() const;
+    /// Writes an entry as the operator or a replica would.
+    void write(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    /// Returns the value of a key; empty if there is none.
+    std::string read(const std::string &key) const;
+    void saveCopy();
+    /// Comes back from the copy that was saved last, and writes again what the operator and the replicas wrote since, if \a doesRewrite.
+    void restore(bool doesRewrite = true);
+    /// While set, watches of replicas that arrive wait before they are looked at.
+    void holdReplicaWatches(bool areHeld);
+    /// Number of watches that wait so now.
+    int heldReplicaWatches() const;
+
+private:
+    struct private_data;
+    std::unique_ptr<private_data> d;
+};
+
+/// Polls until the condition holds or the time is over; returns whether it holds.
+bool isWithin(duration time, const std::function<bool()> &condition);
+
+} // namespace vetchpost::test
