--- a/Libraries/Daemon/configuration_service.cpp
+++ b/Libraries/Daemon/configuration_service.cpp
@@ -80,12 +80,12 @@
     void run()
     {
         duration backoff = pollInterval;
-        std::uint64_t watchedUpTo = 0;
+        store_revision watchedUpTo;
         const auto startedAt = monotonicNow();
         bool hasReadHead = false;
         while (pause(pollInterval)) {
             if (isCoordinating()) {
-                const bool isHeadRead = watchedUpTo == 0 ? readConfigurationHead() : true;
+                const bool isHeadRead = watchedUpTo.isNone() ? readConfigurationHead() : true;
                 reason why;
                 const auto changes = isHeadRead ? keyValue.watch(configurationHeadKey, watchedUpTo, watchWait, why) : std::nullopt;
                 if (!changes) {
@@ -100,7 +100,7 @@
                 }
                 continue;
             }
-            watchedUpTo = 0;
+            watchedUpTo = {};
             const bool hasWaitedForPeers = monotonicNow() - startedAt > peerConfigurationWait;
             if (!cluster.head() && hasWaitedForPeers && !hasReadHead) {
                 hasReadHead = readConfigurationHead();
--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -152,7 +152,7 @@
             return false;
         }
         publishedRevision = coordinator.acceptedRevision;
-        return cluster.publishRegister({exchange_names::allotment, publishedRevision.value(), 0, toText(coordinator.accepted)});
+        return cluster.publishRegister({exchange_names::allotment, publishedRevision.number(), 0, toText(coordinator.accepted)});
     }
 
     /// Starts an action on a worker thread.
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -200,7 +200,7 @@
             keyValue.endLease(*lease);
             return;
         }
-        beginTerm({result.changed.value(), *lease, asked + settings.leaseTime});
+        beginTerm({result.changed.number(), *lease, asked + settings.leaseTime});
     }
 
     void followCoordinator(const std::string &address)
--- a/Libraries/Entry/configuration_reading.cpp
+++ b/Libraries/Entry/configuration_reading.cpp
@@ -76,6 +76,7 @@
 {
     {
         const std::lock_guard lock(mutex);
+        readConfigurationRevision = std::max(readConfigurationRevision, entry.changed);
         if (entry.changed == configurationRevision) {
             currentAt = std::max(currentAt.value_or(asked), asked);
             return true;
@@ -85,13 +86,14 @@
     auto configuration = dialect.readConfiguration(entry.value, why);
     if (!configuration) {
         undecodable.increment();
-        storeLog.write("configuration_unreadable", {{"revision", entry.changed.value()}, {"why", why.text}});
+        storeLog.write("configuration_unreadable", {{"revision", entry.changed.number()}, {"why", why.text}});
         return false;
     }
     auto next = std::make_shared<const route_table>(std::move(*configuration));
     {
         const std::lock_guard lock(mutex);
         if (table && next->configuration().version < table->configuration().version) {
+            // The service came back from an older copy. The operator writes the newer version again.
             return true;
         }
         table = std::move(next);
@@ -99,7 +101,7 @@
         currentAt = asked;
         storeLog.write("configuration_in_force",
                        {{"version", table->configuration().version},
-                        {"revision", entry.changed.value()},
+                        {"revision", entry.changed.number()},
                         {"routes", table->configuration().routes.size()}});
     }
     didChange();
@@ -118,7 +120,7 @@
         if (configuration == configurationRevision && table) {
             currentAt = std::max(currentAt.value_or(at), at);
         }
-        if (configuration <= configurationRevision) {
+        if (configuration <= std::max(configurationRevision, readConfigurationRevision)) {
             return;
         }
         mustReadConfiguration = true;
--- a/Libraries/Entry/crash_refusal_store.cpp
+++ b/Libraries/Entry/crash_refusal_store.cpp
@@ -130,7 +130,7 @@
         }
         const auto refusals = decodeCrashRefusals(entry->value, calendarMilliseconds());
         if (!refusals) {
-            crashLog.write("notes_unreadable", {{"revision", entry->changed.value()}});
+            crashLog.write("notes_unreadable", {{"revision", entry->changed.number()}});
             return false;
         }
         known = entry->changed;
@@ -177,7 +177,7 @@
         if (result.outcome == swap_outcome::applied) {
             known = result.changed;
             written = content;
-            crashLog.write("notes_written", {{"refused", refusals.refused.size()}, {"revision", known.value()}});
+            crashLog.write("notes_written", {{"refused", refusals.refused.size()}, {"revision", known.number()}});
         } else {
             mayWrite = false;
             nextRead = now + checkPeriod;
--- a/Libraries/Entry/evacuation_reading.cpp
+++ b/Libraries/Entry/evacuation_reading.cpp
@@ -90,7 +90,7 @@
 
 bool store_follower::private_data::watchEvacuations()
 {
-    std::uint64_t after = 0;
+    store_revision after;
     {
         const std::lock_guard lock(mutex);
         after = feed.evacuations.report.revision;
@@ -103,7 +103,7 @@
         const std::lock_guard lock(mutex);
         isEvacuationListingDue = isEvacuationListingDue || result.has_value();
         if (result) {
-            storeLog.write("history_lost", {{"prefix", dialect.evacuationPrefix()}, {"after", after}});
+            storeLog.write("history_lost", {{"prefix", dialect.evacuationPrefix()}, {"after", after.number()}});
         }
         return result.has_value();
     }
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Records a replica's revision. Returns false and records nothing if a newer one is known.
-bool updateRevision(replica_entries &entries, const instance_id &replica, std::uint64_t revision)
+bool updateRevision(replica_entries &entries, const instance_id &replica, store_revision revision)
 {
     auto &known = entries.revisions[replica];
     if (revision < known) {
@@ -84,7 +84,7 @@
     }
 }
 
-void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, std::uint64_t upTo, duration outage, instant now)
+void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, store_revision upTo, duration outage, instant now)
 {
     std::set<instance_id> present;
     for (const auto &change : replicas) {
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -23,7 +23,7 @@
     /// Group members without an entry, with the time at which they are removed.
     std::map<instance_id, instant> unlisted;
     /// The service's revision of each replica's last change or removal, so that an older change never replaces a newer one.
-    std::map<instance_id, std::uint64_t> revisions;
+    std::map<instance_id, store_revision> revisions;
 };
 
 /// After an outage of the key-value service of at least this duration, entries of live replicas may have expired.
@@ -36,7 +36,7 @@
 void recordReceipt(std::vector<replica_change> &changes, bool isColdPaced, instant now);
 /// Applies a complete listing of \a replicas as of the service's revision \a upTo; known changes that are newer stay. \a outage is the
 /// duration of a recent outage of the service: if it was long enough, missing replicas are kept for lapsedGrace.
-void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, std::uint64_t upTo, duration outage, instant now);
+void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, store_revision upTo, duration outage, instant now);
 /// Applies one change: a written entry or its removal. A group member whose entry was removed is kept as draining for unlistedGrace.
 void applyChange(replica_entries &entries, const replica_change &change, instant now);
 /// How long a group member without an entry is kept as draining. A leaving member stays for up to ten seconds while its head has work.
--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -49,10 +49,10 @@
 bool store_follower::private_data::needsListing(bool isFed) const
 {
     const std::lock_guard lock(mutex);
-    return replicasUpTo == 0 || (mustListSince && !isFed);
+    return replicasUpTo.isNone() || (mustListSince && !isFed);
 }
 
-std::uint64_t store_follower::private_data::upTo() const
+store_revision store_follower::private_data::upTo() const
 {
     const std::lock_guard lock(mutex);
     return replicasUpTo;
@@ -81,12 +81,21 @@
         mustListSince = asked;
         return false;
     }
-    const auto outage = recentOutage();
     const auto replicas = decodeAll(listing->entries);
+    const auto outageNow = recentOutage();
     logLeaving(replicas, "listing");
     reportLeaving(replicas);
     {
         const std::lock_guard lock(mutex);
+        if (listing->upTo.era() < listedEra) {
+            // A late answer from before the service came back from an older copy.
+            mustListSince = monotonicNow();
+            return false;
+        }
+        // The copy lacks the entries of replicas that have started since it was made, until they write them again.
+        const bool isNewEra = firstListing && listing->upTo.era() > listedEra;
+        const auto outage = isNewEra ? std::max(outageNow, lapsingOutage) : outageNow;
+        listedEra = listing->upTo.era();
         applyListing(entries, replicas, listing->upTo, outage, monotonicNow());
         applyListing(feed, replicas, listing->upTo, outage < lapsingOutage);
         replicasUpTo = std::max(replicasUpTo, listing->upTo);
@@ -97,9 +106,11 @@
         }
         lastListing = std::max(lastListing.value_or(asked), asked);
         firstListing = firstListing.value_or(asked);
-        storeLog.write(
-            "replicas_listed",
-            {{"count", replicas.size()}, {"lapsed", entries.lapsed.size()}, {"revision", listing->upTo}, {"up_to", replicasUpTo}});
+        storeLog.write("replicas_listed",
+                       {{"count", replicas.size()},
+                        {"lapsed", entries.lapsed.size()},
+                        {"revision", listing->upTo.number()},
+                        {"up_to", replicasUpTo.number()}});
         // Before the mutex is released, so that whoever sees the new listing time also finds the listed entries.
         rebuildDirectory();
     }
@@ -111,7 +122,7 @@
 bool store_follower::private_data::watch()
 {
     bool hasLapsed = false;
-    std::uint64_t after = 0;
+    store_revision after;
     {
         const std::lock_guard lock(mutex);
         hasLapsed = !entries.lapsed.empty() || !entries.unlisted.empty();
@@ -125,7 +136,7 @@
         const std::lock_guard lock(mutex);
         mustListSince = monotonicNow();
         if (result) {
-            storeLog.write("history_lost", {{"prefix", dialect.replicaPrefix()}, {"after", after}});
+            storeLog.write("history_lost", {{"prefix", dialect.replicaPrefix()}, {"after", after.number()}});
         }
         return false;
     }
@@ -153,7 +164,7 @@
     for (const auto &entry : values) {
         auto replica = entry.value.empty() ? std::nullopt : decode(entry);
         if (replica || entry.value.empty()) {
-            changes.push_back({replicaIdOf(entry), entry.changed.value(), std::move(replica)});
+            changes.push_back({replicaIdOf(entry), entry.changed, std::move(replica)});
         }
     }
     recordReceipt(changes, isColdPaced, monotonicNow());
@@ -184,7 +195,7 @@
             loggedLeaving.clear();
         }
         if (loggedLeaving.insert({change.id, change.replica->incarnation}).second) {
-            storeLog.write("replica_leaving", {{"replica", change.id.value()}, {"revision", change.revision}, {"from", from}});
+            storeLog.write("replica_leaving", {{"replica", change.id.value()}, {"revision", change.revision.number()}, {"from", from}});
         }
     }
 }
@@ -195,7 +206,7 @@
     for (const auto &change : changes) {
         applyChange(entries, change, monotonicNow());
         if (!change.replica) {
-            storeLog.write("replica_removed", {{"replica", change.id.value()}, {"revision", change.revision}});
+            storeLog.write("replica_removed", {{"replica", change.id.value()}, {"revision", change.revision.number()}});
         }
     }
     return !changes.empty();
@@ -215,6 +226,10 @@
 
 void store_follower::private_data::applyUpdate(const feed_update &update, std::optional<instant> asked)
 {
+    if (!update.upTo.isNone() && update.upTo.era() == store_era() && keyValue.era() != store_era()) {
+        // The source is of an earlier version and knows no eras, so that its revisions cannot be compared with those known here.
+        return;
+    }
     finishEvacuationChange(applyEvacuations(update, asked));
     if (asked && update.configurationAge) {
         recordSourceConfiguration(update.configuration, *asked - *update.configurationAge);
@@ -226,8 +241,8 @@
     {
         const std::lock_guard lock(mutex);
         if (update.isHistoryLost) {
-            replicasUpTo = 0;
-        } else if (replicasUpTo != 0 && update.after <= replicasUpTo) {
+            replicasUpTo = {};
+        } else if (!replicasUpTo.isNone() && update.after <= replicasUpTo) {
             applyChanges(feed, changes, update.upTo);
             replicasUpTo = std::max(replicasUpTo, update.upTo);
             mustListSince.reset();
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -36,6 +36,16 @@
     if (recordCall(availability, hasAnswered, now)) {
         storeLog.write(hasAnswered ? "store_regained" : "store_lost", {{"silent_ms", silence.count()}, {"why", why.text}});
     }
+    logEra();
+}
+
+void store_follower::private_data::logEra()
+{
+    const auto era = keyValue.era();
+    if (loggedEra != store_era() && era > loggedEra) {
+        storeLog.write("store_restored", {{"era", era.value()}, {"up_to", replicasUpTo.number()}});
+    }
+    loggedEra = std::max(loggedEra, era);
 }
 
 duration store_follower::private_data::recentOutage() const
@@ -144,7 +154,7 @@
     d->publish();
 }
 
-std::uint64_t store_follower::replicasUpTo() const
+store_revision store_follower::replicasUpTo() const
 {
     return d->upTo();
 }
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -55,8 +55,8 @@
     /// Applies an update from the source. \a asked is the time at which the subscription that it answers was sent; nothing if it answers
     /// none.
     void applyUpdate(const feed_update &update, std::optional<instant> asked);
-    /// Returns the service's revision up to which the replicas' entries are known; 0 before the first listing.
-    std::uint64_t replicasUpTo() const;
+    /// Returns the service's revision up to which the replicas' entries are known; none before the first listing.
+    store_revision replicasUpTo() const;
     /// Returns the answer to a follower's subscription. With \a mayRefer it may refer the follower to a relay.
     std::vector<feed_datagram> answerSubscription(const feed_subscription &subscription, const endpoint &from, bool mayRefer = false);
     /// Returns the changes that active followers have not been sent yet.
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -46,6 +46,8 @@
     /// The routes of the configuration; nullptr before the first one.
     std::shared_ptr<const route_table> table;
     key_revision configurationRevision;
+    /// The latest revision of the configuration that was read, also if it was not put into force.
+    key_revision readConfigurationRevision;
     /// When the configuration was last known to be the newest.
     std::optional<instant> currentAt;
     replica_entries entries;
@@ -55,8 +57,11 @@
     /// When the last complete listing began, and the first one.
     std::optional<instant> lastListing;
     std::optional<instant> firstListing;
-    /// The service's revision up to which the entries are known; 0 if they must be listed.
-    std::uint64_t replicasUpTo = 0;
+    /// The service's revision up to which the entries are known; none if they must be listed.
+    store_revision replicasUpTo;
+    /// The service's era in which the entries were last listed, and the latest one that was logged.
+    store_era listedEra;
+    store_era loggedEra;
     /// When a watch or a listing failed. Only a listing that begins later, or an update from the source, shows the changes that were
     /// missed.
     std::optional<instant> mustListSince;
@@ -89,6 +94,8 @@
     bool pause(duration time);
     /// Records whether the service answered a call, and logs when an outage begins or ends.
     void recordServiceAnswer(bool hasAnswered, const reason &why);
+    /// Logs once that the service has come back from an older copy. Requires the mutex to be held.
+    void logEra();
     /// Returns the duration of a current or recent outage of the service, after which entries of live replicas may be missing; zero if
     /// there was none.
     duration recentOutage() const;
@@ -119,7 +126,7 @@
     /// Whether the entries must be listed. After a failed watch an active source (\a isFed) sends the missed changes instead.
     bool needsListing(bool isFed) const;
     /// Returns replicasUpTo under the mutex.
-    std::uint64_t upTo() const;
+    store_revision upTo() const;
     duration pauseBetweenWatches() const;
     /// Lists the entries and publishes a new directory. Returns false if the service did not answer.
     bool list(read_freshness freshness);
--- a/Libraries/Feed/evacuation_codec.cpp
+++ b/Libraries/Feed/evacuation_codec.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Feed/evacuation_codec.h"
 
+#include "Libraries/Feed/revision_codec.h"
+
 namespace vetchpost {
 
 namespace {
@@ -14,7 +16,7 @@
 Json::Value encodeEvacuations(const evacuation_report &report)
 {
     Json::Value json;
-    json[revisionField] = Json::UInt64(report.revision);
+    encodeRevision(json, revisionField, report.revision);
     json[listField] = Json::Value(Json::arrayValue);
     for (const auto &[dataCentre, since] : report.since) {
         Json::Value entry(Json::arrayValue);
@@ -34,7 +36,7 @@
         return std::nullopt;
     }
     evacuation_report report;
-    report.revision = json[revisionField].asUInt64();
+    report.revision = decodeRevision(json, revisionField);
     for (const auto &entry : json[listField]) {
         const bool isEntry = entry.isArray() && entry.size() == 2 && entry[0].isString() && nameProblem(entry[0].asString()).empty()
             && entry[1].isInt64() && entry[1].asInt64() >= 0;
--- a/Libraries/Feed/feed_follower.cpp
+++ b/Libraries/Feed/feed_follower.cpp
@@ -77,7 +77,7 @@
 }
 
 feed_subscription
-makeSubscription(feed_follower &follower, const daemon_id &from, std::uint64_t replicasUpTo, bool wantsReplicas, instant now)
+makeSubscription(feed_follower &follower, const daemon_id &from, store_revision replicasUpTo, bool wantsReplicas, instant now)
 {
     follower.pendingSubscriptions[++follower.lastNonce] = now;
     if (follower.pendingSubscriptions.size() > maxPendingSubscriptions) {
--- a/Libraries/Feed/feed_follower.h
+++ b/Libraries/Feed/feed_follower.h
@@ -45,7 +45,7 @@
 void recordDaemonCount(feed_follower &follower, int daemons, instant now);
 /// Returns the next subscription to send and records when it was sent.
 feed_subscription
-makeSubscription(feed_follower &follower, const daemon_id &from, std::uint64_t replicasUpTo, bool wantsReplicas, instant now);
+makeSubscription(feed_follower &follower, const daemon_id &from, store_revision replicasUpTo, bool wantsReplicas, instant now);
 /// Records an update. Returns when the subscription that it answers was sent, or nothing if it answers none or was relayed too often. The
 /// ages in the update count from that moment at the earliest, however long the messages travelled or either process was suspended.
 std::optional<instant> acceptUpdate(feed_follower &follower, const feed_update &update, instant now);
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -6,6 +6,7 @@
 #include "Libraries/Feed/evacuation_codec.h"
 #include "Libraries/Feed/replica_codec.h"
 #include "Libraries/Feed/report_codec.h"
+#include "Libraries/Feed/revision_codec.h"
 
 #include <algorithm>
 
@@ -72,7 +73,7 @@
     json[kindField] = subscriptionKind;
     json[fromField] = message.from.value();
     json[nonceField] = number(message.nonce);
-    json[upToField] = number(message.replicasUpTo);
+    encodeRevision(json, upToField, message.replicasUpTo);
     json[wantsReplicasField] = message.wantsReplicas;
     json[dataCentreField] = message.dataCentre.value();
     json[daemonsField] = message.daemons;
@@ -104,15 +105,15 @@
     json[sourceField] = message.origin.source.text();
     json[hopsField] = message.origin.hops;
     json[daemonsField] = message.daemons;
-    json[configurationField] = number(message.configuration.value());
+    encodeRevision(json, configurationField, message.configuration);
     if (message.configurationAge) {
         json[configurationAgeField] = Json::Int64(message.configurationAge->count());
     }
     if (message.replicasAge) {
         json[replicasAgeField] = Json::Int64(message.replicasAge->count());
     }
-    json[afterField] = number(message.after);
-    json[upToField] = number(message.upTo);
+    encodeRevision(json, afterField, message.after);
+    encodeRevision(json, upToField, message.upTo);
     json[historyLostField] = message.isHistoryLost;
     if (message.evacuations) {
         json[evacuationsField] = encodeEvacuations(*message.evacuations);
@@ -270,7 +271,7 @@
 {
     feed_subscription subscription{daemon_id(jsonString(json, fromField)),
                                    jsonNumber(json, nonceField),
-                                   jsonNumber(json, upToField),
+                                   decodeRevision(json, upToField),
                                    jsonFlag(json, wantsReplicasField),
                                    {},
                                    data_centre_id(jsonString(json, dataCentreField)),
@@ -295,15 +296,15 @@
     update.nonce = jsonNumber(json, nonceField);
     update.origin = {parseEndpoint(jsonString(json, sourceField)).value_or(endpoint()), static_cast<int>(jsonNumber(json, hopsField))};
     update.daemons = static_cast<int>(jsonNumber(json, daemonsField));
-    update.configuration = key_revision(jsonNumber(json, configurationField));
+    update.configuration = decodeRevision(json, configurationField);
     if (json.isMember(configurationAgeField)) {
         update.configurationAge = duration(static_cast<std::int64_t>(jsonNumber(json, configurationAgeField)));
     }
     if (json.isMember(replicasAgeField)) {
         update.replicasAge = duration(static_cast<std::int64_t>(jsonNumber(json, replicasAgeField)));
     }
-    update.after = jsonNumber(json, afterField);
-    update.upTo = jsonNumber(json, upToField);
+    update.after = decodeRevision(json, afterField);
+    update.upTo = decodeRevision(json, upToField);
     update.isHistoryLost = jsonFlag(json, historyLostField);
     if (json.isMember(evacuationsField)) {
         update.evacuations = decodeEvacuations(json[evacuationsField]);
@@ -318,7 +319,7 @@
         }
     }
     for (const auto &entry : jsonArray(json, changesField)) {
-        auto change = decodeChange(entry);
+        auto change = decodeChange(entry, update.upTo.era());
         if (!change) {
             return std::nullopt;
         }
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -34,8 +34,8 @@
     daemon_id from;
     /// Returned in the answer, so that the follower knows when it sent the subscription that is answered.
     std::uint64_t nonce = 0;
-    /// The key-value service's revision up to which the follower has the replicas' entries; 0 if it has none.
-    std::uint64_t replicasUpTo = 0;
+    /// The key-value service's revision up to which the follower has the replicas' entries; none if it has no listing.
+    store_revision replicasUpTo;
     /// Whether the follower wants the changes of replicas' entries. A daemon that has not had a request yet may do without them, since it
     /// routes nothing and the entries of whole groups are written at once. It reads the entries from the key-value service itself, with
     /// some delay.
@@ -60,7 +60,7 @@
 {
     instance_id id;
     /// The key-value service's revision of the change.
-    std::uint64_t revision = 0;
+    store_revision revision;
     /// The entry that was written; empty if the entry was removed.
     std::optional<served_replica> replica;
 };
@@ -89,9 +89,9 @@
     /// Time since all changes of replicas' entries were known; empty before the first listing.
     std::optional<duration> replicasAge;
     /// \a changes holds all changes of replicas' entries after this revision of the key-value service, up to \a upTo.
-    std::uint64_t after = 0;
+    store_revision after;
     /// Last revision of the key-value service that \a changes covers.
-    std::uint64_t upTo = 0;
+    store_revision upTo;
     std::vector<replica_change> changes;
     /// Whether the sender no longer has all changes since the requested revision, so that the follower must list the entries itself.
     bool isHistoryLost = false;
--- a/Libraries/Feed/feed_publisher.cpp
+++ b/Libraries/Feed/feed_publisher.cpp
@@ -68,7 +68,7 @@
 }
 
 /// Returns all changes after a revision, in the order of their revisions.
-std::vector<const replica_change *> changesAfter(const feed_publisher &publisher, std::uint64_t after)
+std::vector<const replica_change *> changesAfter(const feed_publisher &publisher, store_revision after)
 {
     std::vector<const replica_change *> changes;
     for (const auto &[id, change] : publisher.latest) {
@@ -81,12 +81,12 @@
 }
 
 /// Returns the changes after a revision, split into updates of which each begins at the revision where the one before ends.
-std::vector<feed_update> updatesAfter(const feed_publisher &publisher, std::uint64_t after, instant now)
+std::vector<feed_update> updatesAfter(const feed_publisher &publisher, store_revision after, instant now)
 {
     std::vector<feed_update> updates{emptyUpdate(publisher, now)};
     updates.back().after = after;
     updates.back().upTo = publisher.upTo;
-    std::uint64_t last = after;
+    auto last = after;
     for (const auto *change : changesAfter(publisher, after)) {
         // Changes of one revision go into the same datagram, so that a revision is either sent whole or not at all.
         const bool isFull = updates.back().changes.size() >= maxChangesPerDatagram && change->revision > last;
@@ -108,9 +108,9 @@
 
 } // namespace
 
-void applyListing(feed_publisher &publisher, const std::vector<replica_change> &listed, std::uint64_t upTo, bool isContinuous)
+void applyListing(feed_publisher &publisher, const std::vector<replica_change> &listed, store_revision upTo, bool isContinuous)
 {
-    if (!isContinuous || publisher.upTo == 0) {
+    if (!isContinuous || publisher.upTo.isNone() || upTo.era() != publisher.upTo.era()) {
         publisher.latest.clear();
         // A listing may be older than the changes known so far; those beyond it are discarded with the others.
         publisher.completeAfter = std::max(upTo, publisher.upTo);
@@ -129,7 +129,7 @@
     applyChanges(publisher, listed, upTo);
 }
 
-void applyChanges(feed_publisher &publisher, const std::vector<replica_change> &changes, std::uint64_t upTo)
+void applyChanges(feed_publisher &publisher, const std::vector<replica_change> &changes, store_revision upTo)
 {
     for (const auto &change : changes) {
         applyChange(publisher, change);
@@ -166,16 +166,19 @@
 {
     updateSubscriber(publisher, subscription, from, now);
     auto &subscriber = publisher.subscribers[subscription.from];
+    // A follower of an earlier version knows no eras, and has its entries from this daemon or its predecessor.
+    const bool knowsEras = subscription.replicasUpTo.era() != store_era();
+    const auto known = knowsEras ? subscription.replicasUpTo : store_revision(subscription.replicasUpTo.number(), publisher.upTo.era());
     std::vector<feed_update> updates;
     if (!subscription.wantsReplicas) {
         updates.push_back(emptyUpdate(publisher, now));
-    } else if (publisher.upTo == 0 || subscription.replicasUpTo < publisher.completeAfter) {
+    } else if (publisher.upTo.isNone() || known < publisher.completeAfter) {
         updates.push_back(emptyUpdate(publisher, now));
-        updates.back().isHistoryLost = publisher.upTo > 0;
+        updates.back().isHistoryLost = !publisher.upTo.isNone();
         subscriber.sentUpTo = publisher.upTo;
     } else {
-        updates = updatesAfter(publisher, subscription.replicasUpTo, now);
-        subscriber.sentUpTo = std::max(subscription.replicasUpTo, updates.back().upTo);
+        updates = updatesAfter(publisher, known, now);
+        subscriber.sentUpTo = std::max(known, updates.back().upTo);
     }
     updates.back().nonce = subscription.nonce;
     subscriber.sentEvacuations = publisher.evacuations.changes;
@@ -191,14 +194,14 @@
 {
     std::erase_if(publisher.subscribers, [&](const auto &entry) { return !isSubscribed(entry.second, now); });
     // Most followers lack the same changes, so the updates for them are built once.
-    std::map<std::uint64_t, std::vector<endpoint>> lagging;
+    std::map<store_revision, std::vector<endpoint>> lagging;
     for (auto &[id, subscriber] : publisher.subscribers) {
         if (subscriber.wantsReplicas && subscriber.sentUpTo >= publisher.completeAfter && subscriber.sentUpTo < publisher.upTo) {
             lagging[subscriber.sentUpTo].push_back(subscriber.address);
         }
     }
     std::vector<feed_datagram> datagrams;
-    std::map<std::uint64_t, std::uint64_t> sentUpTo;
+    std::map<store_revision, store_revision> sentUpTo;
     for (const auto &[after, addresses] : lagging) {
         auto updates = updatesAfter(publisher, after, now);
         sentUpTo[after] = updates.back().upTo;
--- a/Libraries/Feed/feed_publisher.h
+++ b/Libraries/Feed/feed_publisher.h
@@ -29,7 +29,7 @@
     endpoint address;
     instant lastSubscribedAt;
     /// Changes up to this revision of the key-value service were sent to it.
-    std::uint64_t sentUpTo = 0;
+    store_revision sentUpTo;
     bool wantsReplicas = false;
     std::vector<model_demand> demand;
     data_centre_id dataCentre;
@@ -53,9 +53,9 @@
 {
     std::map<instance_id, replica_change> latest;
     /// \a latest holds every change after this revision.
-    std::uint64_t completeAfter = 0;
-    /// The key-value service's revision up to which \a latest goes; 0 before the first listing.
-    std::uint64_t upTo = 0;
+    store_revision completeAfter;
+    /// The key-value service's revision up to which \a latest goes; none before the first listing.
+    store_revision upTo;
     key_revision configuration;
     /// When the read that found this configuration began.
     std::optional<instant> configurationCurrentAt;
@@ -75,11 +75,11 @@
 };
 
 /// Applies a listing of all replicas' entries as of the key-value service's revision \a upTo. With \a isContinuous no entry can have
-/// expired unseen since the service's last answer, so entries that the listing lacks are recorded as removed; otherwise the changes known
-/// so far are discarded.
-void applyListing(feed_publisher &publisher, const std::vector<replica_change> &listed, std::uint64_t upTo, bool isContinuous);
+/// expired unseen since the service's last answer, so entries that the listing lacks are recorded as removed; otherwise, and in a new era,
+/// the changes known so far are discarded.
+void applyListing(feed_publisher &publisher, const std::vector<replica_change> &listed, store_revision upTo, bool isContinuous);
 /// Applies the changes that follow those already known, up to revision \a upTo of the key-value service.
-void applyChanges(feed_publisher &publisher, const std::vector<replica_change> &changes, std::uint64_t upTo);
+void applyChanges(feed_publisher &publisher, const std::vector<replica_change> &changes, store_revision upTo);
 
 /// Adds or updates the follower that sent a subscription.
 void updateSubscriber(feed_publisher &publisher, const feed_subscription &subscription, const endpoint &from, instant now);
--- a/Libraries/Feed/replica_codec.cpp
+++ b/Libraries/Feed/replica_codec.cpp
@@ -80,7 +80,7 @@
 {
     Json::Value json(Json::arrayValue);
     json.append(change.id.value());
-    json.append(Json::UInt64(change.revision));
+    json.append(Json::UInt64(change.revision.number()));
     if (!change.replica) {
         return json;
     }
@@ -111,12 +111,12 @@
     return json;
 }
 
-std::optional<replica_change> decodeChange(const Json::Value &json)
+std::optional<replica_change> decodeChange(const Json::Value &json, store_era era)
 {
     if (!json.isArray() || json.size() < removedSize || !isText(json, id_index) || !isNumber(json, revision_index)) {
         return std::nullopt;
     }
-    replica_change change{instance_id(json[id_index].asString()), json[revision_index].asUInt64(), std::nullopt};
+    replica_change change{instance_id(json[id_index].asString()), store_revision(json[revision_index].asUInt64(), era), std::nullopt};
     if (json.size() == removedSize) {
         return change;
     }
--- a/Libraries/Platform/circuit_breaking_service.cpp
+++ b/Libraries/Platform/circuit_breaking_service.cpp
@@ -122,9 +122,14 @@
 }
 
 std::optional<watch_result>
-circuit_breaking_service::watch(const std::string &prefix, std::uint64_t after, duration wait, reason &lastReason)
+circuit_breaking_service::watch(const std::string &prefix, store_revision after, duration wait, reason &lastReason)
 {
     return d->guarded(lastReason, [&] { return d->service->watch(prefix, after, wait, lastReason); });
 }
 
+store_era circuit_breaking_service::era() const
+{
+    return d->service->era();
+}
+
 } // namespace vetchpost
--- a/Libraries/Platform/key_value_client.cpp
+++ b/Libraries/Platform/key_value_client.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/json.h"
 #include "Libraries/Http/http_client.h"
+#include "Libraries/Platform/store_era_record.h"
 
 #include <Poco/URI.h>
 
@@ -14,6 +15,9 @@
 
 constexpr int notFound = 404;
 constexpr int conflict = 409;
+constexpr int historyGone = 410;
+/// In every answer of a service that may come back from an older copy of itself.
+constexpr auto eraHeader = "Store-Era";
 constexpr int firstServerError = 500;
 constexpr duration callTimeout(2000);
 constexpr duration watchTimeoutMargin(3000);
@@ -26,16 +30,16 @@
     return result;
 }
 
-key_value_entry entryOf(const Json::Value &json)
+key_value_entry entryOf(const Json::Value &json, store_era era)
 {
-    return {jsonString(json, "key"), jsonString(json, "value"), key_revision(jsonNumber(json, "revision"))};
+    return {jsonString(json, "key"), jsonString(json, "value"), key_revision(jsonNumber(json, "revision"), era)};
 }
 
-std::vector<key_value_entry> entriesOf(const Json::Value &json, const char *name)
+std::vector<key_value_entry> entriesOf(const Json::Value &json, const char *name, store_era era)
 {
     std::vector<key_value_entry> entries;
     for (const auto &entry : jsonArray(json, name)) {
-        entries.push_back(entryOf(entry));
+        entries.push_back(entryOf(entry, era));
     }
     return entries;
 }
@@ -46,6 +50,7 @@
 {
     endpoint address;
     http_connection_pool connections;
+    store_era_record eras;
     counter reads;
     counter writes;
     counter leases;
@@ -83,6 +88,29 @@
         return call;
     }
 
+    /// Sends a call that may be repeated, and records the era of the reply.
+    std::optional<http_reply> send(const http_call &call, reason &lastReason)
+    {
+        auto reply = connections.send(call, lastReason);
+        eraOf(reply);
+        return reply;
+    }
+
+    /// Sends a call that must not be repeated. The connection pool could send it twice, and the second attempt of a write that took effect
+    /// would look like a conflict.
+    std::optional<http_reply> sendOnce(const http_call &call, reason &lastReason)
+    {
+        auto reply = sendOnFreshConnection(call, lastReason);
+        eraOf(reply);
+        return reply;
+    }
+
+    /// The era in which a reply was made.
+    store_era eraOf(const std::optional<http_reply> &reply)
+    {
+        return eras.record(reply ? reply->header(eraHeader) : std::string());
+    }
+
     /// The body of a successful reply as JSON; otherwise nothing, and \a lastReason is set to platform_unavailable.
     std::optional<Json::Value> parseReply(const std::optional<http_reply> &reply, reason &lastReason) const
     {
@@ -110,34 +138,39 @@
 std::optional<key_value_entry> key_value_client::get(const std::string &key, read_freshness /*freshness*/, reason &lastReason)
 {
     d->reads.increment();
-    const auto reply = d->connections.send(d->makeCall("GET", "/v1/keys/" + percentEncoded(key)), lastReason);
+    const auto reply = d->send(d->makeCall("GET", "/v1/keys/" + percentEncoded(key)), lastReason);
     if (reply && reply->status == notFound) {
         return key_value_entry{key, {}, {}};
     }
     const auto json = d->parseReply(reply, lastReason);
-    return json ? std::optional(entryOf(*json)) : std::nullopt;
+    return json ? std::optional(entryOf(*json, d->eraOf(reply))) : std::nullopt;
 }
 
 std::optional<key_value_listing> key_value_client::list(const std::string &prefix, read_freshness /*freshness*/, reason &lastReason)
 {
     d->reads.increment();
-    const auto reply = d->connections.send(d->makeCall("GET", "/v1/keys?prefix=" + percentEncoded(prefix)), lastReason);
+    const auto reply = d->send(d->makeCall("GET", "/v1/keys?prefix=" + percentEncoded(prefix)), lastReason);
     const auto json = d->parseReply(reply, lastReason);
-    return json ? std::optional(key_value_listing{entriesOf(*json, "entries"), jsonNumber(*json, "revision")}) : std::nullopt;
+    if (!json) {
+        return std::nullopt;
+    }
+    const auto era = d->eraOf(reply);
+    return key_value_listing{entriesOf(*json, "entries", era), store_revision(jsonNumber(*json, "revision"), era)};
 }
 
 swap_result key_value_client::compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease)
 {
     d->writes.increment();
+    if (!d->eras.isPresent(expected)) {
+        return {swap_outcome::conflict, {}};
+    }
     Json::Value body;
     body["key"] = key;
-    body["expected"] = Json::UInt64(expected.value());
+    body["expected"] = Json::UInt64(expected.number());
     body["value"] = value;
     body["lease"] = Json::UInt64(lease.value());
     reason why;
-    // A write uses a new connection. The pool could send it twice, and the second attempt of a write that took effect would look like a
-    // conflict.
-    const auto reply = sendOnFreshConnection(d->makeCall("POST", "/v1/swap", body), why);
+    const auto reply = d->sendOnce(d->makeCall("POST", "/v1/swap", body), why);
     if (!reply) {
         d->failures.increment();
         return {why.kind == error_kind::backend_unreachable ? swap_outcome::not_sent : swap_outcome::unknown, {}};
@@ -146,8 +179,11 @@
         return {swap_outcome::conflict, {}};
     }
     if (reply->isSuccess()) {
-        if (const auto json = parseJson(reply->body)) {
-            return {swap_outcome::applied, key_revision(jsonNumber(*json, "revision"))};
+        const auto json = parseJson(reply->body);
+        const auto era = d->eraOf(reply);
+        // The service may have come back from an older copy without this daemon's knowledge, so that the expected revision was another one.
+        if (json && (expected.isNone() || expected.era() == era)) {
+            return {swap_outcome::applied, key_revision(jsonNumber(*json, "revision"), era)};
         }
     }
     d->failures.increment();
@@ -160,7 +196,7 @@
     d->leases.increment();
     Json::Value body;
     body["time_ms"] = Json::Int64(time.count());
-    const auto json = d->parseReply(sendOnFreshConnection(d->makeCall("POST", "/v1/leases", body), lastReason), lastReason);
+    const auto json = d->parseReply(d->sendOnce(d->makeCall("POST", "/v1/leases", body), lastReason), lastReason);
     return json ? std::optional(lease_number(jsonNumber(*json, "lease"))) : std::nullopt;
 }
 
@@ -168,7 +204,7 @@
 {
     d->leases.increment();
     const auto target = fmt::format("/v1/leases/{}/renew", lease.value());
-    const auto reply = d->connections.send(d->makeCall("POST", target, Json::Value(Json::objectValue)), lastReason);
+    const auto reply = d->send(d->makeCall("POST", target, Json::Value(Json::objectValue)), lastReason);
     if (reply && reply->status == notFound) {
         return false;
     }
@@ -181,18 +217,30 @@
     static_cast<void>(lease);
 }
 
-std::optional<watch_result> key_value_client::watch(const std::string &prefix, std::uint64_t after, duration wait, reason &lastReason)
+std::optional<watch_result> key_value_client::watch(const std::string &prefix, store_revision after, duration wait, reason &lastReason)
 {
     d->watches.increment();
     d->waitingWatches.add(1);
-    auto call = d->makeCall("GET", fmt::format("/v1/watch?prefix={}&after={}&wait_ms={}", percentEncoded(prefix), after, wait.count()));
+    auto call
+        = d->makeCall("GET", fmt::format("/v1/watch?prefix={}&after={}&wait_ms={}", percentEncoded(prefix), after.number(), wait.count()));
     call.receiveTimeout = wait + watchTimeoutMargin;
-    const auto json = d->parseReply(d->connections.send(call, lastReason), lastReason);
+    const auto reply = d->send(call, lastReason);
     d->waitingWatches.add(-1);
+    const auto era = d->eraOf(reply);
+    // In another era the same number is another revision, also where the service has it.
+    if (reply && (reply->status == historyGone || (reply->isSuccess() && era != after.era()))) {
+        return watch_result{after, {}, true};
+    }
+    const auto json = d->parseReply(reply, lastReason);
     if (!json) {
         return std::nullopt;
     }
-    return watch_result{jsonNumber(*json, "revision"), entriesOf(*json, "changes"), false};
+    return watch_result{store_revision(jsonNumber(*json, "revision"), era), entriesOf(*json, "changes", era), false};
+}
+
+store_era key_value_client::era() const
+{
+    return d->eras.latest();
 }
 
 } // namespace vetchpost
--- a/Libraries/Platform/key_value_service.h
+++ b/Libraries/Platform/key_value_service.h
@@ -11,8 +11,47 @@
 
 namespace vetchpost {
 
-/// The revision of a key in the key-value service; 0 means that the key does not exist.
-using key_revision = sequence<struct key_revision_tag>;
+/// Counts how often the service has come back from an older copy of itself, which loses the latest changes and the leases, and gives their
+/// revisions out again; 0 if the service does not tell.
+using store_era = sequence<struct store_era_tag>;
+
+/// A revision of the key-value service. Numbers can be compared only within one era; every revision of an era precedes those of later ones.
+class store_revision
+{
+public:
+    constexpr store_revision() = default;
+    constexpr explicit store_revision(std::uint64_t number, store_era era = {})
+        : m_era(era)
+        , m_number(number)
+    {
+    }
+
+    constexpr std::uint64_t number() const
+    {
+        return m_number;
+    }
+
+    constexpr store_era era() const
+    {
+        return m_era;
+    }
+
+    /// Whether this is the default, which stands for "never" or "does not exist".
+    constexpr bool isNone() const
+    {
+        return m_number == 0;
+    }
+
+    constexpr auto operator<=>(const store_revision &) const = default;
+
+private:
+    // Compared in this order.
+    store_era m_era;
+    std::uint64_t m_number = 0;
+};
+
+/// The revision of a key's last change; none if the key does not exist.
+using key_revision = store_revision;
 /// The id of a lease of the key-value service; 0 means no lease.
 using lease_number = sequence<struct lease_tag>;
 
@@ -45,10 +84,11 @@
 struct watch_result
 {
     /// The revision of the service up to which this result contains all changes.
-    std::uint64_t upTo = 0;
+    store_revision upTo;
     /// The written entries; a deleted entry has an empty value.
     std::vector<key_value_entry> changes;
-    /// The service no longer holds all changes since the requested revision, so the entries must be listed again.
+    /// The service no longer holds all changes since the requested revision, or never made them in its present era, so the entries must be
+    /// listed again.
     bool isHistoryLost = false;
 };
 
@@ -57,7 +97,7 @@
 {
     std::vector<key_value_entry> entries;
     /// The revision of the service before the listing began. A watch from this revision misses no change.
-    std::uint64_t upTo = 0;
+    store_revision upTo;
 };
 
 /// Whether a read must return the current value or may return an older one.
@@ -77,7 +117,8 @@
     virtual std::optional<key_value_entry> get(const std::string &key, read_freshness freshness, reason &lastReason) = 0;
     /// All entries whose keys begin with \a prefix.
     virtual std::optional<key_value_listing> list(const std::string &prefix, read_freshness freshness, reason &lastReason) = 0;
-    /// Writes \a value if the key still has the revision \a expected. If a lease is given, the key is deleted when the lease ends.
+    /// Writes \a value if the key still has the revision \a expected, which must be of the present era unless it is none. If a lease is
+    /// given, the key is deleted when the lease ends.
     virtual swap_result compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease = {})
         = 0;
     /// Grants a lease that expires after \a time unless it is renewed.
@@ -87,7 +128,12 @@
     /// Ends a lease and deletes its keys immediately, on a best-effort basis.
     virtual void endLease(lease_number lease) = 0;
     /// Waits for at most \a wait for changes under \a prefix after the revision \a after.
-    virtual std::optional<watch_result> watch(const std::string &prefix, std::uint64_t after, duration wait, reason &lastReason) = 0;
+    virtual std::optional<watch_result> watch(const std::string &prefix, store_revision after, duration wait, reason &lastReason) = 0;
+    /// Returns the latest era that an answer has named.
+    virtual store_era era() const
+    {
+        return {};
+    }
 };
 
 } // namespace vetchpost
--- a/Libraries/Platform/measured_store.cpp
+++ b/Libraries/Platform/measured_store.cpp
@@ -130,9 +130,14 @@
     });
 }
 
-std::optional<watch_result> measured_store::watch(const std::string &prefix, std::uint64_t after, duration wait, reason &lastReason)
+std::optional<watch_result> measured_store::watch(const std::string &prefix, store_revision after, duration wait, reason &lastReason)
 {
     return d->measure(store_call::watch, [&] { return d->service->watch(prefix, after, wait, lastReason); });
 }
 
+store_era measured_store::era() const
+{
+    return d->service->era();
+}
+
 } // namespace vetchpost
--- /dev/null
+++ b/Libraries/Platform/store_era_record.cpp
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Platform/store_era_record.h"
+
+#include <charconv>
+
+namespace vetchpost {
+
+store_era store_era_record::record(const std::string &text)
+{
+    std::uint64_t era = 0;
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, era);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+        return latest();
+    }
+    // Answers may overtake each other, so that one of an earlier era may be the last to arrive.
+    auto known = m_latest.load();
+    while (known < era && !m_latest.compare_exchange_weak(known, era)) { }
+    return store_era(era);
+}
+
+store_era store_era_record::latest() const
+{
+    return store_era(m_latest);
+}
+
+bool store_era_record::isPresent(store_revision revision) const
+{
+    return revision.isNone() || revision.era() == latest();
+}
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Platform/store_era_record.h
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Platform/key_value_service.h"
+
+#include <atomic>
+#include <string>
+
+namespace vetchpost {
+
+/// The latest era that the key-value service has named in an answer. Thread-safe.
+class store_era_record
+{
+public:
+    /// Records the era that an answer names as a decimal number, and returns it. An answer that names none counts as one of the latest era.
+    store_era record(const std::string &text);
+    store_era latest() const;
+    /// Whether a revision can still be compared with those that the service gives out now.
+    bool isPresent(store_revision revision) const;
+
+private:
+    std::atomic<std::uint64_t> m_latest = 0;
+};
+
+} // namespace vetchpost
--- a/Libraries/Routing/evacuations.cpp
+++ b/Libraries/Routing/evacuations.cpp
@@ -45,7 +45,7 @@
 }
 
 bool addEvacuations(
-    evacuation_set &known, const std::vector<data_centre_id> &added, std::uint64_t upTo, instant currentAt, std::int64_t calendar)
+    evacuation_set &known, const std::vector<data_centre_id> &added, store_revision upTo, instant currentAt, std::int64_t calendar)
 {
     auto next = known.report;
     next.revision = std::max(next.revision, upTo);
--- a/Libraries/Routing/evacuations.h
+++ b/Libraries/Routing/evacuations.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/identifier.h"
 #include "Libraries/Base/instant.h"
+#include "Libraries/Platform/key_value_service.h"
 
 #include <cstdint>
 #include <map>
@@ -20,7 +21,7 @@
     /// When each data centre was first known to be evacuated, in calendar milliseconds.
     std::map<data_centre_id, std::int64_t> since;
     /// The revision of the key-value service that the report describes.
-    std::uint64_t revision = 0;
+    store_revision revision;
 
     bool operator==(const evacuation_report &) const = default;
 };
@@ -68,7 +69,7 @@
 /// Adds data centres whose evacuation was found at \a calendar (milliseconds) by a watch that covers all changes up to \a upTo. Returns
 /// whether the data centres have changed.
 bool addEvacuations(
-    evacuation_set &known, const std::vector<data_centre_id> &added, std::uint64_t upTo, instant currentAt, std::int64_t calendar);
+    evacuation_set &known, const std::vector<data_centre_id> &added, store_revision upTo, instant currentAt, std::int64_t calendar);
 /// Returns the names of the evacuated data centres.
 std::set<data_centre_id> evacuatedDataCentres(const evacuation_set &known);
 /// Returns the differences between the data centres that were \a logged before and the present ones.
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -11,20 +11,20 @@
 
 replica_change replica(const std::string &id, std::uint64_t revision = 1)
 {
-    replica_change change{instance_id(id), revision, served_replica()};
+    replica_change change{instance_id(id), store_revision(revision), served_replica()};
     change.replica->id = change.id;
     return change;
 }
 
 replica_change removal(const std::string &id, std::uint64_t revision)
 {
-    return {instance_id(id), revision, std::nullopt};
+    return {instance_id(id), store_revision(revision), std::nullopt};
 }
 
 replica_entries known()
 {
     replica_entries entries;
-    applyListing(entries, {replica("a"), replica("b")}, 100, duration(0), now);
+    applyListing(entries, {replica("a"), replica("b")}, store_revision(100), duration(0), now);
     return entries;
 }
 
@@ -79,7 +79,7 @@
     replica_entries entries;
     auto member = replica("a");
     member.replica->membership = {group_id("g"), formation(1), 1, member_state::ready};
-    applyListing(entries, {member}, 100, duration(0), now);
+    applyListing(entries, {member}, store_revision(100), duration(0), now);
     applyChange(entries, removal("a", 101), now);
     REQUIRE(entries.directory.replicas.at(id).isUnlisted);
     leaving_replicas leaving;
@@ -92,7 +92,7 @@
 TEST_CASE("Without an outage a replica that is missing in a listing is removed at once")
 {
     auto entries = known();
-    applyListing(entries, {replica("a")}, 100, duration(300), now);
+    applyListing(entries, {replica("a")}, store_revision(100), duration(300), now);
     CHECK(entries.directory.replicas.size() == 1);
     applyChange(entries, removal("a", 2), now);
     CHECK(entries.directory.replicas.empty());
@@ -102,7 +102,7 @@
 {
     auto entries = known();
     applyChange(entries, replica("c", 101), now);
-    applyListing(entries, {replica("a")}, 100, duration(0), now);
+    applyListing(entries, {replica("a")}, store_revision(100), duration(0), now);
     CHECK(entries.directory.replicas.contains(instance_id("c")));
     CHECK_FALSE(entries.directory.replicas.contains(instance_id("b")));
 }
@@ -110,7 +110,7 @@
 TEST_CASE("After an outage of the service a missing replica is kept for a while")
 {
     auto entries = known();
-    applyListing(entries, {replica("a")}, 100, duration(4000), now);
+    applyListing(entries, {replica("a")}, store_revision(100), duration(4000), now);
     CHECK(entries.directory.replicas.size() == 2);
     CHECK_FALSE(removeLapsed(entries, now + duration(2000)));
     CHECK(entries.directory.replicas.size() == 2);
@@ -122,7 +122,7 @@
 TEST_CASE("A replica that returned after an outage stays")
 {
     auto entries = known();
-    applyListing(entries, {replica("a")}, 100, duration(4000), now);
+    applyListing(entries, {replica("a")}, store_revision(100), duration(4000), now);
     applyChange(entries, replica("b"), now);
     CHECK_FALSE(removeLapsed(entries, now + duration(10000)));
     CHECK(entries.directory.replicas.size() == 2);
@@ -131,8 +131,8 @@
 TEST_CASE("A second listing within the grace time does not extend it")
 {
     auto entries = known();
-    applyListing(entries, {replica("a")}, 100, duration(4000), now);
-    applyListing(entries, {replica("a")}, 100, duration(0), now + duration(1000));
+    applyListing(entries, {replica("a")}, store_revision(100), duration(4000), now);
+    applyListing(entries, {replica("a")}, store_revision(100), duration(0), now + duration(1000));
     CHECK(entries.directory.replicas.size() == 2);
     CHECK(removeLapsed(entries, now + lapsedGrace));
 }
@@ -163,9 +163,9 @@
     CHECK(entries.directory.replicas.at(instance_id("a")).isDraining);
     CHECK(entries.directory.replicas.at(instance_id("a")).isUnlisted);
     // A listing without the member changes nothing.
-    applyListing(entries, {replica("b")}, 100, duration(0), now + duration(500));
+    applyListing(entries, {replica("b")}, store_revision(100), duration(0), now + duration(500));
     CHECK(entries.directory.replicas.contains(instance_id("a")));
-    member.revision = 4;
+    member.revision = store_revision(4);
     applyChange(entries, member, now);
     CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).isDraining);
     CHECK_FALSE(removeLapsed(entries, now + unlistedGrace));
@@ -184,7 +184,7 @@
         applyChange(entries, removal("a", 3), now);
         CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).hadReportedDraining);
     }
-    member.revision = 4;
+    member.revision = store_revision(4);
     member.replica->isDraining = true;
     applyChange(entries, member, now);
     CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).isUnlisted);
@@ -205,7 +205,7 @@
     // A replica with another id does not inherit the model.
     applyChange(entries, replica("c", 103), now);
     CHECK_FALSE(entries.directory.replicas.at(instance_id("c")).model);
-    running.revision = 104;
+    running.revision = store_revision(104);
     running.replica->model = model_id("n");
     applyChange(entries, running, now);
     CHECK(entries.directory.replicas.at(instance_id("a")).model == model_id("n"));
@@ -218,7 +218,7 @@
     auto leaving = replica("a", 101);
     leaving.replica->isDraining = true;
     applyChange(entries, leaving, now + duration(500));
-    leaving.revision = 102;
+    leaving.revision = store_revision(102);
     applyChange(entries, leaving, now + duration(900));
     CHECK(entries.directory.leavingSince.at(instance_id("a")) == now + duration(500));
     auto leftBefore = replica("c", 103);
--- a/Tests/Feed/feedSimulation.cpp
+++ b/Tests/Feed/feedSimulation.cpp
@@ -15,9 +15,9 @@
 constexpr std::uint16_t basePort = 7000;
 
 /// Returns a change whose encoded entry is as long as on a real platform.
-replica_change makeChange(std::uint64_t revision, std::uint64_t replicas)
+replica_change makeChange(store_revision revision, std::uint64_t replicas)
 {
-    replica_change change{instance_id(fmt::format("i-{:010}", revision % replicas)), revision, served_replica()};
+    replica_change change{instance_id(fmt::format("i-{:010}", revision.number() % replicas)), revision, served_replica()};
     change.replica->id = change.id;
     change.replica->service = service_id("gode75a");
     change.replica->address = {"10.200.164.182", 18261};
@@ -212,7 +212,8 @@
     for (int number = 0; number < daemons(); ++number) {
         auto &next = m_nodes[static_cast<std::size_t>(number)];
         if (next.role.isSource) {
-            evacuation_report report{{}, ++m_revision};
+            m_revision = store_revision(m_revision.number() + 1);
+            evacuation_report report{{}, m_revision};
             for (const auto &dataCentre : dataCentres) {
                 report.since.emplace(dataCentre, 1);
             }
@@ -276,7 +277,7 @@
 
 void feed_simulation::changeReplica(std::uint64_t replicas)
 {
-    ++m_revision;
+    m_revision = store_revision(m_revision.number() + 1);
     auto &source = *std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &next) { return next.role.isSource; });
     applyChanges(source.feed, {makeChange(m_revision, replicas)}, m_revision);
     source.upTo = m_revision;
--- a/Tests/Feed/feedSimulation.h
+++ b/Tests/Feed/feedSimulation.h
@@ -103,7 +103,7 @@
         data_centre_id dataCentre;
         feed_publisher feed;
         feed_follower follower;
-        std::uint64_t upTo = 0;
+        store_revision upTo;
         instant currentAt;
         std::optional<instant> lastUpdateAt;
         feed_role role;
@@ -139,7 +139,7 @@
     std::deque<datagram_in_flight> m_inFlight;
     instant m_now{duration(1000000)};
     instant m_nextPush{duration(1000000)};
-    std::uint64_t m_revision = 100;
+    store_revision m_revision{100};
     duration m_peakConfigurationAge{};
     double m_lossRate = 0;
     std::mt19937 m_random{7};
--- a/Tests/Feed/testEvacuationFeed.cpp
+++ b/Tests/Feed/testEvacuationFeed.cpp
@@ -25,8 +25,8 @@
 feed_publisher publisherOf(const std::vector<data_centre_id> &evacuated)
 {
     feed_publisher publisher;
-    applyReport(publisher.evacuations, {{}, 5}, start);
-    addEvacuations(publisher.evacuations, evacuated, 6, start, 1000);
+    applyReport(publisher.evacuations, {{}, store_revision(5)}, start);
+    addEvacuations(publisher.evacuations, evacuated, store_revision(6), start, 1000);
     return publisher;
 }
 
@@ -35,7 +35,7 @@
 TEST_CASE("The evacuated data centres survive a datagram")
 {
     feed_update update;
-    update.evacuations = evacuation_report{{{z, 1700000000000}, {data_centre_id("y \"quoted\""), 3}}, 41};
+    update.evacuations = evacuation_report{{{z, 1700000000000}, {data_centre_id("y \"quoted\""), 3}}, store_revision(41)};
     update.evacuationsAge = duration(750);
     const auto decoded = decodeFeedMessage(encodeFeedMessage(update));
     REQUIRE(decoded);
@@ -73,27 +73,27 @@
 TEST_CASE("A changed set is pushed at once to every follower, and each later update repeats it")
 {
     auto publisher = publisherOf({});
-    answerSubscription(publisher, {daemon_id("d1"), 1, 0, false}, followerAddress, start);
+    answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(0), false}, followerAddress, start);
     CHECK(evacuationPushes(publisher, start).empty());
-    addEvacuations(publisher.evacuations, {z}, 7, start, 1000);
+    addEvacuations(publisher.evacuations, {z}, store_revision(7), start, 1000);
     const auto pushed = evacuationPushes(publisher, start + duration(10));
     REQUIRE(pushed.size() == 1);
     CHECK(pushed[0].to == std::vector{followerAddress});
     CHECK(updateOf(pushed[0]).evacuations->since.contains(z));
     CHECK(updateOf(pushed[0]).evacuationsAge == duration(10));
     CHECK(evacuationPushes(publisher, start).empty());
-    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 2, 0, false}, followerAddress, start);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 2, store_revision(0), false}, followerAddress, start);
     CHECK(updateOf(answer.at(0)).evacuations->since.contains(z));
 }
 
 TEST_CASE("Watches that find no change push nothing")
 {
     auto publisher = publisherOf({z});
-    answerSubscription(publisher, {daemon_id("d1"), 1, 0, false}, followerAddress, start);
-    addEvacuations(publisher.evacuations, {}, 9, start + duration(700), 2000);
-    addEvacuations(publisher.evacuations, {z}, 10, start + duration(1400), 3000);
+    answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(0), false}, followerAddress, start);
+    addEvacuations(publisher.evacuations, {}, store_revision(9), start + duration(700), 2000);
+    addEvacuations(publisher.evacuations, {z}, store_revision(10), start + duration(1400), 3000);
     CHECK(evacuationPushes(publisher, start).empty());
-    CHECK(publisher.evacuations.report.revision == 10);
+    CHECK(publisher.evacuations.report.revision == store_revision(10));
     CHECK(publisher.evacuations.report.since.at(z) == 1000);
 }
 
--- a/Tests/Feed/testFeed.cpp
+++ b/Tests/Feed/testFeed.cpp
@@ -20,7 +20,7 @@
 /// Returns a change of a replica's entry; with an empty model, its removal.
 replica_change makeChange(const std::string &id, const std::string &model, std::uint64_t revision)
 {
-    replica_change change{instance_id(id), revision, std::nullopt};
+    replica_change change{instance_id(id), store_revision(revision), std::nullopt};
     if (!model.empty()) {
         change.replica.emplace();
         change.replica->id = change.id;
@@ -50,7 +50,7 @@
     for (int i = 0; i < replicas; ++i) {
         listed.push_back(makeChange(fmt::format("r{}", i), "first", static_cast<std::uint64_t>(i) + 1));
     }
-    applyListing(publisher, listed, 100, true);
+    applyListing(publisher, listed, store_revision(100), true);
     return publisher;
 }
 
@@ -63,7 +63,7 @@
 struct follower_copy
 {
     std::map<instance_id, replica_change> entries;
-    std::uint64_t upTo = 0;
+    store_revision upTo;
 
     void apply(const feed_update &update)
     {
@@ -100,8 +100,8 @@
     update.configuration = key_revision(12);
     update.configurationAge = duration(340);
     update.replicasAge = duration(20);
-    update.after = 5;
-    update.upTo = 9;
+    update.after = store_revision(5);
+    update.upTo = store_revision(9);
     auto written = makeChange("a", "model \"quoted\"", 6);
     written.replica->address = {"10.1.0.7", 8261};
     written.replica->slots = 26;
@@ -118,14 +118,14 @@
     CHECK(read.configuration == key_revision(12));
     CHECK(read.configurationAge == duration(340));
     CHECK(read.replicasAge == duration(20));
-    CHECK(read.after == 5);
-    CHECK(read.upTo == 9);
+    CHECK(read.after == store_revision(5));
+    CHECK(read.upTo == store_revision(9));
     REQUIRE(read.changes.size() == 2);
     CHECK(read.changes[0].replica == written.replica);
-    CHECK(read.changes[1].revision == 9);
+    CHECK(read.changes[1].revision == store_revision(9));
     CHECK_FALSE(read.changes[1].replica);
 
-    const feed_subscription subscription{daemon_id("d3"), 4, 8, false, {{service_id("s"), model_id("m"), 17}}};
+    const feed_subscription subscription{daemon_id("d3"), 4, store_revision(8), false, {{service_id("s"), model_id("m"), 17}}};
     const auto received = std::get<feed_subscription>(*decodeFeedMessage(encodeFeedMessage(subscription)));
     CHECK_FALSE(received.wantsReplicas);
     REQUIRE(received.demand.size() == 1);
@@ -135,7 +135,9 @@
     const stall_report report{daemon_id("d1"), instance_id("i-1")};
     const auto stall = std::get<stall_report>(*decodeFeedMessage(encodeFeedMessage(report)));
     CHECK(stall.replica == instance_id("i-1"));
-    CHECK(std::get<feed_subscription>(*decodeFeedMessage(encodeFeedMessage(feed_subscription{daemon_id("d2"), 4, 8}))).replicasUpTo == 8);
+    CHECK(std::get<feed_subscription>(*decodeFeedMessage(encodeFeedMessage(feed_subscription{daemon_id("d2"), 4, store_revision(8)})))
+              .replicasUpTo
+          == store_revision(8));
     CHECK(std::get<group_stall_warning>(*decodeFeedMessage(encodeFeedMessage(group_stall_warning{instance_id("i-3")}))).head
           == instance_id("i-3"));
     CHECK(std::holds_alternative<feed_end>(*decodeFeedMessage(encodeFeedMessage(feed_end()))));
@@ -155,27 +157,27 @@
 TEST_CASE("A follower that has no entries, or is too far behind, must list them itself")
 {
     auto publisher = publisherWith(3);
-    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 5, 0}, followerAddress, start);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 5, store_revision(0)}, followerAddress, start);
     REQUIRE(answer.size() == 1);
     CHECK(updateOf(answer[0]).isHistoryLost);
     CHECK(updateOf(answer[0]).nonce == 5);
     // A source without a listing of its own does not ask its followers to list.
     feed_publisher blank;
-    CHECK_FALSE(updateOf(answerSubscription(blank, {daemon_id("d1"), 5, 0}, followerAddress, start).at(0)).isHistoryLost);
+    CHECK_FALSE(updateOf(answerSubscription(blank, {daemon_id("d1"), 5, store_revision(0)}, followerAddress, start).at(0)).isHistoryLost);
 }
 
 TEST_CASE("A change is pushed to a follower once, and sent again if its next subscription shows that the push was lost")
 {
     auto publisher = publisherWith(3);
-    answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, start);
+    answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(100)}, followerAddress, start);
     CHECK(pendingPushes(publisher, start).empty());
-    applyChanges(publisher, {makeChange("r1", "second", 101)}, 101);
+    applyChanges(publisher, {makeChange("r1", "second", 101)}, store_revision(101));
     const auto pushed = pendingPushes(publisher, start);
     REQUIRE(pushed.size() == 1);
-    CHECK(updateOf(pushed[0]).after == 100);
-    CHECK(updateOf(pushed[0]).upTo == 101);
+    CHECK(updateOf(pushed[0]).after == store_revision(100));
+    CHECK(updateOf(pushed[0]).upTo == store_revision(101));
     CHECK(pendingPushes(publisher, start).empty());
-    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 2, 100}, followerAddress, start);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 2, store_revision(100)}, followerAddress, start);
     REQUIRE(answer.size() == 1);
     CHECK(updateOf(answer[0]).changes.size() == 1);
 }
@@ -184,11 +186,11 @@
 {
     auto publisher = publisherWith(3);
     publisher.configuration = key_revision(7);
-    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, 0, false}, followerAddress, start);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(0), false}, followerAddress, start);
     REQUIRE(answer.size() == 1);
     CHECK_FALSE(updateOf(answer[0]).isHistoryLost);
     CHECK(updateOf(answer[0]).configuration == key_revision(7));
-    applyChanges(publisher, {makeChange("r1", "second", 101)}, 101);
+    applyChanges(publisher, {makeChange("r1", "second", 101)}, store_revision(101));
     CHECK(pendingPushes(publisher, start).empty());
 }
 
@@ -196,9 +198,9 @@
 {
     auto publisher = publisherWith(3);
     const endpoint elsewhere{"127.0.0.1", 7002};
-    answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, start);
-    answerSubscription(publisher, {daemon_id("d2"), 1, 100}, elsewhere, start);
-    applyChanges(publisher, {makeChange("r1", "second", 101)}, 101);
+    answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(100)}, followerAddress, start);
+    answerSubscription(publisher, {daemon_id("d2"), 1, store_revision(100)}, elsewhere, start);
+    applyChanges(publisher, {makeChange("r1", "second", 101)}, store_revision(101));
     const auto pushed = pendingPushes(publisher, start);
     REQUIRE(pushed.size() == 1);
     CHECK(pushed[0].to == std::vector<endpoint>{followerAddress, elsewhere});
@@ -212,16 +214,16 @@
         changes.push_back(makeFullChange(fmt::format("i-{:010}", i), "boye40dcee", 101 + i));
         changes.back().replica->coldUntil = start + duration(999999);
     }
-    applyChanges(publisher, changes, 300);
-    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, start);
+    applyChanges(publisher, changes, store_revision(300));
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(100)}, followerAddress, start);
     CHECK(answer.size() == maxDatagramsPerSend);
-    std::uint64_t upTo = 100;
+    store_revision upTo(100);
     for (const auto &datagram : answer) {
         CHECK(updateOf(datagram).after == upTo);
         upTo = updateOf(datagram).upTo;
         CHECK(encodeFeedMessage(datagram.message).size() < 1472);
     }
-    CHECK(upTo < 300);
+    CHECK(upTo < store_revision(300));
     CHECK(updateOf(answer.back()).nonce == 1);
 }
 
@@ -229,21 +231,21 @@
 {
     auto publisher = publisherWith(3);
     const std::vector<replica_change> listed{makeChange("r0", "first", 1)};
-    applyListing(publisher, listed, 120, true);
-    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, start);
+    applyListing(publisher, listed, store_revision(120), true);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(100)}, followerAddress, start);
     REQUIRE(answer.size() == 1);
     CHECK(updateOf(answer[0]).changes.size() == 2);
     CHECK(updateOf(answer[0]).changes[0].replica == std::nullopt);
-    applyListing(publisher, listed, 120, false);
-    CHECK(updateOf(answerSubscription(publisher, {daemon_id("d1"), 2, 110}, followerAddress, start).at(0)).isHistoryLost);
+    applyListing(publisher, listed, store_revision(120), false);
+    CHECK(updateOf(answerSubscription(publisher, {daemon_id("d1"), 2, store_revision(110)}, followerAddress, start).at(0)).isHistoryLost);
 }
 
 TEST_CASE("A listing after an outage that is older than the known changes is not taken for complete")
 {
     auto publisher = publisherWith(3);
-    applyChanges(publisher, {makeChange("r7", "new", 130)}, 130);
-    applyListing(publisher, {makeChange("r0", "first", 1)}, 120, false);
-    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, 125}, followerAddress, start);
+    applyChanges(publisher, {makeChange("r7", "new", 130)}, store_revision(130));
+    applyListing(publisher, {makeChange("r0", "first", 1)}, store_revision(120), false);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(125)}, followerAddress, start);
     CHECK(updateOf(answer.at(0)).isHistoryLost);
 }
 
@@ -251,7 +253,7 @@
 {
     auto publisher = publisherWith(1);
     for (std::uint16_t i = 0; i < 5; ++i) {
-        answerSubscription(publisher, {daemon_id("d" + std::to_string(i)), 1, 100}, {"127.0.0.1", i}, start);
+        answerSubscription(publisher, {daemon_id("d" + std::to_string(i)), 1, store_revision(100)}, {"127.0.0.1", i}, start);
     }
     CHECK(activeFollowers(publisher, start).size() == 5);
     CHECK(activeFollowers(publisher, start + subscriberTimeout + duration(1)).empty());
@@ -261,10 +263,12 @@
 {
     auto publisher = publisherWith(1);
     const service_id service("s");
-    answerSubscription(
-        publisher, {daemon_id("d1"), 1, 100, true, {{service, model_id("m"), 3}, {service, model_id("n"), 1}}}, followerAddress, start);
     answerSubscription(publisher,
-                       {daemon_id("d2"), 1, 100, true, {{service, model_id("m"), 4}, {service_id("t"), model_id("m"), 9}}},
+                       {daemon_id("d1"), 1, store_revision(100), true, {{service, model_id("m"), 3}, {service, model_id("n"), 1}}},
+                       followerAddress,
+                       start);
+    answerSubscription(publisher,
+                       {daemon_id("d2"), 1, store_revision(100), true, {{service, model_id("m"), 4}, {service_id("t"), model_id("m"), 9}}},
                        followerAddress,
                        start);
     CHECK(demandOf(publisher, service, start).at(model_id("m")) == 7);
@@ -276,8 +280,8 @@
 {
     auto publisher = publisherWith(1);
     CHECK(countDaemons(publisher, start) == 1);
-    answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, start);
-    answerSubscription(publisher, {daemon_id("d2"), 1, 100}, followerAddress, start + duration(3000));
+    answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(100)}, followerAddress, start);
+    answerSubscription(publisher, {daemon_id("d2"), 1, store_revision(100)}, followerAddress, start + duration(3000));
     CHECK(countDaemons(publisher, start + duration(3000)) == 3);
     CHECK(countDaemons(publisher, start + subscriberTimeout + duration(1)) == 2);
 }
@@ -286,7 +290,7 @@
 {
     feed_follower follower;
     follower.lastNonce = 500;
-    const auto asked = makeSubscription(follower, daemon_id("d1"), 100, true, start);
+    const auto asked = makeSubscription(follower, daemon_id("d1"), store_revision(100), true, start);
     feed_update update;
     update.nonce = asked.nonce;
     update.daemons = 4;
@@ -313,7 +317,7 @@
         }
         follower.upTo = publisher.upTo;
         std::vector<feed_update> inFlight;
-        std::uint64_t revision = publisher.upTo;
+        std::uint64_t revision = publisher.upTo.number();
         std::uint64_t nonce = 0;
         const auto send = [&](const std::vector<feed_datagram> &datagrams) {
             for (const auto &datagram : datagrams) {
@@ -327,7 +331,7 @@
                 ++revision;
                 applyChanges(publisher,
                              {makeChange(fmt::format("r{}", step / 6 % 8), step % 5 == 0 ? "" : fmt::format("v{}", revision), revision)},
-                             revision);
+                             store_revision(revision));
                 break;
             case 2:
                 send(pendingPushes(publisher, start));
@@ -365,7 +369,7 @@
     feed_follower follower;
     const auto reportCount = [&](int daemons, instant now) {
         feed_update update;
-        update.nonce = makeSubscription(follower, daemon_id("d1"), 0, true, now).nonce;
+        update.nonce = makeSubscription(follower, daemon_id("d1"), store_revision(0), true, now).nonce;
         update.daemons = daemons;
         acceptUpdate(follower, update, now);
     };
@@ -387,7 +391,7 @@
     feed_follower follower;
     const auto reportCount = [&](int daemons, instant now) {
         feed_update update;
-        update.nonce = makeSubscription(follower, daemon_id("d1"), 0, true, now).nonce;
+        update.nonce = makeSubscription(follower, daemon_id("d1"), store_revision(0), true, now).nonce;
         update.daemons = daemons;
         acceptUpdate(follower, update, now);
     };
@@ -407,7 +411,7 @@
 {
     feed_follower follower;
     feed_update update;
-    update.nonce = makeSubscription(follower, daemon_id("d1"), 0, true, start).nonce;
+    update.nonce = makeSubscription(follower, daemon_id("d1"), store_revision(0), true, start).nonce;
     update.daemons = 79;
     acceptUpdate(follower, update, start);
     // It has received no subscription yet.
@@ -421,12 +425,12 @@
     auto publisher = publisherWith(0);
     auto cold = makeFullChange("i-1", "m", 101);
     cold.replica->coldUntil = start + duration(3000);
-    applyChanges(publisher, {cold}, 101);
+    applyChanges(publisher, {cold}, store_revision(101));
     auto again = cold;
     again.replica->coldUntil = start + duration(9000);
-    applyChanges(publisher, {again}, 101);
+    applyChanges(publisher, {again}, store_revision(101));
     const auto coldLeftAt = [&](instant at) {
-        const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, 100}, followerAddress, at);
+        const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(100)}, followerAddress, at);
         const auto read = decodeFeedMessage(encodeFeedMessage(answer.back().message));
         REQUIRE(read);
         return std::get<feed_update>(*read).changes.at(0).replica->coldLeft;
@@ -434,12 +438,38 @@
     CHECK(coldLeftAt(start + duration(1000)) == duration(2000));
     CHECK(coldLeftAt(start + duration(3000)) == duration());
     const auto json = encodeChange(cold);
-    CHECK(json == encodeChange(*decodeChange(json)));
+    CHECK(json == encodeChange(*decodeChange(json, store_era())));
     cold.replica->coldLeft = duration(1500);
     auto invalid = encodeChange(cold);
-    CHECK(decodeChange(invalid)->replica->coldLeft == duration(1500));
+    CHECK(decodeChange(invalid, store_era())->replica->coldLeft == duration(1500));
     invalid[invalid.size() - 1] = -1;
-    CHECK_FALSE(decodeChange(invalid));
+    CHECK_FALSE(decodeChange(invalid, store_era()));
     invalid[invalid.size() - 1] = "1500";
-    CHECK_FALSE(decodeChange(invalid));
+    CHECK_FALSE(decodeChange(invalid, store_era()));
+}
+
+TEST_CASE("A new era discards the changes of the one before, and its positions")
+{
+    auto publisher = publisherWith(3);
+    const store_revision lower(90, store_era(2));
+    applyListing(publisher, {{instance_id("r1"), lower, served_replica()}}, lower, true);
+    CHECK(publisher.upTo == lower);
+    CHECK(publisher.latest.size() == 1);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(100, store_era(1))}, followerAddress, start);
+    CHECK(updateOf(answer.at(0)).isHistoryLost);
+    const auto read = decodeFeedMessage(
+        encodeFeedMessage(answerSubscription(publisher, {daemon_id("d1"), 2, lower}, followerAddress, start).at(0).message));
+    CHECK(std::get<feed_update>(*read).upTo == lower);
+}
+
+TEST_CASE("A follower of an earlier version, which knows no eras, is fed as before")
+{
+    auto publisher = publisherWith(0);
+    applyListing(publisher, {}, store_revision(90, store_era(2)), true);
+    answerSubscription(publisher, {daemon_id("d1"), 1, store_revision(90)}, followerAddress, start);
+    applyChanges(publisher, {{instance_id("r1"), store_revision(91, store_era(2)), std::nullopt}}, store_revision(91, store_era(2)));
+    CHECK(pendingPushes(publisher, start).size() == 1);
+    const auto answer = answerSubscription(publisher, {daemon_id("d1"), 2, store_revision(90)}, followerAddress, start);
+    CHECK_FALSE(updateOf(answer.at(0)).isHistoryLost);
+    CHECK(updateOf(answer.at(0)).changes.size() == 1);
 }
--- a/Tests/Feed/testFeedRelays.cpp
+++ b/Tests/Feed/testFeedRelays.cpp
@@ -139,7 +139,7 @@
     feed_follower follower;
     const instant now(duration(1000000));
     feed_update update;
-    update.nonce = makeSubscription(follower, daemon_id("d1"), 0, true, now).nonce;
+    update.nonce = makeSubscription(follower, daemon_id("d1"), store_revision(0), true, now).nonce;
     update.origin.hops = maxHops + 1;
     CHECK_FALSE(acceptUpdate(follower, update, now));
     update.origin.hops = maxHops;
@@ -174,7 +174,7 @@
     follow(follower, first, now);
     REQUIRE(acceptReferral(follower, first, relay, now));
     feed_update update;
-    update.nonce = makeSubscription(follower, daemon_id("d1"), 0, true, now).nonce;
+    update.nonce = makeSubscription(follower, daemon_id("d1"), store_revision(0), true, now).nonce;
     update.origin = {relay, 0};
     REQUIRE(acceptUpdate(follower, update, now));
     CHECK(follower.coordinator == relay);
@@ -187,13 +187,13 @@
     const instant now(duration(1000000));
     std::vector<replica_change> changes;
     for (std::uint64_t revision = 1; revision <= 200; ++revision) {
-        changes.push_back({instance_id("i-" + std::to_string(revision)), revision, served_replica()});
+        changes.push_back({instance_id("i-" + std::to_string(revision)), store_revision(revision), served_replica()});
     }
-    applyListing(publisher, {}, 0, true);
-    applyChanges(publisher, changes, 200);
-    publisher.completeAfter = 0;
+    applyListing(publisher, {}, store_revision(0), true);
+    applyChanges(publisher, changes, store_revision(200));
+    publisher.completeAfter = store_revision(0);
     for (int number = 0; number < 40; ++number) {
-        feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, 0, true, {}, data_centre_id("x")};
+        feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, store_revision(0), true, {}, data_centre_id("x")};
         const endpoint address{"10.0.0.1", static_cast<std::uint16_t>(1000 + number)};
         const auto answer = answerOrRefer(publisher, subscription, address, now);
         const bool isReferred = std::holds_alternative<feed_referral>(answer.back().message);
@@ -214,9 +214,9 @@
 {
     feed_follower follower;
     const instant now(duration(1000000));
-    const auto first = makeSubscription(follower, daemon_id("d1"), 0, true, now);
+    const auto first = makeSubscription(follower, daemon_id("d1"), store_revision(0), true, now);
     for (int number = 1; number < 20; ++number) {
-        makeSubscription(follower, daemon_id("d1"), 0, true, now + duration(320) * number);
+        makeSubscription(follower, daemon_id("d1"), store_revision(0), true, now + duration(320) * number);
     }
     feed_update update;
     update.nonce = first.nonce;
@@ -228,7 +228,7 @@
     feed_publisher publisher;
     const instant now(duration(1000000));
     const auto ask = [&](int number, bool isEnding) {
-        feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, 0, true, {}, data_centre_id("x")};
+        feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, store_revision(0), true, {}, data_centre_id("x")};
         subscription.isEnding = isEnding;
         const endpoint address{"10.0.0.1", static_cast<std::uint16_t>(1000 + number)};
         const auto answer = answerOrRefer(publisher, subscription, address, now);
@@ -254,13 +254,13 @@
     const instant now(duration(1000000));
     std::optional<endpoint> relay;
     for (int number = 0; number < 20 && !relay; ++number) {
-        const feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, 0, true, {}, data_centre_id("x")};
+        const feed_subscription subscription{daemon_id("d" + std::to_string(number)), 1, store_revision(0), true, {}, data_centre_id("x")};
         const endpoint address{"10.0.0.1", static_cast<std::uint16_t>(1000 + number)};
         updateSubscriber(publisher, subscription, address, now);
         relay = referFollower(publisher, subscription, now);
     }
     REQUIRE(relay);
-    feed_subscription back{daemon_id("d-back"), 1, 0, true, {}, data_centre_id("x")};
+    feed_subscription back{daemon_id("d-back"), 1, store_revision(0), true, {}, data_centre_id("x")};
     back.lostRelay = relay;
     updateSubscriber(publisher, back, {"10.0.0.1", 2000}, now);
     CHECK(referFollower(publisher, back, now) != relay);
--- a/Tests/Platform/testCircuitBreaker.cpp
+++ b/Tests/Platform/testCircuitBreaker.cpp
@@ -79,7 +79,7 @@
         ++calls;
     }
     std::optional<watch_result>
-    watch(const std::string & /*prefix*/, std::uint64_t /*after*/, duration /*wait*/, reason & /*lastReason*/) override
+    watch(const std::string & /*prefix*/, store_revision /*after*/, duration /*wait*/, reason & /*lastReason*/) override
     {
         ++calls;
         return isAvailable ? std::optional(watch_result()) : std::nullopt;
@@ -148,14 +148,14 @@
     REQUIRE(guarded.grantLease(duration(2000), why));
     service.isAvailable = false;
     for (int i = 0; i < 50; ++i) {
-        CHECK(!guarded.watch("servers/", 1, duration(3000), why));
+        CHECK(!guarded.watch("servers/", store_revision(1), duration(3000), why));
         CHECK(guarded.compareAndSwap("key", {}, "value", {}).outcome != swap_outcome::applied);
     }
     CHECK(why.kind == error_kind::platform_unavailable);
     CHECK(service.calls <= 4);
     service.isAvailable = true;
     const auto until = monotonicNow() + duration(5000);
-    while (!guarded.watch("servers/", 1, duration(3000), why) && monotonicNow() < until) { }
+    while (!guarded.watch("servers/", store_revision(1), duration(3000), why) && monotonicNow() < until) { }
     CHECK(service.staleReads >= 1);
     CHECK(guarded.compareAndSwap("key", {}, "value", {}).outcome == swap_outcome::applied);
 }
--- a/Tests/Platform/testMeasuredStore.cpp
+++ b/Tests/Platform/testMeasuredStore.cpp
@@ -26,12 +26,12 @@
     std::optional<key_value_listing> list(const std::string &prefix, read_freshness /*freshness*/, reason & /*lastReason*/) override
     {
         m_calls += "list " + prefix + ";";
-        return key_value_listing{{{"k", "v", key_revision(3)}}, 7};
+        return key_value_listing{{{"k", "v", key_revision(3)}}, store_revision(7)};
     }
 
     swap_result compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease) override
     {
-        m_calls += "write " + key + std::to_string(expected.value()) + value + std::to_string(lease.value()) + ";";
+        m_calls += "write " + key + std::to_string(expected.number()) + value + std::to_string(lease.value()) + ";";
         return {swap_outcome::conflict, {}};
     }
 
@@ -51,7 +51,7 @@
     }
 
     std::optional<watch_result>
-    watch(const std::string & /*prefix*/, std::uint64_t after, duration /*wait*/, reason & /*lastReason*/) override
+    watch(const std::string & /*prefix*/, store_revision after, duration /*wait*/, reason & /*lastReason*/) override
     {
         return watch_result{after, {}, true};
     }
@@ -70,12 +70,12 @@
     reason why;
     CHECK_FALSE(store.get("a", read_freshness::current, why));
     CHECK(why.text == "down");
-    CHECK(store.list("p", read_freshness::current, why)->upTo == 7);
+    CHECK(store.list("p", read_freshness::current, why)->upTo == store_revision(7));
     CHECK(store.compareAndSwap("k", key_revision(2), "v", lease_number(4)).outcome == swap_outcome::conflict);
     CHECK(store.grantLease(duration(1), why) == lease_number(5));
     CHECK(store.renewLease(lease_number(5), why) == false);
     store.endLease(lease_number(5));
-    CHECK(store.watch("p", 9, duration(1), why)->upTo == 9);
+    CHECK(store.watch("p", store_revision(9), duration(1), why)->upTo == store_revision(9));
     CHECK(calls == "get a current;list p;write k2v4;end 5;");
 
     const auto text = counters.text();
--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -68,7 +68,7 @@
         std::this_thread::sleep_for(m_listingTime);
         key_value_listing listing;
         // A listing without a revision would count as missing and be requested again and again without a pause.
-        listing.upTo = 1;
+        listing.upTo = store_revision(1);
         for (const auto &[key, value] : m_values) {
             if (key.starts_with(prefix)) {
                 listing.entries.push_back({key, value, key_revision(1)});
@@ -98,7 +98,7 @@
     }
 
     std::optional<watch_result>
-    watch(const std::string & /*prefix*/, std::uint64_t after, duration /*wait*/, reason & /*lastReason*/) override
+    watch(const std::string & /*prefix*/, store_revision after, duration /*wait*/, reason & /*lastReason*/) override
     {
         std::this_thread::sleep_for(duration(50));
         return watch_result{after, {}, false};
--- a/Tests/PlatformAdapter/sharedStore.h
+++ b/Tests/PlatformAdapter/sharedStore.h
@@ -76,7 +76,7 @@
             return std::nullopt;
         }
         return answer(lastReason, [&](auto &store) {
-            key_value_listing listing{{}, std::max<std::uint64_t>(1, store.lastRevision)};
+            key_value_listing listing{{}, store_revision(std::max<std::uint64_t>(1, store.lastRevision))};
             for (const auto &[key, entry] : store.entries) {
                 if (key.starts_with(prefix)) {
                     listing.entries.push_back({key, entry.value, entry.changed});
@@ -108,7 +108,7 @@
         answer(ignored, [&](auto &store) { return store.leases.erase(lease); });
     }
 
-    std::optional<watch_result> watch(const std::string &prefix, std::uint64_t after, duration wait, reason &lastReason) override
+    std::optional<watch_result> watch(const std::string &prefix, store_revision after, duration wait, reason &lastReason) override
     {
         if (!admitsCall(prefix, lastReason)) {
             return std::nullopt;
@@ -116,9 +116,9 @@
         const auto until = monotonicNow() + wait;
         for (;;) {
             auto result = answer(lastReason, [&](auto &store) {
-                watch_result found{store.lastRevision, {}, after < m_store.historyBegins};
+                watch_result found{store_revision(store.lastRevision), {}, after.number() < m_store.historyBegins};
                 for (const auto &change : store.changes) {
-                    if (change.changed.value() > after && change.key.starts_with(prefix)) {
+                    if (change.changed > after && change.key.starts_with(prefix)) {
                         found.changes.push_back(change);
                     }
                 }
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -44,14 +44,14 @@
             while (holdsListing) {
                 std::this_thread::sleep_for(duration(5));
             }
-            return key_value_listing{{}, lastChange};
+            return key_value_listing{{}, store_revision(lastChange)};
         }
         if (failures > 0) {
             --failures;
             lastReason = {error_kind::platform_unavailable, "too many calls"};
             return std::nullopt;
         }
-        return key_value_listing{{}, lastChange};
+        return key_value_listing{{}, store_revision(lastChange)};
     }
 
     swap_result
@@ -74,7 +74,7 @@
     {
     }
 
-    std::optional<watch_result> watch(const std::string &prefix, std::uint64_t after, duration /*wait*/, reason & /*lastReason*/) override
+    std::optional<watch_result> watch(const std::string &prefix, store_revision after, duration /*wait*/, reason & /*lastReason*/) override
     {
         constexpr std::uint64_t mostChanges = 500;
         ++watches;
@@ -83,8 +83,9 @@
             return watch_result{after, {}, true};
         }
         std::this_thread::sleep_for(duration(20));
-        watch_result result{std::max(after, std::min(lastChange.load(), after + mostChanges)), {}, false};
-        for (auto revision = after + 1; revision <= result.upTo; ++revision) {
+        const auto upTo = std::max(after.number(), std::min(lastChange.load(), after.number() + mostChanges));
+        watch_result result{store_revision(upTo), {}, false};
+        for (auto revision = after.number() + 1; revision <= upTo; ++revision) {
             result.changes.push_back({prefix + "i-" + std::to_string(revision), "", key_revision(revision)});
         }
         return result;
@@ -181,7 +182,7 @@
     store_follower follower(
         service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
     follower.start();
-    CHECK(isWithin(duration(2500), [&] { return follower.replicasUpTo() == 3300; }));
+    CHECK(isWithin(duration(2500), [&] { return follower.replicasUpTo() == store_revision(3300); }));
     follower.stop();
 }
 
@@ -198,7 +199,7 @@
     std::this_thread::sleep_for(duration(500));
     CHECK(service.watches == 0);
     follower.recordTraffic();
-    CHECK(isWithin(duration(1500), [&] { return follower.replicasUpTo() == 3300; }));
+    CHECK(isWithin(duration(1500), [&] { return follower.replicasUpTo() == store_revision(3300); }));
     CHECK(service.watches > 0);
     follower.stop();
 }
@@ -219,7 +220,7 @@
     std::this_thread::sleep_for(lapsingOutage + duration(300));
     const auto known = follower.replicasUpTo();
     const auto listed = *follower.listedAt();
-    service.lastChange = known + 5;
+    service.lastChange = known.number() + 5;
     service.isHistoryLost = true;
     REQUIRE(isWithin(duration(3000), [&] { return *follower.listedAt() > listed; }));
     const auto answer = follower.answerSubscription({daemon_id("d1"), 1, known}, {"127.0.0.1", 7001});
--- a/Tests/Routing/testEvacuations.cpp
+++ b/Tests/Routing/testEvacuations.cpp
@@ -13,7 +13,7 @@
 
 evacuation_report reportOf(std::uint64_t revision, const std::vector<data_centre_id> &dataCentres, std::int64_t since = 1000)
 {
-    evacuation_report report{{}, revision};
+    evacuation_report report{{}, store_revision(revision)};
     for (const auto &dataCentre : dataCentres) {
         report.since.emplace(dataCentre, since);
     }
@@ -51,9 +51,9 @@
 {
     evacuation_set known;
     applyReport(known, reportOf(3, {z}, 1000), start);
-    CHECK_FALSE(addEvacuations(known, {z}, 4, start, 5000));
+    CHECK_FALSE(addEvacuations(known, {z}, store_revision(4), start, 5000));
     CHECK(known.report.since.at(z) == 1000);
-    CHECK(addEvacuations(known, {y}, 5, start, 6000));
+    CHECK(addEvacuations(known, {y}, store_revision(5), start, 6000));
     CHECK(evacuatedDataCentres(known) == std::set{y, z});
     CHECK(applyReport(known, reportOf(6, {y}, 7000), start));
     CHECK(known.report.since.at(y) == 6000);
--- a/Tests/StandIns/platform/standInStore.cpp
+++ b/Tests/StandIns/platform/standInStore.cpp
@@ -127,7 +127,7 @@
         json["entries"] = Json::Value(Json::objectValue);
         for (const auto &[key, entry] : m_store.keys.entries) {
             auto &fact = json["entries"][key];
-            fact["revision"] = Json::UInt64(entry.changed.value());
+            fact["revision"] = Json::UInt64(entry.changed.number());
             fact["lease"] = Json::UInt64(entry.lease.value());
             const auto text = decodeBase64(entry.value.substr(1));
             fact["value"] = parseJson(text).value_or(Json::Value(text));
--- a/Tests/StandIns/platform/stand_in_names.h
+++ b/Tests/StandIns/platform/stand_in_names.h
@@ -13,8 +13,6 @@
 constexpr auto weightVersions = "Weight-Versions";
 /// Number of tokens of the prompt, and maximum number of tokens of the answer.
 constexpr auto tokenCounts = "Token-Counts";
-/// In every answer of the store: increases each time that the store comes back from an older copy.
-constexpr auto storeEra = "Store-Era";
 constexpr auto operatorPrefix = "op/";
 /// Header that marks calls of the stand-in replicas and operator.
 constexpr auto ownCall = "X-Stand-In";
--- a/Tests/StandIns/platform/store_calls.cpp
+++ b/Tests/StandIns/platform/store_calls.cpp
@@ -2,7 +2,7 @@
 #include "Tests/StandIns/platform/store_calls.h"
 
 #include "Tests/StandIns/fault_switches.h"
-#include "Tests/StandIns/platform/stand_in_names.h"
+#include "platform/names.h"
 
 namespace vetchpost::test {
 
@@ -49,7 +49,7 @@
 
 void sendAnswer(http_exchange &exchange, const store_answer &answer, std::uint64_t era)
 {
-    exchange.setHeader(stand_in_names::storeEra, std::to_string(era));
+    exchange.setHeader(names::storeEra, std::to_string(era));
     sendJson(exchange, answer.body, answer.status);
 }
 
--- a/Tests/StandIns/platform/store_model.cpp
+++ b/Tests/StandIns/platform/store_model.cpp
@@ -36,7 +36,7 @@
     const auto found = store.keys.entries.find(key);
     if (found != store.keys.entries.end()) {
         json[names::value] = found->second.value.substr(1);
-        json[names::revision] = Json::UInt64(found->second.changed.value());
+        json[names::revision] = Json::UInt64(found->second.changed.number());
         json[stand_in_names::created] = Json::UInt64(store.created.at(key));
         json[names::lease] = Json::UInt64(found->second.lease.value());
     }
@@ -47,7 +47,7 @@
 {
     Json::Value json;
     json[names::key] = change.key;
-    json[names::revision] = Json::UInt64(change.changed.value());
+    json[names::revision] = Json::UInt64(change.changed.number());
     if (change.value.empty()) {
         json[names::removed] = true;
     } else {
@@ -61,7 +61,7 @@
     auto &changes = store.keys.changes;
     if (changes.size() > maxChanges) {
         const auto half = changes.begin() + maxChanges / 2;
-        store.discardedUpTo = (half - 1)->changed.value();
+        store.discardedUpTo = (half - 1)->changed.number();
         changes.erase(changes.begin(), half);
     }
 }
@@ -157,7 +157,7 @@
     answer.body[names::storeRevision] = Json::UInt64(store.keys.lastRevision);
     const auto &changes = store.keys.changes;
     const auto first = std::upper_bound(changes.begin(), changes.end(), after, [](std::uint64_t revision, const auto &change) {
-        return revision < change.changed.value();
+        return revision < change.changed.number();
     });
     for (auto change = first; change != changes.end(); ++change) {
         if (change->key.starts_with(prefix)) {
@@ -184,7 +184,7 @@
         const auto key = jsonString(write, names::key);
         const auto value = valueMarker + jsonString(write, names::value);
         if (!store.keys.entries.contains(key)) {
-            store.created[key] = revision.value();
+            store.created[key] = revision.number();
         }
         store.keys.entries[key] = {value, revision, lease_number(jsonNumber(write, names::lease))};
         store.keys.recordChange(key, value);
@@ -195,7 +195,7 @@
         }
     }
     limitHistory(store);
-    answer.body[names::revision] = Json::UInt64(revision.value());
+    answer.body[names::revision] = Json::UInt64(revision.number());
     return answer;
 }
 
--- a/Tests/StandIns/standInPlatform.cpp
+++ b/Tests/StandIns/standInPlatform.cpp
@@ -68,7 +68,7 @@
         Json::Value json;
         json["key"] = entry.key;
         json["value"] = entry.value;
-        json["revision"] = Json::UInt64(entry.changed.value());
+        json["revision"] = Json::UInt64(entry.changed.number());
         return json;
     }
 
@@ -113,7 +113,7 @@
             return;
         }
         Json::Value json;
-        json["revision"] = Json::UInt64(result.changed.value());
+        json["revision"] = Json::UInt64(result.changed.number());
         sendJson(exchange, json, result.outcome == swap_outcome::applied ? 200 : conflict);
     }
 
@@ -145,7 +145,7 @@
         std::unique_lock lock(m_mutex);
         m_changed.wait_for(lock, wait, [&] {
             for (const auto &change : m_store.changes) {
-                if (change.changed.value() > after && change.key.starts_with(prefix)) {
+                if (change.changed.number() > after && change.key.starts_with(prefix)) {
                     json["changes"].append(toJson(change));
                 }
             }
