Assembly: End a coordinator's term with the era of the store

Cause: a term rested on a lease and on the revision at which its key was created. A store that comes back from an older copy loses the lease, so that another daemon can become coordinator at once while the former one counts on its lease for up to two seconds; and the next term's number can be lower than its predecessor's, so that formation numbers, which have to rise over all terms, fall. Replicas reject a join with a lower number than they have seen, or take it for a repetition of another formation.

Change: the number of a term counts the era with more revisions than a copy may lack. A term ends with its era, also where its lease is part of the copy and can be renewed, since its key need not be. A coordinator plans nothing until a predecessor's lease and orders have run out and the replicas had time to write their entries again, counted from when it learned of the era; a daemon that has just started cannot know when that began and waits too, except at the first start of the system.

Why it works: whoever holds a term of the present era got its key after the store's return, and orders no sooner than the last moment at which a term of the former era can be taken for held.

--- a/Libraries/Assembly/coordination_term.h
+++ b/Libraries/Assembly/coordination_term.h
@@ -9,15 +9,25 @@
 
 namespace vetchpost {
 
-/// A term of one daemon as coordinator: it holds a key that is bound to a lease. The key's creation revision numbers the term.
+/// A term of one daemon as coordinator: it holds a key that is bound to a lease.
 struct coordination_term
 {
-    std::uint64_t number = 0;
+    /// The revision at which the key was created. The term ends with its era, since its lease may be among what the service has lost.
+    store_revision created;
     lease_number lease;
     /// When the lease ends, counted from before the call that granted or renewed it.
     instant leaseUntil;
 };
 
+/// More revisions than an older copy of the key-value service lacks.
+constexpr std::uint64_t revisionsPerEra = 1000000;
+
+/// Returns the number of a term, which increases with each term, also after the service has come back from an older copy.
+inline std::uint64_t termNumber(const coordination_term &term)
+{
+    return term.created.era().value() * revisionsPerEra + term.created.number();
+}
+
 /// Allowance for the drift of two clocks over a lease and for the delay with which a thread wakes.
 constexpr duration leaseMargin(200);
 
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -4,11 +4,13 @@
 #include "Libraries/Assembly/coordination_term.h"
 #include "Libraries/Assembly/plan_pacing.h"
 #include "Libraries/Assembly/self_check.h"
+#include "Libraries/Assembly/store_restoration.h"
 #include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
 #include "Libraries/Entry/assembly_metrics.h"
 #include "Libraries/Entry/group_status_log.h"
+#include "Libraries/Entry/replica_entries.h"
 #include "Libraries/Entry/replica_prober.h"
 #include "Libraries/Entry/stall_report_limit.h"
 #include "Libraries/Http/http_client.h"
@@ -62,6 +64,7 @@
     instant nextStatusLog;
     std::optional<coordination_term> term;
     instant termSince;
+    store_restoration restoration;
     std::map<service_id, assembly_state> assemblies;
     std::map<instance_id, instant> lastReports;
     replica_prober prober;
@@ -110,9 +113,13 @@
         duration planTime{};
         for (;;) {
             const auto now = monotonicNow();
+            recordEra(now);
             if (mustHandOver(now)) {
-                handOver();
+                handOver("others do not answer this daemon");
                 nextAttempt = now + handOverBackoff;
+            } else if (isOfEarlierEra()) {
+                handOver("the key-value service came back from an older copy");
+                nextAttempt = now;
             } else if (holdsTerm(now)) {
                 renewIfDue(now);
                 const auto planStart = monotonicNow();
@@ -142,12 +149,30 @@
         return isHeldFor(term, duration(), now);
     }
 
+    void recordEra(instant now)
+    {
+        const std::lock_guard lock(mutex);
+        vetchpost::recordEra(restoration, keyValue.era(), settings.isFirstStart, now);
+    }
+
+    /// Whether there is a term of an earlier era than the service names now.
+    bool isOfEarlierEra() const
+    {
+        const std::lock_guard lock(mutex);
+        return term && !isOfPresentEra(*term);
+    }
+
+    bool isOfPresentEra(const coordination_term &held) const
+    {
+        return held.created.era() == keyValue.era();
+    }
+
     /// Discards the state of a term that has ended; does nothing without one.
     void endTerm()
     {
         const std::lock_guard lock(mutex);
         if (term) {
-            assemblyLog.write("coordination_lost", {{"term", term->number}});
+            assemblyLog.write("coordination_lost", {{"term", termNumber(*term)}});
             term.reset();
             assemblies.clear();
             groupMetrics.clear();
@@ -163,14 +188,14 @@
     }
 
     /// Ends the term and its lease, so that another daemon can become the coordinator.
-    void handOver()
+    void handOver(const char *why)
     {
         lease_number lease;
         {
             const std::lock_guard lock(mutex);
             lease = term->lease;
         }
-        assemblyLog.write("handed_over", {{"why", "others do not answer this daemon"}});
+        assemblyLog.write("handed_over", {{"why", why}});
         endTerm();
         reportWorkers.run([this, lease] { keyValue.endLease(lease); });
     }
@@ -200,7 +225,7 @@
             keyValue.endLease(*lease);
             return;
         }
-        beginTerm({result.changed.number(), *lease, asked + settings.leaseTime});
+        beginTerm({result.changed, *lease, asked + settings.leaseTime});
     }
 
     void followCoordinator(const std::string &address)
@@ -223,7 +248,7 @@
         }
         prober.reset();
         takeovers.increment();
-        assemblyLog.write("coordination_taken", {{"term", newTerm.number}});
+        assemblyLog.write("coordination_taken", {{"term", termNumber(newTerm)}});
         // Planning waits for a listing that began after the predecessor's term had ended.
         feed.setSource(true);
         store.relist();
@@ -249,7 +274,8 @@
             return;
         }
         const std::lock_guard lock(mutex);
-        if (term && term->number == current.number) {
+        // A lease that is part of an older copy can be renewed, but the key that was bound to it may be gone.
+        if (term && term->created == current.created && isOfPresentEra(*term)) {
             term->leaseUntil = now + settings.leaseTime;
         }
     }
@@ -266,10 +292,14 @@
         const auto now = monotonicNow();
         const auto silence = prober.report(*directory, now);
         std::vector<replica_order> planned;
-        std::uint64_t termNumber = 0;
+        store_revision plannedIn;
         {
             const std::lock_guard lock(mutex);
-            if (!term) {
+            if (!term || !isOfPresentEra(*term)) {
+                return;
+            }
+            if (!hasSettled(restoration, planningDelay(settings.leaseTime, orderTimeout, lapsedGrace), now)) {
+                logWaiting("the key-value service came back from an older copy", now);
                 return;
             }
             if (!routes || !listedAt || *listedAt < termSince) {
@@ -280,7 +310,7 @@
                 logWaiting("the evacuated data centres are not known as of this term", now);
                 return;
             }
-            termNumber = term->number;
+            plannedIn = term->created;
             for (const auto &service : routes->configuration().services) {
                 if (service.engine) {
                     planService(service, *directory, *evacuated, silence, now, planned);
@@ -288,7 +318,7 @@
             }
         }
         for (auto &order : planned) {
-            orderWorkers.run([this, sent = std::move(order), termNumber] { perform(sent, termNumber); });
+            orderWorkers.run([this, sent = std::move(order), plannedIn] { perform(sent, plannedIn); });
         }
     }
 
@@ -310,7 +340,7 @@
                      std::vector<replica_order> &planned)
     {
         auto &assembly = assemblies[service.id];
-        assembly.term = term->number;
+        assembly.term = termNumber(*term);
         assembly.policy.silentHeadTimeout = settings.stallTime;
         updateDemand(assembly.demand, demandOf(service.id), now);
         const assembly_view view{directory,
@@ -327,7 +357,7 @@
             groupMetrics.recordModels(service.id, groupCounts(assembly, *service.engine), assembly.idleSince.size(), now);
         }
         for (const auto &decision : assembly.decisions) {
-            assemblyLog.write("decided", {{"term", term->number}, {"what", decision}});
+            assemblyLog.write("decided", {{"term", termNumber(*term)}, {"what", decision}});
         }
         assembly.decisions.clear();
         if (now >= nextStatusLog) {
@@ -349,14 +379,15 @@
         return demand;
     }
 
-    /// Sends an order of the term \a termNumber, unless the term has ended or the order is no longer due, and records the result.
-    void perform(const replica_order &order, std::uint64_t termNumber)
+    /// Sends an order of the term whose key was created at \a plannedIn, unless the term has ended or the order is no longer due, and
+    /// records the result.
+    void perform(const replica_order &order, store_revision plannedIn)
     {
         bool isAllowed = false;
         {
             // This thread may have been delayed, so the term is checked again right before the order is sent.
             const std::lock_guard lock(mutex);
-            isAllowed = term && term->number == termNumber && isHeldFor(term, orderTimeout, monotonicNow());
+            isAllowed = term && term->created == plannedIn && isOfPresentEra(*term) && isHeldFor(term, orderTimeout, monotonicNow());
         }
         order_answer answer;
         std::string text = "not sent";
