Entry: Write refused requests again after the store has lost them

Cause: the source compares what it would write with what it wrote last. A store that comes back from an older copy no longer holds that, so that the refused requests were never written again: after all daemons had ended, a request that ends replicas would have been let through. A copy without the record at all made the source create one with a new digest key, by which no daemon knows the requests again.

Change: the source reads the record again once the era has changed, compares with what it has read, and keeps its digest key when it creates the record.

--- a/Libraries/Entry/crash_refusal_store.cpp
+++ b/Libraries/Entry/crash_refusal_store.cpp
@@ -101,7 +101,8 @@
     void update(instant now)
     {
         const bool isSource = callbacks.isSource();
-        mayWrite = mayWrite && isSource;
+        // A service that came back from an older copy may have lost what was written.
+        mayWrite = mayWrite && isSource && known.era() == keyValue.era();
         const bool mustRead = isSource ? !mayWrite : !currentKey() || !callbacks.isFed();
         if (mayWrite) {
             writeIfChanged(now);
@@ -134,10 +135,21 @@
             return false;
         }
         known = entry->changed;
+        written = summaryOf(refusals->refused);
         apply(*refusals);
         return true;
     }
 
+    /// Returns a text that changes with the content of a record.
+    static std::string summaryOf(const std::vector<suspect_report> &refused)
+    {
+        std::string content;
+        for (const auto &evidence : refused) {
+            content += evidence.request.value() + ":" + std::to_string(evidence.round) + ":" + std::to_string(evidence.ends.size()) + " ";
+        }
+        return content;
+    }
+
     /// Adopts the digest key and passes the refused requests on.
     void apply(const crash_refusals &refusals)
     {
@@ -148,16 +160,18 @@
         callbacks.didRead(refusals.refused);
     }
 
-    /// Creates the record with a new digest key. Returns false if that failed, for example because another daemon was faster.
+    /// Creates the record, with a new digest key unless one is known. Returns false if that failed, for example because another daemon was
+    /// faster.
     bool create()
     {
-        const crash_refusals refusals{makeIdentityKey(), {}};
+        const crash_refusals refusals{currentKey().value_or(makeIdentityKey()), {}};
         const auto result
             = keyValue.compareAndSwap(crashRefusalsKey, key_revision(), encodeCrashRefusals(refusals, calendarMilliseconds()));
         if (result.outcome != swap_outcome::applied) {
             return false;
         }
         known = result.changed;
+        written.clear();
         apply(refusals);
         return true;
     }
@@ -166,10 +180,7 @@
     void writeIfChanged(instant now)
     {
         crash_refusals refusals{*currentKey(), callbacks.currentRefusals()};
-        std::string content;
-        for (const auto &evidence : refusals.refused) {
-            content += evidence.request.value() + ":" + std::to_string(evidence.round) + ":" + std::to_string(evidence.ends.size()) + " ";
-        }
+        const auto content = summaryOf(refusals.refused);
         if (content == written || now < nextRead) {
             return;
         }
