Entry: Keep evacuations that the operator has to write again

Cause: a listing replaces the set of evacuated data centres. After the store has come back from an older copy the listing lacks an evacuation that began since, until the operator has written it again, so that requests would return to an evacuated data centre for up to two seconds.

Change: in a new era the evacuations known before are kept for the time within which entries are written again; the set is then listed anew, and what is missing there has ended.

--- a/Libraries/Entry/evacuation_reading.cpp
+++ b/Libraries/Entry/evacuation_reading.cpp
@@ -46,7 +46,8 @@
 {
     const std::lock_guard lock(mutex);
     const auto &known = feed.evacuations;
-    if (!known.isKnown || isEvacuationListingDue || isNewSource) {
+    const bool areRewritten = keepEvacuationsUntil && monotonicNow() >= *keepEvacuationsUntil;
+    if (!known.isKnown || isEvacuationListingDue || isNewSource || areRewritten) {
         return true;
     }
     if (isSource) {
@@ -82,12 +83,27 @@
     {
         const std::lock_guard lock(mutex);
         isEvacuationListingDue = false;
+        keepLostEvacuations(report, asked);
         hasChanged = applyReport(feed.evacuations, report, asked);
     }
     finishEvacuationChange(hasChanged);
     return true;
 }
 
+void store_follower::private_data::keepLostEvacuations(evacuation_report &report, instant asked)
+{
+    const auto &known = feed.evacuations;
+    if (known.isKnown && report.revision.era() > known.report.revision.era()) {
+        keepEvacuationsUntil = asked + lapsedGrace;
+    }
+    if (keepEvacuationsUntil && asked >= *keepEvacuationsUntil) {
+        keepEvacuationsUntil.reset();
+    }
+    if (keepEvacuationsUntil) {
+        report.since.insert(known.report.since.begin(), known.report.since.end());
+    }
+}
+
 bool store_follower::private_data::watchEvacuations()
 {
     store_revision after;
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -74,6 +74,8 @@
     evacuation_timing evacuationTimes;
     /// A watch cannot tell the present set: the history was lost, or an entry was removed.
     bool isEvacuationListingDue = false;
+    /// Until when evacuations that the service has lost by coming back from an older copy are kept; nothing if it has not recently.
+    std::optional<instant> keepEvacuationsUntil;
     /// The replicas whose departure was logged.
     std::set<replica_key> loggedLeaving;
     /// The evacuated data centres that were logged.
@@ -159,6 +161,9 @@
     bool mustListEvacuations(bool isNewSource) const;
     /// Lists the evacuations. Returns false if the service did not answer.
     bool listEvacuations();
+    /// Adds to a listing the evacuations known before, while the operator may still have to write them again. Requires the mutex to be
+    /// held.
+    void keepLostEvacuations(evacuation_report &report, instant asked);
     /// Waits for changes of the evacuations. Returns false if the service did not answer.
     bool watchEvacuations();
     /// Returns the data centre that an entry evacuates; nothing if its name is invalid, which is logged.
--- a/Tests/StoreRestore/testStoreRestore.cpp
+++ b/Tests/StoreRestore/testStoreRestore.cpp
@@ -18,6 +18,8 @@
 /// The users' bound on the time until a departure and a configuration are in force everywhere.
 constexpr duration inForceBound(2000);
 constexpr duration evacuationBound(5000);
+/// What the operator and the replicas wrote is written again within this time.
+constexpr duration rewriteTime(2000);
 
 std::string entryText(int slots, const char *state = "ready")
 {
@@ -259,3 +261,27 @@
     CHECK(service.compareAndSwap("vetchpost/key", first.changed, "third").outcome == swap_outcome::conflict);
     CHECK(store.read("vetchpost/key") == "second");
 }
+
+TEST_CASE("An evacuation that the copy lacks goes on until the operator has written it again")
+{
+    restoring_fixture fixture;
+    followed_store source(fixture.store());
+    fixture.store().write("op/evacuate/y", "{}");
+    REQUIRE(isWithin(evacuationBound, [&] { return source.isEvacuated("y"); }));
+    fixture.store().restore(false);
+    CHECK_FALSE(isWithin(rewriteTime, [&] { return !source.isEvacuated("y"); }));
+    fixture.store().write("op/evacuate/y", "{}");
+    CHECK_FALSE(isWithin(2 * rewriteTime, [&] { return !source.isEvacuated("y"); }));
+    fixture.store().remove("op/evacuate/y");
+    CHECK(isWithin(evacuationBound, [&] { return !source.isEvacuated("y"); }));
+}
+
+TEST_CASE("An evacuation that ended before the store came back ends once the entries had time to be written again")
+{
+    restoring_fixture fixture;
+    followed_store source(fixture.store());
+    fixture.store().write("op/evacuate/y", "{}");
+    REQUIRE(isWithin(evacuationBound, [&] { return source.isEvacuated("y"); }));
+    fixture.store().restore(false);
+    CHECK(isWithin(evacuationBound, [&] { return !source.isEvacuated("y"); }));
+}
