--- a/Tests/Suspension/testSuspension.cpp
+++ b/Tests/Suspension/testSuspension.cpp
@@ -20,7 +20,7 @@
 
 TEST_CASE("A coordinator that was suspended beyond its lease does not hold it")
 {
-    const std::optional<coordination_term> term = coordination_term{1, lease_number(1), monotonicNow() + duration(2000)};
+    const std::optional<coordination_term> term = coordination_term{store_revision(1), lease_number(1), monotonicNow() + duration(2000)};
     CHECK(isHeldFor(term, duration(), monotonicNow()));
     suspend(duration(2000));
     CHECK_FALSE(isHeldFor(term, duration(), monotonicNow()));
