Soak: Bring about a store that comes back from an older copy

--restores N: a copy is made, the store goes away and comes back from it; what the operator and the replicas wrote since is written again up to 1.5 s later, and a replica announces that it leaves within three seconds of the return. Their times come from random numbers of their own, so that the schedules of earlier seeds stay as they are.

--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -34,6 +34,8 @@
     , m_evacuatedDataCentres(counters.addGauge("vetchpost_evacuated_data_centres", "Evacuated data centres that have replicas."))
     , m_evacuatedRequests(counters.addGauge("vetchpost_evacuated_requests", "Requests of this daemon in flight in evacuated data centres."))
     , m_coldReplicas(counters.addGauge("vetchpost_cold_replicas", "Replicas that are cold."))
+    , m_storeEra(counters.addGauge("vetchpost_key_value_era",
+                                   "Rises each time that the key-value service comes back from an older copy; 0 if it does not tell."))
 {
 }
 
@@ -53,6 +55,7 @@
     m_evacuatedDataCentres.set(status.evacuatedDataCentres);
     m_evacuatedRequests.set(status.evacuatedRequests);
     m_coldReplicas.set(status.coldReplicas);
+    m_storeEra.set(static_cast<double>(status.storeEra));
     const std::lock_guard lock(m_mutex);
     for (const auto &[part, count] : status.droppedLinesByPart) {
         auto found = m_droppedLines.find(part);
--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -41,6 +41,8 @@
     int evacuatedRequests = 0;
     /// Replicas that are cold.
     int coldReplicas = 0;
+    /// The latest era that the key-value service has named; 0 if it names none.
+    std::uint64_t storeEra = 0;
     /// Log lines dropped since the start, by the part of the program that wrote them.
     std::map<std::string, std::uint64_t> droppedLinesByPart;
 };
@@ -68,6 +70,7 @@
     gauge m_evacuatedDataCentres;
     gauge m_evacuatedRequests;
     gauge m_coldReplicas;
+    gauge m_storeEra;
     std::mutex m_mutex;
     std::map<std::string, counter> m_droppedLines;
 };
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -269,6 +269,7 @@
         status.rateLimitedReplicas = constrained.limited;
         status.leavingReplicas = constrained.leaving;
         status.coldReplicas = constraints.cold().count();
+        status.storeEra = keyValue->era().value();
         status.droppedLinesByPart = droppedLogLinesByPart();
         for (const auto &evacuated : currentEvacuations(store.evacuations())) {
             // An unknown name has no effect.
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -33,6 +33,7 @@
   --deadly=<n>            Requests that end each replica that runs them and are sent repeatedly [default: 0].
   --notices=<n>           Times that a replica reports a rate limit, asks for a backoff or announces that it leaves [default: 0].
   --evacuations=<n>       Evacuations of one of two data centres, over which the replicas are then spread [default: 0].
+  --restores=<n>          Times that the store goes away and comes back from an older copy [default: 0].
   --cold=<n>              Requests per second that replicas accept for 3 s after a restart, and all of them at times; 0: no limit [default: 0].
   --losses=<n>            Of a thousand events of streams, the number that arrive as late as a retransmitted packet [default: 0].
   --keep=<folder>         Folder for settings and logs.
@@ -141,6 +142,7 @@
     options.deadlyRequests = static_cast<int>(number("--deadly"));
     options.notices = static_cast<int>(number("--notices"));
     options.evacuations = static_cast<int>(number("--evacuations"));
+    options.restores = static_cast<int>(number("--restores"));
     options.coldPerSecond = static_cast<int>(number("--cold"));
     options.lossesPerThousand = static_cast<int>(number("--losses"));
     options.folder = arguments.at("--keep").asString();
@@ -159,6 +161,9 @@
     for (const auto &evacuation : planEvacuations(options.seed, options.size, options.evacuations)) {
         fmt::print("{}\n", describe(evacuation));
     }
+    for (const auto &restore : planRestores(options.seed, options.size, options.restores)) {
+        fmt::print("{}\n", describe(restore));
+    }
     std::fflush(stdout);
     try {
         const auto facts = runSoak(options, plan);
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -33,6 +33,8 @@
 constexpr duration replicaRestartTime(1500);
 /// A drained replica has ended after this time and may be restarted.
 constexpr duration drainTime(6000);
+/// The store writes lost entries again one after the other, within this time.
+constexpr duration rewritingTime(500);
 /// How long connections are reset after a silence, so that the silenced ones end.
 constexpr duration resetTime(100);
 
@@ -161,6 +163,9 @@
         for (const auto &evacuation : planEvacuations(m_options.seed, m_options.size, m_options.evacuations)) {
             m_scheduledActions.emplace(begin + evacuation.at, [this, evacuation] { beginEvacuation(evacuation); });
         }
+        for (const auto &restore : planRestores(m_options.seed, m_options.size, m_options.restores)) {
+            scheduleRestore(restore, begin);
+        }
         scheduleColdTimes(begin);
         instant nextEvents;
         instant nextSample;
@@ -267,6 +272,28 @@
         }
     }
 
+    // Restorations of the store.
+
+    void scheduleRestore(const planned_restore &restore, instant begin)
+    {
+        const auto control = m_cluster.storeControl();
+        m_scheduledActions.emplace(begin + restore.copiedAt, [control] { setFaults(control, makeSwitch("save_copy", true)); });
+        m_scheduledActions.emplace(begin + restore.at, [this, control, restore] {
+            const auto lost = restore.backAt - restore.at + restore.rewriteDelay + rewritingTime;
+            m_facts.disturbances.push_back({disturbance_kind::store, monotonicNow(), monotonicNow() + lost, std::nullopt});
+            setFaults(control, makeSwitch("silent", true));
+        });
+        m_scheduledActions.emplace(begin + restore.backAt, [control, restore] {
+            auto faults = makeSwitch("restore_copy_ms", Json::Int64(restore.rewriteDelay.count()));
+            faults["silent"] = false;
+            setFaults(control, faults);
+        });
+        m_scheduledActions.emplace(begin + restore.drainAt, [this, restore] {
+            const auto id = servingReplica(restore.target);
+            disturbReplica("drain", id, monotonicNow() + drainTime);
+        });
+    }
+
     // Faults.
 
     void apply(const planned_fault &fault)
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -26,6 +26,8 @@
     int notices = 0;
     /// The number of evacuations of one of the two data centres.
     int evacuations = 0;
+    /// How many times the store goes away and comes back from an older copy.
+    int restores = 0;
     /// Requests per second that a replica accepts while it is cold: after each start but its first, and several times all at once; 0 if
     /// replicas are never cold.
     int coldPerSecond = 0;
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -185,4 +185,40 @@
     return fmt::format("{:>7} ms  evacuates {:<15} for {} ms", evacuation.at.count(), evacuation.zone, evacuation.lasts.count());
 }
 
+std::vector<planned_restore> planRestores(std::uint64_t seed, const schedule_size &size, int count)
+{
+    constexpr duration minAge(500);
+    constexpr duration maxAge(8000);
+    constexpr duration minAway(100);
+    constexpr duration maxAway(3500);
+    constexpr duration maxRewriteDelay(1500);
+    constexpr duration maxUntilDrain(3000);
+    constexpr std::uint64_t restoreSeedMask = 0x165667b19e3779f9ULL;
+    deterministic_random randomNumbers(seed ^ restoreSeedMask);
+    std::vector<planned_restore> plan;
+    const auto time = count > 0 ? (size.length - recoveryLength - initialQuietTime) / count : duration(0);
+    for (int number = 0; number < count; ++number) {
+        planned_restore restore;
+        restore.backAt = initialQuietTime + time * (number + 1);
+        restore.at = restore.backAt - std::min(randomNumbers.between(minAway, maxAway), time / 2);
+        restore.copiedAt = restore.at - std::min(randomNumbers.between(minAge, maxAge), time / 2);
+        restore.rewriteDelay = randomNumbers.between(duration(0), maxRewriteDelay);
+        restore.drainAt = restore.backAt + randomNumbers.between(duration(0), maxUntilDrain);
+        restore.target = randomNumbers.below(size.replicas + size.plainReplicas);
+        plan.push_back(restore);
+    }
+    return plan;
+}
+
+std::string describe(const planned_restore &restore)
+{
+    return fmt::format("{:>7} ms  store away, back at {} ms from a copy of {} ms, rewritten after {} ms, replica {} leaves at {} ms",
+                       restore.at.count(),
+                       restore.backAt.count(),
+                       restore.copiedAt.count(),
+                       restore.rewriteDelay.count(),
+                       restore.target,
+                       restore.drainAt.count());
+}
+
 } // namespace vetchpost::test
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -132,4 +132,25 @@
 /// Returns the printed line for an evacuation of the schedule.
 std::string describe(const planned_evacuation &evacuation);
 
+/// A time for which the store is away, after which it comes back from an older copy.
+struct planned_restore
+{
+    /// When the copy is made.
+    duration copiedAt{0};
+    /// When the store goes away and when it comes back.
+    duration at{0};
+    duration backAt{0};
+    /// How long after its return the operator and the replicas write again what it has lost.
+    duration rewriteDelay{0};
+    /// When a replica announces that it leaves, and the number of that replica.
+    duration drainAt{0};
+    int target = 0;
+};
+
+/// Returns \a count restorations for a seed, spread over the time of the faults and one after the other. Their random numbers are
+/// independent of those of planFaults().
+std::vector<planned_restore> planRestores(std::uint64_t seed, const schedule_size &size, int count);
+/// Returns the printed line for a restoration of the schedule.
+std::string describe(const planned_restore &restore);
+
 } // namespace vetchpost::test
