Daemon: Write edits again that the key-value service has lost

What an operator saw, in a process test whose service comes back from a copy without the latest edit: an accepted revision 2 in force at all daemons, and every further edit based on it refused as conflicting, since the service held revision 1. A watch from a revision that the service no longer has was repeated for ever.

Change: a daemon that reads a head older than the one it knows writes the known one again before anything else is decided; the revision of a head is in its text, so that nothing is renumbered. A watch whose history is lost reads the head anew. The stand-in of the own platform learns to save a copy and to come back from it, with the header Store-Era.

Two daemons that do not know the lost edit may accept another one first; the edits then differ, and the lower revision is not put into force by those who know the other (docs/FINDINGS.md).

--- a/Libraries/Daemon/configuration_service.cpp
+++ b/Libraries/Daemon/configuration_service.cpp
@@ -63,11 +63,33 @@
         }
     }
 
+    /// Returns the head in the key-value service; nothing if the service does not answer. If the service has come back from an older copy
+    /// and lacks accepted edits that this daemon knows, they are written again first.
+    std::optional<key_value_entry> fetchHead(reason &why)
+    {
+        auto entry = keyValue.get(configurationHeadKey, read_freshness::current, why);
+        const auto stored = entry ? configurationHeadFrom(entry->value) : std::nullopt;
+        const auto known = cluster.head();
+        if (!stored || !known || known->current <= stored->current) {
+            return entry;
+        }
+        const auto written = keyValue.compareAndSwap(configurationHeadKey, entry->changed, toText(*known));
+        configurationLog.warning("The key-value service lacked accepted edits. stored={} known={} written_again={}",
+                                 stored->current.value(),
+                                 known->current.value(),
+                                 written.outcome == swap_outcome::applied);
+        if (written.outcome != swap_outcome::applied) {
+            why = {error_kind::platform_unavailable, "accepted edits that the key-value service has lost could not be written again"};
+            return std::nullopt;
+        }
+        return key_value_entry{configurationHeadKey, toText(*known), written.changed};
+    }
+
     /// Reads the head and publishes it. Returns false if the key-value service does not answer.
     bool readConfigurationHead()
     {
         reason why;
-        const auto entry = keyValue.get(configurationHeadKey, read_freshness::current, why);
+        const auto entry = fetchHead(why);
         if (!entry) {
             configurationLog.warning("The key-value service did not answer. why=\"{}\"", why.text);
             return false;
@@ -94,7 +116,7 @@
                     continue;
                 }
                 backoff = pollInterval;
-                watchedUpTo = changes->upTo;
+                watchedUpTo = changes->isHistoryLost ? store_revision() : changes->upTo;
                 for (const auto &entry : changes->changes) {
                     publishHead(entry);
                 }
@@ -174,7 +196,7 @@
     for (int attempt = 0; attempt < maxAcceptAttempts; ++attempt) {
         // 1. Derive the status of the edit from the head alone, which also settles a write whose reply was lost.
         reason why;
-        const auto entry = d->keyValue.get(configurationHeadKey, read_freshness::current, why);
+        const auto entry = d->fetchHead(why);
         const auto head = entry ? configurationHeadFrom(entry->value) : std::nullopt;
         if (!head) {
             if (!isWriteUnconfirmed) {
--- a/Tests/StandIns/standInPlatform.cpp
+++ b/Tests/StandIns/standInPlatform.cpp
@@ -22,6 +22,7 @@
 constexpr int notFound = 404;
 constexpr int conflict = 409;
 constexpr std::string_view keysPrefix = "/v1/keys/";
+constexpr int historyGone = 410;
 constexpr std::string_view leasesPrefix = "/v1/leases/";
 
 class key_value_stand_in
@@ -30,7 +31,9 @@
     void handle(http_exchange &exchange)
     {
         if (exchange.path() == "/faults") {
-            m_faults.set(readJsonBody(exchange));
+            const auto faults = readJsonBody(exchange);
+            m_faults.set(faults);
+            copyOrRestore(faults);
             sendJson(exchange, Json::Value(Json::objectValue));
         } else if (exchange.path() == "/calls") {
             Json::Value json;
@@ -38,11 +41,28 @@
             sendJson(exchange, json);
         } else if (m_faults.applyBeforeCall(exchange)) {
             ++m_calls;
+            exchange.setHeader("Store-Era", std::to_string(m_era));
             answer(exchange);
         }
     }
 
 private:
+    /// Saves a copy of the service, or comes back from the one that was saved last, which begins a new era.
+    void copyOrRestore(const Json::Value &faults)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (jsonFlag(faults, "save_copy")) {
+            m_copy = m_store;
+        }
+        if (jsonFlag(faults, "restore_copy")) {
+            const auto lastLease = m_store.lastLease;
+            m_store = m_copy;
+            m_store.lastLease = lastLease;
+            ++m_era;
+            m_changed.notify_all();
+        }
+    }
+
     void answer(http_exchange &exchange)
     {
         const auto &path = exchange.path();
@@ -143,6 +163,11 @@
         Json::Value json;
         json["changes"] = Json::Value(Json::arrayValue);
         std::unique_lock lock(m_mutex);
+        if (after > m_store.lastRevision) {
+            lock.unlock();
+            sendJson(exchange, json, historyGone);
+            return;
+        }
         m_changed.wait_for(lock, wait, [&] {
             for (const auto &change : m_store.changes) {
                 if (change.changed.number() > after && change.key.starts_with(prefix)) {
@@ -161,6 +186,8 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     fake_key_value_store m_store;
+    fake_key_value_store m_copy;
+    std::atomic<std::uint64_t> m_era = 1;
 };
 
 /// Lists each instance as the last POST /v1/instances described it, so that a test can make the list lag behind.
