Daemon: Write claims again that the key-value service has lost

What a caller saw, in a process test whose service comes back from a copy without the latest claims: an order repeated with its idempotency key was booked a second time by the daemon that had claimed the key ("lost-claim":2).

Change: a daemon keeps each shard as it was last known to be stored. When the service names a new era it reads the shards again, adds the claims that are missing there and writes them, also without a further claim. A claim that is stored with the same owner keeps its final state.

Left: a daemon learns of the era by its next call to the service.

--- a/Libraries/Daemon/claim_service.cpp
+++ b/Libraries/Daemon/claim_service.cpp
@@ -99,8 +99,10 @@
 void claim_service::subscribeTo(timer_service &timers)
 {
     timers.subscribe("claims", tickPeriod, [this](instant now) {
+        const auto era = d->keyValue.era();
         const std::lock_guard lock(d->mutex);
         for (auto &batcher : d->batchers) {
+            recordEra(batcher, era);
             d->perform(batcher.shard, tick(batcher, now, calendarMilliseconds()));
         }
     });
--- a/Libraries/Requests/claim_batcher.cpp
+++ b/Libraries/Requests/claim_batcher.cpp
@@ -61,10 +61,20 @@
     batcher.waiting.push_back(claim);
 }
 
+void recordEra(claim_batcher &batcher, store_era era)
+{
+    if (era <= batcher.era) {
+        return;
+    }
+    batcher.mustRestore = batcher.era != store_era() && !batcher.lastStored.claims.empty();
+    batcher.era = era;
+    batcher.knownShard.reset();
+}
+
 std::vector<claim_action> tick(claim_batcher &batcher, instant now, std::int64_t calendarNow)
 {
     auto actions = refuseExpired(batcher, now);
-    const bool hasWork = !batcher.waiting.empty() || batcher.isInDoubt;
+    const bool hasWork = !batcher.waiting.empty() || batcher.isInDoubt || batcher.mustRestore;
     if (batcher.isCallPending || !hasWork || now < batcher.nextCall) {
         return actions;
     }
@@ -86,6 +96,11 @@
         batcher.nextCall = now + batcher.retryPause;
         return {};
     }
+    if (batcher.mustRestore) {
+        addLostClaims(*shard, batcher.lastStored);
+    } else {
+        batcher.lastStored = *shard;
+    }
     batcher.knownShard = std::move(shard);
     batcher.knownShardRevision = entry->changed;
     return {};
@@ -97,6 +112,8 @@
     if (result.outcome == swap_outcome::applied) {
         // The revision has increased, so no earlier write of this daemon can be applied any more.
         batcher.isInDoubt = false;
+        batcher.mustRestore = false;
+        batcher.lastStored = batcher.written;
         batcher.knownShard = std::move(batcher.written);
         batcher.knownShardRevision = result.changed;
         batcher.writing.clear();
--- a/Libraries/Requests/claim_batcher.h
+++ b/Libraries/Requests/claim_batcher.h
@@ -51,6 +51,11 @@
     /// The shard as it was last read or written, and its revision. Empty initially and after a write whose outcome is unknown.
     std::optional<claim_shard> knownShard;
     key_revision knownShardRevision;
+    /// The shard as it was last known to be stored, and the era of the key-value service then. Kept while \a knownShard is empty.
+    claim_shard lastStored;
+    store_era era;
+    /// Whether claims that the service has lost by coming back from an older copy must be written again.
+    bool mustRestore = false;
     std::vector<pending_claim> waiting;
     /// The operations in the pending write, the shard that results from it, and the results to report once it has been applied.
     std::vector<pending_claim> writing;
@@ -66,6 +71,8 @@
 
 /// Adds an operation to the next write.
 void addClaim(claim_batcher &batcher, const pending_claim &claim);
+/// Records the era that the key-value service names now. In a new era the shard is read again, and lost claims are added to it.
+void recordEra(claim_batcher &batcher, store_era era);
 /// Refuses claims whose deadline has passed, and starts the next read or write when it is due.
 std::vector<claim_action> tick(claim_batcher &batcher, instant now, std::int64_t calendarNow);
 /// Handles the result of a read; \a entry is empty if the read failed.
--- a/Libraries/Requests/claim_shard.cpp
+++ b/Libraries/Requests/claim_shard.cpp
@@ -66,6 +66,19 @@
     return claim_verdict::granted;
 }
 
+void addLostClaims(claim_shard &shard, const claim_shard &known)
+{
+    for (const auto &record : known.claims) {
+        const auto found
+            = std::find_if(shard.claims.begin(), shard.claims.end(), [&](const claim_record &stored) { return stored.key == record.key; });
+        if (found == shard.claims.end()) {
+            shard.claims.push_back(record);
+        } else if (found->owner == record.owner && found->state == claim_state::claimed) {
+            found->state = record.state;
+        }
+    }
+}
+
 void expireClaims(claim_shard &shard, std::int64_t calendarNow)
 {
     std::erase_if(shard.claims, [&](const claim_record &record) { return calendarNow - record.claimedAt > claimWindow.count(); });
--- a/Libraries/Requests/claim_shard.h
+++ b/Libraries/Requests/claim_shard.h
@@ -74,6 +74,8 @@
 /// Applies one operation to a shard. This is idempotent: applying it again changes nothing and returns the same verdict. For a claim,
 /// \a decidedBy is set to the record that determined the verdict.
 claim_verdict applyClaim(claim_shard &shard, const claim_operation &operation, claim_record &decidedBy);
+/// Adds the claims of a shard as it was \a known before to the same shard of a key-value service that may have lost some of them.
+void addLostClaims(claim_shard &shard, const claim_shard &known);
 /// Removes claims older than claimWindow.
 void expireClaims(claim_shard &shard, std::int64_t calendarNow);
 
