Groups: Give no epoch out again after the key-value service's return

Cause: a successor continued the allotment that the service holds. After the service has come back from an older copy, that allotment lacks groups, and the next epoch and generations repeat ones that engines have seen under another meaning. A coordinator whose lease is part of the copy renewed it for ever, also when another daemon had got the key. Allotments published under the service's lower revisions were taken for older by the other daemons.

Change: a coordinator that takes over continues the latest allotment that it or the daemons of the data centre know, steps down with the era in which it acquired its lease, and publishes allotments under a number that counts the era (risingNumber), by which entry daemons number their terms too.

--- a/Libraries/Assembly/coordination_term.h
+++ b/Libraries/Assembly/coordination_term.h
@@ -19,13 +19,10 @@
     instant leaseUntil;
 };
 
-/// More revisions than an older copy of the key-value service lacks.
-constexpr std::uint64_t revisionsPerEra = 1000000;
-
 /// Returns the number of a term, which increases with each term, also after the service has come back from an older copy.
 inline std::uint64_t termNumber(const coordination_term &term)
 {
-    return term.created.era().value() * revisionsPerEra + term.created.number();
+    return risingNumber(term.created);
 }
 
 /// Allowance for the drift of two clocks over a lease and for the delay with which a thread wakes.
--- a/Libraries/Daemon/cluster_queries.cpp
+++ b/Libraries/Daemon/cluster_queries.cpp
@@ -133,6 +133,12 @@
     return d->wanted ? std::optional(d->head) : std::nullopt;
 }
 
+allotment cluster_state::knownAllotment() const
+{
+    const std::lock_guard lock(d->mutex);
+    return d->allotted;
+}
+
 std::shared_ptr<const configuration> cluster_state::wanted() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Daemon/cluster_state.h
+++ b/Libraries/Daemon/cluster_state.h
@@ -103,6 +103,8 @@
     std::vector<group_status> groups(instant now) const;
     /// The address of the peers' interface of a daemon in any data centre. Nothing if the daemon is unknown.
     std::optional<endpoint> peerAddress(const daemon_id &daemon, instant now) const;
+    /// The allotment of this data centre as its daemons know it.
+    allotment knownAllotment() const;
     /// The head of the configuration in force. Nothing if this daemon knows no configuration.
     std::optional<configuration_head> head() const;
     /// The configuration in force. Null if this daemon knows no configuration.
--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -93,12 +93,14 @@
         const auto tracker = cluster.tracker();
         const auto wants = cluster.wants(now);
         const bool hasOtherCoordinator = cluster.hasOtherCoordinator(now);
+        const auto known = cluster.knownAllotment();
         std::vector<coordinator_action> actions;
         bool hasPublished = false;
         {
             const std::lock_guard lock(mutex);
             const auto started = std::chrono::steady_clock::now();
-            actions = step(coordinator, event, {tracker, wants, store, hasOtherCoordinator, now, calendarMilliseconds()});
+            actions = step(
+                coordinator, event, {tracker, wants, store, hasOtherCoordinator, now, calendarMilliseconds(), keyValue.era(), &known});
             planningTime.observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - started).count());
             recordDecisions();
             hasPublished = publishCoordination(now);
@@ -152,7 +154,7 @@
             return false;
         }
         publishedRevision = coordinator.acceptedRevision;
-        return cluster.publishRegister({exchange_names::allotment, publishedRevision.number(), 0, toText(coordinator.accepted)});
+        return cluster.publishRegister({exchange_names::allotment, risingNumber(publishedRevision), 0, toText(coordinator.accepted)});
     }
 
     /// Starts an action on a worker thread.
@@ -214,7 +216,7 @@
         bool isAllowed = false;
         {
             const std::lock_guard lock(mutex);
-            isAllowed = maySendOrders(coordinator, monotonicNow());
+            isAllowed = maySendOrders(coordinator, monotonicNow()) && coordinator.era == keyValue.era();
         }
         if (isAllowed) {
             orders.increment();
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -13,6 +13,12 @@
 
 using actions = std::vector<coordinator_action>;
 
+/// Returns the allotment that was stored later. Only a key-value service that came back from an older copy holds the other one.
+allotment newestOf(allotment stored, const allotment &known)
+{
+    return std::pair(known.current, known.lastGeneration) > std::pair(stored.current, stored.lastGeneration) ? known : std::move(stored);
+}
+
 /// Handles one event. Numbers at the start of comments refer to the rules in docs/design/GROUPS.md.
 class coordinator_step
 {
@@ -25,7 +31,8 @@
 
     actions operator()(const coordinator_tick & /*event*/)
     {
-        if (m_state.phase != coordinator_phase::follower && m_state.phase != coordinator_phase::acquiring && !isLeaseValid()) {
+        const bool isHeld = isLeaseValid() && m_state.era == m_view.era;
+        if (m_state.phase != coordinator_phase::follower && m_state.phase != coordinator_phase::acquiring && !isHeld) {
             stepDown();
         }
         if (m_state.isCalling) {
@@ -59,6 +66,7 @@
         }
         m_state.failedAttempts = 0;
         m_state.lease = event.lease;
+        m_state.era = m_view.era;
         m_state.leaseUntil = event.calledAt + m_state.settings.leaseTime;
         m_state.phase = coordinator_phase::reading;
         m_state.mustRead = true;
@@ -90,11 +98,15 @@
         if (m_state.phase == coordinator_phase::follower) {
             return {};
         }
-        const auto value = event.isRead ? allotmentFrom(event.entry.value) : std::nullopt;
+        auto value = event.isRead ? allotmentFrom(event.entry.value) : std::nullopt;
         if (!value) {
             delayNextAttempt();
             return {};
         }
+        if (m_state.phase != coordinator_phase::active) {
+            // Epochs and generations must not be given out again.
+            value = newestOf(newestOf(std::move(*value), m_state.accepted), m_view.known == nullptr ? allotment() : *m_view.known);
+        }
         m_state.mustRead = false;
         m_state.isWriteUnconfirmed = m_state.isWriteUnconfirmed && event.entry.changed == m_state.acceptedRevision;
         const bool isOurs = value->coordinator == m_state.settings.self && value->current == m_state.accepted.current
--- a/Libraries/Groups/coordinator.h
+++ b/Libraries/Groups/coordinator.h
@@ -129,6 +129,8 @@
     coordinator_settings settings;
     coordinator_phase phase = coordinator_phase::follower;
     lease_number lease;
+    /// The era in which the lease was acquired. The lease ends with it, since the service may have lost it or the key that is bound to it.
+    store_era era;
     /// When the lease may expire at the earliest: its term is counted from just before the call that acquired or renewed it.
     instant leaseUntil;
     /// No call to the key-value service is made before this time.
@@ -167,6 +169,10 @@
     bool isAnotherActive = false;
     instant now;
     std::int64_t calendarNow = 0;
+    /// The era that the key-value service names.
+    store_era era = {};
+    /// The allotment that the daemons of the data centre know; nullptr if they know none.
+    const allotment *known = nullptr;
 };
 
 coordinator_state makeCoordinator(const coordinator_settings &settings);
--- a/Libraries/Platform/key_value_service.h
+++ b/Libraries/Platform/key_value_service.h
@@ -50,6 +50,15 @@
     std::uint64_t m_number = 0;
 };
 
+/// More revisions than an older copy of the service lacks.
+constexpr std::uint64_t revisionsPerEra = 1000000;
+
+/// Returns a number that increases with the service's revisions over all eras.
+constexpr std::uint64_t risingNumber(store_revision revision)
+{
+    return revision.era().value() * revisionsPerEra + revision.number();
+}
+
 /// The revision of a key's last change; none if the key does not exist.
 using key_revision = store_revision;
 /// The id of a lease of the key-value service; 0 means no lease.
--- a/Tests/Groups/testTakeover.cpp
+++ b/Tests/Groups/testTakeover.cpp
@@ -215,3 +215,56 @@
     // The waiting time is over: planning proceeds with the groups as broken ones and removes none.
     CHECK((simulation.decisions().empty() || simulation.decisions().front().group != group_id()));
 }
+
+TEST_CASE("A coordinator takes over an allotment that the key-value service has lost, and gives no epoch out again")
+{
+    const bool wasCoordinator = GENERATE(true, false);
+    CAPTURE(wasCoordinator);
+    allotment lost;
+    lost.current = epoch(8);
+    lost.lastGeneration = generation(40);
+    lost.withheld.push_back({instance_id("i-1"), epoch(8)});
+    allotment stored;
+    stored.current = epoch(5);
+    stored.lastGeneration = generation(30);
+    coordinator_settings settings;
+    settings.self = daemon_id("d1");
+    settings.dataCentre = dataCentre;
+    auto state = makeCoordinator(settings);
+    state.accepted = wasCoordinator ? lost : allotment();
+    const instance_tracker tracker;
+    const std::optional<std::vector<deployment_want>> wants;
+    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(2), wasCoordinator ? nullptr : &lost};
+    REQUIRE(step(state, coordinator_tick(), view).size() == 1);
+    step(state, acquisition_answer{view.now, true, lease_number(1)}, view);
+    step(state, coordinator_tick(), view);
+    const auto actions = step(state, allotment_answer{true, {"allotment", toText(stored), key_revision(9, store_era(2))}}, view);
+    REQUIRE(actions.size() == 1);
+    const auto &write = std::get<write_allotment>(actions[0]);
+    const auto written = allotmentFrom(write.text);
+    REQUIRE(written);
+    CHECK(written->current == epoch(9));
+    CHECK(written->lastGeneration > generation(40));
+    CHECK(written->withheld == lost.withheld);
+    CHECK(write.expected == key_revision(9, store_era(2)));
+}
+
+TEST_CASE("A coordinator steps down when the key-value service names a new era, though its lease can be renewed")
+{
+    coordinator_settings settings;
+    settings.self = daemon_id("d1");
+    settings.dataCentre = dataCentre;
+    auto state = makeCoordinator(settings);
+    const instance_tracker tracker;
+    const std::optional<std::vector<deployment_want>> wants;
+    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(1)};
+    step(state, coordinator_tick(), view);
+    step(state, acquisition_answer{view.now, true, lease_number(1)}, view);
+    step(state, coordinator_tick(), view);
+    step(state, allotment_answer{true, {"allotment", "", key_revision()}}, view);
+    step(state, write_answer{{swap_outcome::applied, key_revision(2, store_era(1))}}, view);
+    REQUIRE(isActive(state, view.now));
+    view.era = store_era(2);
+    step(state, coordinator_tick(), view);
+    CHECK_FALSE(isActive(state, view.now));
+}
