--- a/Libraries/Groups/allotment.cpp
+++ b/Libraries/Groups/allotment.cpp
@@ -112,6 +112,11 @@
     return value;
 }
 
+const allotment &newestOf(const allotment &stored, const allotment &known)
+{
+    return std::pair(known.current, known.lastGeneration) > std::pair(stored.current, stored.lastGeneration) ? known : stored;
+}
+
 std::optional<std::string> allotmentProblem(const allotment &value)
 {
     std::set<instance_id> placed;
--- a/Libraries/Groups/allotment.h
+++ b/Libraries/Groups/allotment.h
@@ -72,6 +72,9 @@
 /// Parses an allotment. Empty text gives an empty allotment; returns nothing for text that is not a valid allotment.
 std::optional<allotment> allotmentFrom(const std::string &text);
 
+/// Returns the allotment that was stored later. Only a key-value service that came back from an older copy holds the other one.
+const allotment &newestOf(const allotment &stored, const allotment &known);
+
 /// Describes why an allotment must not be written, or returns nothing if it may be: each instance has at most one membership, group ids
 /// are unique, no group is empty, and no group's generation exceeds the last generation.
 std::optional<std::string> allotmentProblem(const allotment &value);
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -13,12 +13,6 @@
 
 using actions = std::vector<coordinator_action>;
 
-/// Returns the allotment that was stored later. Only a key-value service that came back from an older copy holds the other one.
-allotment newestOf(allotment stored, const allotment &known)
-{
-    return std::pair(known.current, known.lastGeneration) > std::pair(stored.current, stored.lastGeneration) ? known : std::move(stored);
-}
-
 /// Handles one event. Numbers at the start of comments refer to the rules in docs/design/GROUPS.md.
 class coordinator_step
 {
@@ -105,7 +99,7 @@
         }
         if (m_state.phase != coordinator_phase::active) {
             // Epochs and generations must not be given out again.
-            value = newestOf(newestOf(std::move(*value), m_state.accepted), m_view.known == nullptr ? allotment() : *m_view.known);
+            value = newestOf(*value, m_view.known == nullptr ? m_state.accepted : newestOf(m_state.accepted, *m_view.known));
         }
         m_state.mustRead = false;
         m_state.isWriteUnconfirmed = m_state.isWriteUnconfirmed && event.entry.changed == m_state.acceptedRevision;
