Soak: Change the configuration before and after the store's return

A configuration that the copy lacks, and a key that is withdrawn after the return, bring about the other half of the fault.

--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -288,6 +288,8 @@
             faults["silent"] = false;
             setFaults(control, faults);
         });
+        m_scheduledActions.emplace(begin + restore.changeAt, [this] { changeConfiguration(false, monotonicNow()); });
+        m_scheduledActions.emplace(begin + restore.withdrawAt, [this] { changeConfiguration(true, monotonicNow()); });
         m_scheduledActions.emplace(begin + restore.drainAt, [this, restore] {
             const auto id = servingReplica(restore.target);
             disturbReplica("drain", id, monotonicNow() + drainTime);
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -192,7 +192,7 @@
     constexpr duration minAway(100);
     constexpr duration maxAway(3500);
     constexpr duration maxRewriteDelay(1500);
-    constexpr duration maxUntilDrain(3000);
+    constexpr duration maxUntilChange(3000);
     constexpr std::uint64_t restoreSeedMask = 0x165667b19e3779f9ULL;
     deterministic_random randomNumbers(seed ^ restoreSeedMask);
     std::vector<planned_restore> plan;
@@ -203,7 +203,9 @@
         restore.at = restore.backAt - std::min(randomNumbers.between(minAway, maxAway), time / 2);
         restore.copiedAt = restore.at - std::min(randomNumbers.between(minAge, maxAge), time / 2);
         restore.rewriteDelay = randomNumbers.between(duration(0), maxRewriteDelay);
-        restore.drainAt = restore.backAt + randomNumbers.between(duration(0), maxUntilDrain);
+        restore.changeAt = randomNumbers.between(restore.copiedAt, restore.at);
+        restore.withdrawAt = restore.backAt + randomNumbers.between(duration(0), maxUntilChange);
+        restore.drainAt = restore.backAt + randomNumbers.between(duration(0), maxUntilChange);
         restore.target = randomNumbers.below(size.replicas + size.plainReplicas);
         plan.push_back(restore);
     }
@@ -212,11 +214,15 @@
 
 std::string describe(const planned_restore &restore)
 {
-    return fmt::format("{:>7} ms  store away, back at {} ms from a copy of {} ms, rewritten after {} ms, replica {} leaves at {} ms",
+    return fmt::format("{:>7} ms  store away, back at {} ms from a copy of {} ms, rewritten after {} ms, configurations at {} and {} ms, "
+                       "replica {} leaves at {} "
+                       "ms",
                        restore.at.count(),
                        restore.backAt.count(),
                        restore.copiedAt.count(),
                        restore.rewriteDelay.count(),
+                       restore.changeAt.count(),
+                       restore.withdrawAt.count(),
                        restore.target,
                        restore.drainAt.count());
 }
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -137,11 +137,15 @@
 {
     /// When the copy is made.
     duration copiedAt{0};
+    /// When a change of the configuration is accepted that the copy lacks.
+    duration changeAt{0};
     /// When the store goes away and when it comes back.
     duration at{0};
     duration backAt{0};
     /// How long after its return the operator and the replicas write again what it has lost.
     duration rewriteDelay{0};
+    /// When a key is withdrawn.
+    duration withdrawAt{0};
     /// When a replica announces that it leaves, and the number of that replica.
     duration drainAt{0};
     int target = 0;
