Entry: Leave a lease of an earlier era to expire

A coordinator whose term ended with the era ended its lease too. The store may have granted the number of a lost lease again, so that this would end another daemon's. The lease now runs out by itself where it is part of the copy; planning waits for that time anyway. A daemon that stops ends its lease only within its era. The reason for waiting says that the service may have come back, which a daemon that has just started cannot tell.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -115,10 +115,11 @@
             const auto now = monotonicNow();
             recordEra(now);
             if (mustHandOver(now)) {
-                handOver("others do not answer this daemon");
+                handOver();
                 nextAttempt = now + handOverBackoff;
             } else if (isOfEarlierEra()) {
-                handOver("the key-value service came back from an older copy");
+                // Its lease is left to expire: the service may have granted the number again, to another daemon.
+                endTerm();
                 nextAttempt = now;
             } else if (holdsTerm(now)) {
                 renewIfDue(now);
@@ -188,14 +189,14 @@
     }
 
     /// Ends the term and its lease, so that another daemon can become the coordinator.
-    void handOver(const char *why)
+    void handOver()
     {
         lease_number lease;
         {
             const std::lock_guard lock(mutex);
             lease = term->lease;
         }
-        assemblyLog.write("handed_over", {{"why", why}});
+        assemblyLog.write("handed_over", {{"why", "others do not answer this daemon"}});
         endTerm();
         reportWorkers.run([this, lease] { keyValue.endLease(lease); });
     }
@@ -299,7 +300,7 @@
                 return;
             }
             if (!hasSettled(restoration, planningDelay(settings.leaseTime, orderTimeout, lapsedGrace), now)) {
-                logWaiting("the key-value service came back from an older copy", now);
+                logWaiting("the key-value service may have come back from an older copy", now);
                 return;
             }
             if (!routes || !listedAt || *listedAt < termSince) {
@@ -503,7 +504,9 @@
     const std::lock_guard lock(d->mutex);
     if (d->term) {
         // Ends the lease so that a successor need not wait for it to expire.
-        d->keyValue.endLease(d->term->lease);
+        if (d->isOfPresentEra(*d->term)) {
+            d->keyValue.endLease(d->term->lease);
+        }
         d->term.reset();
         d->feed.setSource(false);
     }
