Groups: Look at the known allotment only where one was read

The coordinator copied the allotment of its data centre, thousands of members at the target's size, for every tick and every answer to an order; one event uses it. It now comes with the answer to the read.

--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -93,14 +93,12 @@
         const auto tracker = cluster.tracker();
         const auto wants = cluster.wants(now);
         const bool hasOtherCoordinator = cluster.hasOtherCoordinator(now);
-        const auto known = cluster.knownAllotment();
         std::vector<coordinator_action> actions;
         bool hasPublished = false;
         {
             const std::lock_guard lock(mutex);
             const auto started = std::chrono::steady_clock::now();
-            actions = step(
-                coordinator, event, {tracker, wants, store, hasOtherCoordinator, now, calendarMilliseconds(), keyValue.era(), &known});
+            actions = step(coordinator, event, {tracker, wants, store, hasOtherCoordinator, now, calendarMilliseconds(), keyValue.era()});
             planningTime.observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - started).count());
             recordDecisions();
             hasPublished = publishCoordination(now);
@@ -195,6 +193,7 @@
         if (const auto entry = keyValue.get(allotmentKey(settings.dataCentre), read_freshness::current, why)) {
             answer.isRead = true;
             answer.entry = *entry;
+            answer.known = cluster.knownAllotment();
         }
         handle(answer);
     }
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -99,7 +99,7 @@
         }
         if (m_state.phase != coordinator_phase::active) {
             // Epochs and generations must not be given out again.
-            value = newestOf(*value, m_view.known == nullptr ? m_state.accepted : newestOf(m_state.accepted, *m_view.known));
+            value = newestOf(*value, newestOf(m_state.accepted, event.known));
         }
         m_state.mustRead = false;
         m_state.isWriteUnconfirmed = m_state.isWriteUnconfirmed && event.entry.changed == m_state.acceptedRevision;
--- a/Libraries/Groups/coordinator.h
+++ b/Libraries/Groups/coordinator.h
@@ -58,6 +58,8 @@
 {
     bool isRead = false;
     key_value_entry entry;
+    /// The allotment that the daemons of the data centre know.
+    allotment known = {};
 };
 
 /// Result of write_allotment.
@@ -171,8 +173,6 @@
     std::int64_t calendarNow = 0;
     /// The era that the key-value service names.
     store_era era = {};
-    /// The allotment that the daemons of the data centre know; nullptr if they know none.
-    const allotment *known = nullptr;
 };
 
 coordinator_state makeCoordinator(const coordinator_settings &settings);
--- a/Tests/Groups/testTakeover.cpp
+++ b/Tests/Groups/testTakeover.cpp
@@ -234,11 +234,14 @@
     state.accepted = wasCoordinator ? lost : allotment();
     const instance_tracker tracker;
     const std::optional<std::vector<deployment_want>> wants;
-    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(2), wasCoordinator ? nullptr : &lost};
+    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(2)};
     REQUIRE(step(state, coordinator_tick(), view).size() == 1);
     step(state, acquisition_answer{view.now, true, lease_number(1)}, view);
     step(state, coordinator_tick(), view);
-    const auto actions = step(state, allotment_answer{true, {"allotment", toText(stored), key_revision(9, store_era(2))}}, view);
+    const auto actions
+        = step(state,
+               allotment_answer{true, {"allotment", toText(stored), key_revision(9, store_era(2))}, wasCoordinator ? allotment() : lost},
+               view);
     REQUIRE(actions.size() == 1);
     const auto &write = std::get<write_allotment>(actions[0]);
     const auto written = allotmentFrom(write.text);
