Requests: Keep a claim shard once

A batcher copied the shard at every read and write to have it after a return of the key-value service; the known shard is that copy for as long as it is set, and is now moved away where it is forgotten.

--- a/Libraries/Requests/claim_batcher.cpp
+++ b/Libraries/Requests/claim_batcher.cpp
@@ -46,6 +46,15 @@
     return write_shard{batcher.knownShardRevision, toText(batcher.written)};
 }
 
+/// Makes the shard be read again before the next write.
+void forgetShard(claim_batcher &batcher)
+{
+    if (batcher.knownShard) {
+        batcher.lastKnown = std::move(*batcher.knownShard);
+        batcher.knownShard.reset();
+    }
+}
+
 /// Moves the operations of a failed write back to the front of the waiting ones.
 void requeueWriting(claim_batcher &batcher)
 {
@@ -66,9 +75,9 @@
     if (era <= batcher.era) {
         return;
     }
-    batcher.mustRestore = batcher.era != store_era() && !batcher.lastStored.claims.empty();
+    forgetShard(batcher);
+    batcher.mustRestore = batcher.era != store_era() && !batcher.lastKnown.claims.empty();
     batcher.era = era;
-    batcher.knownShard.reset();
 }
 
 std::vector<claim_action> tick(claim_batcher &batcher, instant now, std::int64_t calendarNow)
@@ -97,9 +106,7 @@
         return {};
     }
     if (batcher.mustRestore) {
-        addLostClaims(*shard, batcher.lastStored);
-    } else {
-        batcher.lastStored = *shard;
+        addLostClaims(*shard, batcher.lastKnown);
     }
     batcher.knownShard = std::move(shard);
     batcher.knownShardRevision = entry->changed;
@@ -113,7 +120,6 @@
         // The revision has increased, so no earlier write of this daemon can be applied any more.
         batcher.isInDoubt = false;
         batcher.mustRestore = false;
-        batcher.lastStored = batcher.written;
         batcher.knownShard = std::move(batcher.written);
         batcher.knownShardRevision = result.changed;
         batcher.writing.clear();
@@ -128,7 +134,7 @@
         batcher.isInDoubt = true;
         batcher.nextCall = now + batcher.retryPause;
     }
-    batcher.knownShard.reset();
+    forgetShard(batcher);
     return {};
 }
 
--- a/Libraries/Requests/claim_batcher.h
+++ b/Libraries/Requests/claim_batcher.h
@@ -51,8 +51,9 @@
     /// The shard as it was last read or written, and its revision. Empty initially and after a write whose outcome is unknown.
     std::optional<claim_shard> knownShard;
     key_revision knownShardRevision;
-    /// The shard as it was last known to be stored, and the era of the key-value service then. Kept while \a knownShard is empty.
-    claim_shard lastStored;
+    /// The last \a knownShard, while that is empty.
+    claim_shard lastKnown;
+    /// The era that the key-value service named last.
     store_era era;
     /// Whether claims that the service has lost by coming back from an older copy must be written again.
     bool mustRestore = false;
