Platform: Send calls and read eras in one place for both services

Found in the last read of the change. platform_store and key_value_client each had the same twenty lines (send, sendOnce, eraOf); store_connection has them now. The own interface read the era from a header with the name of the users' platform, which belongs in platform/ alone: it is Key-Value-Era there, and docs/INTERFACES.md describes it, with the 410 of a watch.

testStoreRestore (12 cases), testPlatform and the process test of the service's return pass.

--- a/Libraries/Platform/key_value_client.cpp
+++ b/Libraries/Platform/key_value_client.cpp
@@ -2,8 +2,7 @@
 #include "Libraries/Platform/key_value_client.h"
 
 #include "Libraries/Base/json.h"
-#include "Libraries/Http/http_client.h"
-#include "Libraries/Platform/store_era_record.h"
+#include "Libraries/Platform/store_connection.h"
 
 #include <Poco/URI.h>
 
@@ -17,7 +16,7 @@
 constexpr int conflict = 409;
 constexpr int historyGone = 410;
 /// In every answer of a service that may come back from an older copy of itself.
-constexpr auto eraHeader = "Store-Era";
+constexpr auto eraHeader = "Key-Value-Era";
 constexpr int firstServerError = 500;
 constexpr duration callTimeout(2000);
 constexpr duration watchTimeoutMargin(3000);
@@ -49,8 +48,7 @@
 struct key_value_client::private_data
 {
     endpoint address;
-    http_connection_pool connections;
-    store_era_record eras;
+    store_connection connection;
     counter reads;
     counter writes;
     counter leases;
@@ -60,6 +58,7 @@
 
     private_data(endpoint at, metrics &counters)
         : address(std::move(at))
+        , connection(eraHeader)
         , reads(callCounter(counters, "read"))
         , writes(callCounter(counters, "write"))
         , leases(callCounter(counters, "lease"))
@@ -88,29 +87,6 @@
         return call;
     }
 
-    /// Sends a call that may be repeated, and records the era of the reply.
-    std::optional<http_reply> send(const http_call &call, reason &lastReason)
-    {
-        auto reply = connections.send(call, lastReason);
-        eraOf(reply);
-        return reply;
-    }
-
-    /// Sends a call that must not be repeated. The connection pool could send it twice, and the second attempt of a write that took effect
-    /// would look like a conflict.
-    std::optional<http_reply> sendOnce(const http_call &call, reason &lastReason)
-    {
-        auto reply = sendOnFreshConnection(call, lastReason);
-        eraOf(reply);
-        return reply;
-    }
-
-    /// The era in which a reply was made.
-    store_era eraOf(const std::optional<http_reply> &reply)
-    {
-        return eras.record(reply ? reply->header(eraHeader) : std::string());
-    }
-
     /// The body of a successful reply as JSON; otherwise nothing, and \a lastReason is set to platform_unavailable.
     std::optional<Json::Value> parseReply(const std::optional<http_reply> &reply, reason &lastReason) const
     {
@@ -138,30 +114,30 @@
 std::optional<key_value_entry> key_value_client::get(const std::string &key, read_freshness /*freshness*/, reason &lastReason)
 {
     d->reads.increment();
-    const auto reply = d->send(d->makeCall("GET", "/v1/keys/" + percentEncoded(key)), lastReason);
+    const auto reply = d->connection.send(d->makeCall("GET", "/v1/keys/" + percentEncoded(key)), lastReason);
     if (reply && reply->status == notFound) {
         return key_value_entry{key, {}, {}};
     }
     const auto json = d->parseReply(reply, lastReason);
-    return json ? std::optional(entryOf(*json, d->eraOf(reply))) : std::nullopt;
+    return json ? std::optional(entryOf(*json, d->connection.eraOf(reply))) : std::nullopt;
 }
 
 std::optional<key_value_listing> key_value_client::list(const std::string &prefix, read_freshness /*freshness*/, reason &lastReason)
 {
     d->reads.increment();
-    const auto reply = d->send(d->makeCall("GET", "/v1/keys?prefix=" + percentEncoded(prefix)), lastReason);
+    const auto reply = d->connection.send(d->makeCall("GET", "/v1/keys?prefix=" + percentEncoded(prefix)), lastReason);
     const auto json = d->parseReply(reply, lastReason);
     if (!json) {
         return std::nullopt;
     }
-    const auto era = d->eraOf(reply);
+    const auto era = d->connection.eraOf(reply);
     return key_value_listing{entriesOf(*json, "entries", era), store_revision(jsonNumber(*json, "revision"), era)};
 }
 
 swap_result key_value_client::compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease)
 {
     d->writes.increment();
-    if (!d->eras.isPresent(expected)) {
+    if (!d->connection.eras().isPresent(expected)) {
         return {swap_outcome::conflict, {}};
     }
     Json::Value body;
@@ -170,7 +146,7 @@
     body["value"] = value;
     body["lease"] = Json::UInt64(lease.value());
     reason why;
-    const auto reply = d->sendOnce(d->makeCall("POST", "/v1/swap", body), why);
+    const auto reply = d->connection.sendOnce(d->makeCall("POST", "/v1/swap", body), why);
     if (!reply) {
         d->failures.increment();
         return {why.kind == error_kind::backend_unreachable ? swap_outcome::not_sent : swap_outcome::unknown, {}};
@@ -180,7 +156,7 @@
     }
     if (reply->isSuccess()) {
         const auto json = parseJson(reply->body);
-        const auto era = d->eraOf(reply);
+        const auto era = d->connection.eraOf(reply);
         // The service may have come back from an older copy without this daemon's knowledge, so that the expected revision was another one.
         if (json && (expected.isNone() || expected.era() == era)) {
             return {swap_outcome::applied, key_revision(jsonNumber(*json, "revision"), era)};
@@ -196,7 +172,7 @@
     d->leases.increment();
     Json::Value body;
     body["time_ms"] = Json::Int64(time.count());
-    const auto json = d->parseReply(d->sendOnce(d->makeCall("POST", "/v1/leases", body), lastReason), lastReason);
+    const auto json = d->parseReply(d->connection.sendOnce(d->makeCall("POST", "/v1/leases", body), lastReason), lastReason);
     return json ? std::optional(lease_number(jsonNumber(*json, "lease"))) : std::nullopt;
 }
 
@@ -204,7 +180,7 @@
 {
     d->leases.increment();
     const auto target = fmt::format("/v1/leases/{}/renew", lease.value());
-    const auto reply = d->send(d->makeCall("POST", target, Json::Value(Json::objectValue)), lastReason);
+    const auto reply = d->connection.send(d->makeCall("POST", target, Json::Value(Json::objectValue)), lastReason);
     if (reply && reply->status == notFound) {
         return false;
     }
@@ -224,9 +200,9 @@
     auto call
         = d->makeCall("GET", fmt::format("/v1/watch?prefix={}&after={}&wait_ms={}", percentEncoded(prefix), after.number(), wait.count()));
     call.receiveTimeout = wait + watchTimeoutMargin;
-    const auto reply = d->send(call, lastReason);
+    const auto reply = d->connection.send(call, lastReason);
     d->waitingWatches.add(-1);
-    const auto era = d->eraOf(reply);
+    const auto era = d->connection.eraOf(reply);
     // In another era the same number is another revision, also where the service has it.
     if (reply && (reply->status == historyGone || (reply->isSuccess() && era != after.era()))) {
         return watch_result{after, {}, true};
@@ -240,7 +216,7 @@
 
 store_era key_value_client::era() const
 {
-    return d->eras.latest();
+    return d->connection.eras().latest();
 }
 
 } // namespace vetchpost
--- a/Tests/StandIns/standInPlatform.cpp
+++ b/Tests/StandIns/standInPlatform.cpp
@@ -41,7 +41,7 @@
             sendJson(exchange, json);
         } else if (m_faults.applyBeforeCall(exchange)) {
             ++m_calls;
-            exchange.setHeader("Store-Era", std::to_string(m_era));
+            exchange.setHeader("Key-Value-Era", std::to_string(m_era));
             answer(exchange);
         }
     }
