--- a/Tests/Evacuation/testEvacuation.cpp
+++ b/Tests/Evacuation/testEvacuation.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Whole daemons that share a key-value service, and replicas in two data centres of which one is evacuated.
+#include "Tests/Fakes/waiting.h"
 #include "Tests/PlatformAdapter/relayFixture.h"
 #include "Tests/PlatformAdapter/sharedStore.h"
 
@@ -16,17 +17,6 @@
 constexpr auto zKey = "op/evacuate/z";
 constexpr auto yKey = "op/evacuate/y";
 
-bool isWithin(duration time, const std::function<bool()> &condition)
-{
-    const auto end = monotonicNow() + time;
-    bool holds = condition();
-    while (!holds && monotonicNow() < end) {
-        std::this_thread::sleep_for(duration(10));
-        holds = condition();
-    }
-    return holds;
-}
-
 /// A daemon with its link to the shared store.
 struct test_daemon
 {
--- a/Tests/Http/testHttpServer.cpp
+++ b/Tests/Http/testHttpServer.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/http_client.h"
 #include "Libraries/Http/http_server.h"
+#include "Tests/Fakes/free_port.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -16,15 +17,10 @@
 #include <thread>
 
 using namespace vetchpost;
+using namespace vetchpost::test;
 
 namespace {
 
-endpoint freePort()
-{
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return {"127.0.0.1", socket.address().port()};
-}
-
 /// Sends a GET request on an open connection and returns the status of the response; 0 if there is none.
 int requestStatus(Poco::Net::HTTPClientSession &session, const std::string &path)
 {
--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -5,6 +5,7 @@
 #include "Libraries/Entry/entry_daemon.h"
 #include "Libraries/Http/http_client.h"
 #include "Libraries/Http/http_upstream.h"
+#include "Tests/Fakes/free_port.h"
 #include "Tests/PlatformAdapter/scriptedReplica.h"
 #include "platform/platform_dialect.h"
 
@@ -111,12 +112,6 @@
     duration m_listingTime;
 };
 
-inline endpoint freePort()
-{
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return {"127.0.0.1", socket.address().port()};
-}
-
 /// The answer that a client received.
 struct client_answer
 {
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/replica_entries.h"
 #include "Libraries/Entry/store_follower.h"
+#include "Tests/Fakes/waiting.h"
 #include "platform/platform_dialect.h"
 
 #include <catch2/catch.hpp>
@@ -9,6 +10,7 @@
 #include <thread>
 
 using namespace vetchpost;
+using namespace vetchpost::test;
 
 namespace {
 
@@ -92,15 +94,6 @@
     }
 };
 
-bool isWithin(duration time, const std::function<bool()> &condition)
-{
-    const auto end = monotonicNow() + time;
-    while (monotonicNow() < end && !condition()) {
-        std::this_thread::sleep_for(duration(10));
-    }
-    return condition();
-}
-
 } // namespace
 
 // A new coordinator requests a complete listing, before which it plans nothing. If that call fails while the watches succeed, and the
--- a/Tests/StoreRestore/restorableStore.cpp
+++ b/Tests/StoreRestore/restorableStore.cpp
@@ -2,6 +2,7 @@
 #include "Tests/StoreRestore/restorableStore.h"
 
 #include "Libraries/Base/json.h"
+#include "Tests/Fakes/free_port.h"
 #include "Tests/StandIns/fault_switches.h"
 #include "Tests/StandIns/platform/store_calls.h"
 #include "platform/base64.h"
@@ -23,12 +24,6 @@
 /// How often a waiting watch looks for changes, and a held one whether it goes on.
 constexpr duration pollPeriod(2);
 
-endpoint freePort()
-{
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return {"127.0.0.1", socket.address().port()};
-}
-
 Json::Value writeOf(const std::string &key, const std::string &value)
 {
     Json::Value write;
@@ -152,15 +147,4 @@
     return d->heldReplicaWatches;
 }
 
-bool isWithin(duration time, const std::function<bool()> &condition)
-{
-    const auto end = monotonicNow() + time;
-    bool holds = condition();
-    while (!holds && monotonicNow() < end) {
-        std::this_thread::sleep_for(duration(5));
-        holds = condition();
-    }
-    return holds;
-}
-
 } // namespace vetchpost::test
--- a/Tests/StoreRestore/restorableStore.h
+++ b/Tests/StoreRestore/restorableStore.h
@@ -2,10 +2,9 @@
 #pragma once
 
 #include "Libraries/Base/endpoint.h"
-#include "Libraries/Base/instant.h"
+#include "Tests/Fakes/waiting.h"
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -40,7 +39,4 @@
     std::unique_ptr<private_data> d;
 };
 
-/// Polls until the condition holds or the time is over; returns whether it holds.
-bool isWithin(duration time, const std::function<bool()> &condition);
-
 } // namespace vetchpost::test
