--- a/Libraries/Entry/dispatch_socket.cpp
+++ b/Libraries/Entry/dispatch_socket.cpp
@@ -2,14 +2,7 @@
 #include "Libraries/Entry/dispatch_socket.h"
 
 #include "Libraries/Base/event_log.h"
-#include "Libraries/Http/poco_timespan.h"
-
-#include <Poco/Net/DatagramSocket.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-
-#include <algorithm>
-#include <array>
+#include "Libraries/Entry/datagram_socket.h"
 
 namespace vetchpost {
 
@@ -23,8 +16,7 @@
 
 struct dispatch_socket::private_data
 {
-    Poco::Net::DatagramSocket socket;
-    std::array<char, receiveBufferSize> buffer{};
+    datagram_socket socket{receiveBufferSize};
     counter sent;
     counter received;
     counter sentBytes;
@@ -49,28 +41,26 @@
 
 void dispatch_socket::bind(const endpoint &address)
 {
-    d->socket.bind(Poco::Net::SocketAddress(address.host, address.port), true);
+    d->socket.bind(address);
 }
 
 std::optional<std::pair<endpoint, slot_message>> dispatch_socket::receive(duration time)
 {
-    try {
-        if (!d->socket.poll(timespanOf(time), Poco::Net::Socket::SELECT_READ)) {
-            return std::nullopt;
-        }
-        Poco::Net::SocketAddress from;
-        const auto size = d->socket.receiveFrom(d->buffer.data(), static_cast<int>(d->buffer.size()), from);
-        d->received.increment();
-        auto message = decodeSlotMessage({d->buffer.data(), static_cast<std::size_t>(std::max(0, size))});
-        if (message) {
-            return std::pair(endpoint{from.host().toString(), from.port()}, std::move(*message));
-        }
-        d->unreadable.increment();
-        dispatchLog.write("datagram_unreadable", {{"from", from.toString()}, {"bytes", size}});
-    } catch (const Poco::Exception &error) {
-        // A datagram sent to a daemon that has ended causes an error here. It does not concern later datagrams.
-        dispatchLog.write("slot_receive_failed", {{"why", error.displayText()}});
+    std::optional<reason> failure;
+    const auto datagram = d->socket.receive(time, failure);
+    if (failure) {
+        dispatchLog.write("slot_receive_failed", {{"why", failure->text}});
+    }
+    if (!datagram) {
+        return std::nullopt;
+    }
+    d->received.increment();
+    auto message = decodeSlotMessage(datagram->bytes);
+    if (message) {
+        return std::pair(datagram->from, std::move(*message));
     }
+    d->unreadable.increment();
+    dispatchLog.write("datagram_unreadable", {{"from", datagram->from.text()}, {"bytes", datagram->bytes.size()}});
     return std::nullopt;
 }
 
@@ -81,15 +71,14 @@
         dispatchLog.write("slot_send_failed", {{"to", to.text()}, {"why", "the message is too large"}});
         return false;
     }
-    try {
-        d->socket.sendTo(bytes->data(), static_cast<int>(bytes->size()), Poco::Net::SocketAddress(to.host, to.port));
-        d->sent.increment();
-        d->sentBytes.increment(static_cast<double>(bytes->size()));
-        return true;
-    } catch (const Poco::Exception &error) {
-        dispatchLog.write("slot_send_failed", {{"to", to.text()}, {"why", error.displayText()}});
+    reason why;
+    if (!d->socket.send(to, *bytes, why)) {
+        dispatchLog.write("slot_send_failed", {{"to", to.text()}, {"why", why.text}});
         return false;
     }
+    d->sent.increment();
+    d->sentBytes.increment(static_cast<double>(bytes->size()));
+    return true;
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/feed_socket.cpp
+++ b/Libraries/Entry/feed_socket.cpp
@@ -2,11 +2,7 @@
 #include "Libraries/Entry/feed_socket.h"
 
 #include "Libraries/Base/event_log.h"
-#include "Libraries/Http/poco_timespan.h"
-
-#include <Poco/Net/DatagramSocket.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
+#include "Libraries/Entry/datagram_socket.h"
 
 #include <algorithm>
 
@@ -17,17 +13,11 @@
 constexpr event_log feedLog("feed");
 constexpr std::size_t largestDatagram = 65536;
 
-endpoint endpointOf(const Poco::Net::SocketAddress &address)
-{
-    return {address.host().toString(), address.port()};
-}
-
 } // namespace
 
 struct feed_socket::private_data
 {
-    Poco::Net::DatagramSocket socket;
-    std::vector<char> buffer = std::vector<char>(largestDatagram);
+    datagram_socket socket{largestDatagram};
     counter sent;
     counter received;
     counter unreadable;
@@ -41,11 +31,11 @@
 
     void sendBytes(const endpoint &to, const std::string &bytes)
     {
-        try {
-            socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(to.host, to.port));
+        reason why;
+        if (socket.send(to, bytes, why)) {
             sent.increment();
-        } catch (const Poco::Exception &error) {
-            feedLog.write("send_failed", {{"to", to.text()}, {"why", error.displayText()}});
+        } else {
+            feedLog.write("send_failed", {{"to", to.text()}, {"why", why.text}});
         }
     }
 };
@@ -59,27 +49,25 @@
 
 void feed_socket::bind(const endpoint &address)
 {
-    d->socket.bind(Poco::Net::SocketAddress(address.host, address.port), true);
+    d->socket.bind(address);
 }
 
 std::optional<std::pair<endpoint, feed_message>> feed_socket::receive(duration time)
 {
-    try {
-        if (!d->socket.poll(timespanOf(time), Poco::Net::Socket::SELECT_READ)) {
-            return std::nullopt;
-        }
-        Poco::Net::SocketAddress from;
-        const auto size = d->socket.receiveFrom(d->buffer.data(), static_cast<int>(d->buffer.size()), from);
-        d->received.increment();
-        auto message = decodeFeedMessage({d->buffer.data(), static_cast<std::size_t>(std::max(0, size))});
-        if (message) {
-            return std::pair(endpointOf(from), std::move(*message));
-        }
-        d->unreadable.increment();
-    } catch (const Poco::Exception &error) {
-        // A datagram sent to a daemon that has ended causes an error here. It does not concern later datagrams.
-        feedLog.write("receive_failed", {{"why", error.displayText()}});
+    std::optional<reason> failure;
+    const auto datagram = d->socket.receive(time, failure);
+    if (failure) {
+        feedLog.write("receive_failed", {{"why", failure->text}});
+    }
+    if (!datagram) {
+        return std::nullopt;
+    }
+    d->received.increment();
+    auto message = decodeFeedMessage(datagram->bytes);
+    if (message) {
+        return std::pair(datagram->from, std::move(*message));
     }
+    d->unreadable.increment();
     return std::nullopt;
 }
 
