Entry: Give the coordinator's term a class of its own

A term of an earlier era now simply is not held, by the same question that an expired lease answers, so that the loop needs no case for it and every way to end a lease checks its era (the hand-over did not). Two things differ, both only once the era has changed: the next attempt to become coordinator follows in the same round of the loop and not 150 ms later, and a report of a stall in that round goes the way of a daemon without a term.

testStoreRestore, testEvacuation, testEntry, Suspension, ReplicaLeaving and seven process tests, the soak with restorations among them, pass.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -1,16 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/assembly_runner.h"
 
-#include "Libraries/Assembly/coordination_term.h"
 #include "Libraries/Assembly/plan_pacing.h"
 #include "Libraries/Assembly/self_check.h"
-#include "Libraries/Assembly/store_restoration.h"
 #include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/worker_pool.h"
 #include "Libraries/Entry/assembly_metrics.h"
+#include "Libraries/Entry/coordination.h"
 #include "Libraries/Entry/group_status_log.h"
-#include "Libraries/Entry/replica_entries.h"
 #include "Libraries/Entry/replica_prober.h"
 #include "Libraries/Entry/stall_report_limit.h"
 #include "Libraries/Http/http_client.h"
@@ -26,15 +24,12 @@
 namespace {
 
 constexpr event_log assemblyLog("assembly");
-constexpr auto coordinatorKey = "vetchpost/coordinator";
 /// How often the coordinator checks its lease and plans without a trigger.
 constexpr duration coordinatorPeriod(150);
 /// How often a daemon without a source checks whether there is a coordinator.
 constexpr duration followerPeriod(500);
 /// Range of a per-daemon offset that is added to followerPeriod, so that not all daemons try to become the coordinator at once.
 constexpr duration followerSpread(300);
-/// A replica that can answer an order does so at once.
-constexpr duration orderTimeout(400);
 /// How often the coordinator logs the status of each model's groups.
 constexpr duration statusLogPeriod(1000);
 constexpr int orderThreads = 12;
@@ -49,6 +44,7 @@
     const entry_dialect &dialect;
     store_follower &store;
     peer_feed &feed;
+    coordination coordinator;
     std::function<std::vector<model_demand>()> localDemand;
     answer_listener didAnswer;
     worker_pool orderWorkers{orderThreads};
@@ -62,9 +58,8 @@
     bool isStopping = false;
     bool mustPlan = false;
     instant nextStatusLog;
-    std::optional<coordination_term> term;
+    /// When this daemon last became the coordinator. Used by the planning thread only.
     instant termSince;
-    store_restoration restoration;
     std::map<service_id, assembly_state> assemblies;
     std::map<instance_id, instant> lastReports;
     replica_prober prober;
@@ -83,6 +78,7 @@
         , dialect(entryDialect)
         , store(follower)
         , feed(peers)
+        , coordinator(entrySettings, service)
         , localDemand(std::move(demandSource))
         , didAnswer(answerListener)
         , orders(counters.addCounter("vetchpost_orders_total", "Orders sent to replicas."))
@@ -113,16 +109,14 @@
         duration planTime{};
         for (;;) {
             const auto now = monotonicNow();
-            recordEra(now);
+            coordinator.recordEra(now);
             if (mustHandOver(now)) {
                 handOver();
                 nextAttempt = now + handOverBackoff;
-            } else if (isOfEarlierEra()) {
-                // Its lease is left to expire: the service may have granted the number again, to another daemon.
-                endTerm();
-                nextAttempt = now;
-            } else if (holdsTerm(now)) {
-                renewIfDue(now);
+            } else if (coordinator.isHeld(duration(), now)) {
+                if (!coordinator.renewIfDue(now)) {
+                    endTerm();
+                }
                 const auto planStart = monotonicNow();
                 plan();
                 planTime = monotonicNow() - planStart;
@@ -144,89 +138,42 @@
         }
     }
 
-    bool holdsTerm(instant now) const
-    {
-        const std::lock_guard lock(mutex);
-        return isHeldFor(term, duration(), now);
-    }
-
-    void recordEra(instant now)
+    /// Discards the state of a term that has ended; does nothing without one. Returns the term.
+    std::optional<coordination_term> endTerm()
     {
-        const std::lock_guard lock(mutex);
-        vetchpost::recordEra(restoration, keyValue.era(), settings.isFirstStart, now);
-    }
-
-    /// Whether there is a term of an earlier era than the service names now.
-    bool isOfEarlierEra() const
-    {
-        const std::lock_guard lock(mutex);
-        return term && !isOfPresentEra(*term);
-    }
-
-    bool isOfPresentEra(const coordination_term &held) const
-    {
-        return held.created.era() == keyValue.era();
-    }
-
-    /// Discards the state of a term that has ended; does nothing without one.
-    void endTerm()
-    {
-        const std::lock_guard lock(mutex);
+        const auto term = coordinator.forget();
         if (term) {
+            const std::lock_guard lock(mutex);
             assemblyLog.write("coordination_lost", {{"term", termNumber(*term)}});
-            term.reset();
             assemblies.clear();
             groupMetrics.clear();
             feed.setSource(false);
         }
+        return term;
     }
 
     /// Whether neither unrelated replicas nor the key-value service answer this coordinator, so that the fault is likely its own.
     bool mustHandOver(instant now) const
     {
-        const std::lock_guard lock(mutex);
-        return term && isRenewalLate(*term, settings.leaseTime, now) && prober.mustHandOver(now);
+        return coordinator.isRenewalLate(now) && prober.mustHandOver(now);
     }
 
     /// Ends the term and its lease, so that another daemon can become the coordinator.
     void handOver()
     {
-        lease_number lease;
-        {
-            const std::lock_guard lock(mutex);
-            lease = term->lease;
-        }
         assemblyLog.write("handed_over", {{"why", "others do not answer this daemon"}});
-        endTerm();
-        reportWorkers.run([this, lease] { keyValue.endLease(lease); });
+        if (const auto term = endTerm()) {
+            reportWorkers.run([this, ended = *term] { coordinator.endLease(ended); });
+        }
     }
 
     void tryToBecomeCoordinator()
     {
-        reason why;
-        // A stale read costs a tenth of a current one, but only a current one proves that there is no coordinator.
-        for (const auto freshness : {read_freshness::may_be_stale, read_freshness::current}) {
-            const auto entry = keyValue.get(coordinatorKey, freshness, why);
-            if (!entry) {
-                return;
-            }
-            if (entry->changed != key_revision()) {
-                followCoordinator(entry->value);
-                return;
-            }
+        if (const auto other = coordinator.tryToBegin()) {
+            followCoordinator(*other);
+        } else if (const auto term = coordinator.term()) {
+            beginTerm(*term);
         }
-        const auto asked = monotonicNow();
-        const auto lease = keyValue.grantLease(settings.leaseTime, why);
-        if (!lease) {
-            return;
-        }
-        const auto result = keyValue.compareAndSwap(coordinatorKey, key_revision(), settings.peers.text(), *lease);
-        if (result.outcome != swap_outcome::applied) {
-            // If a write without an answer was applied, its key is removed with the lease.
-            keyValue.endLease(*lease);
-            return;
-        }
-        beginTerm({result.changed, *lease, asked + settings.leaseTime});
     }
 
     void followCoordinator(const std::string &address)
@@ -239,48 +186,21 @@
         }
     }
 
-    void beginTerm(const coordination_term &newTerm)
+    void beginTerm(const coordination_term &term)
     {
         {
             const std::lock_guard lock(mutex);
-            term = newTerm;
             termSince = monotonicNow();
             assemblies.clear();
         }
         prober.reset();
         takeovers.increment();
-        assemblyLog.write("coordination_taken", {{"term", termNumber(newTerm)}});
+        assemblyLog.write("coordination_taken", {{"term", termNumber(term)}});
         // Planning waits for a listing that began after the predecessor's term had ended.
         feed.setSource(true);
         store.relist();
     }
 
-    void renewIfDue(instant now)
-    {
-        coordination_term current;
-        {
-            const std::lock_guard lock(mutex);
-            current = *term;
-        }
-        if (!isRenewalDue(current, settings.leaseTime, now)) {
-            return;
-        }
-        reason why;
-        const auto isRenewed = keyValue.renewLease(current.lease, why);
-        if (!isRenewed) {
-            return;
-        }
-        if (!*isRenewed) {
-            endTerm();
-            return;
-        }
-        const std::lock_guard lock(mutex);
-        // A lease that is part of an older copy can be renewed, but the key that was bound to it may be gone.
-        if (term && term->created == current.created && isOfPresentEra(*term)) {
-            term->leaseUntil = now + settings.leaseTime;
-        }
-    }
-
     // Planning
 
     void plan()
@@ -293,13 +213,13 @@
         const auto now = monotonicNow();
         const auto silence = prober.report(*directory, now);
         std::vector<replica_order> planned;
-        store_revision plannedIn;
+        const auto term = coordinator.term();
+        if (!term || !coordinator.isOfPresentEra(*term)) {
+            return;
+        }
         {
             const std::lock_guard lock(mutex);
-            if (!term || !isOfPresentEra(*term)) {
-                return;
-            }
-            if (!hasSettled(restoration, planningDelay(settings.leaseTime, orderTimeout, lapsedGrace), now)) {
+            if (!coordinator.hasServiceSettled(now)) {
                 logWaiting("the key-value service may have come back from an older copy", now);
                 return;
             }
@@ -311,15 +231,14 @@
                 logWaiting("the evacuated data centres are not known as of this term", now);
                 return;
             }
-            plannedIn = term->created;
             for (const auto &service : routes->configuration().services) {
                 if (service.engine) {
-                    planService(service, *directory, *evacuated, silence, now, planned);
+                    planService(termNumber(*term), service, *directory, *evacuated, silence, now, planned);
                 }
             }
         }
         for (auto &order : planned) {
-            orderWorkers.run([this, sent = std::move(order), plannedIn] { perform(sent, plannedIn); });
+            orderWorkers.run([this, sent = std::move(order), plannedIn = term->created] { perform(sent, plannedIn); });
         }
     }
 
@@ -333,7 +252,8 @@
     }
 
     /// Plans one service and appends its orders to \a planned. Requires the mutex to be held.
-    void planService(const served_service &service,
+    void planService(std::uint64_t termNumber,
+                     const served_service &service,
                      const replica_directory &directory,
                      const std::set<data_centre_id> &evacuated,
                      const suspicion_report &silence,
@@ -341,7 +261,7 @@
                      std::vector<replica_order> &planned)
     {
         auto &assembly = assemblies[service.id];
-        assembly.term = termNumber(*term);
+        assembly.term = termNumber;
         assembly.policy.silentHeadTimeout = settings.stallTime;
         updateDemand(assembly.demand, demandOf(service.id), now);
         const assembly_view view{directory,
@@ -358,7 +278,7 @@
             groupMetrics.recordModels(service.id, groupCounts(assembly, *service.engine), assembly.idleSince.size(), now);
         }
         for (const auto &decision : assembly.decisions) {
-            assemblyLog.write("decided", {{"term", termNumber(*term)}, {"what", decision}});
+            assemblyLog.write("decided", {{"term", termNumber}, {"what", decision}});
         }
         assembly.decisions.clear();
         if (now >= nextStatusLog) {
@@ -384,17 +304,12 @@
     /// records the result.
     void perform(const replica_order &order, store_revision plannedIn)
     {
-        bool isAllowed = false;
-        {
-            // This thread may have been delayed, so the term is checked again right before the order is sent.
-            const std::lock_guard lock(mutex);
-            isAllowed = term && term->created == plannedIn && isOfPresentEra(*term) && isHeldFor(term, orderTimeout, monotonicNow());
-        }
         order_answer answer;
         std::string text = "not sent";
         if (!isStillDue(order, !feed.hasTraffic())) {
             answer.result = order_result::withheld;
-        } else if (isAllowed) {
+        } else if (coordinator.isHeld(plannedIn, orderTimeout, monotonicNow())) {
+            // This thread may have been delayed, so the term is checked again right before the order is sent.
             answer = send(order, text);
         }
         assemblyLog.write("order",
@@ -446,7 +361,7 @@
     /// Probes the group's members as the coordinator, else sends a report to the coordinator.
     void processStall(const instance_id &head)
     {
-        if (holdsTerm(monotonicNow())) {
+        if (coordinator.isHeld(duration(), monotonicNow())) {
             prober.probeGroup(head);
             return;
         }
@@ -457,7 +372,7 @@
 
     void handleStallReport(const stall_report &report)
     {
-        if (holdsTerm(monotonicNow())) {
+        if (coordinator.isHeld(duration(), monotonicNow())) {
             prober.probeGroup(report.replica);
         }
     }
@@ -501,13 +416,9 @@
     d->prober.stop();
     d->orderWorkers.stop();
     d->reportWorkers.stop();
-    const std::lock_guard lock(d->mutex);
-    if (d->term) {
+    if (const auto term = d->coordinator.forget()) {
         // Ends the lease so that a successor need not wait for it to expire.
-        if (d->isOfPresentEra(*d->term)) {
-            d->keyValue.endLease(d->term->lease);
-        }
-        d->term.reset();
+        d->coordinator.endLease(*term);
         d->feed.setSource(false);
     }
 }
