Entry: Accept no withdrawn key on the configuration of an older copy

Cause: a reading of the configuration counted as proof that it is the newest. After the store has come back from an older copy that does not hold until the operator has written again what was lost. A daemon that was cut off when the key was withdrawn read the copy in between, and counted its keys as confirmed anew.

Ruled out: refusing all readings until the operator's word (nothing says that it is complete); asking other daemons (none need know a change of the last half second before the store went away).

Change: configuration_confirmation records when a daemon learned of the era. For 2.2 s after it a reading applies what it finds, but does not confirm it; the time of the last confirmation stays as it was, so that keys are refused at the strict limit counted from there. A version found at another number than it had was written again, which ends the wait. In that time a daemon stays ready for as long as its keys are usable, since no other daemon would serve its clients for longer, and reads no more often than before.

Not measured: how many requests are refused after a return where nothing was lost. By the times, with the store away for 2.5 s and the configuration confirmed up to a second before, keys are refused for up to 0.9 s.

--- /dev/null
+++ b/Libraries/Entry/configuration_confirmation.h
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Platform/key_value_service.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace vetchpost {
+
+/// Whether the configuration in the key-value service is the newest that the operator has written. After the service has come back from an
+/// older copy it may not be, until the operator has written again what was lost.
+struct configuration_confirmation
+{
+    /// The latest era that the service has named.
+    store_era era;
+    /// When this daemon learned that the service had come back from an older copy; nothing if it has not done so since the daemon started.
+    std::optional<instant> restoredAt;
+    /// The latest era in which the operator is known to have written the configuration again.
+    store_era rewrittenIn;
+    /// The version that was found last, the revision at which it was first found, and whether it was found at that number alone.
+    std::uint64_t version = 0;
+    key_revision firstFound;
+    bool isFoundOnce = true;
+};
+
+/// Records the era that the service names now.
+void recordEra(configuration_confirmation &confirmation, store_era era, instant now);
+/// Records a version that the service holds at \a revision, and concludes from its revision whether it was written again.
+void recordVersion(configuration_confirmation &confirmation, std::uint64_t version, key_revision revision);
+/// Whether the operator may still have to write configurations again that the service has lost.
+bool isAwaitingRewrite(const configuration_confirmation &confirmation, instant now);
+/// Returns when the operator has had time to write lost configurations again; nothing if none can be lost.
+std::optional<instant> rewriteDeadline(const configuration_confirmation &confirmation);
+/// Whether a reading that began at \a asked and found \a revision shows which configuration is the newest.
+bool isConclusive(const configuration_confirmation &confirmation, key_revision revision, instant asked);
+
+} // namespace vetchpost
--- a/Libraries/Entry/configuration_reading.cpp
+++ b/Libraries/Entry/configuration_reading.cpp
@@ -25,20 +25,37 @@
 {
     const std::lock_guard lock(mutex);
     const bool isRequested = std::exchange(mustReadConfiguration, false);
-    const bool isCurrent = currentAt && monotonicNow() - *currentAt < maximumConfigurationAge();
-    const bool doesSourceHaveNone = !table && sourceCurrentAt && monotonicNow() - *sourceCurrentAt < timing.directWatchDelay;
-    return isSource || isRequested || !(isCurrent || doesSourceHaveNone);
+    const auto now = monotonicNow();
+    const auto next = nextConfigurationRead();
+    const bool doesSourceHaveNone = !table && sourceCurrentAt && now - *sourceCurrentAt < timing.directWatchDelay;
+    return isSource || isRequested || !((next && now < *next) || doesSourceHaveNone);
+}
+
+std::optional<instant> store_follower::private_data::nextConfigurationRead() const
+{
+    if (!currentAt) {
+        return std::nullopt;
+    }
+    // While a reading is not conclusive, reading more often would not confirm the configuration sooner.
+    if (isAwaitingRewrite(confirmation, monotonicNow())) {
+        return std::min(std::max(*currentAt, comparedAt.value_or(*currentAt)) + maximumConfigurationAge(), *rewriteDeadline(confirmation));
+    }
+    return *currentAt + maximumConfigurationAge();
 }
 
 bool store_follower::private_data::waitBeforeConfigurationRead(bool isKnown)
 {
     std::unique_lock lock(mutex);
     const auto now = monotonicNow();
+    const auto next = nextConfigurationRead();
     auto until = now + firstConfigurationPeriod;
     if (isKnown && isSource) {
         until = now + timing.sourceReadPeriod;
-    } else if (isKnown && currentAt) {
-        until = std::max(now + retryPause, *currentAt + maximumConfigurationAge());
+        if (isAwaitingRewrite(confirmation, now)) {
+            until = std::min(until, *rewriteDeadline(confirmation));
+        }
+    } else if (isKnown && next) {
+        until = std::max(now + retryPause, *next);
     }
     wake.wait_for(lock, until - now, [this] { return isStopping || mustReadConfiguration; });
     return !isStopping;
@@ -51,6 +68,14 @@
     feed.configurationCurrentAt = asked;
 }
 
+void store_follower::private_data::recordComparison(key_revision revision, instant asked)
+{
+    comparedAt = std::max(comparedAt.value_or(asked), asked);
+    if (isConclusive(confirmation, revision, asked)) {
+        currentAt = std::max(currentAt.value_or(asked), asked);
+    }
+}
+
 bool store_follower::private_data::readConfiguration(bool isKnown)
 {
     const auto asked = monotonicNow();
@@ -78,7 +103,7 @@
         const std::lock_guard lock(mutex);
         readConfigurationRevision = std::max(readConfigurationRevision, entry.changed);
         if (entry.changed == configurationRevision) {
-            currentAt = std::max(currentAt.value_or(asked), asked);
+            recordComparison(entry.changed, asked);
             return true;
         }
     }
@@ -98,7 +123,8 @@
         }
         table = std::move(next);
         configurationRevision = entry.changed;
-        currentAt = asked;
+        recordVersion(confirmation, table->configuration().version, entry.changed);
+        recordComparison(entry.changed, asked);
         storeLog.write("configuration_in_force",
                        {{"version", table->configuration().version},
                         {"revision", entry.changed.number()},
@@ -112,13 +138,17 @@
 {
     {
         const std::lock_guard lock(mutex);
+        recordEra(configuration.era());
         sourceCurrentAt = std::max(sourceCurrentAt.value_or(at), at);
+        if (isConclusive(confirmation, configuration, at)) {
+            sourceConfirmedAt = std::max(sourceConfirmedAt.value_or(at), at);
+        }
         if (configuration >= feed.configuration) {
             feed.configuration = configuration;
             feed.configurationCurrentAt = std::max(feed.configurationCurrentAt.value_or(at), at);
         }
         if (configuration == configurationRevision && table) {
-            currentAt = std::max(currentAt.value_or(at), at);
+            recordComparison(configuration, at);
         }
         if (configuration <= std::max(configurationRevision, readConfigurationRevision)) {
             return;
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -115,6 +115,9 @@
 refusal_scope relay_context::scopeOfStaleConfiguration(instant now) const
 {
     const auto known = m_store.configurationKnowledge();
+    if (known.isUnconfirmable) {
+        return refusal_scope::all_daemons;
+    }
     return vetchpost::scopeOfStaleConfiguration(
         known.currentAt.has_value(), m_store.isServiceAnswering(), isConfigurationStale(known, now));
 }
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -36,16 +36,15 @@
     if (recordCall(availability, hasAnswered, now)) {
         storeLog.write(hasAnswered ? "store_regained" : "store_lost", {{"silent_ms", silence.count()}, {"why", why.text}});
     }
-    logEra();
+    recordEra(keyValue.era());
 }
 
-void store_follower::private_data::logEra()
+void store_follower::private_data::recordEra(store_era era)
 {
-    const auto era = keyValue.era();
-    if (loggedEra != store_era() && era > loggedEra) {
+    if (confirmation.era != store_era() && era > confirmation.era) {
         storeLog.write("store_restored", {{"era", era.value()}, {"up_to", replicasUpTo.number()}});
     }
-    loggedEra = std::max(loggedEra, era);
+    vetchpost::recordEra(confirmation, era, monotonicNow());
 }
 
 duration store_follower::private_data::recentOutage() const
@@ -253,7 +252,7 @@
 configuration_freshness store_follower::configurationKnowledge() const
 {
     const std::lock_guard lock(d->mutex);
-    return {d->currentAt, d->sourceCurrentAt};
+    return {d->currentAt, d->sourceConfirmedAt, isAwaitingRewrite(d->confirmation, monotonicNow())};
 }
 
 bool store_follower::isServiceAnswering() const
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/event_log.h"
+#include "Libraries/Entry/configuration_confirmation.h"
 #include "Libraries/Entry/replica_entries.h"
 #include "Libraries/Entry/service_availability.h"
 #include "Libraries/Entry/store_follower.h"
@@ -39,8 +40,9 @@
     std::atomic<bool> isColdPaced = false;
     /// The source has announced a newer configuration.
     bool mustReadConfiguration = false;
-    /// When the source's configuration was last known to be the newest in the service.
+    /// When the source last knew which configuration the service holds, and when it last knew that this is the newest.
     std::optional<instant> sourceCurrentAt;
+    std::optional<instant> sourceConfirmedAt;
     /// What the followers of this daemon are sent.
     feed_publisher feed;
     /// The routes of the configuration; nullptr before the first one.
@@ -48,8 +50,10 @@
     key_revision configurationRevision;
     /// The latest revision of the configuration that was read, also if it was not put into force.
     key_revision readConfigurationRevision;
-    /// When the configuration was last known to be the newest.
+    /// When the configuration was last known to be the one in the service, and when it was last known to be the newest.
+    std::optional<instant> comparedAt;
     std::optional<instant> currentAt;
+    configuration_confirmation confirmation;
     replica_entries entries;
     leaving_replicas leaving;
     /// The directory that readers get.
@@ -59,9 +63,8 @@
     std::optional<instant> firstListing;
     /// The service's revision up to which the entries are known; none if they must be listed.
     store_revision replicasUpTo;
-    /// The service's era in which the entries were last listed, and the latest one that was logged.
+    /// The service's era in which the entries were last listed.
     store_era listedEra;
-    store_era loggedEra;
     /// When a watch or a listing failed. Only a listing that begins later, or an update from the source, shows the changes that were
     /// missed.
     std::optional<instant> mustListSince;
@@ -96,8 +99,8 @@
     bool pause(duration time);
     /// Records whether the service answered a call, and logs when an outage begins or ends.
     void recordServiceAnswer(bool hasAnswered, const reason &why);
-    /// Logs once that the service has come back from an older copy. Requires the mutex to be held.
-    void logEra();
+    /// Records the era that the service or the source names, and logs a new one. Requires the mutex to be held.
+    void recordEra(store_era era);
     /// Returns the duration of a current or recent outage of the service, after which entries of live replicas may be missing; zero if
     /// there was none.
     duration recentOutage() const;
@@ -113,12 +116,16 @@
     void followConfiguration();
     /// Whether to read the configuration now. Resets mustReadConfiguration.
     bool isConfigurationReadDue();
+    /// When the configuration has to be read again; nothing if it has not been read. Requires the mutex to be held.
+    std::optional<instant> nextConfigurationRead() const;
     /// Waits until the next read may be due. Returns false once the follower stops.
     bool waitBeforeConfigurationRead(bool isKnown);
     /// Records the revision that a read found, for the followers.
     void recordConfigurationRead(key_revision found, instant asked);
     /// Reads the configuration. Returns whether the service has a readable one. \a isKnown: one has been read before.
     bool readConfiguration(bool isKnown);
+    /// Records that the configuration here was the one in the service at \a asked. Requires the mutex to be held.
+    void recordComparison(key_revision revision, instant asked);
     /// Puts a configuration into force unless it is older than the present one. Returns false if it cannot be decoded.
     bool applyConfiguration(const key_value_entry &entry, instant asked);
 
--- a/Libraries/Routing/key_revocation_policy.cpp
+++ b/Libraries/Routing/key_revocation_policy.cpp
@@ -51,6 +51,10 @@
 
 bool areKeysUsableForNewConnections(const key_revocation_policy &policy, const configuration_freshness &freshness, instant now)
 {
+    if (freshness.isUnconfirmable && !isConfigurationStale(freshness, now)) {
+        // No other daemon would serve the clients for longer.
+        return areKeysUsable(policy, freshness.currentAt, now);
+    }
     const auto strictLimit = fractionOf(policy, isConfigurationStale(freshness, now) ? staleReadinessFraction : readinessFraction);
     return isYoungerThan(freshness.currentAt, policy.isStrict ? strictLimit : maxLenientKeyAge, now);
 }
--- a/Libraries/Routing/key_revocation_policy.h
+++ b/Libraries/Routing/key_revocation_policy.h
@@ -24,6 +24,8 @@
     std::optional<instant> currentAt;
     /// When another daemon last had the newest configuration, whether or not this one has it; nothing without a report from one.
     std::optional<instant> othersCurrentAt;
+    /// The key-value service has come back from an older copy, and no daemon can tell yet which configuration is the newest.
+    bool isUnconfirmable = false;
 };
 
 /// Whether another daemon has a newer configuration which this one cannot read, so that clients can be served there.
--- a/Tests/Routing/testKeyRevocationPolicy.cpp
+++ b/Tests/Routing/testKeyRevocationPolicy.cpp
@@ -26,6 +26,17 @@
     CHECK_FALSE(areKeysUsableForNewConnections(policy, alone(readAt), readAt + duration(3500)));
 }
 
+TEST_CASE("Clients are not sent elsewhere while no daemon can confirm its configuration")
+{
+    const key_revocation_policy policy{duration(5000), true};
+    const configuration_freshness unconfirmable{readAt, std::nullopt, true};
+    CHECK(areKeysUsableForNewConnections(policy, unconfirmable, readAt + duration(4799)));
+    CHECK_FALSE(areKeysUsableForNewConnections(policy, unconfirmable, readAt + duration(4800)));
+    CHECK_FALSE(areKeysUsableForNewConnections(policy, {std::nullopt, std::nullopt, true}, readAt));
+    const configuration_freshness behindOthers{readAt, readAt + duration(1749), true};
+    CHECK_FALSE(areKeysUsableForNewConnections(policy, behindOthers, readAt + duration(1750)));
+}
+
 TEST_CASE("Without a strict limit, a daemon that is cut off accepts its known keys for longer, but not for ever")
 {
     const key_revocation_policy policy{duration(5000), false};
--- a/Tests/StoreRestore/restorableStore.cpp
+++ b/Tests/StoreRestore/restorableStore.cpp
@@ -23,6 +23,7 @@
 
 /// How often a waiting watch looks for changes, and a held one whether it goes on.
 constexpr duration pollPeriod(2);
+constexpr int unavailable = 503;
 
 Json::Value writeOf(const std::string &key, const std::string &value)
 {
@@ -41,6 +42,7 @@
     mutable std::mutex mutex;
     store_model store;
     store_model copy;
+    std::atomic<bool> isAnswering = true;
     std::atomic<bool> holdsReplicaWatches = false;
     std::atomic<int> heldReplicaWatches = 0;
     std::atomic<bool> isStopping = false;
@@ -56,6 +58,10 @@
     void handle(http_exchange &exchange)
     {
         const auto body = readJsonBody(exchange);
+        if (!isAnswering) {
+            exchange.send(unavailable, "text/plain", "not available\n");
+            return;
+        }
         if (exchange.path() == names::watchCall && exchange.queryParameter(names::prefix) == names::replicaPrefix) {
             ++heldReplicaWatches;
             while (holdsReplicaWatches && !isStopping) {
@@ -137,6 +143,11 @@
     }
 }
 
+void restorable_store::setAnswering(bool isAnswering)
+{
+    d->isAnswering = isAnswering;
+}
+
 void restorable_store::holdReplicaWatches(bool areHeld)
 {
     d->holdsReplicaWatches = areHeld;
--- a/Tests/StoreRestore/restorableStore.h
+++ b/Tests/StoreRestore/restorableStore.h
@@ -29,6 +29,8 @@
     void saveCopy();
     /// Comes back from the copy that was saved last, and writes again what the operator and the replicas wrote since, if \a doesRewrite.
     void restore(bool doesRewrite = true);
+    /// Sets whether calls of daemons are answered; while they are not, each gets a 503.
+    void setAnswering(bool isAnswering);
     /// While set, watches of replicas that arrive wait before they are looked at.
     void holdReplicaWatches(bool areHeld);
     /// Number of watches that wait so now.
--- /dev/null
+++ b/Tests/StoreRestore/testConfigurationRestore.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+// When a configuration counts as the newest after the platform's store has come back from an older copy.
+#include "Tests/StoreRestore/followedStore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace vetchpost;
+using namespace vetchpost::test;
+
+namespace {
+
+bool isConfirmedSince(followed_store &daemon, instant time)
+{
+    const auto currentAt = (*daemon).configurationCurrentAt();
+    return currentAt && *currentAt >= time;
+}
+
+} // namespace
+
+TEST_CASE("A withdrawn key is not confirmed by the configuration of an older copy")
+{
+    restoring_fixture fixture;
+    followed_store daemon(fixture.store());
+    REQUIRE(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 3; }));
+    fixture.store().setAnswering(false);
+    fixture.store().write("op/config", configurationOf(4));
+    const auto withdrawnAt = monotonicNow();
+    fixture.store().restore(false);
+    fixture.store().setAnswering(true);
+    CHECK_FALSE(isWithin(rewriteTime, [&] { return isConfirmedSince(daemon, withdrawnAt); }));
+    fixture.store().write("op/config", configurationOf(4));
+    CHECK(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 4 && isConfirmedSince(daemon, withdrawnAt); }));
+}
+
+TEST_CASE("A withdrawn key is not confirmed at a follower by the source's reading of an older copy")
+{
+    restoring_fixture fixture;
+    followed_store source(fixture.store());
+    followed_store follower(fixture.store(), false);
+    const feed_link link(*source, *follower);
+    REQUIRE(isWithin(inForceBound, [&] { return source.configurationVersion() == 3 && follower.configurationVersion() == 3; }));
+    fixture.store().setAnswering(false);
+    fixture.store().write("op/config", configurationOf(4));
+    const auto withdrawnAt = monotonicNow();
+    fixture.store().restore(false);
+    fixture.store().setAnswering(true);
+    CHECK_FALSE(isWithin(rewriteTime, [&] { return isConfirmedSince(follower, withdrawnAt); }));
+    fixture.store().write("op/config", configurationOf(4));
+    CHECK(isWithin(inForceBound, [&] { return follower.configurationVersion() == 4 && isConfirmedSince(follower, withdrawnAt); }));
+}
+
+TEST_CASE("A configuration that no restoration has changed is confirmed once newer ones had time to be written again")
+{
+    restoring_fixture fixture;
+    followed_store daemon(fixture.store());
+    REQUIRE(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 3; }));
+    const auto restoredAt = monotonicNow();
+    fixture.store().restore();
+    CHECK(isWithin(rewriteTime + inForceBound, [&] { return isConfirmedSince(daemon, restoredAt); }));
+}
+
+TEST_CASE("A configuration that the operator has written again is confirmed at once")
+{
+    restoring_fixture fixture;
+    fixture.store().write("op/config", configurationOf(4));
+    followed_store daemon(fixture.store());
+    REQUIRE(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 4; }));
+    const auto restoredAt = monotonicNow();
+    fixture.store().restore();
+    CHECK(isWithin(feedTiming(inForceBound).sourceReadPeriod * 2, [&] { return isConfirmedSince(daemon, restoredAt); }));
+}
+
+TEST_CASE("A daemon does not take itself for stale while no daemon can confirm the configuration")
+{
+    restoring_fixture fixture;
+    followed_store source(fixture.store());
+    followed_store follower(fixture.store(), false);
+    const feed_link link(*source, *follower);
+    REQUIRE(isWithin(inForceBound, [&] { return source.configurationVersion() == 3 && follower.configurationVersion() == 3; }));
+    const auto restoredAt = monotonicNow();
+    fixture.store().restore();
+    CHECK_FALSE(
+        isWithin(rewriteTime + inForceBound, [&] { return isConfigurationStale((*follower).configurationKnowledge(), monotonicNow()); }));
+    CHECK(isConfirmedSince(follower, restoredAt));
+}
