--- a/Tests/Evacuation/testEvacuation.cpp
+++ b/Tests/Evacuation/testEvacuation.cpp
@@ -142,13 +142,22 @@
     std::size_t sendSome(int number, char dataCentre)
     {
         const auto before = requestsIn(dataCentre);
+        m_lastAnswers.clear();
         for (int i = 0; i < 6; ++i) {
-            daemon(number).request("/again/x");
-            daemon(number).request("/stream/x");
+            for (const auto *path : {"/again/x", "/stream/x"}) {
+                const auto answer = daemon(number).request(path);
+                m_lastAnswers += fmt::format("{}: {} {}\n", path, answer.status, answer.body);
+            }
         }
         return requestsIn(dataCentre) - before;
     }
 
+    /// Returns the answers to the requests of the last sendSome(), to be shown where a check fails.
+    const std::string &lastAnswers() const
+    {
+        return m_lastAnswers;
+    }
+
     /// Sends requests until none of some reaches z, for at most twice the bound. Returns when the last one arrived there, counted from \a
     /// since.
     duration timeUntilEmpty(int number, instant since)
@@ -189,6 +198,7 @@
 
     duration m_evacuation;
     bool m_isLogOn = false;
+    std::string m_lastAnswers;
     shared_store m_store;
     scripted_replica m_inZ{successAnswer};
     scripted_replica m_inY{successAnswer};
@@ -212,7 +222,9 @@
     std::cout << "evacuation: the last request of daemon " << number << " arrived " << last.count() << " ms after the write\n";
     CHECK(last < promptBound);
     CHECK(fixture.sendSome(1 - number, 'z') == 0);
-    CHECK(fixture.sendSome(number, 'y') == 12);
+    const auto arrived = fixture.sendSome(number, 'y');
+    INFO(fixture.lastAnswers());
+    CHECK(arrived == 12);
     fixture.store().remove(zKey);
     CHECK(isWithin(promptBound, [&] { return fixture.sendSome(number, 'z') > 0; }));
 }
