Entry: Send orders and report stalled groups outside of the planning loop

Sending an order (order_delivery) and reports of stalled groups (stall_reporting) are jobs of their own. No behaviour changes; testAssembly, testEntry, testStoreRestore and the soak with evacuations pass.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -9,11 +9,9 @@
 #include "Libraries/Entry/assembly_metrics.h"
 #include "Libraries/Entry/coordination.h"
 #include "Libraries/Entry/group_status_log.h"
+#include "Libraries/Entry/order_delivery.h"
 #include "Libraries/Entry/replica_prober.h"
-#include "Libraries/Entry/stall_report_limit.h"
-#include "Libraries/Http/http_client.h"
-
-#include <fmt/format.h>
+#include "Libraries/Entry/stall_reporting.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -61,8 +59,8 @@
     /// When this daemon last became the coordinator. Used by the planning thread only.
     instant termSince;
     std::map<service_id, assembly_state> assemblies;
-    std::map<instance_id, instant> lastReports;
     replica_prober prober;
+    stall_reporting stallReports;
     std::thread thread;
 
     private_data(const entry_settings &entrySettings,
@@ -86,6 +84,7 @@
         , groupMetrics(counters)
         , prober(
               service, entryDialect, follower, peers, groupMetrics, counters, [this] { planSoon(); }, answerListener)
+        , stallReports(entrySettings.daemon, coordinator, prober, peers)
     {
     }
 
@@ -304,78 +303,23 @@
     /// records the result.
     void perform(const replica_order &order, store_revision plannedIn)
     {
-        order_answer answer;
-        std::string text = "not sent";
+        order_delivery delivery;
         if (!isStillDue(order, !feed.hasTraffic())) {
-            answer.result = order_result::withheld;
+            delivery.answer.result = order_result::withheld;
         } else if (coordinator.isHeld(plannedIn, orderTimeout, monotonicNow())) {
             // This thread may have been delayed, so the term is checked again right before the order is sent.
-            answer = send(order, text);
+            orders.increment();
+            delivery = sendOrder(dialect, order, orderTimeout, didAnswer);
         }
-        assemblyLog.write("order",
-                          {{"kind", static_cast<int>(order.kind)},
-                           {"replica", order.to.value()},
-                           {"group", order.group.value()},
-                           {"formed", order.formed.value()},
-                           {"expected", order.expectedOrders},
-                           {"result", static_cast<int>(answer.result)},
-                           {"answer", text}});
+        logOrder(order, delivery);
         {
             const std::lock_guard lock(mutex);
             for (auto &[service, assembly] : assemblies) {
-                recordOrderResult(assembly, order, answer, monotonicNow());
+                recordOrderResult(assembly, order, delivery.answer, monotonicNow());
             }
         }
         planSoon();
     }
-
-    order_answer send(const replica_order &order, std::string &text)
-    {
-        orders.increment();
-        auto call = dialect.orderCall(order);
-        call.connectTimeout = orderTimeout;
-        call.receiveTimeout = orderTimeout;
-        reason why;
-        const auto reply = sendOnFreshConnection(call, why);
-        if (reply) {
-            text = fmt::format("{} {}", reply->status, reply->body);
-            if (dialect.isLivenessAnswer(*reply)) {
-                didAnswer(order.to, *reply);
-            }
-            return dialect.readOrderAnswer(order, *reply);
-        }
-        text = why.text;
-        const bool isRefused = why.kind == error_kind::backend_unreachable && why.text.find("refused") != std::string::npos;
-        return {isRefused ? order_result::gone : order_result::unknown, 0};
-    }
-
-    // Stalled groups
-
-    /// Limits the rate of stall reports for one group. Returns whether a report may be sent now, and counts it as sent.
-    bool mayReportStall(const instance_id &head)
-    {
-        const std::lock_guard lock(mutex);
-        return admitStallReport(lastReports, head, monotonicNow());
-    }
-
-    /// Probes the group's members as the coordinator, else sends a report to the coordinator.
-    void processStall(const instance_id &head)
-    {
-        if (coordinator.isHeld(duration(), monotonicNow())) {
-            prober.probeGroup(head);
-            return;
-        }
-        if (!feed.sendStallReport({settings.daemon, head})) {
-            assemblyLog.write("stall_not_told", {{"head", head.value()}, {"why", "no coordinator is known"}});
-        }
-    }
-
-    void handleStallReport(const stall_report &report)
-    {
-        if (coordinator.isHeld(duration(), monotonicNow())) {
-            prober.probeGroup(report.replica);
-        }
-    }
 };
 
 assembly_runner::assembly_runner(const entry_settings &settings,
@@ -430,13 +374,13 @@
 
 void assembly_runner::handleStallReport(const stall_report &report)
 {
-    d->handleStallReport(report);
+    d->stallReports.handle(report);
 }
 
 void assembly_runner::reportStall(const instance_id &head)
 {
-    if (d->mayReportStall(head)) {
-        d->reportWorkers.run([this, head] { d->processStall(head); });
+    if (d->stallReports.admit(head)) {
+        d->reportWorkers.run([this, head] { d->stallReports.process(head); });
     }
 }
 
--- /dev/null
+++ b/Libraries/Entry/order_delivery.cpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Libraries/Entry/order_delivery.h"
+
+#include "Libraries/Base/event_log.h"
+#include "Libraries/Http/http_client.h"
+
+#include <fmt/format.h>
+
+namespace vetchpost {
+
+namespace {
+
+constexpr event_log assemblyLog("assembly");
+
+} // namespace
+
+order_delivery sendOrder(const entry_dialect &dialect, const replica_order &order, duration timeout, const answer_listener &didAnswer)
+{
+    auto call = dialect.orderCall(order);
+    call.connectTimeout = timeout;
+    call.receiveTimeout = timeout;
+    reason why;
+    const auto reply = sendOnFreshConnection(call, why);
+    if (!reply) {
+        const bool isRefused = why.kind == error_kind::backend_unreachable && why.text.find("refused") != std::string::npos;
+        return {{isRefused ? order_result::gone : order_result::unknown, 0}, why.text};
+    }
+    if (dialect.isLivenessAnswer(*reply)) {
+        didAnswer(order.to, *reply);
+    }
+    return {dialect.readOrderAnswer(order, *reply), fmt::format("{} {}", reply->status, reply->body)};
+}
+
+void logOrder(const replica_order &order, const order_delivery &delivery)
+{
+    assemblyLog.write("order",
+                      {{"kind", static_cast<int>(order.kind)},
+                       {"replica", order.to.value()},
+                       {"group", order.group.value()},
+                       {"formed", order.formed.value()},
+                       {"expected", order.expectedOrders},
+                       {"result", static_cast<int>(delivery.answer.result)},
+                       {"answer", delivery.text}});
+}
+
+} // namespace vetchpost
--- /dev/null
+++ b/Libraries/Entry/order_delivery.h
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Assembly/assembly_state.h"
+#include "Libraries/Entry/entry_dialect.h"
+
+#include <string>
+
+namespace vetchpost {
+
+/// What came of an order to a replica.
+struct order_delivery
+{
+    order_answer answer;
+    /// The response or the reason why there is none, for the log.
+    std::string text = "not sent";
+};
+
+/// Sends an order and waits up to \a timeout for the response. Calls \a didAnswer if the response shows that the replica is alive.
+order_delivery sendOrder(const entry_dialect &dialect, const replica_order &order, duration timeout, const answer_listener &didAnswer);
+void logOrder(const replica_order &order, const order_delivery &delivery);
+
+} // namespace vetchpost
