Platform, Groups: End a lease with the era in which it was granted

A daemon whose lease the store had lost, and that had not heard of it, could write the coordinator's key under a number that another daemon had been granted since, renew that one, or end it; on the own interfaces the era of a lease was taken from when its answer was handled, not from the answer.

A lease_number names its era, as a store_revision does. The adapters do not send what refers to a lease of an earlier era, and take an answer of another era for unknown (writes) or expired (renewals). Ending a lease that the daemon does not know to be lost cannot be told apart before it is sent.

In testTakeover two leases name their era, which the coordinator's model had taken from the view; one case is new. testStoreRestore 20 of 20, testGroups 19 of 19 without its fuzzer, testPlatform and testSuspension pass.

--- a/Libraries/Daemon/coordinator_runner.cpp
+++ b/Libraries/Daemon/coordinator_runner.cpp
@@ -215,7 +215,7 @@
         bool isAllowed = false;
         {
             const std::lock_guard lock(mutex);
-            isAllowed = maySendOrders(coordinator, monotonicNow()) && coordinator.era == keyValue.era();
+            isAllowed = maySendOrders(coordinator, monotonicNow()) && coordinator.lease.era() == keyValue.era();
         }
         if (isAllowed) {
             orders.increment();
--- a/Libraries/Entry/coordination.cpp
+++ b/Libraries/Entry/coordination.cpp
@@ -139,10 +139,7 @@
 
 void coordination::endLease(const coordination_term &term) const
 {
-    // The service may have granted the number of a lost lease again, to another daemon.
-    if (d->isOfPresentEra(term)) {
-        d->keyValue.endLease(term.lease);
-    }
+    d->keyValue.endLease(term.lease);
 }
 
 } // namespace vetchpost
--- a/Libraries/Groups/coordinator.cpp
+++ b/Libraries/Groups/coordinator.cpp
@@ -25,7 +25,8 @@
 
     actions operator()(const coordinator_tick & /*event*/)
     {
-        const bool isHeld = isLeaseValid() && m_state.era == m_view.era;
+        // The lease ends with its era, since the service may have lost it or the key that is bound to it.
+        const bool isHeld = isLeaseValid() && m_state.lease.era() == m_view.era;
         if (m_state.phase != coordinator_phase::follower && m_state.phase != coordinator_phase::acquiring && !isHeld) {
             stepDown();
         }
@@ -60,7 +61,6 @@
         }
         m_state.failedAttempts = 0;
         m_state.lease = event.lease;
-        m_state.era = m_view.era;
         m_state.leaseUntil = event.calledAt + m_state.settings.leaseTime;
         m_state.phase = coordinator_phase::reading;
         m_state.mustRead = true;
--- a/Libraries/Groups/coordinator.h
+++ b/Libraries/Groups/coordinator.h
@@ -131,8 +131,6 @@
     coordinator_settings settings;
     coordinator_phase phase = coordinator_phase::follower;
     lease_number lease;
-    /// The era in which the lease was acquired. The lease ends with it, since the service may have lost it or the key that is bound to it.
-    store_era era;
     /// When the lease may expire at the earliest: its term is counted from just before the call that acquired or renewed it.
     instant leaseUntil;
     /// No call to the key-value service is made before this time.
--- a/Libraries/Platform/key_value_client.cpp
+++ b/Libraries/Platform/key_value_client.cpp
@@ -137,7 +137,7 @@
 swap_result key_value_client::compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease)
 {
     d->writes.increment();
-    if (!d->connection.eras().isPresent(expected)) {
+    if (!d->connection.eras().isPresent(expected) || !d->connection.eras().isPresent(lease)) {
         return {swap_outcome::conflict, {}};
     }
     Json::Value body;
@@ -157,8 +157,9 @@
     if (reply->isSuccess()) {
         const auto json = parseJson(reply->body);
         const auto era = d->connection.eraOf(reply);
-        // The service may have come back from an older copy without this daemon's knowledge, so that the expected revision was another one.
-        if (json && (expected.isNone() || expected.era() == era)) {
+        // The service may have come back from an older copy without this daemon's knowledge, so that the expected revision or the lease was
+        // another one.
+        if (json && isOfEra(expected, era) && isOfEra(lease, era)) {
             return {swap_outcome::applied, key_revision(jsonNumber(*json, "revision"), era)};
         }
     }
@@ -172,19 +173,23 @@
     d->leases.increment();
     Json::Value body;
     body["time_ms"] = Json::Int64(time.count());
-    const auto json = d->parseReply(d->connection.sendOnce(d->makeCall("POST", "/v1/leases", body), lastReason), lastReason);
-    return json ? std::optional(lease_number(jsonNumber(*json, "lease"))) : std::nullopt;
+    const auto reply = d->connection.sendOnce(d->makeCall("POST", "/v1/leases", body), lastReason);
+    const auto json = d->parseReply(reply, lastReason);
+    return json ? std::optional(lease_number(jsonNumber(*json, "lease"), d->connection.eraOf(reply))) : std::nullopt;
 }
 
 std::optional<bool> key_value_client::renewLease(lease_number lease, reason &lastReason)
 {
     d->leases.increment();
+    if (!d->connection.eras().isPresent(lease)) {
+        return false;
+    }
     const auto target = fmt::format("/v1/leases/{}/renew", lease.value());
     const auto reply = d->connection.send(d->makeCall("POST", target, Json::Value(Json::objectValue)), lastReason);
     if (reply && reply->status == notFound) {
         return false;
     }
-    return d->parseReply(reply, lastReason) ? std::optional(true) : std::nullopt;
+    return d->parseReply(reply, lastReason) ? std::optional(isOfEra(lease, d->connection.eraOf(reply))) : std::nullopt;
 }
 
 void key_value_client::endLease(lease_number lease)
--- a/Libraries/Platform/key_value_service.h
+++ b/Libraries/Platform/key_value_service.h
@@ -61,8 +61,47 @@
 
 /// The revision of a key's last change; none if the key does not exist.
 using key_revision = store_revision;
-/// The id of a lease of the key-value service; 0 means no lease.
-using lease_number = sequence<struct lease_tag>;
+
+/// The number of a lease of the key-value service, and the era in which it was granted; the number may be granted again in a later era.
+class lease_number
+{
+public:
+    constexpr lease_number() = default;
+    constexpr explicit lease_number(std::uint64_t value, store_era era = {})
+        : m_era(era)
+        , m_value(value)
+    {
+    }
+
+    constexpr std::uint64_t value() const
+    {
+        return m_value;
+    }
+
+    constexpr store_era era() const
+    {
+        return m_era;
+    }
+
+    /// Whether this is the default, which stands for no lease.
+    constexpr bool isNone() const
+    {
+        return m_value == 0;
+    }
+
+    constexpr auto operator<=>(const lease_number &) const = default;
+
+private:
+    store_era m_era;
+    std::uint64_t m_value = 0;
+};
+
+/// Whether a revision or a lease is none, or of the era \a era.
+template <typename numbered>
+constexpr bool isOfEra(const numbered &number, store_era era)
+{
+    return number.isNone() || number.era() == era;
+}
 
 struct key_value_entry
 {
@@ -127,14 +166,14 @@
     /// All entries whose keys begin with \a prefix.
     virtual std::optional<key_value_listing> list(const std::string &prefix, read_freshness freshness, reason &lastReason) = 0;
     /// Writes \a value if the key still has the revision \a expected, which must be of the present era unless it is none. If a lease is
-    /// given, the key is deleted when the lease ends.
+    /// given, the key is deleted when the lease ends; a lease of an earlier era has ended.
     virtual swap_result compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease = {})
         = 0;
     /// Grants a lease that expires after \a time unless it is renewed.
     virtual std::optional<lease_number> grantLease(duration time, reason &lastReason) = 0;
-    /// Renews a lease; false if the lease has expired, nothing if the service gave no usable answer.
+    /// Renews a lease; false if the lease has expired or is of an earlier era, nothing if the service gave no usable answer.
     virtual std::optional<bool> renewLease(lease_number lease, reason &lastReason) = 0;
-    /// Ends a lease and deletes its keys immediately, on a best-effort basis.
+    /// Ends a lease and deletes its keys immediately, on a best-effort basis. Does nothing for a lease of an earlier era.
     virtual void endLease(lease_number lease) = 0;
     /// Waits for at most \a wait for changes under \a prefix after the revision \a after.
     virtual std::optional<watch_result> watch(const std::string &prefix, store_revision after, duration wait, reason &lastReason) = 0;
--- a/Libraries/Platform/store_era_record.cpp
+++ b/Libraries/Platform/store_era_record.cpp
@@ -26,7 +26,12 @@
 
 bool store_era_record::isPresent(store_revision revision) const
 {
-    return revision.isNone() || revision.era() == latest();
+    return isOfEra(revision, latest());
+}
+
+bool store_era_record::isPresent(lease_number lease) const
+{
+    return isOfEra(lease, latest());
 }
 
 } // namespace vetchpost
--- a/Libraries/Platform/store_era_record.h
+++ b/Libraries/Platform/store_era_record.h
@@ -17,6 +17,8 @@
     store_era latest() const;
     /// Whether a revision can still be compared with those that the service gives out now.
     bool isPresent(store_revision revision) const;
+    /// Whether a lease may still exist.
+    bool isPresent(lease_number lease) const;
 
 private:
     std::atomic<std::uint64_t> m_latest = 0;
--- a/Tests/Groups/testTakeover.cpp
+++ b/Tests/Groups/testTakeover.cpp
@@ -236,7 +236,7 @@
     const std::optional<std::vector<deployment_want>> wants;
     coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(2)};
     REQUIRE(step(state, coordinator_tick(), view).size() == 1);
-    step(state, acquisition_answer{view.now, true, lease_number(1)}, view);
+    step(state, acquisition_answer{view.now, true, lease_number(1, store_era(2))}, view);
     step(state, coordinator_tick(), view);
     const auto actions
         = step(state,
@@ -262,7 +262,7 @@
     const std::optional<std::vector<deployment_want>> wants;
     coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(1)};
     step(state, coordinator_tick(), view);
-    step(state, acquisition_answer{view.now, true, lease_number(1)}, view);
+    step(state, acquisition_answer{view.now, true, lease_number(1, store_era(1))}, view);
     step(state, coordinator_tick(), view);
     step(state, allotment_answer{true, {"allotment", "", key_revision()}}, view);
     step(state, write_answer{{swap_outcome::applied, key_revision(2, store_era(1))}}, view);
@@ -271,3 +271,19 @@
     step(state, coordinator_tick(), view);
     CHECK_FALSE(isActive(state, view.now));
 }
+
+TEST_CASE("A lease that was granted before the key-value service named a new era is not counted on")
+{
+    coordinator_settings settings;
+    settings.self = daemon_id("d1");
+    settings.dataCentre = dataCentre;
+    auto state = makeCoordinator(settings);
+    const instance_tracker tracker;
+    const std::optional<std::vector<deployment_want>> wants;
+    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(1)};
+    step(state, coordinator_tick(), view);
+    view.era = store_era(2);
+    step(state, acquisition_answer{view.now, true, lease_number(1, store_era(1))}, view);
+    step(state, coordinator_tick(), view);
+    CHECK(state.phase == coordinator_phase::follower);
+}
--- a/Tests/StoreRestore/restorableStore.cpp
+++ b/Tests/StoreRestore/restorableStore.cpp
@@ -143,6 +143,12 @@
     }
 }
 
+void restorable_store::reuseLeaseNumbers()
+{
+    const std::lock_guard lock(d->mutex);
+    d->store.keys.lastLease = d->copy.keys.lastLease;
+}
+
 void restorable_store::setAnswering(bool isAnswering)
 {
     d->isAnswering = isAnswering;
--- a/Tests/StoreRestore/restorableStore.h
+++ b/Tests/StoreRestore/restorableStore.h
@@ -29,6 +29,8 @@
     void saveCopy();
     /// Comes back from the copy that was saved last, and writes again what the operator and the replicas wrote since, if \a doesRewrite.
     void restore(bool doesRewrite = true);
+    /// Lets the store grant the numbers of leases again that were granted since the copy was saved, as it may do after a restoration.
+    void reuseLeaseNumbers();
     /// Sets whether calls of daemons are answered; while they are not, each gets a 503.
     void setAnswering(bool isAnswering);
     /// While set, watches of replicas that arrive wait before they are looked at.
