Entry: Accept no key on what a starting daemon finds in an older copy

Its log shows the daemon start 2.4 s before the store answered again from a copy, and put version 1 of the copy into force; the operator wrote version 2 again 1.19 s later.

Cause: a daemon that starts takes the era that it finds for an old one.

Change: it takes it for a new one, as the coordinator's planning did already, and does not confirm what it reads for 2.2 s. So that this is not paid at each start, the coordinator writes the era to the key vetchpost/settled-era once it is 3.2 s old (at once where the whole system starts first). A copy names an earlier era there, so that the present one in it proves that nothing remains to be written again. With that proof a coordinator that has just started plans at once as well, instead of after 2.6 s. Where keys need not be refused in time (not strict) nothing waits.

Ruled out: a field of the feed with the source's confirmation. There is no source for some three seconds after a return, and none after the loss of all daemons, which is when daemons start.

Evidence: "A daemon that starts while the store holds an older copy" fails with the era taken for an old one (the key was confirmed at the first reading) and passes; testStoreRestore 22 of 22, testEntry, testPlatformAdapter, ReplicaLimit, EntryStoreOutage and PlatformRestore pass.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -218,7 +218,7 @@
         }
         {
             const std::lock_guard lock(mutex);
-            if (!coordinator.hasServiceSettled(now)) {
+            if (!coordinator.hasServiceSettled(now) && !store.isEraSettled()) {
                 logWaiting("the key-value service may have come back from an older copy", now);
                 return;
             }
--- a/Libraries/Entry/configuration_confirmation.cpp
+++ b/Libraries/Entry/configuration_confirmation.cpp
@@ -9,6 +9,8 @@
 
 /// The operator writes again within the time that the platform promises for the replicas.
 constexpr duration operatorRewriteTime = lapsedGrace;
+/// Allowance for orders that a former coordinator has sent within its lost lease.
+constexpr duration settlingMargin(1000);
 
 } // namespace
 
@@ -18,7 +20,8 @@
         return;
     }
     // A daemon that starts cannot tell when the present era began.
-    if (confirmation.era != store_era()) {
+    const bool isFirst = confirmation.era == store_era();
+    if (!(isFirst && confirmation.policy.isFirstStart)) {
         confirmation.restoredAt = now;
     }
     confirmation.era = era;
@@ -42,10 +45,19 @@
     confirmation.isFoundOnce = false;
 }
 
+bool maySettle(const configuration_confirmation &confirmation, instant now)
+{
+    const auto deadline = rewriteDeadline(confirmation);
+    const bool isKnown = confirmation.era != store_era() && confirmation.settledIn != confirmation.era;
+    return isKnown && (!deadline || now >= *deadline + settlingMargin);
+}
+
 bool isAwaitingRewrite(const configuration_confirmation &confirmation, instant now)
 {
     const auto deadline = rewriteDeadline(confirmation);
-    return deadline && now < *deadline && confirmation.rewrittenIn != confirmation.era;
+    const bool isOver = !deadline || now >= *deadline;
+    const bool isRewritten = confirmation.rewrittenIn == confirmation.era || confirmation.settledIn == confirmation.era;
+    return confirmation.policy.awaitsRewrite && !isOver && !isRewritten;
 }
 
 std::optional<instant> rewriteDeadline(const configuration_confirmation &confirmation)
--- a/Libraries/Entry/configuration_confirmation.h
+++ b/Libraries/Entry/configuration_confirmation.h
@@ -8,14 +8,26 @@
 
 namespace vetchpost {
 
+/// Which daemons wait for what the service may have lost.
+struct confirmation_policy
+{
+    /// Whether a configuration is confirmed only once the operator had time to write a newer one again.
+    bool awaitsRewrite = false;
+    /// Whether the whole system starts for the first time, so that the service cannot have lost anything of it.
+    bool isFirstStart = true;
+};
+
 /// Whether the configuration in the key-value service is the newest that the operator has written. After the service has come back from an
 /// older copy it may not be, until the operator has written again what was lost.
 struct configuration_confirmation
 {
+    confirmation_policy policy;
     /// The latest era that the service has named.
     store_era era;
-    /// When this daemon learned that the service had come back from an older copy; nothing if it has not done so since the daemon started.
+    /// When this daemon learned of the era; nothing if the service has not come back from an older copy since the system's first start.
     std::optional<instant> restoredAt;
+    /// The latest era that a coordinator has declared as settled.
+    store_era settledIn;
     /// The latest era in which the operator is known to have written the configuration again.
     store_era rewrittenIn;
     /// The version that was found last, the revision at which it was first found, and whether it was found at that number alone.
@@ -28,6 +40,9 @@
 void recordEra(configuration_confirmation &confirmation, store_era era, instant now);
 /// Records a version that the service holds at \a revision, and concludes from its revision whether it was written again.
 void recordVersion(configuration_confirmation &confirmation, std::uint64_t version, key_revision revision);
+/// Whether a coordinator may declare the era as settled: all that the service had lost has been written again, and orders of former
+/// coordinators are no longer under way.
+bool maySettle(const configuration_confirmation &confirmation, instant now);
 /// Whether the operator may still have to write configurations again that the service has lost.
 bool isAwaitingRewrite(const configuration_confirmation &confirmation, instant now);
 /// Returns when the operator has had time to write lost configurations again; nothing if none can be lost.
--- a/Libraries/Entry/configuration_reading.cpp
+++ b/Libraries/Entry/configuration_reading.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The part of store_follower that keeps the configuration up to date: it reads the service, or the source confirms that it is current.
 #include "Libraries/Entry/store_follower_data.h"
+#include "Libraries/Platform/store_era_record.h"
 
 namespace vetchpost {
 
@@ -8,6 +9,8 @@
 
 /// How often the configuration is read before there is one. Stale reads do, which cost a tenth of current ones.
 constexpr duration firstConfigurationPeriod(250);
+/// Holds the latest era that a coordinator has declared as settled. A copy of the service holds an earlier one.
+constexpr auto settledEraKey = "vetchpost/settled-era";
 
 } // namespace
 
@@ -16,7 +19,10 @@
     bool isKnown = false;
     do {
         if (isConfigurationReadDue()) {
+            // Before the configuration, which has to be read in a settled era to be confirmed by it.
+            readSettledEra();
             isKnown = readConfiguration(isKnown) || isKnown;
+            declareSettledEra();
         }
     } while (waitBeforeConfigurationRead(isKnown));
 }
@@ -33,14 +39,12 @@
 
 std::optional<instant> store_follower::private_data::nextConfigurationRead() const
 {
-    if (!currentAt) {
-        return std::nullopt;
-    }
-    // While a reading is not conclusive, reading more often would not confirm the configuration sooner.
     if (isAwaitingRewrite(confirmation, monotonicNow())) {
-        return std::min(std::max(*currentAt, comparedAt.value_or(*currentAt)) + maximumConfigurationAge(), *rewriteDeadline(confirmation));
+        // Reading more often would not confirm the configuration sooner.
+        const auto last = std::max(currentAt, comparedAt);
+        return last ? std::optional(std::min(*last + maximumConfigurationAge(), *rewriteDeadline(confirmation))) : std::nullopt;
     }
-    return *currentAt + maximumConfigurationAge();
+    return currentAt ? std::optional(*currentAt + maximumConfigurationAge()) : std::nullopt;
 }
 
 bool store_follower::private_data::waitBeforeConfigurationRead(bool isKnown)
@@ -61,6 +65,49 @@
     return !isStopping;
 }
 
+void store_follower::private_data::readSettledEra()
+{
+    {
+        const std::lock_guard lock(mutex);
+        const bool isStarting = !currentAt && !confirmation.policy.isFirstStart;
+        if (!isStarting && !isAwaitingRewrite(confirmation, monotonicNow())) {
+            return;
+        }
+    }
+    reason why;
+    const auto entry = keyValue.get(settledEraKey, read_freshness::may_be_stale, why);
+    recordServiceAnswer(entry.has_value(), why);
+    if (entry) {
+        const std::lock_guard lock(mutex);
+        confirmation.settledIn = std::max(confirmation.settledIn, parseEra(entry->value).value_or(store_era()));
+    }
+}
+
+void store_follower::private_data::declareSettledEra()
+{
+    store_era era;
+    {
+        const std::lock_guard lock(mutex);
+        if (!isSource || !maySettle(confirmation, monotonicNow())) {
+            return;
+        }
+        era = confirmation.era;
+    }
+    reason why;
+    const auto entry = keyValue.get(settledEraKey, read_freshness::current, why);
+    recordServiceAnswer(entry.has_value(), why);
+    if (!entry) {
+        return;
+    }
+    const bool isDeclared = parseEra(entry->value) == era;
+    if (isDeclared
+        || keyValue.compareAndSwap(settledEraKey, entry->changed, std::to_string(era.value())).outcome == swap_outcome::applied) {
+        storeLog.write("era_settled", {{"era", era.value()}});
+        const std::lock_guard lock(mutex);
+        confirmation.settledIn = std::max(confirmation.settledIn, era);
+    }
+}
+
 void store_follower::private_data::recordConfigurationRead(key_revision found, instant asked)
 {
     const std::lock_guard lock(mutex);
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -175,6 +175,7 @@
         , exportedMetrics(counters)
     {
         store.enableEvacuations(settings.evacuation);
+        store.setConfirmationPolicy({settings.isKeyRevocationStrict, settings.isFirstStart});
         if (settings.cold) {
             store.setColdPaced(true);
             const auto share = settings.dispatch ? coldShareBesideDispatch : coldShareAlone;
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -115,7 +115,7 @@
 refusal_scope relay_context::scopeOfStaleConfiguration(instant now) const
 {
     const auto known = m_store.configurationKnowledge();
-    if (known.isUnconfirmable) {
+    if (known.isUnconfirmable && known.currentAt) {
         return refusal_scope::all_daemons;
     }
     return vetchpost::scopeOfStaleConfiguration(
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -231,6 +231,18 @@
     return countDaemons(d->feed, monotonicNow());
 }
 
+void store_follower::setConfirmationPolicy(const confirmation_policy &policy)
+{
+    d->confirmation.policy = policy;
+}
+
+bool store_follower::isEraSettled() const
+{
+    const auto era = d->keyValue.era();
+    const std::lock_guard lock(d->mutex);
+    return era != store_era() && d->confirmation.settledIn == era;
+}
+
 std::shared_ptr<const route_table> store_follower::routes() const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/metrics.h"
+#include "Libraries/Entry/configuration_confirmation.h"
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Feed/feed_publisher.h"
 #include "Libraries/Feed/feed_timing.h"
@@ -38,6 +39,9 @@
     /// Turns on the reading of evacuated data centres, which have to be in force everywhere within \a bound. Without this call, or with a
     /// bound of 0, they are never read. Called before start().
     void enableEvacuations(duration bound);
+    /// Sets when a configuration counts as the newest after the key-value service has come back from an older copy; by default it always
+    /// does. Called before start().
+    void setConfirmationPolicy(const confirmation_policy &policy);
     void start();
     void stop();
     /// Sets whether this daemon is the source, which relays what it reads to its followers. A source reads often, and watches the replicas
@@ -92,6 +96,9 @@
     bool areEvacuationsKnownSince(instant time) const;
     /// Returns the latest time at which the configuration is known to have been the newest: the start of a read, here or at the source.
     std::optional<instant> configurationCurrentAt() const;
+    /// Whether a coordinator has declared the present era of the key-value service as settled, in which nothing remains to be written
+    /// again.
+    bool isEraSettled() const;
     /// Returns when the configuration here, and that of the source, were last known to be the newest.
     configuration_freshness configurationKnowledge() const;
     /// Whether the key-value service answered this daemon's last call.
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -120,6 +120,10 @@
     std::optional<instant> nextConfigurationRead() const;
     /// Waits until the next read may be due. Returns false once the follower stops.
     bool waitBeforeConfigurationRead(bool isKnown);
+    /// Reads whether the present era is settled, if this daemon has just started or awaits what may be written again.
+    void readSettledEra();
+    /// Declares the present era as settled for daemons that start, if this daemon is the source and that is so.
+    void declareSettledEra();
     /// Records the revision that a read found, for the followers.
     void recordConfigurationRead(key_revision found, instant asked);
     /// Reads the configuration. Returns whether the service has a readable one. \a isKnown: one has been read before.
--- a/Libraries/Platform/store_era_record.h
+++ b/Libraries/Platform/store_era_record.h
@@ -4,10 +4,14 @@
 #include "Libraries/Platform/key_value_service.h"
 
 #include <atomic>
+#include <optional>
 #include <string>
 
 namespace vetchpost {
 
+/// Reads an era written as a decimal number; nothing if the text is none.
+std::optional<store_era> parseEra(const std::string &text);
+
 /// The latest era that the key-value service has named in an answer. Thread-safe.
 class store_era_record
 {
--- a/Tests/StoreRestore/followedStore.h
+++ b/Tests/StoreRestore/followedStore.h
@@ -37,11 +37,12 @@
 class followed_store
 {
 public:
-    explicit followed_store(const restorable_store &store, bool isSource = true)
+    explicit followed_store(const restorable_store &store, bool isSource = true, const confirmation_policy &policy = {true, true})
         : m_service(store.address(), m_counters)
         , m_follower(
               m_service, m_dialect, feedTiming(inForceBound), m_counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {})
     {
+        m_follower.setConfirmationPolicy(policy);
         m_follower.enableEvacuations(evacuationBound);
         m_follower.recordTraffic();
         m_follower.setSource(isSource);
--- a/Tests/StoreRestore/testConfigurationRestore.cpp
+++ b/Tests/StoreRestore/testConfigurationRestore.cpp
@@ -83,3 +83,26 @@
         isWithin(rewriteTime + inForceBound, [&] { return isConfigurationStale((*follower).configurationKnowledge(), monotonicNow()); }));
     CHECK(isConfirmedSince(follower, restoredAt));
 }
+
+TEST_CASE("A daemon that starts while the store holds an older copy does not accept a key that was withdrawn before")
+{
+    restoring_fixture fixture;
+    fixture.store().write("op/config", configurationOf(4));
+    const auto withdrawnAt = monotonicNow();
+    fixture.store().restore(false);
+    followed_store daemon(fixture.store(), true, {true, false});
+    REQUIRE(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 3; }));
+    CHECK_FALSE(isWithin(rewriteTime, [&] { return isConfirmedSince(daemon, withdrawnAt); }));
+    fixture.store().write("op/config", configurationOf(4));
+    CHECK(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 4 && isConfirmedSince(daemon, withdrawnAt); }));
+}
+
+TEST_CASE("A daemon that starts in an era whose configurations were written again accepts keys at once")
+{
+    restoring_fixture fixture;
+    const auto startedAt = monotonicNow();
+    const followed_store coordinator(fixture.store(), true, {true, true});
+    REQUIRE(isWithin(inForceBound, [&] { return !fixture.store().read("vetchpost/settled-era").empty(); }));
+    followed_store daemon(fixture.store(), false, {true, false});
+    CHECK(isWithin(duration(500), [&] { return isConfirmedSince(daemon, startedAt); }));
+}
