--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -34,6 +34,8 @@
   --notices=<n>           Times that a replica reports a rate limit, asks for a backoff or announces that it leaves [default: 0].
   --evacuations=<n>       Evacuations of one of two data centres, over which the replicas are then spread [default: 0].
   --restores=<n>          Times that the store goes away and comes back from an older copy [default: 0].
+  --lost-withdrawals=<n>  Of the restorations, those that lose the withdrawal of a key; a daemon then starts about when the store is back
+                          [default: 0].
   --cold=<n>              Requests per second that replicas accept for 3 s after a restart, and all of them at times; 0: no limit [default: 0].
   --losses=<n>            Of a thousand events of streams, the number that arrive as late as a retransmitted packet [default: 0].
   --keep=<folder>         Folder for settings and logs.
@@ -143,6 +145,7 @@
     options.notices = static_cast<int>(number("--notices"));
     options.evacuations = static_cast<int>(number("--evacuations"));
     options.restores = static_cast<int>(number("--restores"));
+    options.lostWithdrawals = static_cast<int>(number("--lost-withdrawals"));
     options.coldPerSecond = static_cast<int>(number("--cold"));
     options.lossesPerThousand = static_cast<int>(number("--losses"));
     options.folder = arguments.at("--keep").asString();
@@ -161,9 +164,13 @@
     for (const auto &evacuation : planEvacuations(options.seed, options.size, options.evacuations)) {
         fmt::print("{}\n", describe(evacuation));
     }
-    for (const auto &restore : planRestores(options.seed, options.size, options.restores)) {
+    const auto restores = planRestores(options.seed, options.size, options.restores);
+    for (const auto &restore : restores) {
         fmt::print("{}\n", describe(restore));
     }
+    for (const auto &loss : planStartsAtReturns(options.seed, options.size, restores, options.lostWithdrawals)) {
+        fmt::print("{}\n", describe(loss));
+    }
     std::fflush(stdout);
     try {
         const auto facts = runSoak(options, plan);
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -163,9 +163,7 @@
         for (const auto &evacuation : planEvacuations(m_options.seed, m_options.size, m_options.evacuations)) {
             m_scheduledActions.emplace(begin + evacuation.at, [this, evacuation] { beginEvacuation(evacuation); });
         }
-        for (const auto &restore : planRestores(m_options.seed, m_options.size, m_options.restores)) {
-            scheduleRestore(restore, begin);
-        }
+        scheduleRestores(begin);
         scheduleColdTimes(begin);
         instant nextEvents;
         instant nextSample;
@@ -274,7 +272,19 @@
 
     // Restorations of the store.
 
-    void scheduleRestore(const planned_restore &restore, instant begin)
+    void scheduleRestores(instant begin)
+    {
+        const auto restores = planRestores(m_options.seed, m_options.size, m_options.restores);
+        const auto starts = planStartsAtReturns(m_options.seed, m_options.size, restores, m_options.lostWithdrawals);
+        for (std::size_t number = 0; number < restores.size(); ++number) {
+            scheduleRestore(restores[number], begin, number < starts.size());
+        }
+        for (const auto &loss : starts) {
+            m_scheduledActions.emplace(begin + loss.at, [this, loss] { apply(loss); });
+        }
+    }
+
+    void scheduleRestore(const planned_restore &restore, instant begin, bool losesWithdrawal)
     {
         const auto control = m_cluster.storeControl();
         m_scheduledActions.emplace(begin + restore.copiedAt, [control] { setFaults(control, makeSwitch("save_copy", true)); });
@@ -288,7 +298,8 @@
             faults["silent"] = false;
             setFaults(control, faults);
         });
-        m_scheduledActions.emplace(begin + restore.changeAt, [this] { changeConfiguration(false, monotonicNow()); });
+        m_scheduledActions.emplace(begin + restore.changeAt,
+                                   [this, losesWithdrawal] { changeConfiguration(losesWithdrawal, monotonicNow()); });
         m_scheduledActions.emplace(begin + restore.withdrawAt, [this] { changeConfiguration(true, monotonicNow()); });
         m_scheduledActions.emplace(begin + restore.drainAt, [this, restore] {
             const auto id = servingReplica(restore.target);
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -28,6 +28,8 @@
     int evacuations = 0;
     /// How many times the store goes away and comes back from an older copy.
     int restores = 0;
+    /// In how many of the restorations the store loses the withdrawal of a key, and a daemon starts about when the store comes back.
+    int lostWithdrawals = 0;
     /// Requests per second that a replica accepts while it is cold: after each start but its first, and several times all at once; 0 if
     /// replicas are never cold.
     int coldPerSecond = 0;
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -227,4 +227,24 @@
                        restore.drainAt.count());
 }
 
+std::vector<planned_fault>
+planStartsAtReturns(std::uint64_t seed, const schedule_size &size, const std::vector<planned_restore> &restores, int count)
+{
+    constexpr duration minDowntime(500);
+    constexpr duration maxDowntime(2500);
+    constexpr duration latestStart(1000);
+    constexpr std::uint64_t startSeedMask = 0x27d4eb2f165667c5ULL;
+    deterministic_random randomNumbers(seed ^ startSeedMask);
+    std::vector<planned_fault> plan;
+    for (std::size_t number = 0; number < std::min(restores.size(), static_cast<std::size_t>(count)); ++number) {
+        planned_fault loss;
+        loss.kind = fault_kind::kill_daemon;
+        loss.lasts = randomNumbers.between(minDowntime, maxDowntime);
+        loss.at = randomNumbers.between(restores[number].at, restores[number].backAt + latestStart) - loss.lasts;
+        loss.target = randomNumbers.below(size.daemons);
+        plan.push_back(loss);
+    }
+    return plan;
+}
+
 } // namespace vetchpost::test
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -154,6 +154,10 @@
 /// Returns \a count restorations for a seed, spread over the time of the faults and one after the other. Their random numbers are
 /// independent of those of planFaults().
 std::vector<planned_restore> planRestores(std::uint64_t seed, const schedule_size &size, int count);
+/// Returns one loss of a daemon for each of the first \a count restorations, after which the daemon starts again about when the store comes
+/// back.
+std::vector<planned_fault>
+planStartsAtReturns(std::uint64_t seed, const schedule_size &size, const std::vector<planned_restore> &restores, int count);
 /// Returns the printed line for a restoration of the schedule.
 std::string describe(const planned_restore &restore);
 
