Platform: Give revisions and leases one type for numbers of an era

store_revision and lease_number were two classes of the same shape. They are one template, number_of_era, with a tag each; store_era_record::isPresent is one function for both. A lease's number is number() as a revision's is.

--- a/Libraries/Platform/key_value_client.cpp
+++ b/Libraries/Platform/key_value_client.cpp
@@ -144,7 +144,7 @@
     body["key"] = key;
     body["expected"] = Json::UInt64(expected.number());
     body["value"] = value;
-    body["lease"] = Json::UInt64(lease.value());
+    body["lease"] = Json::UInt64(lease.number());
     reason why;
     const auto reply = d->connection.sendOnce(d->makeCall("POST", "/v1/swap", body), why);
     if (!reply) {
@@ -184,7 +184,7 @@
     if (!d->connection.eras().isPresent(lease)) {
         return false;
     }
-    const auto target = fmt::format("/v1/leases/{}/renew", lease.value());
+    const auto target = fmt::format("/v1/leases/{}/renew", lease.number());
     const auto reply = d->connection.send(d->makeCall("POST", target, Json::Value(Json::objectValue)), lastReason);
     if (reply && reply->status == notFound) {
         return false;
--- a/Libraries/Platform/key_value_service.h
+++ b/Libraries/Platform/key_value_service.h
@@ -15,12 +15,14 @@
 /// revisions out again; 0 if the service does not tell.
 using store_era = sequence<struct store_era_tag>;
 
-/// A revision of the key-value service. Numbers can be compared only within one era; every revision of an era precedes those of later ones.
-class store_revision
+/// A number that the key-value service gives out, and the era in which it did so; the number may be given out again in a later era. Ordered
+/// by the era first.
+template <typename tag>
+class number_of_era
 {
 public:
-    constexpr store_revision() = default;
-    constexpr explicit store_revision(std::uint64_t number, store_era era = {})
+    constexpr number_of_era() = default;
+    constexpr explicit number_of_era(std::uint64_t number, store_era era = {})
         : m_era(era)
         , m_number(number)
     {
@@ -36,13 +38,13 @@
         return m_era;
     }
 
-    /// Whether this is the default, which stands for "never" or "does not exist".
+    /// Whether this is the default, which stands for none.
     constexpr bool isNone() const
     {
         return m_number == 0;
     }
 
-    constexpr auto operator<=>(const store_revision &) const = default;
+    constexpr auto operator<=>(const number_of_era &) const = default;
 
 private:
     // Compared in this order.
@@ -50,57 +52,27 @@
     std::uint64_t m_number = 0;
 };
 
-/// More revisions than an older copy of the service lacks.
-constexpr std::uint64_t revisionsPerEra = 1000000;
-
-/// Returns a number that increases with the service's revisions over all eras.
-constexpr std::uint64_t risingNumber(store_revision revision)
+/// Whether a number is none, or of the era \a era.
+template <typename tag>
+constexpr bool isOfEra(number_of_era<tag> number, store_era era)
 {
-    return revision.era().value() * revisionsPerEra + revision.number();
+    return number.isNone() || number.era() == era;
 }
 
+/// A revision of the key-value service; none stands for "never" or "does not exist".
+using store_revision = number_of_era<struct store_revision_tag>;
 /// The revision of a key's last change; none if the key does not exist.
 using key_revision = store_revision;
+/// A lease of the key-value service; none stands for no lease.
+using lease_number = number_of_era<struct lease_tag>;
 
-/// The number of a lease of the key-value service, and the era in which it was granted; the number may be granted again in a later era.
-class lease_number
-{
-public:
-    constexpr lease_number() = default;
-    constexpr explicit lease_number(std::uint64_t value, store_era era = {})
-        : m_era(era)
-        , m_value(value)
-    {
-    }
-
-    constexpr std::uint64_t value() const
-    {
-        return m_value;
-    }
-
-    constexpr store_era era() const
-    {
-        return m_era;
-    }
-
-    /// Whether this is the default, which stands for no lease.
-    constexpr bool isNone() const
-    {
-        return m_value == 0;
-    }
-
-    constexpr auto operator<=>(const lease_number &) const = default;
-
-private:
-    store_era m_era;
-    std::uint64_t m_value = 0;
-};
+/// More revisions than an older copy of the service lacks.
+constexpr std::uint64_t revisionsPerEra = 1000000;
 
-/// Whether a revision or a lease is none, or of the era \a era.
-template <typename numbered>
-constexpr bool isOfEra(const numbered &number, store_era era)
+/// Returns a number that increases with the service's revisions over all eras.
+constexpr std::uint64_t risingNumber(store_revision revision)
 {
-    return number.isNone() || number.era() == era;
+    return revision.era().value() * revisionsPerEra + revision.number();
 }
 
 struct key_value_entry
--- a/Libraries/Platform/store_era_record.cpp
+++ b/Libraries/Platform/store_era_record.cpp
@@ -33,14 +33,4 @@
     return store_era(m_latest);
 }
 
-bool store_era_record::isPresent(store_revision revision) const
-{
-    return isOfEra(revision, latest());
-}
-
-bool store_era_record::isPresent(lease_number lease) const
-{
-    return isOfEra(lease, latest());
-}
-
 } // namespace vetchpost
--- a/Libraries/Platform/store_era_record.h
+++ b/Libraries/Platform/store_era_record.h
@@ -19,10 +19,12 @@
     /// Records the era that an answer names as a decimal number, and returns it. An answer that names none counts as one of the latest era.
     store_era record(const std::string &text);
     store_era latest() const;
-    /// Whether a revision can still be compared with those that the service gives out now.
-    bool isPresent(store_revision revision) const;
-    /// Whether a lease may still exist.
-    bool isPresent(lease_number lease) const;
+    /// Whether a revision can still be compared with those that the service gives out now, or a lease may still exist.
+    template <typename tag>
+    bool isPresent(number_of_era<tag> number) const
+    {
+        return isOfEra(number, latest());
+    }
 
 private:
     std::atomic<std::uint64_t> m_latest = 0;
--- a/Tests/Platform/testMeasuredStore.cpp
+++ b/Tests/Platform/testMeasuredStore.cpp
@@ -31,7 +31,7 @@
 
     swap_result compareAndSwap(const std::string &key, key_revision expected, const std::string &value, lease_number lease) override
     {
-        m_calls += "write " + key + std::to_string(expected.number()) + value + std::to_string(lease.value()) + ";";
+        m_calls += "write " + key + std::to_string(expected.number()) + value + std::to_string(lease.number()) + ";";
         return {swap_outcome::conflict, {}};
     }
 
@@ -47,7 +47,7 @@
 
     void endLease(lease_number lease) override
     {
-        m_calls += "end " + std::to_string(lease.value()) + ";";
+        m_calls += "end " + std::to_string(lease.number()) + ";";
     }
 
     std::optional<watch_result>
--- a/Tests/PlatformStandIn/testStoreModel.cpp
+++ b/Tests/PlatformStandIn/testStoreModel.cpp
@@ -75,7 +75,7 @@
     Json::Value call;
     call[names::leaseTime] = 1500;
     const lease_number lease(jsonNumber(grantLease(store, call, now).body, names::lease));
-    transact(store, writeOf("my/leader", "YQ==", 0, lease.value()), false);
+    transact(store, writeOf("my/leader", "YQ==", 0, lease.number()), false);
     CHECK(expireLeases(store, now + duration(1400)).empty());
     CHECK(renewLease(store, lease, now + duration(1400)).status == 200);
     CHECK(expireLeases(store, now + duration(2800)).empty());
@@ -89,7 +89,7 @@
 {
     store_model store;
     const lease_number lease(jsonNumber(grantLease(store, Json::Value(Json::objectValue), now).body, names::lease));
-    transact(store, writeOf("my/leader", "YQ==", 0, lease.value()), false);
+    transact(store, writeOf("my/leader", "YQ==", 0, lease.number()), false);
     endLease(store, lease, now);
     CHECK(readKey(store, "my/leader").status == notFound);
 }
--- a/Tests/StandIns/platform/standInStore.cpp
+++ b/Tests/StandIns/platform/standInStore.cpp
@@ -128,7 +128,7 @@
         for (const auto &[key, entry] : m_store.keys.entries) {
             auto &fact = json["entries"][key];
             fact["revision"] = Json::UInt64(entry.changed.number());
-            fact["lease"] = Json::UInt64(entry.lease.value());
+            fact["lease"] = Json::UInt64(entry.lease.number());
             const auto text = decodeBase64(entry.value.substr(1));
             fact["value"] = parseJson(text).value_or(Json::Value(text));
         }
@@ -282,7 +282,7 @@
         const auto ended = expireLeases(m_store, monotonicNow());
         for (const auto lease : ended) {
             Json::Value fields;
-            fields["lease"] = Json::UInt64(lease.value());
+            fields["lease"] = Json::UInt64(lease.number());
             m_journal.recordEvent("lease_ended", fields);
         }
         if (!ended.empty()) {
--- a/Tests/StandIns/platform/store_model.cpp
+++ b/Tests/StandIns/platform/store_model.cpp
@@ -38,7 +38,7 @@
         json[names::value] = found->second.value.substr(1);
         json[names::revision] = Json::UInt64(found->second.changed.number());
         json[stand_in_names::created] = Json::UInt64(store.created.at(key));
-        json[names::lease] = Json::UInt64(found->second.lease.value());
+        json[names::lease] = Json::UInt64(found->second.lease.number());
     }
     return json;
 }
@@ -203,7 +203,7 @@
 {
     const auto time = std::clamp(jsonNumber(call, names::leaseTime), minLeaseMs, maxLeaseMs);
     store_answer answer;
-    answer.body[names::lease] = Json::UInt64(store.keys.grant(duration(time), now).value());
+    answer.body[names::lease] = Json::UInt64(store.keys.grant(duration(time), now).number());
     answer.body[names::leaseTime] = Json::UInt64(time);
     return answer;
 }
@@ -268,7 +268,7 @@
         Json::Value write;
         write[names::key] = key;
         write[names::value] = entry.value.substr(1);
-        write[names::lease] = Json::UInt64(entry.lease.value());
+        write[names::lease] = Json::UInt64(entry.lease.number());
         Json::Value transaction;
         transaction[names::writes].append(write);
         rewrites.push_back(std::move(transaction));
--- a/Tests/StandIns/standInPlatform.cpp
+++ b/Tests/StandIns/standInPlatform.cpp
@@ -142,7 +142,7 @@
         const auto body = readJsonBody(exchange);
         const std::lock_guard lock(m_mutex);
         Json::Value json;
-        json["lease"] = Json::UInt64(m_store.grant(duration(jsonNumber(body, "time_ms")), monotonicNow()).value());
+        json["lease"] = Json::UInt64(m_store.grant(duration(jsonNumber(body, "time_ms")), monotonicNow()).number());
         sendJson(exchange, json);
     }
 
--- a/Tests/StoreRestore/testLeaseRestore.cpp
+++ b/Tests/StoreRestore/testLeaseRestore.cpp
@@ -23,7 +23,7 @@
         m_store.restore();
         m_store.reuseLeaseNumbers();
         present = grant(other);
-        REQUIRE(lost.value() == present.value());
+        REQUIRE(lost.number() == present.number());
     }
 
     restorable_store &store()
