Entry: Keep the store's era for keys as for planning

configuration_confirmation recorded the era and since when it is known by a copy of what store_restoration does for the coordinator. It holds one now, and asks hasSettled(). recordEra() ignores an earlier era, which the feed may name; the coordinator's never falls. No behaviour changes: testEntry (899 assertions) and testStoreRestore (75) pass with the assertions that they had.

--- a/Libraries/Assembly/store_restoration.h
+++ b/Libraries/Assembly/store_restoration.h
@@ -5,7 +5,7 @@
 
 namespace vetchpost {
 
-/// What a coordinator knows of the key-value service's last return from an older copy.
+/// What a daemon knows of the key-value service's last return from an older copy.
 struct store_restoration
 {
     store_era era;
@@ -13,11 +13,11 @@
     std::optional<instant> since;
 };
 
-/// Records the era that the service names now. A daemon that starts cannot tell how long ago the era began, unless this is the first start
-/// of the whole system.
+/// Records an era that the service has named; an earlier one than known changes nothing. A daemon that starts cannot tell how long ago the
+/// era began, unless this is the first start of the whole system.
 inline void recordEra(store_restoration &restoration, store_era era, bool isFirstStart, instant now)
 {
-    if (era == restoration.era) {
+    if (era <= restoration.era) {
         return;
     }
     const bool isFirst = restoration.era == store_era();
--- a/Libraries/Entry/configuration_confirmation.cpp
+++ b/Libraries/Entry/configuration_confirmation.cpp
@@ -16,15 +16,7 @@
 
 void recordEra(configuration_confirmation &confirmation, store_era era, instant now)
 {
-    if (era <= confirmation.era) {
-        return;
-    }
-    // A daemon that starts cannot tell when the present era began.
-    const bool isFirst = confirmation.era == store_era();
-    if (!(isFirst && confirmation.policy.isFirstStart)) {
-        confirmation.restoredAt = now;
-    }
-    confirmation.era = era;
+    vetchpost::recordEra(confirmation.restoration, era, confirmation.policy.isFirstStart, now);
 }
 
 void recordVersion(configuration_confirmation &confirmation, std::uint64_t version, key_revision revision)
@@ -47,28 +39,28 @@
 
 bool maySettle(const configuration_confirmation &confirmation, instant now)
 {
-    const auto deadline = rewriteDeadline(confirmation);
-    const bool isKnown = confirmation.era != store_era() && confirmation.settledIn != confirmation.era;
-    return isKnown && (!deadline || now >= *deadline + settlingMargin);
+    const auto era = confirmation.restoration.era;
+    const bool isDeclared = confirmation.settledIn == era;
+    return era != store_era() && !isDeclared && hasSettled(confirmation.restoration, operatorRewriteTime + settlingMargin, now);
 }
 
 bool isAwaitingRewrite(const configuration_confirmation &confirmation, instant now)
 {
-    const auto deadline = rewriteDeadline(confirmation);
-    const bool isOver = !deadline || now >= *deadline;
-    const bool isRewritten = confirmation.rewrittenIn == confirmation.era || confirmation.settledIn == confirmation.era;
-    return confirmation.policy.awaitsRewrite && !isOver && !isRewritten;
+    const auto era = confirmation.restoration.era;
+    const bool isRewritten = confirmation.rewrittenIn == era || confirmation.settledIn == era;
+    return confirmation.policy.awaitsRewrite && !isRewritten && !hasSettled(confirmation.restoration, operatorRewriteTime, now);
 }
 
 std::optional<instant> rewriteDeadline(const configuration_confirmation &confirmation)
 {
-    return confirmation.restoredAt ? std::optional(*confirmation.restoredAt + operatorRewriteTime) : std::nullopt;
+    const auto since = confirmation.restoration.since;
+    return since ? std::optional(*since + operatorRewriteTime) : std::nullopt;
 }
 
 bool isConclusive(const configuration_confirmation &confirmation, key_revision revision, instant asked)
 {
     // An answer from before the service came back tells what was the newest when it was asked for.
-    const bool isOfEarlierEra = !revision.isNone() && revision.era() < confirmation.era;
+    const bool isOfEarlierEra = !revision.isNone() && revision.era() < confirmation.restoration.era;
     return isOfEarlierEra || !isAwaitingRewrite(confirmation, asked);
 }
 
--- a/Libraries/Entry/configuration_confirmation.h
+++ b/Libraries/Entry/configuration_confirmation.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include "Libraries/Platform/key_value_service.h"
+#include "Libraries/Assembly/store_restoration.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,10 +22,7 @@
 struct configuration_confirmation
 {
     confirmation_policy policy;
-    /// The latest era that the service has named.
-    store_era era;
-    /// When this daemon learned of the era; nothing if the service has not come back from an older copy since the system's first start.
-    std::optional<instant> restoredAt;
+    store_restoration restoration;
     /// The latest era that a coordinator has declared as settled.
     store_era settledIn;
     /// The latest era in which the operator is known to have written the configuration again.
@@ -36,7 +33,7 @@
     bool isFoundOnce = true;
 };
 
-/// Records the era that the service names now.
+/// Records an era that the service has named, which may be an earlier one.
 void recordEra(configuration_confirmation &confirmation, store_era era, instant now);
 /// Records a version that the service holds at \a revision, and concludes from its revision whether it was written again.
 void recordVersion(configuration_confirmation &confirmation, std::uint64_t version, key_revision revision);
--- a/Libraries/Entry/configuration_reading.cpp
+++ b/Libraries/Entry/configuration_reading.cpp
@@ -95,7 +95,7 @@
         if (!isSource || !maySettle(confirmation, monotonicNow())) {
             return;
         }
-        era = confirmation.era;
+        era = confirmation.restoration.era;
     }
     reason why;
     const auto entry = keyValue.get(settledEraKey, read_freshness::current, why);
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -41,7 +41,7 @@
 
 void store_follower::private_data::recordEra(store_era era)
 {
-    if (confirmation.era != store_era() && era > confirmation.era) {
+    if (confirmation.restoration.era != store_era() && era > confirmation.restoration.era) {
         storeLog.write("store_restored", {{"era", era.value()}, {"up_to", replicasUpTo.number()}});
     }
     vetchpost::recordEra(confirmation, era, monotonicNow());
