Entry: Remove a member of assembly_runner that nothing uses

The key-value service is called by coordination and replica_prober since the coordinator's term has a class of its own; the runner kept a reference to it.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -38,7 +38,6 @@
 struct assembly_runner::private_data
 {
     const entry_settings &settings;
-    key_value_service &keyValue;
     const entry_dialect &dialect;
     store_follower &store;
     peer_feed &feed;
@@ -72,7 +71,6 @@
                  std::function<std::vector<model_demand>()> demandSource,
                  const answer_listener &answerListener)
         : settings(entrySettings)
-        , keyValue(service)
         , dialect(entryDialect)
         , store(follower)
         , feed(peers)
