Tests: Set up lone coordinators and unseen withdrawals in one place each

Three cases of testTakeover built the same coordinator, two of testConfigurationRestore lost a withdrawal in the same five lines. The assertions are the same: 1,094 of testGroups without its fuzzer, 75 of testStoreRestore.

--- a/Tests/Groups/testTakeover.cpp
+++ b/Tests/Groups/testTakeover.cpp
@@ -169,6 +169,29 @@
     instant m_now{duration(1000000)};
 };
 
+/// A coordinator that knows no instances and no configuration, before a key-value service of one era.
+struct lone_coordinator
+{
+    explicit lone_coordinator(store_era era)
+        : state(makeCoordinator(settings()))
+        , view{tracker, wants, {}, false, instant(duration(100000)), 0, era}
+    {
+    }
+
+    static coordinator_settings settings()
+    {
+        coordinator_settings result;
+        result.self = daemon_id("d1");
+        result.dataCentre = dataCentre;
+        return result;
+    }
+
+    const instance_tracker tracker;
+    const std::optional<std::vector<deployment_want>> wants;
+    coordinator_state state;
+    coordinator_view view;
+};
+
 } // namespace
 
 TEST_CASE("A new coordinator leaves healthy groups alone whatever the order in which the parts of its view become available")
@@ -227,14 +250,10 @@
     allotment stored;
     stored.current = epoch(5);
     stored.lastGeneration = generation(30);
-    coordinator_settings settings;
-    settings.self = daemon_id("d1");
-    settings.dataCentre = dataCentre;
-    auto state = makeCoordinator(settings);
+    lone_coordinator coordinator(store_era(2));
+    auto &state = coordinator.state;
+    const auto &view = coordinator.view;
     state.accepted = wasCoordinator ? lost : allotment();
-    const instance_tracker tracker;
-    const std::optional<std::vector<deployment_want>> wants;
-    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(2)};
     REQUIRE(step(state, coordinator_tick(), view).size() == 1);
     step(state, acquisition_answer{view.now, true, lease_number(1, store_era(2))}, view);
     step(state, coordinator_tick(), view);
@@ -254,13 +273,9 @@
 
 TEST_CASE("A coordinator steps down when the key-value service names a new era, though its lease can be renewed")
 {
-    coordinator_settings settings;
-    settings.self = daemon_id("d1");
-    settings.dataCentre = dataCentre;
-    auto state = makeCoordinator(settings);
-    const instance_tracker tracker;
-    const std::optional<std::vector<deployment_want>> wants;
-    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(1)};
+    lone_coordinator coordinator(store_era(1));
+    auto &state = coordinator.state;
+    auto &view = coordinator.view;
     step(state, coordinator_tick(), view);
     step(state, acquisition_answer{view.now, true, lease_number(1, store_era(1))}, view);
     step(state, coordinator_tick(), view);
@@ -274,13 +289,9 @@
 
 TEST_CASE("A lease that was granted before the key-value service named a new era is not counted on")
 {
-    coordinator_settings settings;
-    settings.self = daemon_id("d1");
-    settings.dataCentre = dataCentre;
-    auto state = makeCoordinator(settings);
-    const instance_tracker tracker;
-    const std::optional<std::vector<deployment_want>> wants;
-    coordinator_view view{tracker, wants, {}, false, instant(duration(100000)), 0, store_era(1)};
+    lone_coordinator coordinator(store_era(1));
+    auto &state = coordinator.state;
+    auto &view = coordinator.view;
     step(state, coordinator_tick(), view);
     view.era = store_era(2);
     step(state, acquisition_answer{view.now, true, lease_number(1, store_era(1))}, view);
--- a/Tests/StoreRestore/testConfigurationRestore.cpp
+++ b/Tests/StoreRestore/testConfigurationRestore.cpp
@@ -15,6 +15,18 @@
     return currentAt && *currentAt >= time;
 }
 
+/// Writes configuration 4, which withdraws a key, while the store answers no daemon, and lets the store come back from a copy without it.
+/// Returns when the key was withdrawn.
+instant withdrawUnseen(restorable_store &store)
+{
+    store.setAnswering(false);
+    store.write("op/config", configurationOf(4));
+    const auto withdrawnAt = monotonicNow();
+    store.restore(false);
+    store.setAnswering(true);
+    return withdrawnAt;
+}
+
 } // namespace
 
 TEST_CASE("A withdrawn key is not confirmed by the configuration of an older copy")
@@ -22,11 +34,7 @@
     restoring_fixture fixture;
     followed_store daemon(fixture.store());
     REQUIRE(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 3; }));
-    fixture.store().setAnswering(false);
-    fixture.store().write("op/config", configurationOf(4));
-    const auto withdrawnAt = monotonicNow();
-    fixture.store().restore(false);
-    fixture.store().setAnswering(true);
+    const auto withdrawnAt = withdrawUnseen(fixture.store());
     CHECK_FALSE(isWithin(rewriteTime, [&] { return isConfirmedSince(daemon, withdrawnAt); }));
     fixture.store().write("op/config", configurationOf(4));
     CHECK(isWithin(inForceBound, [&] { return daemon.configurationVersion() == 4 && isConfirmedSince(daemon, withdrawnAt); }));
@@ -39,11 +47,7 @@
     followed_store follower(fixture.store(), false);
     const feed_link link(*source, *follower);
     REQUIRE(isWithin(inForceBound, [&] { return source.configurationVersion() == 3 && follower.configurationVersion() == 3; }));
-    fixture.store().setAnswering(false);
-    fixture.store().write("op/config", configurationOf(4));
-    const auto withdrawnAt = monotonicNow();
-    fixture.store().restore(false);
-    fixture.store().setAnswering(true);
+    const auto withdrawnAt = withdrawUnseen(fixture.store());
     CHECK_FALSE(isWithin(rewriteTime, [&] { return isConfirmedSince(follower, withdrawnAt); }));
     fixture.store().write("op/config", configurationOf(4));
     CHECK(isWithin(inForceBound, [&] { return follower.configurationVersion() == 4 && isConfirmedSince(follower, withdrawnAt); }));
