Entry: Log whom a daemon can connect to, and on which connection a refused request came

`contacts` sums up, once a second with a failed connect, how many replicas of a service were reached and not reached; `on_connection` in `refused` is the number of the request on its connection; vetchpost_replica_connects_total counts both ends.

No decision changes. The table tests of log events and metrics pass.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -113,6 +113,7 @@
     peer_feed feed;
     assembly_runner assembly;
     crash_guard crashes;
+    replica_paths paths;
     relay_context relay;
     daemon_metrics exportedMetrics;
     std::unique_ptr<http_server> clientServer;
@@ -162,6 +163,7 @@
               [this] { return relay.inFlight.counts(); },
               [this](const instance_id &replica, const http_reply &reply) { recordReplyConstraints(replica, reply); })
         , crashes(*keyValue, *dialect, store, feed, suspects)
+        , paths(counters)
         , relay(settings,
                 *dialect,
                 store,
@@ -170,6 +172,7 @@
                 crashes,
                 constraints,
                 dispatchClient,
+                paths,
                 counters,
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -49,12 +49,14 @@
                              crash_guard &crashGuard,
                              shared_constraints &replicaConstraints,
                              dispatch_client &dispatchClient,
+                             replica_paths &replicaPaths,
                              metrics &allCounters,
                              std::function<void(const instance_id &)> stallReporter)
     : dialect(entryDialect)
     , crashes(crashGuard)
     , constraints(replicaConstraints)
     , dispatch(dispatchClient)
+    , paths(replicaPaths)
     , counters(allCounters)
     , reportStall(std::move(stallReporter))
     , requestMetrics(allCounters)
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -11,6 +11,7 @@
 #include "Libraries/Entry/model_habits.h"
 #include "Libraries/Entry/model_shedding.h"
 #include "Libraries/Entry/peer_feed.h"
+#include "Libraries/Entry/replica_paths.h"
 #include "Libraries/Entry/request_id_batch.h"
 #include "Libraries/Entry/request_outcome.h"
 #include "Libraries/Entry/requests_by_place.h"
@@ -43,6 +44,7 @@
                   crash_guard &crashes,
                   shared_constraints &constraints,
                   dispatch_client &dispatch,
+                  replica_paths &paths,
                   metrics &counters,
                   std::function<void(const instance_id &)> reportStall);
 
@@ -103,6 +105,7 @@
     crash_guard &crashes;
     shared_constraints &constraints;
     dispatch_client &dispatch;
+    replica_paths &paths;
     metrics &counters;
     /// Reports that the group with this head seems to have stalled.
     const std::function<void(const instance_id &)> reportStall;
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -120,6 +120,7 @@
                                {"no_repeat", m_noRetryReason},
                                {"closed", m_blockedBackends.text()},
                                {"dispatch", m_dispatchText},
+                               {"on_connection", m_exchange.number()},
                                {"come_back_ms", retryAfter.value_or(duration(0)).count()},
                                {"tries", m_attempts},
                                {"held_ms", elapsed().count()},
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -155,9 +155,12 @@
     if (timeLeft() < minimumTimeLeft) {
         return attempt_outcome::timed_out;
     }
-    if (!upstream.send(replicaCall(target), why)) {
+    const bool isSent = upstream.send(replicaCall(target), why);
+    const bool isConnected = isSent || why.kind != error_kind::backend_unreachable;
+    m_context.paths.recordConnect(m_service->id, target.replica, isConnected);
+    if (!isSent) {
         m_lastReason = why.text;
-        if (why.kind == error_kind::backend_unreachable) {
+        if (!isConnected) {
             return attempt_outcome::not_sent;
         }
         ++m_attempts;
--- a/Libraries/Http/http_exchange.cpp
+++ b/Libraries/Http/http_exchange.cpp
@@ -51,6 +51,11 @@
     return {};
 }
 
+int http_exchange::number() const
+{
+    return d.number;
+}
+
 std::string http_exchange::header(const std::string &name) const
 {
     return d.request.get(name, "");
--- a/Libraries/Http/http_exchange_data.h
+++ b/Libraries/Http/http_exchange_data.h
@@ -19,6 +19,7 @@
     Poco::Net::HTTPServerResponse &response;
     Poco::URI uri;
     std::string path;
+    int number = 1;
     bool canDetectDisconnect = true;
     std::ostream *stream = nullptr;
 
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -91,6 +91,12 @@
         return m_isBusy;
     }
 
+    /// Counts a request that has been read. Returns how many have been read on this connection.
+    int countRequest()
+    {
+        return ++m_requests;
+    }
+
     /// Whether the server shut down the receiving side of the socket, which a poll cannot distinguish from a disconnect of the client.
     bool hasStoppedReading() const
     {
@@ -125,6 +131,7 @@
     open_connections &m_connections;
     bool m_isBusy = false;
     bool m_hasStoppedReading = false;
+    int m_requests = 0;
 };
 
 class exchange_handler : public Poco::Net::HTTPRequestHandler
@@ -144,7 +151,8 @@
             response.setKeepAlive(false);
         }
         try {
-            http_exchange::private_data data{request, response, Poco::URI(), {}, !currentConnection->hasStoppedReading()};
+            http_exchange::private_data data{
+                request, response, Poco::URI(), {}, currentConnection->countRequest(), !currentConnection->hasStoppedReading()};
             http_exchange exchange(data);
             handle(data, exchange);
         } catch (const std::exception &error) {
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -27,6 +27,8 @@
     std::string query() const;
     /// The value of a query parameter; empty if there is none.
     std::string queryParameter(std::string_view name) const;
+    /// The number of this request on its connection, from 1.
+    int number() const;
     /// The value of a header; empty if there is none.
     std::string header(const std::string &name) const;
     /// All headers of the request.
