--- a/Tests/Soak/loopback_proxy.cpp
+++ b/Tests/Soak/loopback_proxy.cpp
@@ -10,8 +10,8 @@
 
 #include <array>
 #include <atomic>
-#include <list>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace vetchpost::test {
@@ -30,6 +30,9 @@
 constexpr duration dripPeriod(10);
 constexpr int dripBytes = 16;
 constexpr std::size_t bufferBytes = 16384;
+constexpr int usualBacklog = 64;
+/// The shortest queue of connections that are not accepted yet. It holds one connection; the kernel drops the opening packets of others.
+constexpr int shortestBacklog = 0;
 
 SocketAddress socketAddress(const endpoint &place)
 {
@@ -43,11 +46,31 @@
     socket.close();
 }
 
+bool hangsNewConnections(link_fault fault)
+{
+    return fault == link_fault::partition || fault == link_fault::hang_new;
+}
+
+bool refusesNewConnections(link_fault fault)
+{
+    return fault == link_fault::partition_reset || fault == link_fault::refuse_new;
+}
+
+bool resetsOpenConnections(link_fault fault)
+{
+    return fault == link_fault::reset || fault == link_fault::partition_reset;
+}
+
 } // namespace
 
 struct loopback_proxy::private_data
 {
-    Poco::Net::ServerSocket listener;
+    const endpoint address;
+    /// Protects the listener. It is absent while connections are refused.
+    std::mutex listenerMutex;
+    std::optional<Poco::Net::ServerSocket> listener;
+    /// Fills the queue of the listener while new connections hang.
+    std::optional<StreamSocket> filler;
     std::mutex mutex;
     endpoint server;
     std::atomic<link_fault> fault = link_fault::none;
@@ -58,9 +81,39 @@
     std::thread acceptor;
 
     explicit private_data(const endpoint &listen, const endpoint &to)
-        : listener(socketAddress(listen))
+        : address(listen)
         , server(to)
     {
+        listener.emplace(socketAddress(address), usualBacklog);
+    }
+
+    /// Makes the listener accept, hang or refuse new connections.
+    void updateListener(link_fault next)
+    {
+        const std::lock_guard lock(listenerMutex);
+        if (refusesNewConnections(next)) {
+            listener.reset();
+            filler.reset();
+            return;
+        }
+        if (!listener) {
+            listener.emplace(socketAddress(address), usualBacklog);
+        }
+        if (hangsNewConnections(next) && !filler) {
+            listener->listen(shortestBacklog);
+            filler.emplace(socketAddress(address));
+        } else if (!hangsNewConnections(next) && filler) {
+            filler.reset();
+            listener->listen(usualBacklog);
+        }
+    }
+
+    /// Returns the next new connection, if one arrives within pollPeriod.
+    std::optional<StreamSocket> acceptNext()
+    {
+        const std::lock_guard lock(listenerMutex);
+        const bool canAccept = listener && !filler && listener->poll(timespanOf(pollPeriod), Socket::SELECT_READ);
+        return canAccept ? std::optional(listener->acceptConnection()) : std::nullopt;
     }
 
     endpoint currentServer()
@@ -72,12 +125,15 @@
     void accept()
     {
         while (!isStopping) {
-            if (!listener.poll(timespanOf(pollPeriod), Socket::SELECT_READ)) {
+            auto accepted = acceptNext();
+            if (!accepted) {
+                // Lets setFault() take the listener.
+                std::this_thread::sleep_for(duration(1));
                 continue;
             }
             ++openConnections;
             // The destructor waits until all connections are closed.
-            std::thread([this, client = listener.acceptConnection()]() mutable {
+            std::thread([this, client = *accepted]() mutable {
                 relay(client);
                 --openConnections;
             }).detach();
@@ -107,10 +163,10 @@
         bool isServerOpen = true;
         while (isClientOpen && isServerOpen && !isStopping) {
             const auto currentFault = fault.load();
-            if (currentFault == link_fault::reset) {
+            if (resetsOpenConnections(currentFault)) {
                 throw Poco::Net::ConnectionResetException();
             }
-            if (silencesAtStart != silences) {
+            if (silencesAtStart != silences || currentFault == link_fault::partition) {
                 std::this_thread::sleep_for(pollPeriod);
                 continue;
             }
@@ -170,6 +226,7 @@
         ++d->silences;
     }
     d->fault = fault;
+    d->updateListener(fault);
 }
 
 void loopback_proxy::setServer(const endpoint &server)
--- a/Tests/Soak/loopback_proxy.h
+++ b/Tests/Soak/loopback_proxy.h
@@ -19,7 +19,15 @@
     /// Connections that are open when the fault begins forward nothing any more, in either direction; new connections work.
     silence,
     /// Bytes are forwarded a few at a time.
-    drip
+    drip,
+    /// A network partition: new connections hang, and open ones forward nothing.
+    partition,
+    /// A network partition whose ends are told: open connections are reset, and new ones are refused.
+    partition_reset,
+    /// New connections hang; open ones work.
+    hang_new,
+    /// New connections are refused; open ones work.
+    refuse_new
 };
 
 /// A TCP proxy on loopback that can disturb its connections. It uses one thread per connection.
