Assembly: Close no group for a member that is silent for a second

What callers would see: a sound replica that falls silent for a second or so and goes on (announced as no disruption with RECOVER) had its group closed, its streams broken off, and its members formed anew for some seconds.

Cause: one probe of 200 ms without an answer counted as the end of a replica.

Change: the first unanswered probe sends requests elsewhere at once (the stall warning) and no more; the replica is probed each 0.4 s and suspected when a probe that began 1.2 s after the first one is not answered either, and another daemon gets no answer from it.

--- a/Libraries/Assembly/silent_replicas.cpp
+++ b/Libraries/Assembly/silent_replicas.cpp
@@ -38,6 +38,7 @@
 suspicion_report updateSuspicions(silent_replicas &silent, const replica_directory &directory, instant now)
 {
     std::erase_if(silent.lastAnswered, [&](const auto &entry) { return !directory.replicas.contains(entry.first); });
+    std::erase_if(silent.doubtful, [&](const auto &entry) { return !directory.replicas.contains(entry.first); });
     std::erase_if(silent.suspected, [&](const auto &entry) { return isExpired(entry.second, directory, entry.first, now); });
     std::erase_if(silent.notLeaving,
                   [&](const instance_id &id) { return !silent.suspected.contains(id) || hasReportedDrainingSince(directory, id); });
@@ -99,26 +100,53 @@
     return chosen;
 }
 
-bool recordProbe(silent_replicas &silent, const instance_id &replica, const direct_probe &probe)
+std::vector<served_replica> doubtfulToProbe(silent_replicas &silent, const replica_directory &directory, instant now)
+{
+    std::vector<served_replica> chosen;
+    for (const auto &[id, doubt] : silent.doubtful) {
+        const auto found = directory.replicas.find(id);
+        auto &last = silent.lastProbes[id];
+        if (found != directory.replicas.end() && now - last >= probeTimeout * 2) {
+            last = now;
+            chosen.push_back(found->second);
+        }
+    }
+    return chosen;
+}
+
+probe_effect recordProbe(silent_replicas &silent, const instance_id &replica, const direct_probe &probe)
 {
     const auto known = silent.suspected.find(replica);
     const bool isSuspected = known != silent.suspected.end();
     if (isSuspected && known->second.began > probe.began) {
-        return false;
+        return probe_effect::none;
     }
     auto &answered = silent.lastAnswered[replica];
     if (probe.hasAnswered) {
         answered = std::max(answered, probe.began);
         silent.suspected.erase(replica);
+        silent.doubtful.erase(replica);
         silent.notLeaving.erase(replica);
-        return false;
+        return probe_effect::none;
     }
     if (answered > probe.began) {
-        return false;
+        return probe_effect::none;
     }
     const bool isNew = !isSuspected || isAnotherIncarnation(known->second.incarnation, probe.incarnation);
+    if (isNew && !probe.hasEnded) {
+        const auto [doubt, isFirst] = silent.doubtful.try_emplace(replica, silence{probe.began, probe.incarnation});
+        if (isFirst || isAnotherIncarnation(doubt->second.incarnation, probe.incarnation)) {
+            doubt->second = {probe.began, probe.incarnation};
+            return probe_effect::doubtful;
+        }
+        doubt->second.since = std::min(doubt->second.since, probe.began);
+        if (probe.began - doubt->second.since < silenceBeforeSuspicion) {
+            return probe_effect::none;
+        }
+    }
+    silent.doubtful.erase(replica);
     silent.suspected[replica] = {probe.began, probe.began + suspicionTime, probe.incarnation};
-    return isNew;
+    return isNew ? probe_effect::suspected : probe_effect::none;
 }
 
 std::optional<instance_id> headOfGroup(const replica_directory &directory, const served_replica &replica)
--- a/Libraries/Entry/replica_paths.cpp
+++ b/Libraries/Entry/replica_paths.cpp
@@ -397,15 +397,25 @@
     return connection;
 }
 
-std::optional<http_reply>
-replica_paths::send(const replica_address &target, const http_call &call, std::optional<path_failure> &failure, reason &lastReason)
+namespace {
+
+/// The terms of a call of the daemon's own.
+tunnel_terms ownTerms(const http_call &call)
 {
     tunnel_terms terms;
     terms.priority = highestPriority;
     terms.patience = ownCallPatience;
     terms.timeLeft = call.receiveTimeout;
+    return terms;
+}
+
+} // namespace
+
+std::optional<http_reply>
+replica_paths::send(const replica_address &target, const http_call &call, std::optional<path_failure> &failure, reason &lastReason)
+{
     path_failure noConnection{};
-    const auto connection = connect(target, terms, call.connectTimeout, noConnection, lastReason);
+    const auto connection = connect(target, ownTerms(call), call.connectTimeout, noConnection, lastReason);
     if (!connection) {
         failure = noConnection;
         return std::nullopt;
@@ -413,4 +423,16 @@
     return sendOn(connection->connection, call, lastReason);
 }
 
+std::optional<http_reply> replica_paths::sendThroughPeer(const replica_address &target, const http_call &call, reason &lastReason)
+{
+    path_failure ignored{};
+    const auto began = monotonicNow();
+    const auto connection = d->tunnels.open(target, ownTerms(call), ignored, lastReason);
+    auto reply = connection ? sendOn(connection->connection, call, lastReason) : std::nullopt;
+    if (reply) {
+        d->record(target, false, began);
+    }
+    return reply;
+}
+
 } // namespace vetchpost
--- a/Libraries/Entry/replica_paths.h
+++ b/Libraries/Entry/replica_paths.h
@@ -45,6 +45,10 @@
     std::optional<http_reply>
     send(const replica_address &target, const http_call &call, std::optional<path_failure> &failure, reason &lastReason);
 
+    /// Sends one call of this daemon's own through another daemon, to see whether a replica that does not answer this one answers that one.
+    /// If it does, this daemon's own connection to it counts as failed.
+    std::optional<http_reply> sendThroughPeer(const replica_address &target, const http_call &call, reason &lastReason);
+
 private:
     struct private_data;
     std::unique_ptr<private_data> d;
--- a/Libraries/Entry/replica_prober.cpp
+++ b/Libraries/Entry/replica_prober.cpp
@@ -19,6 +19,8 @@
     answers,
     /// Another process has the replica's address, so that the replica has ended.
     is_replaced,
+    /// Its port refuses connections: its process has ended.
+    has_ended,
     is_silent,
     /// This daemon is cut off from the replicas and no other one carries its calls, which says nothing about the replica.
     has_no_path
@@ -31,6 +33,8 @@
         return "answers";
     case probe_result::is_replaced:
         return "another replica has its address";
+    case probe_result::has_ended:
+        return "its port refuses connections";
     case probe_result::has_no_path:
         return "no path";
     case probe_result::is_silent:
@@ -96,25 +100,47 @@
         }
     }
 
-    /// Probes the replica once.
-    probe_result callReplica(const served_replica &replica, duration timeout, reason &why) const
+    http_call probeCall(const served_replica &replica, duration timeout) const
     {
         auto call = dialect.livenessCall(replica.id, replica.address);
         call.connectTimeout = timeout;
         call.receiveTimeout = timeout;
-        std::optional<path_failure> failure;
-        const auto reply = paths.send(addressOf(replica), call, failure, why);
-        if (!reply) {
-            const bool hasNoPath = failure == path_failure::no_proxy || failure == path_failure::proxies_full;
-            return hasNoPath ? probe_result::has_no_path : probe_result::is_silent;
-        }
-        if (!dialect.isLivenessAnswer(*reply)) {
+        return call;
+    }
+
+    /// Returns what a reply to a probe shows.
+    probe_result resultOf(const served_replica &replica, const http_reply &reply) const
+    {
+        if (!dialect.isLivenessAnswer(reply)) {
             return probe_result::is_replaced;
         }
-        didAnswer(replica.id, *reply);
+        didAnswer(replica.id, reply);
         return probe_result::answers;
     }
 
+    /// Probes the replica once.
+    probe_result callReplica(const served_replica &replica, duration timeout, reason &why) const
+    {
+        std::optional<path_failure> failure;
+        const auto reply = paths.send(addressOf(replica), probeCall(replica, timeout), failure, why);
+        if (reply) {
+            return resultOf(replica, *reply);
+        }
+        if (failure == path_failure::refused) {
+            return probe_result::has_ended;
+        }
+        const bool hasNoPath = failure == path_failure::no_proxy || failure == path_failure::proxies_full;
+        return hasNoPath ? probe_result::has_no_path : probe_result::is_silent;
+    }
+
+    /// Probes a replica that did not answer this daemon through another one, since this one's link to it may be the cause.
+    probe_result callThroughPeer(const served_replica &replica) const
+    {
+        reason ignored;
+        const auto reply = paths.sendThroughPeer(addressOf(replica), probeCall(replica, probeTimeout), ignored);
+        return reply ? resultOf(replica, *reply) : probe_result::is_silent;
+    }
+
     /// Whether the self-check of this daemon passes: enough reference replicas answer it. A check that has passed after \a began, when the
     /// probe of the silent replica started, is not repeated.
     bool isSoundSince(instant began, const served_replica &silentReplica)
@@ -155,17 +181,21 @@
         }
     }
 
-    /// Probes a replica and records the result. A missing answer is ignored unless other replicas answer this daemon.
+    /// Probes a replica and records the result. A missing answer is ignored unless other replicas answer this daemon, and if the replica
+    /// answers another daemon.
     void probe(const served_replica &replica)
     {
         reason why;
         const auto began = monotonicNow();
-        const auto result = callReplica(replica, probeTimeout, why);
-        const bool hasAnswered = result == probe_result::answers;
-        const bool isConclusive = isAnswer(result) || (result == probe_result::is_silent && isSoundSince(began, replica));
+        auto result = callReplica(replica, probeTimeout, why);
+        const bool isSound = result != probe_result::is_silent || isSoundSince(began, replica);
+        if (result == probe_result::is_silent && isSound) {
+            result = callThroughPeer(replica);
+        }
+        const bool isConclusive = isSound && result != probe_result::has_no_path;
         assemblyLog.write("looked",
                           {{"replica", replica.id.value()},
-                           {"answers", hasAnswered},
+                           {"answers", result == probe_result::answers},
                            {"counts", isConclusive},
                            {"found", nameOf(result)},
                            {"why", why.text}});
@@ -173,22 +203,33 @@
             voidProbes.increment();
             return;
         }
-        bool isNew = false;
+        record(replica, result, began);
+    }
+
+    /// Records a conclusive probe.
+    void record(const served_replica &replica, probe_result result, instant began)
+    {
+        const bool hasAnswered = result == probe_result::answers;
+        const bool hasEnded = result == probe_result::has_ended || result == probe_result::is_replaced;
+        auto effect = probe_effect::none;
         {
             const std::lock_guard lock(mutex);
-            isNew = recordProbe(silent, replica.id, {began, hasAnswered, replica.incarnation});
+            effect = recordProbe(silent, replica.id, {began, hasAnswered, replica.incarnation, hasEnded});
         }
         if (!hasAnswered) {
             didChange();
         }
-        if (!isNew) {
+        if (effect == probe_effect::none) {
             return;
         }
         if (const auto head = headOfGroup(*store.directory(), replica)) {
             groupMetrics.recordSilentMember(*head, monotonicNow());
+            // The requests go elsewhere at once, also if the replica turns out to be silent for a moment only.
             feed.sendStallWarning(*head);
         }
-        readEntryOfSilent(replica.id);
+        if (effect == probe_effect::suspected) {
+            readEntryOfSilent(replica.id);
+        }
     }
 
     /// Reads a silent replica's entry to learn whether it leaves: the directory may lag behind, and the service's watches may miss changes
@@ -257,6 +298,8 @@
         const std::lock_guard lock(d->mutex);
         report = updateSuspicions(d->silent, directory, now);
         targets = unlistedToProbe(d->silent, directory, now);
+        auto doubtful = doubtfulToProbe(d->silent, directory, now);
+        std::move(doubtful.begin(), doubtful.end(), std::back_inserter(targets));
     }
     d->probeAll(targets);
     return report;
--- a/Tests/Assembly/testSelfCheck.cpp
+++ b/Tests/Assembly/testSelfCheck.cpp
@@ -121,6 +121,6 @@
     simulation.probeAllFor(duration(4000));
     simulation.detectDeaths();
     simulation.loseDomain(2, std::chrono::seconds(30));
-    simulation.advance(duration(1500));
+    simulation.advance(duration(2000));
     CHECK(simulation.suspectedReplicas() == 8);
 }
--- a/Tests/Partition/testPartition.cpp
+++ b/Tests/Partition/testPartition.cpp
@@ -35,9 +35,10 @@
 public:
     explicit daemons_and_replicas(int daemons,
                                   const scripted_replica::script &plain = successAnswer,
-                                  const scripted_replica::script &head = shortStream)
+                                  const scripted_replica::script &head = shortStream,
+                                  bool isConcurrent = true)
         : m_plain{scripted_replica(plain, true), scripted_replica(plain, true)}
-        , m_heads{scripted_replica(head, true), scripted_replica(head, true)}
+        , m_heads{scripted_replica(head, isConcurrent), scripted_replica(head, isConcurrent)}
         , fixture(daemons)
     {
         fixture.addPlainReplica("p-1", m_plain[0]);
@@ -290,3 +291,18 @@
     connection.close();
     CHECK(isWithin(duration(500), [&] { return system.hasSeenDisconnect(); }));
 }
+
+// The replicas answer one connection after the other, so that probes are not answered while a stream pauses.
+TEST_CASE("A replica that is silent for a second is neither a cut nor a reason to close its group")
+{
+    const auto silentStream = [](const std::string &request) {
+        return streamHead(request, "s") + chunk(event(1)) + std::string(10, pauseMarker) + chunk(event(2)) + "0\r\n\r\n";
+    };
+    daemons_and_replicas system(2, successAnswer, silentStream, false);
+    const auto &daemon = system.fixture.daemon(0);
+    const auto orders = daemon.metric("vetchpost_orders_total");
+    const auto answer = daemon.request("/stream/");
+    CHECK(answer.isWhole);
+    CHECK(daemon.metric("vetchpost_services_cut_off") == 0);
+    CHECK(daemon.metric("vetchpost_orders_total") == orders);
+}
