--- a/Tests/Partition/testPartition.cpp
+++ b/Tests/Partition/testPartition.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Daemons that reach no replica, while their clients, the key-value service and the other daemons reach them.
+#include "Libraries/Entry/tunnel_messages.h"
+#include "Libraries/Http/http_tunnel.h"
 #include "Tests/Partition/partitionFixture.h"
 
 using namespace vetchpost;
@@ -292,6 +294,29 @@
     CHECK(isWithin(duration(500), [&] { return system.hasSeenDisconnect(); }));
 }
 
+TEST_CASE("A request for a tunnel that no daemon of the system has sent opens none, and nor does one for an earlier run")
+{
+    daemons_and_replicas system(1);
+    const auto &daemon = system.fixture.daemon(0);
+    tunnel_request request;
+    request.replica = {instance_id("h-1"), replica_incarnation()};
+    request.service = service_id("large");
+    request.terms.timeLeft = duration(1000);
+    const auto refusalOf = [&](const std::vector<http_header> &headers) {
+        http_call call;
+        call.to = daemon.peers;
+        call.headers = headers;
+        tunnel_refusal refusal;
+        reason why;
+        CHECK_FALSE(openTunnel(call, "h-1", refusal, why));
+        return readTunnelRefusal(refusal.headers);
+    };
+    CHECK(refusalOf({}) == tunnel_refusal_kind::invalid);
+    CHECK(refusalOf(tunnelHeaders(request, daemon.peers, identity_key(std::string(64, 'b')))) == tunnel_refusal_kind::not_authentic);
+    CHECK(refusalOf(tunnelHeaders(request, daemon.peers, relay_fixture::identityKey())) == tunnel_refusal_kind::invalid);
+    CHECK(daemon.metric("vetchpost_tunnels_carried_total") == 0);
+}
+
 // The replicas answer one connection after the other, so that probes are not answered while a stream pauses.
 TEST_CASE("A replica that is silent for a second is neither a cut nor a reason to close its group")
 {
