--- a/Libraries/Entry/entry_dialect.h
+++ b/Libraries/Entry/entry_dialect.h
@@ -4,6 +4,7 @@
 #include "Libraries/Assembly/assembly_state.h"
 #include "Libraries/Base/error_kind.h"
 #include "Libraries/Http/http_message.h"
+#include "Libraries/Requests/prompt_parts.h"
 #include "Libraries/Requests/replica_notice.h"
 #include "Libraries/Routing/replica_directory.h"
 #include "Libraries/Routing/served_configuration.h"
@@ -49,6 +50,7 @@
     /// The id of the last event that the client has received of a stream to be resumed; empty for a new stream.
     std::string lastEvent;
     token_counts tokens = {};
+    prompt_parts parts = {};
 };
 
 /// What a daemon adds to the header of a request that it sends to a replica.
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -69,6 +69,8 @@
     , retried(allCounters.addCounter("vetchpost_requests_retried_total", "Requests that were sent to a second replica."))
     , invalidTokenCounts(allCounters.addCounter("vetchpost_token_counts_invalid_total",
                                                 "Requests whose stated numbers of tokens are no numbers or out of range."))
+    , invalidPromptParts(allCounters.addCounter("vetchpost_prompt_parts_invalid_total",
+                                                "Requests whose stated parts of the prompt cannot be read, or name one twice."))
     , m_settings(settings)
     , m_store(store)
     , m_feed(feed)
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -129,6 +129,8 @@
     counter retried;
     /// Requests whose stated size is not valid.
     counter invalidTokenCounts;
+    /// Requests whose stated parts of the prompt could not be read.
+    counter invalidPromptParts;
 
 private:
     key_revocation_policy keyBound() const;
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -165,6 +165,7 @@
 /// Relays an answer whose head was read.
 attempt_outcome request_handler::relayAnswer(http_upstream &upstream, const upstream_head &head, backend &target)
 {
+    m_hasHead = true;
     if (isStream() && isSuccessStatus(head.status)) {
         return relayEvents(upstream, head, target);
     }
@@ -240,6 +241,7 @@
             }
         }
         if (wait == upstream_event::data) {
+            ++m_pieces;
             recordEventTime(target, monotonicNow() - pauseStart);
             recordProgress(target);
             if (!relayPiece(piece, head)) {
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -4,6 +4,9 @@
 #include "Libraries/Entry/random_number.h"
 #include "Libraries/Entry/request_handler.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <array>
 
 namespace vetchpost {
@@ -192,6 +195,9 @@
                                {"why", m_lastReason},
                                {"identity", m_identity ? m_identity->value() : ""},
                                {"replica_found", m_replicaLiveness ? replicaLivenessName(*m_replicaLiveness) : ""},
+                               {"parts", outcome == attempt_outcome::lost ? partIdentities() : ""},
+                               {"had_head", m_hasHead},
+                               {"pieces", m_pieces},
                                {"others_there", m_concurrentRequests},
                                {"try_ms", (monotonicNow() - m_attemptStart).count()},
                                {"last_event", m_events.lastId()},
@@ -199,6 +205,19 @@
                                {"dispatch", m_dispatchText}});
 }
 
+/// The identities of the prompt's parts, for the log; empty while the digest key is unknown.
+std::string request_handler::partIdentities() const
+{
+    const auto key = m_context.crashes.digestKey();
+    std::vector<std::string> identities;
+    for (const auto &part : m_head.parts.shared) {
+        if (key) {
+            identities.push_back(identityOf(*key, part).value());
+        }
+    }
+    return fmt::format("{}", fmt::join(identities, " "));
+}
+
 /// The time from the request's arrival until the first part of its answer was sent; empty if none was.
 std::optional<duration> request_handler::timeToFirstEvent() const
 {
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -52,6 +52,10 @@
         m_context.invalidTokenCounts.increment();
         requestLog.write("token_counts_invalid", {{"request", m_head.requestId.value()}});
     }
+    if (m_head.parts.isInvalid) {
+        m_context.invalidPromptParts.increment();
+        requestLog.write("prompt_parts_invalid", {{"request", m_head.requestId.value()}});
+    }
     m_deadline = m_arrival + m_head.patience.value_or(defaultTimeout);
     const bool hasLength = !m_exchange.header("Content-Length").empty();
     const bool isChunked = !m_exchange.header("Transfer-Encoding").empty();
@@ -125,6 +129,8 @@
     m_triedReplicas.push_back(chosen.replica);
     m_attemptStart = monotonicNow();
     m_hasProgress = false;
+    m_hasHead = false;
+    m_pieces = 0;
     m_concurrentRequests = chosen.load->outstanding.fetch_add(1);
     if (m_concurrentRequests == 0) {
         // No answer was pending at the replica, so a pause is measured from now.
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -63,6 +63,7 @@
 
     organisation_id organisation() const;
     const std::optional<request_identity> &identity();
+    std::string partIdentities() const;
     void recordLoss(const backend &target);
     void recordAnswered();
     std::optional<duration> refusedFor();
@@ -177,6 +178,10 @@
     std::optional<endpoint> m_proxy;
     /// Whether the replica at which the current attempt was lost is still running.
     std::optional<replica_liveness> m_replicaLiveness;
+    /// The head of the replica's answer has arrived in this attempt.
+    bool m_hasHead = false;
+    /// Pieces of the replica's answer that have arrived in this attempt.
+    int m_pieces = 0;
     /// The replica has sent something in this attempt.
     bool m_hasProgress = false;
     /// When the first and the last part of the answer were sent to the client.
