--- a/Tests/PlatformAdapter/testPromptHeaders.cpp
+++ b/Tests/PlatformAdapter/testPromptHeaders.cpp
@@ -9,11 +9,7 @@
 
 std::vector<prompt_part> partsOf(const std::vector<std::string> &ids)
 {
-    std::vector<prompt_part> parts;
-    for (const auto &id : ids) {
-        parts.emplace_back(id);
-    }
-    return parts;
+    return {ids.begin(), ids.end()};
 }
 
 } // namespace
