Feed: Send a restarted daemon also what it had reported itself

What callers saw: nothing yet; a refused request or part of a prompt could have reached replicas again through a daemon that had restarted, until it read the key-value service.

Cause: an entry is not sent back to the neighbour that sent its current state. That was still held against the neighbour after it had restarted with an empty table and asked for everything.

Why this works: who asks for the whole table has none of it, so nothing counts as received from it any more. All tables that the feed replicates use this code: suspects, constraints of replicas, proxies of tunnels.

--- a/Libraries/Feed/table_sync.h
+++ b/Libraries/Feed/table_sync.h
@@ -133,6 +133,7 @@
         // The neighbour has just begun to follow this daemon, and its table may be empty.
         neighbour->second.acknowledgedUpTo = 0;
         neighbour->second.sentAt.reset();
+        std::erase_if(sync.receivedFrom, [&](const auto &entry) { return entry.second.first == from; });
     }
     for (const auto &report : batch.reports) {
         mergeReport(table, report, now);
--- a/Tests/Feed/testSuspectSync.cpp
+++ b/Tests/Feed/testSuspectSync.cpp
@@ -63,6 +63,20 @@
     }
 }
 
+TEST_CASE("A restarted daemon learns again what it had itself told the others last")
+{
+    for (const int daemons : {9, 79, 195}) {
+        auto simulation = settledSimulation(daemons);
+        for (const std::uint64_t number : {1, 2, 3}) {
+            simulation.endReplica(number < 3 ? 1 : daemons - 1, crashingRequest, replica_end(number));
+            simulation.advance(duration(500));
+        }
+        REQUIRE(simulation.timeUntilRefusedEverywhere(crashingRequest, contactTime));
+        simulation.restart(daemons - 1);
+        CHECK(simulation.timeUntilRefusedEverywhere(crashingRequest, contactTime));
+    }
+}
+
 TEST_CASE("A daemon that was suspended learns which requests the others refuse once it resumes")
 {
     for (const int daemons : {9, 79, 195}) {
