Entry: Refuse requests with a part of a prompt that ends replicas

All groups of a model were gone for seconds, and everybody's requests for it with them.

Cause: a request was known again by a digest with its body alone. A request that never comes again has at most one end, and three are needed to refuse it.

Evidence: the log of testPromptParts on the code before (88 attempts that were lost with their replica, each after the head of the answer and before any of its pieces) has one digest under `parts` in all 88, under 31 identities.

Why this works: the parts that requests share are the items of a group test, and each attempt is a test of all its parts. An answer clears them; an end speaks against those that nothing has cleared, by how far the attempt had come. Three ends that no other part explains refuse a part at all daemons, through the feed and the key-value service.

--- a/Libraries/Base/identifier.h
+++ b/Libraries/Base/identifier.h
@@ -64,6 +64,7 @@
     std::uint64_t m_value = 0;
 };
 
+using model_id = identifier<struct model_tag>;
 using instance_id = identifier<struct instance_tag>;
 using fabric_domain_id = identifier<struct fabric_domain_tag>;
 using data_centre_id = identifier<struct data_centre_tag>;
--- a/Libraries/Entry/crash_guard.cpp
+++ b/Libraries/Entry/crash_guard.cpp
@@ -2,7 +2,6 @@
 #include "Libraries/Entry/crash_guard.h"
 
 #include "Libraries/Entry/crash_refusal_store.h"
-#include "Libraries/Entry/pending_losses.h"
 
 namespace vetchpost {
 
@@ -11,6 +10,7 @@
     const store_follower &store;
     peer_feed &feed;
     shared_suspects &suspects;
+    shared_parts &parts;
     replica_liveness_check livenessCheck;
     pending_losses pending;
     crash_refusal_store refusalStore;
@@ -20,28 +20,43 @@
                  const store_follower &follower,
                  replica_paths &paths,
                  peer_feed &peers,
-                 shared_suspects &shared)
+                 shared_suspects &shared,
+                 shared_parts &promptParts)
         : store(follower)
         , feed(peers)
         , suspects(shared)
+        , parts(promptParts)
         , livenessCheck(dialect, paths)
-        , pending(livenessCheck, [this](const pending_loss &loss) { recordTermination(loss); })
+        , pending(livenessCheck, [this](const request_loss &loss) { recordTermination(loss); })
         , refusalStore(keyValue,
                        {[&peers] { return peers.isSource(); },
                         [&peers] { return peers.isSourceActive(); },
-                        [&shared](const std::vector<suspect_report> &kept) { shared.mergePersisted(kept); },
-                        [&shared] { return shared.refused(); }})
+                        [&shared, &promptParts](const crash_refusals &kept) {
+                            shared.mergePersisted(kept.refused);
+                            promptParts.mergePersisted(kept.parts);
+                        },
+                        [&shared, &promptParts](crash_refusals &current) {
+                            current.refused = shared.refused();
+                            current.parts = promptParts.refused();
+                        }})
     {
     }
 
-    /// Records that a replica terminated while it had the request, unless the replica had announced that it leaves.
-    void recordTermination(const pending_loss &loss)
+    /// Records that a replica terminated while it had the request, unless the replica had announced that it leaves. Returns whether that
+    /// speaks fully against a part of the request's prompt.
+    bool recordTermination(const request_loss &loss)
     {
         const auto &replica = loss.target.replica;
-        if (!hasAnnouncedLeaving(replica)) {
-            suspects.recordReplicaEnd(loss.request, loss.organisation, replicaEndOf(replica.value(), loss.target.incarnation.value()));
-            feed.syncTables();
+        if (hasAnnouncedLeaving(replica)) {
+            return false;
         }
+        const auto end = replicaEndOf(replica.value(), loss.target.incarnation.value());
+        if (loss.request) {
+            suspects.recordReplicaEnd(*loss.request, loss.organisation, end);
+        }
+        const bool namesPart = parts.recordReplicaEnd(loss.attempt, end);
+        feed.syncTables();
+        return namesPart;
     }
 
     /// Whether the replica had announced that it leaves. Such a replica has ended as planned, whatever it was running.
@@ -58,8 +73,9 @@
                          const store_follower &store,
                          replica_paths &paths,
                          peer_feed &feed,
-                         shared_suspects &suspects)
-    : d(std::make_unique<private_data>(keyValue, dialect, store, paths, feed, suspects))
+                         shared_suspects &suspects,
+                         shared_parts &parts)
+    : d(std::make_unique<private_data>(keyValue, dialect, store, paths, feed, suspects, parts))
 {
 }
 
@@ -98,27 +114,31 @@
     return request ? d->suspects.refusedFor(*request) : std::nullopt;
 }
 
+std::optional<duration> crash_guard::refusedFor(const request_parts &parts) const
+{
+    return d->parts.refusedFor(parts);
+}
+
 // The request waits for the result, so that its next attempt takes this termination into account: a request that has ended
 // endsForRefusal replicas must not end another one. A port without a process refuses connections within a round trip.
-replica_liveness crash_guard::recordLoss(const std::optional<request_identity> &request,
-                                         const organisation_id &organisation,
-                                         const backend &target,
-                                         const service_id &service)
+loss_result crash_guard::recordLoss(const request_loss &loss)
 {
-    const auto liveness = d->livenessCheck.probe(target, service);
-    if (request && liveness == replica_liveness::terminated) {
-        d->recordTermination({*request, organisation, target, service});
-    } else if (request && liveness == replica_liveness::unknown) {
-        d->pending.add({*request, organisation, target, service});
+    loss_result result;
+    result.liveness = d->livenessCheck.probe(loss.target, loss.service);
+    if (result.liveness == replica_liveness::terminated) {
+        result.namesPart = d->recordTermination(loss);
+    } else if (result.liveness == replica_liveness::unknown && (loss.request || !loss.attempt.parts.shared.empty())) {
+        d->pending.add(loss);
     }
-    return liveness;
+    return result;
 }
 
-void crash_guard::recordAnswered(const std::optional<request_identity> &request)
+void crash_guard::recordAnswered(const std::optional<request_identity> &request, const request_parts &parts, instant begunAt)
 {
     if (request) {
         d->suspects.recordCompletion(*request);
     }
+    d->parts.recordAnswer(parts, begunAt);
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/crash_guard.h
+++ b/Libraries/Entry/crash_guard.h
@@ -4,6 +4,7 @@
 #include "Libraries/Entry/entry_dialect.h"
 #include "Libraries/Entry/entry_view.h"
 #include "Libraries/Entry/peer_feed.h"
+#include "Libraries/Entry/pending_losses.h"
 #include "Libraries/Entry/replica_liveness_check.h"
 #include "Libraries/Entry/shared_suspects.h"
 #include "Libraries/Entry/store_follower.h"
@@ -13,6 +14,14 @@
 
 namespace vetchpost {
 
+/// What is known of an attempt that was lost at a replica.
+struct loss_result
+{
+    replica_liveness liveness = replica_liveness::unknown;
+    /// The replica has terminated, and a part of the request's prompt may be the cause.
+    bool namesPart = false;
+};
+
 /// Protects replicas from requests that crash every replica which runs them: identifies such requests under different request ids, finds
 /// out which lost attempts coincided with the end of their replica, and shares the result with all daemons. Thread-safe.
 class crash_guard
@@ -23,7 +32,8 @@
                 const store_follower &store,
                 replica_paths &paths,
                 peer_feed &feed,
-                shared_suspects &suspects);
+                shared_suspects &suspects,
+                shared_parts &parts);
     ~crash_guard();
     crash_guard(const crash_guard &) = delete;
     crash_guard &operator=(const crash_guard &) = delete;
@@ -37,16 +47,16 @@
     std::optional<request_identity> identify(const identifying_parts &parts) const;
     /// Whether any request is suspected of crashing replicas. If not, identities need not be computed.
     bool hasSuspects() const;
-    /// The time for which a request will still be refused; empty if it is not refused.
+    /// The time for which a request will still be refused by its identity; empty if it is not refused.
     std::optional<duration> refusedFor(const std::optional<request_identity> &request) const;
-    /// Handles an attempt that was lost at a replica: checks whether the replica has terminated, and if so records that against the
-    /// request. Returns the result of the check.
-    replica_liveness recordLoss(const std::optional<request_identity> &request,
-                                const organisation_id &organisation,
-                                const backend &target,
-                                const service_id &service);
-    /// Records that the request was answered, so that it is no longer suspected.
-    void recordAnswered(const std::optional<request_identity> &request);
+    /// The time for which a request will still be refused by the parts of its prompt; empty if it is not refused.
+    std::optional<duration> refusedFor(const request_parts &parts) const;
+    /// Handles an attempt that was lost at a replica: checks whether the replica has terminated, and if so records that against the request
+    /// and the parts of its prompt.
+    loss_result recordLoss(const request_loss &loss);
+    /// Records that the request was answered by a replica that began the answer at \a begunAt, so that it and its parts are no longer
+    /// suspected.
+    void recordAnswered(const std::optional<request_identity> &request, const request_parts &parts, instant begunAt);
 
 private:
     struct private_data;
--- a/Libraries/Entry/crash_interface.h
+++ b/Libraries/Entry/crash_interface.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Entry/shared_parts.h"
 #include "Libraries/Entry/shared_suspects.h"
 #include "Libraries/Http/http_server.h"
 
@@ -11,6 +12,6 @@
 constexpr auto crashingRequestsPath = "/crashing-requests";
 
 /// Answers a request for crashingRequestsPath.
-void answerCrashingRequests(http_exchange &exchange, shared_suspects &suspects);
+void answerCrashingRequests(http_exchange &exchange, shared_suspects &suspects, shared_parts &parts);
 
 } // namespace vetchpost
--- a/Libraries/Entry/crash_refusal_store.cpp
+++ b/Libraries/Entry/crash_refusal_store.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/event_log.h"
 #include "Libraries/Base/json.h"
+#include "Libraries/Feed/part_codec.h"
 #include "Libraries/Feed/report_codec.h"
 
 #include <algorithm>
@@ -17,6 +18,7 @@
 constexpr event_log crashLog("crash");
 constexpr auto keyField = "key";
 constexpr auto refusedField = "refused";
+constexpr auto partsField = "parts";
 constexpr auto writtenField = "written_ms";
 /// How often the thread checks whether the record must be read or written.
 constexpr duration checkPeriod(250);
@@ -36,6 +38,9 @@
     for (const auto &evidence : refusals.refused) {
         json[refusedField].append(encodeSuspectReport(evidence));
     }
+    for (const auto &part : refusals.parts) {
+        json[partsField].append(encodePartReport(part));
+    }
     return toJsonText(json);
 }
 
@@ -55,6 +60,12 @@
             refusals.refused.push_back(std::move(*evidence));
         }
     }
+    for (const auto &entry : jsonArray(*json, partsField)) {
+        if (auto part = decodePartReport(entry)) {
+            std::for_each(part->ends.begin(), part->ends.end(), [&](reported_end &end) { end.age += since; });
+            refusals.parts.push_back(std::move(*part));
+        }
+    }
     return refusals;
 }
 
@@ -135,16 +146,20 @@
             return false;
         }
         known = entry->changed;
-        written = summaryOf(refusals->refused);
+        written = summaryOf(*refusals);
         apply(*refusals);
         return true;
     }
 
     /// Returns a text that changes with the content of a record.
-    static std::string summaryOf(const std::vector<suspect_report> &refused)
+    static std::string summaryOf(const crash_refusals &refusals)
     {
         std::string content;
-        for (const auto &evidence : refused) {
+        for (const auto &part : refusals.parts) {
+            content += part.key.model.value() + "/" + part.key.part.value() + ":" + std::to_string(part.round) + ":"
+                + std::to_string(part.ends.size()) + " ";
+        }
+        for (const auto &evidence : refusals.refused) {
             content += evidence.request.value() + ":" + std::to_string(evidence.round) + ":" + std::to_string(evidence.ends.size()) + " ";
         }
         return content;
@@ -157,14 +172,14 @@
             const std::lock_guard lock(mutex);
             key = refusals.key;
         }
-        callbacks.didRead(refusals.refused);
+        callbacks.didRead(refusals);
     }
 
     /// Creates the record, with a new digest key unless one is known. Returns false if that failed, for example because another daemon was
     /// faster.
     bool create()
     {
-        const crash_refusals refusals{currentKey().value_or(makeIdentityKey()), {}};
+        const crash_refusals refusals{currentKey().value_or(makeIdentityKey()), {}, {}};
         const auto result
             = keyValue.compareAndSwap(crashRefusalsKey, key_revision(), encodeCrashRefusals(refusals, calendarMilliseconds()));
         if (result.outcome != swap_outcome::applied) {
@@ -179,8 +194,9 @@
     /// Writes the record if its content has changed. After any result but success the record is read again before the next write.
     void writeIfChanged(instant now)
     {
-        crash_refusals refusals{*currentKey(), callbacks.currentRefusals()};
-        const auto content = summaryOf(refusals.refused);
+        crash_refusals refusals{*currentKey(), {}, {}};
+        callbacks.fillRefusals(refusals);
+        const auto content = summaryOf(refusals);
         if (content == written || now < nextRead) {
             return;
         }
@@ -188,7 +204,8 @@
         if (result.outcome == swap_outcome::applied) {
             known = result.changed;
             written = content;
-            crashLog.write("notes_written", {{"refused", refusals.refused.size()}, {"revision", known.number()}});
+            crashLog.write("notes_written",
+                           {{"refused", refusals.refused.size()}, {"parts", refusals.parts.size()}, {"revision", known.number()}});
         } else {
             mayWrite = false;
             nextRead = now + checkPeriod;
--- a/Libraries/Entry/crash_refusal_store.h
+++ b/Libraries/Entry/crash_refusal_store.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Requests/crash_suspects.h"
+#include "Libraries/Requests/part_suspects.h"
 
 #include <functional>
 #include <memory>
@@ -10,11 +11,13 @@
 
 namespace vetchpost {
 
-/// The record of crashing requests in the key-value service: the digest key that all daemons share, and the refused requests.
+/// The record of crashing requests in the key-value service: the digest key that all daemons share, the refused requests and the refused
+/// parts of prompts.
 struct crash_refusals
 {
     identity_key key;
     std::vector<suspect_report> refused;
+    std::vector<part_report> parts = {};
 };
 
 constexpr auto crashRefusalsKey = "vetchpost/crashing-requests";
@@ -32,10 +35,10 @@
     std::function<bool()> isSource;
     /// Whether this daemon receives the feed from another daemon.
     std::function<bool()> isFed;
-    /// Receives the refused requests of a record that was read.
-    std::function<void(const std::vector<suspect_report> &)> didRead;
-    /// The refused requests to be written.
-    std::function<std::vector<suspect_report>()> currentRefusals;
+    /// Receives a record that was read.
+    std::function<void(const crash_refusals &)> didRead;
+    /// Fills in what is to be written, except for the key.
+    std::function<void(crash_refusals &)> fillRefusals;
 };
 
 /// Reads and writes the record of crashing requests on a thread of its own. The record survives a simultaneous end of all daemons.
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -107,6 +107,7 @@
     shared_suspects suspects;
     shared_constraints constraints;
     shared_proxies proxies;
+    shared_parts parts;
     dispatcher_directory dispatchers;
     dispatch_socket dispatchSocket;
     dispatch_client dispatchClient;
@@ -144,6 +145,10 @@
         , suspects(counters)
         , constraints(counters, [this] { store.updateLeaving(constraints.leaving()); })
         , proxies(settings.peers)
+        , parts([this] { return crashes.digestKey(); },
+                [this] { return proxies.turn(); },
+                [this](const std::set<replica_end> &explained) { suspects.setExplained(explained); },
+                counters)
         , dispatchSocket(counters)
         , dispatchClient(dispatchSocket, dispatchers, counters)
         , dispatch(settings, dispatchSocket, dispatchClient, dispatchers, counters)
@@ -151,7 +156,7 @@
         , feed(
               settings,
               store,
-              {suspects, constraints, proxies},
+              {suspects, constraints, proxies, parts},
               dispatchers,
               counters,
               [this] { return relay.inFlight.counts(); },
@@ -172,7 +177,7 @@
               counters,
               [this] { return relay.inFlight.counts(); },
               [this](const instance_id &replica, const http_reply &reply) { recordReplyConstraints(replica, reply); })
-        , crashes(*keyValue, *dialect, store, paths, feed, suspects)
+        , crashes(*keyValue, *dialect, store, paths, feed, suspects, parts)
         , tunnels(
               settings.peers, store, paths, admission, [this] { return crashes.digestKey(); }, counters)
         , relay(settings,
@@ -314,7 +319,7 @@
         constexpr int found = 200;
         constexpr int notFound = 404;
         if (exchange.path() == crashingRequestsPath) {
-            answerCrashingRequests(exchange, suspects);
+            answerCrashingRequests(exchange, suspects, parts);
             feed.syncTables();
             return;
         }
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -74,6 +74,7 @@
     socket.sendAll(tables.suspects.dueBatches(source, followers));
     socket.sendAll(tables.constraints.dueBatches(source, followers));
     socket.sendAll(tables.proxies.dueBatches(source, followers));
+    socket.sendAll(tables.parts.dueBatches(source, followers));
 }
 
 std::optional<endpoint> peer_feed::private_data::knownOrigin() const
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -4,6 +4,7 @@
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Entry/dispatcher_directory.h"
 #include "Libraries/Entry/shared_constraints.h"
+#include "Libraries/Entry/shared_parts.h"
 #include "Libraries/Entry/shared_proxies.h"
 #include "Libraries/Entry/shared_suspects.h"
 #include "Libraries/Entry/store_follower.h"
@@ -20,6 +21,7 @@
     shared_suspects &suspects;
     shared_constraints &constraints;
     shared_proxies &proxies;
+    shared_parts &parts;
 };
 
 /// Exchanges datagrams with the other daemons. The coordinator is the source, which relays what it reads from the key-value service; the
--- a/Libraries/Entry/peer_feed_data.h
+++ b/Libraries/Entry/peer_feed_data.h
@@ -78,6 +78,8 @@
     void handle(const constraint_ack &ack, const endpoint &from);
     void handle(const proxy_batch &batch, const endpoint &from);
     void handle(const proxy_ack &ack, const endpoint &from);
+    void handle(const part_batch &batch, const endpoint &from);
+    void handle(const part_ack &ack, const endpoint &from);
     void handle(const permit_request &request, const endpoint &from);
     void handle(const permit_response &response, const endpoint &from);
     void handle(const feed_subscription &subscription, const endpoint &from);
--- a/Libraries/Entry/peer_feed_messages.cpp
+++ b/Libraries/Entry/peer_feed_messages.cpp
@@ -40,6 +40,17 @@
     tables.proxies.receiveAck(ack, from);
 }
 
+void peer_feed::private_data::handle(const part_batch &batch, const endpoint &from)
+{
+    socket.send(tables.parts.receiveBatch(batch, from));
+    syncTables();
+}
+
+void peer_feed::private_data::handle(const part_ack &ack, const endpoint &from)
+{
+    tables.parts.receiveAck(ack, from);
+}
+
 void peer_feed::private_data::handle(const constraint_ack &ack, const endpoint &from)
 {
     tables.constraints.receiveAck(ack, from);
--- a/Libraries/Entry/pending_losses.cpp
+++ b/Libraries/Entry/pending_losses.cpp
@@ -24,19 +24,19 @@
 {
     struct entry
     {
-        pending_loss loss;
+        request_loss loss;
         instant since;
     };
 
     replica_liveness_check &check;
-    const std::function<void(const pending_loss &)> didEnd;
+    const std::function<void(const request_loss &)> didEnd;
     std::mutex mutex;
     std::condition_variable wake;
     bool isStopping = false;
     std::deque<entry> entries;
     std::thread thread;
 
-    private_data(replica_liveness_check &endCheck, std::function<void(const pending_loss &)> endListener)
+    private_data(replica_liveness_check &endCheck, std::function<void(const request_loss &)> endListener)
         : check(endCheck)
         , didEnd(std::move(endListener))
     {
@@ -74,7 +74,7 @@
     }
 };
 
-pending_losses::pending_losses(replica_liveness_check &check, std::function<void(const pending_loss &)> didEnd)
+pending_losses::pending_losses(replica_liveness_check &check, std::function<void(const request_loss &)> didEnd)
     : d(std::make_unique<private_data>(check, std::move(didEnd)))
 {
 }
@@ -101,7 +101,7 @@
     }
 }
 
-void pending_losses::add(const pending_loss &loss)
+void pending_losses::add(const request_loss &loss)
 {
     {
         const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -165,7 +165,7 @@
 /// Relays an answer whose head was read.
 attempt_outcome request_handler::relayAnswer(http_upstream &upstream, const upstream_head &head, backend &target)
 {
-    m_hasHead = true;
+    m_headAt = monotonicNow();
     if (isStream() && isSuccessStatus(head.status)) {
         return relayEvents(upstream, head, target);
     }
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -196,7 +196,7 @@
                                {"identity", m_identity ? m_identity->value() : ""},
                                {"replica_found", m_replicaLiveness ? replicaLivenessName(*m_replicaLiveness) : ""},
                                {"parts", outcome == attempt_outcome::lost ? partIdentities() : ""},
-                               {"had_head", m_hasHead},
+                               {"had_head", m_headAt.has_value()},
                                {"pieces", m_pieces},
                                {"others_there", m_concurrentRequests},
                                {"try_ms", (monotonicNow() - m_attemptStart).count()},
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/request_handler.h"
 
+#include "Libraries/Base/digest.h"
 #include "Libraries/Base/event_log.h"
 
 #include <algorithm>
@@ -129,7 +130,8 @@
     m_triedReplicas.push_back(chosen.replica);
     m_attemptStart = monotonicNow();
     m_hasProgress = false;
-    m_hasHead = false;
+    m_headAt.reset();
+    m_lossNamesPart = false;
     m_pieces = 0;
     m_concurrentRequests = chosen.load->outstanding.fetch_add(1);
     if (m_concurrentRequests == 0) {
@@ -290,24 +292,48 @@
     return m_identity;
 }
 
+/// The parts of the prompt that other requests for the model may have too.
+request_parts request_handler::parts() const
+{
+    return {m_head.model, m_head.parts.shared};
+}
+
+/// How far the answer had come in this attempt.
+lost_stage request_handler::lostStage() const
+{
+    if (!m_headAt) {
+        return lost_stage::waiting;
+    }
+    if (m_pieces == 0) {
+        return lost_stage::begun;
+    }
+    return monotonicNow() - *m_headAt < firstPiecesTime ? lost_stage::first_pieces : lost_stage::answering;
+}
+
 /// Checks whether the replica at which the request was lost has terminated, and records the result.
 void request_handler::recordLoss(const backend &target)
 {
-    m_replicaLiveness = m_context.crashes.recordLoss(identity(), organisation(), target, m_service->id);
+    request_loss loss{identity(), organisation(), target, m_service->id, {parts(), lostStage(), monotonicNow(), 0}};
+    loss.attempt.request = hashOf(loss.request ? loss.request->value() : m_head.requestId.value());
+    const auto result = m_context.crashes.recordLoss(loss);
+    m_replicaLiveness = result.liveness;
+    m_lossNamesPart = result.namesPart;
 }
 
-/// Records a success, which clears the request of the suspicion of crashing replicas.
+/// Records a success, which clears the request and the parts of its prompt of the suspicion of crashing replicas.
 void request_handler::recordAnswered()
 {
     if (isSuccessStatus(m_status)) {
-        m_context.crashes.recordAnswered(identity());
+        m_context.crashes.recordAnswered(identity(), parts(), m_headAt.value_or(m_attemptStart));
     }
 }
 
-/// The time for which the request will still be refused because replicas have crashed running it; empty if it is not refused.
+/// The time for which the request will still be refused because replicas have crashed running it, or requests with a part of its prompt;
+/// empty if it is not refused.
 std::optional<duration> request_handler::refusedFor()
 {
-    return m_context.crashes.hasSuspects() ? m_context.crashes.refusedFor(identity()) : std::nullopt;
+    const auto byIdentity = m_context.crashes.hasSuspects() ? m_context.crashes.refusedFor(identity()) : std::nullopt;
+    return byIdentity ? byIdentity : m_context.crashes.refusedFor(parts());
 }
 
 /// Whether a waiting attempt must be withdrawn before the replica begins to run a request that has crashed other replicas. Only for
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -64,6 +64,8 @@
     organisation_id organisation() const;
     const std::optional<request_identity> &identity();
     std::string partIdentities() const;
+    request_parts parts() const;
+    lost_stage lostStage() const;
     void recordLoss(const backend &target);
     void recordAnswered();
     std::optional<duration> refusedFor();
@@ -178,8 +180,10 @@
     std::optional<endpoint> m_proxy;
     /// Whether the replica at which the current attempt was lost is still running.
     std::optional<replica_liveness> m_replicaLiveness;
-    /// The head of the replica's answer has arrived in this attempt.
-    bool m_hasHead = false;
+    /// When the head of the replica's answer arrived in this attempt; empty before.
+    std::optional<instant> m_headAt;
+    /// The replica of the last attempt ended, and a part of the prompt may be the cause.
+    bool m_lossNamesPart = false;
     /// Pieces of the replica's answer that have arrived in this attempt.
     int m_pieces = 0;
     /// The replica has sent something in this attempt.
--- a/Libraries/Entry/request_placement.cpp
+++ b/Libraries/Entry/request_placement.cpp
@@ -70,7 +70,9 @@
         return;
     }
     if (const auto time = refusedFor()) {
-        refuse(error_kind::crashing_request, "several replicas have ended while running this request", time);
+        refuse(error_kind::crashing_request,
+               "several replicas have ended while running this request, or others with a part of its prompt",
+               time);
         return;
     }
     if (!awaitReplicaList()) {
@@ -331,6 +333,10 @@
         m_noRetryReason = "replicas have ended while running the same request";
         return false;
     }
+    if (m_lossNamesPart) {
+        m_noRetryReason = "a replica has ended, and a part of the prompt may be the cause";
+        return false;
+    }
     if (outcome == attempt_outcome::not_sent) {
         m_noRetryReason = "too many replicas could not be reached";
         return ++m_unreachableReplicas < maximumUnreachable;
--- a/Libraries/Entry/shared_proxies.cpp
+++ b/Libraries/Entry/shared_proxies.cpp
@@ -66,6 +66,15 @@
     });
 }
 
+daemon_turn shared_proxies::turn() const
+{
+    const std::lock_guard lock(d->mutex);
+    const auto &proxies = d->table.proxies;
+    const auto own = proxies.find(d->table.own);
+    return {static_cast<std::size_t>(std::distance(proxies.begin(), own == proxies.end() ? proxies.begin() : own)),
+            std::max<std::size_t>(1, proxies.size())};
+}
+
 std::vector<feed_datagram> shared_proxies::dueBatches(const std::optional<endpoint> &source, const std::vector<endpoint> &followers)
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/shared_proxies.h
+++ b/Libraries/Entry/shared_proxies.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Entry/daemon_turn.h"
 #include "Libraries/Feed/proxy_choice.h"
 #include "Libraries/Feed/table_sync.h"
 
@@ -28,6 +29,9 @@
     /// Whether a daemon is known, this one aside, that reaches the service.
     bool hasAny(const service_id &service) const;
 
+    /// Returns the place of this daemon among all that are known, by their addresses.
+    daemon_turn turn() const;
+
     // Synchronisation with the source and the followers
     /// Returns the batches to send now to the source, if there is one, and to the followers.
     std::vector<feed_datagram> dueBatches(const std::optional<endpoint> &source, const std::vector<endpoint> &followers);
--- a/Libraries/Entry/shared_suspects.cpp
+++ b/Libraries/Entry/shared_suspects.cpp
@@ -131,6 +131,15 @@
     }
 }
 
+void shared_suspects::setExplained(const std::set<replica_end> &ends)
+{
+    const std::lock_guard lock(d->mutex);
+    d->change("a part of prompts explains ends", [&] {
+        vetchpost::setExplained(d->table, ends);
+        return true;
+    });
+}
+
 bool shared_suspects::allow(const request_identity &request)
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/shared_suspects.h
+++ b/Libraries/Entry/shared_suspects.h
@@ -27,6 +27,8 @@
     void recordReplicaEnd(const request_identity &request, const organisation_id &organisation, replica_end end);
     /// Records that this daemon received the complete answer to a request, which clears it of suspicion.
     void recordCompletion(const request_identity &request);
+    /// Sets which ends of replicas a part of prompts explains; they count against no request.
+    void setExplained(const std::set<replica_end> &ends);
     /// Allows a request again for an operator: the ends recorded so far no longer count. Returns false if the request is unknown.
     bool allow(const request_identity &request);
 
--- a/Libraries/Feed/feed_messages.cpp
+++ b/Libraries/Feed/feed_messages.cpp
@@ -5,6 +5,7 @@
 #include "Libraries/Feed/batch_codec.h"
 #include "Libraries/Feed/dispatcher_codec.h"
 #include "Libraries/Feed/evacuation_codec.h"
+#include "Libraries/Feed/part_codec.h"
 #include "Libraries/Feed/proxy_codec.h"
 #include "Libraries/Feed/replica_codec.h"
 #include "Libraries/Feed/report_codec.h"
@@ -32,6 +33,8 @@
 constexpr auto permitResponseKind = "permits";
 constexpr auto proxyBatchKind = "proxies";
 constexpr auto proxyAckKind = "proxy_receipt";
+constexpr auto partBatchKind = "parts";
+constexpr auto partAckKind = "part_receipt";
 constexpr auto fromField = "from";
 constexpr auto nonceField = "nonce";
 constexpr auto upToField = "up_to";
@@ -194,6 +197,16 @@
     return encodeAck(proxyAckKind, message);
 }
 
+Json::Value encodeBody(const part_batch &message)
+{
+    return encodeBatch(partBatchKind, message, &encodePartReport);
+}
+
+Json::Value encodeBody(const part_ack &message)
+{
+    return encodeAck(partAckKind, message);
+}
+
 Json::Value encodeBody(const permit_request &message)
 {
     Json::Value json;
@@ -353,6 +366,12 @@
     if (kind == proxyAckKind) {
         return decodeAck<proxy_report>(*json);
     }
+    if (kind == partBatchKind) {
+        return decodeBatch(*json, &decodePartReport);
+    }
+    if (kind == partAckKind) {
+        return decodeAck<part_report>(*json);
+    }
     if (kind == permitRequestKind) {
         return decodePermitRequest(*json);
     }
--- a/Libraries/Feed/feed_messages.h
+++ b/Libraries/Feed/feed_messages.h
@@ -8,6 +8,7 @@
 #include "Libraries/Feed/proxy_table.h"
 #include "Libraries/Platform/key_value_service.h"
 #include "Libraries/Requests/crash_suspects.h"
+#include "Libraries/Requests/part_suspects.h"
 #include "Libraries/Requests/rate_permits.h"
 #include "Libraries/Routing/evacuations.h"
 #include "Libraries/Routing/replica_directory.h"
@@ -158,6 +159,10 @@
 using proxy_batch = sync_batch<proxy_report>;
 using proxy_ack = sync_ack<proxy_report>;
 
+/// Batches of reports on parts of prompts that were at a replica when it terminated, and their acknowledgements.
+using part_batch = sync_batch<part_report>;
+using part_ack = sync_ack<part_report>;
+
 using feed_message = std::variant<feed_subscription,
                                   feed_update,
                                   stall_report,
@@ -171,7 +176,9 @@
                                   permit_request,
                                   permit_response,
                                   proxy_batch,
-                                  proxy_ack>;
+                                  proxy_ack,
+                                  part_batch,
+                                  part_ack>;
 
 /// Returns the message as the payload of a datagram.
 std::string encodeFeedMessage(const feed_message &message);
--- a/Libraries/Requests/crash_suspects.cpp
+++ b/Libraries/Requests/crash_suspects.cpp
@@ -31,7 +31,7 @@
     std::stable_sort(candidates.begin(), candidates.end(), [](const entry *left, const entry *right) {
         return left->second.ends.size() > right->second.ends.size();
     });
-    std::set<replica_end> explained;
+    auto explained = table.explained;
     table.refused.clear();
     for (const auto *candidate : candidates) {
         if (countUnexplainedEnds(candidate->second, explained) >= endsForRefusal) {
@@ -113,6 +113,14 @@
     return true;
 }
 
+void setExplained(crash_suspects &table, const std::set<replica_end> &ends)
+{
+    if (table.explained != ends) {
+        table.explained = ends;
+        updateRefused(table);
+    }
+}
+
 bool mergeReport(crash_suspects &table, const suspect_report &report, instant now)
 {
     const auto known = table.suspects.find(report.request);
--- a/Libraries/Requests/crash_suspects.h
+++ b/Libraries/Requests/crash_suspects.h
@@ -49,6 +49,8 @@
     std::map<request_identity, crash_suspect> suspects;
     /// Number of changes to the table so far.
     std::uint64_t changes = 0;
+    /// Ends that a part of prompts explains (part_suspects.h); they count against no request.
+    std::set<replica_end> explained;
     /// Requests to refuse by the current evidence; some of them may have expired since (refusalTime).
     std::set<request_identity> refused;
     /// Number of suspects evicted because the table was full.
@@ -75,6 +77,8 @@
 /// Clears a request of suspicion because it was answered completely, which a request that crashes replicas never is, or because an operator
 /// allows it. Returns true if it was suspected.
 bool clearSuspect(crash_suspects &table, const request_identity &request);
+/// Sets which ends a part of prompts explains.
+void setExplained(crash_suspects &table, const std::set<replica_end> &ends);
 /// Merges another daemon's report into the table. Returns true if that changed the table.
 bool mergeReport(crash_suspects &table, const suspect_report &report, instant now);
 /// Removes suspects without a termination for suspectLifetime.
--- a/Libraries/Routing/served_configuration.h
+++ b/Libraries/Routing/served_configuration.h
@@ -14,7 +14,6 @@
 namespace vetchpost {
 
 using service_id = identifier<struct service_tag>;
-using model_id = identifier<struct model_tag>;
 
 enum class route_kind {
     /// The answer is a stream of events. A request runs at most once unless the route is resumable.
--- a/Tests/Entry/testCrashRefusals.cpp
+++ b/Tests/Entry/testCrashRefusals.cpp
@@ -27,6 +27,22 @@
     CHECK(read->refused[0].age == duration(2500));
 }
 
+TEST_CASE("Refused parts of prompts are decoded as they were encoded, and their ends have aged since")
+{
+    auto written = refusals;
+    written.parts = {{{model_id("m"), part_identity("cc")}, {{replica_end(7), fullEnd, duration(300), 5}}, 2}};
+    const auto read = decodeCrashRefusals(encodeCrashRefusals(written, writtenAt), writtenAt + 2000);
+    REQUIRE(read);
+    REQUIRE(read->parts.size() == 1);
+    CHECK(read->parts[0].key == written.parts[0].key);
+    CHECK(read->parts[0].round == 2);
+    REQUIRE(read->parts[0].ends.size() == 1);
+    CHECK(read->parts[0].ends[0].end == replica_end(7));
+    CHECK(read->parts[0].ends[0].age == duration(2300));
+    const auto text = R"({"key":")" + refusals.key.value() + R"(","refused":[],"parts":[5,{"part":""},{"part":"dd","ends":["x"]}]})";
+    CHECK(decodeCrashRefusals(text, writtenAt)->parts.empty());
+}
+
 TEST_CASE("A record from a daemon whose calendar clock is ahead counts as written now")
 {
     CHECK(decodeCrashRefusals(encodeCrashRefusals(refusals, writtenAt), writtenAt - 9000)->refused[0].age == evidence.age);
--- a/Tests/Partition/partitionFixture.h
+++ b/Tests/Partition/partitionFixture.h
@@ -134,7 +134,9 @@
 class partition_fixture
 {
 public:
-    explicit partition_fixture(int daemons)
+    /// \a hasLinks: each daemon has a link of its own to each replica, which accepts connections also when the replica has ended.
+    explicit partition_fixture(int daemons, bool hasLinks = true)
+        : m_hasLinks(hasLinks)
     {
         m_store.write("op/config", configurationText);
         m_store.write(crashRefusalsKey, encodeCrashRefusals({relay_fixture::identityKey(), {}}, 0));
@@ -218,6 +220,9 @@
     {
         const auto server = parseEndpoint(replica.address());
         REQUIRE(server);
+        if (!m_hasLinks) {
+            return;
+        }
         for (const auto &daemon : m_daemons) {
             const auto listen = freePort();
             daemon->replicaLinks[replica.address()] = listen.text();
@@ -225,6 +230,7 @@
         }
     }
 
+    const bool m_hasLinks;
     shared_store m_store;
     std::vector<std::unique_ptr<linked_daemon>> m_daemons;
 };
--- a/Tests/StoreRestore/testCrashRefusalRestore.cpp
+++ b/Tests/StoreRestore/testCrashRefusalRestore.cpp
@@ -24,8 +24,8 @@
         , m_refusals(m_service,
                      crash_refusal_callbacks{[] { return true; },
                                              [] { return false; },
-                                             [](const std::vector<suspect_report> & /*refused*/) {},
-                                             [this] { return refusals(); }})
+                                             [](const crash_refusals & /*refusals*/) {},
+                                             [this](crash_refusals &current) { current.refused = refusals(); }})
     {
         m_refusals.start();
     }
--- a/Utilities/vetchpost/crash_commands.cpp
+++ b/Utilities/vetchpost/crash_commands.cpp
@@ -31,6 +31,15 @@
                    request["last_end_seconds_ago"].asDouble(),
                    request["refused_for_seconds"].asDouble());
     }
+    for (const auto &part : jsonArray(*json, "refused_parts")) {
+        fmt::print("{}  part of prompts for {}: {} replicas terminated while running requests with it, the last {:.0f} s ago; refused for "
+                   "another {:.0f} s\n",
+                   jsonString(part, "part"),
+                   jsonString(part, "model"),
+                   jsonNumber(part, "replicas_ended"),
+                   part["last_end_seconds_ago"].asDouble(),
+                   part["refused_for_seconds"].asDouble());
+    }
     return exit_done;
 }
 
