Entry: Count tunnels for clients' requests apart from those for own calls

Why this works: the metric has a label for the purpose, and the test asks for none for requests, as strictly as before.

--- a/Libraries/Entry/tunnel_client.cpp
+++ b/Libraries/Entry/tunnel_client.cpp
@@ -19,6 +19,10 @@
 constexpr int maxProxiesAsked = 8;
 constexpr duration maxAskingTime(500);
 
+// Values of the label "purpose".
+constexpr auto requestPurpose = "request";
+constexpr auto ownCallPurpose = "own_call";
+
 /// Returns how long a daemon that did not open a tunnel is not asked again.
 duration avoidanceAfter(std::optional<tunnel_refusal_kind> refusal)
 {
@@ -35,11 +39,13 @@
     : m_dataCentre(dataCentre)
     , m_peers(std::move(peers))
 {
-    for (const auto *result : {"opened", "refused", "full", "none"}) {
-        m_results.emplace(result,
-                          counters.addCounter("vetchpost_tunnels_requested_total",
-                                              "Requests for tunnels to replicas through other daemons, by their result.",
-                                              {{"result", result}}));
+    for (const auto *purpose : {requestPurpose, ownCallPurpose}) {
+        for (const auto *result : {"opened", "refused", "full", "none"}) {
+            m_results.emplace(std::pair(purpose, result),
+                              counters.addCounter("vetchpost_tunnels_requested_total",
+                                                  "Requests for tunnels to replicas through other daemons, by their purpose and result.",
+                                                  {{"purpose", purpose}, {"result", result}}));
+        }
     }
 }
 
@@ -47,6 +53,9 @@
 tunnel_client::open(const replica_address &target, const tunnel_terms &terms, path_failure &failure, reason &lastReason)
 {
     const auto key = m_peers.key();
+    const auto count = [&](const char *result) {
+        m_results.at({terms.request.isEmpty() ? ownCallPurpose : requestPurpose, result}).increment();
+    };
     const tunnel_purpose purpose{target.service, m_dataCentre, target.dataCentre};
     failure = path_failure::no_proxy;
     const auto askUntil = monotonicNow() + maxAskingTime;
@@ -63,7 +72,7 @@
         call.receiveTimeout = terms.patience + directConnectTimeout + proxyAnswerMargin;
         tunnel_refusal answer;
         if (auto connection = openTunnel(call, target.key.replica.value(), answer, lastReason)) {
-            m_results.at("opened").increment();
+            count("opened");
             auto *proxies = &m_peers.proxies;
             return replica_connection{std::move(*connection),
                                       proxy->address,
@@ -74,7 +83,7 @@
         const auto refusal = readTunnelRefusal(answer.headers);
         const auto avoidance = avoidanceAfter(refusal);
         m_peers.proxies.release(proxy->address, avoidance);
-        m_results.at(refusal == tunnel_refusal_kind::full ? "full" : "refused").increment();
+        count(refusal == tunnel_refusal_kind::full ? "full" : "refused");
         pathLog.write("tunnel_refused",
                       {{"request", terms.request.value()},
                        {"replica", target.key.replica.value()},
@@ -87,7 +96,7 @@
         failure = refusal == tunnel_refusal_kind::full ? path_failure::proxies_full : failure;
     }
     if (failure == path_failure::no_proxy) {
-        m_results.at("none").increment();
+        count("none");
         lastReason = {error_kind::backend_unreachable, "cut off from the replicas, and no other daemon is known to reach them"};
     }
     return std::nullopt;
--- a/Libraries/Entry/tunnel_client.h
+++ b/Libraries/Entry/tunnel_client.h
@@ -41,7 +41,8 @@
     const data_centre_id m_dataCentre;
     const tunnel_peers m_peers;
     std::atomic<bool> m_isOffering = true;
-    std::map<std::string, counter> m_results;
+    /// By the purpose of the tunnel and the result.
+    std::map<std::pair<std::string, std::string>, counter> m_results;
 };
 
 } // namespace vetchpost
