Http, Entry: Close new connections unread beyond what a daemon can handle

What it reads it must serve as often as before; a connection that is closed unread costs its client one attempt, and a retry meets another daemon.

Now the server reads at most as many requests per second as the daemon's processor-share can handle (a thousand for a core, the figure that also bounds tunnels; half a second's worth may come at once), and closes new connections beyond that unread. Requests on open connections are always read. vetchpost_connections_closed_unread_total counts what was closed.

--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -26,6 +26,9 @@
     , m_daemons(counters.addGauge("vetchpost_daemons_known", "Daemons known to the coordinator; 0 if unknown."))
     , m_connections(counters.addGauge("vetchpost_connections_open", "Open client connections."))
     , m_requests(counters.addGauge("vetchpost_requests_held", "Requests that are being served."))
+    , m_connectionsClosedUnread(
+          counters.addCounter("vetchpost_connections_closed_unread_total",
+                              "New client connections that were closed unread since more requests came than this daemon can handle."))
     , m_crashingRequests(
           counters.addGauge("vetchpost_crashing_requests_refused", "Requests that are refused because replicas ended while they ran them."))
     , m_replicasInBackoff(addConstrainedGauge(counters, "rest"))
@@ -57,6 +60,7 @@
     m_coldReplicas.set(status.coldReplicas);
     m_storeEra.set(static_cast<double>(status.storeEra));
     const std::lock_guard lock(m_mutex);
+    m_connectionsClosedUnread.increment(static_cast<double>(status.connectionsClosedUnread) - m_connectionsClosedUnread.value());
     for (const auto &[part, count] : status.droppedLinesByPart) {
         auto found = m_droppedLines.find(part);
         if (found == m_droppedLines.end()) {
--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -25,6 +25,8 @@
     int daemons = 0;
     /// Open client connections.
     std::size_t connections = 0;
+    /// Client connections that were closed unread since the start.
+    std::uint64_t connectionsClosedUnread = 0;
     /// Requests that are being served.
     std::size_t requests = 0;
     /// Requests that are refused because replicas ended while they ran them.
@@ -63,6 +65,7 @@
     gauge m_daemons;
     gauge m_connections;
     gauge m_requests;
+    counter m_connectionsClosedUnread;
     gauge m_crashingRequests;
     gauge m_replicasInBackoff;
     gauge m_rateLimitedReplicas;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -283,6 +283,7 @@
         status.replicas = store.directory()->replicas.size();
         status.daemons = feed.daemons().value_or(0);
         status.connections = static_cast<std::size_t>(clientServer->openConnections());
+        status.connectionsClosedUnread = clientServer->connectionsClosedUnread();
         status.requests = static_cast<std::size_t>(clientServer->activeRequests());
         status.crashingRequests = suspects.refused().size();
         const auto constrained = constraints.counts();
@@ -379,8 +380,10 @@
     limits.threadStackBytes = clientThreadStackBytes;
     limits.requestTimeout = headerTimeout;
     limits.keepAliveTimeout = keepAliveTimeout;
+    limits.requestsPerSecond = requestsPerSecond(d->settings);
     d->clientServer
         = std::make_unique<http_server>(d->settings.callers, limits, [this](http_exchange &exchange) { d->serveClient(exchange); });
+    limits.requestsPerSecond = 0;
     limits.maximumThreads = readinessThreads;
     d->readinessServer
         = std::make_unique<http_server>(d->settings.readiness, limits, [this](http_exchange &exchange) { d->answerReadiness(exchange); });
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/log.h"
 #include "Libraries/Http/poco_timespan.h"
+#include "Libraries/Http/request_pace.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -41,6 +42,43 @@
     std::atomic<int> active = 0;
 };
 
+/// Decides which new connections the server accepts. Thread-safe.
+class pace_filter : public Poco::Net::TCPServerConnectionFilter
+{
+public:
+    explicit pace_filter(double requestsPerSecond)
+        : m_pace(makeRequestPace(requestsPerSecond, monotonicNow()))
+    {
+    }
+
+    /// Called for each connection. One that is not accepted is closed.
+    bool accept(const Poco::Net::StreamSocket & /*socket*/) override
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool hasRoom = m_pace.perSecond <= 0 || takeRoomForConnection(m_pace, monotonicNow());
+        m_closed += hasRoom ? 0 : 1;
+        return hasRoom;
+    }
+
+    /// Counts a request after the first one on its connection.
+    void countFurtherRequest()
+    {
+        const std::lock_guard lock(m_mutex);
+        takeRoomForRequest(m_pace, monotonicNow());
+    }
+
+    std::uint64_t closed() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_closed;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    request_pace m_pace;
+    std::uint64_t m_closed = 0;
+};
+
 /// The connection that is served by the current thread.
 thread_local tracked_connection *currentConnection = nullptr;
 
@@ -137,9 +175,10 @@
 class exchange_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    exchange_handler(const http_server::handler &handle, open_connections &connections)
+    exchange_handler(const http_server::handler &handle, open_connections &connections, pace_filter &pace)
         : m_handle(handle)
         , m_connections(connections)
+        , m_pace(pace)
     {
     }
 
@@ -150,9 +189,12 @@
         if (m_connections.isFinishing) {
             response.setKeepAlive(false);
         }
+        const auto number = currentConnection->countRequest();
+        if (number > 1) {
+            m_pace.countFurtherRequest();
+        }
         try {
-            http_exchange::private_data data{
-                request, response, Poco::URI(), {}, currentConnection->countRequest(), !currentConnection->hasStoppedReading()};
+            http_exchange::private_data data{request, response, Poco::URI(), {}, number, !currentConnection->hasStoppedReading()};
             http_exchange exchange(data);
             handle(data, exchange);
         } catch (const std::exception &error) {
@@ -186,25 +228,28 @@
 
     const http_server::handler &m_handle;
     open_connections &m_connections;
+    pace_filter &m_pace;
 };
 
 class exchange_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    exchange_handler_factory(const http_server::handler &handle, open_connections &connections)
+    exchange_handler_factory(const http_server::handler &handle, open_connections &connections, pace_filter &pace)
         : m_handle(handle)
         , m_connections(connections)
+        , m_pace(pace)
     {
     }
 
     Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
     {
-        return new exchange_handler(m_handle, m_connections);
+        return new exchange_handler(m_handle, m_connections, m_pace);
     }
 
 private:
     const http_server::handler &m_handle;
     open_connections &m_connections;
+    pace_filter &m_pace;
 };
 
 class tracked_connection_factory : public Poco::Net::TCPServerConnectionFactory
@@ -236,6 +281,7 @@
 {
     handler handle;
     open_connections connections;
+    Poco::AutoPtr<pace_filter> pace;
     Poco::ThreadPool threads;
     /// Closed once the server has stopped accepting. Connections that wait in its backlog are then closed immediately, instead of when the
     /// process exits.
@@ -244,6 +290,7 @@
 
     private_data(const http_server_limits &limits, handler handler)
         : handle(std::move(handler))
+        , pace(new pace_filter(limits.requestsPerSecond))
         , threads("http", 2, limits.maximumThreads, 60, static_cast<int>(limits.threadStackBytes))
     {
     }
@@ -260,9 +307,10 @@
     parameters->setMaxQueued(limits.maximumQueued);
     parameters->setTimeout(timespanOf(limits.requestTimeout));
     parameters->setKeepAliveTimeout(timespanOf(limits.keepAliveTimeout));
-    const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers = new exchange_handler_factory(d->handle, d->connections);
+    const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers = new exchange_handler_factory(d->handle, d->connections, *d->pace);
     d->server = std::make_unique<Poco::Net::TCPServer>(
         new tracked_connection_factory(parameters, handlers, d->connections), d->threads, d->listener, parameters);
+    d->server->setConnectionFilter(d->pace);
     d->server->start();
 }
 
@@ -300,6 +348,11 @@
     return d->connections.active.load();
 }
 
+std::uint64_t http_server::connectionsClosedUnread() const
+{
+    return d->pace->closed();
+}
+
 int http_server::openConnections() const
 {
     const std::lock_guard lock(d->connections.mutex);
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -4,6 +4,7 @@
 #include "Libraries/Http/http_message.h"
 #include "Libraries/Http/tcp_connection.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -75,6 +76,9 @@
     int maximumThreads = 64;
     /// Accepted connections that wait for a thread.
     int maximumQueued = 64;
+    /// Requests per second that the server can handle; 0 for no limit. New connections beyond it are closed unread, so that their clients
+    /// can turn to another server at once. Requests on open connections are always handled.
+    double requestsPerSecond = 0;
     std::size_t threadStackBytes = 256U * 1024U;
     duration requestTimeout{10000};
     duration keepAliveTimeout{8000};
@@ -101,6 +105,8 @@
     int activeRequests() const;
     /// The number of open connections, including idle ones.
     int openConnections() const;
+    /// The number of connections that were closed unread because of http_server_limits::requestsPerSecond.
+    std::uint64_t connectionsClosedUnread() const;
     /// Stops accepting, closes all connections immediately and waits for their threads.
     void stopAll();
 
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -100,11 +100,16 @@
 }
 
 // Relaying a stream takes less than a thousandth of a core; a third is left for bursts.
-int tunnelCapacity(const entry_settings &settings)
+double requestsPerSecond(const entry_settings &settings)
 {
     constexpr double requestsPerCore = 1000;
-    constexpr int least = 16;
-    const auto byProcessor = std::max(least, static_cast<int>(requestsPerCore * settings.processorShare));
+    constexpr double least = 16;
+    return std::max(least, requestsPerCore * settings.processorShare);
+}
+
+int tunnelCapacity(const entry_settings &settings)
+{
+    const auto byProcessor = static_cast<int>(requestsPerSecond(settings));
     return settings.tunnelCapacity.value_or(std::min(byProcessor, settings.maximumConnections));
 }
 
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -82,6 +82,9 @@
 /// name of the text in the problems.
 std::optional<entry_settings> readEntrySettings(const std::string &text, const std::string &file, std::vector<yaml_problem> &problems);
 
+/// Returns how many requests the daemon's share of a processor can handle per second.
+double requestsPerSecond(const entry_settings &settings);
+
 /// Returns how many requests and tunnels the daemon bears at once while it carries tunnels for others.
 int tunnelCapacity(const entry_settings &settings);
 
--- a/Tests/Partition/partitionFixture.h
+++ b/Tests/Partition/partitionFixture.h
@@ -167,6 +167,12 @@
         addLinks(id, replica);
     }
 
+    /// Sets the share of a core that each daemon may use.
+    void setProcessorShare(double share)
+    {
+        m_processorShare = share;
+    }
+
     void start(int number)
     {
         auto &next = daemon(number);
@@ -186,6 +192,7 @@
         settings.isFirstStart = true;
         settings.retryShare = 0.2;
         settings.retrySlack = 3500;
+        settings.processorShare = m_processorShare;
         next.daemon = std::make_unique<entry_daemon>(
             settings, std::make_unique<platform_dialect>(), [this, &next](const endpoint & /*address*/, metrics & /*counters*/) {
                 return std::make_unique<linked_replica_store>(m_store, next.store, next.replicaLinks);
@@ -231,6 +238,7 @@
     }
 
     const bool m_hasLinks;
+    double m_processorShare = 1;
     shared_store m_store;
     std::vector<std::unique_ptr<linked_daemon>> m_daemons;
 };
