Entry: Take no unframed stream without an event for a whole answer

What callers saw: a replica that terminates after the head of such a stream closes its connection, and the client got an empty stream that ended as whole. Besides, that answer cleared the parts of its prompt.

Cause: the end of the connection was the end of the body, and only a partial event was taken for a break.

Why this works: a whole stream has at least one event. One that resumes a stream may have none, and is taken as before. A hedge's second connection without events no longer wins by its end.

--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -247,7 +247,7 @@
             if (!relayPiece(piece, head)) {
                 return attempt_outcome::caller_left;
             }
-        } else if (wait == upstream_event::end && !m_events.hasPartial()) {
+        } else if (wait == upstream_event::end && isStreamWhole(upstream)) {
             beginStream(head);
             m_context.served.increment();
             return attempt_outcome::answered;
@@ -264,6 +264,13 @@
     }
 }
 
+/// Whether a stream whose body has ended is whole. A replica that terminates also ends a body that has neither a length nor chunks: such a
+/// stream has at least one event, and does not end inside one.
+bool request_handler::isStreamWhole(const http_upstream &upstream) const
+{
+    return !m_events.hasPartial() && (m_firstSent || !upstream.endsWithConnection());
+}
+
 /// Sends the events that a second group's connection has delivered while the two were waited for. Returns false if the client has closed
 /// the connection.
 bool request_handler::relayHedgedEvents(const upstream_head &head, const backend &target)
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -96,6 +96,7 @@
     attempt_outcome relayBuffered(http_upstream &upstream, const upstream_head &head);
     attempt_outcome relayEvents(http_upstream &upstream, upstream_head head, backend &target);
     bool isStillSilent(http_upstream &upstream) const;
+    bool isStreamWhole(const http_upstream &upstream) const;
     bool relayHedgedEvents(const upstream_head &head, const backend &target);
     bool relayPiece(const std::string &piece, const upstream_head &head);
     void beginStream(const upstream_head &head);
--- a/Libraries/Entry/stream_hedge.cpp
+++ b/Libraries/Entry/stream_hedge.cpp
@@ -233,7 +233,7 @@
     }
     m_hedgedEvents.clear();
     const bool hasEvents = wait == upstream_event::data && race.secondEvents.extractEvents(piece, m_hedgedEvents) > 0;
-    const bool hasEnded = wait == upstream_event::end && !race.secondEvents.hasPartial();
+    const bool hasEnded = wait == upstream_event::end && !race.secondEvents.hasPartial() && !race.second.endsWithConnection();
     if (wait != upstream_event::data && !hasEnded) {
         race.second.close();
     }
--- a/Libraries/Http/body_framing.cpp
+++ b/Libraries/Http/body_framing.cpp
@@ -73,6 +73,11 @@
     return m_state;
 }
 
+body_framing body_decoder::framing() const
+{
+    return m_framing;
+}
+
 bool body_decoder::hasSurplus() const
 {
     return m_hasSurplus;
--- a/Libraries/Http/body_framing.h
+++ b/Libraries/Http/body_framing.h
@@ -32,6 +32,7 @@
     /// Handles the close of the connection by the peer and returns the new state: a body without a length is then complete.
     state consumeEnd();
     state current() const;
+    body_framing framing() const;
     /// Whether bytes after the end of the body were received, which belong to no request.
     bool hasSurplus() const;
 
--- a/Libraries/Http/http_upstream.cpp
+++ b/Libraries/Http/http_upstream.cpp
@@ -190,6 +190,11 @@
     }
 }
 
+bool http_upstream::endsWithConnection() const
+{
+    return d->decoder.framing() == body_framing::until_close;
+}
+
 void http_upstream::close()
 {
     d->session.reset();
--- a/Libraries/Http/http_upstream.h
+++ b/Libraries/Http/http_upstream.h
@@ -56,6 +56,8 @@
     std::optional<upstream_head> readHead(reason &lastReason);
     /// Waits until \a deadline for bytes of the body and stores them in \a piece. \a clientSocket is watched as by waitForAnswer().
     upstream_event nextPiece(std::string &piece, instant deadline, int clientSocket);
+    /// Whether the body has neither a length nor chunks, so that the end of the connection is its only end.
+    bool endsWithConnection() const;
     /// Closes the connection immediately.
     void close();
     /// Whether the connection is open.
--- a/Tests/PlatformAdapter/scriptedReplica.cpp
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -111,11 +111,18 @@
         }
         const auto answer = m_answer(request);
         for (std::size_t start = 0; start < answer.size();) {
-            const auto end
-                = std::min(answer.find_first_of(std::string{pauseMarker, shortPauseMarker, restartMarker}, start), answer.size());
+            const auto end = std::min(answer.find_first_of(std::string{pauseMarker, shortPauseMarker, restartMarker, resetMarker}, start),
+                                      answer.size());
             if (end > start) {
                 connection.sendBytes(answer.data() + start, static_cast<int>(end - start));
             }
+            if (end < answer.size() && answer[end] == resetMarker) {
+                // The bytes before the reset must have been read, since a reset discards them.
+                std::this_thread::sleep_for(shortPauseTime);
+                connection.setLinger(true, 0);
+                connection.close();
+                return;
+            }
             if (end < answer.size() && answer[end] == restartMarker) {
                 restart(connection);
                 return;
--- a/Tests/PlatformAdapter/scriptedReplica.h
+++ b/Tests/PlatformAdapter/scriptedReplica.h
@@ -20,6 +20,8 @@
 constexpr char pauseMarker = '\x01';
 /// A character in a script's answer that makes the replica send nothing for 20 ms.
 constexpr char shortPauseMarker = '\x03';
+/// A character in a script's answer that makes the replica reset the connection.
+constexpr char resetMarker = '\x04';
 /// A character in a script's answer that makes the replica stop, and restart at its address after 200 ms.
 constexpr char restartMarker = '\x02';
 
