Tests: Play parts of prompts that end replicas in the soak

The stand-in's replicas can end by a part of a prompt: they send the head of the answer and end. The check allows three sends after the fifth end and the contact time, as the users' rule does.

--- a/Tests/Soak/bound_checks.cpp
+++ b/Tests/Soak/bound_checks.cpp
@@ -76,56 +76,79 @@
 
 namespace {
 
-constexpr std::size_t endsUntilDeadly = 3;
-
-/// Returns the common prefix of the ids of a deadly client's attempts, which are all the same request. Empty for the attempts of other
-/// clients.
-std::string deadlyRequestOf(const request_id &attempt)
+/// Deadly clients whose requests count together.
+struct deadly_clients
 {
-    const auto &id = attempt.value();
-    return id.starts_with(deadlyIdPrefix) ? id.substr(0, id.find('-')) : std::string();
-}
+    /// Their attempts' ids begin with this.
+    std::string_view idPrefix;
+    /// The clients whose ids begin with the same characters, so many of them, count together.
+    std::size_t groupLength = 0;
+    /// The ends after which their requests are known.
+    std::size_t endsUntilKnown = 0;
+};
 
-/// Returns the events of kind \a what for each deadly request, in the order of the recorded facts.
-std::map<std::string, std::vector<const platform_event *>> deadlyEvents(const soak_facts &facts, const std::string &what)
+/// Returns the events of kind \a what by group of clients, in the order of the recorded facts.
+std::map<std::string, std::vector<const platform_event *>>
+deadlyEvents(const soak_facts &facts, const deadly_clients &clients, const std::string &what)
 {
     std::map<std::string, std::vector<const platform_event *>> result;
     for (const auto &event : facts.events) {
-        const auto request = deadlyRequestOf(event.attempt);
-        if (!request.empty() && event.what == what) {
-            result[request].push_back(&event);
+        const auto &id = event.attempt.value();
+        if (id.starts_with(clients.idPrefix) && event.what == what) {
+            result[id.substr(0, clients.groupLength)].push_back(&event);
         }
     }
     return result;
 }
 
-} // namespace
-
-broken_promises checkDeadlyRequests(const soak_facts &facts, const soak_bounds &bounds)
+/// Checks that the requests of each group of clients are kept from replicas once they are known.
+broken_promises
+checkDeadlyClients(const soak_facts &facts, const soak_bounds &bounds, const deadly_clients &clients, const std::string &promise)
 {
     broken_promises broken;
     const auto attempts = attemptsById(facts);
-    auto arrivals = deadlyEvents(facts, "arrived");
-    for (const auto &[request, ends] : deadlyEvents(facts, "ended_replica")) {
-        if (ends.size() < endsUntilDeadly) {
+    auto arrivals = deadlyEvents(facts, clients, "arrived");
+    for (const auto &[group, ends] : deadlyEvents(facts, clients, "ended_replica")) {
+        if (ends.size() < clients.endsUntilKnown) {
             continue;
         }
-        const auto deadlySince = ends[endsUntilDeadly - 1]->at + bounds.settlingTime;
-        const auto &all = arrivals[request];
+        const auto deadlySince = ends[clients.endsUntilKnown - 1]->at + bounds.settlingTime;
+        const auto &all = arrivals[group];
         const auto late = std::count_if(all.begin(), all.end(), [&](const platform_event *arrival) {
             const auto attempt = attempts.find(arrival->attempt);
             return arrival->at > deadlySince && attempt != attempts.end()
                 && isUndisturbed(facts, bounds, attempt->second->daemon, arrival->at);
         });
         if (static_cast<std::size_t>(late) > bounds.deadlySends) {
-            broken.push_back({"a request that ends replicas is kept from them",
-                              fmt::format("{} replicas ended, {} sends long after the third", ends.size(), late),
+            broken.push_back({promise,
+                              fmt::format("{} replicas ended, {} sends long after the first {}", ends.size(), late, clients.endsUntilKnown),
                               all.back()->attempt});
         }
     }
     return broken;
 }
 
+} // namespace
+
+broken_promises checkDeadlyRequests(const soak_facts &facts, const soak_bounds &bounds)
+{
+    constexpr std::size_t clientIdLength = 4;
+    constexpr std::size_t endsUntilKnown = 3;
+    return checkDeadlyClients(
+        facts, bounds, {deadlyIdPrefix, clientIdLength, endsUntilKnown}, "a request that ends replicas is kept from them");
+}
+
+broken_promises checkDeadlyParts(const soak_facts &facts, const soak_bounds &bounds)
+{
+    // The first digit of such a client's number is the number of the part.
+    constexpr std::size_t partIdLength = 2;
+    constexpr std::size_t endsUntilKnown = 5;
+    return checkDeadlyClients(facts,
+                              bounds,
+                              {deadlyPartIdPrefix, partIdLength, endsUntilKnown},
+                              "requests with a part of a prompt that ends replicas are kept from them");
+}
+
 broken_promises checkWithdrawnKeys(const soak_facts &facts, const soak_bounds &bounds)
 {
     broken_promises broken;
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -31,6 +31,7 @@
   --replicas=<n>          Replicas with an engine, in two fabric domains [default: 12].
   --clients=<n>           Clients at a time [default: 20].
   --deadly=<n>            Requests that end each replica that runs them and are sent repeatedly [default: 0].
+  --deadly-parts=<n>      Parts of prompts that end each replica which begins to answer them [default: 0].
   --notices=<n>           Times that a replica reports a rate limit, asks for a backoff or announces that it leaves [default: 0].
   --evacuations=<n>       Evacuations of one of two data centres, over which the replicas are then spread [default: 0].
   --restores=<n>          Times that the store goes away and comes back from an older copy [default: 0].
@@ -142,6 +143,7 @@
         = {std::chrono::seconds(number("--seconds")), static_cast<int>(number("--daemons")), static_cast<int>(number("--replicas"))};
     options.clients = static_cast<int>(number("--clients"));
     options.deadlyRequests = static_cast<int>(number("--deadly"));
+    options.deadlyParts = static_cast<int>(number("--deadly-parts"));
     options.notices = static_cast<int>(number("--notices"));
     options.evacuations = static_cast<int>(number("--evacuations"));
     options.restores = static_cast<int>(number("--restores"));
--- a/Tests/Soak/soak_checks.cpp
+++ b/Tests/Soak/soak_checks.cpp
@@ -195,6 +195,7 @@
     add(checkGroups(facts));
     add(checkRetries(facts, bounds));
     add(checkDeadlyRequests(facts, bounds));
+    add(checkDeadlyParts(facts, bounds));
     add(checkLimits(facts, bounds));
     add(checkBackoffs(facts, bounds));
     add(checkLeaveNotices(facts, bounds));
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -72,6 +72,9 @@
 /// Checks that a request that has ended three replicas is sent at most deadlySends times more, once the daemons have had time to inform
 /// each other.
 broken_promises checkDeadlyRequests(const soak_facts &facts, const soak_bounds &bounds);
+/// Checks that requests with a part of a prompt that has ended five replicas are sent at most deadlySends times more, once the daemons have
+/// had time to inform each other.
+broken_promises checkDeadlyParts(const soak_facts &facts, const soak_bounds &bounds);
 /// Checks that the daemons that have received a replica's rate limit keep to it together.
 broken_promises checkLimits(const soak_facts &facts, const soak_bounds &bounds);
 /// Checks that a daemon sends at most backoffSends requests to a replica during the backoff that the replica has asked it for.
--- a/Tests/Soak/soak_client.cpp
+++ b/Tests/Soak/soak_client.cpp
@@ -46,6 +46,8 @@
 
 /// The length of an attempt id's part before the attempt's number.
 constexpr std::size_t idPrefixLength = 5;
+/// The first part of all prompts.
+constexpr auto commonPart = "c0";
 
 /// A request that a client is to complete, with its progress over all attempts.
 struct client_request
@@ -63,6 +65,7 @@
     int finalEvent = 0;
     bool abandonsEarly = false;
     instant deadline;
+    std::string deadlyPart = {};
 };
 
 /// Returns the HTTP request for one attempt.
@@ -81,8 +84,13 @@
                             request.key,
                             request.body.size());
     if (request.kind == request_kind::stream) {
-        text += fmt::format(
-            "{}: {}\r\nToken-Counts: 400,80\r\nPrompt-Prefix: {}:400\r\n", names::model, request.model, id.value().substr(idPrefixLength));
+        const auto ownPart = id.value().substr(idPrefixLength);
+        text += fmt::format("{}: {}\r\nToken-Counts: 400,80\r\nPrompt-Prefix: {}:200,{}{}:400\r\n",
+                            names::model,
+                            request.model,
+                            commonPart,
+                            request.deadlyPart.empty() ? std::string() : request.deadlyPart + ":100,",
+                            ownPart);
     }
     if (request.lastEvent > 0) {
         text += fmt::format("{}: {}\r\n", names::lastEventId, request.lastEvent);
@@ -266,8 +274,7 @@
     std::mt19937_64 generator;
     const soak_directory &directory;
     attempt_log &log;
-    /// If not empty, the body of all requests of this client.
-    std::string deadlyBody;
+    deadly_content deadly;
     std::atomic<bool> isStopping = false;
     int lastId = 0;
     /// A changing key that the client keeps using for a while after its withdrawal.
@@ -286,7 +293,7 @@
         while (!isStopping) {
             auto request = drawRequest();
             completeRequest(request);
-            std::this_thread::sleep_for(deadlyBody.empty() ? minThinkTime + duration(generator() % thinkTimeSpreadMs) : deadlyPause);
+            std::this_thread::sleep_for(!isDeadly() ? minThinkTime + duration(generator() % thinkTimeSpreadMs) : deadlyPause);
         }
     }
 
@@ -304,10 +311,24 @@
         return knownKey;
     }
 
+    bool isDeadly() const
+    {
+        return !deadly.body.empty() || !deadly.part.empty();
+    }
+
+    const char *idPrefix() const
+    {
+        if (!deadly.part.empty()) {
+            return deadlyPartIdPrefix;
+        }
+        return isDeadly() ? deadlyIdPrefix : "c";
+    }
+
     client_request deadlyRequest() const
     {
         client_request request{request_kind::stream, streamPath, engineService, lastingKey};
-        request.body = deadlyBody;
+        request.body = deadly.body.empty() ? fmt::format("question {}", lastId) : deadly.body;
+        request.deadlyPart = deadly.part;
         request.deadline = monotonicNow() + clientTimeout;
         return request;
     }
@@ -315,7 +336,7 @@
     /// Returns a random request, or the deadly request of a deadly client.
     client_request drawRequest()
     {
-        if (!deadlyBody.empty()) {
+        if (isDeadly()) {
             return deadlyRequest();
         }
         constexpr int all = 100;
@@ -377,7 +398,7 @@
     {
         const int daemon = chooseDaemon(usesNewConnection);
         auto &connection = *connections.at(daemon);
-        const request_id id(fmt::format("{}{:03}-{:06}", deadlyBody.empty() ? "c" : deadlyIdPrefix, number, ++lastId));
+        const request_id id(fmt::format("{}{:03}-{:06}", idPrefix(), number, ++lastId));
         const bool hasModel = request.kind == request_kind::stream;
         attempt_fact attempt{id, request.kind, request.service, request.key, hasModel ? request.model : "", daemon};
         attempt.incarnation = directory.incarnations.at(static_cast<std::size_t>(daemon));
@@ -408,8 +429,8 @@
     }
 };
 
-soak_client::soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log, const std::string &deadlyBody)
-    : d(new private_data{number, std::mt19937_64(seed + static_cast<std::uint64_t>(number)), directory, log, deadlyBody})
+soak_client::soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log, deadly_content deadly)
+    : d(new private_data{number, std::mt19937_64(seed + static_cast<std::uint64_t>(number)), directory, log, std::move(deadly)})
 {
     d->thread = std::thread([this] { d->run(); });
 }
--- a/Tests/Soak/soak_client.h
+++ b/Tests/Soak/soak_client.h
@@ -67,13 +67,26 @@
 constexpr auto deadlyIdPrefix = "d";
 /// The prefix of the request bodies that make a replica's process end.
 constexpr auto deadlyBodyPrefix = "deadly";
+/// The prefix of the ids of the attempts of a client whose prompts have a deadly part; the client's number follows, which begins with the
+/// number of the part.
+constexpr auto deadlyPartIdPrefix = "e";
+/// The prefix of the parts of prompts that make a replica's process end.
+constexpr auto deadlyPartPrefix = "dead";
+
+/// What makes each replica end that runs a client's requests; nothing for a usual client.
+struct deadly_content
+{
+    /// The body of all requests of the client.
+    std::string body = {};
+    /// A part of the prompt of all requests of the client, which have nothing else in common.
+    std::string part = {};
+};
 
 /// A client with its own thread and persistent connections. It sends one request after the other and retries as the platform's clients do.
-/// A client with a \a deadlyBody sends that body alone, again and again.
 class soak_client
 {
 public:
-    soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log, const std::string &deadlyBody = {});
+    soak_client(int number, std::uint64_t seed, const soak_directory &directory, attempt_log &log, deadly_content deadly = {});
     ~soak_client();
     soak_client(const soak_client &) = delete;
     soak_client &operator=(const soak_client &) = delete;
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -29,6 +29,14 @@
 constexpr duration endMargin(300);
 /// A group that lost a member stalls for 1.5 s before its head gives up, and its members form a new group within another second.
 constexpr duration groupRepairTime(2500);
+constexpr int clientsPerDeadlyPart = 4;
+
+/// The numbers of the clients whose prompts have a deadly part begin with the number of the part, from 0 to 9.
+constexpr int firstClientOfPart(int part)
+{
+    return 100 * part;
+}
+
 /// A replica that a deadly request ended is back after this time.
 constexpr duration replicaRestartTime(1500);
 /// A drained replica has ended after this time and may be restarted.
@@ -196,13 +204,25 @@
         constexpr double thousand = 1000;
         setFaults(m_cluster.replicaControl(), makeSwitch("retransmit", m_options.lossesPerThousand / thousand));
         setFaults(m_cluster.replicaControl(), makeSwitch("deadly_body", m_options.deadlyRequests > 0 ? deadlyBodyPrefix : ""));
+        setFaults(m_cluster.replicaControl(), makeSwitch("deadly_part", m_options.deadlyParts > 0 ? deadlyPartPrefix : ""));
         const auto time = m_facts.faultsEndedAt - begin;
+        const auto startClient = [this](int number, deadly_content deadly) {
+            m_deadlyClients.push_back(
+                std::make_unique<soak_client>(number, m_options.seed, m_cluster.directory(), m_log, std::move(deadly)));
+        };
         for (int number = 0; number < m_options.deadlyRequests; ++number) {
-            m_scheduledActions.emplace(begin + time * (number + 1) / (m_options.deadlyRequests + 2), [this, number] {
-                m_deadlyClients.push_back(std::make_unique<soak_client>(
-                    number, m_options.seed, m_cluster.directory(), m_log, fmt::format("{}-{}", deadlyBodyPrefix, number)));
+            m_scheduledActions.emplace(begin + time * (number + 1) / (m_options.deadlyRequests + 2), [startClient, number] {
+                startClient(number, {.body = fmt::format("{}-{}", deadlyBodyPrefix, number)});
             });
         }
+        for (int part = 0; part < m_options.deadlyParts; ++part) {
+            for (int client = 0; client < clientsPerDeadlyPart; ++client) {
+                const auto number = firstClientOfPart(part) + client;
+                m_scheduledActions.emplace(begin + time * (2 * part + 1) / (2 * m_options.deadlyParts + 3), [startClient, part, number] {
+                    startClient(number, {.part = fmt::format("{}{:x}", deadlyPartPrefix, part)});
+                });
+            }
+        }
         m_scheduledActions.emplace(m_facts.faultsEndedAt, [this] {
             for (const auto &client : m_deadlyClients) {
                 client->requestStop();
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -22,6 +22,9 @@
     int clients = 12;
     /// The number of deadly requests: each ends every replica that runs it and is sent repeatedly until the faults end.
     int deadlyRequests = 0;
+    /// The number of deadly parts of prompts: each ends every replica that begins to answer a request with it, and comes with requests of
+    /// which no two are alike.
+    int deadlyParts = 0;
     /// How many times a replica reports a rate limit, asks for a backoff or announces that it leaves.
     int notices = 0;
     /// The number of evacuations of one of the two data centres.
--- a/Tests/SoakChecks/testSoakChecks.cpp
+++ b/Tests/SoakChecks/testSoakChecks.cpp
@@ -87,6 +87,26 @@
     CHECK(checkDeadlyRequests(makeFacts(attempts, events, {killed}), bounds).empty());
 }
 
+TEST_CASE("Requests with a deadly part may be sent three more times once all daemons had time to learn of its fifth end")
+{
+    std::vector<attempt_fact> attempts;
+    std::vector<platform_event> events;
+    const auto send = [&](int time) {
+        auto fact = attempt(request_kind::stream, attempt_end::failed, time, time + 50, 502);
+        fact.id = request_id("e001-" + std::to_string(attempts.size()));
+        attempts.push_back(fact);
+        events.push_back(event(time, "arrived", "i-1", fact.id.value()));
+        events.push_back(event(time, "ended_replica", "i-1", fact.id.value()));
+    };
+    for (const int time : {0, 100, 200, 300, 400, 3000, 4000, 5000, 6000}) {
+        send(time);
+    }
+    CHECK(checkDeadlyParts(makeFacts(attempts, events), bounds).empty());
+    send(7000);
+    CHECK(checkDeadlyParts(makeFacts(attempts, events), bounds).size() == 1);
+    CHECK(checkDeadlyRequests(makeFacts(attempts, events), bounds).empty());
+}
+
 TEST_CASE("A request without a complete answer is a broken promise, unless a fault may have caused the loss")
 {
     const auto lost = attempt(request_kind::non_idempotent, attempt_end::broken, 0, 500);
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -150,6 +150,10 @@
         const std::lock_guard lock(m_mutex);
         m_faults.deadlyBody = jsonString(json, "deadly_body");
     }
+    if (json.isMember("deadly_part")) {
+        const std::lock_guard lock(m_mutex);
+        m_faults.deadlyPart = jsonString(json, "deadly_part");
+    }
     setProbability("garble", m_faults.garble);
     setProbability("extra_bytes", m_faults.extraBytes);
     setProbability("retransmit", m_faults.retransmissions);
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -26,6 +26,8 @@
     fault_probability retransmissions;
     /// Prefix of the bodies of requests that crash each replica that runs them; empty for none.
     std::string deadlyBody;
+    /// Prefix of the parts of prompts that crash each replica which begins to answer them; empty for none.
+    std::string deadlyPart;
 };
 
 struct host_options
@@ -82,6 +84,8 @@
         int lastEvent;
         /// Whether it crashes the replica.
         bool isDeadly = false;
+        /// Whether it crashes the replica once it is being answered.
+        bool hasDeadlyPart = false;
     };
     /// A replica that a request has crashed, or will crash at the next tick, and when it starts again.
     struct crashed_replica
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -35,6 +35,13 @@
     return tokens == 0 ? defaultEvents : (tokens + tokensPerEvent - 1) / tokensPerEvent;
 }
 
+/// Whether a part of the prompt that is not the last begins with \a prefix, which is empty for none.
+bool hasPartWithPrefix(const std::string &parts, const std::string &prefix)
+{
+    const auto found = prefix.empty() ? std::string::npos : ("," + parts).find("," + prefix);
+    return found != std::string::npos && parts.find(',', found) != std::string::npos;
+}
+
 /// Sends bytes on the connection that are not part of an answer.
 void sendRaw(const http_exchange &exchange, const std::string &bytes)
 {
@@ -87,6 +94,7 @@
         advance(m_simulation, monotonicNow());
         auto &replica = m_simulation.replicas[number];
         request.isDeadly = !m_faults.deadlyBody.empty() && body.starts_with(m_faults.deadlyBody);
+        request.hasDeadlyPart = hasPartWithPrefix(exchange.header(names::promptPrefix), m_faults.deadlyPart);
         request.id = replica.id;
         request.serving = replica.serving;
         Json::Value fields;
@@ -177,7 +185,10 @@
         hasEngine = m_simulation.replicas[request.number].hasEngine;
     }
     std::string outcome;
-    if (request.isDeadly) {
+    if (request.hasDeadlyPart) {
+        exchange.beginAnswer(200, "OK", answerHeaders(request), std::nullopt);
+    }
+    if (request.isDeadly || request.hasDeadlyPart) {
         outcome = crashReplica(request, exchange);
     } else if (m_faults.garble.occurs()) {
         recordStart(request);
