Requests: Blame a familiar part for ends only after all unfamiliar ones

Cause: the part that explains the most ends is taken first. The common part was at the ends of both others: four ends with the weight of a familiar part and one full one weigh 12, as much as the three full ends of the first deadly part, and the tie went to the lower digest.

Why this works: a part that was answered within the last minute is at the ends of whatever crashes replicas. It is considered once the parts that nobody got an answer to have explained their ends; here two ends are left to it. A familiar part that turns deadly alone is found as before.

Not covered: a common part that no daemon has answered within a minute, at the ends of two deadly parts, before either of them has three.

--- a/Libraries/Requests/part_suspects.cpp
+++ b/Libraries/Requests/part_suspects.cpp
@@ -101,16 +101,29 @@
     return requests.size() > 1;
 }
 
-/// The suspect with the most unexplained weight, if that is enough for a refusal.
-const suspect_entry *heaviest(const part_suspects &table)
+/// Whether the part was answered not long before one of these ends.
+bool isFamiliar(const part_suspect &suspect, const std::set<replica_end> &ends)
+{
+    return std::any_of(ends.begin(), ends.end(), [&](replica_end end) { return suspect.ends.at(end).weight == familiarEnd; });
+}
+
+/// The suspect that explains the most, if that is enough for a refusal: one that is not familiar if there is any, then the one with the
+/// most unexplained weight. A familiar part is at the ends of all parts that crash replicas, and has the more ends the more of these there
+/// are.
+const suspect_entry *strongest(const part_suspects &table)
 {
     const suspect_entry *chosen = nullptr;
-    int most = weightForRefusal - 1;
+    std::pair<bool, int> best;
     for (const auto &entry : table.suspects) {
         const auto weight = unexplainedWeight(entry.second, table.explained);
-        if (weight > most && hasSeveralRequests(entry.second, unexplainedEnds(entry.second, table.explained))) {
+        if (weight < weightForRefusal) {
+            continue;
+        }
+        const auto ends = unexplainedEnds(entry.second, table.explained);
+        const std::pair rank(!isFamiliar(entry.second, ends), weight);
+        if (hasSeveralRequests(entry.second, ends) && (chosen == nullptr || rank > best)) {
             chosen = &entry;
-            most = weight;
+            best = rank;
         }
     }
     return chosen;
@@ -189,7 +202,7 @@
 {
     table.refusals.clear();
     table.explained.clear();
-    for (const auto *next = heaviest(table); next != nullptr; next = heaviest(table)) {
+    for (const auto *next = strongest(table); next != nullptr; next = strongest(table)) {
         const auto ends = unexplainedEnds(next->second, table.explained);
         part_refusal refusal{next->first.model, {}, next->second.lastEnd};
         for (const auto &[key, suspect] : table.suspects) {
--- a/Libraries/Requests/part_suspects.h
+++ b/Libraries/Requests/part_suspects.h
@@ -115,8 +115,9 @@
 bool mergeReport(part_suspects &table, const part_report &report, instant now);
 /// Removes suspects without a new end for suspectLifetime.
 void expireEntries(part_suspects &table, instant now);
-/// Decides which parts are refused: the one that explains the most ends, then the one that explains the most of the rest, and so on. Ends
-/// of one and the same request speak against the request (crash_suspects.h), not against a part of it.
+/// Decides which parts are refused: the one that explains the most ends, then the one that explains the most of the rest, and so on; parts
+/// that were answered not long before come last. Ends of one and the same request speak against the request (crash_suspects.h), not against
+/// a part of it.
 void assess(part_suspects &table);
 
 // Queries
--- a/Tests/Requests/testPartSuspects.cpp
+++ b/Tests/Requests/testPartSuspects.cpp
@@ -126,6 +126,18 @@
     CHECK_FALSE(isRefused(table, {first}));
 }
 
+TEST_CASE("A familiar part that sound requests share is not refused for the ends of two parts that crash replicas")
+{
+    const part_identity common("c0");
+    part_suspects table;
+    recordEnds(table, {1, 2, 3}, {deadly});
+    recordEnds(table, {4, 5}, {second});
+    recordEnds(table, {1, 2, 3, 4}, {common}, familiarEnd);
+    recordEnds(table, {5}, {common});
+    CHECK(isRefused(table, {common, deadly}));
+    CHECK_FALSE(isRefused(table, {common, first}));
+}
+
 TEST_CASE("Ends at the same moment, as of a rack, count once")
 {
     part_suspects table;
