--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -25,8 +25,6 @@
     int daemons = 0;
     /// Open client connections.
     std::size_t connections = 0;
-    /// Client connections that were closed unread since the start.
-    std::uint64_t connectionsClosedUnread = 0;
     /// Requests that are being served.
     std::size_t requests = 0;
     /// Requests that are refused because replicas ended while they ran them.
@@ -47,6 +45,8 @@
     std::uint64_t storeEra = 0;
     /// Log lines dropped since the start, by the part of the program that wrote them.
     std::map<std::string, std::uint64_t> droppedLinesByPart;
+    /// Client connections that were closed unread since the start.
+    std::uint64_t connectionsClosedUnread = 0;
 };
 
 /// Metrics that are computed when they are scraped. Safe to use from several threads.
--- a/Tests/Entry/testDaemonMetrics.cpp
+++ b/Tests/Entry/testDaemonMetrics.cpp
@@ -30,6 +30,17 @@
     CHECK(hasLine(counters, "vetchpost_requests_held 12"));
 }
 
+TEST_CASE("Connections that were closed unread are counted once, however often the metrics are updated")
+{
+    metrics counters;
+    daemon_metrics exported(counters);
+    daemon_status status;
+    status.connectionsClosedUnread = 5;
+    exported.update(status);
+    exported.update(status);
+    CHECK(hasLine(counters, "vetchpost_connections_closed_unread_total 5"));
+}
+
 TEST_CASE("Dropped log lines are counted once by part, however often the metrics are updated")
 {
     metrics counters;
