Tests: Give the daemon of relay_fixture the processors that it uses

The test sends some 3,400 requests a second on new connections, and the daemon closes those beyond a thousand for a core of its processor-share unread; the fixture left that at one core. It states 16 now.

--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -232,6 +232,8 @@
         settings.dispatch = m_dispatch;
         settings.dispatchSwitch = m_dispatch.has_value();
         settings.maximumConnections = 16;
+        // Some tests send thousands of requests per second.
+        settings.processorShare = 16;
         settings.keyRevocation = duration(1500);
         settings.isKeyRevocationStrict = m_isKeyRevocationStrict;
         settings.configurationApply = duration(2000);
