Entry: Decide on parts of prompts only after answers that concern a suspect

Each whole answer took the lock twice and decided anew on all suspects, up to 1,024 for an hour after an end, although most answers concern none of them: work on the path of every request. By reading; the cost was not measured. Now an answer whose parts have no ends against them is only remembered. What is cleared and refused stays the same: clearing a part without ends changed nothing before either.

--- a/Libraries/Entry/shared_parts.cpp
+++ b/Libraries/Entry/shared_parts.cpp
@@ -211,28 +211,29 @@
     });
 }
 
+// Most answers concern no suspect, and must not cost a decision on all of them.
 void shared_parts::recordAnswer(const request_parts &parts, instant begunAt)
 {
     if (parts.shared.empty()) {
         return;
     }
+    std::vector<part_key> suspected;
     {
         const std::lock_guard lock(d->mutex);
         for (const auto &part : parts.shared) {
             recordPartAnswer(d->history, parts.model, part, begunAt, monotonicNow());
-        }
-        if (d->table.suspects.empty()) {
-            return;
-        }
-    }
-    d->change("it was answered whole here", [&] {
-        for (const auto &part : parts.shared) {
-            if (const auto identity = d->identify(part)) {
-                clearPart(d->table, {parts.model, *identity}, begunAt);
+            const auto identity = d->table.suspects.empty() ? std::nullopt : d->identify(part);
+            if (identity && isSuspected(d->table, {parts.model, *identity})) {
+                suspected.push_back({parts.model, *identity});
             }
         }
-        return true;
-    });
+    }
+    if (!suspected.empty()) {
+        d->change("it was answered whole here", [&] {
+            std::for_each(suspected.begin(), suspected.end(), [&](const part_key &key) { clearPart(d->table, key, begunAt); });
+            return true;
+        });
+    }
 }
 
 bool shared_parts::allow(const part_identity &part)
--- a/Libraries/Requests/part_suspects.cpp
+++ b/Libraries/Requests/part_suspects.cpp
@@ -235,6 +235,12 @@
     return longest;
 }
 
+bool isSuspected(const part_suspects &table, const part_key &key)
+{
+    const auto found = table.suspects.find(key);
+    return found != table.suspects.end() && !found->second.ends.empty();
+}
+
 int weightOf(const part_suspect &suspect)
 {
     return unexplainedWeight(suspect, {});
--- a/Libraries/Requests/part_suspects.h
+++ b/Libraries/Requests/part_suspects.h
@@ -129,6 +129,8 @@
                                    const std::set<part_identity> &parts,
                                    const std::function<bool(const part_identity &)> &isSound,
                                    instant now);
+/// Whether any end speaks against the part.
+bool isSuspected(const part_suspects &table, const part_key &key);
 /// The weight of the ends that are recorded for a part.
 int weightOf(const part_suspect &suspect);
 part_report makeReport(const part_key &key, const part_suspect &suspect, instant now);
