Http: Take no part of a request's body for the whole of it

A client that left inside a chunked body had the half that it had sent run at a replica as a whole request, on non-idempotent routes too. A client that was silent inside such a body for longer than the connection's timeout got 200 for the part, and the rest of its body was read as the next request.

Cause: http_exchange::readBody() took the end of POCO's stream for the end of the body. That stream ends alike after the last chunk, a closed connection and a passed time limit; only a Content-Length was compared. The same reading led to more: a Transfer-Encoding other than chunked was read until the connection closed, several Content-Length headers or a blank before the colon of one left it open where the body ends, and a handler that did not read a body left it to be read as the next request (the operators' and peers' interfaces answer 401 and 404 so).

Now body_decoder, which already tells broken answers from whole ones, decodes requests too, through body_reader, which never reads beyond the body's end. A head that does not determine that end is refused. A body that is not read to its end closes the connection after the answer, whoever handles it. Clients that are still there get 400 for an incomplete or invalid body and 408 for a late one. Chunk extensions and trailers are limited to 64 KiB.

Ruled out: that the request went on because the client's departure is noticed late. It is, but the request must not be complete in the first place: clients that shut down only their sending side were served as well.

The stand-in for replicas took a broken body for an empty one and ran it; it refuses it now.

--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -58,16 +58,6 @@
         requestLog.write("prompt_parts_invalid", {{"request", m_head.requestId.value()}});
     }
     m_deadline = m_arrival + m_head.patience.value_or(defaultTimeout);
-    const bool hasLength = !m_exchange.header("Content-Length").empty();
-    const bool isChunked = !m_exchange.header("Transfer-Encoding").empty();
-    if (!hasLength && !isChunked) {
-        return true;
-    }
-    if (hasLength && isChunked) {
-        m_exchange.closeAfterResponse();
-        refuse(error_kind::malformed_request, "a request must not have both Content-Length and Transfer-Encoding");
-        return false;
-    }
     const auto limits = m_view && m_view->routes ? m_view->routes->configuration().limits : client_limits();
     reason why;
     auto body = m_exchange.readBody(limits.bodyBytes, limits.idleTimeout, why);
--- a/Libraries/Http/body_framing.cpp
+++ b/Libraries/Http/body_framing.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Http/body_framing.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace vetchpost {
 
@@ -10,6 +11,8 @@
 /// Limits a chunk to less than 16^7 bytes, far more than any accepted response has.
 constexpr int maxSizeDigits = 7;
 constexpr std::uint64_t hexadecimal = 16;
+/// Limits the chunk extensions and trailers of a body, which are not counted as its bytes.
+constexpr std::size_t maximumIgnoredBytes = 65536;
 
 std::optional<std::uint64_t> hexDigit(char byte)
 {
@@ -88,6 +91,18 @@
     m_state = state::broken;
 }
 
+std::uint64_t body_decoder::readableBytes() const
+{
+    if (m_state != state::needs_more) {
+        return 0;
+    }
+    if (m_framing == body_framing::until_close) {
+        return std::numeric_limits<std::uint64_t>::max();
+    }
+    const bool isInData = m_framing == body_framing::length || m_chunkState == chunk_state::data;
+    return isInData ? m_remainingBytes : 1;
+}
+
 void body_decoder::decodeChunked(std::string_view bytes, std::string &body)
 {
     while (!bytes.empty() && m_state == state::needs_more) {
@@ -122,6 +137,13 @@
     }
 }
 
+void body_decoder::countIgnoredByte()
+{
+    if (++m_ignoredBytes > maximumIgnoredBytes) {
+        fail();
+    }
+}
+
 void body_decoder::decodeChunkByte(char byte)
 {
     switch (m_chunkState) {
@@ -130,6 +152,7 @@
         return;
     case chunk_state::extension:
         m_chunkState = byte == '\r' ? chunk_state::size_end : chunk_state::extension;
+        countIgnoredByte();
         return;
     case chunk_state::size_end:
         m_chunkState = m_remainingBytes == 0 ? chunk_state::trailer : chunk_state::data;
@@ -146,9 +169,11 @@
         break;
     case chunk_state::trailer:
         m_chunkState = byte == '\r' ? chunk_state::trailer_end : chunk_state::trailer_line;
+        countIgnoredByte();
         return;
     case chunk_state::trailer_line:
         m_chunkState = byte == '\n' ? chunk_state::trailer : chunk_state::trailer_line;
+        countIgnoredByte();
         return;
     case chunk_state::trailer_end:
         m_state = state::complete;
--- a/Libraries/Http/body_framing.h
+++ b/Libraries/Http/body_framing.h
@@ -31,6 +31,11 @@
     state consume(std::string_view bytes, std::string &body);
     /// Handles the close of the connection by the peer and returns the new state: a body without a length is then complete.
     state consumeEnd();
+    /// Marks a body that has not been received completely as broken.
+    void fail();
+    /// The number of bytes that certainly belong to the body or to its chunked encoding; 0 once it is complete or broken. A reader that
+    /// requests no more than these never reads into the next message.
+    std::uint64_t readableBytes() const;
     state current() const;
     body_framing framing() const;
     /// Whether bytes after the end of the body were received, which belong to no request.
@@ -42,13 +47,15 @@
     void decodeChunked(std::string_view bytes, std::string &body);
     void decodeChunkByte(char byte);
     void decodeSizeByte(char byte);
-    void fail();
+    void countIgnoredByte();
 
     body_framing m_framing;
     state m_state = state::needs_more;
     std::uint64_t m_remainingBytes;
     chunk_state m_chunkState = chunk_state::size;
     int m_sizeDigits = 0;
+    /// Bytes of chunk extensions and trailers.
+    std::size_t m_ignoredBytes = 0;
     bool m_hasSurplus = false;
 };
 
--- a/Libraries/Http/http_exchange.cpp
+++ b/Libraries/Http/http_exchange.cpp
@@ -73,38 +73,44 @@
 
 std::optional<std::string> http_exchange::readBody(std::size_t limit, duration timeout, reason &lastReason)
 {
-    const bool hasLength = d.request.hasContentLength();
-    if (hasLength && static_cast<std::size_t>(d.request.getContentLength64()) > limit) {
-        lastReason = {error_kind::body_too_large, fmt::format("the body may have at most {} bytes", limit)};
+    if (!d.body) {
+        lastReason = d.framingProblem;
+        return std::nullopt;
+    }
+    const reason tooLarge{error_kind::body_too_large, fmt::format("the body may have at most {} bytes", limit)};
+    if (d.request.hasContentLength() && static_cast<std::size_t>(d.request.getContentLength64()) > limit) {
+        lastReason = tooLarge;
         return std::nullopt;
     }
     const auto deadline = monotonicNow() + timeout;
     std::string body;
-    std::array<char, 8192> piece{};
-    auto &in = d.request.stream();
-    try {
-        while (in.read(piece.data(), piece.size()) || in.gcount() > 0) {
-            body.append(piece.data(), static_cast<std::size_t>(in.gcount()));
-            if (body.size() > limit) {
-                lastReason = {error_kind::body_too_large, fmt::format("the body may have at most {} bytes", limit)};
-                return std::nullopt;
-            }
-            if (monotonicNow() > deadline) {
-                lastReason = {error_kind::slow_sender, "the body did not arrive in time"};
-                return std::nullopt;
-            }
+    while (d.body->current() == body_decoder::state::needs_more) {
+        if (!d.body->hasBuffered() && !d.waitReadable(deadline)) {
+            lastReason = {error_kind::slow_sender, "the body did not arrive in time"};
+            return std::nullopt;
+        }
+        d.body->read(body);
+        if (body.size() > limit) {
+            lastReason = tooLarge;
+            return std::nullopt;
         }
-    } catch (const std::exception &) {
-        lastReason = {error_kind::slow_sender, "the body did not arrive in time"};
-        return std::nullopt;
     }
-    if (hasLength && static_cast<std::size_t>(d.request.getContentLength64()) != body.size()) {
-        lastReason = {error_kind::slow_sender, "the body did not arrive whole in time"};
+    if (d.body->current() == body_decoder::state::broken) {
+        lastReason = {error_kind::malformed_request, "the body is incomplete or its chunked encoding is invalid"};
         return std::nullopt;
     }
     return body;
 }
 
+/// Must be called before the head of a response is sent. A connection with an unread rest of a body must not be reused, since the rest
+/// would be read as the next request.
+void http_exchange::closeUnlessBodyRead()
+{
+    if (!d.isBodyComplete()) {
+        d.response.setKeepAlive(false);
+    }
+}
+
 void http_exchange::setHeader(const std::string &name, const std::string &value)
 {
     d.response.set(name, value);
@@ -114,6 +120,7 @@
 {
     d.response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     d.response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(d.response.getStatus()));
+    closeUnlessBodyRead();
     d.response.setContentType(contentType);
     d.response.sendBuffer(body.data(), body.size());
 }
@@ -139,7 +146,6 @@
     Json::Value body;
     body["error"] = error;
     if (why.kind == error_kind::body_too_large || why.kind == error_kind::slow_sender || why.kind == error_kind::malformed_request) {
-        // The rest of the body is not read, so the connection cannot be reused.
         d.response.setKeepAlive(false);
     }
     send(answer.httpStatus, "application/json", toJsonText(body));
@@ -150,6 +156,7 @@
     d.socket().setNoDelay(true);
     d.response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     d.response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(d.response.getStatus()));
+    closeUnlessBodyRead();
     d.response.setContentType(contentType);
     d.response.setChunkedTransferEncoding(true);
     d.stream = &d.response.send();
@@ -163,6 +170,7 @@
     d.socket().setNoDelay(true);
     d.response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     d.response.setReason(reasonPhrase);
+    closeUnlessBodyRead();
     for (const auto &header : headers) {
         d.response.add(header.name, header.value);
     }
--- a/Libraries/Http/http_exchange_data.h
+++ b/Libraries/Http/http_exchange_data.h
@@ -1,13 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Http/body_reader.h"
 #include "Libraries/Http/http_server.h"
+#include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/URI.h>
 
+#include <algorithm>
 #include <ostream>
 
 namespace vetchpost {
@@ -22,6 +26,35 @@
     int number = 1;
     bool canDetectDisconnect = true;
     std::ostream *stream = nullptr;
+    /// Reads the body of the request; empty if the request's framing is malformed.
+    std::optional<body_reader> body;
+    /// Why there is no body reader.
+    reason framingProblem;
+
+    /// Whether the next request begins at the next byte of the connection.
+    bool isBodyComplete() const
+    {
+        return body && body->current() == body_decoder::state::complete;
+    }
+
+    /// Waits until bytes arrive or the client closes the connection. Returns false at \a deadline.
+    bool waitReadable(instant deadline) const
+    {
+        for (;;) {
+            const auto left = std::clamp(deadline - monotonicNow(), duration(), maxSteadyWait);
+            if (socket().poll(timespanOf(left), Poco::Net::Socket::SELECT_READ)) {
+                return true;
+            }
+            if (monotonicNow() >= deadline) {
+                return false;
+            }
+        }
+    }
+
+    Poco::Net::HTTPServerSession &session() const
+    {
+        return dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request).session();
+    }
 
     Poco::Net::StreamSocket &socket() const
     {
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Http/http_exchange_data.h"
 
 #include "Libraries/Base/log.h"
+#include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
 #include "Libraries/Http/request_pace.h"
 
@@ -195,6 +196,9 @@
         }
         try {
             http_exchange::private_data data{request, response, Poco::URI(), {}, number, !currentConnection->hasStoppedReading()};
+            if (const auto decoder = decoderForRequest(request, data.framingProblem)) {
+                data.body.emplace(data.session(), *decoder);
+            }
             http_exchange exchange(data);
             handle(data, exchange);
         } catch (const std::exception &error) {
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -35,8 +35,9 @@
     std::string header(const std::string &name) const;
     /// All headers of the request.
     std::vector<http_header> headers() const;
-    /// Reads the body. Returns nothing and sets \a lastReason to body_too_large if it has more than \a limit bytes, or to slow_sender if it
-    /// does not arrive whole within \a timeout.
+    /// Reads the whole body. Returns nothing and sets \a lastReason to body_too_large if it has more than \a limit bytes, to slow_sender if
+    /// it does not arrive within \a timeout, or to malformed_request if the connection ends before it or its framing is invalid. The
+    /// connection is then closed after the response, as it is if a handler does not read a body.
     std::optional<std::string> readBody(std::size_t limit, duration timeout, reason &lastReason);
 
     /// Sets a header of the response. Must be called before the response begins.
@@ -68,6 +69,8 @@
     int socketDescriptor() const;
 
 private:
+    void closeUnlessBodyRead();
+
     private_data &d;
 };
 
--- /dev/null
+++ b/Libraries/Http/message_framing.h
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Base/error_kind.h"
+#include "Libraries/Http/body_framing.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include <optional>
+
+namespace vetchpost {
+
+/// Returns the decoder for the body of a request. Returns nothing and sets \a lastReason to malformed_request if the head does not
+/// determine unambiguously where the body ends, so that another recipient could find the end elsewhere (RFC 9112, sections 5.1 and 6.3).
+std::optional<body_decoder> decoderForRequest(const Poco::Net::HTTPRequest &request, reason &lastReason);
+
+} // namespace vetchpost
--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -274,6 +274,11 @@
         m_dispatch = address;
     }
 
+    endpoint callers() const
+    {
+        return m_callers;
+    }
+
     endpoint peers() const
     {
         return m_peers;
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -78,8 +78,12 @@
 void replica_host::handleRequest(std::size_t number, http_exchange &exchange)
 {
     constexpr std::size_t bodyLimit = 16U << 20U;
-    reason ignored;
-    const auto body = exchange.readBody(bodyLimit, std::chrono::seconds(10), ignored).value_or(std::string());
+    reason why;
+    const auto body = exchange.readBody(bodyLimit, std::chrono::seconds(10), why);
+    if (!body) {
+        exchange.sendError(why);
+        return;
+    }
     const auto deadlineMs = std::stoll("0" + exchange.header(names::deadline));
     running_request request{number,
                             {},
@@ -93,7 +97,7 @@
         const std::lock_guard lock(m_mutex);
         advance(m_simulation, monotonicNow());
         auto &replica = m_simulation.replicas[number];
-        request.isDeadly = !m_faults.deadlyBody.empty() && body.starts_with(m_faults.deadlyBody);
+        request.isDeadly = !m_faults.deadlyBody.empty() && body->starts_with(m_faults.deadlyBody);
         request.hasDeadlyPart = hasPartWithPrefix(exchange.header(names::promptPrefix), m_faults.deadlyPart);
         request.id = replica.id;
         request.serving = replica.serving;
