Http: Take no cut response to an own call for a whole one

The same cause as in requests, in the other direction: http_client took the end of POCO's stream for the end of the body, and so did http_stream. A response in chunks whose connection ended between two chunks counted as whole: half a listing of the key-value service, half a message of a peer, and the answer of a plain service that the own interfaces pass on.

Both read through body_reader now. A stream that is cut between two lines reports lost instead of end. http_stream::forEachPiece(), which nothing uses, is gone.

Nobody was seen to be hit by it: the store of the users' platform states lengths.

--- a/Libraries/Http/http_client.cpp
+++ b/Libraries/Http/http_client.cpp
@@ -1,5 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/http_client.h"
+
+#include "Libraries/Http/body_reader.h"
+#include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -13,6 +16,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <utility>
 
 namespace vetchpost {
 
@@ -68,23 +72,21 @@
     return headers;
 }
 
-/// Reads the body to its end; nothing if it is larger than \a limit bytes or shorter than its Content-Length.
-std::optional<std::string> readAll(std::istream &body, const Poco::Net::HTTPResponse &response, std::size_t limit, reason &lastReason)
+/// Appends the rest of the body to \a text. Returns false and sets \a lastReason if it is larger than \a limit bytes or was truncated.
+bool readAll(body_reader &reader, std::string &text, std::size_t limit, reason &lastReason)
 {
-    std::string text;
-    std::array<char, 8192> piece{};
-    while (body.read(piece.data(), piece.size()) || body.gcount() > 0) {
-        text.append(piece.data(), static_cast<std::size_t>(body.gcount()));
-        if (text.size() > limit) {
-            lastReason = {error_kind::backend_truncated, "the response is larger than the limit"};
-            return std::nullopt;
-        }
+    while (reader.current() == body_decoder::state::needs_more && text.size() <= limit) {
+        reader.read(text);
     }
-    if (body.bad() || (response.hasContentLength() && static_cast<std::size_t>(response.getContentLength64()) != text.size())) {
+    if (text.size() > limit) {
+        lastReason = {error_kind::backend_truncated, "the response is larger than the limit"};
+        return false;
+    }
+    if (reader.current() == body_decoder::state::broken) {
         lastReason = {error_kind::backend_truncated, "the response was truncated"};
-        return std::nullopt;
+        return false;
     }
-    return text;
+    return true;
 }
 
 std::optional<http_reply> exchange(Poco::Net::HTTPClientSession &session, const http_call &call, bool keepAlive, reason &lastReason)
@@ -94,12 +96,13 @@
         auto &out = session.sendRequest(request);
         out << call.body << std::flush;
         Poco::Net::HTTPResponse response;
-        auto &in = session.receiveResponse(response);
-        auto body = readAll(in, response, call.maximumReplySize, lastReason);
-        if (!body) {
+        session.receiveResponse(response);
+        body_reader reader(session, decoderForResponse(response, call.method));
+        std::string body;
+        if (!readAll(reader, body, call.maximumReplySize, lastReason)) {
             return std::nullopt;
         }
-        return http_reply{response.getStatus(), headersOf(response), std::move(*body)};
+        return http_reply{response.getStatus(), headersOf(response), std::move(body)};
     } catch (const Poco::TimeoutException &) {
         lastReason = {error_kind::deadline_exceeded, "no response in time from " + call.to.text()};
     } catch (const std::exception &error) {
@@ -211,14 +214,15 @@
 struct http_stream::private_data
 {
     session_pointer session;
-    Poco::Net::HTTPResponse response;
-    std::istream *body = nullptr;
     std::vector<http_header> headers;
+    std::optional<body_reader> reader;
+    /// Bytes of the body that were read and not returned yet.
+    std::string received;
 
     /// Waits until more bytes of the response can be read, in which case it returns line.
-    stream_event waitReadable(instant deadline, int clientSocket)
+    stream_event waitReadable(instant deadline, int clientSocket) const
     {
-        if (body->rdbuf()->in_avail() > 0) {
+        if (reader->hasBuffered()) {
             return stream_event::line;
         }
         for (;;) {
@@ -257,9 +261,11 @@
     try {
         auto request = makeRequest(call, false);
         d->session->sendRequest(request) << call.body << std::flush;
-        d->body = &d->session->receiveResponse(d->response);
-        d->headers = headersOf(d->response);
-        return d->response.getStatus();
+        Poco::Net::HTTPResponse response;
+        d->session->receiveResponse(response);
+        d->reader.emplace(*d->session, decoderForResponse(response, call.method));
+        d->headers = headersOf(response);
+        return response.getStatus();
     } catch (const Poco::TimeoutException &) {
         lastReason = {error_kind::deadline_exceeded, "no response in time from " + call.to.text()};
     } catch (const std::exception &error) {
@@ -270,21 +276,25 @@
 
 stream_event http_stream::nextLine(std::string &line, instant deadline, int clientSocket)
 {
-    const auto wait = d->waitReadable(deadline, clientSocket);
-    if (wait != stream_event::line) {
-        return wait;
-    }
+    std::size_t lineEnd = std::string::npos;
     try {
-        if (!std::getline(*d->body, line)) {
-            return d->body->bad() ? stream_event::lost : stream_event::end;
+        while ((lineEnd = d->received.find('\n')) == std::string::npos) {
+            if (d->reader->current() != body_decoder::state::needs_more) {
+                // A response that ends inside a line was truncated.
+                const bool isWhole = d->reader->current() == body_decoder::state::complete && d->received.empty();
+                return isWhole ? stream_event::end : stream_event::lost;
+            }
+            const auto wait = d->waitReadable(deadline, clientSocket);
+            if (wait != stream_event::line) {
+                return wait;
+            }
+            d->reader->read(d->received);
         }
     } catch (const std::exception &) {
         return stream_event::lost;
     }
-    if (d->body->eof()) {
-        // The line has no line end, so the response was truncated inside it.
-        return stream_event::lost;
-    }
+    line = d->received.substr(0, lineEnd);
+    d->received.erase(0, lineEnd + 1);
     if (!line.empty() && line.back() == '\r') {
         line.pop_back();
     }
@@ -298,34 +308,13 @@
 
 std::optional<std::string> http_stream::readRest(std::size_t limit)
 {
-    reason ignored;
-    return readAll(*d->body, d->response, limit, ignored);
-}
-
-bool http_stream::forEachPiece(instant deadline, int clientSocket, const std::function<bool(std::string_view)> &consume)
-{
-    std::size_t total = 0;
-    std::array<char, 8192> piece{};
-    for (;;) {
-        if (d->waitReadable(deadline, clientSocket) != stream_event::line) {
-            return false;
-        }
-        // get() fills the buffer; only the bytes that have arrived are read, so that a slow response is not held back.
-        const auto first = d->body->get();
-        if (first == std::istream::traits_type::eof()) {
-            break;
-        }
-        piece[0] = static_cast<char>(first);
-        const auto more = d->body->readsome(piece.data() + 1, piece.size() - 1);
-        total += static_cast<std::size_t>(more) + 1;
-        if (!consume(std::string_view(piece.data(), static_cast<std::size_t>(more) + 1))) {
-            return false;
-        }
-    }
-    if (d->body->bad()) {
-        return false;
+    try {
+        reason ignored;
+        auto text = std::exchange(d->received, {});
+        return readAll(*d->reader, text, limit, ignored) ? std::optional(std::move(text)) : std::nullopt;
+    } catch (const std::exception &) {
+        return std::nullopt;
     }
-    return !d->response.hasContentLength() || static_cast<std::size_t>(d->response.getContentLength64()) == total;
 }
 
 void http_stream::close()
--- a/Libraries/Http/http_client.h
+++ b/Libraries/Http/http_client.h
@@ -4,7 +4,6 @@
 #include "Libraries/Http/http_message.h"
 #include "Libraries/Http/tcp_connection.h"
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,9 +68,6 @@
     const std::vector<http_header> &headers() const;
     /// Reads the rest of the response; nothing if it was truncated or is larger than \a limit bytes.
     std::optional<std::string> readRest(std::size_t limit);
-    /// Calls \a consume with each piece of the rest of the response as it arrives. Returns false if the response was truncated or did not
-    /// end before \a deadline, the client disconnected, or \a consume returned false.
-    bool forEachPiece(instant deadline, int clientSocket, const std::function<bool(std::string_view)> &consume);
     /// Closes the connection.
     void close();
 
--- a/Libraries/Http/http_upstream.cpp
+++ b/Libraries/Http/http_upstream.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/http_upstream.h"
 
-#include "Libraries/Http/body_framing.h"
+#include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
 
 #include <Poco/Buffer.h>
@@ -26,24 +26,6 @@
 /// Timeout of a read while the head of the response is received, once its first byte has arrived.
 constexpr duration headTimeout(2000);
 
-body_decoder decoderFor(const Poco::Net::HTTPResponse &response, const std::string &method)
-{
-    constexpr int firstWithBody = 200;
-    const bool hasNone = method == "HEAD" || response.getStatus() < firstWithBody
-        || response.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT
-        || response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-    if (hasNone) {
-        return body_decoder(body_framing::none);
-    }
-    if (response.getChunkedTransferEncoding()) {
-        return body_decoder(body_framing::chunked);
-    }
-    if (response.hasContentLength()) {
-        return body_decoder(body_framing::length, static_cast<std::uint64_t>(response.getContentLength64()));
-    }
-    return body_decoder(body_framing::until_close);
-}
-
 } // namespace
 
 struct http_upstream::private_data
@@ -155,7 +137,7 @@
     try {
         Poco::Net::HTTPResponse response;
         d->session->receiveResponse(response);
-        d->decoder = decoderFor(response, d->method);
+        d->decoder = decoderForResponse(response, d->method);
         Poco::Buffer<char> buffered(0);
         d->session->drainBuffer(buffered);
         d->received.assign(buffered.begin(), buffered.size());
--- a/Libraries/Http/message_framing.cpp
+++ b/Libraries/Http/message_framing.cpp
@@ -75,4 +75,22 @@
     return body_decoder(body_framing::length, *length);
 }
 
+body_decoder decoderForResponse(const Poco::Net::HTTPResponse &response, const std::string &method)
+{
+    constexpr int firstWithBody = 200;
+    const bool hasNone = method == "HEAD" || response.getStatus() < firstWithBody
+        || response.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT
+        || response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+    if (hasNone) {
+        return body_decoder(body_framing::none);
+    }
+    if (response.getChunkedTransferEncoding()) {
+        return body_decoder(body_framing::chunked);
+    }
+    if (response.hasContentLength()) {
+        return body_decoder(body_framing::length, static_cast<std::uint64_t>(response.getContentLength64()));
+    }
+    return body_decoder(body_framing::until_close);
+}
+
 } // namespace vetchpost
--- a/Libraries/Http/message_framing.h
+++ b/Libraries/Http/message_framing.h
@@ -5,8 +5,10 @@
 #include "Libraries/Http/body_framing.h"
 
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 
 #include <optional>
+#include <string>
 
 namespace vetchpost {
 
@@ -14,4 +16,7 @@
 /// determine unambiguously where the body ends, so that another recipient could find the end elsewhere (RFC 9112, sections 5.1 and 6.3).
 std::optional<body_decoder> decoderForRequest(const Poco::Net::HTTPRequest &request, reason &lastReason);
 
+/// Returns the decoder for the body of the response to a request with this method.
+body_decoder decoderForResponse(const Poco::Net::HTTPResponse &response, const std::string &method);
+
 } // namespace vetchpost
