Http: End no answer as whole that its handler did not complete

A client that shut down its connection for sending in the middle of a stream was taken for one that has left, and got the last chunk: a part of the answer looked complete. The same held for every handler that returned early after a failed write, and a response that could not be sent whole left its connection open for the next one.

Cause: POCO ends a chunked body when the response is destroyed, however that came about; only the paths that called abort() were safe.

A handler now says that an answer is complete with completeAnswer(). One that has begun and was not completed ends with its connection and without the last chunk, and so does a response whose sending throws.

--- a/Libraries/Daemon/answer_sink.cpp
+++ b/Libraries/Daemon/answer_sink.cpp
@@ -41,7 +41,11 @@
 bool answer_sink::complete()
 {
     if (m_isStreamed) {
-        return m_exchange.write("data: [DONE]\n\n");
+        const bool isSent = m_exchange.write("data: [DONE]\n\n");
+        if (isSent) {
+            m_exchange.completeAnswer();
+        }
+        return isSent;
     }
     m_exchange.send(200, "application/json", body());
     return true;
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -249,6 +249,7 @@
             }
         } else if (wait == upstream_event::end && isStreamWhole(upstream)) {
             beginStream(head);
+            m_exchange.completeAnswer();
             m_context.served.increment();
             return attempt_outcome::answered;
         } else if (wait == upstream_event::timeout && monotonicNow() < m_deadline) {
@@ -331,6 +332,7 @@
         answer.head.status, answer.head.reasonPhrase, m_context.dialect.clientHeaders(answer.head.headers), answer.body.size());
     const bool isSent = m_exchange.write(answer.body);
     if (isSent) {
+        m_exchange.completeAnswer();
         m_context.served.increment();
     }
     return isSent;
--- a/Libraries/Http/http_exchange.cpp
+++ b/Libraries/Http/http_exchange.cpp
@@ -198,6 +198,11 @@
     }
 }
 
+void http_exchange::completeAnswer()
+{
+    d.isAnswerComplete = d.stream != nullptr && d.stream->good();
+}
+
 void http_exchange::tunnelTo(const tcp_connection &server, instant deadline)
 {
     d.response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_OK);
--- a/Libraries/Http/http_exchange_data.h
+++ b/Libraries/Http/http_exchange_data.h
@@ -26,6 +26,8 @@
     int number = 1;
     bool canDetectDisconnect = true;
     std::ostream *stream = nullptr;
+    /// The whole body of an answer that was begun has been written.
+    bool isAnswerComplete = false;
     /// Reads the body of the request; empty if the request's framing is malformed.
     std::optional<body_reader> body;
     /// Why there is no body reader.
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -194,15 +194,20 @@
         if (number > 1) {
             m_pace.countFurtherRequest();
         }
+        http_exchange::private_data data{request, response, Poco::URI(), {}, number, !currentConnection->hasStoppedReading()};
+        if (const auto decoder = decoderForRequest(request, data.framingProblem)) {
+            data.body.emplace(data.session(), *decoder);
+        }
+        http_exchange exchange(data);
         try {
-            http_exchange::private_data data{request, response, Poco::URI(), {}, number, !currentConnection->hasStoppedReading()};
-            if (const auto decoder = decoderForRequest(request, data.framingProblem)) {
-                data.body.emplace(data.session(), *decoder);
-            }
-            http_exchange exchange(data);
             handle(data, exchange);
+            if (data.stream != nullptr && !data.isAnswerComplete) {
+                // POCO would end a chunked body as if it were whole.
+                exchange.abort();
+            }
         } catch (const std::exception &error) {
             httpLog.warning("A response could not be sent. error={}", error.what());
+            exchange.abort();
         }
         currentConnection->setBusy(false);
         m_connections.active.fetch_sub(1);
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -47,15 +47,18 @@
     /// Sends the error response for \a why, which states whether the request ran and, for error kinds that have one, the retry-after time.
     /// \a retryAfterOverride replaces the default retry-after time of such an error kind and is sent with fractions of a second.
     void sendError(const reason &why, const std::string &requestId = {}, std::optional<duration> retryAfterOverride = std::nullopt);
-    /// Begins a response with the given status line and headers. Without a length in bytes, the body uses chunked encoding.
+    /// Begins a response with the given status line and headers. Without a length in bytes, the body uses chunked encoding. Unless
+    /// completeAnswer() is called, the response is truncated visibly once the handler returns.
     void
     beginAnswer(int status, const std::string &reasonPhrase, const std::vector<http_header> &headers, std::optional<std::size_t> length);
     /// Closes the connection after this response.
     void closeAfterResponse();
-    /// Begins a streamed response with chunked encoding.
+    /// Begins a streamed response with chunked encoding, to be completed as with beginAnswer().
     void beginStream(int status, const std::string &contentType);
     /// Sends a part of the body immediately; false once the client has disconnected. The response must have begun.
     bool write(std::string_view piece);
+    /// Ends a response that was begun and whose body has been written completely.
+    void completeAnswer();
     /// Answers a CONNECT request with a success and passes bytes on between the client and \a server, until one of them closes its
     /// connection, or until \a deadline. The client sees a connection that is closed if the server closed it, and one that is reset if the
     /// server reset it or this process ends.
--- a/Tests/PlatformAdapter/testAnswerFraming.cpp
+++ b/Tests/PlatformAdapter/testAnswerFraming.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // An answer may come with neither a length nor chunks and end with its connection. A stream that ends inside an event has been broken off,
 // and one that is reset is never whole.
+#include "Tests/PlatformAdapter/rawClient.h"
 #include "Tests/PlatformAdapter/relayFixture.h"
 
 using namespace vetchpost;
@@ -123,3 +124,22 @@
     CHECK(answer.status >= 500);
     CHECK(answer.body.find("half an") == std::string::npos);
 }
+
+TEST_CASE("A stream that is given up because its client shut down the connection for sending does not look complete")
+{
+    const scripted_replica replica([](const std::string &request) {
+        return streamHead(request, "s") + chunk(event(1)) + std::string(8, pauseMarker) + chunk(event(2)) + "0\r\n\r\n";
+    });
+    relay_fixture fixture;
+    fixture.addGroupHead("h-1", replica);
+    fixture.start();
+    raw_client client(fixture.callers());
+    client.send("POST /stream/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 2500\r\nModel: m\r\n"
+                "Authorization: Bearer good\r\nContent-Length: 0\r\n\r\n");
+    std::this_thread::sleep_for(duration(200));
+    client.shutdownSend();
+    const auto answer = client.receiveAll();
+    CHECK(answer.find("id: 1") != std::string::npos);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    CHECK(answer.find("[open]") == std::string::npos);
+}
--- a/Tests/PlatformAdapter/testRequestFraming.cpp
+++ b/Tests/PlatformAdapter/testRequestFraming.cpp
@@ -1,57 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 // Guards against a part of a request's body that reaches a replica as a request of its own.
+#include "Tests/PlatformAdapter/rawClient.h"
 #include "Tests/PlatformAdapter/relayFixture.h"
 
-#include <Poco/Net/NetException.h>
-
 using namespace vetchpost;
 using namespace vetchpost::test;
 
 namespace {
 
-/// A client's connection on which any bytes can be sent.
-class raw_client
-{
-public:
-    explicit raw_client(const endpoint &daemon)
-        : m_socket(Poco::Net::SocketAddress(daemon.host, daemon.port))
-    {
-        m_socket.setReceiveTimeout(Poco::Timespan(3, 0));
-    }
-
-    void send(const std::string &text)
-    {
-        m_socket.sendBytes(text.data(), static_cast<int>(text.size()));
-    }
-
-    void shutdownSend()
-    {
-        m_socket.shutdownSend();
-    }
-
-    /// Receives until the daemon closes the connection; the text ends with "[open]" if it does not.
-    std::string receiveAll()
-    {
-        std::string text;
-        std::array<char, 4096> bytes{};
-        try {
-            for (int count = 1; count > 0;) {
-                count = m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-                text.append(bytes.data(), static_cast<std::size_t>(std::max(0, count)));
-            }
-        } catch (const Poco::TimeoutException &) {
-            text += "[open]";
-        } catch (const Poco::Exception &) {
-            // A reset closes the connection as well.
-            return text;
-        }
-        return text;
-    }
-
-private:
-    Poco::Net::StreamSocket m_socket;
-};
-
 std::string headOf(const std::string &path, const std::string &framing)
 {
     return fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 2500\r\nModel: m\r\n"
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -312,6 +312,7 @@
     if (m_faults.extraBytes.occurs()) {
         sendRaw(exchange, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus");
     }
+    exchange.completeAnswer();
     return "whole";
 }
 
@@ -354,6 +355,7 @@
         recordStart(request);
         exchange.beginAnswer(200, "OK", answerHeaders(request), std::nullopt);
     }
+    exchange.completeAnswer();
     return "whole";
 }
 
--- a/Tests/StandIns/standInEngine.cpp
+++ b/Tests/StandIns/standInEngine.cpp
@@ -180,10 +180,10 @@
                 return;
             }
         }
-        if (m_streamFaults.omitEnd) {
-            return;
+        if (!m_streamFaults.omitEnd) {
+            exchange.write("data: [DONE]\n\n");
         }
-        exchange.write("data: [DONE]\n\n");
+        exchange.completeAnswer();
     }
 
     engine_model m_model;
