Entry: Log for how long a replica was silent when an attempt ended

For a stream that was cut, the log has a line for each attempt with its end, but did not tell whether the replica had been sending until then: hypotheses on streams that end around a silence of their replica could not be told apart from those on refusals and lost connections. try_ended has silent_ms now.

--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -166,6 +166,7 @@
 attempt_outcome request_handler::relayAnswer(http_upstream &upstream, const upstream_head &head, backend &target)
 {
     m_headAt = monotonicNow();
+    m_lastReceived = *m_headAt;
     if (isStream() && isSuccessStatus(head.status)) {
         return relayEvents(upstream, head, target);
     }
@@ -242,6 +243,7 @@
         }
         if (wait == upstream_event::data) {
             ++m_pieces;
+            m_lastReceived = monotonicNow();
             recordEventTime(target, monotonicNow() - pauseStart);
             recordProgress(target);
             if (!relayPiece(piece, head)) {
--- a/Libraries/Entry/request_finish.cpp
+++ b/Libraries/Entry/request_finish.cpp
@@ -200,6 +200,7 @@
                                {"pieces", m_pieces},
                                {"others_there", m_concurrentRequests},
                                {"try_ms", (monotonicNow() - m_attemptStart).count()},
+                               {"silent_ms", (monotonicNow() - m_lastReceived).count()},
                                {"last_event", m_events.lastId()},
                                {"through", m_proxy ? m_proxy->text() : ""},
                                {"dispatch", m_dispatchText}});
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -119,6 +119,7 @@
 {
     m_triedReplicas.push_back(chosen.replica);
     m_attemptStart = monotonicNow();
+    m_lastReceived = m_attemptStart;
     m_hasProgress = false;
     m_headAt.reset();
     m_lossNamesPart = false;
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -185,6 +185,8 @@
     std::optional<instant> m_headAt;
     /// The replica of the last attempt ended, and a part of the prompt may be the cause.
     bool m_lossNamesPart = false;
+    /// When the replica last sent something in this attempt; the attempt's start before.
+    instant m_lastReceived;
     /// Pieces of the replica's answer that have arrived in this attempt.
     int m_pieces = 0;
     /// The replica has sent something in this attempt.
