StandIns: Give a replica's slots in the order of arrival

Each waiting request polled for a free slot by itself, so that one of them could wait for more than three seconds in the queue of eight of a full replica while later ones ran (soak, 60 clients, 10 slots: 5 such requests in a run, whose clients gave up).

--- a/Tests/StandIns/platform/replica_entry.cpp
+++ b/Tests/StandIns/platform/replica_entry.cpp
@@ -74,7 +74,7 @@
     auto json = entryOf(replica);
     json["Utilization"] = replica.staging.has_value();
     json[names::sequence] = Json::UInt64(replica.orders);
-    json["Queued"] = replica.waiting;
+    json["Queued"] = replica.waiting();
     json["Active"] = replica.active;
     return json;
 }
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -77,7 +77,8 @@
         replica.isAlive = true;
         replica.isCutOff = replica.isDraining = false;
         replica.highestEpoch = replica.orders = 0;
-        replica.active = replica.waiting = 0;
+        replica.active = 0;
+        replica.queue.clear();
         Json::Value fields;
         fields["replica"] = replica.id;
         m_simulation.events.push_back({"started", fields});
@@ -312,7 +313,7 @@
                 continue;
             }
             const auto *head = replica.membership ? findReplica(m_simulation, replica.membership->members.front()) : &replica;
-            const bool hasWork = head != nullptr && head->active + head->waiting > 0;
+            const bool hasWork = head != nullptr && head->active + head->waiting() > 0;
             if (!hasWork || end->second + maxDrainExtension <= now) {
                 toEnd.push_back(number);
             }
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -82,6 +82,8 @@
         /// Number of the first event to send; greater than 1 if a stream is resumed.
         int firstEvent;
         int lastEvent;
+        /// Its number in the replica's queue.
+        std::uint64_t queued = 0;
         /// Whether it crashes the replica.
         bool isDeadly = false;
         /// Whether it crashes the replica once it is being answered.
--- a/Tests/StandIns/platform/replica_model.cpp
+++ b/Tests/StandIns/platform/replica_model.cpp
@@ -110,7 +110,7 @@
         recordEvent(simulation, "broken", head);
         return;
     }
-    if (membership.state == member_state::closing && head.active + head.waiting == 0) {
+    if (membership.state == member_state::closing && head.active + head.waiting() == 0) {
         membership.state = member_state::ready;
         recordEvent(simulation, "closed", head);
     }
@@ -198,7 +198,7 @@
         return done;
     }
     membership.opensAt.reset();
-    const bool mayFinish = membership.isServing() && method != names::cutMethod && replica.active + replica.waiting > 0;
+    const bool mayFinish = membership.isServing() && method != names::cutMethod && replica.active + replica.waiting() > 0;
     if (mayFinish && membership.state == member_state::closing) {
         return done;
     }
@@ -360,7 +360,7 @@
             return unavailable;
         }
     }
-    return replica.active + replica.waiting >= replica.slots + queueLength ? unavailable : done;
+    return replica.active + replica.waiting() >= replica.slots + queueLength ? unavailable : done;
 }
 
 request_state requestState(const stand_in_replica &replica, std::uint64_t serving)
--- a/Tests/StandIns/platform/replica_model.h
+++ b/Tests/StandIns/platform/replica_model.h
@@ -84,7 +84,14 @@
     /// Increases whenever the requests at the replica are cut off: a request with an earlier number ends.
     std::uint64_t serving = 0;
     int active = 0;
-    int waiting = 0;
+    /// The requests that wait for a slot, by their numbers in the order of arrival.
+    std::set<std::uint64_t> queue;
+    std::uint64_t lastQueued = 0;
+
+    int waiting() const
+    {
+        return static_cast<int>(queue.size());
+    }
 };
 
 /// How long the state changes of replicas take.
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace vetchpost::test {
 
@@ -122,7 +123,8 @@
         }
         flushEvents();
         if (status == 200) {
-            ++replica.waiting;
+            request.queued = ++replica.lastQueued;
+            replica.queue.insert(request.queued);
         }
     }
     if (status != 200) {
@@ -145,12 +147,17 @@
             auto &replica = m_simulation.replicas[request.number];
             // A later incarnation at this port has counters of its own.
             const auto state = replica.id == request.id ? requestState(replica, request.serving) : request_state::cut;
-            const bool runs = !hasLeft && !isLate && state == request_state::progressing && replica.active < replica.slots;
+            // Slots are given in the order of arrival.
+            const auto before = std::distance(replica.queue.begin(), replica.queue.lower_bound(request.queued));
+            const bool hasSlot = replica.active + before < replica.slots;
+            const bool runs = !hasLeft && !isLate && state == request_state::progressing && hasSlot;
             const bool waits = !hasLeft && !isLate && !runs && (state == request_state::progressing || state == request_state::stalled);
             if (waits) {
                 continue;
             }
-            replica.waiting -= replica.id == request.id ? 1 : 0;
+            if (replica.id == request.id) {
+                replica.queue.erase(request.queued);
+            }
             if (runs) {
                 ++replica.active;
                 return true;
