Tests: Let all replicas be silent for a second in the soak

--pauses stops the process that plays all replicas for 1 to 1.3 s and continues it, 0.6 s after a change of the configuration. Until now any stall of that process excused lost answers for as long as it had an effect. A replica's silence is no reason to end an answer, so that only one that clients do not bear (over 2 s) excuses them now; the checks of what replicas themselves do are excused as before.

--- a/Tests/Soak/fact_queries.cpp
+++ b/Tests/Soak/fact_queries.cpp
@@ -35,17 +35,26 @@
     return !fault.daemon || *fault.daemon == daemon;
 }
 
+namespace {
+
+bool affectsReplicas(const disturbance &fault)
+{
+    return fault.kind == disturbance_kind::replicas || fault.kind == disturbance_kind::silence;
+}
+
+} // namespace
+
 bool areReplicasDisturbed(const soak_facts &facts, instant from, instant until)
 {
     return std::any_of(facts.disturbances.begin(), facts.disturbances.end(), [&](const disturbance &fault) {
-        return fault.kind == disturbance_kind::replicas && overlaps(fault, from, until);
+        return affectsReplicas(fault) && overlaps(fault, from, until);
     });
 }
 
 bool isUndisturbed(const soak_facts &facts, const soak_bounds &bounds, int daemon, instant at)
 {
     return std::none_of(facts.disturbances.begin(), facts.disturbances.end(), [&](const disturbance &fault) {
-        return fault.kind != disturbance_kind::replicas && mayAffect(fault, daemon) && overlaps(fault, at - bounds.settlingTime, at);
+        return !affectsReplicas(fault) && mayAffect(fault, daemon) && overlaps(fault, at - bounds.settlingTime, at);
     });
 }
 
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -38,6 +38,10 @@
   --lost-withdrawals=<n>  Of the restorations, those that lose the withdrawal of a key; a daemon then starts about when the store is back
                           [default: 0].
   --cold=<n>              Requests per second that replicas accept for 3 s after a restart, and all of them at times; 0: no limit [default: 0].
+  --pauses=<n>            Times that all replicas send nothing for about a second while the configuration changes [default: 0].
+  --calm                  No faults but those that the other options name.
+  --heartbeat-ms=<n>      Time between two renewals of a replica's entry [default: 400].
+  --slots=<n>             Requests that a replica with an engine runs at once [default: 26].
   --losses=<n>            Of a thousand events of streams, the number that arrive as late as a retransmitted packet [default: 0].
   --keep=<folder>         Folder for settings and logs.
   --daemon-binary=<file>  vetchpostd.
@@ -149,13 +153,16 @@
     options.restores = static_cast<int>(number("--restores"));
     options.lostWithdrawals = static_cast<int>(number("--lost-withdrawals"));
     options.coldPerSecond = static_cast<int>(number("--cold"));
+    options.slots = static_cast<int>(number("--slots"));
+    options.pauses = static_cast<int>(number("--pauses"));
+    options.heartbeat = duration(number("--heartbeat-ms"));
     options.lossesPerThousand = static_cast<int>(number("--losses"));
     options.folder = arguments.at("--keep").asString();
     options.daemonProgram = arguments.at("--daemon-binary").asString();
     options.standIns = arguments.at("--stand-ins").asString();
     options.basePort = static_cast<std::uint16_t>(number("--base-port"));
     std::filesystem::create_directories(options.folder);
-    const auto plan = planFaults(options.seed, options.size);
+    const auto plan = arguments.at("--calm").asBool() ? std::vector<planned_fault>() : planFaults(options.seed, options.size);
     fmt::print("seed {}, {} faults\n", options.seed, plan.size());
     for (const auto &fault : plan) {
         fmt::print("{}\n", describe(fault));
@@ -166,6 +173,9 @@
     for (const auto &evacuation : planEvacuations(options.seed, options.size, options.evacuations)) {
         fmt::print("{}\n", describe(evacuation));
     }
+    for (const auto &pause : planPauses(options.seed, options.size, options.pauses)) {
+        fmt::print("{}\n", describe(pause));
+    }
     const auto restores = planRestores(options.seed, options.size, options.restores);
     for (const auto &restore : restores) {
         fmt::print("{}\n", describe(restore));
--- a/Tests/Soak/soak_checks.cpp
+++ b/Tests/Soak/soak_checks.cpp
@@ -27,6 +27,7 @@
             return overlaps(fault, attempt.sentAt, attempt.endedAt);
         case disturbance_kind::planned:
         case disturbance_kind::store:
+        case disturbance_kind::silence:
             break;
         }
         return false;
--- a/Tests/Soak/soak_cluster.cpp
+++ b/Tests/Soak/soak_cluster.cpp
@@ -107,6 +107,11 @@
     waitUntilServing();
 }
 
+child_process &soak_cluster::replicas()
+{
+    return *m_standIns.back();
+}
+
 void soak_cluster::startPlatform()
 {
     // Listeners can share a port on this system: calls would go to this store and to the other one in turn.
@@ -126,6 +131,8 @@
            "--models=m0:4,m1:2",
            fmt::format("--domains={}", fabricDomains),
            fmt::format("--per-domain={}", m_options.size.replicas / fabricDomains),
+           fmt::format("--slots={}", m_options.slots),
+           fmt::format("--heartbeat-ms={}", m_options.heartbeat.count()),
            fmt::format("--cold-ms={}", m_options.coldPerSecond > 0 ? coldTime.count() : 0),
            fmt::format("--cold-bound={}", coldOverrun * m_options.coldPerSecond + coldSlack),
            fmt::format("--services={}:{}", plainService, m_options.size.plainReplicas),
@@ -139,8 +146,13 @@
         = m_options.coldPerSecond > 0 ? fmt::format("cold:\n  overrun: {}\n  slack: {}\n", coldOverrun, coldSlack) : std::string();
     const auto evacuationSettings
         = m_options.evacuations > 0 ? fmt::format("  evacuation-ms: {}\n", soak_bounds().evacuation.count()) : std::string();
-    const daemon_options options{
-        m_options.daemonProgram, m_options.folder, m_options.basePort, soak_bounds().retrySlack, coldSettings, evacuationSettings};
+    const daemon_options options{m_options.daemonProgram,
+                                 m_options.folder,
+                                 m_options.basePort,
+                                 m_options.heartbeat,
+                                 soak_bounds().retrySlack,
+                                 coldSettings,
+                                 evacuationSettings};
     std::vector<endpoint> callers;
     for (int number = 0; number < m_options.size.daemons; ++number) {
         m_daemons.emplace_back(std::make_unique<soak_daemon>(number, options, m_store));
--- a/Tests/Soak/soak_cluster.h
+++ b/Tests/Soak/soak_cluster.h
@@ -30,6 +30,8 @@
     const endpoint &store() const;
     const endpoint &storeControl() const;
     const endpoint &replicaControl() const;
+    /// The process that plays all replicas.
+    child_process &replicas();
 
     /// Kills daemons that have used up their grace period, records those that have ended and restarts them when their downtime is over.
     void superviseDaemons(instant now);
--- a/Tests/Soak/soak_daemon.cpp
+++ b/Tests/Soak/soak_daemon.cpp
@@ -84,7 +84,7 @@
   readiness: {}
   peers: {}
 timing:
-  replica-heartbeat-ms: 400
+  replica-heartbeat-ms: {}
   group-stall-ms: 1500
 {}retries:
   slack: {}
@@ -95,6 +95,7 @@
                        endpointAt(host(), m_options.basePort, callersOffset).text(),
                        readiness().text(),
                        endpointAt(host(), m_options.basePort, peersOffset).text(),
+                       m_options.heartbeat.count(),
                        m_options.moreTiming,
                        m_options.retrySlack,
                        m_options.moreSettings);
--- a/Tests/Soak/soak_daemon.h
+++ b/Tests/Soak/soak_daemon.h
@@ -15,6 +15,7 @@
     std::string program;
     std::string folder;
     std::uint16_t basePort = 0;
+    duration heartbeat{400};
     int retrySlack = 0;
     /// Text that is appended to the settings.
     std::string moreSettings = {};
--- a/Tests/Soak/soak_facts.h
+++ b/Tests/Soak/soak_facts.h
@@ -90,7 +90,9 @@
     /// The store, or a daemon's link to it.
     store,
     /// Replicas, whose answers may be missing.
-    replicas
+    replicas,
+    /// Replicas send nothing for a while and then go on, so that no answer may be missing.
+    silence
 };
 
 /// A time during which a fault may have an effect.
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -24,6 +24,8 @@
 /// Daemons probe a replica that has sent nothing for 250 ms, and treat it as silent 200 ms later.
 constexpr duration maxAnswerTime(200);
 constexpr duration stallPollPeriod(50);
+/// Clients give up an answer that brings no byte for 3 s.
+constexpr duration maxBorneSilence(2000);
 constexpr duration samplePeriod(1000);
 /// How long a fault may outlast its planned end: one turn of the loop and a call to a stand-in.
 constexpr duration endMargin(300);
@@ -77,8 +79,9 @@
     return mayLoseAnswers ? std::optional(disturbance_kind::replicas) : std::nullopt;
 }
 
-/// Polls the process that plays all replicas and detects when it stalls. If the machine does not schedule that process, all replicas stall
-/// together. Daemons cannot tell that from a fault, so it counts as one. Each stall is printed with its length.
+/// Polls the process that plays all replicas and detects when it stalls, because a planned pause stops it or the machine does not schedule
+/// it: all replicas are then silent together. Only a silence that clients do not bear excuses lost answers. Each one is printed with its
+/// length.
 class stall_detector
 {
 public:
@@ -89,7 +92,8 @@
                 fetchFacts(control);
                 const auto answered = monotonicNow();
                 if (answered - asked > maxAnswerTime) {
-                    m_stalls.push_back({disturbance_kind::replicas, asked, answered + groupRepairTime, std::nullopt});
+                    const auto kind = answered - asked > maxBorneSilence ? disturbance_kind::replicas : disturbance_kind::silence;
+                    m_stalls.push_back({kind, asked, answered + groupRepairTime, std::nullopt});
                     fmt::print(
                         "the replicas' process stalled for {} ms at {}\n", (answered - asked).count(), asked.time_since_epoch().count());
                 }
@@ -123,6 +127,47 @@
     std::thread m_thread;
 };
 
+/// Stops the process that plays all replicas and continues it, as planned.
+class replica_pauser
+{
+public:
+    replica_pauser(child_process &replicas, const std::vector<planned_pause> &plan, instant begin)
+        : m_thread([this, &replicas, plan, begin] {
+            for (const auto &pause : plan) {
+                if (!waitUntil(begin + pause.at)) {
+                    return;
+                }
+                replicas.signal(SIGSTOP);
+                waitUntil(begin + pause.at + pause.lasts);
+                replicas.signal(SIGCONT);
+            }
+        })
+    {
+    }
+
+    ~replica_pauser()
+    {
+        m_isStopping = true;
+        m_thread.join();
+    }
+
+    replica_pauser(const replica_pauser &) = delete;
+    replica_pauser &operator=(const replica_pauser &) = delete;
+
+private:
+    /// Returns false at once if the run ends before \a time.
+    bool waitUntil(instant time) const
+    {
+        while (!m_isStopping && monotonicNow() < time) {
+            std::this_thread::sleep_for(tick);
+        }
+        return !m_isStopping;
+    }
+
+    std::atomic<bool> m_isStopping = false;
+    std::thread m_thread;
+};
+
 /// Runs clients' traffic against a cluster and applies the planned faults and notices.
 class soak_runner
 {
@@ -173,6 +218,11 @@
         }
         scheduleRestores(begin);
         scheduleColdTimes(begin);
+        const auto pauses = planPauses(m_options.seed, m_options.size, m_options.pauses);
+        for (const auto &pause : pauses) {
+            m_scheduledActions.emplace(begin + pause.changeAt, [this] { changeConfiguration(false, monotonicNow()); });
+        }
+        const replica_pauser pauser(m_cluster.replicas(), pauses, begin);
         instant nextEvents;
         instant nextSample;
         for (auto now = begin; now < end; now = monotonicNow()) {
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -33,6 +33,12 @@
     int restores = 0;
     /// In how many of the restorations the store loses the withdrawal of a key, and a daemon starts about when the store comes back.
     int lostWithdrawals = 0;
+    /// How many times all replicas are silent for about a second while the configuration changes.
+    int pauses = 0;
+    /// The requests that a replica with an engine runs at once.
+    int slots = 26;
+    /// The period at which replicas renew their entries.
+    duration heartbeat{400};
     /// Requests per second that a replica accepts while it is cold: after each start but its first, and several times all at once; 0 if
     /// replicas are never cold.
     int coldPerSecond = 0;
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -185,6 +185,33 @@
     return fmt::format("{:>7} ms  evacuates {:<15} for {} ms", evacuation.at.count(), evacuation.zone, evacuation.lasts.count());
 }
 
+std::vector<planned_pause> planPauses(std::uint64_t seed, const schedule_size &size, int count)
+{
+    constexpr duration afterChange(600);
+    constexpr duration minPauseLength(1000);
+    constexpr duration maxPauseLength(1300);
+    constexpr std::uint64_t pauseSeedMask = 0x27d4eb2f165667c5ULL;
+    deterministic_random randomNumbers(seed ^ pauseSeedMask);
+    std::vector<planned_pause> plan;
+    const auto time = count > 0 ? (size.length - recoveryLength - initialQuietTime) / count : duration(0);
+    for (int number = 0; number < count; ++number) {
+        planned_pause pause;
+        pause.changeAt = initialQuietTime + time * number + randomNumbers.between(duration(0), time / 4);
+        pause.at = pause.changeAt + afterChange;
+        pause.lasts = randomNumbers.between(minPauseLength, maxPauseLength);
+        plan.push_back(pause);
+    }
+    return plan;
+}
+
+std::string describe(const planned_pause &pause)
+{
+    return fmt::format("{:>7} ms  all replicas are silent for {} ms, configuration at {} ms",
+                       pause.at.count(),
+                       pause.lasts.count(),
+                       pause.changeAt.count());
+}
+
 std::vector<planned_restore> planRestores(std::uint64_t seed, const schedule_size &size, int count)
 {
     constexpr duration minAge(500);
--- a/Tests/StandIns/platform/standInReplicas.cpp
+++ b/Tests/StandIns/platform/standInReplicas.cpp
@@ -36,9 +36,9 @@
   --cold-ms=<ms>         Time for which a replica is cold after each start but its first; 0: never [default: 0].
   --cold-bound=<n>       Requests that a cold replica bears within any second [default: 0].
   --step-ms=<ms>         Time for a token [default: 10].
+  --slots=<n>            Requests that a replica with an engine runs at once [default: 26].
 )";
 
-constexpr int engineSlots = 26;
 constexpr int plainSlots = 6;
 
 /// Parses a list such as "a:1,b:2".
@@ -96,7 +96,8 @@
     const auto zoneOf = [&](std::size_t number) { return zones.at(number % zones.size()); };
     for (long domain = 0; domain < number("--domains"); ++domain) {
         for (long index = 0; index < number("--per-domain"); ++index) {
-            simulation.replicas.push_back(makeReplica(stand_in_names::engineService, fmt::format("d{}", domain), engineSlots));
+            simulation.replicas.push_back(
+                makeReplica(stand_in_names::engineService, fmt::format("d{}", domain), static_cast<int>(number("--slots"))));
             simulation.replicas.back().zone = zoneOf(static_cast<std::size_t>(domain));
         }
     }
