Entry: Keep a silent replica's answer until another replica has answered

Cause: a replica that sent nothing for 700 ms (first event: 900 ms, plain answers: the objective) was given up, and its connection closed, before any other replica had taken the request. All daemons did so at once, the replicas woke full of the requests that had been moved, the second replica refused, and the answer that the first, sound one was about to go on with was gone. A stall warning did the same without a retry of the budget.

Now the request is sent to a second replica while the first connection stays open, and the first of the two that answers goes on; hedged streams already did so, and share the code (attempt_race). A refusal, a lost connection or a server error of one side no longer ends the request. No replica is asked that is silent itself: a silence that all share moves nothing and uses no retries. A replica that has really ended costs what it did, since the second one is asked as early as before. Where both refuse, the request counts as not run and its client is told when to come back.

Ruled out: longer limits (a replica that ends without a word would cost its callers that time), and the configuration's change as a cause of its own: the replicas are silent in the same way without it.

--- a/Libraries/Entry/attempt_outcome.h
+++ b/Libraries/Entry/attempt_outcome.h
@@ -28,6 +28,14 @@
     count
 };
 
+/// Why a request is sent to a second replica while the first one still holds it.
+enum class race_cause {
+    /// The network loses packets, and the stream's next event is late.
+    losses,
+    /// The first replica has sent nothing for too long.
+    silence
+};
+
 /// The name of an outcome in the log and in metrics.
 std::string_view attemptOutcomeName(attempt_outcome outcome);
 
--- a/Libraries/Entry/entry_view.cpp
+++ b/Libraries/Entry/entry_view.cpp
@@ -88,13 +88,13 @@
     return std::find(tried.begin(), tried.end(), candidate.replica) != tried.end();
 }
 
+} // namespace
+
 bool isAvoided(const backend_load &load, instant now)
 {
     return load.avoidedUntil.load() > now.time_since_epoch().count() || isQuiet(load, now);
 }
 
-} // namespace
-
 void avoid(backend_load &load, instant now)
 {
     load.avoidedUntil = (now + avoidanceTime).time_since_epoch().count();
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -56,6 +56,8 @@
 void recordAdmission(backend_load &load);
 /// Whether a backend with outstanding requests has sent nothing for longer than quietTimeout.
 bool isQuiet(const backend_load &load, instant now);
+/// Whether requests go to another backend while there is one.
+bool isAvoided(const backend_load &load, instant now);
 
 /// A target for requests: a replica of a plain service, or the head of a group.
 struct backend
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -27,14 +27,11 @@
 }
 
 /// A counter for each way in which a hedged stream went on.
-std::map<std::string, counter> hedgeCountersByEnd(metrics &counters)
+std::map<std::string, counter> raceCountersByEnd(metrics &counters, const std::string &name, const std::string &help)
 {
     std::map<std::string, counter> result;
     for (const auto *end : {"first", "second", "neither", "unreachable"}) {
-        result.emplace(end,
-                       counters.addCounter("vetchpost_hedges_total",
-                                           "Silent streams for which a second group was asked, by the group that went on.",
-                                           {{"end", end}}));
+        result.emplace(end, counters.addCounter(name, help, {{"end", end}}));
     }
     return result;
 }
@@ -63,7 +60,12 @@
     , reportStall(std::move(stallReporter))
     , requestMetrics(allCounters)
     , attemptCounters(countersByOutcome(allCounters))
-    , hedgeCounters(hedgeCountersByEnd(allCounters))
+    , hedgeCounters(raceCountersByEnd(
+          allCounters, "vetchpost_hedges_total", "Silent streams for which a second group was asked, by the group that went on."))
+    , silenceCounters(raceCountersByEnd(allCounters,
+                                        "vetchpost_silent_attempts_total",
+                                        "Requests that were also sent to a second replica since the first one was silent, by the one that "
+                                        "went on."))
     , served(allCounters.addCounter("vetchpost_requests_served_total", "Requests whose whole answer was passed on."))
     , resumed(allCounters.addCounter("vetchpost_streams_resumed_total", "Streams that another replica went on with."))
     , retried(allCounters.addCounter("vetchpost_requests_retried_total", "Requests that were sent to a second replica."))
@@ -209,9 +211,9 @@
     return budget.available - 1 >= reservedShare * budget.maximum && spendRetry(budget);
 }
 
-const counter &relay_context::hedgeCounter(const std::string &end) const
+const counter &relay_context::raceCounter(race_cause cause, const std::string &end) const
 {
-    return hedgeCounters.at(end);
+    return cause == race_cause::losses ? hedgeCounters.at(end) : silenceCounters.at(end);
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Base/rcu_snapshot.h"
+#include "Libraries/Entry/attempt_outcome.h"
 #include "Libraries/Entry/crash_guard.h"
 #include "Libraries/Entry/daemon_admission.h"
 #include "Libraries/Entry/dispatch_client.h"
@@ -92,9 +93,9 @@
     /// Consumes one retry of this daemon's part of the service's retry budget. Returns false if it is exhausted.
     /// With \a reservedShare, at least this part of the budget's maximum has to be left afterwards.
     bool consumeRetry(const service_id &service, double reservedShare = 0);
-    /// The counter of hedged streams that were continued by the first group, by the second one, by neither, or whose second group could
-    /// not be reached.
-    const counter &hedgeCounter(const std::string &end) const;
+    /// The counter of requests that were sent to a second replica while the first one held them, and that the first one, the second one or
+    /// neither went on with, or whose second replica could not be reached.
+    const counter &raceCounter(race_cause cause, const std::string &end) const;
 
     /// An estimate of how long a client has already waited in earlier attempts, from the waiting time \a patience that this request has
     /// left and that of other requests on the same route.
@@ -124,6 +125,7 @@
     /// Indexed by attempt_outcome.
     const std::vector<counter> attemptCounters;
     const std::map<std::string, counter> hedgeCounters;
+    const std::map<std::string, counter> silenceCounters;
     counter served;
     counter resumed;
     counter retried;
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -59,13 +59,13 @@
 
 } // namespace
 
-/// Waits for the head of the replica's answer and relays the answer. Gives the attempt up if the replica is silent for too long and the
-/// request may be retried elsewhere, or if the attempt must be withdrawn.
+/// Waits for the head of the replica's answer and relays the answer. Asks a second replica too if this one is silent for too long. Gives
+/// the attempt up if it must be withdrawn.
 attempt_outcome request_handler::awaitAnswer(http_upstream &upstream, backend &target)
 {
     for (;;) {
         const bool mayMove = m_attempts < m_route->maximumAttempts && m_route->mayRunAgain();
-        const auto answerDeadline = firstAnswerDeadline();
+        const auto answerDeadline = firstAnswerDeadline(m_attemptStart);
         const auto hedgeAfter = silenceBeforeHedge(target, false);
         auto wait = upstream_event::timeout;
         do {
@@ -76,7 +76,7 @@
             if (wait == upstream_event::timeout && hedgeAt && monotonicNow() >= *hedgeAt && isStillSilent(upstream)) {
                 auto result = hedge(upstream, target, false);
                 if (result.winner == race_end::neither) {
-                    return m_hedgeFailure;
+                    return m_raceFailure;
                 }
                 if (result.head) {
                     return relayAnswer(upstream, *result.head, target);
@@ -95,10 +95,17 @@
             m_lastReason = "replicas have ended elsewhere while running the same request";
             return attempt_outcome::withdrawn;
         }
-        const bool isSilent = mayMove && (!isStream() || isStalled(target));
-        if ((mayMove && hasStallWarning(target)) || (isSilent && reserveRetry())) {
-            m_lastReason = "the replica is silent";
-            return attempt_outcome::silent;
+        if (mayMove && (!isStream() || isStalled(target) || hasStallWarning(target))) {
+            auto result = raceSilent(upstream, target, false);
+            if (result.winner == race_end::neither) {
+                return m_raceFailure;
+            }
+            if (result.head) {
+                return relayAnswer(upstream, *result.head, target);
+            }
+            if (result.winner == race_end::second) {
+                continue;
+            }
         }
         // Other requests make progress at the replica, or no other replica can take this one: the wait goes on.
         const bool mustCheckAgain = mayMove || isStream();
@@ -203,12 +210,12 @@
     return sendBuffered(answer) ? attempt_outcome::answered : attempt_outcome::caller_left;
 }
 
-/// Relays the complete events of a stream as they arrive. Gives the attempt up if the stream stalls and another replica can resume it.
-attempt_outcome request_handler::relayEvents(http_upstream &upstream, upstream_head head, backend &target)
+/// Relays the complete events of a stream as they arrive. Asks a second replica too if the stream stalls and another replica can resume it.
+attempt_outcome request_handler::relayEvents(http_upstream &upstream, const upstream_head &head, backend &target)
 {
-    if (m_hedgedEvents.empty()) {
+    if (m_secondEvents.empty()) {
         m_events.discardPartial();
-    } else if (!relayHedgedEvents(head, target)) {
+    } else if (!relaySecondEvents(head, target)) {
         return attempt_outcome::caller_left;
     }
     std::string piece;
@@ -221,14 +228,10 @@
         if (wait == upstream_event::timeout && hedgeAfter && monotonicNow() < m_deadline && isStillSilent(upstream)) {
             auto result = hedge(upstream, target, true);
             if (result.winner == race_end::neither) {
-                return m_hedgeFailure;
+                return m_raceFailure;
             }
             if (result.winner == race_end::second) {
-                head = std::move(*result.head);
-                if (!m_hedgedEvents.empty() && !relayHedgedEvents(head, target)) {
-                    return attempt_outcome::caller_left;
-                }
-                continue;
+                return result.head ? relayAnswer(upstream, *result.head, target) : awaitAnswer(upstream, target);
             }
             wait = upstream.nextPiece(
                 piece, std::min(m_deadline, std::max(pauseStart + stallReportPause, monotonicNow())), m_exchange.socketDescriptor());
@@ -256,9 +259,14 @@
             return attempt_outcome::answered;
         } else if (wait == upstream_event::timeout && monotonicNow() < m_deadline) {
             const bool mayMove = m_route->isResumable && m_attempts < m_route->maximumAttempts;
-            if (mayMove && (hasStallWarning(target) || isStalled(target)) && reserveRetry()) {
-                m_lastReason = "the stream has stalled";
-                return attempt_outcome::silent;
+            if (mayMove && (hasStallWarning(target) || isStalled(target))) {
+                const auto result = raceSilent(upstream, target, true);
+                if (result.winner == race_end::neither) {
+                    return m_raceFailure;
+                }
+                if (result.winner == race_end::second) {
+                    return result.head ? relayAnswer(upstream, *result.head, target) : awaitAnswer(upstream, target);
+                }
             }
         } else {
             m_lastReason = reasonOf(wait, "the stream broke off");
@@ -274,15 +282,15 @@
     return !m_events.hasPartial() && (m_firstSent || !upstream.endsWithConnection());
 }
 
-/// Sends the events that a second group's connection has delivered while the two were waited for. Returns false if the client has closed
+/// Sends the events that a second replica's connection has delivered while the two were waited for. Returns false if the client has closed
 /// the connection.
-bool request_handler::relayHedgedEvents(const upstream_head &head, const backend &target)
+bool request_handler::relaySecondEvents(const upstream_head &head, const backend &target)
 {
     recordEventTime(target, duration());
     recordProgress(target);
     beginStream(head);
     recordSent();
-    return m_exchange.write(std::exchange(m_hedgedEvents, {}));
+    return m_exchange.write(std::exchange(m_secondEvents, {}));
 }
 
 /// Relays the complete events of a received piece. Returns false if the client has closed the connection.
@@ -354,14 +362,14 @@
     return target.load->stallWarnedAt.load() >= since;
 }
 
-/// The time until which the replica's answer is awaited before a retry elsewhere is considered.
-instant request_handler::firstAnswerDeadline() const
+/// The time until which the answer to an attempt that began at \a start is awaited before another replica is asked.
+instant request_handler::firstAnswerDeadline(instant start) const
 {
     const auto objective = m_route->objective;
     if (isStream()) {
-        return m_attemptStart + std::max(minimumFirstEventTimeout, objective * objectivesUntilFirstEvent);
+        return start + std::max(minimumFirstEventTimeout, objective * objectivesUntilFirstEvent);
     }
-    return m_route->mayRunAgain() ? m_attemptStart + std::max(minimumRetryTimeout, objective) : m_deadline;
+    return m_route->mayRunAgain() ? start + std::max(minimumRetryTimeout, objective) : m_deadline;
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -114,6 +114,17 @@
 
 // Attempts.
 
+/// Counts a request that is sent to a replica. Returns how many others the replica held.
+int request_handler::beginOutstanding(const backend &target)
+{
+    const auto others = target.load->outstanding.fetch_add(1);
+    if (others == 0) {
+        // No answer was pending at the replica, so a pause is measured from now.
+        target.load->lastProgress = monotonicNow().time_since_epoch().count();
+    }
+    return others;
+}
+
 /// Runs one attempt on a replica, and updates what is known of the replica and of the request.
 attempt_outcome request_handler::runAttempt(const backend &chosen)
 {
@@ -124,20 +135,16 @@
     m_headAt.reset();
     m_lossNamesPart = false;
     m_pieces = 0;
-    m_concurrentRequests = chosen.load->outstanding.fetch_add(1);
-    if (m_concurrentRequests == 0) {
-        // No answer was pending at the replica, so a pause is measured from now.
-        chosen.load->lastProgress = m_attemptStart.time_since_epoch().count();
-    }
+    m_concurrentRequests = beginOutstanding(chosen);
     m_replicaLiveness.reset();
-    // A second group may take the first one's place.
+    // A second replica may take the first one's place.
     auto target = chosen;
     m_context.requestsByPlace.add(chosen.dataCentre);
     const auto outcome = sendAndRelay(target);
     m_context.requestsByPlace.remove(chosen.dataCentre);
     target.load->outstanding.fetch_sub(1);
     if (outcome == attempt_outcome::lost) {
-        recordLoss(target);
+        recordLoss(target, lostStage());
     } else if (outcome == attempt_outcome::answered) {
         recordAnswered();
     }
@@ -302,9 +309,9 @@
 }
 
 /// Checks whether the replica at which the request was lost has terminated, and records the result.
-void request_handler::recordLoss(const backend &target)
+void request_handler::recordLoss(const backend &target, lost_stage stage)
 {
-    request_loss loss{identity(), organisation(), target, m_service->id, {parts(), lostStage(), monotonicNow(), 0}};
+    request_loss loss{identity(), organisation(), target, m_service->id, {parts(), stage, monotonicNow(), 0}};
     loss.attempt.request = hashOf(loss.request ? loss.request->value() : m_head.requestId.value());
     const auto result = m_context.crashes.recordLoss(loss);
     m_replicaLiveness = result.liveness;
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -17,7 +17,7 @@
 
 /// Handles one client request on the thread of its connection. request_handler.cpp holds validation and the sending of an
 /// attempt, request_placement.cpp the choice of replicas and retries, request_answer.cpp the relaying of a replica's answer,
-/// request_finish.cpp the final answer and the log.
+/// attempt_race.cpp and stream_hedge.cpp the second replica for a silent one, request_finish.cpp the final answer and the log.
 class request_handler
 {
 public:
@@ -51,7 +51,6 @@
     void dispatch();
     attempt_outcome runAttempts();
     bool mayRetry(attempt_outcome outcome);
-    bool reserveRetry();
     void finish(attempt_outcome outcome);
     void refuse(error_kind kind, const std::string &text, std::optional<duration> retryAfter = std::nullopt);
     void refuse(error_kind kind, const std::string &text, refusal_scope scope);
@@ -66,7 +65,7 @@
     std::string partIdentities() const;
     request_parts parts() const;
     lost_stage lostStage() const;
-    void recordLoss(const backend &target);
+    void recordLoss(const backend &target, lost_stage stage);
     void recordAnswered();
     std::optional<duration> refusedFor();
     bool mustWithdraw();
@@ -84,6 +83,7 @@
     std::optional<cold_reservation> reserveColdReplica(instant now) const;
     std::optional<backend> takeReserved(const cold_reservation &reserved, const std::vector<backend> &candidates) const;
     bool hasAvailableReplica(duration time) const;
+    static int beginOutstanding(const backend &target);
     attempt_outcome runAttempt(const backend &target);
     attempt_outcome sendAndRelay(backend &target);
     std::optional<replica_connection> connectTo(const backend &target, duration timeout, path_failure &failure, reason &why) const;
@@ -94,41 +94,49 @@
     attempt_outcome relayAnswer(http_upstream &upstream, backend &target);
     attempt_outcome relayAnswer(http_upstream &upstream, const upstream_head &head, backend &target);
     attempt_outcome relayBuffered(http_upstream &upstream, const upstream_head &head);
-    attempt_outcome relayEvents(http_upstream &upstream, upstream_head head, backend &target);
+    attempt_outcome relayEvents(http_upstream &upstream, const upstream_head &head, backend &target);
     bool isStillSilent(http_upstream &upstream) const;
     bool isStreamWhole(const http_upstream &upstream) const;
-    bool relayHedgedEvents(const upstream_head &head, const backend &target);
+    bool relaySecondEvents(const upstream_head &head, const backend &target);
     bool relayPiece(const std::string &piece, const upstream_head &head);
     void beginStream(const upstream_head &head);
     bool sendBuffered(const buffered_answer &answer);
     void recordSent();
 
-    // Streams that are requested from a second group (stream_hedge.cpp).
+    // Requests that are sent to a second replica while the first one is silent (attempt_race.cpp).
     enum class race_end { first, second, neither };
-    struct hedge_race;
-    struct hedge_result
+    struct attempt_race;
+    struct race_result
     {
         race_end winner = race_end::first;
         /// The head of the winner's answer, if it was read by the race.
         std::optional<upstream_head> head;
     };
+    std::optional<backend> reserveSecondReplica();
+    std::optional<backend> reserveAmong(const entry_view &view, const std::vector<instance_id> &excluded, double reservedBudgetShare);
+    race_result race(race_cause cause, const backend &second, http_upstream &upstream, backend &target, bool hasHead);
+    race_result raceSilent(http_upstream &upstream, backend &target, bool hasHead);
+    race_end runRace(attempt_race &race);
+    bool isFirstUsable(attempt_race &race);
+    bool readSecond(attempt_race &race);
+    bool isSecondSilent(const attempt_race &race) const;
+    void endSecond(attempt_race &race, attempt_outcome failure);
+    void adoptSecond(attempt_race &race, backend &target);
+    void logRace(const attempt_race &race, const char *winner) const;
+
+    // Streams that are requested from a second group because the network loses packets (stream_hedge.cpp).
     bool isHedgeable() const;
     void recordEventTime(const backend &target, duration pause) const;
     std::optional<duration> silenceBeforeHedge(const backend &target, bool hasHead) const;
     bool isServing(const instance_id &head, instant now) const;
     std::optional<backend> reserveHedge();
-    hedge_result hedge(http_upstream &upstream, backend &target, bool hasHead);
-    race_end runRace(hedge_race &race);
-    bool isFirstUsable(hedge_race &race);
-    bool readSecond(hedge_race &race);
-    void adoptSecond(hedge_race &race, backend &target);
-    void logHedge(const hedge_race &race, const char *winner) const;
+    race_result hedge(http_upstream &upstream, backend &target, bool hasHead);
 
     void recordProgress(const backend &target);
     void updateLoad(const backend &target, attempt_outcome outcome) const;
     bool isStalled(const backend &target) const;
     bool hasStallWarning(const backend &target) const;
-    instant firstAnswerDeadline() const;
+    instant firstAnswerDeadline(instant start) const;
     duration timeLeft() const;
     bool isLate() const;
     bool isStream() const;
@@ -164,8 +172,6 @@
     /// Attempts in which a replica was reached.
     int m_attempts = 0;
     int m_unreachableReplicas = 0;
-    /// A retry for the next attempt has already been consumed from the retry budget.
-    bool m_hasReservedRetry = false;
     /// A replica may have run the request.
     bool m_mayHaveRun = false;
     /// The head of an answer has been sent to the client.
@@ -200,10 +206,10 @@
     bool m_isModelKnown = false;
     /// A second group was asked, or could not be, while the first one was silent. This happens once for a request.
     bool m_isHedged = false;
-    /// Events of the second group that are to be sent next.
-    std::string m_hedgedEvents;
-    /// Why neither of two groups went on with the stream.
-    attempt_outcome m_hedgeFailure = attempt_outcome::lost;
+    /// Events of the second replica that are to be sent next.
+    std::string m_secondEvents;
+    /// Why neither of two replicas went on with the request.
+    attempt_outcome m_raceFailure = attempt_outcome::lost;
     /// A replica's error answer, kept in case no other replica succeeds.
     std::optional<buffered_answer> m_failure;
     std::string m_lastReason;
--- a/Libraries/Entry/request_placement.cpp
+++ b/Libraries/Entry/request_placement.cpp
@@ -317,8 +317,8 @@
     return isUnblockedSoon || hasUntried(candidates, joined(m_triedReplicas, blocked.replicas));
 }
 
-/// Whether the request may be sent to another replica after an attempt with this outcome. Consumes a retry of the budget unless one has
-/// been reserved or nothing was sent. Sets m_noRetryReason where it returns false.
+/// Whether the request may be sent to another replica after an attempt with this outcome. Consumes a retry of the budget unless nothing was
+/// sent. Sets m_noRetryReason where it returns false.
 bool request_handler::mayRetry(attempt_outcome outcome)
 {
     if (outcome == attempt_outcome::answered || outcome == attempt_outcome::caller_left || outcome == attempt_outcome::timed_out
@@ -353,7 +353,7 @@
         m_noRetryReason = "no other replica accepts requests";
         return false;
     }
-    if (!std::exchange(m_hasReservedRetry, false) && !m_context.consumeRetry(m_service->id)) {
+    if (!m_context.consumeRetry(m_service->id)) {
         m_noRetryReason = "the retry budget is exhausted";
         return false;
     }
@@ -364,16 +364,4 @@
     return true;
 }
 
-/// Whether an attempt at a silent replica may be abandoned for another one; if so, a retry is consumed from the budget and reserved. This
-/// is decided before the attempt is abandoned, since the answer may still arrive and no other replica may be able to take the request.
-bool request_handler::reserveRetry()
-{
-    const bool isRetryAllowed = m_route->mayRunAgain() && m_attempts < m_route->maximumAttempts;
-    if (!isRetryAllowed || !hasAvailableReplica(duration())) {
-        return false;
-    }
-    m_hasReservedRetry = m_context.consumeRetry(m_service->id);
-    return m_hasReservedRetry;
-}
-
 } // namespace vetchpost
