Tests: State the processors that the daemons of two fixtures use

The test sends as fast as it can on new connections, and the daemon closes those beyond a thousand a second for a core of its processor-share, which the fixture left at one core.

No check changed.

--- a/Tests/Evacuation/testEvacuation.cpp
+++ b/Tests/Evacuation/testEvacuation.cpp
@@ -86,6 +86,8 @@
         settings.readiness = next.readiness = freePort();
         settings.peers = next.peers = freePort();
         settings.maximumConnections = 16;
+        // The tests send thousands of requests per second on new connections.
+        settings.processorShare = 16;
         settings.keyRevocation = duration(60000);
         settings.configurationApply = duration(2000);
         settings.evacuation = m_evacuation;
@@ -152,10 +154,15 @@
         return requestsIn(dataCentre) - before;
     }
 
-    /// Returns the answers to the requests of the last sendSome(), to be shown where a check fails.
-    const std::string &lastAnswers() const
+    /// Returns the answers to the requests of the last sendSome(), to be shown where a check fails, and how many connections the daemon has
+    /// closed unread.
+    std::string lastAnswers(int number)
     {
-        return m_lastAnswers;
+        constexpr auto name = "\nvetchpost_connections_closed_unread_total ";
+        const auto metrics = daemon(number).get(daemon(number).peers, "/metrics").body;
+        const auto found = metrics.find(name);
+        const auto closed = found == std::string::npos ? "?" : metrics.substr(found, metrics.find('\n', found + 1) - found);
+        return m_lastAnswers + closed;
     }
 
     /// Sends requests until none of some reaches z, for at most twice the bound. Returns when the last one arrived there, counted from \a
@@ -223,7 +230,7 @@
     CHECK(last < promptBound);
     CHECK(fixture.sendSome(1 - number, 'z') == 0);
     const auto arrived = fixture.sendSome(number, 'y');
-    INFO(fixture.lastAnswers());
+    INFO(fixture.lastAnswers(number));
     CHECK(arrived == 12);
     fixture.store().remove(zKey);
     CHECK(isWithin(promptBound, [&] { return fixture.sendSome(number, 'z') > 0; }));
--- a/Tests/Partition/partitionFixture.h
+++ b/Tests/Partition/partitionFixture.h
@@ -238,7 +238,8 @@
     }
 
     const bool m_hasLinks;
-    double m_processorShare = 1;
+    /// The tests send thousands of requests per second on new connections.
+    double m_processorShare = 16;
     shared_store m_store;
     std::vector<std::unique_ptr<linked_daemon>> m_daemons;
 };
