--- a/Tests/Http/testRequestBody.cpp
+++ b/Tests/Http/testRequestBody.cpp
@@ -260,7 +260,7 @@
         INFO(body.substr(0, 60));
         const body_server server;
         auto socket = server.connect();
-        sendText(socket, chunkedHead + body + closingRequest);
+        sendText(socket, fmt::format("{}{}{}", chunkedHead, body, closingRequest));
         CHECK(receiveAll(socket).find("HTTP/1.1 200") == std::string::npos);
         REQUIRE(server.handled().size() == 1);
         CHECK_FALSE(server.handled().front().body);
@@ -277,8 +277,8 @@
             const std::string body(random() % 300, static_cast<char>('a' + i));
             const auto half = body.size() / 2;
             const bool isChunked = random() % 2 == 0 && half > 0;
-            text += isChunked ? chunkedHead + chunk(body.substr(0, half)) + chunk(body.substr(half)) + lastChunk
-                              : headWith(fmt::format("Content-Length: {}\r\n", body.size())) + body;
+            text += isChunked ? fmt::format("{}{}{}{}", chunkedHead, chunk(body.substr(0, half)), chunk(body.substr(half)), lastChunk)
+                              : fmt::format("{}{}", headWith(fmt::format("Content-Length: {}\r\n", body.size())), body);
             expected += fmt::format("<{}>", body);
         }
         const body_server server;
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -2,6 +2,7 @@
 #include "Tests/Soak/soak_run.h"
 
 #include "Libraries/Base/json.h"
+#include "Tests/Soak/replica_process.h"
 #include "Tests/Soak/soak_checks.h"
 #include "Tests/Soak/soak_cluster.h"
 #include "platform/names.h"
@@ -21,16 +22,9 @@
 
 constexpr duration tick(20);
 constexpr duration eventPeriod(500);
-/// Daemons probe a replica that has sent nothing for 250 ms, and treat it as silent 200 ms later.
-constexpr duration maxAnswerTime(200);
-constexpr duration stallPollPeriod(50);
-/// Clients give up an answer that brings no byte for 3 s.
-constexpr duration maxBorneSilence(2000);
 constexpr duration samplePeriod(1000);
 /// How long a fault may outlast its planned end: one turn of the loop and a call to a stand-in.
 constexpr duration endMargin(300);
-/// A group that lost a member stalls for 1.5 s before its head gives up, and its members form a new group within another second.
-constexpr duration groupRepairTime(2500);
 constexpr int clientsPerDeadlyPart = 4;
 
 /// The numbers of the clients whose prompts have a deadly part begin with the number of the part, from 0 to 9.
@@ -79,95 +73,6 @@
     return mayLoseAnswers ? std::optional(disturbance_kind::replicas) : std::nullopt;
 }
 
-/// Polls the process that plays all replicas and detects when it stalls, because a planned pause stops it or the machine does not schedule
-/// it: all replicas are then silent together. Only a silence that clients do not bear excuses lost answers. Each one is printed with its
-/// length.
-class stall_detector
-{
-public:
-    explicit stall_detector(const endpoint &control)
-        : m_thread([this, control] {
-            while (!m_isStopping) {
-                const auto asked = monotonicNow();
-                fetchFacts(control);
-                const auto answered = monotonicNow();
-                if (answered - asked > maxAnswerTime) {
-                    const auto kind = answered - asked > maxBorneSilence ? disturbance_kind::replicas : disturbance_kind::silence;
-                    m_stalls.push_back({kind, asked, answered + groupRepairTime, std::nullopt});
-                    fmt::print(
-                        "the replicas' process stalled for {} ms at {}\n", (answered - asked).count(), asked.time_since_epoch().count());
-                }
-                std::this_thread::sleep_for(stallPollPeriod);
-            }
-        })
-    {
-    }
-
-    ~stall_detector()
-    {
-        stop();
-    }
-
-    stall_detector(const stall_detector &) = delete;
-    stall_detector &operator=(const stall_detector &) = delete;
-
-    /// Stops polling and returns the stalls found, as disturbances of replicas.
-    std::vector<disturbance> stop()
-    {
-        m_isStopping = true;
-        if (m_thread.joinable()) {
-            m_thread.join();
-        }
-        return std::move(m_stalls);
-    }
-
-private:
-    std::atomic<bool> m_isStopping = false;
-    std::vector<disturbance> m_stalls;
-    std::thread m_thread;
-};
-
-/// Stops the process that plays all replicas and continues it, as planned.
-class replica_pauser
-{
-public:
-    replica_pauser(child_process &replicas, const std::vector<planned_pause> &plan, instant begin)
-        : m_thread([this, &replicas, plan, begin] {
-            for (const auto &pause : plan) {
-                if (!waitUntil(begin + pause.at)) {
-                    return;
-                }
-                replicas.signal(SIGSTOP);
-                waitUntil(begin + pause.at + pause.lasts);
-                replicas.signal(SIGCONT);
-            }
-        })
-    {
-    }
-
-    ~replica_pauser()
-    {
-        m_isStopping = true;
-        m_thread.join();
-    }
-
-    replica_pauser(const replica_pauser &) = delete;
-    replica_pauser &operator=(const replica_pauser &) = delete;
-
-private:
-    /// Returns false at once if the run ends before \a time.
-    bool waitUntil(instant time) const
-    {
-        while (!m_isStopping && monotonicNow() < time) {
-            std::this_thread::sleep_for(tick);
-        }
-        return !m_isStopping;
-    }
-
-    std::atomic<bool> m_isStopping = false;
-    std::thread m_thread;
-};
-
 /// Runs clients' traffic against a cluster and applies the planned faults and notices.
 class soak_runner
 {
