Entry: Give the second replica of a silent one the usual time to connect

A hedge still has 30 ms, since it must beat a retransmission. By reading; loopback has no such delay, so that no test shows it.

--- a/Libraries/Entry/attempt_race.cpp
+++ b/Libraries/Entry/attempt_race.cpp
@@ -13,8 +13,9 @@
 namespace {
 
 constexpr event_log requestLog("request");
-/// A second replica is only of use if it can be connected to at once; the first connection is not read meanwhile.
-constexpr duration secondConnectTimeout(30);
+/// A hedge is only of use if the second replica can be connected to at once; the first connection is not read meanwhile. A replica that
+/// has been silent for long is worth the usual time, so that replicas in other regions can be asked too.
+constexpr duration hedgeConnectTimeout(30);
 /// How often a waiting race checks whether the request must be withdrawn, or the second replica is silent too.
 constexpr duration raceCheckPeriod(120);
 constexpr int firstServerError = 500;
@@ -84,7 +85,8 @@
     race.secondEvents.discardPartial();
     reason why;
     path_failure failure{};
-    auto connection = connectTo(second, secondConnectTimeout, failure, why);
+    const auto connectTimeout = cause == race_cause::losses ? hedgeConnectTimeout : directConnectTimeout;
+    auto connection = connectTo(second, connectTimeout, failure, why);
     if (!connection || !race.second.send(connection->connection, replicaCall(second), why)) {
         m_attempts += connection ? 1 : 0;
         m_mayHaveRun = m_mayHaveRun || connection;
