Tests: Share the division of a soak's time, and keep each plan's declarations together

The pauses' plan repeated the expression of two others, and its declarations had split those of the restorations. The schedules are computed as before; testSoakChecks passes.

--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -66,6 +66,12 @@
     return kind >= fault_kind::kill_replica && kind <= fault_kind::garbling_replicas;
 }
 
+/// Returns the part of the time with faults that each of \a count events has for itself.
+duration timeForEach(const schedule_size &size, int count)
+{
+    return count > 0 ? (size.length - recoveryLength - initialQuietTime) / count : duration(0);
+}
+
 /// Yields all fault kinds in random order before any of them is repeated, with a new order for each round.
 class shuffled_fault_kinds
 {
@@ -169,7 +175,7 @@
     constexpr std::uint64_t evacuationSeedMask = 0xc2b2ae3d27d4eb4fULL;
     deterministic_random randomNumbers(seed ^ evacuationSeedMask);
     std::vector<planned_evacuation> plan;
-    const auto time = count > 0 ? (size.length - recoveryLength - initialQuietTime) / count : duration(0);
+    const auto time = timeForEach(size, count);
     for (int number = 0; number < count; ++number) {
         planned_evacuation evacuation;
         evacuation.at = initialQuietTime + time * number;
@@ -193,7 +199,7 @@
     constexpr std::uint64_t pauseSeedMask = 0x27d4eb2f165667c5ULL;
     deterministic_random randomNumbers(seed ^ pauseSeedMask);
     std::vector<planned_pause> plan;
-    const auto time = count > 0 ? (size.length - recoveryLength - initialQuietTime) / count : duration(0);
+    const auto time = timeForEach(size, count);
     for (int number = 0; number < count; ++number) {
         planned_pause pause;
         pause.changeAt = initialQuietTime + time * number + randomNumbers.between(duration(0), time / 4);
@@ -223,7 +229,7 @@
     constexpr std::uint64_t restoreSeedMask = 0x165667b19e3779f9ULL;
     deterministic_random randomNumbers(seed ^ restoreSeedMask);
     std::vector<planned_restore> plan;
-    const auto time = count > 0 ? (size.length - recoveryLength - initialQuietTime) / count : duration(0);
+    const auto time = timeForEach(size, count);
     for (int number = 0; number < count; ++number) {
         planned_restore restore;
         restore.backAt = initialQuietTime + time * (number + 1);
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -132,6 +132,21 @@
 /// Returns the printed line for an evacuation of the schedule.
 std::string describe(const planned_evacuation &evacuation);
 
+/// A time for which all replicas send nothing, shortly after a change of the configuration.
+struct planned_pause
+{
+    /// When the operator writes the configuration.
+    duration changeAt{0};
+    duration at{0};
+    duration lasts{0};
+};
+
+/// Returns \a count pauses for a seed, spread over the time of the faults and one after the other. Their random numbers are independent of
+/// those of planFaults().
+std::vector<planned_pause> planPauses(std::uint64_t seed, const schedule_size &size, int count);
+/// Returns the printed line for a pause of the schedule.
+std::string describe(const planned_pause &pause);
+
 /// A time for which the store is away, after which it comes back from an older copy.
 struct planned_restore
 {
@@ -158,21 +173,6 @@
 /// back.
 std::vector<planned_fault>
 planStartsAtReturns(std::uint64_t seed, const schedule_size &size, const std::vector<planned_restore> &restores, int count);
-/// A time for which all replicas send nothing, shortly after a change of the configuration.
-struct planned_pause
-{
-    /// When the operator writes the configuration.
-    duration changeAt{0};
-    duration at{0};
-    duration lasts{0};
-};
-
-/// Returns \a count pauses for a seed, spread over the time of the faults and one after the other. Their random numbers are independent of
-/// those of planFaults().
-std::vector<planned_pause> planPauses(std::uint64_t seed, const schedule_size &size, int count);
-/// Returns the printed line for a pause of the schedule.
-std::string describe(const planned_pause &pause);
-
 /// Returns the printed line for a restoration of the schedule.
 std::string describe(const planned_restore &restore);
 
