Tests: Read raw answers with one function

testRequestBody and raw_client each had the same loop. raw_client moves to Tests/Fakes, which both test programs use.

--- a/Tests/PlatformAdapter/rawClient.h
+++ b/Tests/Fakes/raw_client.h
@@ -13,6 +13,25 @@
 
 namespace vetchpost::test {
 
+/// Receives until the peer closes the connection. Ends with "[open]" if it does not within the socket's receive timeout.
+inline std::string receiveUntilClosed(Poco::Net::StreamSocket &socket)
+{
+    std::string text;
+    std::array<char, 4096> bytes{};
+    try {
+        for (int count = 1; count > 0;) {
+            count = socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+            text.append(bytes.data(), static_cast<std::size_t>(std::max(0, count)));
+        }
+    } catch (const Poco::TimeoutException &) {
+        text += "[open]";
+    } catch (const Poco::Exception &) {
+        // A reset closes the connection as well.
+        return text;
+    }
+    return text;
+}
+
 /// A client's connection on which any bytes can be sent.
 class raw_client
 {
@@ -33,23 +52,9 @@
         m_socket.shutdownSend();
     }
 
-    /// Receives until the daemon closes the connection; the text ends with "[open]" if it does not.
     std::string receiveAll()
     {
-        std::string text;
-        std::array<char, 4096> bytes{};
-        try {
-            for (int count = 1; count > 0;) {
-                count = m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-                text.append(bytes.data(), static_cast<std::size_t>(std::max(0, count)));
-            }
-        } catch (const Poco::TimeoutException &) {
-            text += "[open]";
-        } catch (const Poco::Exception &) {
-            // A reset closes the connection as well.
-            return text;
-        }
-        return text;
+        return receiveUntilClosed(m_socket);
     }
 
 private:
--- a/Tests/Http/testRequestBody.cpp
+++ b/Tests/Http/testRequestBody.cpp
@@ -2,13 +2,11 @@
 // Guards against a part of a request's body that is taken for the whole one, and against a rest that is read as the next request.
 #include "Libraries/Http/http_server.h"
 #include "Tests/Fakes/free_port.h"
-#include "Tests/Fakes/fuzz.h"
+#include "Tests/Fakes/raw_client.h"
 
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
+#include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-#include <array>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -101,25 +99,6 @@
     }
 }
 
-/// Receives until the server closes the connection. Ends with "[open]" if it does not.
-std::string receiveAll(Poco::Net::StreamSocket &socket)
-{
-    std::string text;
-    std::array<char, 4096> bytes{};
-    try {
-        for (int count = 1; count > 0;) {
-            count = socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-            text.append(bytes.data(), static_cast<std::size_t>(std::max(0, count)));
-        }
-    } catch (const Poco::TimeoutException &) {
-        text += "[open]";
-    } catch (const Poco::Exception &) {
-        // A reset closes the connection as well.
-        return text;
-    }
-    return text;
-}
-
 std::string chunk(const std::string &bytes)
 {
     return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
@@ -146,7 +125,7 @@
             auto socket = server.connect();
             sendText(socket, whole.substr(0, cut));
             socket.shutdownSend();
-            CHECK(receiveAll(socket).starts_with("HTTP/1.1 400"));
+            CHECK(receiveUntilClosed(socket).starts_with("HTTP/1.1 400"));
             REQUIRE(server.handled().size() == 1);
             CHECK_FALSE(server.handled().front().body);
         }
@@ -176,7 +155,7 @@
         sendText(socket, head);
         std::this_thread::sleep_for(bodyTimeout + duration(200));
         sendText(socket, "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
-        CHECK(receiveAll(socket).starts_with("HTTP/1.1 408"));
+        CHECK(receiveUntilClosed(socket).starts_with("HTTP/1.1 408"));
         REQUIRE(server.handled().size() == 1);
         CHECK_FALSE(server.handled().front().body);
     }
@@ -189,7 +168,7 @@
     sendText(socket, chunkedHead + chunk("first half, "));
     std::this_thread::sleep_for(connectionTimeout * 2);
     sendText(socket, chunk("second half") + lastChunk + closingRequest);
-    CHECK(receiveAll(socket).find("<first half, second half>") != std::string::npos);
+    CHECK(receiveUntilClosed(socket).find("<first half, second half>") != std::string::npos);
     CHECK(server.handled().size() == 2);
 }
 
@@ -202,7 +181,7 @@
         const body_server server;
         auto socket = server.connect();
         sendText(socket, head + smuggled);
-        const auto answer = receiveAll(socket);
+        const auto answer = receiveUntilClosed(socket);
         CHECK(answer.find("[open]") == std::string::npos);
         REQUIRE(server.handled().size() == 1);
         CHECK(server.handled().front().target == "/unread");
@@ -232,7 +211,7 @@
         const body_server server;
         auto socket = server.connect();
         sendText(socket, head + smuggled);
-        const auto answer = receiveAll(socket);
+        const auto answer = receiveUntilClosed(socket);
         CHECK(answer.find("[open]") == std::string::npos);
         CHECK(answer.find("HTTP/1.1 200") == std::string::npos);
         const auto handled = server.handled();
@@ -261,7 +240,7 @@
         const body_server server;
         auto socket = server.connect();
         sendText(socket, fmt::format("{}{}{}", chunkedHead, body, closingRequest));
-        CHECK(receiveAll(socket).find("HTTP/1.1 200") == std::string::npos);
+        CHECK(receiveUntilClosed(socket).find("HTTP/1.1 200") == std::string::npos);
         REQUIRE(server.handled().size() == 1);
         CHECK_FALSE(server.handled().front().body);
     }
@@ -291,7 +270,7 @@
             }
             sendText(socket, closingRequest);
         });
-        const auto answer = receiveAll(socket);
+        const auto answer = receiveUntilClosed(socket);
         sender.join();
         std::string bodies;
         for (const auto &request : server.handled()) {
--- a/Tests/PlatformAdapter/testAnswerFraming.cpp
+++ b/Tests/PlatformAdapter/testAnswerFraming.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // An answer may come with neither a length nor chunks and end with its connection. A stream that ends inside an event has been broken off,
 // and one that is reset is never whole.
-#include "Tests/PlatformAdapter/rawClient.h"
+#include "Tests/Fakes/raw_client.h"
 #include "Tests/PlatformAdapter/relayFixture.h"
 
 using namespace vetchpost;
--- a/Tests/PlatformAdapter/testRequestFraming.cpp
+++ b/Tests/PlatformAdapter/testRequestFraming.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Guards against a part of a request's body that reaches a replica as a request of its own.
-#include "Tests/PlatformAdapter/rawClient.h"
+#include "Tests/Fakes/raw_client.h"
 #include "Tests/PlatformAdapter/relayFixture.h"
 
 using namespace vetchpost;
