--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -6,8 +6,6 @@
 
 namespace vetchpost {
 
-/// Formation numbers that each term reserves, so that the numbers of a successor are always higher.
-constexpr std::uint64_t formationsPerTerm = 100000;
 /// Loads that only prepare for a loss begin only while fewer loads than this are in progress.
 constexpr std::size_t maxPreparatoryStoreLoads = 2;
 
@@ -32,7 +30,9 @@
     // Groups that an earlier coordinator formed.
 
     void adoptGroups();
+    bool isAdoptable(const reported_group &reported) const;
     void adoptGroup(const reported_group &reported);
+    void dropMovedMembers(planned_group &group) const;
     static void addReturnedMembers(planned_group &group, const reported_group &reported);
     void closeUnplannedHeads();
 
@@ -143,10 +143,22 @@
 
     const served_replica *find(const instance_id &instance) const;
     bool isAlive(const instance_id &instance) const;
+    /// Whether the replica is alive and its entry states its present membership.
+    bool isPresent(const instance_id &instance) const;
+    /// Whether entries of live replicas may be missing or out of date since the key-value service was away.
+    bool mayMissEntries() const;
     bool isAvoided(const instance_id &instance) const;
     bool isSilentAndUnlisted(const instance_id &instance) const;
     const group_model *findModel(const model_id &id) const;
     bool isHoldingRequests(const served_replica &head) const;
+    /// The listed head of the formation that a replica belongs to, or nullptr.
+    const served_replica *headOf(const served_replica &replica) const;
+    /// Whether the group that a replica belongs to may hold requests, as far as the entries show.
+    bool mayGroupHoldRequests(const served_replica &replica) const;
+    /// The member that belongs to another group whose head is known to hold requests, or nullptr.
+    const planned_member *findMemberHeldElsewhere(const planned_group &group) const;
+    /// Whether a member may be ordered to join now: its entry is present and shows that it is free for the group.
+    bool mayJoin(const planned_group &group, const planned_member &member) const;
     static bool wasHead(const served_replica &replica);
     /// The member's state, or nothing if the member does not report itself in this formation of the group.
     std::optional<member_state> stateOf(const planned_group &group, const planned_member &member) const;
@@ -159,6 +171,8 @@
     bool isUnused(const served_replica &replica) const;
     bool isAnyMemberLost(const planned_group &group) const;
     bool isLost(const planned_member &member) const;
+    /// Whether the member has never been listed here, and its entry may return.
+    bool isAwaited(const planned_member &member) const;
     /// Whether the member has restarted since it was ordered to join.
     bool hasStartedAgain(const planned_member &member) const;
     static readiness readinessOf(const served_replica &replica, const model_id &model);
@@ -186,6 +200,9 @@
     assembly_state &m_state;
     const assembly_view &m_view;
     std::vector<reported_group> m_reportedGroups;
+    /// The listed heads of m_reportedGroups.
+    std::map<group_id, const served_replica *> m_reportedHeads;
+    bool m_mayMissEntries = false;
     std::vector<replica_order> m_orders;
     std::map<fabric_domain_id, std::vector<const served_replica *>> m_free;
     int m_usable = 0;
--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -124,6 +124,15 @@
     return incarnation != state.incarnations.end() && isAnotherIncarnation(incarnation->second, order.incarnation);
 }
 
+/// Whether a probe shows that the replica has joined a group of another coordinator since its entry was read. Its head may serve, which
+/// only its entry tells; a group of this term has been planned here.
+bool hasJoinedElsewhere(const assembly_state &state, const replica_order &order, const order_answer &answer)
+{
+    const auto &membership = answer.membership;
+    return answer.result == order_result::accepted && membership && membership->formed > order.listedFormation
+        && membership->formed != order.formed && membership->formed.value() / formationsPerTerm != state.term;
+}
+
 bool isDone(order_result result)
 {
     return result == order_result::accepted || result == order_result::already_in_effect;
@@ -172,6 +181,10 @@
         member->nextOrder = result == order_result::accepted ? now : member->nextOrder;
         if (result == order_result::gone) {
             recordJoinResult(state, group, *member, result, now);
+        } else if (hasJoinedElsewhere(state, order, answer)) {
+            // Either the entry or the answer is out of date.
+            state.acceptedOrders.erase(order.to);
+            recordJoinResult(state, group, *member, order_result::conflict, now);
         }
     } else if (order.kind == order_kind::join) {
         recordJoinResult(state, group, *member, result, now);
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -16,6 +16,9 @@
 /// the current coordinator plans to do. docs/design/PLATFORM.md numbers the steps.
 namespace vetchpost {
 
+/// Formation numbers that each term reserves, so that the numbers of a successor are always higher.
+constexpr std::uint64_t formationsPerTerm = 100000;
+
 enum class order_kind {
     /// Asks how many orders the replica has accepted; changes nothing.
     probe,
@@ -57,6 +60,8 @@
     replica_incarnation incarnation = {};
     /// Whether the order begins a load that does not count against the weight store's rate before the first request.
     bool isFreeLoad = false;
+    /// For a probe before a join: the formation that the replica's entry names; none if it names no group.
+    formation listedFormation = {};
 };
 
 /// The outcome of an order.
@@ -111,6 +116,8 @@
     std::uint64_t acceptedOrders = 0;
     /// For a probe: the incarnation that answered; "never" if the answer does not contain it.
     replica_incarnation incarnation = {};
+    /// For a probe: the replica's membership, if it has one.
+    std::optional<group_membership> membership = {};
 };
 
 std::string_view assemblyStageName(assembly_stage stage);
@@ -193,6 +200,9 @@
     std::size_t preparationsPerLoss = 4;
     /// Number of preparatory loads that are allowed without any loss, for the first one that may come.
     std::size_t minPreparations = 2;
+    /// Entries of live replicas may be missing for this time after the first listing, since the key-value service may just have returned
+    /// from an outage.
+    duration entryReturnTime{2200};
     /// For this time a loss counts as a sign that more will follow.
     duration lossRetention{60000};
     /// Window over which loads are counted.
@@ -277,7 +287,7 @@
     instant now;
     /// Suspects whose entry in the key-value service was read after they were found silent and did not mark them as leaving.
     std::set<instance_id> notLeaving = {};
-    /// Since when this daemon has followed the entries. A head whose entry vanished since then is still in the directory, or has had the
+    /// Since when all changes of the entries are known. A head whose entry vanished since then is still in the directory, or has had the
     /// time to end.
     instant followedSince = {};
     /// Data centres in which no replica may be used: no group is formed or repaired and no weights are staged there, and the groups that
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -17,14 +17,6 @@
             used.insert(member.instance);
         }
     }
-    for (const auto &reported : m_reportedGroups) {
-        // A replica whose head holds requests must not join another group, whether or not its group is planned.
-        if (reported.head() != nullptr && isHoldingRequests(*reported.head())) {
-            for (const auto *member : reported.members) {
-                used.insert(member == nullptr ? instance_id() : member->id);
-            }
-        }
-    }
     std::map<fabric_domain_id, int> usable;
     for (const auto &[id, replica] : m_view.directory.replicas) {
         if (replica.service != m_view.service) {
@@ -37,7 +29,8 @@
         if (!replica.isDraining && !m_view.suspects.contains(id)) {
             ++usable[replica.domain];
         }
-        if (isAlive(id) && !used.contains(id) && !isAvoided(id)) {
+        // A replica whose head holds requests must not join another group, whether or not its group is planned.
+        if (isPresent(id) && !used.contains(id) && !isAvoided(id) && !mayGroupHoldRequests(replica)) {
             m_free[replica.domain].push_back(&replica);
             m_state.idleSince.try_emplace(id, m_view.now);
         } else {
--- a/Libraries/Assembly/group_preemption.cpp
+++ b/Libraries/Assembly/group_preemption.cpp
@@ -111,12 +111,12 @@
 {
     const bool isEnding = group.stage == assembly_stage::closing || group.stage == assembly_stage::leaving;
     const auto &head = group.members.front().instance;
-    return isEnding && !group.headLostSince && find(head) != nullptr && !m_view.suspects.contains(head);
+    return isEnding && !group.headLostSince && find(head) != nullptr && !find(head)->isLapsed && !m_view.suspects.contains(head);
 }
 
 void assembly_round::addTo(packing_group &counts, const served_replica &replica) const
 {
-    if (!isAlive(replica.id) || isAvoided(replica.id)) {
+    if (!isPresent(replica.id) || isAvoided(replica.id)) {
         return;
     }
     ++counts.alive;
@@ -141,7 +141,7 @@
     for (const auto &[id, group] : m_state.groups) {
         const auto *head = find(group.members.front().instance);
         const bool isServing = group.stage == assembly_stage::serving;
-        if (head == nullptr || isEvacuated(group) || !(isServing || isReleasedSoon(group))) {
+        if (head == nullptr || head->isLapsed || isEvacuated(group) || !(isServing || isReleasedSoon(group))) {
             continue;
         }
         auto &domain = domains[head->domain];
@@ -229,7 +229,7 @@
     }
     for (const auto &id : choice.closed) {
         for (const auto &member : m_state.groups.at(id).members) {
-            if (isAlive(member.instance)) {
+            if (isPresent(member.instance)) {
                 replicas.push_back(find(member.instance));
             }
         }
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -37,6 +37,10 @@
         dissolve(group, "its data centre is evacuated");
         return;
     }
+    if (const auto *member = findMemberHeldElsewhere(group)) {
+        dissolve(group, "a member belongs to a group that serves: " + member->instance.value());
+        return;
+    }
     auto &head = group.members.front();
     if (!head.hasJoined) {
         sendJoin(group, head);
@@ -128,7 +132,7 @@
         const bool isHolding = state == member_state::open || state == member_state::closing;
         // A head that reports itself ready may be about to open; only its answer to the order to close rules that out.
         const bool mayStillOpen = state == member_state::ready && !group.hasAcceptedClose;
-        if (!isHolding && !mayStillOpen) {
+        if (!isHolding && !mayStillOpen && !listed->isLapsed) {
             dissolve(group, "its head is closed");
             return;
         }
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -34,12 +34,18 @@
     , m_view(view)
     , m_reportedGroups(groupsOf(view.directory, view.service))
 {
+    for (const auto &reported : m_reportedGroups) {
+        if (const auto *head = reported.head()) {
+            m_reportedHeads.emplace(reported.id, head);
+        }
+    }
     std::erase_if(m_state.avoidedUntil, [&](const auto &entry) { return entry.second <= m_view.now; });
     eraseUpTo(m_state.loads, m_view.now - m_state.policy.loadWindow);
     eraseUpTo(m_state.losses, m_view.now - m_state.policy.lossRetention);
     eraseUpTo(m_state.preparatoryLoads, m_view.now - m_state.policy.lossRetention);
     const auto firstRecent = std::upper_bound(m_state.loads.begin(), m_state.loads.end(), m_view.now - m_state.policy.trafficReportDelay);
     m_olderLoads = static_cast<std::size_t>(firstRecent - m_state.loads.begin());
+    m_mayMissEntries = mayMissEntries();
     updateIncarnations();
     updateDraining();
     updateSilence();
@@ -65,13 +71,18 @@
         return std::move(m_orders);
     }
     updateReservations();
-    preemptForShortModels();
+    // While entries are missing, groups that serve may not be counted, and the members of counted ones may have moved.
+    if (!m_mayMissEntries) {
+        preemptForShortModels();
+    }
     formGroups();
     if (isFormingThrottled()) {
         return std::move(m_orders);
     }
     formExtraGroups();
-    stageForShortModels();
+    if (!m_mayMissEntries) {
+        stageForShortModels();
+    }
     stageSpares();
     stageServing();
     return std::move(m_orders);
@@ -142,16 +153,46 @@
         // their head. A group is adopted as soon as any of its entries is present. If only the first round adopted groups, members would be
         // ordered into other groups while their head is open.
         const bool isFromBefore = reported.formed.value() < m_state.term * formationsPerTerm;
-        const bool isNew = isFromBefore && m_state.knownFormations.emplace(reported.id, reported.formed).second;
+        const bool isNew = isFromBefore && isAdoptable(reported) && m_state.knownFormations.emplace(reported.id, reported.formed).second;
         const auto planned = m_state.groups.find(reported.id);
-        const bool isHeadBack = planned != m_state.groups.end() && planned->second.formed == reported.formed && reported.head() != nullptr
-            && planned->second.members.front().instance.isEmpty();
+        const bool isHeadBack = isAdoptable(reported) && planned != m_state.groups.end() && planned->second.formed == reported.formed
+            && reported.head() != nullptr && planned->second.members.front().instance.isEmpty();
         if (isNew || isHeadBack) {
             adoptGroup(reported);
         } else if (planned != m_state.groups.end() && planned->second.formed == reported.formed) {
             addReturnedMembers(planned->second, reported);
         }
     }
+    for (auto &[id, group] : m_state.groups) {
+        dropMovedMembers(group);
+    }
+}
+
+/// Lapsed entries say what was true before an outage of the key-value service. Of these only groups that served are adopted, since they are
+/// likely to serve still; another head may have opened, and must not be ordered to leave before its entry returns.
+bool assembly_round::isAdoptable(const reported_group &reported) const
+{
+    const auto *head = reported.head();
+    if (head != nullptr) {
+        return !head->isLapsed || isHoldingRequests(*head);
+    }
+    return std::any_of(reported.members.begin(), reported.members.end(), [](const served_replica *member) {
+        return member != nullptr && !member->isLapsed;
+    });
+}
+
+/// Removes members of a group without a known head whose entries returned and name another group or none.
+void assembly_round::dropMovedMembers(planned_group &group) const
+{
+    if (!group.members.front().instance.isEmpty()) {
+        return;
+    }
+    for (auto &member : group.members) {
+        const auto *replica = find(member.instance);
+        if (replica != nullptr && !replica->isLapsed && !stateOf(group, member)) {
+            member = planned_member();
+        }
+    }
 }
 
 /// Adds members whose entries return after their group was adopted.
@@ -208,7 +249,7 @@
 {
     for (const auto &reported : m_reportedGroups) {
         const auto *head = reported.head();
-        if (head == nullptr || !isHoldingRequests(*head) || isAvoided(head->id)) {
+        if (head == nullptr || head->isLapsed || !isHoldingRequests(*head) || isAvoided(head->id)) {
             continue;
         }
         const auto planned = m_state.groups.find(reported.id);
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -19,6 +19,19 @@
     return replica != nullptr && !replica->isDraining && !m_view.suspects.contains(instance);
 }
 
+bool assembly_round::isPresent(const instance_id &instance) const
+{
+    return isAlive(instance) && !find(instance)->isLapsed;
+}
+
+bool assembly_round::mayMissEntries() const
+{
+    return m_view.now - m_view.followedSince < m_state.policy.entryReturnTime
+        || std::any_of(m_view.directory.replicas.begin(), m_view.directory.replicas.end(), [&](const auto &entry) {
+               return entry.second.isLapsed && entry.second.service == m_view.service;
+           });
+}
+
 bool assembly_round::isAvoided(const instance_id &instance) const
 {
     return m_state.avoidedUntil.contains(instance);
@@ -43,6 +56,50 @@
         && (head.membership->state == member_state::open || head.membership->state == member_state::closing);
 }
 
+const served_replica *assembly_round::headOf(const served_replica &replica) const
+{
+    const auto &membership = *replica.membership;
+    const auto found = m_reportedHeads.find(membership.group);
+    return found == m_reportedHeads.end() || found->second->membership->formed != membership.formed ? nullptr : found->second;
+}
+
+/// A group whose head is not listed is kept by its adoption until the head has had the time to end; afterwards its members are free.
+bool assembly_round::mayGroupHoldRequests(const served_replica &replica) const
+{
+    if (!replica.membership) {
+        return false;
+    }
+    const auto *head = headOf(replica);
+    if (head == nullptr) {
+        // A later coordinator has formed the group, and only that one knows its head.
+        return replica.membership->formed.value() >= (m_state.term + 1) * formationsPerTerm;
+    }
+    // What a lapsed entry says is out of date: the head may have opened since.
+    return isHoldingRequests(*head) || (head->isLapsed && !m_state.deadHeads.contains(head->id));
+}
+
+const planned_member *assembly_round::findMemberHeldElsewhere(const planned_group &group) const
+{
+    const auto found = std::find_if(group.members.begin(), group.members.end(), [&](const planned_member &member) {
+        const auto *replica = find(member.instance);
+        const bool isElsewhere
+            = replica != nullptr && !replica->isLapsed && replica->membership && replica->membership->formed != group.formed;
+        const auto *head = isElsewhere ? headOf(*replica) : nullptr;
+        return !member.hasJoined && head != nullptr && !head->isLapsed && isHoldingRequests(*head);
+    });
+    return found == group.members.end() ? nullptr : &*found;
+}
+
+bool assembly_round::mayJoin(const planned_group &group, const planned_member &member) const
+{
+    const auto *replica = find(member.instance);
+    if (replica == nullptr || replica->isLapsed) {
+        return false;
+    }
+    const bool isHere = replica->membership && replica->membership->formed == group.formed;
+    return isHere || !mayGroupHoldRequests(*replica);
+}
+
 bool assembly_round::wasHead(const served_replica &replica)
 {
     return replica.membership && replica.membership->rank == 0;
@@ -65,6 +122,9 @@
 {
     for (const auto &member : group.members) {
         const auto *replica = find(member.instance);
+        if (isAwaited(member)) {
+            continue;
+        }
         if (replica == nullptr) {
             return "a member is gone: " + member.instance.value();
         }
@@ -110,7 +170,7 @@
 
 bool assembly_round::isUnused(const served_replica &replica) const
 {
-    return isAlive(replica.id) && !isAvoided(replica.id) && !isEvacuated(replica)
+    return isPresent(replica.id) && !isAvoided(replica.id) && !isEvacuated(replica)
         && std::none_of(m_state.groups.begin(), m_state.groups.end(), [&](const auto &entry) {
                const auto &members = entry.second.members;
                return std::any_of(
@@ -125,7 +185,12 @@
 
 bool assembly_round::isLost(const planned_member &member) const
 {
-    return find(member.instance) == nullptr || m_view.suspects.contains(member.instance) || hasStartedAgain(member);
+    return (find(member.instance) == nullptr && !isAwaited(member)) || m_view.suspects.contains(member.instance) || hasStartedAgain(member);
+}
+
+bool assembly_round::isAwaited(const planned_member &member) const
+{
+    return member.instance.isEmpty() && m_mayMissEntries;
 }
 
 bool assembly_round::hasStartedAgain(const planned_member &member) const
@@ -241,7 +306,7 @@
 
 void assembly_round::sendJoin(planned_group &group, planned_member &member)
 {
-    if (!mayOrder(member)) {
+    if (!mayOrder(member) || !mayJoin(group, member)) {
         return;
     }
     // The group may have been formed before the first request, when its loads were free; after it they count.
@@ -262,6 +327,8 @@
         const auto known = acceptedOrders(member.instance);
         order.kind = known ? kind : order_kind::probe;
         order.expectedOrders = known.value_or(0);
+        const auto *replica = find(member.instance);
+        order.listedFormation = replica != nullptr && replica->membership ? replica->membership->formed : formation();
     }
     order.incarnation = member.incarnation;
     order.isFreeLoad = order.kind == order_kind::join && m_view.isBeforeTraffic && mustLoad(group, member);
--- a/Libraries/Assembly/weight_staging.cpp
+++ b/Libraries/Assembly/weight_staging.cpp
@@ -177,7 +177,8 @@
 {
     const auto *replica = find(instance);
     const auto *other = otherModel(group.model);
-    if (replica == nullptr || replica->isDraining || other == nullptr || m_state.stagings.contains(instance) || isAvoided(instance)) {
+    if (replica == nullptr || replica->isDraining || replica->isLapsed || other == nullptr || m_state.stagings.contains(instance)
+        || isAvoided(instance)) {
         return;
     }
     if (readinessOf(*replica, other->id) == readiness::must_load && mayLoad(1)) {
--- a/Libraries/Entry/evacuation_reading.cpp
+++ b/Libraries/Entry/evacuation_reading.cpp
@@ -204,7 +204,7 @@
     std::vector<std::pair<evacuation_change, std::int64_t>> changes;
     {
         const std::lock_guard lock(mutex);
-        if (!firstListing) {
+        if (!followedSince) {
             return;
         }
         const auto present = vetchpost::evacuatedDataCentres(feed.evacuations);
--- a/Libraries/Entry/replica_entries.cpp
+++ b/Libraries/Entry/replica_entries.cpp
@@ -65,6 +65,7 @@
     }
     known->second.isDraining = true;
     known->second.isUnlisted = true;
+    known->second.isLapsed = false;
     entries.unlisted.try_emplace(replica, now + unlistedGrace);
 }
 
@@ -84,7 +85,12 @@
     }
 }
 
-void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, store_revision upTo, duration outage, instant now)
+void applyListing(replica_entries &entries,
+                  const std::vector<replica_change> &replicas,
+                  store_revision upTo,
+                  duration outage,
+                  instant now,
+                  std::optional<instant> outageEnd)
 {
     std::set<instance_id> present;
     for (const auto &change : replicas) {
@@ -103,7 +109,9 @@
     }
     for (const auto &id : missing) {
         if (outage >= lapsingOutage) {
-            entries.lapsed.try_emplace(id, now + lapsedGrace);
+            // An entry that is still missing after a later outage has that much time again.
+            entries.lapsed.insert_or_assign(id, outageEnd.value_or(now) + lapsedGrace);
+            entries.directory.replicas.at(id).isLapsed = true;
         } else if (!entries.lapsed.contains(id)) {
             unlist(entries, id, now);
         }
@@ -131,6 +139,13 @@
     entries.unlisted.erase(change.id);
 }
 
+void extendLapsed(replica_entries &entries, instant until)
+{
+    for (auto &[id, deadline] : entries.lapsed) {
+        deadline = std::max(deadline, until);
+    }
+}
+
 bool removeLapsed(replica_entries &entries, instant now)
 {
     bool hasChanged = false;
--- a/Libraries/Entry/replica_entries.h
+++ b/Libraries/Entry/replica_entries.h
@@ -35,8 +35,16 @@
 /// \a isColdPaced, for a daemon that does not pace requests to cold replicas.
 void recordReceipt(std::vector<replica_change> &changes, bool isColdPaced, instant now);
 /// Applies a complete listing of \a replicas as of the service's revision \a upTo; known changes that are newer stay. \a outage is the
-/// duration of a recent outage of the service: if it was long enough, missing replicas are kept for lapsedGrace.
-void applyListing(replica_entries &entries, const std::vector<replica_change> &replicas, store_revision upTo, duration outage, instant now);
+/// duration of a recent outage of the service: if it was long enough, missing replicas are marked as lapsed and kept until lapsedGrace
+/// after \a outageEnd, or after \a now without one.
+void applyListing(replica_entries &entries,
+                  const std::vector<replica_change> &replicas,
+                  store_revision upTo,
+                  duration outage,
+                  instant now,
+                  std::optional<instant> outageEnd = std::nullopt);
+/// Keeps the lapsed replicas until \a until at least, after another outage in which they could not write their entries.
+void extendLapsed(replica_entries &entries, instant until);
 /// Applies one change: a written entry or its removal. A group member whose entry was removed is kept as draining for unlistedGrace.
 void applyChange(replica_entries &entries, const replica_change &change, instant now);
 /// How long a group member without an entry is kept as draining. A leaving member stays for up to ten seconds while its head has work.
--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -82,7 +82,7 @@
         return false;
     }
     const auto replicas = decodeAll(listing->entries);
-    const auto outageNow = recentOutage();
+    const auto answered = monotonicNow();
     logLeaving(replicas, "listing");
     reportLeaving(replicas);
     {
@@ -93,11 +93,16 @@
             return false;
         }
         // The copy lacks the entries of replicas that have started since it was made, until they write them again.
-        const bool isNewEra = firstListing && listing->upTo.era() > listedEra;
+        const bool isNewEra = followedSince && listing->upTo.era() > listedEra;
+        // A listing may have waited while the service was away.
+        const auto outageNow = std::max(recentOutage(answered), answered - asked);
         const auto outage = isNewEra ? std::max(outageNow, lapsingOutage) : outageNow;
+        const bool hasOutage = outage >= lapsingOutage;
+        const bool isOutageOver = !isNewEra && availability.outageEnd && outage > answered - asked;
         listedEra = listing->upTo.era();
-        applyListing(entries, replicas, listing->upTo, outage, monotonicNow());
-        applyListing(feed, replicas, listing->upTo, outage < lapsingOutage);
+        applyListing(entries, replicas, listing->upTo, outage, answered, isOutageOver ? availability.outageEnd : std::nullopt);
+        applyListing(feed, replicas, listing->upTo, !hasOutage);
+        updateFollowedSince(asked, hasOutage);
         replicasUpTo = std::max(replicasUpTo, listing->upTo);
         // Another thread may be listing too, and the answer to the older call may arrive last.
         replicasCurrentAt = std::max(replicasCurrentAt.value_or(asked), asked);
@@ -105,7 +110,6 @@
             mustListSince.reset();
         }
         lastListing = std::max(lastListing.value_or(asked), asked);
-        firstListing = firstListing.value_or(asked);
         storeLog.write("replicas_listed",
                        {{"count", replicas.size()},
                         {"lapsed", entries.lapsed.size()},
@@ -119,6 +123,15 @@
     return true;
 }
 
+void store_follower::private_data::updateFollowedSince(instant asked, bool hasOutage)
+{
+    // Between the last known change and this listing entries may have lapsed and been written again with changes that nobody here has seen.
+    const bool isContinuous = replicasCurrentAt && asked - *replicasCurrentAt < lapsingOutage;
+    if (!followedSince || hasOutage || !isContinuous) {
+        followedSince = asked;
+    }
+}
+
 bool store_follower::private_data::watch()
 {
     bool hasLapsed = false;
@@ -217,7 +230,8 @@
     bool hasChanged = false;
     {
         const std::lock_guard lock(mutex);
-        hasChanged = removeLapsed(entries, monotonicNow());
+        // While changes are missing, an entry may have returned.
+        hasChanged = !mustListSince && removeLapsed(entries, monotonicNow());
     }
     if (hasChanged) {
         publish();
@@ -245,7 +259,10 @@
         } else if (!replicasUpTo.isNone() && update.after <= replicasUpTo) {
             applyChanges(feed, changes, update.upTo);
             replicasUpTo = std::max(replicasUpTo, update.upTo);
-            mustListSince.reset();
+            if (mustListSince) {
+                extendLapsed(entries, monotonicNow() + lapsedGrace);
+                mustListSince.reset();
+            }
             if (asked && update.replicasAge) {
                 replicasCurrentAt = std::max(replicasCurrentAt.value_or(*asked), *asked - *update.replicasAge);
             }
--- a/Libraries/Entry/service_availability.cpp
+++ b/Libraries/Entry/service_availability.cpp
@@ -5,8 +5,11 @@
 
 bool recordCall(service_availability &availability, bool hasAnswered, instant now)
 {
+    if (!hasAnswered && availability.isReachable) {
+        const bool isSuccessive = availability.outageEnd && availability.lastAnswer - *availability.outageEnd < successiveOutages;
+        availability.outageBegin = isSuccessive ? availability.outageBegin : availability.lastAnswer;
+    }
     if (hasAnswered && !availability.isReachable) {
-        availability.lastOutage = now - availability.lastAnswer;
         availability.outageEnd = now;
     }
     if (hasAnswered) {
@@ -22,10 +25,10 @@
 duration outageDuration(const service_availability &availability, duration remembered, instant now)
 {
     if (!availability.isReachable) {
-        return now - availability.lastAnswer;
+        return now - availability.outageBegin;
     }
     const bool isRemembered = availability.outageEnd && now - *availability.outageEnd < remembered;
-    return isRemembered ? availability.lastOutage : duration();
+    return isRemembered ? *availability.outageEnd - availability.outageBegin : duration();
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/service_availability.h
+++ b/Libraries/Entry/service_availability.h
@@ -7,14 +7,17 @@
 
 namespace vetchpost {
 
+/// Outages with less time than this between them count as one, since replicas may not have written their entries again in between.
+constexpr duration successiveOutages(2200);
+
 /// When the key-value service last answered, and its last outage.
 struct service_availability
 {
     instant lastAnswer;
     /// Whether the last call was answered.
     bool isReachable = true;
-    /// Duration of the last completed outage, from the last answer before it to the first one after it.
-    duration lastOutage{};
+    /// When the current or the last outage began: the last answer before it. Outages in quick succession count as one.
+    instant outageBegin{};
     /// When the last completed outage ended; nothing if there was none.
     std::optional<instant> outageEnd;
 };
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -47,10 +47,9 @@
     vetchpost::recordEra(confirmation, era, monotonicNow());
 }
 
-duration store_follower::private_data::recentOutage() const
+duration store_follower::private_data::recentOutage(instant now) const
 {
-    const std::lock_guard lock(mutex);
-    return outageDuration(availability, lapsedGrace, monotonicNow());
+    return outageDuration(availability, lapsedGrace, now);
 }
 
 bool store_follower::private_data::isSourceCurrent() const
@@ -282,7 +281,7 @@
 std::optional<instant> store_follower::followedSince() const
 {
     const std::lock_guard lock(d->mutex);
-    return d->firstListing;
+    return d->followedSince;
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -105,7 +105,7 @@
     bool isServiceAnswering() const;
     /// Returns when the last complete listing began; nothing before the first one.
     std::optional<instant> listedAt() const;
-    /// Returns when the first complete listing began; all changes since then are known.
+    /// Returns since when all changes of the replicas' entries are known: the first listing, or the first one after an outage.
     std::optional<instant> followedSince() const;
 
 private:
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -58,9 +58,10 @@
     leaving_replicas leaving;
     /// The directory that readers get.
     std::shared_ptr<const replica_directory> published = std::make_shared<replica_directory>();
-    /// When the last complete listing began, and the first one.
+    /// When the last complete listing began.
     std::optional<instant> lastListing;
-    std::optional<instant> firstListing;
+    /// Since when all changes of the entries are known: the first listing, or the first one after an outage.
+    std::optional<instant> followedSince;
     /// The service's revision up to which the entries are known; none if they must be listed.
     store_revision replicasUpTo;
     /// The service's era in which the entries were last listed.
@@ -102,8 +103,11 @@
     /// Records the era that the service or the source names, and logs a new one. Requires the mutex to be held.
     void recordEra(store_era era);
     /// Returns the duration of a current or recent outage of the service, after which entries of live replicas may be missing; zero if
-    /// there was none.
-    duration recentOutage() const;
+    /// there was none. Requires the mutex to be held.
+    duration recentOutage(instant now) const;
+    /// Updates followedSince with a listing asked for at \a asked; \a hasOutage: entries of live replicas may be missing in it. Requires
+    /// the mutex to be held.
+    void updateFollowedSince(instant asked, bool hasOutage);
     /// Whether the source's updates are recent enough that this daemon need not call the service.
     bool isSourceCurrent() const;
     /// Whether this daemon relays the feed to others. Requires the mutex to be held.
--- a/Libraries/Routing/replica_directory.h
+++ b/Libraries/Routing/replica_directory.h
@@ -57,6 +57,9 @@
     /// Its entry is gone although nothing shows that it has ended: it may be cut off from the key-value service, or end unannounced. It is
     /// treated as draining.
     bool isUnlisted = false;
+    /// Its entry was missing after an outage of the key-value service, and the time to write it again is not over. All else is as it was
+    /// before the outage: it may have joined another group since.
+    bool isLapsed = false;
     /// It had reported that it is draining before its entry went.
     bool hadReportedDraining = false;
     fabric_domain_id domain;
--- a/Tests/Assembly/assemblySimulation.cpp
+++ b/Tests/Assembly/assemblySimulation.cpp
@@ -26,6 +26,10 @@
 /// A replica's entry lapses after three missed heartbeats; daemons whose requests stall find it silent much sooner.
 constexpr duration lapseTime(3600);
 constexpr duration detectionTime(600);
+/// Live replicas write lapsed entries again within this time after an outage of the key-value service.
+constexpr duration entryReturnTime(2000);
+/// Daemons keep lapsed entries for this time after an outage.
+constexpr duration lapsedTime(2200);
 
 /// Groups of four and two.
 engine_description usualEngine()
@@ -158,6 +162,9 @@
     case 10:
         restart(replica.reportedState.id);
         break;
+    case 11:
+        loseStoreFor(duration(500 + step.amount % 5000));
+        break;
     default:
         break;
     }
@@ -354,6 +361,8 @@
     for (auto &[id, replica] : m_replicas) {
         if (replica.isAlive) {
             updateStall(replica);
+        }
+        if (replica.isAlive && isListed(id)) {
             present.replicas.emplace(id, replica.reportedState);
         }
     }
@@ -420,7 +429,8 @@
             suspects.insert(id);
         }
     }
-    const assembly_view view{m_directory, m_service, m_engine, suspects, !isTrafficKnown(), m_now, suspects, {}, m_evacuated};
+    const auto directory = knownReplicas();
+    const assembly_view view{directory, m_service, m_engine, suspects, !isTrafficKnown(), m_now, suspects, m_storeBackAt, m_evacuated};
     for (auto &order : planAssembly(m_state, view)) {
         m_waiting.push_back(std::move(order));
     }
@@ -491,7 +501,7 @@
         for (const auto &[when, count] : replica.reportedCounts) {
             reported = when + reportLag <= m_now ? count : reported;
         }
-        return {order_result::accepted, reported, replica.reportedState.incarnation};
+        return {order_result::accepted, reported, replica.reportedState.incarnation, replica.reportedState.membership};
     }
     const auto result = execute(replica, order);
     if (result == order_result::accepted) {
@@ -816,6 +826,50 @@
     m_planningStartsAt = m_now + time;
 }
 
+void assembly_simulation::loseStoreFor(duration time)
+{
+    takeOver();
+    m_storeBackAt = m_now + time;
+    m_planningStartsAt = m_storeBackAt + randomDelay(duration(500));
+    constexpr int kinds = 3;
+    switch (random() % kinds) {
+    case 0:
+        m_remembered = {};
+        break;
+    case 1:
+        m_remembered = knownReplicas();
+        break;
+    default:
+        // A daemon that has seen nothing since an earlier outage.
+        break;
+    }
+    for (const auto &[id, replica] : m_replicas) {
+        constexpr int lapsedOfFour = 3;
+        m_listedAgainAt[id] = m_storeBackAt + (random() % 4 < lapsedOfFour ? randomDelay(entryReturnTime) : duration());
+    }
+    // Nothing reaches the daemons while the service is away.
+    m_history.clear();
+    m_directory = {};
+}
+
+bool assembly_simulation::isListed(const instance_id &replica) const
+{
+    const auto again = m_listedAgainAt.find(replica);
+    return m_now >= m_storeBackAt && (again == m_listedAgainAt.end() || m_now >= again->second);
+}
+
+replica_directory assembly_simulation::knownReplicas() const
+{
+    auto directory = m_directory;
+    if (m_now < m_storeBackAt + lapsedTime) {
+        for (const auto &[id, replica] : m_remembered.replicas) {
+            const auto [known, isNew] = directory.replicas.try_emplace(id, replica);
+            known->second.isLapsed = isNew;
+        }
+    }
+    return directory;
+}
+
 std::string assembly_simulation::summary() const
 {
     std::map<fabric_domain_id, std::pair<std::string, std::string>> domains;
--- a/Tests/Assembly/assemblySimulation.h
+++ b/Tests/Assembly/assemblySimulation.h
@@ -91,6 +91,9 @@
     void evictOtherWeights();
     /// How many replicas the coordinator suspects because of its own probes.
     std::size_t suspectedReplicas() const;
+    /// The key-value service is away for \a time, in which all leases end: the coordinator's and those of most replicas' entries. The
+    /// replicas write theirs again within two seconds, and the next coordinator knows nothing of before, or what one of its outages left.
+    void loseStoreFor(duration time);
     /// The coordinator loses its lease. After \a time another one begins with empty state.
     void loseLeaseFor(duration time);
 
@@ -158,6 +161,9 @@
     std::uint64_t random();
     duration randomDelay(duration limit);
     void addReplica(int domain, const std::vector<model_id> &staged);
+    bool isListed(const instance_id &replica) const;
+    /// The directory of the coordinator: the listed replicas, and lapsed ones that it remembers.
+    replica_directory knownReplicas() const;
 
     std::map<instance_id, fake_replica> m_replicas;
     replica_directory m_directory;
@@ -173,6 +179,12 @@
     instant m_answersLostUntil;
     instant m_ordersLateUntil;
     instant m_planningStartsAt;
+    /// When the key-value service returned from its last outage, or will.
+    instant m_storeBackAt;
+    /// When each replica whose entry lapsed writes it again.
+    std::map<instance_id, instant> m_listedAgainAt;
+    /// What the coordinator remembers from before an outage.
+    replica_directory m_remembered;
     struct dark_host
     {
         int domain = 0;
--- a/Tests/Entry/testReplicaEntries.cpp
+++ b/Tests/Entry/testReplicaEntries.cpp
@@ -128,6 +128,37 @@
     CHECK(entries.directory.replicas.size() == 2);
 }
 
+// Guards against entries that count as gone although the service failed again before they could be written.
+TEST_CASE("An entry that is missing after another outage has the time to return again")
+{
+    auto entries = known();
+    applyListing(entries, {replica("a")}, store_revision(100), duration(4000), now);
+    CHECK(entries.directory.replicas.at(instance_id("b")).isLapsed);
+    CHECK_FALSE(entries.directory.replicas.at(instance_id("a")).isLapsed);
+    const auto outageEnd = now + lapsedGrace + duration(3000);
+    applyListing(entries, {replica("a")}, store_revision(100), duration(8000), outageEnd + duration(400), outageEnd);
+    CHECK_FALSE(removeLapsed(entries, outageEnd + lapsedGrace - duration(1)));
+    CHECK(entries.directory.replicas.contains(instance_id("b")));
+    CHECK(removeLapsed(entries, outageEnd + lapsedGrace));
+}
+
+TEST_CASE("A replica that writes its entry again is no longer marked as lapsed")
+{
+    auto entries = known();
+    applyListing(entries, {replica("a")}, store_revision(100), duration(4000), now);
+    applyChange(entries, replica("b", 101), now);
+    CHECK_FALSE(entries.directory.replicas.at(instance_id("b")).isLapsed);
+}
+
+TEST_CASE("Lapsed entries are kept for longer after changes were missed")
+{
+    auto entries = known();
+    applyListing(entries, {replica("a")}, store_revision(100), duration(4000), now);
+    extendLapsed(entries, now + duration(5000));
+    CHECK_FALSE(removeLapsed(entries, now + duration(4999)));
+    CHECK(removeLapsed(entries, now + duration(5000)));
+}
+
 TEST_CASE("A second listing within the grace time does not extend it")
 {
     auto entries = known();
--- a/Tests/Entry/testServiceAvailability.cpp
+++ b/Tests/Entry/testServiceAvailability.cpp
@@ -31,3 +31,30 @@
     CHECK(outageDuration(availability, remembered, start + duration(3499)) == duration(1500));
     CHECK(outageDuration(availability, remembered, start + duration(3500)) == duration());
 }
+
+// Guards against replicas that count as gone after outages that are each too short for entries to lapse.
+TEST_CASE("Outages in quick succession count as one")
+{
+    service_availability availability{start};
+    recordCall(availability, true, start);
+    recordCall(availability, false, start + duration(700));
+    recordCall(availability, true, start + duration(800));
+    recordCall(availability, true, start + duration(1500));
+    recordCall(availability, false, start + duration(2200));
+    CHECK(outageDuration(availability, remembered, start + duration(2200)) == duration(2200));
+    recordCall(availability, true, start + duration(2300));
+    CHECK(outageDuration(availability, remembered, start + duration(2300)) == duration(2300));
+}
+
+TEST_CASE("An outage that follows long after another one is counted by itself")
+{
+    service_availability availability{start};
+    recordCall(availability, true, start);
+    recordCall(availability, false, start + duration(700));
+    recordCall(availability, true, start + duration(800));
+    const auto later = start + duration(800) + successiveOutages;
+    recordCall(availability, true, later);
+    recordCall(availability, false, later + duration(700));
+    recordCall(availability, true, later + duration(800));
+    CHECK(outageDuration(availability, remembered, later + duration(800)) == duration(800));
+}
--- a/Tests/PlatformAdapter/testPlatformDialect.cpp
+++ b/Tests/PlatformAdapter/testPlatformDialect.cpp
@@ -254,6 +254,10 @@
     CHECK(dialect.readOrderAnswer(order, {421, {}, {}}).result == order_result::gone);
     CHECK_FALSE(dialect.isLivenessAnswer({421, {}, {}}));
     CHECK(dialect.isLivenessAnswer({503, {}, {}}));
+    const auto inGroup = dialect.readOrderAnswer(
+        order, {200, {}, R"({"Phase":"combined","Seq":5,"group":{"Name":"g7","epoch":12,"rank":1,"State":"ready"}})"});
+    CHECK(inGroup.membership == group_membership{group_id("g7"), formation(12), 1, member_state::ready});
+    CHECK_FALSE(dialect.readOrderAnswer(order, {200, {}, R"({"Seq":5,"group":null})"}).membership);
     const auto report = dialect.readOrderAnswer(order, {200, {}, R"({"Phase":"combined","Seq":5})"});
     CHECK(report.result == order_result::accepted);
     CHECK(report.acceptedOrders == 5);
--- a/Tests/PlatformAdapter/testStoreFollower.cpp
+++ b/Tests/PlatformAdapter/testStoreFollower.cpp
@@ -221,3 +221,30 @@
     CHECK_FALSE(std::get<feed_update>(answer.back().message).isHistoryLost);
     follower.stop();
 }
+
+// Guards against conclusions from the absence of a head that no daemon could see, since the service was away.
+TEST_CASE("The time for which all changes are known begins anew after an outage")
+{
+    listing_store service;
+    const platform_dialect dialect;
+    metrics counters;
+    store_follower follower(
+        service, dialect, feedTiming(duration(2000)), counters, [] {}, [](const std::vector<replica_key> & /*replicas*/) {});
+    follower.recordTraffic();
+    follower.setSource(true);
+    follower.start();
+    REQUIRE(isWithin(duration(3000), [&] { return follower.followedSince().has_value(); }));
+    const auto before = *follower.followedSince();
+    follower.relist();
+    CHECK(*follower.followedSince() == before);
+    // A listing that waits for an answer while the service is away.
+    service.holdsListing = true;
+    std::thread release([&] {
+        std::this_thread::sleep_for(lapsingOutage + duration(100));
+        service.holdsListing = false;
+    });
+    follower.relist();
+    release.join();
+    CHECK(*follower.followedSince() > before);
+    follower.stop();
+}
