--- a/Libraries/Entry/attempt_race.cpp
+++ b/Libraries/Entry/attempt_race.cpp
@@ -190,11 +190,16 @@
 bool request_handler::isFirstUsable(attempt_race &race)
 {
     if (race.hasFirstHead) {
-        // The end of the connection may be the end of the body, which the caller decides.
-        if (!race.first.isAtEnd() || race.first.endsWithConnection()) {
-            return true;
+        std::string piece;
+        const auto wait = race.first.nextPiece(piece, monotonicNow(), -1);
+        const bool hasEvents = wait == upstream_event::data && m_events.extractEvents(piece, m_firstEvents) > 0;
+        const bool isBroken = wait == upstream_event::lost || m_events.isOverlong();
+        // The caller decides whether the end of the body is that of the stream. Part of an event is nothing to go on with.
+        if (!isBroken) {
+            return hasEvents || wait == upstream_event::end;
         }
-        m_lastReason = "the stream broke off";
+        m_firstEvents.clear();
+        m_lastReason = wait == upstream_event::lost ? "the stream broke off" : "the stream's bytes are no events";
         race.firstFailure = attempt_outcome::lost;
     } else {
         auto failure = attempt_outcome::lost;
@@ -234,6 +239,10 @@
     }
     m_secondEvents.clear();
     const bool hasEvents = wait == upstream_event::data && race.secondEvents.extractEvents(piece, m_secondEvents) > 0;
+    if (race.secondEvents.isOverlong()) {
+        endSecond(race, attempt_outcome::lost);
+        return false;
+    }
     const bool hasEnded = wait == upstream_event::end && !race.secondEvents.hasPartial() && !race.second.endsWithConnection();
     if (wait != upstream_event::data && !hasEnded) {
         endSecond(race, attempt_outcome::lost);
--- a/Libraries/Entry/event_splitter.cpp
+++ b/Libraries/Entry/event_splitter.cpp
@@ -1,46 +1,53 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/event_splitter.h"
 
+#include <algorithm>
+
 namespace vetchpost {
 
 namespace {
 
 constexpr std::string_view idField = "id:";
 
-/// The position after the blank line that ends the first complete event; npos if there is no complete event.
-std::size_t eventEnd(std::string_view text)
-{
-    std::size_t lineStart = 0;
-    for (;;) {
-        const auto lineEnd = text.find('\n', lineStart);
-        if (lineEnd == std::string_view::npos) {
-            return lineEnd;
-        }
-        const auto line = text.substr(lineStart, lineEnd - lineStart);
-        lineStart = lineEnd + 1;
-        if (line.empty() || line == "\r") {
-            return lineStart;
-        }
-    }
-}
-
 } // namespace
 
 int event_splitter::extractEvents(std::string_view bytes, std::string &events)
 {
     m_partial.append(bytes);
-    std::string_view rest = m_partial;
+    std::size_t start = 0;
     int count = 0;
-    for (auto end = eventEnd(rest); end != std::string_view::npos; end = eventEnd(rest)) {
-        updateLastId(rest.substr(0, end));
-        events.append(rest.substr(0, end));
-        rest.remove_prefix(end);
+    for (auto end = eventEnd(start); end != std::string::npos; end = eventEnd(start)) {
+        const auto event = std::string_view(m_partial).substr(start, end - start);
+        m_bytesWithoutId = updateLastId(event) ? 0 : m_bytesWithoutId + event.size();
+        events.append(event);
+        start = end;
         ++count;
     }
-    m_partial.erase(0, m_partial.size() - rest.size());
+    m_partial.erase(0, start);
+    m_lineStart -= start;
+    m_searched -= start;
     return count;
 }
 
+std::size_t event_splitter::eventEnd(std::size_t start)
+{
+    m_lineStart = std::max(m_lineStart, start);
+    m_searched = std::max(m_searched, start);
+    for (;;) {
+        const auto lineEnd = m_partial.find('\n', m_searched);
+        if (lineEnd == std::string::npos) {
+            m_searched = m_partial.size();
+            return lineEnd;
+        }
+        const auto line = std::string_view(m_partial).substr(m_lineStart, lineEnd - m_lineStart);
+        m_lineStart = lineEnd + 1;
+        m_searched = m_lineStart;
+        if (line.empty() || line == "\r") {
+            return m_lineStart;
+        }
+    }
+}
+
 const std::string &event_splitter::lastId() const
 {
     return m_lastId;
@@ -51,13 +58,22 @@
     return !m_partial.empty();
 }
 
+bool event_splitter::isOverlong() const
+{
+    return m_partial.size() > maximumEventSize || (!m_lastId.empty() && m_bytesWithoutId > maximumEventSize);
+}
+
 void event_splitter::discardPartial()
 {
-    m_partial.clear();
+    m_partial = {};
+    m_lineStart = 0;
+    m_searched = 0;
+    m_bytesWithoutId = 0;
 }
 
-void event_splitter::updateLastId(std::string_view event)
+bool event_splitter::updateLastId(std::string_view event)
 {
+    bool hasId = false;
     for (std::size_t start = 0; start < event.size();) {
         auto end = event.find('\n', start);
         end = end == std::string_view::npos ? event.size() : end;
@@ -74,7 +90,9 @@
             line.remove_suffix(1);
         }
         m_lastId = line;
+        hasId = true;
     }
+    return hasId;
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/order_delivery.cpp
+++ b/Libraries/Entry/order_delivery.cpp
@@ -23,6 +23,7 @@
     auto call = dialect.orderCall(order);
     call.connectTimeout = timeout;
     call.receiveTimeout = timeout;
+    call.maximumReplySize = maximumReportSize;
     reason why;
     std::optional<path_failure> failure;
     const auto reply = paths.send(to, call, failure, why);
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/metrics.h"
 #include "Libraries/Base/rcu_snapshot.h"
+#include "Libraries/Entry/answer_memory.h"
 #include "Libraries/Entry/attempt_outcome.h"
 #include "Libraries/Entry/crash_guard.h"
 #include "Libraries/Entry/daemon_admission.h"
@@ -32,6 +33,10 @@
 
 namespace vetchpost {
 
+/// Plain answers are received completely before they are sent. All of them together use at most this much memory beside
+/// freeAnswerMemory each, in bytes, and a single one is not larger.
+constexpr std::size_t maximumAnswersSize = 16U << 20U;
+
 using entry_view_snapshot = rcu_snapshot<std::shared_ptr<const entry_view>>;
 
 /// The state that all requests of a daemon share.
@@ -116,6 +121,7 @@
     /// The daemon is stopping: connections are closed after their current answer.
     std::atomic<bool> isDraining = false;
     in_flight_requests inFlight;
+    answer_memory answers{maximumAnswersSize};
     requests_by_place requestsByPlace;
     model_shedding shedding;
     model_habits habits;
--- a/Libraries/Entry/replica_liveness_check.cpp
+++ b/Libraries/Entry/replica_liveness_check.cpp
@@ -36,6 +36,7 @@
     auto call = m_dialect.livenessCall(target.replica, target.address);
     call.connectTimeout = probeTimeout;
     call.receiveTimeout = probeTimeout;
+    call.maximumReplySize = maximumReportSize;
     std::optional<path_failure> failure;
     reason ignored;
     const auto reply = m_paths.send(addressOf(target, service), call, failure, ignored);
--- a/Libraries/Entry/replica_prober.cpp
+++ b/Libraries/Entry/replica_prober.cpp
@@ -105,6 +105,7 @@
         auto call = dialect.livenessCall(replica.id, replica.address);
         call.connectTimeout = timeout;
         call.receiveTimeout = timeout;
+        call.maximumReplySize = maximumReportSize;
         return call;
     }
 
--- a/Libraries/Entry/request_answer.cpp
+++ b/Libraries/Entry/request_answer.cpp
@@ -21,8 +21,6 @@
 constexpr duration minimumRetryTimeout(200);
 /// How often a waiting request checks for a stall warning about its replica's group.
 constexpr duration stallWarningCheckPeriod(120);
-/// Plain answers are buffered until they are complete; no service sends larger ones.
-constexpr std::size_t maximumAnswerBytes = 16U << 20U;
 constexpr int firstServerError = 500;
 
 /// The outcome of an attempt whose wait for data ended with \a wait.
@@ -189,16 +187,21 @@
 attempt_outcome request_handler::relayBuffered(http_upstream &upstream, const upstream_head &head)
 {
     buffered_answer answer{head, {}};
+    answer_memory_share memory(m_context.answers);
     std::string piece;
     for (;;) {
         const auto wait = upstream.nextPiece(piece, m_deadline, m_exchange.socketDescriptor());
         if (wait == upstream_event::end) {
             break;
         }
-        answer.body += piece;
-        if (wait != upstream_event::data || answer.body.size() > maximumAnswerBytes) {
-            m_lastReason = reasonOf(wait, "the answer is incomplete");
-            return outcomeOf(wait);
+        if (wait != upstream_event::data || monotonicNow() >= m_deadline) {
+            const auto end = wait == upstream_event::data ? upstream_event::timeout : wait;
+            m_lastReason = reasonOf(end, "the answer is incomplete");
+            return outcomeOf(end);
+        }
+        if (!memory.append(answer.body, piece)) {
+            m_lastReason = "the answers that are being received are too large";
+            return attempt_outcome::lost;
         }
     }
     const bool mayRetryFailure = head.status >= firstServerError && m_route->mayRunAgain();
@@ -219,8 +222,15 @@
         return attempt_outcome::caller_left;
     }
     std::string piece;
+    auto pauseStart = monotonicNow();
     for (;;) {
-        const auto pauseStart = monotonicNow();
+        if (!m_firstEvents.empty()) {
+            recordReceived(target, pauseStart);
+            pauseStart = monotonicNow();
+            if (!relayComplete(std::exchange(m_firstEvents, {}), head)) {
+                return attempt_outcome::caller_left;
+            }
+        }
         const auto hedgeAfter = silenceBeforeHedge(target, true);
         auto wait = upstream.nextPiece(piece,
                                        std::min(m_deadline, pauseStart + std::min(stallReportPause, hedgeAfter.value_or(stallReportPause))),
@@ -233,6 +243,9 @@
             if (result.winner == race_end::second) {
                 return result.head ? relayAnswer(upstream, *result.head, target) : awaitAnswer(upstream, target);
             }
+            if (!m_firstEvents.empty()) {
+                continue;
+            }
             wait = upstream.nextPiece(
                 piece, std::min(m_deadline, std::max(pauseStart + stallReportPause, monotonicNow())), m_exchange.socketDescriptor());
         }
@@ -244,12 +257,24 @@
                 wait = upstream.nextPiece(piece, std::min(m_deadline, until), m_exchange.socketDescriptor());
             }
         }
+        if (wait == upstream_event::data && monotonicNow() >= m_deadline) {
+            wait = upstream_event::timeout;
+        }
         if (wait == upstream_event::data) {
             ++m_pieces;
-            m_lastReceived = monotonicNow();
-            recordEventTime(target, monotonicNow() - pauseStart);
-            recordProgress(target);
-            if (!relayPiece(piece, head)) {
+            std::string events;
+            const bool hasEvents = m_events.extractEvents(piece, events) > 0;
+            if (m_events.isOverlong()) {
+                m_lastReason = "the stream's bytes are no events";
+                return attempt_outcome::lost;
+            }
+            if (!hasEvents) {
+                // Part of an event is no progress.
+                continue;
+            }
+            recordReceived(target, pauseStart);
+            pauseStart = monotonicNow();
+            if (!relayComplete(events, head)) {
                 return attempt_outcome::caller_left;
             }
         } else if (wait == upstream_event::end && isStreamWhole(upstream)) {
@@ -258,6 +283,7 @@
             m_context.served.increment();
             return attempt_outcome::answered;
         } else if (wait == upstream_event::timeout && monotonicNow() < m_deadline) {
+            pauseStart = monotonicNow();
             const bool mayMove = m_route->isResumable && m_attempts < m_route->maximumAttempts;
             if (mayMove && (hasStallWarning(target) || isStalled(target))) {
                 const auto result = raceSilent(upstream, target, true);
@@ -293,59 +319,12 @@
     return m_exchange.write(std::exchange(m_secondEvents, {}));
 }
 
-/// Relays the complete events of a received piece. Returns false if the client has closed the connection.
-bool request_handler::relayPiece(const std::string &piece, const upstream_head &head)
+/// Records that events have arrived after a pause that began at \a pauseStart.
+void request_handler::recordReceived(const backend &target, instant pauseStart)
 {
-    std::string events;
-    m_events.extractEvents(piece, events);
-    if (events.empty()) {
-        return true;
-    }
-    beginStream(head);
-    recordSent();
-    return m_exchange.write(events);
-}
-
-/// Records that a part of the answer is being sent to the client now.
-void request_handler::recordSent()
-{
-    const auto now = monotonicNow();
-    if (m_lastSent) {
-        m_longestPause = std::max(m_longestPause, now - *m_lastSent);
-    }
-    if (!m_firstSent && isStream() && m_service->engine) {
-        m_context.shedding.recordFirstEvent(m_service->id, m_head.model, now - m_arrival > m_route->objective, now);
-    }
-    m_firstSent = m_firstSent.value_or(now);
-    m_lastSent = now;
-}
-
-/// Sends the head of a stream to the client unless one has been sent. The first replica's head is used; a replica that resumes the stream
-/// only adds events.
-void request_handler::beginStream(const upstream_head &head)
-{
-    if (m_hasBegun) {
-        return;
-    }
-    m_hasBegun = true;
-    m_status = head.status;
-    m_exchange.beginAnswer(head.status, head.reasonPhrase, m_context.dialect.clientHeaders(head.headers), std::nullopt);
-}
-
-/// Sends a complete answer to the client. Returns false if the client has closed the connection.
-bool request_handler::sendBuffered(const buffered_answer &answer)
-{
-    m_hasBegun = true;
-    m_status = answer.head.status;
-    recordSent();
-    m_exchange.beginAnswer(
-        answer.head.status, answer.head.reasonPhrase, m_context.dialect.clientHeaders(answer.head.headers), answer.body.size());
-    const bool isSent = m_exchange.write(answer.body);
-    if (isSent) {
-        m_exchange.completeAnswer();
-        m_context.served.increment();
-    }
-    return isSent;
+    m_lastReceived = monotonicNow();
+    recordEventTime(target, m_lastReceived - pauseStart);
+    recordProgress(target);
 }
 
 /// Whether no request of this daemon has made progress at the replica for stallPause.
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -98,7 +98,7 @@
     bool isStillSilent(http_upstream &upstream) const;
     bool isStreamWhole(const http_upstream &upstream) const;
     bool relaySecondEvents(const upstream_head &head, const backend &target);
-    bool relayPiece(const std::string &piece, const upstream_head &head);
+    bool relayComplete(const std::string &events, const upstream_head &head);
     void beginStream(const upstream_head &head);
     bool sendBuffered(const buffered_answer &answer);
     void recordSent();
@@ -133,6 +133,7 @@
     race_result hedge(http_upstream &upstream, backend &target, bool hasHead);
 
     void recordProgress(const backend &target);
+    void recordReceived(const backend &target, instant pauseStart);
     void updateLoad(const backend &target, attempt_outcome outcome) const;
     bool isStalled(const backend &target) const;
     bool hasStallWarning(const backend &target) const;
@@ -206,6 +207,8 @@
     bool m_isModelKnown = false;
     /// A second group was asked, or could not be, while the first one was silent. This happens once for a request.
     bool m_isHedged = false;
+    /// Events of the first replica of a race that are to be sent next.
+    std::string m_firstEvents;
     /// Events of the second replica that are to be sent next.
     std::string m_secondEvents;
     /// Why neither of two replicas went on with the request.
--- a/Libraries/Http/body_reader.cpp
+++ b/Libraries/Http/body_reader.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/body_reader.h"
 
+#include "Libraries/Http/poco_timespan.h"
+#include "Libraries/Http/response_head.h"
+
 #include <Poco/Net/NetException.h>
 
 #include <algorithm>
@@ -34,8 +37,39 @@
     }
 };
 
+/// Lets reads from the session's socket wait until \a deadline at most. Throws Poco::TimeoutException if that has passed.
+void limitReads(Poco::Net::HTTPSession &session, instant deadline)
+{
+    const auto left = deadline - monotonicNow();
+    if (left <= duration()) {
+        throw Poco::TimeoutException();
+    }
+    session.socket().setReceiveTimeout(timespanOf(left));
+}
+
 } // namespace
 
+Poco::Net::HTTPResponse readResponseHead(Poco::Net::HTTPSession &session, instant deadline)
+{
+    response_head_decoder head;
+    while (head.current() == response_head_decoder::state::needs_more) {
+        if (!session_access::hasBuffered(session)) {
+            limitReads(session, deadline);
+        }
+        const auto next = session_access::nextByte(session);
+        const auto byte = static_cast<char>(next);
+        if (next < 0) {
+            head.consumeEnd();
+        } else {
+            head.consume({&byte, 1});
+        }
+    }
+    if (head.current() == response_head_decoder::state::invalid) {
+        throw Poco::Net::MessageException("the response has an invalid head: " + head.problem());
+    }
+    return head.response();
+}
+
 body_reader::body_reader(Poco::Net::HTTPSession &session, const body_decoder &decoder)
     : m_session(session)
     , m_decoder(decoder)
@@ -70,6 +104,12 @@
     return m_decoder.current();
 }
 
+body_decoder::state body_reader::read(std::string &body, instant deadline)
+{
+    limitReads(m_session, deadline);
+    return read(body);
+}
+
 body_decoder::state body_reader::current() const
 {
     return m_decoder.current();
--- a/Libraries/Http/http_client.cpp
+++ b/Libraries/Http/http_client.cpp
@@ -26,6 +26,10 @@
 
 constexpr std::size_t maxIdleConnectionsPerPeer = 4;
 constexpr duration idleConnectionTimeout(4000);
+/// The time for a whole body, in receive timeouts.
+constexpr int bodyTimeouts = 4;
+/// The longest line of a response that is read line by line, in bytes.
+constexpr std::size_t maximumLineSize = 1U << 20U;
 
 /// Begins a session on an established connection. A session that is constructed from a socket has no address, so POCO cannot reconnect it
 /// and send a request a second time.
@@ -72,11 +76,18 @@
     return headers;
 }
 
+/// Until when the body of a response whose head has just arrived is read.
+instant bodyDeadline(const http_call &call)
+{
+    return monotonicNow() + call.receiveTimeout * bodyTimeouts;
+}
+
 /// Appends the rest of the body to \a text. Returns false and sets \a lastReason if it is larger than \a limit bytes or was truncated.
-bool readAll(body_reader &reader, std::string &text, std::size_t limit, reason &lastReason)
+/// Throws Poco::TimeoutException if it has not ended at \a deadline.
+bool readAll(body_reader &reader, std::string &text, std::size_t limit, instant deadline, reason &lastReason)
 {
     while (reader.current() == body_decoder::state::needs_more && text.size() <= limit) {
-        reader.read(text);
+        reader.read(text, deadline);
     }
     if (text.size() > limit) {
         lastReason = {error_kind::backend_truncated, "the response is larger than the limit"};
@@ -95,11 +106,10 @@
         auto request = makeRequest(call, keepAlive);
         auto &out = session.sendRequest(request);
         out << call.body << std::flush;
-        Poco::Net::HTTPResponse response;
-        session.receiveResponse(response);
+        const auto response = readResponseHead(session, monotonicNow() + call.receiveTimeout);
         body_reader reader(session, decoderForResponse(response, call.method));
         std::string body;
-        if (!readAll(reader, body, call.maximumReplySize, lastReason)) {
+        if (!readAll(reader, body, call.maximumReplySize, bodyDeadline(call), lastReason)) {
             return std::nullopt;
         }
         return http_reply{response.getStatus(), headersOf(response), std::move(body)};
@@ -216,6 +226,8 @@
     session_pointer session;
     std::vector<http_header> headers;
     std::optional<body_reader> reader;
+    /// The time for what readRest() reads.
+    duration restTimeout{};
     /// Bytes of the body that were read and not returned yet.
     std::string received;
 
@@ -261,8 +273,9 @@
     try {
         auto request = makeRequest(call, false);
         d->session->sendRequest(request) << call.body << std::flush;
-        Poco::Net::HTTPResponse response;
-        d->session->receiveResponse(response);
+        const auto response = readResponseHead(*d->session, monotonicNow() + call.receiveTimeout);
+        d->session->socket().setReceiveTimeout(timespanOf(call.receiveTimeout));
+        d->restTimeout = call.receiveTimeout * bodyTimeouts;
         d->reader.emplace(*d->session, decoderForResponse(response, call.method));
         d->headers = headersOf(response);
         return response.getStatus();
@@ -277,8 +290,13 @@
 stream_event http_stream::nextLine(std::string &line, instant deadline, int clientSocket)
 {
     std::size_t lineEnd = std::string::npos;
+    std::size_t searched = 0;
     try {
-        while ((lineEnd = d->received.find('\n')) == std::string::npos) {
+        while ((lineEnd = d->received.find('\n', searched)) == std::string::npos) {
+            searched = d->received.size();
+            if (d->received.size() > maximumLineSize) {
+                return stream_event::lost;
+            }
             if (d->reader->current() != body_decoder::state::needs_more) {
                 // A response that ends inside a line was truncated.
                 const bool isWhole = d->reader->current() == body_decoder::state::complete && d->received.empty();
@@ -311,7 +329,7 @@
     try {
         reason ignored;
         auto text = std::exchange(d->received, {});
-        return readAll(*d->reader, text, limit, ignored) ? std::optional(std::move(text)) : std::nullopt;
+        return readAll(*d->reader, text, limit, monotonicNow() + d->restTimeout, ignored) ? std::optional(std::move(text)) : std::nullopt;
     } catch (const std::exception &) {
         return std::nullopt;
     }
--- a/Libraries/Http/http_message.h
+++ b/Libraries/Http/http_message.h
@@ -16,6 +16,9 @@
     std::string value;
 };
 
+/// The largest response to an order or a probe, in bytes. Many are received at once.
+constexpr std::size_t maximumReportSize = 65536;
+
 /// An HTTP request to another process.
 struct http_call
 {
@@ -26,7 +29,7 @@
     std::vector<http_header> headers;
     std::string body;
     duration connectTimeout{1000};
-    /// Timeout of a single send or receive on the socket, not of the whole response.
+    /// Timeout of a single send on the socket, and of the head of the response. Its body may take four times as long.
     duration receiveTimeout{5000};
     /// In bytes; a larger response is an error.
     std::size_t maximumReplySize = 4U << 20U;
--- a/Libraries/Http/http_tunnel.cpp
+++ b/Libraries/Http/http_tunnel.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/http_tunnel.h"
 
-#include "Libraries/Http/poco_timespan.h"
+#include "Libraries/Http/body_reader.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -24,15 +24,13 @@
     }
     try {
         Poco::Net::HTTPClientSession session(connection->socket());
-        session.socket().setReceiveTimeout(timespanOf(call.receiveTimeout));
         Poco::Net::HTTPRequest request(connectMethod, target, Poco::Net::HTTPMessage::HTTP_1_1);
         request.setHost(call.to.host, call.to.port);
         for (const auto &header : call.headers) {
             request.set(header.name, header.value);
         }
         session.sendRequest(request) << std::flush;
-        Poco::Net::HTTPResponse response;
-        session.receiveResponse(response);
+        const auto response = readResponseHead(session, monotonicNow() + call.receiveTimeout);
         if (isSuccessStatus(response.getStatus())) {
             return tcp_connection(session.detachSocket());
         }
--- a/Libraries/Http/http_upstream.cpp
+++ b/Libraries/Http/http_upstream.cpp
@@ -3,8 +3,8 @@
 
 #include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
+#include "Libraries/Http/response_head.h"
 
-#include <Poco/Buffer.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -23,7 +23,7 @@
 
 /// Buffer size of one read from the socket, in bytes. The events of a stream are far smaller.
 constexpr std::size_t readSize = 16384;
-/// Timeout of a read while the head of the response is received, once its first byte has arrived.
+/// The time within which the head of the response arrives completely, once its first byte has arrived.
 constexpr duration headTimeout(2000);
 
 } // namespace
@@ -32,10 +32,58 @@
 {
     std::unique_ptr<Poco::Net::HTTPClientSession> session;
     std::string method;
+    response_head_decoder head;
+    /// When the first byte of the head arrived.
+    std::optional<instant> headBegan;
+    /// Whether the head was returned by readHead(), so that what arrives belongs to the body.
+    bool isHeadRead = false;
     body_decoder decoder{body_framing::none};
     /// Bytes of the body that were received together with the head.
     std::string received;
 
+    /// Whether the head is complete, or is known to be invalid.
+    bool isHeadDecided() const
+    {
+        return head.current() != response_head_decoder::state::needs_more;
+    }
+
+    /// Whether something can be read without a wait.
+    bool hasBuffered() const
+    {
+        return !received.empty() || (!isHeadRead && isHeadDecided());
+    }
+
+    /// The time at which a head that has begun must be complete, if that is before \a deadline.
+    instant headDeadline(instant deadline) const
+    {
+        return headBegan && !isHeadRead ? std::min(deadline, *headBegan + headTimeout) : deadline;
+    }
+
+    /// Gives up a head that has not arrived in time.
+    void checkHeadTime(instant now)
+    {
+        if (headBegan && now - *headBegan >= headTimeout) {
+            head.fail("it did not arrive in time");
+        }
+    }
+
+    /// Reads once from the socket, which must be readable, into the head.
+    void receiveHead()
+    {
+        std::array<char, readSize> bytes{};
+        headBegan = headBegan.value_or(monotonicNow());
+        try {
+            const auto count = session->socket().receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+            if (count > 0) {
+                head.consume({bytes.data(), static_cast<std::size_t>(count)});
+            } else {
+                head.consumeEnd();
+            }
+        } catch (const Poco::Exception &error) {
+            head.fail(error.displayText());
+        }
+    }
+
     upstream_event waitReadable(instant deadline, int clientSocket)
     {
         for (;;) {
@@ -102,6 +150,9 @@
 bool http_upstream::send(const tcp_connection &connection, const http_call &call, reason &lastReason)
 {
     d->method = call.method;
+    d->head = {};
+    d->headBegan.reset();
+    d->isHeadRead = false;
     try {
         // A session that is constructed from a socket has no address, so POCO cannot reconnect it and send the request a second time.
         d->session = std::make_unique<Poco::Net::HTTPClientSession>(connection.socket());
@@ -129,27 +180,49 @@
 
 upstream_event http_upstream::waitForAnswer(instant deadline, int clientSocket)
 {
-    return d->waitReadable(deadline, clientSocket);
+    for (;;) {
+        if (d->hasBuffered()) {
+            return upstream_event::data;
+        }
+        const auto wait = d->waitReadable(d->headDeadline(deadline), clientSocket);
+        if (d->isHeadRead || wait == upstream_event::caller_left) {
+            return wait;
+        }
+        if (wait == upstream_event::data) {
+            d->receiveHead();
+        }
+        const auto now = monotonicNow();
+        d->checkHeadTime(now);
+        if (now >= deadline) {
+            return d->hasBuffered() ? upstream_event::data : upstream_event::timeout;
+        }
+    }
 }
 
 std::optional<upstream_head> http_upstream::readHead(reason &lastReason)
 {
+    if (!d->isHeadDecided()) {
+        waitForAnswer(monotonicNow() + headTimeout, -1);
+    }
+    d->isHeadRead = true;
+    if (d->head.current() != response_head_decoder::state::complete) {
+        d->head.fail("it did not arrive in time");
+        lastReason = {error_kind::backend_lost, "the response has an invalid head: " + d->head.problem()};
+        return std::nullopt;
+    }
+    const auto &response = d->head.response();
     try {
-        Poco::Net::HTTPResponse response;
-        d->session->receiveResponse(response);
         d->decoder = decoderForResponse(response, d->method);
-        Poco::Buffer<char> buffered(0);
-        d->session->drainBuffer(buffered);
-        d->received.assign(buffered.begin(), buffered.size());
-        upstream_head head{response.getStatus(), response.getReason(), {}};
-        for (const auto &[name, value] : response) {
-            head.headers.push_back({name, value});
-        }
-        return head;
-    } catch (const std::exception &error) {
-        lastReason = {error_kind::backend_lost, std::string("the response has an invalid head: ") + error.what()};
+    } catch (const Poco::Exception &error) {
+        lastReason = {error_kind::backend_lost, "the response has an invalid head: " + error.displayText()};
         return std::nullopt;
     }
+    d->received = d->head.takeRest();
+    upstream_head head{response.getStatus(), response.getReason(), {}};
+    for (const auto &[name, value] : response) {
+        head.headers.push_back({name, value});
+    }
+    return head;
 }
 
 upstream_event http_upstream::nextPiece(std::string &piece, instant deadline, int clientSocket)
@@ -187,14 +260,6 @@
     return d->session != nullptr;
 }
 
-bool http_upstream::isAtEnd() const
-{
-    char next = 0;
-    const auto count = recv(d->session->socket().impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool hasNothingYet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-    return d->received.empty() && count <= 0 && !hasNothingYet;
-}
-
 upstream_pair::upstream_pair(const http_upstream &first, const http_upstream &second)
     : m_first(first)
     , m_second(second)
@@ -205,18 +270,29 @@
 {
     const auto socketOf
         = [](const http_upstream &upstream) { return upstream.isOpen() ? upstream.d->session->socket().impl()->sockfd() : -1; };
-    const auto hasBuffered = [](const http_upstream &upstream) { return upstream.isOpen() && !upstream.d->received.empty(); };
+    const auto hasBuffered = [](const http_upstream &upstream) { return upstream.isOpen() && upstream.d->hasBuffered(); };
+    // Part of a head is nothing that the caller can go on with.
+    const auto isReady = [&](const http_upstream &upstream, const pollfd &socket) {
+        if (upstream.isOpen() && !upstream.d->isHeadRead && !upstream.d->hasBuffered()) {
+            if (socket.revents != 0) {
+                upstream.d->receiveHead();
+            }
+            upstream.d->checkHeadTime(monotonicNow());
+            return upstream.d->hasBuffered();
+        }
+        return socket.revents != 0 || hasBuffered(upstream);
+    };
     for (;;) {
         std::array<pollfd, 3> sockets{{{socketOf(m_first), POLLIN, 0}, {socketOf(m_second), POLLIN, 0}, {clientSocket, POLLRDHUP, 0}}};
         const bool isAnyBuffered = hasBuffered(m_first) || hasBuffered(m_second);
-        const auto left = isAnyBuffered ? 0 : std::clamp<std::int64_t>((deadline - monotonicNow()).count(), 0, maxSteadyWait.count());
+        const auto until = m_second.d->headDeadline(m_first.d->headDeadline(deadline));
+        const auto left = isAnyBuffered ? 0 : std::clamp<std::int64_t>((until - monotonicNow()).count(), 0, maxSteadyWait.count());
         const auto ready = poll(sockets.data(), sockets.size(), static_cast<int>(left));
         if (ready < 0 && errno == EINTR) {
             continue;
         }
-        const upstream_pair_event event{sockets[0].revents != 0 || hasBuffered(m_first),
-                                        sockets[1].revents != 0 || hasBuffered(m_second),
-                                        (sockets[2].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0};
+        const upstream_pair_event event{
+            isReady(m_first, sockets[0]), isReady(m_second, sockets[1]), (sockets[2].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0};
         if (event.isFirstReady || event.isSecondReady || event.hasCallerLeft || monotonicNow() >= deadline) {
             return event;
         }
--- a/Libraries/Http/http_upstream.h
+++ b/Libraries/Http/http_upstream.h
@@ -49,10 +49,12 @@
     bool send(const http_call &call, reason &lastReason);
     /// Sends the request on an established connection. Returns false on an error and sets \a lastReason to backend_lost.
     bool send(const tcp_connection &connection, const http_call &call, reason &lastReason);
-    /// Waits until \a deadline for the first bytes of the response. Also watches \a clientSocket, unless it is negative, and returns
-    /// caller_left once its peer has closed the connection.
+    /// Waits until \a deadline for the head of the response, or until it is known to be invalid. Bytes that do not complete it count as
+    /// nothing, and it must be complete within two seconds after its first byte. After readHead(), waits for bytes of the body. Also
+    /// watches \a clientSocket, unless it is negative, and returns caller_left once its peer has closed the connection.
     upstream_event waitForAnswer(instant deadline, int clientSocket);
-    /// Reads the head of the response. Returns nothing and sets \a lastReason to backend_lost if the head is invalid or incomplete.
+    /// Returns the head of the response, which waitForAnswer() or upstream_pair has waited for. Returns nothing and sets \a lastReason to
+    /// backend_lost if the head is invalid or incomplete.
     std::optional<upstream_head> readHead(reason &lastReason);
     /// Waits until \a deadline for bytes of the body and stores them in \a piece. \a clientSocket is watched as by waitForAnswer().
     upstream_event nextPiece(std::string &piece, instant deadline, int clientSocket);
@@ -62,8 +64,6 @@
     void close();
     /// Whether the connection is open.
     bool isOpen() const;
-    /// Whether the peer has closed or reset the connection and all that it sent was read. Does not wait.
-    bool isAtEnd() const;
 
 private:
     friend class upstream_pair;
--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -159,10 +159,14 @@
 public:
     /// Adds a replica of the service without models.
     void addPlainReplica(const std::string &id, const scripted_replica &replica)
+    {
+        addPlainReplica(id, replica.address());
+    }
+
+    void addPlainReplica(const std::string &id, const std::string &address)
     {
         m_values["servers/" + id] = fmt::format(
-            R"({{"Service":"plain","Address":"{}","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}})",
-            replica.address());
+            R"({{"Service":"plain","Address":"{}","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1}})", address);
     }
 
     void addEntryWithoutValue(const std::string &id)
@@ -172,11 +176,16 @@
 
     /// Adds the head of an open group that serves the model.
     void addGroupHead(const std::string &id, const scripted_replica &replica, int coldLeftMs = 0)
+    {
+        addGroupHead(id, replica.address(), coldLeftMs);
+    }
+
+    void addGroupHead(const std::string &id, const std::string &address, int coldLeftMs = 0)
     {
         m_values["servers/" + id] = fmt::format(
             R"({{"Service":"large","Address":"{}","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":{},"Seq":1,"Models":[{{"Name":"m","Version":1}}],
                 "group":{{"Name":"g-{}","epoch":1,"rank":0,"State":"open"}}}})",
-            replica.address(),
+            address,
             coldLeftMs,
             id);
     }
