--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -122,6 +122,7 @@
             m_scheduledActions.emplace(begin + evacuation.at, [this, evacuation] { beginEvacuation(evacuation); });
         }
         scheduleRestores(begin);
+        scheduleOutages(begin);
         scheduleColdTimes(begin);
         const auto pauses = planPauses(m_options.seed, m_options.size, m_options.pauses);
         for (const auto &pause : pauses) {
@@ -282,6 +283,24 @@
         });
     }
 
+    void scheduleOutages(instant begin)
+    {
+        constexpr duration entryReturnTime(1900);
+        if (m_options.outages > 0) {
+            setFaults(m_cluster.replicaControl(), makeSwitch("entry_return_ms", Json::Int64(entryReturnTime.count())));
+        }
+        for (const auto &fault : planOutages(m_options.seed, m_options.size, m_options.outages)) {
+            m_scheduledActions.emplace(begin + fault.at, [this, fault, entryReturnTime] {
+                apply(fault);
+                if (fault.kind == fault_kind::silent_store) {
+                    const auto now = monotonicNow();
+                    m_facts.disturbances.push_back(
+                        {disturbance_kind::store, now, now + fault.lasts + entryReturnTime + endMargin, std::nullopt});
+                }
+            });
+        }
+    }
+
     // Faults.
 
     void apply(const planned_fault &fault)
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -35,6 +35,8 @@
     int lostWithdrawals = 0;
     /// How many times all replicas are silent for about a second while the configuration changes.
     int pauses = 0;
+    /// How many times the store fails in quick succession, with daemons killed meanwhile and entries that return one by one.
+    int outages = 0;
     /// The requests that a replica with an engine runs at once.
     int slots = 26;
     /// The period at which replicas renew their entries.
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -218,6 +218,36 @@
                        pause.changeAt.count());
 }
 
+std::vector<planned_fault> planOutages(std::uint64_t seed, const schedule_size &size, int count)
+{
+    constexpr int minOutages = 2;
+    constexpr int moreOutages = 3;
+    constexpr duration minLength(1300);
+    constexpr duration maxLength(4500);
+    constexpr duration minBetween(300);
+    constexpr duration maxBetween(1900);
+    constexpr duration minDowntime(500);
+    constexpr duration maxDowntime(2500);
+    constexpr std::uint64_t outageSeedMask = 0x9fb21c651e98df25ULL;
+    deterministic_random randomNumbers(seed ^ outageSeedMask);
+    std::vector<planned_fault> plan;
+    const auto time = timeForEach(size, count);
+    const auto latest = size.length - recoveryLength;
+    for (int number = 0; number < count; ++number) {
+        auto at = initialQuietTime + time * number;
+        const int outages = minOutages + randomNumbers.below(moreOutages);
+        for (int outage = 0; outage < outages && at < latest; ++outage) {
+            const auto lasts = std::min(randomNumbers.between(minLength, maxLength), latest - at);
+            plan.push_back({at, lasts, fault_kind::silent_store, 0});
+            const auto downtime = std::min(randomNumbers.between(minDowntime, maxDowntime), lasts);
+            plan.push_back(
+                {at + randomNumbers.between(duration(0), lasts), downtime, fault_kind::kill_daemon, randomNumbers.below(size.daemons)});
+            at += lasts + randomNumbers.between(minBetween, maxBetween);
+        }
+    }
+    return plan;
+}
+
 std::vector<planned_restore> planRestores(std::uint64_t seed, const schedule_size &size, int count)
 {
     constexpr duration minAge(500);
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -147,6 +147,10 @@
 /// Returns the printed line for a pause of the schedule.
 std::string describe(const planned_pause &pause);
 
+/// Returns \a count series of outages of the store for a seed, spread over the time of the faults: it fails again before the replicas have
+/// written all entries anew, and daemons are killed meanwhile. The random numbers are independent of those of planFaults().
+std::vector<planned_fault> planOutages(std::uint64_t seed, const schedule_size &size, int count);
+
 /// A time for which the store is away, after which it comes back from an older copy.
 struct planned_restore
 {
--- a/Tests/StandIns/platform/entry_writer.cpp
+++ b/Tests/StandIns/platform/entry_writer.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Tests/StandIns/platform/entry_writer.h"
 
+#include "Libraries/Base/digest.h"
 #include "Libraries/Base/json.h"
 #include "Tests/StandIns/platform/stand_in_names.h"
 #include "platform/base64.h"
@@ -74,9 +75,16 @@
         }
         entry.renewedAt = now;
         if (!reply->isSuccess()) {
+            const auto returnTime = std::max<std::int64_t>(1, m_host.entryReturnTime().count());
+            const auto varied
+                = hashOf(fmt::format("{}-{}", desired.id, now.time_since_epoch().count())) % static_cast<std::uint64_t>(returnTime);
             entry = {};
+            entry.returnsAt = now + duration(static_cast<std::int64_t>(varied));
         }
     }
+    if (now < entry.returnsAt) {
+        return true;
+    }
     if (entry.lease == 0) {
         Json::Value body;
         body[names::leaseTime] = Json::Int64((m_heartbeat * leaseHeartbeats).count());
--- a/Tests/StandIns/platform/entry_writer.h
+++ b/Tests/StandIns/platform/entry_writer.h
@@ -22,6 +22,8 @@
         std::uint64_t lease = 0;
         std::string text;
         instant renewedAt;
+        /// A lapsed entry is not written again before this.
+        instant returnsAt;
     };
 
     void run();
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -158,6 +158,9 @@
     setProbability("garble", m_faults.garble);
     setProbability("extra_bytes", m_faults.extraBytes);
     setProbability("retransmit", m_faults.retransmissions);
+    if (json.isMember("entry_return_ms")) {
+        m_faults.entryReturnMs = json["entry_return_ms"].asInt64();
+    }
     setProbability("late_orders", m_faults.delayOrders);
     if (json.isMember("late_orders") && json["late_orders"].isObject() && json["late_orders"].isMember("ms")) {
         m_faults.orderDelayMs = json["late_orders"]["ms"].asInt64();
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -24,6 +24,8 @@
     std::atomic<std::int64_t> orderDelayMs = 3000;
     /// An event arrives late, as if its packet were lost and retransmitted.
     fault_probability retransmissions;
+    /// Replicas whose entries lapsed write them again within this time.
+    std::atomic<std::int64_t> entryReturnMs = 0;
     /// Prefix of the bodies of requests that crash each replica that runs them; empty for none.
     std::string deadlyBody;
     /// Prefix of the parts of prompts that crash each replica which begins to answer them; empty for none.
@@ -59,6 +61,11 @@
         std::string text;
         bool isDraining;
     };
+    /// Returns the time within which replicas whose entries lapsed write them again.
+    duration entryReturnTime() const
+    {
+        return duration(m_faults.entryReturnMs);
+    }
     /// Returns the entries of all replicas that are alive and not cut off.
     std::vector<desired_entry> desiredEntries();
     /// Schedules the end of a replica whose draining entry the store has accepted. Later calls have no effect.
