--- a/review/tools-2/support.h
+++ b/review/tools-2/support.h
@@ -21,6 +21,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -74,6 +75,8 @@
 // Processes. All that were started are killed by their ids at the end of the run.
 
 inline std::map<std::string, pid_t> processes;
+/// The temporary folder of the run, removed at its end.
+inline std::string workFolder;
 
 inline void stopAll()
 {
@@ -91,6 +94,8 @@
 {
     record("RESULT %s: %s", code == held ? "held" : code == broken ? "BROKEN" : "could not run", why.c_str());
     stopAll();
+    std::error_code ignored;
+    std::filesystem::remove_all(workFolder, ignored);
     std::_Exit(code);
 }
 
@@ -642,7 +647,7 @@
         finish(couldNotRun, "it took too long");
     }).detach();
     deployment result;
-    result.work = folder;
+    result.work = workFolder = folder;
     result.base = freePorts(deployment::ports);
     return result;
 }
