Review: End in order when a case is interrupted

The cases and what they check stay as they are: rule TWO (review/5), rule CONFIG (review/6). Interrupted by SIGINT, SIGTERM or SIGHUP a script exits with 2 and leaves no process and no folder; killed, it leaves its folder alone.

--- a/review/tools-2/support.h
+++ b/review/tools-2/support.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -74,12 +75,16 @@
 
 // Processes. All that were started are killed by their ids at the end of the run.
 
+inline std::mutex processMutex;
 inline std::map<std::string, pid_t> processes;
+inline bool isEnding = false;
 /// The temporary folder of the run, removed at its end.
 inline std::string workFolder;
 
 inline void stopAll()
 {
+    const std::lock_guard lock(processMutex);
+    isEnding = true;
     for (const auto &[name, id] : processes) {
         kill(id, SIGCONT);
         kill(id, SIGKILL);
@@ -92,6 +97,9 @@
 
 [[noreturn]] inline void finish(int code, const std::string &why)
 {
+    static std::mutex once;
+    // Never released: the first call ends the process.
+    once.lock();
     record("RESULT %s: %s", code == held ? "held" : code == broken ? "BROKEN" : "could not run", why.c_str());
     stopAll();
     std::error_code ignored;
@@ -106,6 +114,10 @@
         arguments.push_back(const_cast<char *>(part.c_str()));
     }
     arguments.push_back(nullptr);
+    const std::lock_guard lock(processMutex);
+    if (isEnding) {
+        return;
+    }
     const auto id = fork();
     if (id == 0) {
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -114,25 +126,17 @@
         if (!settings.empty()) {
             setenv("VETCHPOST_SETTINGS", settings.c_str(), 1);
         }
+        // Ends with the driver, also when that is killed.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        sigset_t none;
+        sigemptyset(&none);
+        sigprocmask(SIG_SETMASK, &none, nullptr);
         execv(arguments[0], arguments.data());
         std::_Exit(127);
     }
     processes[name] = id;
 }
 
-inline bool isRunning(const std::string &name)
-{
-    const auto found = processes.find(name);
-    if (found == processes.end()) {
-        return false;
-    }
-    if (waitpid(found->second, nullptr, WNOHANG) == found->second) {
-        processes.erase(found);
-        return false;
-    }
-    return true;
-}
-
 // Sockets and HTTP.
 
 inline sockaddr_in addressOf(int port)
@@ -634,14 +638,20 @@
     if (recordFile == nullptr || mkdtemp(folder) == nullptr) {
         std::_Exit(couldNotRun);
     }
+    // A thread waits for these signals, so that the run ends in order when it is interrupted.
+    static sigset_t signals;
+    sigemptyset(&signals);
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-        signal(number, [](int) {
-            for (const auto &[name, id] : processes) {
-                kill(id, SIGKILL);
-            }
-            std::_Exit(couldNotRun);
-        });
+        sigaddset(&signals, number);
+        // A shell lets what it starts in the background ignore SIGINT.
+        signal(number, SIG_DFL);
     }
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([] {
+        int number = 0;
+        sigwait(&signals, &number);
+        finish(couldNotRun, "interrupted by signal " + std::to_string(number));
+    }).detach();
     std::thread([] {
         sleepMs(110000);
         finish(couldNotRun, "it took too long");
