Assembly: Let members leave heads that cannot be reached

Cause: silence, a lapsed entry and a wait were taken for the end of a head. The head of a crashed process and one that is cut off look the same for as long as the cut lasts, and the latter serves all the while; each wait that ends is too short.

Change: what the head needs is taken from it. A group whose head cannot be reached, and is known not to leave, is given up at once; each of its members that answers is ordered to leave ("takes effect at once", PROTOCOL), and is free when it has accepted that, by its answer or its entry. One rule for all paths: a replica is free only if its entry names no group, or a formation that this coordinator has seen end. That covers successors, members that come back after their head was given up, a head whose entry is older than an order to open, and groups without a plan; deadHeads, the stall time and the wait in leave() are gone. A serving group whose member no longer reports it is closed. group-stall-ms is still accepted in settings files, and has no effect.

Four cases of testLostHeads asserted that the plan keeps a group until the entry is gone and the stall time is over; they now assert the stricter promise that no member joins before it has left, for 60 s. One asserted that a head which is silent, and is known to stay, keeps its group when it drains later: such a group is given up now, so the case has the head drain before it is found silent. "Has accepted the order to finish": the head's entry is not read again there, since a known one is given up at once.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -22,6 +22,7 @@
     std::vector<replica_order> run();
 
 private:
+    void eraseEndedFormations();
     void updateIncarnations();
     void resetInstance(const instance_id &instance);
     void updateDraining();
@@ -35,6 +36,8 @@
     void dropMovedMembers(planned_group &group) const;
     static void addReturnedMembers(planned_group &group, const reported_group &reported);
     void closeUnplannedHeads();
+    /// Orders the members of groups that are no longer planned to leave them, if their heads cannot be reached.
+    void releaseMembers();
 
     // State transitions of one group.
 
@@ -47,6 +50,8 @@
     void beginClose(planned_group &group, close_method method, const std::string &why);
     void close(planned_group &group);
     void leave(planned_group &group);
+    /// Gives up a group whose head cannot be reached and may still hold it. Its members have to leave it before they join another one.
+    void abandon(planned_group &group);
     void dissolve(planned_group &group, const std::string &why);
     void erase(planned_group &group, const std::string &why);
 
@@ -148,13 +153,24 @@
     /// Whether entries of live replicas may be missing or out of date since the key-value service was away.
     bool mayMissEntries() const;
     bool isAvoided(const instance_id &instance) const;
-    bool isSilentAndUnlisted(const instance_id &instance) const;
+    /// Whether the replica is unknown or does not answer, so that its entry does not tell what it does now.
+    bool isOutOfReach(const instance_id &instance) const;
+    /// The members of all planned groups.
+    std::set<instance_id> plannedMembers() const;
     const group_model *findModel(const model_id &id) const;
-    bool isHoldingRequests(const served_replica &head) const;
+    static bool isHoldingRequests(const served_replica &head);
+    /// Whether the head's entry says that it holds requests, or is out of date.
+    static bool mayHoldRequests(const served_replica &head);
     /// The listed head of the formation that a replica belongs to, or nullptr.
     const served_replica *headOf(const served_replica &replica) const;
     /// Whether the group that a replica belongs to may hold requests, as far as the entries show.
     bool mayGroupHoldRequests(const served_replica &replica) const;
+    /// Whether the replica's head is open, closing or lapsed, and is not out of reach.
+    bool isHeldByReachableHead(const served_replica &replica) const;
+    /// Whether a replica has to leave its group before it may join another one, since the group is not known to have ended.
+    bool mustLeave(const served_replica &replica) const;
+    /// Whether the replica has accepted an order to leave the group that its entry still names.
+    bool hasLeft(const served_replica &replica) const;
     /// The member that belongs to another group whose head is known to hold requests, or nullptr.
     const planned_member *findMemberHeldElsewhere(const planned_group &group) const;
     /// Whether a member may be ordered to join now: its entry is present and shows that it is free for the group.
@@ -163,6 +179,8 @@
     /// The member's state, or nothing if the member does not report itself in this formation of the group.
     std::optional<member_state> stateOf(const planned_group &group, const planned_member &member) const;
     bool isReady(const planned_group &group, const planned_member &member) const;
+    /// The member of a group that serves whose present entry does not name the group any more, or nullptr.
+    const planned_member *findMemberThatLeft(const planned_group &group) const;
     /// Why a group cannot go on with its members; empty if it can.
     std::string memberProblem(const planned_group &group) const;
     /// Whether a group must close now because of its leaving member \a leaving.
--- a/Libraries/Assembly/assembly_state.cpp
+++ b/Libraries/Assembly/assembly_state.cpp
@@ -138,6 +138,19 @@
     return result == order_result::accepted || result == order_result::already_in_effect;
 }
 
+/// Records the result of an order to leave a group that is no longer planned.
+void recordRelease(assembly_state &state, const replica_order &order, order_result result, instant now)
+{
+    const auto found = state.releases.find(order.to);
+    if (order.kind != order_kind::leave || found == state.releases.end() || found->second.formed != order.formed) {
+        return;
+    }
+    auto &release = found->second;
+    release.isOrderPending = false;
+    release.nextOrder = now + state.policy.orderRetryDelay;
+    release.hasLeft = release.hasLeft || isDone(result);
+}
+
 } // namespace
 
 bool isStillDue(const replica_order &order, bool isBeforeTraffic)
@@ -163,6 +176,7 @@
     }
     const auto found = state.groups.find(order.group);
     if (found == state.groups.end() || found->second.formed != order.formed) {
+        recordRelease(state, order, result, now);
         return;
     }
     auto &group = found->second;
--- a/Libraries/Assembly/assembly_state.h
+++ b/Libraries/Assembly/assembly_state.h
@@ -166,8 +166,6 @@
     duration maxOrderDelay{13000};
     /// A replica that refused an order gets no further ones for this time.
     duration refusalBackoff{2000};
-    /// A head that is silent and no longer listed may still hold its group for this time; set from the engines' stall time.
-    duration silentHeadTimeout{5000};
     /// A group is preempted only if the present fraction of its model's groups afterwards exceeds the short model's by this much.
     double preemptionMargin = 0.1;
     /// Several groups are preempted only if the remaining ones have at most this fraction of their slots in use; above it requests queue.
@@ -203,6 +201,8 @@
     /// Entries of live replicas may be missing for this time after the first listing, since the key-value service may just have returned
     /// from an outage.
     duration entryReturnTime{2200};
+    /// Formations that have ended are remembered for this time, since their members' entries may be behind.
+    duration endedFormationRetention{60000};
     /// For this time a loss counts as a sign that more will follow.
     duration lossRetention{60000};
     /// Window over which loads are counted.
@@ -233,8 +233,18 @@
     std::map<instance_id, instant> avoidedUntil;
     /// Since when each leaving replica is known to be leaving.
     std::map<instance_id, instant> drainingSince;
-    /// Heads that were confirmed dead while the directory still lists them as open.
-    std::set<instance_id> deadHeads;
+    struct release
+    {
+        formation formed;
+        instant nextOrder;
+        bool isOrderPending = false;
+        /// Whether the replica has accepted the order to leave, which its entry may not show yet.
+        bool hasLeft = false;
+    };
+    /// Replicas that were ordered to leave the group that their entry names, since its head cannot be reached.
+    std::map<instance_id, release> releases;
+    /// Formations whose head has closed, has left or was never ordered to open, with the time at which this was found.
+    std::map<formation, instant> endedFormations;
     /// Replicas that fell silent without leaving: they have crashed or are cut off. A replica that fell silent after it began to leave may
     /// still finish requests. The directory alone cannot tell the two apart, since it may lag.
     std::set<instance_id> silentWhileListed;
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -11,12 +11,7 @@
 
 void assembly_round::collectFreeReplicas()
 {
-    std::set<instance_id> used;
-    for (const auto &[id, group] : m_state.groups) {
-        for (const auto &member : group.members) {
-            used.insert(member.instance);
-        }
-    }
+    const auto used = plannedMembers();
     std::map<fabric_domain_id, int> usable;
     for (const auto &[id, replica] : m_view.directory.replicas) {
         if (replica.service != m_view.service) {
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -95,6 +95,8 @@
     const auto state = stateOf(group, group.members.front());
     if (!state || state == member_state::broken || state == member_state::closing) {
         beginClose(group, close_method::cut, "the head no longer serves");
+    } else if (const auto *member = findMemberThatLeft(group)) {
+        beginClose(group, close_method::cut, "a member has left: " + member->instance.value());
     } else if (state == member_state::ready) {
         enterStage(group, assembly_stage::opening, "the head was closed without an order of this coordinator");
     }
@@ -141,18 +143,12 @@
     }
     // A leaving head stops listening before it has finished, so being unreachable does not mean that it has ended, and the directory may
     // not yet show that it is leaving.
-    // The same holds while its entry remains: a replica that is cut off from all daemons still sends heartbeats and holds its group.
-    const bool hasEntry = listed != nullptr && !listed->isUnlisted;
     const bool isUnknown = head.instance.isEmpty();
     const bool mayBeLeaving = isUnknown || (listed != nullptr && !m_state.silentWhileListed.contains(head.instance));
-    const auto timeout = mayBeLeaving ? m_state.policy.leavingHeadTimeout : m_state.policy.silentHeadTimeout;
-    const bool isWaitOver = group.headLostSince && m_view.now - *group.headLostSince >= timeout && (mayBeLeaving || !hasEntry);
     const bool isCut = group.hasAcceptedClose && group.closing == close_method::cut;
-    // A head that is cut off from all daemons and the key-value service loses its entry before it gives up: it stalls and holds its group
-    // until the engines' stall time has passed.
-    if (isWaitOver || (group.headLostSince && isCut)) {
-        m_state.deadHeads.insert(head.instance);
-        dissolve(group, "its head is gone");
+    const auto leavingTime = mayBeLeaving && !isCut ? m_state.policy.leavingHeadTimeout : duration();
+    if (group.headLostSince && m_view.now - *group.headLostSince >= leavingTime) {
+        abandon(group);
         return;
     }
     // Once a member is lost, the group's requests cannot finish.
@@ -170,15 +166,22 @@
 void assembly_round::leave(planned_group &group)
 {
     auto &head = group.members.front();
-    const bool isStallOver = m_view.now - group.stageSince >= m_state.policy.silentHeadTimeout;
-    const bool isGone = m_state.deadHeads.contains(head.instance) || (isStallOver && isSilentAndUnlisted(head.instance));
-    if (group.hasLeft || isGone || !stateOf(group, head)) {
+    if (isOutOfReach(head.instance) && !group.hasLeft) {
+        abandon(group);
+    } else if (group.hasLeft || !stateOf(group, head)) {
         erase(group, "its head has left");
     } else if (mayOrder(head)) {
         send(group, head, order_kind::leave);
     }
 }
 
+void assembly_round::abandon(planned_group &group)
+{
+    const auto formed = group.formed;
+    erase(group, "its head cannot be reached");
+    m_state.endedFormations.erase(formed);
+}
+
 void assembly_round::dissolve(planned_group &group, const std::string &why)
 {
     if (!group.isOpenUnconfirmed) {
@@ -193,6 +196,7 @@
 void assembly_round::erase(planned_group &group, const std::string &why)
 {
     logDecision(group, "dissolved: " + why);
+    m_state.endedFormations[group.formed] = m_view.now;
     const auto id = group.id;
     m_state.groups.erase(id);
     m_counts.reset();
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -49,11 +49,25 @@
     updateIncarnations();
     updateDraining();
     updateSilence();
-    // A head that answers again, or is no longer suspected, was not dead and may still hold requests.
-    std::erase_if(m_state.deadHeads, [&](const instance_id &id) { return find(id) == nullptr || !m_view.suspects.contains(id); });
+    eraseEndedFormations();
+    std::erase_if(m_state.releases, [&](const auto &entry) {
+        const auto *replica = find(entry.first);
+        return replica == nullptr || !replica->membership || replica->membership->formed != entry.second.formed;
+    });
     std::erase_if(m_state.stagings, [&](const auto &entry) { return isStagingOver(entry.first, entry.second); });
 }
 
+void assembly_round::eraseEndedFormations()
+{
+    std::set<formation> reported;
+    for (const auto &group : m_reportedGroups) {
+        reported.insert(group.formed);
+    }
+    std::erase_if(m_state.endedFormations, [&](const auto &entry) {
+        return m_view.now - entry.second > m_state.policy.endedFormationRetention && !reported.contains(entry.first);
+    });
+}
+
 std::vector<replica_order> assembly_round::run()
 {
     adoptGroups();
@@ -66,6 +80,7 @@
     for (const auto &id : ids) {
         advance(m_state.groups.at(id));
     }
+    releaseMembers();
     collectFreeReplicas();
     if (!isSettled()) {
         return std::move(m_orders);
@@ -108,7 +123,7 @@
     m_state.stagings.erase(instance);
     m_state.avoidedUntil.erase(instance);
     m_state.drainingSince.erase(instance);
-    m_state.deadHeads.erase(instance);
+    m_state.releases.erase(instance);
     m_state.silentWhileListed.erase(instance);
     m_state.idleSince.erase(instance);
     m_state.decisions.push_back(fmt::format("started again: instance={}", instance.value()));
@@ -249,7 +264,7 @@
 {
     for (const auto &reported : m_reportedGroups) {
         const auto *head = reported.head();
-        if (head == nullptr || head->isLapsed || !isHoldingRequests(*head) || isAvoided(head->id)) {
+        if (head == nullptr || head->isLapsed || !isHoldingRequests(*head) || isAvoided(head->id) || isOutOfReach(head->id)) {
             continue;
         }
         const auto planned = m_state.groups.find(reported.id);
@@ -264,6 +279,33 @@
     }
 }
 
+void assembly_round::releaseMembers()
+{
+    const auto planned = plannedMembers();
+    const auto firstOfLaterTerm = formation((m_state.term + 1) * formationsPerTerm);
+    for (const auto &[id, replica] : m_view.directory.replicas) {
+        const bool isUnplanned = replica.service == m_view.service && isPresent(id) && !planned.contains(id) && !isEvacuated(replica);
+        // Only a later coordinator knows the heads of the groups that it has formed.
+        if (!isUnplanned || !mustLeave(replica) || replica.membership->formed >= firstOfLaterTerm || isHeldByReachableHead(replica)) {
+            continue;
+        }
+        const auto &membership = *replica.membership;
+        const auto [found, isNew] = m_state.releases.try_emplace(id, assembly_state::release{membership.formed, m_view.now});
+        auto &release = found->second;
+        if (release.isOrderPending || m_view.now < release.nextOrder) {
+            continue;
+        }
+        release.isOrderPending = true;
+        if (isNew) {
+            m_state.decisions.push_back(
+                fmt::format("releasing a member: group={} instance={} its group may not have ended", membership.group.value(), id.value()));
+        }
+        replica_order order{order_kind::leave, id, replica.address, membership.group, membership.formed};
+        order.incarnation = replica.incarnation;
+        m_orders.push_back(std::move(order));
+    }
+}
+
 std::vector<replica_order> planAssembly(assembly_state &state, const assembly_view &view)
 {
     return assembly_round(state, view).run();
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -37,10 +37,20 @@
     return m_state.avoidedUntil.contains(instance);
 }
 
-bool assembly_round::isSilentAndUnlisted(const instance_id &instance) const
+bool assembly_round::isOutOfReach(const instance_id &instance) const
 {
-    const auto *replica = find(instance);
-    return m_view.suspects.contains(instance) && (replica == nullptr || replica->isUnlisted);
+    return find(instance) == nullptr || m_view.suspects.contains(instance);
+}
+
+std::set<instance_id> assembly_round::plannedMembers() const
+{
+    std::set<instance_id> members;
+    for (const auto &[id, group] : m_state.groups) {
+        for (const auto &member : group.members) {
+            members.insert(member.instance);
+        }
+    }
+    return members;
 }
 
 const group_model *assembly_round::findModel(const model_id &id) const
@@ -50,10 +60,15 @@
     return found == models.end() ? nullptr : &*found;
 }
 
-bool assembly_round::isHoldingRequests(const served_replica &head) const
+bool assembly_round::isHoldingRequests(const served_replica &head)
 {
-    return head.membership->rank == 0 && !m_state.deadHeads.contains(head.id)
-        && (head.membership->state == member_state::open || head.membership->state == member_state::closing);
+    return head.membership->rank == 0 && (head.membership->state == member_state::open || head.membership->state == member_state::closing);
+}
+
+// What a lapsed entry says is out of date: the head may have opened since.
+bool assembly_round::mayHoldRequests(const served_replica &head)
+{
+    return head.isLapsed || isHoldingRequests(head);
 }
 
 const served_replica *assembly_round::headOf(const served_replica &replica) const
@@ -63,27 +78,42 @@
     return found == m_reportedHeads.end() || found->second->membership->formed != membership.formed ? nullptr : found->second;
 }
 
-/// A group whose head is not listed is kept by its adoption until the head has had the time to end; afterwards its members are free.
 bool assembly_round::mayGroupHoldRequests(const served_replica &replica) const
 {
-    if (!replica.membership) {
+    if (!replica.membership || hasLeft(replica)) {
         return false;
     }
     const auto *head = headOf(replica);
-    if (head == nullptr) {
-        // A later coordinator has formed the group, and only that one knows its head.
-        return replica.membership->formed.value() >= (m_state.term + 1) * formationsPerTerm;
-    }
-    // What a lapsed entry says is out of date: the head may have opened since.
-    return isHoldingRequests(*head) || (head->isLapsed && !m_state.deadHeads.contains(head->id));
+    return mustLeave(replica) || (head != nullptr && mayHoldRequests(*head));
+}
+
+bool assembly_round::isHeldByReachableHead(const served_replica &replica) const
+{
+    const auto *head = headOf(replica);
+    return head != nullptr && mayHoldRequests(*head) && !isOutOfReach(head->id);
+}
+
+// A head that is cut off from the daemons and from the key-value service looks the same as one that has crashed, and serves for as long as
+// it reaches its members. No wait ends that, but a member that has left does: the head stands still and gives up. The head itself may have
+// opened since its entry was written.
+bool assembly_round::mustLeave(const served_replica &replica) const
+{
+    return replica.membership && !hasLeft(replica) && !m_state.endedFormations.contains(replica.membership->formed);
+}
+
+bool assembly_round::hasLeft(const served_replica &replica) const
+{
+    const auto release = m_state.releases.find(replica.id);
+    return release != m_state.releases.end() && release->second.hasLeft && replica.membership
+        && replica.membership->formed == release->second.formed;
 }
 
 const planned_member *assembly_round::findMemberHeldElsewhere(const planned_group &group) const
 {
     const auto found = std::find_if(group.members.begin(), group.members.end(), [&](const planned_member &member) {
         const auto *replica = find(member.instance);
-        const bool isElsewhere
-            = replica != nullptr && !replica->isLapsed && replica->membership && replica->membership->formed != group.formed;
+        const bool isElsewhere = replica != nullptr && !replica->isLapsed && replica->membership
+            && replica->membership->formed != group.formed && !hasLeft(*replica);
         const auto *head = isElsewhere ? headOf(*replica) : nullptr;
         return !member.hasJoined && head != nullptr && !head->isLapsed && isHoldingRequests(*head);
     });
@@ -118,6 +148,14 @@
     return member.hasJoined && stateOf(group, member) == member_state::ready;
 }
 
+const planned_member *assembly_round::findMemberThatLeft(const planned_group &group) const
+{
+    const auto found = std::find_if(group.members.begin(), group.members.end(), [&](const planned_member &member) {
+        return isPresent(member.instance) && !stateOf(group, member);
+    });
+    return found == group.members.end() ? nullptr : &*found;
+}
+
 std::string assembly_round::memberProblem(const planned_group &group) const
 {
     for (const auto &member : group.members) {
--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -262,7 +262,6 @@
     {
         auto &assembly = assemblies[service.id];
         assembly.term = termNumber;
-        assembly.policy.silentHeadTimeout = settings.stallTime;
         updateDemand(assembly.demand, demandOf(service.id), now);
         const assembly_view view{directory,
                                  service.id,
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -30,7 +30,8 @@
     settings.evacuation = readDuration(reader, "evacuation-ms", 500, 600000, 0);
     settings.stopGrace = readDuration(reader, "stop-grace-ms", 500, 600000, 8000);
     settings.heartbeat = readDuration(reader, "replica-heartbeat-ms", 100, 60000, 1200);
-    settings.stallTime = readDuration(reader, "group-stall-ms", 100, 600000, 5000);
+    // Accepted for existing settings files; nothing depends on it.
+    static_cast<void>(readDuration(reader, "group-stall-ms", 100, 600000, 5000));
     settings.leaseTime = readDuration(reader, "lease-ms", 1000, 60000, 2000);
     reader.refuseUnknownKeys();
 }
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -50,8 +50,6 @@
     duration stopGrace{};
     /// The period at which a replica writes its entry. The entry is removed after three missing writes.
     duration heartbeat{};
-    /// The time for which a group that has lost a member stalls before its head gives up.
-    duration stallTime{};
     /// The retries that all daemons together may send, as a share of the requests in the last retryWindow.
     double retryShare = 0;
     /// The time window in which requests and retries are counted.
--- a/Meta/platform.sh
+++ b/Meta/platform.sh
@@ -70,7 +70,6 @@
 contracts: ${contracts:-[]}
 timing:
   replica-heartbeat-ms: 400
-  group-stall-ms: 1500
 YAML
     start "entry-$1" "$build/Services/vetchpostd/vetchpostd" entry --settings="$work/entry-$1.yaml"
 }
--- a/Tests/Assembly/assemblySimulation.cpp
+++ b/Tests/Assembly/assemblySimulation.cpp
@@ -26,6 +26,8 @@
 /// A replica's entry lapses after three missed heartbeats; daemons whose requests stall find it silent much sooner.
 constexpr duration lapseTime(3600);
 constexpr duration detectionTime(600);
+/// The coordinator remembers a member for this time after its entry has lapsed.
+constexpr duration unlistedTime(12000);
 /// Live replicas write lapsed entries again within this time after an outage of the key-value service.
 constexpr duration entryReturnTime(2000);
 /// Daemons keep lapsed entries for this time after an outage.
@@ -165,6 +167,12 @@
     case 11:
         loseStoreFor(duration(500 + step.amount % 5000));
         break;
+    case 12:
+        cutOff(replica.members.empty() ? replica.reportedState.id : replica.members.front(), duration(2000 + step.amount % 30000));
+        break;
+    case 13:
+        cutOff(replica.reportedState.id, duration(2000 + step.amount % 30000));
+        break;
     default:
         break;
     }
@@ -177,6 +185,25 @@
     m_deadSince.try_emplace(replica, m_now);
 }
 
+void assembly_simulation::cutOff(const instance_id &replica, duration time)
+{
+    const auto found = m_replicas.find(replica);
+    if (found != m_replicas.end() && found->second.isAlive) {
+        m_cutOff.try_emplace(replica, cut_off{m_now, m_now + time, found->second.reportedState, random() % 2 == 0});
+    }
+}
+
+std::optional<served_replica> assembly_simulation::lastKnown(const instance_id &replica) const
+{
+    const auto &cut = m_cutOff.at(replica);
+    auto known = cut.lastEntry;
+    if (m_now - cut.since > lapseTime) {
+        known.isDraining = true;
+        known.isUnlisted = true;
+    }
+    return m_now - cut.since > lapseTime + unlistedTime ? std::nullopt : std::optional(known);
+}
+
 void assembly_simulation::restart(const instance_id &replica)
 {
     const auto &before = m_replicas.at(replica);
@@ -322,6 +349,7 @@
         replica = replica->second.reportedState.isDraining || !replica->second.isAlive ? m_replicas.erase(replica) : std::next(replica);
     }
     std::erase_if(m_deadSince, [&](const auto &entry) { return !m_replicas.contains(entry.first); });
+    m_cutOff.clear();
     advance(maxOrderDelay);
     const auto end = m_now + time;
     const auto isWhole = [&] {
@@ -351,6 +379,7 @@
         }
     }
     std::erase_if(m_darkHosts, [&](const dark_host &host) { return host.back <= m_now; });
+    std::erase_if(m_cutOff, [&](const auto &entry) { return entry.second.until <= m_now || find(entry.first) == nullptr; });
     deliver();
     for (auto &[id, replica] : m_replicas) {
         if (replica.isAlive) {
@@ -362,8 +391,9 @@
         if (replica.isAlive) {
             updateStall(replica);
         }
-        if (replica.isAlive && isListed(id)) {
-            present.replicas.emplace(id, replica.reportedState);
+        const auto reported = m_cutOff.contains(id) ? lastKnown(id) : std::optional(replica.reportedState);
+        if (replica.isAlive && isListed(id) && reported) {
+            present.replicas.emplace(id, *reported);
         }
     }
     std::erase_if(m_deadSince, [&](const auto &entry) { return m_now - entry.second > lapseTime + 2 * directoryLag; });
@@ -391,7 +421,7 @@
 bool assembly_simulation::isAnswering(const served_replica &replica) const
 {
     const auto found = m_replicas.find(replica.id);
-    return m_now >= m_linkSlowUntil && found != m_replicas.end() && found->second.isAlive;
+    return m_now >= m_linkSlowUntil && found != m_replicas.end() && found->second.isAlive && !m_cutOff.contains(replica.id);
 }
 
 /// All probes of one tick begin together, and their results are known at once.
@@ -429,8 +459,17 @@
             suspects.insert(id);
         }
     }
+    auto staying = suspects;
+    for (const auto &[id, cut] : m_cutOff) {
+        if (m_now - cut.since >= detectionTime) {
+            suspects.insert(id);
+            if (cut.isKnownToStay) {
+                staying.insert(id);
+            }
+        }
+    }
     const auto directory = knownReplicas();
-    const assembly_view view{directory, m_service, m_engine, suspects, !isTrafficKnown(), m_now, suspects, m_storeBackAt, m_evacuated};
+    const assembly_view view{directory, m_service, m_engine, suspects, !isTrafficKnown(), m_now, staying, m_storeBackAt, m_evacuated};
     for (auto &order : planAssembly(m_state, view)) {
         m_waiting.push_back(std::move(order));
     }
@@ -477,6 +516,10 @@
             m_orders.push_back(std::move(inTransit));
             continue;
         }
+        if (m_cutOff.contains(inTransit.order.to)) {
+            m_answers.push_back({inTransit.order, {order_result::unknown, 0}, m_now + orderTimeout, inTransit.term});
+            continue;
+        }
         auto *replica = find(inTransit.order.to);
         const auto result = replica == nullptr ? order_answer{order_result::gone, 0} : receive(*replica, inTransit.order);
         if (inTransit.answered) {
@@ -747,6 +790,14 @@
     return m_replicas.at(replica).members.size();
 }
 
+int assembly_simulation::membersHeldBy(const instance_id &head) const
+{
+    return static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(), [&](const auto &entry) {
+        const auto &[id, replica] = entry;
+        return replica.isAlive && id != head && !replica.members.empty() && replica.members.front() == head;
+    }));
+}
+
 std::vector<instance_id> assembly_simulation::membersBesideSmallGroup() const
 {
     std::set<fabric_domain_id> domainsOfSmall;
--- a/Tests/Assembly/assemblySimulation.h
+++ b/Tests/Assembly/assemblySimulation.h
@@ -66,6 +66,8 @@
     /// Ends all replicas of a domain. After \a time new ones start with the same hosts' weights.
     void loseDomain(int domain, duration time);
     void addEmpty(int domain);
+    /// For \a time neither the coordinator nor the key-value service reaches the replica, while its group's other members do.
+    void cutOff(const instance_id &replica, duration time);
     /// Evacuates the data centres of these domains; each domain has one of its own.
     void evacuate(const std::set<int> &domains);
     /// How many open groups of a model a domain has.
@@ -107,6 +109,8 @@
     std::vector<std::vector<instance_id>> openGroups(const model_id &model) const;
     /// The size of a replica's group; 0 if it has none.
     std::size_t groupSizeOf(const instance_id &replica) const;
+    /// How many other replicas are members of a group of this head.
+    int membersHeldBy(const instance_id &head) const;
     /// The members of a group of the larger model in whose domain a group of the smaller one serves.
     std::vector<instance_id> membersBesideSmallGroup() const;
     const engine_description &engine() const;
@@ -147,6 +151,8 @@
     void sendDue();
     void send(const replica_order &order);
     bool isAnswering(const served_replica &replica) const;
+    /// What the coordinator knows of a replica that is cut off; nothing if it has forgotten it.
+    std::optional<served_replica> lastKnown(const instance_id &replica) const;
     void deliver();
     order_answer receive(fake_replica &replica, const replica_order &order);
     order_result execute(fake_replica &replica, const replica_order &order);
@@ -192,6 +198,15 @@
         instant back;
     };
     std::vector<dark_host> m_darkHosts;
+    struct cut_off
+    {
+        instant since;
+        instant until;
+        served_replica lastEntry;
+        /// Whether the coordinator read the entry again before it lapsed, which shows that the replica is not leaving.
+        bool isKnownToStay = false;
+    };
+    std::map<instance_id, cut_off> m_cutOff;
     std::set<data_centre_id> m_evacuated;
     bool m_detectsDeaths = false;
     bool m_printsDecisions = false;
--- a/Tests/Assembly/testLostHeads.cpp
+++ b/Tests/Assembly/testLostHeads.cpp
@@ -116,7 +116,24 @@
 
 namespace {
 
-/// Plans for groupOfTwo() while its head is silent. Orders are not answered.
+/// Whether any of the orders makes a replica join another group.
+bool hasJoin(const std::vector<replica_order> &orders)
+{
+    return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) {
+        // Before a join the replica may be probed for the number of orders that it has accepted.
+        return order.kind == order_kind::join || order.kind == order_kind::probe;
+    });
+}
+
+/// Whether any of the orders makes the member leave its group.
+bool hasLeave(const std::vector<replica_order> &orders)
+{
+    return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) {
+        return order.kind == order_kind::leave && order.to == instance_id("member");
+    });
+}
+
+/// Plans for groupOfTwo() while its head is silent. Orders are not answered unless `answer` says otherwise.
 class silent_head_simulation
 {
 public:
@@ -127,23 +144,20 @@
     }
 
     /// Plans one round. \a isStaying: the suspects' entries were read again and do not mark them as leaving.
-    void round(const std::set<instance_id> &suspects, duration after, bool isStaying = false)
+    std::vector<replica_order> round(const std::set<instance_id> &suspects, duration after, bool isStaying = false)
     {
         const std::set<instance_id> noSuspects;
         const auto now = instant(duration(1000000)) + after;
-        const auto orders = planAssembly(
+        auto orders = planAssembly(
             m_state, {directory, service_id("large"), m_world.engine(), suspects, false, now, isStaying ? suspects : noSuspects});
         for (const auto &order : orders) {
-            recordOrderResult(m_state, order, {order_result::unknown, 0}, now);
+            recordOrderResult(m_state, order, {answer, 0}, now);
         }
-    }
-
-    bool hasGroup() const
-    {
-        return m_state.groups.contains(group_id("g"));
+        return orders;
     }
 
     replica_directory directory = groupOfTwo();
+    order_result answer = order_result::unknown;
     const std::set<instance_id> head = {instance_id("head")};
     const assembly_policy policy;
 
@@ -154,89 +168,112 @@
 
 } // namespace
 
-TEST_CASE("A head that fell silent without leaving counts as crashed, and its lapsing entry does not prolong the wait")
+TEST_CASE("The member of a head that fell silent without leaving is ordered to leave at once, and joins another group then")
 {
     silent_head_simulation simulation;
-    CHECK(simulation.hasGroup());
-    simulation.round(simulation.head, duration(600), true);
-    markUnlisted(simulation.directory.replicas[instance_id("head")]);
-    simulation.round(simulation.head, duration(4000));
-    CHECK(simulation.hasGroup());
-    simulation.round(simulation.head, duration(600) + simulation.policy.silentHeadTimeout);
-    simulation.round(simulation.head, duration(700) + simulation.policy.silentHeadTimeout);
-    CHECK_FALSE(simulation.hasGroup());
+    simulation.answer = order_result::accepted;
+    auto orders = simulation.round(simulation.head, duration(600), true);
+    CHECK(hasLeave(orders));
+    CHECK_FALSE(hasJoin(orders));
+    // The member's entry still names the group, and the spare has refused an order a moment ago.
+    bool hasJoined = false;
+    for (auto after = duration(700); after <= duration(700) + simulation.policy.refusalBackoff; after += duration(100)) {
+        orders = simulation.round(simulation.head, after);
+        CHECK_FALSE(hasLeave(orders));
+        hasJoined = hasJoined || hasJoin(orders);
+    }
+    CHECK(hasJoined);
 }
 
 TEST_CASE("A silent head keeps its group while it may be leaving, even if the directory does not show that")
 {
     silent_head_simulation simulation;
     // Changes from the key-value service are delayed: the head may have stopped listening and still finish requests.
-    simulation.round(simulation.head, duration(600));
-    simulation.round(simulation.head, duration(800));
-    CHECK(simulation.hasGroup());
-    simulation.round(simulation.head, duration(700) + simulation.policy.silentHeadTimeout);
-    CHECK(simulation.hasGroup());
-    simulation.round(simulation.head, duration(700) + simulation.policy.leavingHeadTimeout);
-    simulation.round(simulation.head, duration(800) + simulation.policy.leavingHeadTimeout);
-    CHECK_FALSE(simulation.hasGroup());
+    for (auto after = duration(600); after < duration(600) + simulation.policy.leavingHeadTimeout; after += duration(100)) {
+        const auto orders = simulation.round(simulation.head, after);
+        CHECK_FALSE(hasLeave(orders));
+        CHECK_FALSE(hasJoin(orders));
+    }
+    simulation.answer = order_result::accepted;
+    CHECK(hasLeave(simulation.round(simulation.head, duration(600) + simulation.policy.leavingHeadTimeout)));
+    CHECK(hasJoin(simulation.round(simulation.head, duration(700) + simulation.policy.leavingHeadTimeout)));
 }
 
 // Guards against a replica that joins a new group while the head of its group is open. It happens if a head is cut off from all daemons but
 // not from its members or the key-value service, and its group is given up because all daemons that probe it find it silent. Its entry,
-// read again, is present and does not mark it as leaving; a crashed replica loses its entry after three heartbeats.
-TEST_CASE("A silent head that is not leaving keeps its group as long as its entry exists")
+// read again, is present and does not mark it as leaving.
+TEST_CASE("The member of a silent head joins no group before it has left, as long as the head's entry exists")
 {
     silent_head_simulation simulation;
-    for (int i = 0; i < 40; ++i) {
-        simulation.round(simulation.head, duration(600) + duration(200) * i, true);
-        CHECK(simulation.hasGroup());
+    for (int i = 0; i < 300; ++i) {
+        CHECK_FALSE(hasJoin(simulation.round(simulation.head, duration(600) + duration(200) * i, true)));
     }
 }
 
-// Guards against members that join another group while their head is stalled but not yet broken (seed 301 of the soak test). It happens if
-// a head is cut off from its members, the daemons and the key-value service at once: its entry lapses before the stall time has passed, and
-// several daemons find it silent.
-TEST_CASE("A silent head whose entry is gone keeps its group until the stall time has passed")
+// Guards against members that join another group while their head is open or stalled but not yet broken. It happens if a head is cut off
+// from the daemons and the key-value service at once, whether it reaches its members or not: its entry lapses while it is silent.
+TEST_CASE("The member of a silent head whose entry is gone joins no group before it has left, however long that takes")
 {
     silent_head_simulation simulation;
+    const bool isForgotten = GENERATE(false, true);
+    const auto end = duration(60000);
     simulation.round(simulation.head, duration(600), true);
-    simulation.round(simulation.head, duration(3800));
-    CHECK(simulation.hasGroup());
+    CHECK_FALSE(hasJoin(simulation.round(simulation.head, duration(3800))));
     markUnlisted(simulation.directory.replicas[instance_id("head")]);
-    for (duration after(3900); after < duration(600) + simulation.policy.silentHeadTimeout; after += duration(100)) {
-        simulation.round(simulation.head, after);
-        CHECK(simulation.hasGroup());
+    int leaves = 0;
+    for (duration after(3900); after < end; after += duration(100)) {
+        if (isForgotten && after == duration(16000)) {
+            simulation.directory.replicas.erase(instance_id("head"));
+        }
+        const auto orders = simulation.round(simulation.head, after);
+        CHECK_FALSE(hasJoin(orders));
+        leaves += hasLeave(orders) ? 1 : 0;
     }
-    simulation.round(simulation.head, duration(600) + simulation.policy.silentHeadTimeout);
-    simulation.round(simulation.head, duration(700) + simulation.policy.silentHeadTimeout);
-    CHECK_FALSE(simulation.hasGroup());
+    CHECK(leaves >= (end - duration(3900)) / (2 * simulation.policy.orderRetryDelay));
+    simulation.answer = order_result::accepted;
+    simulation.round(simulation.head, end + simulation.policy.orderRetryDelay);
+    CHECK(hasJoin(simulation.round(simulation.head, end + simulation.policy.orderRetryDelay + duration(100))));
 }
 
-TEST_CASE("A head that was wrongly found silent and then begins to leave keeps its group until it has finished")
+// Guards against a member that is taken for released since its head answers again and reports itself ready, while an order to open may
+// still arrive at that head.
+TEST_CASE("The member of a head that was out of reach has to leave it also when the head is back and not open")
 {
     silent_head_simulation simulation;
     simulation.round(simulation.head, duration(600), true);
-    simulation.directory.replicas.at(instance_id("head")).isDraining = true;
-    simulation.round(simulation.head, duration(2000));
-    simulation.round(simulation.head, duration(3000));
-    simulation.round(simulation.head, duration(1500) + simulation.policy.silentHeadTimeout);
-    CHECK(simulation.hasGroup());
-    simulation.round(simulation.head, duration(1500) + simulation.policy.leavingHeadTimeout);
-    CHECK_FALSE(simulation.hasGroup());
+    simulation.directory.replicas[instance_id("head")].membership->state = member_state::ready;
+    for (auto after = duration(700); after < duration(5000); after += duration(100)) {
+        const auto orders = simulation.round({}, after);
+        CHECK(std::none_of(orders.begin(), orders.end(), [](const replica_order &order) {
+            return order.to == instance_id("member") && order.kind != order_kind::leave;
+        }));
+    }
 }
 
-namespace {
-
-/// Whether any of the orders makes a replica join another group.
-bool hasJoin(const std::vector<replica_order> &orders)
+TEST_CASE("A silent head that has begun to leave keeps its group until it has finished")
 {
-    return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) {
-        // Before a join the replica may be probed for the number of orders that it has accepted.
-        return order.kind == order_kind::join || order.kind == order_kind::probe;
-    });
+    silent_head_simulation simulation;
+    simulation.directory.replicas.at(instance_id("head")).isDraining = true;
+    for (auto after = duration(600); after < duration(600) + simulation.policy.leavingHeadTimeout; after += duration(100)) {
+        const auto orders = simulation.round(simulation.head, after, false);
+        CHECK_FALSE(hasLeave(orders));
+        CHECK_FALSE(hasJoin(orders));
+    }
+    CHECK(hasLeave(simulation.round(simulation.head, duration(600) + simulation.policy.leavingHeadTimeout)));
 }
 
-} // namespace
+// Guards against a group that stands still until its head gives up, since a member has carried out a late order to leave.
+TEST_CASE("A group that serves is closed when a member reports that it is no longer in it")
+{
+    silent_head_simulation simulation;
+    const auto isClosed = [&](duration after) {
+        const auto orders = simulation.round({}, after);
+        return std::any_of(orders.begin(), orders.end(), [](const replica_order &order) { return order.kind == order_kind::close; });
+    };
+    CHECK_FALSE(isClosed(duration(100)));
+    simulation.directory.replicas[instance_id("member")].membership.reset();
+    CHECK(isClosed(duration(200)));
+}
 
 // Guards against a replica that joins a new group while the head of its group is open. It happens if a head that is cut off from the
 // key-value service has lost its entry but still serves, and then all daemons are killed: the next coordinator knows only the service's
@@ -272,10 +309,17 @@
 
     SECTION("the successor has followed the entries for so long that the head has had the time to end")
     {
-        const auto orders = planAssembly(
-            state,
-            {directory, service_id("large"), simulation.engine(), noSuspects, false, now, {}, now - state.policy.leavingHeadTimeout});
-        CHECK(hasJoin(orders));
+        const auto planAt = [&](duration after) {
+            const auto since = now - state.policy.leavingHeadTimeout;
+            return planAssembly(state, {directory, service_id("large"), simulation.engine(), noSuspects, false, now + after, {}, since});
+        };
+        const auto orders = planAt(duration(0));
+        CHECK_FALSE(hasJoin(orders));
+        REQUIRE(hasLeave(orders));
+        for (const auto &order : orders) {
+            recordOrderResult(state, order, {order_result::accepted, 0}, now);
+        }
+        CHECK(hasJoin(planAt(duration(100))));
     }
 
     SECTION("the head is never listed again")
@@ -383,8 +427,7 @@
     // The head is cut off from the key-value service too.
     markUnlisted(directory.replicas[instance_id("head")]);
     ordersAt(duration(750), silent, order_result::unknown);
-    REQUIRE(state.groups.contains(group_id("g")));
-    const auto givenUp = duration(750) + state.policy.silentHeadTimeout;
+    const auto givenUp = duration(5750);
     ordersAt(givenUp, silent, order_result::unknown);
     REQUIRE_FALSE(state.groups.contains(group_id("g")));
 
@@ -421,7 +464,7 @@
     assembly_state state;
     state.term = 2;
     const auto ordersAt = [&](duration after, const std::set<instance_id> &suspects) {
-        return planAssembly(state, {directory, service_id("large"), simulation.engine(), suspects, false, now + after, suspects});
+        return planAssembly(state, {directory, service_id("large"), simulation.engine(), suspects, false, now + after});
     };
     const auto isClose = [](const replica_order &order) { return order.kind == order_kind::close; };
     ordersAt(duration(0), noSuspects);
--- a/Tests/Evacuation/testEvacuation.cpp
+++ b/Tests/Evacuation/testEvacuation.cpp
@@ -93,7 +93,6 @@
         settings.evacuation = m_evacuation;
         settings.stopGrace = duration(3000);
         settings.leaseTime = duration(2000);
-        settings.stallTime = duration(5000);
         settings.isLogOn = m_isLogOn;
         settings.retryShare = 0.2;
         settings.retrySlack = 3500;
--- a/Tests/Partition/partitionFixture.h
+++ b/Tests/Partition/partitionFixture.h
@@ -187,7 +187,6 @@
         settings.configurationApply = duration(2000);
         settings.stopGrace = duration(3000);
         settings.leaseTime = duration(2000);
-        settings.stallTime = duration(5000);
         settings.isLogOn = std::getenv("VETCHPOST_TEST_LOG") != nullptr;
         settings.isFirstStart = true;
         settings.retryShare = 0.2;
--- a/Tests/PlatformAdapter/relayFixture.h
+++ b/Tests/PlatformAdapter/relayFixture.h
@@ -248,7 +248,6 @@
         settings.configurationApply = duration(2000);
         settings.stopGrace = m_stopGrace;
         settings.leaseTime = duration(2000);
-        settings.stallTime = duration(5000);
         // A restarted daemon begins with an empty retry budget.
         settings.isFirstStart = !hasRunBefore;
         settings.retryShare = 0.2;
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -35,6 +35,7 @@
   --notices=<n>           Times that a replica reports a rate limit, asks for a backoff or announces that it leaves [default: 0].
   --evacuations=<n>       Evacuations of one of two data centres, over which the replicas are then spread [default: 0].
   --outages=<n>           Series of outages of the store in quick succession, with daemons killed meanwhile [default: 0].
+  --isolations=<n>        Series of heads that are cut off from the daemons and the store, but not from their members [default: 0].
   --restores=<n>          Times that the store goes away and comes back from an older copy [default: 0].
   --lost-withdrawals=<n>  Of the restorations, those that lose the withdrawal of a key; a daemon then starts about when the store is back
                           [default: 0].
@@ -152,6 +153,7 @@
     options.notices = static_cast<int>(number("--notices"));
     options.evacuations = static_cast<int>(number("--evacuations"));
     options.outages = static_cast<int>(number("--outages"));
+    options.isolations = static_cast<int>(number("--isolations"));
     options.restores = static_cast<int>(number("--restores"));
     options.lostWithdrawals = static_cast<int>(number("--lost-withdrawals"));
     options.coldPerSecond = static_cast<int>(number("--cold"));
@@ -181,6 +183,9 @@
     for (const auto &fault : planOutages(options.seed, options.size, options.outages)) {
         fmt::print("{}\n", describe(fault));
     }
+    for (const auto &fault : planIsolations(options.seed, options.size, options.isolations)) {
+        fmt::print("{}\n", describe(fault));
+    }
     const auto restores = planRestores(options.seed, options.size, options.restores);
     for (const auto &restore : restores) {
         fmt::print("{}\n", describe(restore));
--- a/Tests/Soak/soak_daemon.cpp
+++ b/Tests/Soak/soak_daemon.cpp
@@ -85,7 +85,6 @@
   peers: {}
 timing:
   replica-heartbeat-ms: {}
-  group-stall-ms: 1500
 {}retries:
   slack: {}
 {})",
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -69,7 +69,7 @@
     }
     // Draining and slow replicas still answer.
     const bool mayLoseAnswers = kind == fault_kind::kill_replica || kind == fault_kind::dark_replica || kind == fault_kind::losing_replicas
-        || kind == fault_kind::garbling_replicas;
+        || kind == fault_kind::garbling_replicas || kind == fault_kind::isolated_head;
     return mayLoseAnswers ? std::optional(disturbance_kind::replicas) : std::nullopt;
 }
 
@@ -123,6 +123,9 @@
         }
         scheduleRestores(begin);
         scheduleOutages(begin);
+        for (const auto &fault : planIsolations(m_options.seed, m_options.size, m_options.isolations)) {
+            m_scheduledActions.emplace(begin + fault.at, [this, fault] { apply(fault); });
+        }
         scheduleColdTimes(begin);
         const auto pauses = planPauses(m_options.seed, m_options.size, m_options.pauses);
         for (const auto &pause : pauses) {
@@ -405,6 +408,15 @@
         m_scheduledActions.emplace(end, [this] { setFaults(m_cluster.replicaControl(), makeSwitch("revive", true)); });
     }
 
+    /// Cuts the head of an open group off from the daemons and the store until \a end.
+    void isolateHead(int randomNumber, instant end)
+    {
+        Json::Value ids(Json::arrayValue);
+        ids.append(servingReplica(randomNumber));
+        setFaults(m_cluster.replicaControl(), makeSwitch("isolate", ids));
+        m_scheduledActions.emplace(end, [this, ids] { setFaults(m_cluster.replicaControl(), makeSwitch("reconnect", ids)); });
+    }
+
     /// Returns the id of a replica that receives requests: the head of an open group, or a replica without models. Empty if there is none.
     std::string servingReplica(int randomNumber) const
     {
@@ -473,6 +485,8 @@
             return disturbReplica("dark", id, end);
         case fault_kind::kill_replica:
             return disturbReplica("kill", id, end);
+        case fault_kind::isolated_head:
+            return isolateHead(fault.target, end);
         default:
             return disturbReplica("drain", id, monotonicNow() + drainTime);
         }
--- a/Tests/Soak/soak_schedule.cpp
+++ b/Tests/Soak/soak_schedule.cpp
@@ -11,12 +11,12 @@
 
 namespace {
 
-constexpr std::array<std::string_view, faultKindCount> faultNames
+constexpr std::array<std::string_view, faultKindCount + 1> faultNames
     = {"stop_daemon",     "move_daemon",        "kill_daemon",          "freeze_daemon", "reload_daemon",    "delay_callers",
        "reset_callers",   "cut_callers",        "silence_callers",      "drip_callers",  "delay_store_link", "reset_store_link",
        "cut_store_link",  "silence_store_link", "drip_store_link",      "silent_store",  "refusing_store",   "slow_store",
        "losing_store",    "forgetting_store",   "kill_replica",         "dark_replica",  "drain_replica",    "slow_replicas",
-       "losing_replicas", "garbling_replicas",  "change_configuration", "withdraw_key"};
+       "losing_replicas", "garbling_replicas",  "change_configuration", "withdraw_key",  "isolated_head"};
 
 /// Traffic runs without faults for this long at first.
 constexpr duration initialQuietTime(2000);
@@ -248,6 +248,32 @@
     return plan;
 }
 
+std::vector<planned_fault> planIsolations(std::uint64_t seed, const schedule_size &size, int count)
+{
+    constexpr int maxHeads = 3;
+    constexpr duration minLength(4000);
+    constexpr duration maxLength(13000);
+    constexpr duration minDowntime(500);
+    constexpr duration maxDowntime(2500);
+    constexpr std::uint64_t isolationSeedMask = 0x85ebca77c2b2ae63ULL;
+    deterministic_random randomNumbers(seed ^ isolationSeedMask);
+    std::vector<planned_fault> plan;
+    const auto time = timeForEach(size, count);
+    const auto latest = size.length - recoveryLength;
+    for (int number = 0; number < count; ++number) {
+        const auto begin = initialQuietTime + time * number;
+        const int heads = 1 + randomNumbers.below(maxHeads);
+        for (int head = 0; head < heads; ++head) {
+            const auto at = begin + randomNumbers.between(duration(0), time / 2);
+            const auto lasts = std::min(randomNumbers.between(minLength, maxLength), latest - at);
+            plan.push_back({at, lasts, fault_kind::isolated_head, randomNumbers.below(size.replicas)});
+        }
+        const auto at = begin + randomNumbers.between(duration(0), time / 2);
+        plan.push_back({at, randomNumbers.between(minDowntime, maxDowntime), fault_kind::kill_daemon, randomNumbers.below(size.daemons)});
+    }
+    return plan;
+}
+
 std::vector<planned_restore> planRestores(std::uint64_t seed, const schedule_size &size, int count)
 {
     constexpr duration minAge(500);
--- a/Tests/Soak/soak_schedule.h
+++ b/Tests/Soak/soak_schedule.h
@@ -50,8 +50,12 @@
     garbling_replicas,
     // Actions of the operator. They are no faults but are scheduled among them.
     change_configuration,
-    withdraw_key
+    withdraw_key,
+    // Planned by functions of their own.
+    /// The daemons and the store do not reach the head of a group, while its members do.
+    isolated_head
 };
+/// The number of kinds that planFaults() draws from.
 constexpr std::size_t faultKindCount = static_cast<std::size_t>(fault_kind::withdraw_key) + 1;
 
 /// Returns the name of a fault kind, as describe() prints it.
@@ -151,6 +155,10 @@
 /// written all entries anew, and daemons are killed meanwhile. The random numbers are independent of those of planFaults().
 std::vector<planned_fault> planOutages(std::uint64_t seed, const schedule_size &size, int count);
 
+/// Returns \a count series of isolated heads for a seed, spread over the time of the faults: several at a time, with a daemon that is
+/// killed meanwhile. The random numbers are independent of those of planFaults().
+std::vector<planned_fault> planIsolations(std::uint64_t seed, const schedule_size &size, int count);
+
 /// A time for which the store is away, after which it comes back from an older copy.
 struct planned_restore
 {
--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -75,7 +75,7 @@
         m_terminations.erase(replica.id);
         replica.address = fmt::format("127.0.0.1:{}", port);
         replica.isAlive = true;
-        replica.isCutOff = replica.isDraining = false;
+        replica.isCutOff = replica.isIsolated = replica.isDraining = false;
         replica.highestEpoch = replica.orders = 0;
         replica.active = 0;
         replica.queue.clear();
@@ -123,6 +123,8 @@
                 toKill.push_back(number);
             }
             replica.isCutOff = replica.isCutOff || (json.isMember("dark") && isNamedIn(json["dark"], replica.id));
+            replica.isIsolated = (replica.isIsolated || (json.isMember("isolate") && isNamedIn(json["isolate"], replica.id)))
+                && !(json.isMember("reconnect") && isNamedIn(json["reconnect"], replica.id));
             replica.isDraining = replica.isDraining || (json.isMember("drain") && isNamedIn(json["drain"], replica.id));
             setNoticeFaults(replica, json);
             if (jsonFlag(json, "cold") && replica.isAlive) {
@@ -233,7 +235,7 @@
     std::vector<desired_entry> result;
     for (std::size_t number = 0; number < m_simulation.replicas.size(); ++number) {
         const auto &replica = m_simulation.replicas[number];
-        if (replica.isAlive && !replica.isCutOff) {
+        if (replica.isAlive && !replica.isOutOfReach()) {
             result.push_back({number, replica.id, toJsonText(vetchpost::test::entryOf(replica)), replica.isDraining});
         }
     }
@@ -340,7 +342,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto &replica = m_simulation.replicas[number];
-    return replica.isAlive && replica.id == id && replica.isCutOff && !m_isStopping;
+    return replica.isAlive && replica.id == id && replica.isOutOfReach() && !m_isStopping;
 }
 
 void replica_host::handle(std::size_t number, http_exchange &exchange)
@@ -350,7 +352,7 @@
         const std::lock_guard lock(m_mutex);
         replica = m_simulation.replicas[number];
     }
-    if (replica.isCutOff) {
+    if (replica.isOutOfReach()) {
         leaveUnanswered(exchange, [&] { return !isSilent(number, replica.id); });
         return;
     }
--- a/Tests/StandIns/platform/replica_model.h
+++ b/Tests/StandIns/platform/replica_model.h
@@ -57,6 +57,8 @@
     bool isAlive = true;
     /// Whether the replica is cut off from the network.
     bool isCutOff = false;
+    /// Whether the daemons and the store cannot reach the replica, while the other members of its group can.
+    bool isIsolated = false;
     bool isDraining = false;
     /// Factor by which the time between events of its streams is multiplied.
     double slowness = 1;
@@ -88,6 +90,12 @@
     std::set<std::uint64_t> queue;
     std::uint64_t lastQueued = 0;
 
+    /// Whether the daemons and the store get nothing from the replica.
+    bool isOutOfReach() const
+    {
+        return isCutOff || isIsolated;
+    }
+
     int waiting() const
     {
         return static_cast<int>(queue.size());
--- a/Tests/StoreRestore/testCoordinatorRestore.cpp
+++ b/Tests/StoreRestore/testCoordinatorRestore.cpp
@@ -43,7 +43,6 @@
         settings.configurationApply = duration(2000);
         settings.stopGrace = duration(3000);
         settings.leaseTime = leaseTime;
-        settings.stallTime = duration(5000);
         settings.isFirstStart = true;
         settings.isLogOn = false;
         m_daemon = std::make_unique<entry_daemon>(
