Tests: Cut answers inside their heads on each path that reads one

Here it does not happen: response_head_decoder takes the end of the connection for no end of a head since.

The store's watch, the peers and the own interfaces use the same readers.

--- /dev/null
+++ b/Tests/Fakes/cut_answer_server.h
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Libraries/Base/endpoint.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace vetchpost::test {
+
+/// How a cut_answer_server ends its connections.
+enum class cut_end { close, reset };
+
+/// A server that reads the head of each request, sends the beginning of an answer and ends the connection.
+class cut_answer_server
+{
+public:
+    cut_answer_server(std::string answer, cut_end end)
+        : m_answer(std::move(answer))
+        , m_end(end)
+        , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , m_thread([this] { run(); })
+    {
+    }
+
+    ~cut_answer_server()
+    {
+        m_isStopping = true;
+        m_thread.join();
+    }
+
+    cut_answer_server(const cut_answer_server &) = delete;
+    cut_answer_server &operator=(const cut_answer_server &) = delete;
+
+    endpoint address() const
+    {
+        return {"127.0.0.1", m_socket.address().port()};
+    }
+
+private:
+    void run()
+    {
+        constexpr int pollMicroseconds = 1000;
+        while (!m_isStopping) {
+            if (m_socket.poll(Poco::Timespan(pollMicroseconds), Poco::Net::Socket::SELECT_READ)) {
+                serve(m_socket.acceptConnection());
+            }
+        }
+    }
+
+    void serve(Poco::Net::StreamSocket connection) const
+    {
+        try {
+            connection.setReceiveTimeout(Poco::Timespan(2, 0));
+            std::string request;
+            std::array<char, 4096> bytes{};
+            while (request.find("\r\n\r\n") == std::string::npos) {
+                const auto count = connection.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+                if (count <= 0) {
+                    return;
+                }
+                request.append(bytes.data(), static_cast<std::size_t>(count));
+            }
+            if (!m_answer.empty()) {
+                connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
+            }
+            if (m_end == cut_end::reset) {
+                connection.setLinger(true, 0);
+            }
+            connection.close();
+        } catch (const Poco::Exception &) {
+            // The client has gone.
+        }
+    }
+
+    const std::string m_answer;
+    const cut_end m_end;
+    std::atomic<bool> m_isStopping = false;
+    Poco::Net::ServerSocket m_socket;
+    std::thread m_thread;
+};
+
+} // namespace vetchpost::test
