Http: Handle no request whose connection ends inside its head

A daemon that got SIGTERM did so with heads that were under way on connections that it took for idle.

Cause: POCO's HTTPServerRequest takes the end of the connection, and for the last line a read that fails, for the end of the head.

Change: the connections of http_server record when a read meets the end of the connection or fails. POCO reads no further than the blank line that ends a head, so that an end which was met while a head was read is inside it. Such a request gets 400 where the client still reads, is logged, counted (vetchpost_incomplete_heads_total) and never handled, on every server of the daemon, on first and later requests and while the server finishes. Ruled out: a look at the socket after the head, which can't tell a cut head from a whole request before a half-close; a second parser.

--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -29,6 +29,8 @@
     , m_connectionsClosedUnread(
           counters.addCounter("vetchpost_connections_closed_unread_total",
                               "New client connections that were closed unread since more requests came than this daemon can handle."))
+    , m_incompleteHeads(counters.addCounter("vetchpost_incomplete_heads_total",
+                                            "Requests that were not handled since their connection ended inside their head."))
     , m_crashingRequests(
           counters.addGauge("vetchpost_crashing_requests_refused", "Requests that are refused because replicas ended while they ran them."))
     , m_replicasInBackoff(addConstrainedGauge(counters, "rest"))
@@ -61,6 +63,7 @@
     m_storeEra.set(static_cast<double>(status.storeEra));
     const std::lock_guard lock(m_mutex);
     m_connectionsClosedUnread.increment(static_cast<double>(status.connectionsClosedUnread) - m_connectionsClosedUnread.value());
+    m_incompleteHeads.increment(static_cast<double>(status.incompleteHeads) - m_incompleteHeads.value());
     for (const auto &[part, count] : status.droppedLinesByPart) {
         auto found = m_droppedLines.find(part);
         if (found == m_droppedLines.end()) {
--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -47,6 +47,8 @@
     std::map<std::string, std::uint64_t> droppedLinesByPart;
     /// Client connections that were closed unread since the start.
     std::uint64_t connectionsClosedUnread = 0;
+    /// Requests of clients since the start whose connection ended inside their head.
+    std::uint64_t incompleteHeads = 0;
 };
 
 /// Metrics that are computed when they are scraped. Safe to use from several threads.
@@ -66,6 +68,7 @@
     gauge m_connections;
     gauge m_requests;
     counter m_connectionsClosedUnread;
+    counter m_incompleteHeads;
     gauge m_crashingRequests;
     gauge m_replicasInBackoff;
     gauge m_rateLimitedReplicas;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -284,6 +284,7 @@
         status.daemons = feed.daemons().value_or(0);
         status.connections = static_cast<std::size_t>(clientServer->openConnections());
         status.connectionsClosedUnread = clientServer->connectionsClosedUnread();
+        status.incompleteHeads = clientServer->incompleteHeads();
         status.requests = static_cast<std::size_t>(clientServer->activeRequests());
         status.crashingRequests = suspects.refused().size();
         const auto constrained = constraints.counts();
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Http/http_exchange_data.h"
 
 #include "Libraries/Base/log.h"
+#include "Libraries/Http/end_detecting_socket.h"
 #include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
 #include "Libraries/Http/request_pace.h"
@@ -11,7 +12,6 @@
 #include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
@@ -41,6 +41,7 @@
     std::set<tracked_connection *> all;
     std::atomic<bool> isFinishing = false;
     std::atomic<int> active = 0;
+    std::atomic<std::uint64_t> incompleteHeads = 0;
 };
 
 /// Decides which new connections the server accepts. Thread-safe.
@@ -199,8 +200,14 @@
             data.body.emplace(data.session(), *decoder);
         }
         http_exchange exchange(data);
+        // POCO reads no further than the blank line that ends a head.
+        const bool isHeadIncomplete = hasMetEnd(data.socket());
         try {
-            handle(data, exchange);
+            if (isHeadIncomplete) {
+                refuseIncompleteHead(exchange);
+            } else {
+                handle(data, exchange);
+            }
             if (data.stream != nullptr && !data.isAnswerComplete) {
                 // POCO would end a chunked body as if it were whole.
                 exchange.abort();
@@ -209,11 +216,19 @@
             httpLog.warning("A response could not be sent. error={}", error.what());
             exchange.abort();
         }
+        forgetEnd(data.socket());
         currentConnection->setBusy(false);
         m_connections.active.fetch_sub(1);
     }
 
 private:
+    void refuseIncompleteHead(http_exchange &exchange)
+    {
+        m_connections.incompleteHeads.fetch_add(1);
+        httpLog.warning("A request is not handled, since its head is incomplete.");
+        exchange.sendError({error_kind::malformed_request, "the request's head is incomplete"});
+    }
+
     void handle(http_exchange::private_data &data, http_exchange &exchange)
     {
         try {
@@ -294,7 +309,7 @@
     Poco::ThreadPool threads;
     /// Closed once the server has stopped accepting. Connections that wait in its backlog are then closed immediately, instead of when the
     /// process exits.
-    Poco::Net::ServerSocket listener;
+    end_detecting_server_socket listener;
     std::unique_ptr<Poco::Net::TCPServer> server;
 
     private_data(const http_server_limits &limits, handler handler)
@@ -357,6 +372,11 @@
     return d->connections.active.load();
 }
 
+std::uint64_t http_server::incompleteHeads() const
+{
+    return d->connections.incompleteHeads.load();
+}
+
 std::uint64_t http_server::connectionsClosedUnread() const
 {
     return d->pace->closed();
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -113,6 +113,8 @@
     int openConnections() const;
     /// The number of connections that were closed unread because of http_server_limits::requestsPerSecond.
     std::uint64_t connectionsClosedUnread() const;
+    /// The number of requests whose connection ended inside their head. They are answered with 400 and not handled.
+    std::uint64_t incompleteHeads() const;
     /// Stops accepting, closes all connections immediately and waits for their threads.
     void stopAll();
 
--- a/Tests/Entry/testDaemonMetrics.cpp
+++ b/Tests/Entry/testDaemonMetrics.cpp
@@ -36,9 +36,11 @@
     daemon_metrics exported(counters);
     daemon_status status;
     status.connectionsClosedUnread = 5;
+    status.incompleteHeads = 3;
     exported.update(status);
     exported.update(status);
     CHECK(hasLine(counters, "vetchpost_connections_closed_unread_total 5"));
+    CHECK(hasLine(counters, "vetchpost_incomplete_heads_total 3"));
 }
 
 TEST_CASE("Dropped log lines are counted once by part, however often the metrics are updated")
--- a/Tests/PlatformAdapter/testRequestFraming.cpp
+++ b/Tests/PlatformAdapter/testRequestFraming.cpp
@@ -103,3 +103,24 @@
     }
     CHECK(replica.requests().empty());
 }
+
+TEST_CASE("No part of a request whose client stops inside the head reaches a replica")
+{
+    constexpr std::size_t step = 4;
+    const scripted_replica replica(successAnswer);
+    relay_fixture fixture;
+    fixture.addPlainReplica("p-1", replica);
+    fixture.addGroupHead("h-1", replica);
+    fixture.start();
+    for (const auto &path : paths) {
+        const auto head = headOf(path, "Content-Length: 13");
+        for (std::size_t length = 1; length < head.size(); length += step) {
+            CAPTURE(path, length);
+            raw_client client(fixture.callers());
+            client.send(head.substr(0, length));
+            client.shutdownSend();
+            CHECK(client.receiveAll().starts_with("HTTP/1.1 400"));
+        }
+    }
+    CHECK(replica.requests().empty());
+}
--- a/Tests/Soak/soak_client.cpp
+++ b/Tests/Soak/soak_client.cpp
@@ -85,6 +85,14 @@
     return style.isCut ? body.substr(0, body.size() / 2) : body;
 }
 
+/// Returns the beginning of a request, which ends at a place in its head that \a number selects.
+std::string cutInHead(const std::string &request, int number)
+{
+    constexpr int step = 37;
+    const auto headSize = request.find("\r\n\r\n") + 2;
+    return request.substr(0, 1 + static_cast<std::size_t>(number * step) % headSize);
+}
+
 /// Returns the HTTP request for one attempt.
 std::string requestText(const client_request &request, const request_id &id, const body_style &style)
 {
@@ -434,7 +442,9 @@
         attempt.isSentInPart = style.isCut;
         client_answer answer;
         if (style.isCut) {
-            answer.sentAt = connection.sendAndClose(requestText(request, id, style));
+            // Half of them leave in the body, half in the head.
+            const auto text = requestText(request, id, style);
+            answer.sentAt = connection.sendAndClose(lastId % 2 == 0 ? text : cutInHead(text, lastId + number));
             answer.end = answer_end::abandoned;
         } else if (connection.isOpen()) {
             const auto shouldAbandon = [&](const std::string &body) { return request.abandonsEarly && !body.empty(); };
