--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -4,6 +4,9 @@
 #include "Libraries/Assembly/assembly_state.h"
 #include "Libraries/Assembly/domain_packing.h"
 
+#include <string_view>
+#include <unordered_set>
+
 namespace vetchpost {
 
 /// Loads that only prepare for a loss begin only while fewer loads than this are in progress.
@@ -22,6 +25,7 @@
     std::vector<replica_order> run();
 
 private:
+    /// Forgets formations that ended long ago and that no entry names any more.
     void eraseEndedFormations();
     void updateIncarnations();
     void resetInstance(const instance_id &instance);
@@ -36,8 +40,8 @@
     void dropMovedMembers(planned_group &group) const;
     static void addReturnedMembers(planned_group &group, const reported_group &reported);
     void closeUnplannedHeads();
-    /// Orders the members of groups that are no longer planned to leave them, if their heads cannot be reached.
-    void releaseMembers();
+    /// Orders the replicas that are not among the \a planned members to leave groups that may not have ended.
+    void releaseMembers(const std::unordered_set<std::string_view> &planned);
 
     // State transitions of one group.
 
@@ -63,7 +67,7 @@
 
     // Formation of groups from free replicas.
 
-    void collectFreeReplicas();
+    void collectFreeReplicas(const std::unordered_set<std::string_view> &planned);
     int smallestGroupSize() const;
     bool isSettled();
     void updateShares();
@@ -155,8 +159,8 @@
     bool isAvoided(const instance_id &instance) const;
     /// Whether the replica is unknown or does not answer, so that its entry does not tell what it does now.
     bool isOutOfReach(const instance_id &instance) const;
-    /// The members of all planned groups.
-    std::set<instance_id> plannedMembers() const;
+    /// The ids of the members of all planned groups; valid until a group changes.
+    std::unordered_set<std::string_view> plannedMembers() const;
     const group_model *findModel(const model_id &id) const;
     static bool isHoldingRequests(const served_replica &head);
     /// Whether the head's entry says that it holds requests, or is out of date.
--- a/Libraries/Assembly/group_forming.cpp
+++ b/Libraries/Assembly/group_forming.cpp
@@ -9,9 +9,8 @@
 
 namespace vetchpost {
 
-void assembly_round::collectFreeReplicas()
+void assembly_round::collectFreeReplicas(const std::unordered_set<std::string_view> &planned)
 {
-    const auto used = plannedMembers();
     std::map<fabric_domain_id, int> usable;
     for (const auto &[id, replica] : m_view.directory.replicas) {
         if (replica.service != m_view.service) {
@@ -25,7 +24,7 @@
             ++usable[replica.domain];
         }
         // A replica whose head holds requests must not join another group, whether or not its group is planned.
-        if (isPresent(id) && !used.contains(id) && !isAvoided(id) && !mayGroupHoldRequests(replica)) {
+        if (!planned.contains(id.value()) && isPresent(id) && !isAvoided(id) && !mayGroupHoldRequests(replica)) {
             m_free[replica.domain].push_back(&replica);
             m_state.idleSince.try_emplace(id, m_view.now);
         } else {
--- a/Libraries/Assembly/plan_assembly.cpp
+++ b/Libraries/Assembly/plan_assembly.cpp
@@ -59,12 +59,11 @@
 
 void assembly_round::eraseEndedFormations()
 {
-    std::set<formation> reported;
-    for (const auto &group : m_reportedGroups) {
-        reported.insert(group.formed);
-    }
     std::erase_if(m_state.endedFormations, [&](const auto &entry) {
-        return m_view.now - entry.second > m_state.policy.endedFormationRetention && !reported.contains(entry.first);
+        return m_view.now - entry.second > m_state.policy.endedFormationRetention
+            && std::none_of(m_reportedGroups.begin(), m_reportedGroups.end(), [&](const reported_group &reported) {
+                   return reported.formed == entry.first;
+               });
     });
 }
 
@@ -80,8 +79,9 @@
     for (const auto &id : ids) {
         advance(m_state.groups.at(id));
     }
-    releaseMembers();
-    collectFreeReplicas();
+    const auto planned = plannedMembers();
+    releaseMembers(planned);
+    collectFreeReplicas(planned);
     if (!isSettled()) {
         return std::move(m_orders);
     }
@@ -279,12 +279,12 @@
     }
 }
 
-void assembly_round::releaseMembers()
+void assembly_round::releaseMembers(const std::unordered_set<std::string_view> &planned)
 {
-    const auto planned = plannedMembers();
     const auto firstOfLaterTerm = formation((m_state.term + 1) * formationsPerTerm);
     for (const auto &[id, replica] : m_view.directory.replicas) {
-        const bool isUnplanned = replica.service == m_view.service && isPresent(id) && !planned.contains(id) && !isEvacuated(replica);
+        const bool isUnplanned
+            = replica.service == m_view.service && !planned.contains(id.value()) && isPresent(id) && !isEvacuated(replica);
         // Only a later coordinator knows the heads of the groups that it has formed.
         if (!isUnplanned || !mustLeave(replica) || replica.membership->formed >= firstOfLaterTerm || isHeldByReachableHead(replica)) {
             continue;
--- a/Libraries/Assembly/round_queries.cpp
+++ b/Libraries/Assembly/round_queries.cpp
@@ -42,12 +42,13 @@
     return find(instance) == nullptr || m_view.suspects.contains(instance);
 }
 
-std::set<instance_id> assembly_round::plannedMembers() const
+std::unordered_set<std::string_view> assembly_round::plannedMembers() const
 {
-    std::set<instance_id> members;
+    std::unordered_set<std::string_view> members;
+    members.reserve(m_view.directory.replicas.size());
     for (const auto &[id, group] : m_state.groups) {
         for (const auto &member : group.members) {
-            members.insert(member.instance);
+            members.insert(member.instance.value());
         }
     }
     return members;
