Assembly, Entry: Record the end of a formation where it is known

abandon() erased a group, which recorded its formation as ended, and took that back. end() records it and erases now, and a group whose head can't be reached is only erased; abandon() is gone. The third counter of daemon_metrics that is set to a number counted elsewhere is set by one function with the other two.

--- a/Libraries/Assembly/assembly_round.h
+++ b/Libraries/Assembly/assembly_round.h
@@ -54,9 +54,10 @@
     void beginClose(planned_group &group, close_method method, const std::string &why);
     void close(planned_group &group);
     void leave(planned_group &group);
-    /// Gives up a group whose head cannot be reached and may still hold it. Its members have to leave it before they join another one.
-    void abandon(planned_group &group);
     void dissolve(planned_group &group, const std::string &why);
+    /// Erases a group whose head is known not to hold it any more, so that its members are free.
+    void end(planned_group &group, const std::string &why);
+    /// Removes a group from the plan. Unless its formation has ended, its members have to leave it before they join another group.
     void erase(planned_group &group, const std::string &why);
 
     // Evacuated data centres.
--- a/Libraries/Assembly/group_steps.cpp
+++ b/Libraries/Assembly/group_steps.cpp
@@ -148,7 +148,7 @@
     const bool isCut = group.hasAcceptedClose && group.closing == close_method::cut;
     const auto leavingTime = mayBeLeaving && !isCut ? m_state.policy.leavingHeadTimeout : duration();
     if (group.headLostSince && m_view.now - *group.headLostSince >= leavingTime) {
-        abandon(group);
+        erase(group, "its head cannot be reached");
         return;
     }
     // Once a member is lost, the group's requests cannot finish.
@@ -167,25 +167,18 @@
 {
     auto &head = group.members.front();
     if (isOutOfReach(head.instance) && !group.hasLeft) {
-        abandon(group);
+        erase(group, "its head cannot be reached");
     } else if (group.hasLeft || !stateOf(group, head)) {
-        erase(group, "its head has left");
+        end(group, "its head has left");
     } else if (mayOrder(head)) {
         send(group, head, order_kind::leave);
     }
 }
 
-void assembly_round::abandon(planned_group &group)
-{
-    const auto formed = group.formed;
-    erase(group, "its head cannot be reached");
-    m_state.endedFormations.erase(formed);
-}
-
 void assembly_round::dissolve(planned_group &group, const std::string &why)
 {
     if (!group.isOpenUnconfirmed) {
-        erase(group, why);
+        end(group, why);
         return;
     }
     enterStage(group, assembly_stage::leaving, why);
@@ -193,10 +186,15 @@
     leave(group);
 }
 
+void assembly_round::end(planned_group &group, const std::string &why)
+{
+    m_state.endedFormations[group.formed] = m_view.now;
+    erase(group, why);
+}
+
 void assembly_round::erase(planned_group &group, const std::string &why)
 {
     logDecision(group, "dissolved: " + why);
-    m_state.endedFormations[group.formed] = m_view.now;
     const auto id = group.id;
     m_state.groups.erase(id);
     m_counts.reset();
--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -15,6 +15,12 @@
                              {{"kind", kind}});
 }
 
+/// Sets a counter to a number that is counted elsewhere.
+void raiseTo(const counter &exported, std::uint64_t count)
+{
+    exported.increment(static_cast<double>(count) - exported.value());
+}
+
 } // namespace
 
 daemon_metrics::daemon_metrics(metrics &counters)
@@ -62,8 +68,8 @@
     m_coldReplicas.set(status.coldReplicas);
     m_storeEra.set(static_cast<double>(status.storeEra));
     const std::lock_guard lock(m_mutex);
-    m_connectionsClosedUnread.increment(static_cast<double>(status.connectionsClosedUnread) - m_connectionsClosedUnread.value());
-    m_incompleteHeads.increment(static_cast<double>(status.incompleteHeads) - m_incompleteHeads.value());
+    raiseTo(m_connectionsClosedUnread, status.connectionsClosedUnread);
+    raiseTo(m_incompleteHeads, status.incompleteHeads);
     for (const auto &[part, count] : status.droppedLinesByPart) {
         auto found = m_droppedLines.find(part);
         if (found == m_droppedLines.end()) {
@@ -71,7 +77,7 @@
                 "vetchpost_log_lines_left_out_total", "Log lines that were dropped, by part of the program.", {{"part", part}});
             found = m_droppedLines.emplace(part, droppedLines).first;
         }
-        found->second.increment(static_cast<double>(count) - found->second.value());
+        raiseTo(found->second, count);
     }
 }
 
