Tests: Share what the tests of cut messages wrote again

- receiveRequestHead() replaces the loop that endless_server, testResponseBody and the new cut_answer_server each had.
- testTruncatedHeads and testEndlessAnswers use chunk() of the fixture, the former its heads and plain answers too, and one daemon in front of two heads.
- testIncompleteHeads sends through raw_client, which can reset now.
- The soak's isolations are part of its plan of faults, which is printed and scheduled in one place; the option in soak_options is gone.

--- a/Tests/Fakes/cut_answer_server.h
+++ b/Tests/Fakes/cut_answer_server.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include "Libraries/Base/endpoint.h"
+#include "Tests/Fakes/request_head.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
-#include <array>
 #include <atomic>
 #include <string>
 #include <thread>
@@ -58,14 +58,8 @@
     {
         try {
             connection.setReceiveTimeout(Poco::Timespan(2, 0));
-            std::string request;
-            std::array<char, 4096> bytes{};
-            while (request.find("\r\n\r\n") == std::string::npos) {
-                const auto count = connection.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-                if (count <= 0) {
-                    return;
-                }
-                request.append(bytes.data(), static_cast<std::size_t>(count));
+            if (!receiveRequestHead(connection)) {
+                return;
             }
             if (!m_answer.empty()) {
                 connection.sendBytes(m_answer.data(), static_cast<int>(m_answer.size()));
--- a/Tests/Fakes/endless_server.h
+++ b/Tests/Fakes/endless_server.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include "Libraries/Base/instant.h"
+#include "Tests/Fakes/request_head.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
-#include <array>
 #include <atomic>
 #include <mutex>
 #include <string>
@@ -93,14 +93,8 @@
         const auto end = monotonicNow() + longest;
         try {
             connection.setSendTimeout(Poco::Timespan(1, 0));
-            std::string request;
-            std::array<char, 4096> bytes{};
-            while (request.find("\r\n\r\n") == std::string::npos) {
-                const auto count = connection.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-                if (count <= 0) {
-                    return;
-                }
-                request.append(bytes.data(), static_cast<std::size_t>(count));
+            if (!receiveRequestHead(connection)) {
+                return;
             }
             send(connection, m_answer.begin);
             while (!m_isStopping && monotonicNow() < end) {
--- a/Tests/Fakes/raw_client.h
+++ b/Tests/Fakes/raw_client.h
@@ -52,6 +52,13 @@
         m_socket.shutdownSend();
     }
 
+    /// Closes the connection, with a reset.
+    void reset()
+    {
+        m_socket.setLinger(true, 0);
+        m_socket.close();
+    }
+
     std::string receiveAll()
     {
         return receiveUntilClosed(m_socket);
--- a/Tests/Http/testIncompleteHeads.cpp
+++ b/Tests/Http/testIncompleteHeads.cpp
@@ -65,17 +65,15 @@
 /// Sends the bytes and ends the connection. Returns what the server sent after a half-close.
 std::string sendAndEnd(const endpoint &server, const std::string &bytes, client_end end)
 {
-    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(server.host, server.port));
-    socket.setReceiveTimeout(Poco::Timespan(3, 0));
-    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    raw_client client(server);
+    client.send(bytes);
     if (end == client_end::half_close) {
-        socket.shutdownSend();
-        return receiveUntilClosed(socket);
+        client.shutdownSend();
+        return client.receiveAll();
     }
     if (end == client_end::reset) {
-        socket.setLinger(true, 0);
+        client.reset();
     }
-    socket.close();
     return {};
 }
 
--- a/Tests/Http/testResponseBody.cpp
+++ b/Tests/Http/testResponseBody.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Guards against a response that was cut off between two chunks and is taken for whole.
 #include "Libraries/Http/http_client.h"
+#include "Tests/Fakes/request_head.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
@@ -8,7 +9,6 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-#include <array>
 #include <thread>
 
 using namespace vetchpost;
@@ -47,14 +47,8 @@
     {
         auto connection = m_socket.acceptConnection();
         for (const auto &answer : answers) {
-            std::string request;
-            std::array<char, 1024> bytes{};
-            while (request.find("\r\n\r\n") == std::string::npos) {
-                const auto count = connection.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-                if (count <= 0) {
-                    return;
-                }
-                request.append(bytes.data(), static_cast<std::size_t>(count));
+            if (!test::receiveRequestHead(connection)) {
+                return;
             }
             connection.sendBytes(answer.data(), static_cast<int>(answer.size()));
         }
--- a/Tests/PlatformAdapter/testEndlessAnswers.cpp
+++ b/Tests/PlatformAdapter/testEndlessAnswers.cpp
@@ -19,11 +19,6 @@
     return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: s\r\n" + framing + "\r\n";
 }
 
-std::string chunkOf(const std::string &bytes)
-{
-    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
-}
-
 std::string soundAnswer(const std::string &request)
 {
     return answerHead(headerOf(request, "Attempt-Id"), "Content-Length: 5\r\n") + "sound";
@@ -31,8 +26,8 @@
 
 std::string soundStream(const std::string &request)
 {
-    return answerHead(headerOf(request, "Attempt-Id"), "Transfer-Encoding: chunked\r\n") + chunkOf("id: 1\ndata: a\n\n")
-        + chunkOf("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+    return answerHead(headerOf(request, "Attempt-Id"), "Transfer-Encoding: chunked\r\n") + chunk("id: 1\ndata: a\n\n")
+        + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
 }
 
 duration processorTime()
@@ -63,7 +58,7 @@
             {"HTTP/1.1 200 OK\r\n", repeat("no header\r\n", manyTimes), {}},
             {"", repeat("\r\n", manyTimes), {}},
             {"HTTP/1.1 200 OK\r\nA: ", "x", duration(50)},
-            {chunked, chunkOf(std::string(8000, 'x')), {}},
+            {chunked, chunk(std::string(8000, 'x')), {}},
             {unframed, std::string(8000, 'x'), {}}};
 }
 
@@ -95,13 +90,13 @@
 TEST_CASE("A stream is answered by a sound replica although another one sends bytes without end")
 {
     const auto chunked = answerHead("a1", "Transfer-Encoding: chunked\r\n");
-    const auto event = chunkOf("id: 1\ndata: a\n\n");
+    const auto event = chunk("id: 1\ndata: a\n\n");
     auto answers = endlessAnswers();
     // Begins as a stream, and goes on with bytes that are no event, or events without an id.
-    answers.push_back({chunked + event, chunkOf(std::string(8000, 'x')), {}});
-    answers.push_back({chunked + event, chunkOf(repeat("\n", 4000)), {}});
-    answers.push_back({chunked + event, chunkOf("x"), duration(50)});
-    answers.push_back({chunked, chunkOf("x"), duration(50)});
+    answers.push_back({chunked + event, chunk(std::string(8000, 'x')), {}});
+    answers.push_back({chunked + event, chunk(repeat("\n", 4000)), {}});
+    answers.push_back({chunked + event, chunk("x"), duration(50)});
+    answers.push_back({chunked, chunk("x"), duration(50)});
     for (const auto &answer : answers) {
         CAPTURE(answer.begin, answer.repeated.substr(0, 30));
         const endless_server faulty(answer);
@@ -109,7 +104,7 @@
             [](const std::string &request) {
                 return headerOf(request, "Last-Event-Id").empty()
                     ? soundStream(request)
-                    : answerHead("a1", "Transfer-Encoding: chunked\r\n") + chunkOf("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+                    : answerHead("a1", "Transfer-Encoding: chunked\r\n") + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
             },
             true);
         relay_fixture fixture;
--- a/Tests/PlatformAdapter/testTruncatedHeads.cpp
+++ b/Tests/PlatformAdapter/testTruncatedHeads.cpp
@@ -17,16 +17,11 @@
     return "HTTP/1.1 200 OK\r\nAttempt-Id: " + headerOf(request, "Attempt-Id") + "\r\nServer-Stamp: s\r\n" + framing + "\r\n";
 }
 
-std::string chunkOf(const std::string &bytes)
-{
-    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
-}
-
 /// The events of a stream of two, from the one after that the request names.
 std::string streamFor(const std::string &request)
 {
     const bool isResumed = !headerOf(request, "Last-Event-Id").empty();
-    return headOf(request, "Transfer-Encoding: chunked\r\n") + (isResumed ? "" : chunkOf(event(1))) + chunkOf(event(2)) + "0\r\n\r\n";
+    return streamHead(request, "s") + (isResumed ? "" : chunk(event(1))) + chunk(event(2)) + "0\r\n\r\n";
 }
 
 /// The beginnings of an answer's head, each with the marker that resets the connection, and without.
@@ -42,6 +37,30 @@
     return cuts;
 }
 
+/// A daemon in front of two heads that answer by the same script.
+class two_heads
+{
+public:
+    explicit two_heads(const scripted_replica::script &script)
+        : m_one(script)
+        , m_two(script)
+    {
+        m_fixture.addGroupHead("one", m_one);
+        m_fixture.addGroupHead("two", m_two);
+        m_fixture.start();
+    }
+
+    client_answer sendRequest() const
+    {
+        return m_fixture.sendRequest("/stream/x");
+    }
+
+private:
+    scripted_replica m_one;
+    scripted_replica m_two;
+    relay_fixture m_fixture;
+};
+
 } // namespace
 
 TEST_CASE("A plain answer whose head ends early is no success, and another replica answers where the request may run again")
@@ -49,8 +68,7 @@
     for (const auto *framing : {"Content-Length: 5\r\n", "Content-Length: 0\r\n", ""}) {
         std::string cut;
         std::atomic<bool> isCut = false;
-        const auto script
-            = [&](const std::string &request) { return isCut.exchange(false) ? cut : headOf(request, "Content-Length: 5\r\n") + "whole"; };
+        const auto script = [&](const std::string &request) { return isCut.exchange(false) ? cut : plainAnswer(request, "whole"); };
         const scripted_replica one(script);
         const scripted_replica two(script);
         relay_fixture fixture;
@@ -77,18 +95,13 @@
     std::string cut;
     std::atomic<bool> isCut = false;
     const auto script = [&](const std::string &request) { return isCut.exchange(false) ? cut : streamFor(request); };
-    const scripted_replica one(script);
-    const scripted_replica two(script);
-    relay_fixture fixture;
-    fixture.addGroupHead("one", one);
-    fixture.addGroupHead("two", two);
-    fixture.start();
+    const two_heads heads(script);
     for (const auto *framing : {"Transfer-Encoding: chunked\r\n", "Content-Length: 0\r\n"}) {
         for (const auto &head : cutHeads(framing)) {
             CAPTURE(head);
             cut = head;
             isCut = true;
-            const auto answer = fixture.sendRequest("/stream/x");
+            const auto answer = heads.sendRequest();
             CHECK_FALSE(isCut);
             CHECK((answer.status / 100 != 2 || !answer.isWhole || answer.body == event(1) + event(2)));
         }
@@ -101,15 +114,10 @@
         CAPTURE(head);
         const auto script = [&](const std::string &request) {
             const bool isResumed = !headerOf(request, "Last-Event-Id").empty();
-            return isResumed ? head : headOf(request, "Transfer-Encoding: chunked\r\n") + chunkOf(event(1));
+            return isResumed ? head : streamHead(request, "s") + chunk(event(1));
         };
-        const scripted_replica one(script);
-        const scripted_replica two(script);
-        relay_fixture fixture;
-        fixture.addGroupHead("one", one);
-        fixture.addGroupHead("two", two);
-        fixture.start();
-        const auto answer = fixture.sendRequest("/stream/x");
+        const two_heads heads(script);
+        const auto answer = heads.sendRequest();
         CHECK((answer.status / 100 != 2 || !answer.isWhole));
     }
 }
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -153,7 +153,6 @@
     options.notices = static_cast<int>(number("--notices"));
     options.evacuations = static_cast<int>(number("--evacuations"));
     options.outages = static_cast<int>(number("--outages"));
-    options.isolations = static_cast<int>(number("--isolations"));
     options.restores = static_cast<int>(number("--restores"));
     options.lostWithdrawals = static_cast<int>(number("--lost-withdrawals"));
     options.coldPerSecond = static_cast<int>(number("--cold"));
@@ -166,7 +165,9 @@
     options.standIns = arguments.at("--stand-ins").asString();
     options.basePort = static_cast<std::uint16_t>(number("--base-port"));
     std::filesystem::create_directories(options.folder);
-    const auto plan = arguments.at("--calm").asBool() ? std::vector<planned_fault>() : planFaults(options.seed, options.size);
+    auto plan = arguments.at("--calm").asBool() ? std::vector<planned_fault>() : planFaults(options.seed, options.size);
+    const auto isolations = planIsolations(options.seed, options.size, static_cast<int>(number("--isolations")));
+    plan.insert(plan.end(), isolations.begin(), isolations.end());
     fmt::print("seed {}, {} faults\n", options.seed, plan.size());
     for (const auto &fault : plan) {
         fmt::print("{}\n", describe(fault));
@@ -183,9 +184,6 @@
     for (const auto &fault : planOutages(options.seed, options.size, options.outages)) {
         fmt::print("{}\n", describe(fault));
     }
-    for (const auto &fault : planIsolations(options.seed, options.size, options.isolations)) {
-        fmt::print("{}\n", describe(fault));
-    }
     const auto restores = planRestores(options.seed, options.size, options.restores);
     for (const auto &restore : restores) {
         fmt::print("{}\n", describe(restore));
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -123,9 +123,6 @@
         }
         scheduleRestores(begin);
         scheduleOutages(begin);
-        for (const auto &fault : planIsolations(m_options.seed, m_options.size, m_options.isolations)) {
-            m_scheduledActions.emplace(begin + fault.at, [this, fault] { apply(fault); });
-        }
         scheduleColdTimes(begin);
         const auto pauses = planPauses(m_options.seed, m_options.size, m_options.pauses);
         for (const auto &pause : pauses) {
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -37,8 +37,6 @@
     int pauses = 0;
     /// How many times the store fails in quick succession, with daemons killed meanwhile and entries that return one by one.
     int outages = 0;
-    /// How many times heads are cut off from the daemons and the store, but not from their members.
-    int isolations = 0;
     /// The requests that a replica with an engine runs at once.
     int slots = 26;
     /// The period at which replicas renew their entries.
