Settings, Entry: Let a daemon announce another address to the others than it listens on

Behind an address translation the others reach a daemon at an address that it can't bind. listen.peers-announced names it; without the key the address stays that of listen.peers. It is what the coordinator writes into its key, what relays and permits are told by, and what tunnels are asked at.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -181,7 +181,7 @@
         const auto peer = parseEndpoint(address);
         if (!peer) {
             assemblyLog.write("coordinator_unreadable", {{"value", address}});
-        } else if (*peer != settings.peers) {
+        } else if (*peer != announcedPeers(settings)) {
             feed.follow(*peer);
         }
     }
--- a/Libraries/Entry/coordination.cpp
+++ b/Libraries/Entry/coordination.cpp
@@ -101,7 +101,7 @@
     if (!lease) {
         return std::nullopt;
     }
-    const auto result = d->keyValue.compareAndSwap(coordinatorKey, key_revision(), d->settings.peers.text(), *lease);
+    const auto result = d->keyValue.compareAndSwap(coordinatorKey, key_revision(), announcedPeers(d->settings).text(), *lease);
     if (result.outcome != swap_outcome::applied) {
         // If a write without an answer was applied, its key is removed with the lease.
         d->keyValue.endLease(*lease);
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -146,7 +146,7 @@
               })
         , suspects(counters)
         , constraints(counters, [this] { store.updateLeaving(constraints.leaving()); })
-        , proxies(settings.peers)
+        , proxies(announcedPeers(settings))
         , parts([this] { return crashes.digestKey(); },
                 [this] { return proxies.turn(); },
                 [this](const std::set<replica_end> &explained) { suspects.setExplained(explained); },
@@ -181,7 +181,7 @@
               [this](const instance_id &replica, const http_reply &reply) { recordReplyConstraints(replica, reply); })
         , crashes(*keyValue, *dialect, store, paths, feed, suspects, parts)
         , tunnels(
-              settings.peers, store, paths, admission, [this] { return crashes.digestKey(); }, counters)
+              announcedPeers(settings), store, paths, admission, [this] { return crashes.digestKey(); }, counters)
         , relay(settings,
                 *dialect,
                 store,
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -86,7 +86,7 @@
 bool peer_feed::private_data::requestPermit(const permit_request &request)
 {
     if (isSource()) {
-        tables.constraints.addPermits(tables.constraints.issue(request, settings.peers));
+        tables.constraints.addPermits(tables.constraints.issue(request, announcedPeers(settings)));
         return true;
     }
     const auto to = knownOrigin();
@@ -242,7 +242,7 @@
         d->tables.constraints.resetPermits();
     }
     if (isSource) {
-        d->store.setOrigin({d->settings.peers, 0}, 0);
+        d->store.setOrigin({announcedPeers(d->settings), 0}, 0);
     }
     if (wasSource && !isSource) {
         d->socket.sendAll(d->store.endFeed());
--- a/Libraries/Entry/peer_feed_messages.cpp
+++ b/Libraries/Entry/peer_feed_messages.cpp
@@ -115,7 +115,7 @@
 void peer_feed::private_data::handle(const feed_referral &referral, const endpoint &from)
 {
     const std::lock_guard lock(mutex);
-    if (referral.relay != settings.peers && acceptReferral(follower, from, referral.relay, monotonicNow())) {
+    if (referral.relay != announcedPeers(settings) && acceptReferral(follower, from, referral.relay, monotonicNow())) {
         feedLog.write("source_referred", {{"source", from.text()}, {"relay", referral.relay.text()}});
     }
 }
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -26,6 +26,9 @@
     settings.callers = readEndpoint(reader, "callers");
     settings.readiness = readEndpoint(reader, "readiness");
     settings.peers = readEndpoint(reader, "peers");
+    if (reader.has("peers-announced")) {
+        settings.peersAnnounced = readEndpoint(reader, "peers-announced");
+    }
     // A template leaves the value empty if the platform has none.
     if (!reader.string("dispatch", "").empty()) {
         settings.dispatch = readEndpoint(reader, "dispatch");
@@ -112,6 +115,11 @@
 }
 
 // Relaying a stream takes less than a thousandth of a core; a third is left for bursts.
+const endpoint &announcedPeers(const entry_settings &settings)
+{
+    return settings.peersAnnounced ? *settings.peersAnnounced : settings.peers;
+}
+
 double requestsPerSecond(const entry_settings &settings)
 {
     constexpr double requestsPerCore = 1000;
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -31,6 +31,8 @@
     endpoint readiness;
     /// Serves calls from other daemons and the metrics.
     endpoint peers;
+    /// Where other daemons reach this one, if that is not \a peers because addresses are translated in between.
+    std::optional<endpoint> peersAnnounced;
     /// Receives slot requests and their answers; nothing if the settings name no address.
     std::optional<endpoint> dispatch;
     endpoint keyValue;
@@ -80,6 +82,9 @@
 /// name of the text in the problems.
 std::optional<entry_settings> readEntrySettings(const std::string &text, const std::string &file, std::vector<yaml_problem> &problems);
 
+/// Returns the address at which other daemons reach this one.
+const endpoint &announcedPeers(const entry_settings &settings);
+
 /// Returns how many requests the daemon's share of a processor can handle per second.
 double requestsPerSecond(const entry_settings &settings);
 
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -53,6 +53,20 @@
     CHECK(readEntrySettings(validSettings + "connections: 500\n", "entry.yaml", problems)->digest != settings->digest);
 }
 
+TEST_CASE("A daemon announces the address that it listens on to the others, unless the settings name another one")
+{
+    std::vector<yaml_problem> problems;
+    auto text = validSettings;
+    CHECK(announcedPeers(*readEntrySettings(text, "entry.yaml", problems)).text() == "10.0.0.2:7340");
+    text.insert(text.find("timing:"), "  peers-announced: 192.0.2.7:17340\n");
+    const auto settings = readEntrySettings(text, "entry.yaml", problems);
+    REQUIRE(settings);
+    CHECK(settings->peers.text() == "10.0.0.2:7340");
+    CHECK(announcedPeers(*settings).text() == "192.0.2.7:17340");
+    text.replace(text.find("192.0.2.7:17340"), 15, "nowhere");
+    CHECK(problemsOf(text).size() == 1);
+}
+
 TEST_CASE("Each wrong or unknown key of an entry daemon's settings is reported with its line")
 {
     CHECK(problemsOf("daemon: d1\n").size() >= 4);
