Entry: Give the retries of each service a class, and log how they are used

An operator who saw that requests ended for want of a retry could not tell how many were sent and denied, nor what the part of a daemon held at that time: repeats_shared is written only when the part changes. repeats_used tells it once a second while retries are wanted, and vetchpost_retries_denied_total counts.

--- a/Libraries/Entry/attempt_race.cpp
+++ b/Libraries/Entry/attempt_race.cpp
@@ -63,7 +63,7 @@
         = chooseBackend(candidates, unavailable, view.dataCentre, monotonicNow(), m_context.nextSequenceNumber(), randomNumber(), true);
     auto &cold = m_context.constraints.cold();
     const bool isReserved = chosen != nullptr && (!cold.hasAny() || cold.takeSend(keyOf(*chosen)))
-        && m_context.consumeRetry(m_service->id, reservedBudgetShare) && m_context.constraints.consumePermit(*chosen);
+        && m_context.retries.consume(m_service->id, reservedBudgetShare) && m_context.constraints.consumePermit(*chosen);
     return isReserved ? std::optional(*chosen) : std::nullopt;
 }
 
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -364,7 +364,7 @@
     d->paths.stop();
     d->feed.stop();
     d->store.stop();
-    // The log's thread calls the relay's logRequestIds(), so it stops before the relay is destroyed.
+    // The log's thread calls the relay's logCollected(), so it stops before the relay is destroyed.
     stopEventLog();
 }
 
@@ -372,7 +372,7 @@
 {
     setEventLogDaemon(d->settings.daemon.value());
     setEventLogOn(d->settings.isLogOn);
-    startEventLog([this] { d->relay.logRequestIds(); });
+    startEventLog([this] { d->relay.logCollected(); });
     daemonLog.write("started",
                     {{"version", programVersion},
                      {"settings", d->settings.digest},
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -58,6 +58,8 @@
     , admission(daemonAdmission)
     , counters(allCounters)
     , reportStall(std::move(stallReporter))
+    , retries(
+          settings, [&feed] { return feed.daemons(); }, allCounters)
     , requestMetrics(allCounters)
     , attemptCounters(countersByOutcome(allCounters))
     , hedgeCounters(raceCountersByEnd(
@@ -160,24 +162,6 @@
     }
 }
 
-/// This daemon's part of the retries to a service, adjusted to the current number of daemons. The caller holds m_budgetMutex.
-limited_retries &relay_context::retriesOf(const service_id &service)
-{
-    const retry_limit limit{m_settings.retryShare, m_settings.retrySlack, m_settings.retryWindow};
-    const auto daemons = m_feed.daemons();
-    auto &retries = m_retries[service];
-    const auto &budget = retries.budget;
-    const auto before = budget.maximum;
-    const bool wasGranted = retries.isSlackGranted;
-    updateRetries(retries, limit, daemons, monotonicNow() - m_startedAt);
-    if (budget.maximum != before || retries.isSlackGranted != wasGranted) {
-        requestLog.write(
-            "repeats_shared",
-            {{"service", service.value()}, {"daemons", daemons.value_or(0)}, {"most", budget.maximum}, {"available", budget.available}});
-    }
-    return retries;
-}
-
 duration relay_context::priorWait(const std::string &route, duration patience, instant now)
 {
     const std::lock_guard lock(m_patienceMutex);
@@ -186,26 +170,13 @@
     return vetchpost::priorWait(known, patience);
 }
 
-void relay_context::logRequestIds()
+void relay_context::logCollected()
 {
     const auto lists = requestIds.drain();
     if (!lists.isEmpty()) {
         requestLog.writeEssential("roll", {{"arrived", lists.arrived}, {"served", lists.served}, {"left_out", lists.leftOut}});
     }
-}
-
-void relay_context::recordFirstAttempt(const service_id &service)
-{
-    const std::lock_guard lock(m_budgetMutex);
-    vetchpost::recordFirstAttempt(retriesOf(service));
-}
-
-bool relay_context::consumeRetry(const service_id &service, double reservedShare)
-{
-    const std::lock_guard lock(m_budgetMutex);
-    auto &budget = retriesOf(service).budget;
-    // What is left after this retry: a small budget may hold half of its maximum and yet less than one retry more.
-    return budget.available - 1 >= reservedShare * budget.maximum && spendRetry(budget);
+    retries.logUse();
 }
 
 const counter &relay_context::raceCounter(race_cause cause, const std::string &end) const
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -18,11 +18,11 @@
 #include "Libraries/Entry/request_id_batch.h"
 #include "Libraries/Entry/request_outcome.h"
 #include "Libraries/Entry/requests_by_place.h"
+#include "Libraries/Entry/service_retries.h"
 #include "Libraries/Entry/shared_constraints.h"
 #include "Libraries/Entry/store_follower.h"
 #include "Libraries/Requests/client_patience.h"
 #include "Libraries/Requests/retry_after.h"
-#include "Libraries/Requests/retry_limit.h"
 #include "Libraries/Settings/entry_settings.h"
 
 #include <atomic>
@@ -87,17 +87,12 @@
         return ++m_sequenceNumber;
     }
 
-    /// Adds the share of a new request to this daemon's part of the service's retry budget.
-    void recordFirstAttempt(const service_id &service);
     /// Whether dispatchers place the requests for models in groups.
     bool isDispatchOn() const
     {
         return m_settings.dispatch.has_value();
     }
 
-    /// Consumes one retry of this daemon's part of the service's retry budget. Returns false if it is exhausted.
-    /// With \a reservedShare, at least this part of the budget's maximum has to be left afterwards.
-    bool consumeRetry(const service_id &service, double reservedShare = 0);
     /// The counter of requests that were sent to a second replica while the first one held them, and that the first one, the second one or
     /// neither went on with, or whose second replica could not be reached.
     const counter &raceCounter(race_cause cause, const std::string &end) const;
@@ -106,8 +101,8 @@
     /// left and that of other requests on the same route.
     duration priorWait(const std::string &route, duration patience, instant now);
 
-    /// Logs the collected ids of requests without log lines of their own.
-    void logRequestIds();
+    /// Logs the collected ids of requests without log lines of their own, and the use of the retries.
+    void logCollected();
 
     const entry_dialect &dialect;
     crash_guard &crashes;
@@ -134,6 +129,7 @@
         return m_stopsAt;
     }
 
+    service_retries retries;
     in_flight_requests inFlight;
     answer_memory answers{maximumAnswersSize};
     requests_by_place requestsByPlace;
@@ -156,7 +152,6 @@
 
 private:
     key_revocation_policy keyBound() const;
-    limited_retries &retriesOf(const service_id &service);
 
     const entry_settings &m_settings;
     const store_follower &m_store;
@@ -164,9 +159,6 @@
     const entry_view_snapshot &m_view;
     std::atomic<instant> m_stopsAt = instant::max();
     std::atomic<std::uint64_t> m_sequenceNumber = 0;
-    std::mutex m_budgetMutex;
-    std::map<service_id, limited_retries> m_retries;
-    const instant m_startedAt = monotonicNow();
     std::mutex m_patienceMutex;
     /// By the route's name.
     std::map<std::string, client_patience> m_patience;
--- a/Libraries/Entry/request_placement.cpp
+++ b/Libraries/Entry/request_placement.cpp
@@ -83,7 +83,7 @@
         refuse(error_kind::platform_unavailable, "the replicas have not been listed yet", m_context.scopeWithoutListing());
         return;
     }
-    m_context.recordFirstAttempt(m_service->id);
+    m_context.retries.recordFirstAttempt(m_service->id);
     if (m_head.patience) {
         m_priorWait = m_context.priorWait(m_route->name, *m_head.patience, m_arrival);
     }
@@ -357,7 +357,7 @@
         m_noRetryReason = "no other replica accepts requests";
         return false;
     }
-    if (!m_context.consumeRetry(m_service->id)) {
+    if (!m_context.retries.consume(m_service->id, 0)) {
         m_noRetryReason = "the retry budget is exhausted";
         return false;
     }
