Feed, Entry: Keep the number of daemons for coordinators that know none of the others

What callers' operators saw: more repeats within ten seconds than all daemons together may send (BUDGET).

Cause: each daemon holds the slack of the bound divided by the number of daemons. A coordinator that starts while some daemons can't reach it counts only those that it hears, and a daemon that restarts on its side is told that lower number, while the others hold their parts by the earlier one for 20 s. The parts then add up to more than the slack.

Fix: the coordinator keeps the number of daemons in the key-value service (vetchpost/daemons), and one that knows no number takes that of its predecessor for 30 s; until it has read it, the number is unknown. The source tells its followers the number that it uses itself, the highest of 30 s, and not its present count. A part of the slack is granted once a number has been known for a window without a gap, which covers starts as before, and daemons that are back after a partition. A number that falls was in use by nobody for a window before others divide the slack anew: 20 s against 30 s. Ruled out: to let a new coordinator wait for 35 s instead of reading; all daemons would be without the slack for so long after each herd kill.

--- a/Libraries/Entry/assembly_runner.cpp
+++ b/Libraries/Entry/assembly_runner.cpp
@@ -8,6 +8,7 @@
 #include "Libraries/Base/worker_pool.h"
 #include "Libraries/Entry/assembly_metrics.h"
 #include "Libraries/Entry/coordination.h"
+#include "Libraries/Entry/daemon_counting.h"
 #include "Libraries/Entry/group_status_log.h"
 #include "Libraries/Entry/order_delivery.h"
 #include "Libraries/Entry/replica_prober.h"
@@ -61,6 +62,7 @@
     std::map<service_id, assembly_state> assemblies;
     replica_prober prober;
     stall_reporting stallReports;
+    daemon_counting daemonCounting;
     std::thread thread;
 
     private_data(const entry_settings &entrySettings,
@@ -86,6 +88,7 @@
         , prober(
               service, entryDialect, follower, peers, replicaPaths, groupMetrics, counters, [this] { planSoon(); }, answerListener)
         , stallReports(entrySettings.daemon, coordinator, prober, peers)
+        , daemonCounting(service, peers, reportWorkers)
     {
     }
 
@@ -117,6 +120,7 @@
                 if (!coordinator.renewIfDue(now)) {
                     endTerm();
                 }
+                daemonCounting.update(now);
                 const auto planStart = monotonicNow();
                 plan();
                 planTime = monotonicNow() - planStart;
@@ -198,6 +202,7 @@
         assemblyLog.write("coordination_taken", {{"term", termNumber(term)}});
         // Planning waits for a listing that began after the predecessor's term had ended.
         feed.setSource(true);
+        daemonCounting.update(termSince);
         store.relist();
     }
 
@@ -299,16 +304,6 @@
         return demand;
     }
 
-    /// Where the order goes. A replica that is no longer known keeps the address that it had when the order was planned.
-    replica_address addressFor(const replica_order &order) const
-    {
-        const auto directory = store.directory();
-        const auto known = directory->replicas.find(order.to);
-        const auto service = known == directory->replicas.end() ? service_id() : known->second.service;
-        const auto dataCentre = known == directory->replicas.end() ? data_centre_id() : known->second.dataCentre;
-        return {{order.to, order.incarnation}, service, order.address, dataCentre};
-    }
-
     /// Sends an order of the term whose key was created at \a plannedIn, unless the term has ended or the order is no longer due, and
     /// records the result.
     void perform(const replica_order &order, store_revision plannedIn)
@@ -319,7 +314,7 @@
         } else if (coordinator.isHeld(plannedIn, orderTimeout, monotonicNow())) {
             // This thread may have been delayed, so the term is checked again right before the order is sent.
             orders.increment();
-            delivery = sendOrder(dialect, paths, addressFor(order), order, orderTimeout, didAnswer);
+            delivery = sendOrder(dialect, paths, addressFor(order, *store.directory()), order, orderTimeout, didAnswer);
         }
         logOrder(order, delivery);
         {
--- a/Libraries/Entry/order_delivery.cpp
+++ b/Libraries/Entry/order_delivery.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+replica_address addressFor(const replica_order &order, const replica_directory &directory)
+{
+    const auto known = directory.replicas.find(order.to);
+    const bool isKnown = known != directory.replicas.end();
+    return {{order.to, order.incarnation},
+            isKnown ? known->second.service : service_id(),
+            order.address,
+            isKnown ? known->second.dataCentre : data_centre_id()};
+}
+
 order_delivery sendOrder(const entry_dialect &dialect,
                          replica_paths &paths,
                          const replica_address &to,
--- a/Libraries/Entry/order_delivery.h
+++ b/Libraries/Entry/order_delivery.h
@@ -17,6 +17,8 @@
     std::string text = "not sent";
 };
 
+/// Returns where the order goes. A replica that is no longer known keeps the address that it had when the order was planned.
+replica_address addressFor(const replica_order &order, const replica_directory &directory);
 /// Sends an order to the replica at \a to and waits up to \a timeout for the response. Calls \a didAnswer if the response shows that the
 /// replica is alive.
 order_delivery sendOrder(const entry_dialect &dialect,
--- a/Libraries/Entry/peer_feed.cpp
+++ b/Libraries/Entry/peer_feed.cpp
@@ -46,6 +46,7 @@
     instant nextPush = monotonicNow();
     while (!isStopping) {
         receiveDatagrams(isSource() ? pushPeriod : untilSubscription());
+        countDaemons();
         // Once for all batches that arrived together, since each call rebuilds the daemon's view.
         tables.constraints.notifyDepartures();
         if (isSource() && monotonicNow() >= nextPush) {
@@ -61,6 +62,18 @@
     }
 }
 
+void peer_feed::private_data::countDaemons()
+{
+    if (!isSource()) {
+        return;
+    }
+    const auto here = store.knownDaemons();
+    const std::lock_guard lock(mutex);
+    const auto now = monotonicNow();
+    recordOwnCount(follower, here, now);
+    store.setSharingDaemons(vetchpost::knownDaemons(follower, now).value_or(0));
+}
+
 std::optional<endpoint> peer_feed::private_data::answeringSource() const
 {
     const std::lock_guard lock(mutex);
@@ -235,6 +248,9 @@
     {
         const std::lock_guard lock(d->mutex);
         wasSource = vetchpost::setSource(d->role, isSource);
+        if (isSource && !wasSource) {
+            beginCounting(d->follower, monotonicNow());
+        }
     }
     d->store.setSource(isSource);
     d->dispatcherNaming.setSource(isSource);
@@ -242,7 +258,8 @@
         d->tables.constraints.resetPermits();
     }
     if (isSource) {
-        d->store.setOrigin({announcedPeers(d->settings), 0}, 0);
+        d->store.setOrigin({announcedPeers(d->settings), 0});
+        d->countDaemons();
     }
     if (wasSource && !isSource) {
         d->socket.sendAll(d->store.endFeed());
@@ -302,16 +319,30 @@
     return vetchpost::isSourceActive(d->follower, d->timing.sourceTimeout, monotonicNow());
 }
 
-std::optional<int> peer_feed::daemons() const
+bool peer_feed::needsPredecessorCount() const
 {
-    const auto ownCount = d->isSource() ? std::optional(d->store.knownDaemons()) : std::nullopt;
     const std::lock_guard lock(d->mutex);
-    const auto now = monotonicNow();
-    if (ownCount) {
-        // A daemon that has just become the source has no subscriptions yet.
-        recordDaemonCount(d->follower, *ownCount, now);
+    return d->role.isSource && !d->follower.mayCountDaemons;
+}
+
+void peer_feed::setPredecessorCount(int daemons)
+{
+    const std::lock_guard lock(d->mutex);
+    if (d->role.isSource) {
+        vetchpost::setPredecessorCount(d->follower, daemons, monotonicNow());
     }
-    return knownDaemons(d->follower, now);
+}
+
+std::optional<counted_daemons> peer_feed::daemonCount() const
+{
+    const std::lock_guard lock(d->mutex);
+    return knownDaemonCount(d->follower, monotonicNow());
+}
+
+std::optional<int> peer_feed::daemons() const
+{
+    const auto known = daemonCount();
+    return known ? std::optional(known->daemons) : std::nullopt;
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/peer_feed.h
+++ b/Libraries/Entry/peer_feed.h
@@ -8,6 +8,7 @@
 #include "Libraries/Entry/shared_proxies.h"
 #include "Libraries/Entry/shared_suspects.h"
 #include "Libraries/Entry/store_follower.h"
+#include "Libraries/Feed/feed_follower.h"
 #include "Libraries/Settings/entry_settings.h"
 
 #include <functional>
@@ -76,6 +77,11 @@
     bool isSourceActive() const;
     /// Returns the number of daemons by the source's count; nothing before the first answer of a source.
     std::optional<int> daemons() const;
+    std::optional<counted_daemons> daemonCount() const;
+    /// Whether this daemon is the source, and may not use its count of the daemons before it has that of its predecessor.
+    bool needsPredecessorCount() const;
+    /// Sets the number of daemons that the predecessor as the source has recorded; 0 if there was none.
+    void setPredecessorCount(int daemons);
 
 private:
     struct private_data;
--- a/Libraries/Entry/peer_feed_data.h
+++ b/Libraries/Entry/peer_feed_data.h
@@ -56,6 +56,8 @@
     std::optional<endpoint> knownOrigin() const;
     bool servesFollowers() const;
     bool isSource() const;
+    /// Counts the daemons if this one is the source, and sets what its followers are told.
+    void countDaemons();
     /// Sends the source and the followers what they lack of the tables.
     void syncTables();
     /// Requests a permit from the source. Returns false if none is known.
--- a/Libraries/Entry/peer_feed_messages.cpp
+++ b/Libraries/Entry/peer_feed_messages.cpp
@@ -134,8 +134,8 @@
             role.hasReceivedFeed = true;
             origin = update.origin.source;
             // A count that has not come from the source just now must not be passed on as if it had.
-            const auto daemons = update.daemons > 0 ? knownDaemons(follower, now).value_or(0) : 0;
-            store.setOrigin({update.origin.source, update.origin.hops + 1}, daemons);
+            store.setOrigin({update.origin.source, update.origin.hops + 1});
+            store.setSharingDaemons(update.daemons > 0 ? knownDaemons(follower, now).value_or(0) : 0);
         }
         if (asked && !follower.hasSourceAnswered) {
             follower.hasSourceAnswered = true;
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -59,7 +59,7 @@
     , counters(allCounters)
     , reportStall(std::move(stallReporter))
     , retries(
-          settings, [&feed] { return feed.daemons(); }, allCounters)
+          settings, [&feed] { return feed.daemonCount(); }, allCounters)
     , requestMetrics(allCounters)
     , attemptCounters(countersByOutcome(allCounters))
     , hedgeCounters(raceCountersByEnd(
--- a/Libraries/Entry/service_retries.cpp
+++ b/Libraries/Entry/service_retries.cpp
@@ -30,7 +30,7 @@
 struct service_retries::private_data
 {
     const retry_limit limit;
-    const std::function<std::optional<int>()> daemons;
+    const std::function<std::optional<counted_daemons>()> daemons;
     const instant startedAt = monotonicNow();
     counter denied;
     std::mutex mutex;
@@ -40,12 +40,14 @@
     /// Returns the part of a service, adjusted to the current number of daemons. Requires the mutex to be held.
     service_part &partOf(const service_id &service)
     {
-        const auto sharing = daemons();
+        const auto known = daemons();
+        const auto sharing = known ? std::optional(known->daemons) : std::nullopt;
+        const auto heldFor = monotonicNow() - (known ? known->knownSince : startedAt);
         auto &part = parts[service];
         const auto &budget = part.retries.budget;
         const auto before = budget.maximum;
         const bool wasGranted = part.retries.isSlackGranted;
-        updateRetries(part.retries, limit, sharing, monotonicNow() - startedAt);
+        updateRetries(part.retries, limit, sharing, heldFor);
         if (budget.maximum != before || part.retries.isSlackGranted != wasGranted) {
             requestLog.write("repeats_shared",
                              {{"service", service.value()},
@@ -57,7 +59,7 @@
     }
 };
 
-service_retries::service_retries(const entry_settings &settings, std::function<std::optional<int>()> daemons, metrics &counters)
+service_retries::service_retries(const entry_settings &settings, std::function<std::optional<counted_daemons>()> daemons, metrics &counters)
     : d(new private_data{{settings.retryShare, settings.retrySlack, settings.retryWindow},
                          std::move(daemons),
                          monotonicNow(),
--- a/Libraries/Entry/service_retries.h
+++ b/Libraries/Entry/service_retries.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Base/metrics.h"
+#include "Libraries/Feed/feed_follower.h"
 #include "Libraries/Routing/served_configuration.h"
 #include "Libraries/Settings/entry_settings.h"
 
@@ -16,7 +17,7 @@
 {
 public:
     /// \a daemons returns how many daemons share the retries; nothing if that is not known.
-    service_retries(const entry_settings &settings, std::function<std::optional<int>()> daemons, metrics &counters);
+    service_retries(const entry_settings &settings, std::function<std::optional<counted_daemons>()> daemons, metrics &counters);
     ~service_retries();
     service_retries(const service_retries &) = delete;
     service_retries &operator=(const service_retries &) = delete;
--- a/Libraries/Entry/store_follower.cpp
+++ b/Libraries/Entry/store_follower.cpp
@@ -176,12 +176,17 @@
     return datagrams;
 }
 
-void store_follower::setOrigin(const feed_origin &origin, int sourceDaemonCount)
+void store_follower::setOrigin(const feed_origin &origin)
 {
     const std::lock_guard lock(d->mutex);
     d->feed.origin = origin;
-    d->feed.sourceDaemonCount = sourceDaemonCount;
-    d->feed.sourceCountedAt = monotonicNow();
+}
+
+void store_follower::setSharingDaemons(int daemons)
+{
+    const std::lock_guard lock(d->mutex);
+    d->feed.sharingDaemons = daemons;
+    d->feed.sharingCountedAt = monotonicNow();
 }
 
 std::vector<feed_datagram> store_follower::endFeed()
--- a/Libraries/Entry/store_follower.h
+++ b/Libraries/Entry/store_follower.h
@@ -67,8 +67,10 @@
     std::vector<feed_datagram> pendingPushes();
     /// Returns the updates for present followers that lack the latest change of the evacuated data centres.
     std::vector<feed_datagram> pendingEvacuationPushes();
-    /// Sets which daemon read this copy from the service, and the number of daemons reported by the source; 0 if this daemon read it.
-    void setOrigin(const feed_origin &origin, int sourceDaemonCount);
+    /// Sets which daemon read this copy from the service.
+    void setOrigin(const feed_origin &origin);
+    /// Sets the number of daemons that the followers are told, for two seconds; 0 if it is not known.
+    void setSharingDaemons(int daemons);
     /// Removes all followers, and returns the messages which tell them that this daemon is no longer their source.
     std::vector<feed_datagram> endFeed();
     /// Returns the number of requests for each model of a service that the followers hold.
--- a/Libraries/Feed/feed_follower.cpp
+++ b/Libraries/Feed/feed_follower.cpp
@@ -3,6 +3,8 @@
 
 #include "Libraries/Feed/feed_relays.h"
 
+#include <algorithm>
+
 namespace vetchpost {
 
 namespace {
@@ -67,6 +69,9 @@
 // exceed the bound.
 void recordDaemonCount(feed_follower &follower, int daemons, instant now)
 {
+    if (!knownDaemons(follower, now)) {
+        follower.daemonsKnownSince = now;
+    }
     auto &counts = follower.recentDaemonCounts;
     // A count that is not above a later one can never be the highest again.
     while (!counts.empty() && counts.back().second <= daemons) {
@@ -78,11 +83,38 @@
     }
 }
 
-std::optional<int> knownDaemons(const feed_follower &follower, instant now)
+// A daemon that starts while others can't reach it would count itself alone, and they still hold their parts by the count of before.
+void beginCounting(feed_follower &follower, instant now)
+{
+    follower.mayCountDaemons = knownDaemons(follower, now).has_value();
+}
+
+void setPredecessorCount(feed_follower &follower, int daemons, instant now)
+{
+    follower.mayCountDaemons = true;
+    recordDaemonCount(follower, std::max(1, daemons), now);
+}
+
+void recordOwnCount(feed_follower &follower, int daemons, instant now)
+{
+    // After a suspension for longer than the count lasts, the others may have a new source.
+    follower.mayCountDaemons = follower.mayCountDaemons && knownDaemons(follower, now);
+    if (follower.mayCountDaemons) {
+        recordDaemonCount(follower, daemons, now);
+    }
+}
+
+std::optional<counted_daemons> knownDaemonCount(const feed_follower &follower, instant now)
 {
     const auto &counts = follower.recentDaemonCounts;
     const bool isKnown = !counts.empty() && now - counts.back().first < daemonCountLifetime;
-    return isKnown ? std::optional(counts.front().second) : std::nullopt;
+    return isKnown ? std::optional(counted_daemons{counts.front().second, follower.daemonsKnownSince}) : std::nullopt;
+}
+
+std::optional<int> knownDaemons(const feed_follower &follower, instant now)
+{
+    const auto known = knownDaemonCount(follower, now);
+    return known ? std::optional(known->daemons) : std::nullopt;
 }
 
 feed_subscription
--- a/Libraries/Feed/feed_follower.h
+++ b/Libraries/Feed/feed_follower.h
@@ -26,6 +26,18 @@
     std::optional<instant> lastAnswer;
     /// The counts of daemons that may still become the highest, with the time of each, in descending order of the counts.
     std::deque<std::pair<instant, int>> recentDaemonCounts;
+    /// Since when the count has been known without a gap, if it is known.
+    instant daemonsKnownSince;
+    /// Whether this daemon may use its own count while it is the source.
+    bool mayCountDaemons = false;
+};
+
+/// The number of daemons that share what all of them together may use.
+struct counted_daemons
+{
+    int daemons = 0;
+    /// Since when a number has been known without a gap.
+    instant knownSince;
 };
 
 /// Begins to follow a coordinator, unless the follower already follows it, directly or through a relay.
@@ -39,9 +51,17 @@
 /// long.
 bool hasSourceTimedOut(const feed_follower &follower, duration silence, instant now);
 
-/// Records a count of daemons: the source's, or this daemon's own if it is the source.
+/// Records the count of daemons that the source has reported.
 void recordDaemonCount(feed_follower &follower, int daemons, instant now);
+/// Begins to count the daemons as the source. Without a count that is still known, this daemon's own one is not used before
+/// setPredecessorCount() was called.
+void beginCounting(feed_follower &follower, instant now);
+/// Sets the number of daemons that the predecessor as the source has recorded; 0 if there was none.
+void setPredecessorCount(feed_follower &follower, int daemons, instant now);
+/// Records the count of daemons that this daemon has made as the source.
+void recordOwnCount(feed_follower &follower, int daemons, instant now);
 /// Returns the number of daemons: the highest count within the last 30 seconds, or nothing if none was reported in the last 20 seconds.
+std::optional<counted_daemons> knownDaemonCount(const feed_follower &follower, instant now);
 std::optional<int> knownDaemons(const feed_follower &follower, instant now);
 /// Returns the next subscription to send and records when it was sent.
 feed_subscription
--- a/Libraries/Feed/feed_publisher.cpp
+++ b/Libraries/Feed/feed_publisher.cpp
@@ -10,8 +10,8 @@
 
 /// Removed entries are kept up to this number; beyond it they are dropped, and followers that are far behind must list the entries.
 constexpr std::size_t maxRemovedEntries = 2000;
-/// A relay passes on its source's count of daemons for this long after it has received it: several of its subscriptions to the source.
-constexpr duration relayedCountLifetime(2000);
+/// A count of daemons is passed on for this long: several of a relay's subscriptions to its source.
+constexpr duration passedCountLifetime(2000);
 
 void applyChange(feed_publisher &publisher, const replica_change &change)
 {
@@ -48,16 +48,13 @@
     publisher.completeAfter = publisher.upTo;
 }
 
-/// Returns the number of daemons that followers may rely on; 0 if it is unknown. A relay that has lost its source knows only those behind
-/// itself, and they must not divide among themselves what all daemons share.
+/// Returns the number of daemons that followers may rely on; 0 if it is unknown. The followers of this daemon may not be all there are: a
+/// relay may have lost its source, and the source may have been cut off from the others. They must not divide among themselves what all
+/// daemons share.
 int reportedDaemons(const feed_publisher &publisher, instant now)
 {
-    const auto here = countDaemons(publisher, now);
-    if (publisher.origin.hops == 0) {
-        return here;
-    }
-    const bool isRecent = publisher.sourceDaemonCount > 0 && now - publisher.sourceCountedAt <= relayedCountLifetime;
-    return isRecent ? std::max(publisher.sourceDaemonCount, here) : 0;
+    const bool isRecent = publisher.sharingDaemons > 0 && now - publisher.sharingCountedAt <= passedCountLifetime;
+    return isRecent ? std::max(publisher.sharingDaemons, countDaemons(publisher, now)) : 0;
 }
 
 feed_update emptyUpdate(const feed_publisher &publisher, instant now)
--- a/Libraries/Feed/feed_publisher.h
+++ b/Libraries/Feed/feed_publisher.h
@@ -66,9 +66,9 @@
     std::map<daemon_id, feed_subscriber> subscribers;
     /// The daemon that read this state from the key-value service: this one, or the source from which it was relayed.
     feed_origin origin;
-    /// Number of daemons that this daemon's own source reported, and when; 0 on the source itself.
-    int sourceDaemonCount = 0;
-    instant sourceCountedAt;
+    /// The number of daemons that share what all may use, as this daemon knows it, and when it did so; 0 if it does not.
+    int sharingDaemons = 0;
+    instant sharingCountedAt;
     /// The dispatchers that this daemon chose as the source, or that its source reported.
     dispatcher_list dispatchers;
     /// Digest of \a dispatchers.
--- a/Libraries/Requests/retry_limit.cpp
+++ b/Libraries/Requests/retry_limit.cpp
@@ -20,13 +20,19 @@
     return std::max(minRetries, slack * usedShare / std::max(1, daemons.value_or(assumedDaemons)));
 }
 
-// What the first attempts have earned before is part of the grant: otherwise a window could hold both.
-void updateRetries(limited_retries &retries, const retry_limit &limit, std::optional<int> daemons, duration processAge)
+// What the daemon holds when it learns the number of daemons, and what its first attempts have earned since, is part of the grant:
+// otherwise a window could hold both.
+void updateRetries(limited_retries &retries, const retry_limit &limit, std::optional<int> daemons, duration heldFor)
 {
     auto &budget = retries.budget;
+    if (daemons && !retries.isCountKnown) {
+        retries.isSlackGranted = false;
+        retries.earned = budget.available;
+    }
+    retries.isCountKnown = daemons.has_value();
     budget.share = limit.share * usedShare;
     budget.maximum = maxRetriesPerDaemon(limit.slack, daemons);
-    if (!retries.isSlackGranted && processAge >= limit.window) {
+    if (!retries.isSlackGranted && heldFor >= limit.window) {
         retries.isSlackGranted = true;
         budget.available += std::max(0.0, budget.maximum - retries.earned);
     }
--- a/Libraries/Requests/retry_limit.h
+++ b/Libraries/Requests/retry_limit.h
@@ -19,23 +19,25 @@
     duration window{};
 };
 
-/// One daemon's part of a retry_limit. It holds a part of the slack only once the daemon's process has run for a whole window: an earlier
-/// process of the same daemon may have used up that part within the current window.
+/// One daemon's part of a retry_limit. It holds a part of the slack only after a whole window: an earlier process of the same daemon, or
+/// daemons that this one did not know of, may have used up that part within the current window.
 struct limited_retries
 {
     retry_budget budget{0, 0, 0};
     /// What the first attempts have added before the part of the slack is granted.
     double earned = 0;
     bool isSlackGranted = false;
+    bool isCountKnown = false;
 };
 
 /// Returns how many retries one daemon may accumulate in its budget, as its part of the \a slack of all \a daemons. \a daemons is empty if
 /// their number is unknown.
 double maxRetriesPerDaemon(int slack, std::optional<int> daemons);
 
-/// Adjusts a daemon's part to the number of daemons that now share the limit, and grants it its part of the slack once its process has run
-/// for a window. Call it before each use of the budget.
-void updateRetries(limited_retries &retries, const retry_limit &limit, std::optional<int> daemons, duration processAge);
+/// Adjusts a daemon's part to the number of daemons that now share the limit, and grants it its part of the slack once \a heldFor is a
+/// window: the time since which a number has been known without a gap, or, while \a daemons is empty, the age of the process. Call it
+/// before each use of the budget.
+void updateRetries(limited_retries &retries, const retry_limit &limit, std::optional<int> daemons, duration heldFor);
 /// Adds the share of a new request.
 void recordFirstAttempt(limited_retries &retries);
 
--- a/Meta/bite.sh
+++ b/Meta/bite.sh
@@ -16,13 +16,14 @@
 # The seed that CI uses and the two after it.
 soak_seeds="4 5 6"
 soak_port=${SOAK_PORT:-31000}
+retry_load=(--calm --retry-slack 136 --daemons 8 --replicas 24)
 
 # find_by_soak [OPTIONS...]: prints the first seed with which the soak fails, with the number of times that each promise was broken.
 find_by_soak() {
     cmake --build "$scratch/build" --target vetchpostd soak standInStore standInReplicas -- --quiet
     local seed found
     for seed in $soak_seeds; do
-        found=$("$scratch/build/Tests/Soak/soak" "$@" --seed "$seed" --daemons 3 --clients 12 --base-port "$soak_port" --keep "$scratch/soak" \
+        found=$("$scratch/build/Tests/Soak/soak" "$@" --seed "$seed" --base-port "$soak_port" --keep "$scratch/soak" \
             --daemon-binary "$scratch/build/Services/vetchpostd/vetchpostd" --stand-ins "$scratch/build/Tests/StandIns" |
             grep '^BROKEN' | cut -d: -f2 | sort | uniq -c | sort -rn | tr -s ' \n' ' ' || true)
         [ -z "$found" ] || { echo "seed $seed:$found"; return; }
@@ -36,9 +37,14 @@
     test=test${part^}
     patch -s -p1 -d "$scratch" <"$patch"
     if [ "$part" = entry ]; then
-        options=()
+        options=(--daemons 3 --clients 12)
         # These show only where the store comes back from an older copy.
-        case $name in *-the-era-* | *-older-copy*) options=(--restores 3) ;; esac
+        case $name in *-the-era-* | *-older-copy*) options+=(--restores 3) ;; esac
+        # These show only under loads that use up the bound of retries.
+        case $name in
+        *-repeats-for-each-* | *-part-of-the-slack-*) options=("${retry_load[@]}" --rolls 2 --rejections 45 --clients 60) ;;
+        *-counts-alone) options=("${retry_load[@]}" --waves --cuts 1 --seconds 64 --rejections 90 --clients 24) ;;
+        esac
         echo "$name: $(find_by_soak "${options[@]}")"
         patch -s -R -p1 -d "$scratch" <"$patch"
         continue
--- a/Tests/Feed/feedSimulation.cpp
+++ b/Tests/Feed/feedSimulation.cpp
@@ -75,6 +75,7 @@
             read(next);
         }
         if (next.role.isSource && isPushTime) {
+            updateDaemonCount(number);
             push(number);
         } else if (!next.role.isSource) {
             push(number);
@@ -88,6 +89,19 @@
     m_peakConfigurationAge = std::max(m_peakConfigurationAge, maxConfigurationAge());
 }
 
+void feed_simulation::updateDaemonCount(int number)
+{
+    auto &source = m_nodes[static_cast<std::size_t>(number)];
+    if (!source.follower.mayCountDaemons) {
+        setPredecessorCount(source.follower, m_recordedDaemons, m_now);
+    }
+    recordOwnCount(source.follower, vetchpost::countDaemons(source.feed, m_now), m_now);
+    const auto known = knownDaemons(number);
+    source.feed.sharingDaemons = known.value_or(0);
+    source.feed.sharingCountedAt = m_now;
+    m_recordedDaemons = known.value_or(m_recordedDaemons);
+}
+
 void feed_simulation::read(node &reader)
 {
     reader.currentAt = m_now;
@@ -183,8 +197,8 @@
         next.role.hasReceivedFeed = true;
         next.lastUpdateAt = m_now;
         next.feed.origin = {update.origin.source, update.origin.hops + 1};
-        next.feed.sourceDaemonCount = update.daemons > 0 ? vetchpost::knownDaemons(next.follower, m_now).value_or(0) : 0;
-        next.feed.sourceCountedAt = m_now;
+        next.feed.sharingDaemons = update.daemons > 0 ? vetchpost::knownDaemons(next.follower, m_now).value_or(0) : 0;
+        next.feed.sharingCountedAt = m_now;
         if (update.configurationAge) {
             next.currentAt = std::max(next.currentAt, *subscribedAt - *update.configurationAge);
             next.feed.configurationCurrentAt = next.currentAt;
@@ -357,7 +371,7 @@
     auto &source = m_nodes[static_cast<std::size_t>(daemon)];
     source.role.isSource = true;
     source.feed.origin = {source.address, 0};
-    source.feed.sourceDaemonCount = 0;
+    beginCounting(source.follower, m_now);
     announceCoordinator(daemon);
 }
 
@@ -377,13 +391,15 @@
     m_cutOff = cutOff;
 }
 
-std::optional<int> feed_simulation::knownDaemons(int daemon)
+std::optional<counted_daemons> feed_simulation::knownDaemonCount(int daemon) const
 {
-    auto &next = m_nodes[static_cast<std::size_t>(daemon)];
-    if (next.role.isSource) {
-        recordDaemonCount(next.follower, countDaemons(next.feed, m_now), m_now);
-    }
-    return vetchpost::knownDaemons(next.follower, m_now);
+    return vetchpost::knownDaemonCount(m_nodes[static_cast<std::size_t>(daemon)].follower, m_now);
+}
+
+std::optional<int> feed_simulation::knownDaemons(int daemon) const
+{
+    const auto known = knownDaemonCount(daemon);
+    return known ? std::optional(known->daemons) : std::nullopt;
 }
 
 void feed_simulation::setDatagramLoss(double share)
@@ -397,7 +413,11 @@
     const auto source = std::find_if(m_nodes.begin(), m_nodes.end(), [](const node &other) { return other.role.isSource; });
     resetNode(next);
     next.follower.lastNonce = m_random();
-    follow(next.follower, source->address, m_now);
+    if (next.role.isSource) {
+        makeSource(daemon);
+    } else {
+        follow(next.follower, source->address, m_now);
+    }
 }
 
 void feed_simulation::suspend(int daemon, duration time)
--- a/Tests/Feed/feedSimulation.h
+++ b/Tests/Feed/feedSimulation.h
@@ -39,7 +39,8 @@
     /// Loses all further datagrams between the daemons in \a cutOff and the others. The source stays the source.
     void partition(const std::set<int> &cutOff);
     /// Returns how many daemons a daemon believes there are; nothing if it does not know.
-    std::optional<int> knownDaemons(int daemon);
+    std::optional<int> knownDaemons(int daemon) const;
+    std::optional<counted_daemons> knownDaemonCount(int daemon) const;
     /// Makes a daemon the source; all daemons without a source begin to follow it.
     void makeSource(int daemon);
     /// Ends a daemon's term as the source; it sends feed_end to its followers.
@@ -126,6 +127,7 @@
     };
 
     void tick();
+    void updateDaemonCount(int number);
     void read(node &reader);
     void push(int number);
     void subscribeIfDue(int number);
@@ -147,6 +149,8 @@
     duration m_peakConfigurationAge{};
     double m_lossRate = 0;
     std::set<int> m_cutOff;
+    /// The number of daemons that the last source has recorded in the key-value service; 0 if none has.
+    int m_recordedDaemons = 0;
     std::mt19937 m_random{7};
 };
 
