Entry: Accept a key only by the configuration that was confirmed

Cause: a request looked its key up in the view that it took as its head arrived, while the age of the keys was that of the store's latest confirmation, which may concern a newer configuration. With a body that is complete only after a daemon that was cut off reaches the store again, the new confirmation made the old keys valid. Two facts that belong together were read apart.

Fix: the time of the last confirmation is kept in the route_table that it concerns, and a request takes the present view once its body is complete.

--- a/Libraries/Entry/configuration_reading.cpp
+++ b/Libraries/Entry/configuration_reading.cpp
@@ -124,6 +124,7 @@
     comparedAt = std::max(comparedAt.value_or(asked), asked);
     if (isConclusive(confirmation, revision, asked)) {
         currentAt = std::max(currentAt.value_or(asked), asked);
+        table->confirm(asked);
     }
 }
 
--- a/Libraries/Entry/relay_context.cpp
+++ b/Libraries/Entry/relay_context.cpp
@@ -87,9 +87,9 @@
     return m_view.read([](const std::shared_ptr<const entry_view> &view) { return view; });
 }
 
-bool relay_context::areKeysCurrent(instant now) const
+bool relay_context::areKeysCurrent(const route_table &routes, instant now) const
 {
-    return areKeysUsable(keyBound(), m_store.configurationCurrentAt(), now);
+    return areKeysUsable(keyBound(), routes.confirmedAt(), now);
 }
 
 key_revocation_policy relay_context::keyBound() const
--- a/Libraries/Entry/relay_context.h
+++ b/Libraries/Entry/relay_context.h
@@ -58,8 +58,8 @@
 
     /// The newest view; nullptr before the first one exists.
     std::shared_ptr<const entry_view> currentView() const;
-    /// Whether the API keys of the configuration are recent enough to be trusted.
-    bool areKeysCurrent(instant now) const;
+    /// Whether the API keys of a configuration are recent enough to be trusted.
+    bool areKeysCurrent(const route_table &routes, instant now) const;
 
     /// Whether connections should be closed after the current answer, so that clients reach another daemon.
     bool shouldCloseConnections(instant now) const;
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -73,6 +73,8 @@
 /// Finds the route of the request. Returns false if the request was refused.
 bool request_handler::findRoute()
 {
+    // The body may have taken long to arrive.
+    m_view = m_context.currentView();
     if (!m_view || !m_view->routes) {
         // Clients retry only a few times, and the next daemon may have just started as well: waiting is better than a refusal.
         m_context.awaitView(m_arrival + firstConfigurationWait, [](const entry_view &view) { return view.routes != nullptr; });
@@ -100,7 +102,7 @@
     if (!configuration.organisations || m_route->isPublic) {
         return true;
     }
-    if (!m_context.areKeysCurrent(m_arrival)) {
+    if (!m_context.areKeysCurrent(*m_view->routes, m_arrival)) {
         refuse(error_kind::platform_unavailable, "the API keys may be out of date", m_context.scopeOfStaleConfiguration(m_arrival));
         return false;
     }
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -132,7 +132,7 @@
     void recordConfigurationRead(key_revision found, instant asked);
     /// Reads the configuration. Returns whether the service has a readable one. \a isKnown: one has been read before.
     bool readConfiguration(bool isKnown);
-    /// Records that the configuration here was the one in the service at \a asked. Requires the mutex to be held.
+    /// Records that \a table was the configuration in the service at \a asked. Requires the mutex to be held.
     void recordComparison(key_revision revision, instant asked);
     /// Puts a configuration into force unless it is older than the present one. Returns false if it cannot be decoded.
     bool applyConfiguration(const key_value_entry &entry, instant asked);
--- a/Libraries/Routing/route_table.cpp
+++ b/Libraries/Routing/route_table.cpp
@@ -72,6 +72,19 @@
     return found == m_services.end() ? nullptr : &m_configuration.services[found->second];
 }
 
+void route_table::confirm(instant time) const
+{
+    const auto confirmed = time.time_since_epoch().count();
+    auto known = m_confirmedAt.load();
+    while (known < confirmed && !m_confirmedAt.compare_exchange_weak(known, confirmed)) { }
+}
+
+std::optional<instant> route_table::confirmedAt() const
+{
+    const auto known = m_confirmedAt.load();
+    return known > 0 ? std::optional(instant(duration(known))) : std::nullopt;
+}
+
 const service_id *chooseService(const route &chosen, std::uint64_t randomValue)
 {
     std::uint64_t total = 0;
