Entry: Take no entry without the start of its replica where others tell theirs

Cause: an entry of another writer under the key of an open head, with the required fields but neither born nor group, was taken for the head's own: the head seemed to have restarted and to belong to no group. An absent field was taken for a statement.

Fix: once any entry has told when its replica started, one that does not is no replica's: the last readable one stays. Where no replica tells it (platforms of before) nothing changes.

--- a/Libraries/Entry/replica_reading.cpp
+++ b/Libraries/Entry/replica_reading.cpp
@@ -180,10 +180,29 @@
             changes.push_back({replicaIdOf(entry), entry.changed, std::move(replica)});
         }
     }
+    dropWithoutIncarnation(changes);
     recordReceipt(changes, isColdPaced, monotonicNow());
     return changes;
 }
 
+// Taken for the replica's own, such an entry would mean that the replica has restarted and belongs to no group.
+void store_follower::private_data::dropWithoutIncarnation(std::vector<replica_change> &changes)
+{
+    const auto hasIncarnation
+        = [](const replica_change &change) { return change.replica && change.replica->incarnation != replica_incarnation(); };
+    areIncarnationsTold = areIncarnationsTold || std::any_of(changes.begin(), changes.end(), hasIncarnation);
+    if (!areIncarnationsTold) {
+        return;
+    }
+    std::erase_if(changes, [&](const replica_change &change) {
+        const bool isForeign = change.replica && !hasIncarnation(change);
+        if (isForeign) {
+            recordUnreadable(change.id.value(), "it tells no start of the replica, unlike the entries of others");
+        }
+        return isForeign;
+    });
+}
+
 void store_follower::private_data::reportLeaving(const std::vector<replica_change> &changes) const
 {
     std::vector<replica_key> leaving;
@@ -283,13 +302,18 @@
     reason why;
     auto replica = dialect.readReplica(replicaIdOf(entry), entry.value, why);
     if (!replica) {
-        // The last readable entry stays in the directory.
-        undecodable.increment();
-        storeLog.write("replica_unreadable", {{"key", entry.key}, {"why", why.text}});
+        recordUnreadable(entry.key, why.text);
     }
     return replica;
 }
 
+void store_follower::private_data::recordUnreadable(const std::string &key, const std::string &why)
+{
+    // The last readable entry stays in the directory.
+    undecodable.increment();
+    storeLog.write("replica_unreadable", {{"key", key}, {"why", why}});
+}
+
 void store_follower::private_data::publish()
 {
     {
--- a/Libraries/Entry/store_follower_data.h
+++ b/Libraries/Entry/store_follower_data.h
@@ -38,6 +38,8 @@
     std::atomic<bool> isSource = false;
     std::atomic<bool> hasTraffic = false;
     std::atomic<bool> isColdPaced = false;
+    /// Whether the replicas' entries say when their process started.
+    std::atomic<bool> areIncarnationsTold = false;
     /// The source has announced a newer configuration.
     bool mustReadConfiguration = false;
     /// When the source last knew which configuration the service holds, and when it last knew that this is the newest.
@@ -162,6 +164,10 @@
     /// Removes lapsed and unlisted replicas whose time is over, and publishes a new directory if there were any.
     void removeLapsedEntries();
     instance_id replicaIdOf(const key_value_entry &entry) const;
+    /// Removes the changes of entries that say nothing of the start of their replica, if entries of others do: another writer has written
+    /// them.
+    void dropWithoutIncarnation(std::vector<replica_change> &changes);
+    void recordUnreadable(const std::string &key, const std::string &why);
     /// Decodes an entry; nothing if it is unreadable, which is logged.
     std::optional<served_replica> decode(const key_value_entry &entry);
     /// Rebuilds the published directory, and calls didChange.
--- a/Tests/PlatformAdapter/testOddEntries.cpp
+++ b/Tests/PlatformAdapter/testOddEntries.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 // Guards against entries of another writer that end a daemon, or keep it or its followers from following the other entries.
+#include "Libraries/Entry/store_follower.h"
 #include "Libraries/Feed/feed_messages.h"
 #include "Libraries/Feed/feed_publisher.h"
+#include "Tests/Fakes/waiting.h"
 #include "Tests/PlatformAdapter/relayFixture.h"
+#include "Tests/PlatformAdapter/sharedStore.h"
 
 #include <catch2/catch.hpp>
 
@@ -142,3 +145,40 @@
     }
     CHECK(accepted > 0);
 }
+
+// Guards against an open group that is taken apart since another writer's entry says nothing of the group and the start of its head.
+TEST_CASE("An entry without the start of its replica replaces none with it, and is a sound one where no replica tells its start")
+{
+    shared_store values;
+    store_link link;
+    linked_store service(values, link);
+    const platform_dialect dialect;
+    metrics counters;
+    const auto entry = [](const char *rest) {
+        return fmt::format(
+            R"({{"Service":"large","Address":"127.0.0.1:9","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Seq":1{}}})",
+            rest);
+    };
+    constexpr auto openHead = R"(,"born":1700000000000,"Models":[{"Name":"m"}],"group":{"Name":"g","epoch":7,"rank":0,"State":"open"})";
+    const bool isBornTold = GENERATE(true, false);
+    values.write("servers/head", entry(isBornTold ? openHead : ""));
+    values.write("servers/other", entry(isBornTold ? R"(,"born":1700000000001)" : ""));
+    store_follower follower(
+        service, dialect, feedTiming(duration(1000)), counters, [] {}, [](const std::vector<replica_key> & /*leaving*/) {});
+    follower.start();
+    follower.recordTraffic();
+    const auto known = [&](const char *id) {
+        const auto directory = follower.directory();
+        const auto found = directory->replicas.find(instance_id(id));
+        return found == directory->replicas.end() ? std::nullopt : std::optional(found->second);
+    };
+    REQUIRE(isWithin(duration(3000), [&] { return known("head") && known("other"); }));
+    values.write("servers/head", entry(""));
+    values.write("servers/late", entry(""));
+    values.write("servers/last", entry(isBornTold ? R"(,"born":1700000000002)" : ""));
+    REQUIRE(isWithin(duration(3000), [&] { return known("last").has_value(); }));
+    CHECK(known("late").has_value() != isBornTold);
+    CHECK(known("head")->membership.has_value() == isBornTold);
+    CHECK((known("head")->incarnation == replica_incarnation()) != isBornTold);
+    follower.stop();
+}
