--- a/Tests/Soak/daemon_schedule.cpp
+++ b/Tests/Soak/daemon_schedule.cpp
@@ -93,7 +93,8 @@
         cut.side.resize(static_cast<std::size_t>(size.daemons));
         std::iota(cut.side.begin(), cut.side.end(), 0);
         randomNumbers.shuffle(cut.side);
-        cut.side.resize(static_cast<std::size_t>(1 + randomNumbers.below(size.daemons - 1)));
+        const int sideSize = 1 + randomNumbers.below(size.daemons - 1);
+        cut.side.resize(static_cast<std::size_t>(sideSize));
         cut.restartsAt = cut.at + randomNumbers.between(minUntilRestart, maxUntilRestart);
         cut.downtime = randomNumbers.between(minDowntime, maxDowntime);
         cut.restartsCoordinator = cut.side.size() == 1 || randomNumbers.below(2) == 0;
--- a/Tests/SoakChecks/testDaemonSchedule.cpp
+++ b/Tests/SoakChecks/testDaemonSchedule.cpp
@@ -28,11 +28,11 @@
 TEST_CASE("Some replicas stand still for 1 to 10 s while others go on")
 {
     const schedule_size size{std::chrono::seconds(80), 8, 24};
-    const auto all = static_cast<std::size_t>(size.replicas + size.plainReplicas);
+    const int all = size.replicas + size.plainReplicas;
     for (const auto &standstill : planStandstills(3, size, 4)) {
         CHECK(standstill.lasts >= std::chrono::seconds(1));
         CHECK(standstill.lasts <= std::chrono::seconds(10));
         CHECK_FALSE(standstill.replicas.empty());
-        CHECK(standstill.replicas.size() < all);
+        CHECK(static_cast<int>(standstill.replicas.size()) < all);
     }
 }
