--- a/Meta/platform.sh
+++ b/Meta/platform.sh
@@ -61,7 +61,7 @@
 data-centre: ikeja
 key-value: $store
 first-start: ${first_start:-true}
-connections: 400
+connections: ${connections:-400}
 listen:
   callers: $(entry_callers "$1")
   readiness: $(entry_readiness "$1")
