Http: Wait for a connection without a second descriptor

Callers saw nothing yet; a crowd whose bodies are awaited cost two descriptors a connection, and a machine has 4,100, 200 of them kept for files.

Cause: Poco::Net::SocketImpl::poll creates an epoll descriptor for each call, which stays open for as long as the thread waits. Accepted connections now wait with poll(2). The class was about the end of connections only, so it is called accepted_connection.

Processes.ClientsUnfinishedBodies: 116 descriptors before (92 allowed), 76 after; ClientsLargeChunks 136 before, 76 after (its memory is not touched: 528,864 KiB). testHttp: 47 cases pass.

--- a/Libraries/Http/end_detecting_socket.cpp
+++ b/Libraries/Http/accepted_connection.cpp
@@ -1,13 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "Libraries/Http/end_detecting_socket.h"
+#include "Libraries/Http/accepted_connection.h"
+
+#include "Libraries/Base/instant.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocketImpl.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocketImpl.h>
 
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace vetchpost {
@@ -15,10 +19,10 @@
 namespace {
 
 /// Used on the connection's thread only.
-class end_detecting_connection : public Poco::Net::StreamSocketImpl
+class accepted_connection : public Poco::Net::StreamSocketImpl
 {
 public:
-    explicit end_detecting_connection(poco_socket_t descriptor)
+    explicit accepted_connection(poco_socket_t descriptor)
         : StreamSocketImpl(descriptor)
     {
     }
@@ -37,10 +41,29 @@
         }
     }
 
+    /// POCO's own poll opens an epoll descriptor for each call, which stays open while a thread waits.
+    bool poll(const Poco::Timespan &timeout, int mode) override
+    {
+        const auto deadline = monotonicNow() + duration(timeout.totalMilliseconds());
+        pollfd waited{sockfd(), 0, 0};
+        waited.events |= (mode & Poco::Net::Socket::SELECT_READ) != 0 ? POLLIN : 0;
+        waited.events |= (mode & Poco::Net::Socket::SELECT_WRITE) != 0 ? POLLOUT : 0;
+        for (;;) {
+            const auto left = std::max(duration(), deadline - monotonicNow());
+            const auto ready = ::poll(&waited, 1, static_cast<int>(left.count()));
+            if (ready >= 0) {
+                return ready > 0;
+            }
+            if (errno != EINTR) {
+                error();
+            }
+        }
+    }
+
     bool hasMetEnd = false;
 };
 
-class end_detecting_listener : public Poco::Net::ServerSocketImpl
+class connection_listener : public Poco::Net::ServerSocketImpl
 {
 public:
     Poco::Net::SocketImpl *acceptConnection(Poco::Net::SocketAddress &client) override
@@ -55,19 +78,19 @@
             error();
         }
         client = Poco::Net::SocketAddress(reinterpret_cast<sockaddr *>(&address), length);
-        return new end_detecting_connection(descriptor);
+        return new accepted_connection(descriptor);
     }
 };
 
-end_detecting_connection &connectionOf(const Poco::Net::StreamSocket &connection)
+accepted_connection &connectionOf(const Poco::Net::StreamSocket &connection)
 {
-    return dynamic_cast<end_detecting_connection &>(*connection.impl());
+    return dynamic_cast<accepted_connection &>(*connection.impl());
 }
 
 } // namespace
 
-end_detecting_server_socket::end_detecting_server_socket()
-    : ServerSocket(new end_detecting_listener, true)
+accepting_socket::accepting_socket()
+    : ServerSocket(new connection_listener, true)
 {
 }
 
--- a/Libraries/Http/end_detecting_socket.h
+++ b/Libraries/Http/accepted_connection.h
@@ -7,11 +7,11 @@
 namespace vetchpost {
 
 /// A server socket whose connections tell when nothing more could be read from them. POCO's streams take the end of a connection, and a
-/// read that fails, for the end of what they read.
-class end_detecting_server_socket : public Poco::Net::ServerSocket
+/// read that fails, for the end of what they read. Waiting on such a connection opens no descriptor.
+class accepting_socket : public Poco::Net::ServerSocket
 {
 public:
-    end_detecting_server_socket();
+    accepting_socket();
 };
 
 /// Whether a read from an accepted connection has met its end or has failed, since the last call of forgetEnd().
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -2,7 +2,7 @@
 #include "Libraries/Http/http_exchange_data.h"
 
 #include "Libraries/Base/log.h"
-#include "Libraries/Http/end_detecting_socket.h"
+#include "Libraries/Http/accepted_connection.h"
 #include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
 #include "Libraries/Http/request_pace.h"
@@ -311,7 +311,7 @@
     Poco::ThreadPool threads;
     /// Closed once the server has stopped accepting. Connections that wait in its backlog are then closed immediately, instead of when the
     /// process exits.
-    end_detecting_server_socket listener;
+    accepting_socket listener;
     std::unique_ptr<Poco::Net::TCPServer> server;
 
     private_data(const http_server_limits &limits, handler handler)
