Http: Bound the memory of all request bodies together

What callers saw: a process ran out of memory and took every request on it along, when clients sent many bodies at once and stopped short of their end.

Cause: readBody() bounded each body and no sum; connections x MaxBodyBytes, and twice that while a string grows, is 3.2 GB with the settings as deployed.

Now a body_memory counts what requests hold of their bodies beyond 32 KiB each, from the first bytes until the answer, since a request that waits for a replica holds its body as well. A body that lacks room waits; meanwhile the largest body that has stood still for 300 ms is given up, and if all grow, after 200 ms the one that began last: were none given up, all could wait for the room that the others hold. Complete bodies are kept. The one that is given up, and one that gets no room within 2 s, is refused with 503 (overloaded, not run) and its connection closed. All servers of a process may share one bound; without one a server has 40 MiB, a quarter of the smallest instance, where a body of 4 MiB needs 6 at most.

Open: most of the crowd sees a reset in place of its 503, as the connection is closed with unread bytes.

--- a/Libraries/Http/http_exchange.cpp
+++ b/Libraries/Http/http_exchange.cpp
@@ -83,18 +83,27 @@
         return std::nullopt;
     }
     const auto deadline = monotonicNow() + timeout;
+    const auto mostBytes = d.request.hasContentLength() ? static_cast<std::size_t>(d.request.getContentLength64()) : limit;
     std::string body;
+    std::string piece;
     while (d.body->current() == body_decoder::state::needs_more) {
-        if (!d.body->hasBuffered() && !d.waitReadable(deadline)) {
+        piece.clear();
+        if (d.body->hasBuffered() || d.waitForBody(deadline)) {
+            d.body->read(piece);
+        } else if (!d.memory.isGivenUp()) {
             lastReason = {error_kind::slow_sender, "the body did not arrive in time"};
             return std::nullopt;
         }
-        d.body->read(body);
-        if (body.size() > limit) {
+        if (body.size() + piece.size() > limit) {
             lastReason = tooLarge;
             return std::nullopt;
         }
+        if (!d.memory.append(body, piece, mostBytes, deadline)) {
+            lastReason = {error_kind::overloaded, "there is no memory for the body"};
+            return std::nullopt;
+        }
     }
+    d.memory.complete();
     if (d.body->current() == body_decoder::state::broken) {
         lastReason = {error_kind::malformed_request, "the body is incomplete or its chunked encoding is invalid"};
         return std::nullopt;
--- a/Libraries/Http/http_exchange_data.h
+++ b/Libraries/Http/http_exchange_data.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Http/body_memory.h"
 #include "Libraries/Http/body_reader.h"
 #include "Libraries/Http/http_server.h"
 #include "Libraries/Http/poco_timespan.h"
@@ -32,6 +33,14 @@
     std::optional<body_reader> body;
     /// Why there is no body reader.
     reason framingProblem;
+    body_memory_share memory;
+
+    private_data(Poco::Net::HTTPServerRequest &handledRequest, Poco::Net::HTTPServerResponse &itsResponse, body_memory &bodies)
+        : request(handledRequest)
+        , response(itsResponse)
+        , memory(bodies)
+    {
+    }
 
     /// Whether the next request begins at the next byte of the connection.
     bool isBodyComplete() const
@@ -39,15 +48,16 @@
         return body && body->current() == body_decoder::state::complete;
     }
 
-    /// Waits until bytes arrive or the client closes the connection. Returns false at \a deadline.
-    bool waitReadable(instant deadline) const
+    /// Waits until bytes of the body arrive or the client closes the connection. Returns false at \a deadline, and soon after the body has
+    /// been given up.
+    bool waitForBody(instant deadline) const
     {
         for (;;) {
             const auto left = std::clamp(deadline - monotonicNow(), duration(), maxSteadyWait);
             if (socket().poll(timespanOf(left), Poco::Net::Socket::SELECT_READ)) {
                 return true;
             }
-            if (monotonicNow() >= deadline) {
+            if (memory.isGivenUp() || monotonicNow() >= deadline) {
                 return false;
             }
         }
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -179,10 +179,11 @@
 class exchange_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    exchange_handler(const http_server::handler &handle, open_connections &connections, pace_filter &pace)
+    exchange_handler(const http_server::handler &handle, open_connections &connections, pace_filter &pace, body_memory &bodies)
         : m_handle(handle)
         , m_connections(connections)
         , m_pace(pace)
+        , m_bodies(bodies)
     {
     }
 
@@ -197,7 +198,9 @@
         if (number > 1) {
             m_pace.countFurtherRequest();
         }
-        http_exchange::private_data data{request, response, Poco::URI(), {}, number, !currentConnection->hasStoppedReading()};
+        http_exchange::private_data data(request, response, m_bodies);
+        data.number = number;
+        data.canDetectDisconnect = !currentConnection->hasStoppedReading();
         if (const auto decoder = decoderForRequest(request, data.framingProblem)) {
             data.body.emplace(data.session(), *decoder);
         }
@@ -255,27 +258,30 @@
     const http_server::handler &m_handle;
     open_connections &m_connections;
     pace_filter &m_pace;
+    body_memory &m_bodies;
 };
 
 class exchange_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    exchange_handler_factory(const http_server::handler &handle, open_connections &connections, pace_filter &pace)
+    exchange_handler_factory(const http_server::handler &handle, open_connections &connections, pace_filter &pace, body_memory &bodies)
         : m_handle(handle)
         , m_connections(connections)
         , m_pace(pace)
+        , m_bodies(bodies)
     {
     }
 
     Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
     {
-        return new exchange_handler(m_handle, m_connections, m_pace);
+        return new exchange_handler(m_handle, m_connections, m_pace, m_bodies);
     }
 
 private:
     const http_server::handler &m_handle;
     open_connections &m_connections;
     pace_filter &m_pace;
+    body_memory &m_bodies;
 };
 
 class tracked_connection_factory : public Poco::Net::TCPServerConnectionFactory
@@ -308,6 +314,7 @@
     handler handle;
     open_connections connections;
     Poco::AutoPtr<pace_filter> pace;
+    std::shared_ptr<body_memory> bodies;
     Poco::ThreadPool threads;
     /// Closed once the server has stopped accepting. Connections that wait in its backlog are then closed immediately, instead of when the
     /// process exits.
@@ -317,6 +324,7 @@
     private_data(const http_server_limits &limits, handler handler)
         : handle(std::move(handler))
         , pace(new pace_filter(limits.requestsPerSecond))
+        , bodies(limits.bodies ? limits.bodies : std::make_shared<body_memory>())
         , threads("http", 2, limits.maximumThreads, 60, static_cast<int>(limits.threadStackBytes))
     {
     }
@@ -333,7 +341,8 @@
     parameters->setMaxQueued(limits.maximumQueued);
     parameters->setTimeout(timespanOf(limits.requestTimeout));
     parameters->setKeepAliveTimeout(timespanOf(limits.keepAliveTimeout));
-    const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers = new exchange_handler_factory(d->handle, d->connections, *d->pace);
+    const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers
+        = new exchange_handler_factory(d->handle, d->connections, *d->pace, *d->bodies);
     d->server = std::make_unique<Poco::Net::TCPServer>(
         new tracked_connection_factory(parameters, handlers, d->connections), d->threads, d->listener, parameters);
     d->server->setConnectionFilter(d->pace);
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Http/body_memory.h"
 #include "Libraries/Http/http_message.h"
 #include "Libraries/Http/tcp_connection.h"
 
@@ -36,8 +37,9 @@
     /// All headers of the request.
     std::vector<http_header> headers() const;
     /// Reads the whole body. Returns nothing and sets \a lastReason to body_too_large if it has more than \a limit bytes, to slow_sender if
-    /// it does not arrive within \a timeout, or to malformed_request if the connection ends before it or its framing is invalid. The
-    /// connection is then closed after the response, as it is if a handler does not read a body.
+    /// it does not arrive within \a timeout, to overloaded if the process has no memory for it, or to malformed_request if the connection
+    /// ends before it or its framing is invalid. The connection is then closed after the response, as it is if a handler does not read a
+    /// body. The body counts as held until the handler returns.
     std::optional<std::string> readBody(std::size_t limit, duration timeout, reason &lastReason);
 
     /// Sets a header of the response. Must be called before the response begins.
@@ -88,6 +90,8 @@
     std::size_t threadStackBytes = 256U * 1024U;
     duration requestTimeout{10000};
     duration keepAliveTimeout{8000};
+    /// Bounds the bodies of this server's requests together with those of other servers that share it. Empty for a bound of its own.
+    std::shared_ptr<body_memory> bodies;
 };
 
 /// HTTP server that calls one handler for every request. Each connection has its own thread.
