Services: Return large blocks of memory when they are freed

What callers saw: memory that the daemon had counted as free was still the process's, so that crowds of bodies came near the end of its machine's memory in spite of the bound.

Cause: glibc serves blocks of 128 KiB and more from mappings of their own, but raises that threshold to the size of each such block that is freed. Later bodies then come from the heaps of their threads, which keep their largest size. A threshold that is set stays.

--- a/Services/vetchpostd/main.cpp
+++ b/Services/vetchpostd/main.cpp
@@ -12,6 +12,8 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 
@@ -119,6 +121,14 @@
     return signals;
 }
 
+/// Gives each large block of memory a mapping of its own, which is returned to the system when the block is freed. By default glibc raises
+/// its threshold to the size of the blocks that are freed, and each thread's heap then keeps the largest bodies that it has held.
+void returnLargeBlocks()
+{
+    constexpr int leastBytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, leastBytes);
+}
+
 int runOwnInterfaces(const std::string &path, bool isCheckOnly)
 {
     const auto settings = readSettings(path, readDaemonSettings);
@@ -172,6 +182,7 @@
 {
     const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, fmt::format("vetchpostd {}", programVersion));
     const bool isCheckOnly = arguments.at("--check").asBool();
+    returnLargeBlocks();
     try {
         return arguments.at("entry").asBool() ? runEntry(entrySettingsPath(arguments), isCheckOnly)
                                               : runOwnInterfaces(arguments.at("SETTINGS").asString(), isCheckOnly);
