Http, Entry: Close connections that wait for their clients when new ones need a place

Cause: each connection holds a thread from its accept. The time limit applied to each read of a head, not to the head, and nothing made room for newcomers.

Now a server counts a sixteenth of its threads (one at least) as spare. When the others are taken, a new connection, or one that waits while others queue, closes those that wait for their clients: first those that discard the rest of a refused request, then those without a whole head, the longest waiting first and none before 100 ms, then bodies of which nothing has come for 300 ms, last kept connections that have rested for a second. A request that is handled is never closed. A head that is cut off so is answered with 503 (not run), one that takes too long as a whole with 408, one that is too large with 431 (new: head_too_large). While connections queue, answers close theirs. Readiness has 16 threads, since each is held for up to 100 ms by such a crowd.

--- a/Libraries/Base/error_kind.cpp
+++ b/Libraries/Base/error_kind.cpp
@@ -12,6 +12,7 @@
 constexpr std::array<error_answer, errorKindCount> table = {{
     {error_kind::malformed_request, "malformed_request", 400, run_state::not_run, never},
     {error_kind::body_too_large, "body_too_large", 413, run_state::not_run, never},
+    {error_kind::head_too_large, "head_too_large", 431, run_state::not_run, never},
     {error_kind::slow_sender, "slow_sender", 408, run_state::not_run, seconds(1)},
     {error_kind::unauthorised, "unauthorised", 401, run_state::not_run, never},
     {error_kind::forbidden, "forbidden", 403, run_state::not_run, never},
--- a/Libraries/Base/error_kind.h
+++ b/Libraries/Base/error_kind.h
@@ -13,6 +13,7 @@
 enum class error_kind {
     malformed_request,
     body_too_large,
+    head_too_large,
     slow_sender,
     unauthorised,
     forbidden,
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -35,7 +35,9 @@
 constexpr duration answerMargin(250);
 constexpr duration stopPollPeriod(50);
 constexpr std::size_t clientThreadStackBytes = 128U * 1024U;
-constexpr int readinessThreads = 4;
+constexpr int readinessThreads = 16;
+/// Operators, and other daemons besides their tunnels.
+constexpr int operatorThreads = 4;
 /// The part of a cold replica's rate that is paced by each daemon. Dispatchers use the other half where they place requests.
 constexpr double coldShareAlone = 1;
 constexpr double coldShareBesideDispatch = 0.5;
@@ -391,7 +393,7 @@
     d->readinessServer
         = std::make_unique<http_server>(d->settings.readiness, limits, [this](http_exchange &exchange) { d->answerReadiness(exchange); });
     // Tunnels that wait for room hold a thread as well.
-    limits.maximumThreads = readinessThreads + 2 * tunnelCapacity(d->settings);
+    limits.maximumThreads = operatorThreads + 2 * tunnelCapacity(d->settings);
     d->operatorServer
         = std::make_unique<http_server>(d->settings.peers, limits, [this](http_exchange &exchange) { d->answerPeer(exchange); });
     if (!d->settings.isFirstStart) {
--- a/Libraries/Http/http_exchange.cpp
+++ b/Libraries/Http/http_exchange.cpp
@@ -86,10 +86,18 @@
     const auto mostBytes = d.request.hasContentLength() ? static_cast<std::size_t>(d.request.getContentLength64()) : limit;
     std::string body;
     std::string piece;
+    auto &connection = connectionOf(d.socket());
+    const reason needed{error_kind::overloaded, "the body was incomplete when the connection was needed for others"};
+    if (!d.isBodyComplete()) {
+        connection.enter(connection_phase::body);
+    }
     while (d.body->current() == body_decoder::state::needs_more) {
         piece.clear();
         if (d.body->hasBuffered() || d.waitForBody(deadline)) {
             d.body->read(piece);
+        } else if (connection.isInterrupted()) {
+            lastReason = needed;
+            return std::nullopt;
         } else if (!d.memory.isGivenUp()) {
             lastReason = {error_kind::slow_sender, "the body did not arrive in time"};
             return std::nullopt;
@@ -104,6 +112,10 @@
         }
     }
     d.memory.complete();
+    if (!connection.enter(connection_phase::handling)) {
+        lastReason = needed;
+        return std::nullopt;
+    }
     if (d.body->current() == body_decoder::state::broken) {
         lastReason = {error_kind::malformed_request, "the body is incomplete or its chunked encoding is invalid"};
         return std::nullopt;
--- a/Libraries/Http/http_exchange_data.h
+++ b/Libraries/Http/http_exchange_data.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Libraries/Http/accepted_connection.h"
 #include "Libraries/Http/body_memory.h"
 #include "Libraries/Http/body_reader.h"
 #include "Libraries/Http/http_server.h"
@@ -57,7 +58,7 @@
             if (socket().poll(timespanOf(left), Poco::Net::Socket::SELECT_READ)) {
                 return true;
             }
-            if (memory.isGivenUp() || monotonicNow() >= deadline) {
+            if (memory.isGivenUp() || connectionOf(socket()).isInterrupted() || monotonicNow() >= deadline) {
                 return false;
             }
         }
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -4,12 +4,12 @@
 #include "Libraries/Base/log.h"
 #include "Libraries/Http/accepted_connection.h"
 #include "Libraries/Http/message_framing.h"
+#include "Libraries/Http/open_connections.h"
 #include "Libraries/Http/poco_timespan.h"
 #include "Libraries/Http/request_pace.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/TCPServer.h>
@@ -17,9 +17,7 @@
 #include <Poco/ThreadPool.h>
 
 #include <atomic>
-#include <condition_variable>
 #include <mutex>
-#include <set>
 
 namespace vetchpost {
 
@@ -29,39 +27,24 @@
 /// How often a shutdown checks whether the threads of the connections have ended.
 constexpr duration finishPollPeriod(5);
 
-} // namespace
-
-namespace {
-
-class tracked_connection;
-
-/// The connections of one server. The list lets the server close all idle connections when it shuts down.
-struct open_connections
-{
-    std::mutex mutex;
-    std::condition_variable changed;
-    std::set<tracked_connection *> all;
-    std::atomic<bool> isFinishing = false;
-    std::atomic<int> active = 0;
-    std::atomic<std::uint64_t> incompleteHeads = 0;
-};
-
-/// Decides which new connections the server accepts. Thread-safe.
-class pace_filter : public Poco::Net::TCPServerConnectionFilter
+/// Decides which new connections the server accepts, and makes room for them. Thread-safe.
+class new_connection_filter : public Poco::Net::TCPServerConnectionFilter
 {
 public:
-    explicit pace_filter(double requestsPerSecond)
+    new_connection_filter(double requestsPerSecond, std::function<void()> makeRoom)
         : m_pace(makeRequestPace(requestsPerSecond, monotonicNow()))
+        , m_makeRoom(std::move(makeRoom))
     {
     }
 
     /// Called for each connection. One that is not accepted is closed.
     bool accept(const Poco::Net::StreamSocket & /*socket*/) override
     {
-        const std::lock_guard lock(m_mutex);
-        const bool hasRoom = m_pace.perSecond <= 0 || takeRoomForConnection(m_pace, monotonicNow());
-        m_closed += hasRoom ? 0 : 1;
-        return hasRoom;
+        if (!takeRoom()) {
+            return false;
+        }
+        m_makeRoom();
+        return true;
     }
 
     /// Counts a request after the first one on its connection.
@@ -78,138 +61,82 @@
     }
 
 private:
+    bool takeRoom()
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool hasRoom = m_pace.perSecond <= 0 || takeRoomForConnection(m_pace, monotonicNow());
+        m_closed += hasRoom ? 0 : 1;
+        return hasRoom;
+    }
+
     mutable std::mutex m_mutex;
     request_pace m_pace;
+    const std::function<void()> m_makeRoom;
     std::uint64_t m_closed = 0;
 };
 
-/// The connection that is served by the current thread.
-thread_local tracked_connection *currentConnection = nullptr;
-
-class tracked_connection : public Poco::Net::HTTPServerConnection
+/// What all connections of one server share.
+struct server_parts
 {
-public:
-    tracked_connection(const Poco::Net::StreamSocket &socket,
-                       Poco::Net::HTTPServerParams::Ptr parameters,
-                       Poco::Net::HTTPRequestHandlerFactory::Ptr factory,
-                       open_connections &connections)
-        : HTTPServerConnection(socket, std::move(parameters), std::move(factory))
-        , m_connections(connections)
-    {
-        const std::lock_guard lock(m_connections.mutex);
-        m_connections.all.insert(this);
-        if (m_connections.isFinishing) {
-            stopReading();
-        }
-    }
-
-    ~tracked_connection() override
-    {
-        const std::lock_guard lock(m_connections.mutex);
-        m_connections.all.erase(this);
-        m_connections.changed.notify_all();
-    }
-
-    tracked_connection(const tracked_connection &) = delete;
-    tracked_connection &operator=(const tracked_connection &) = delete;
-
-    void run() override
-    {
-        currentConnection = this;
-        HTTPServerConnection::run();
-    }
-
-    void setBusy(bool isBusy)
-    {
-        const std::lock_guard lock(m_connections.mutex);
-        m_isBusy = isBusy;
-        if (!isBusy && m_connections.isFinishing) {
-            stopReading();
-        }
-    }
-
-    bool isBusy() const
-    {
-        return m_isBusy;
-    }
-
-    /// Counts a request that has been read. Returns how many have been read on this connection.
-    int countRequest()
-    {
-        return ++m_requests;
-    }
-
-    /// Whether the server shut down the receiving side of the socket, which a poll cannot distinguish from a disconnect of the client.
-    bool hasStoppedReading() const
-    {
-        return m_hasStoppedReading;
-    }
-
-    /// Shuts down the receiving side, unless bytes have already arrived. A request that has arrived is still read and answered.
-    void stopReading()
-    {
-        try {
-            const bool hasArrived = socket().poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
-            if (!hasArrived) {
-                m_hasStoppedReading = true;
-                socket().shutdownReceive();
-            }
-        } catch (const Poco::Exception &error) {
-            httpLog.debug("A connection was already closed. error={}", error.displayText());
-        }
-    }
+    http_server::handler handle;
+    open_connections connections;
+    connection_rules rules;
+    std::shared_ptr<body_memory> bodies;
+    Poco::AutoPtr<new_connection_filter> filter;
+    /// Whether connections wait for a thread.
+    std::function<bool()> isFull;
+    std::atomic<std::uint64_t> incompleteHeads = 0;
+};
 
-    /// Closes the connection immediately, also in the middle of a request.
-    void shutDown()
-    {
-        try {
-            socket().shutdown();
-        } catch (const Poco::Exception &error) {
-            httpLog.debug("A connection was already closed. error={}", error.displayText());
-        }
+reason reasonOf(head_problem problem)
+{
+    switch (problem) {
+    case head_problem::too_large:
+        return {error_kind::head_too_large, "the request's head is too large"};
+    case head_problem::too_slow:
+        return {error_kind::slow_sender, "the request's head did not arrive in time"};
+    case head_problem::interrupted:
+        return {error_kind::overloaded, "the request's head was incomplete when the connection was needed for others"};
+    case head_problem::ended:
+        break;
     }
-
-private:
-    open_connections &m_connections;
-    bool m_isBusy = false;
-    bool m_hasStoppedReading = false;
-    int m_requests = 0;
-};
+    return {error_kind::malformed_request, "the request's head is incomplete"};
+}
 
 class exchange_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    exchange_handler(const http_server::handler &handle, open_connections &connections, pace_filter &pace, body_memory &bodies)
-        : m_handle(handle)
-        , m_connections(connections)
-        , m_pace(pace)
-        , m_bodies(bodies)
+    explicit exchange_handler(server_parts &parts)
+        : m_parts(parts)
     {
     }
 
     void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
     {
-        m_connections.active.fetch_add(1);
-        currentConnection->setBusy(true);
-        if (m_connections.isFinishing) {
+        auto &tracked = tracked_connection::current();
+        m_parts.connections.active.fetch_add(1);
+        tracked.setBusy(true);
+        if (m_parts.connections.isFinishing || m_parts.isFull()) {
             response.setKeepAlive(false);
         }
-        const auto number = currentConnection->countRequest();
+        const auto number = tracked.countRequest();
         if (number > 1) {
-            m_pace.countFurtherRequest();
+            m_parts.filter->countFurtherRequest();
         }
-        http_exchange::private_data data(request, response, m_bodies);
+        http_exchange::private_data data(request, response, *m_parts.bodies);
         data.number = number;
-        data.canDetectDisconnect = !currentConnection->hasStoppedReading();
+        data.canDetectDisconnect = !tracked.hasStoppedReading();
         if (const auto decoder = decoderForRequest(request, data.framingProblem)) {
             data.body.emplace(data.session(), *decoder);
         }
         http_exchange exchange(data);
         // POCO reads no further than the blank line that ends a head.
-        const bool isHeadIncomplete = hasMetEnd(data.socket());
+        auto &connection = connectionOf(data.socket());
         try {
-            if (isHeadIncomplete) {
-                refuseIncompleteHead(exchange);
+            if (connection.hasMetEnd()) {
+                refuseIncompleteHead(exchange, connection.headProblem());
+            } else if (!connection.enter(connection_phase::handling)) {
+                exchange.sendError({error_kind::overloaded, "the connection was needed for others"});
             } else {
                 handle(data, exchange);
             }
@@ -221,17 +148,19 @@
             httpLog.warning("A response could not be sent. error={}", error.what());
             exchange.abort();
         }
-        forgetEnd(data.socket());
-        currentConnection->setBusy(false);
-        m_connections.active.fetch_sub(1);
+        connection.endRequest();
+        tracked.setBusy(false);
+        m_parts.connections.active.fetch_sub(1);
     }
 
 private:
-    void refuseIncompleteHead(http_exchange &exchange)
+    void refuseIncompleteHead(http_exchange &exchange, head_problem problem)
     {
-        m_connections.incompleteHeads.fetch_add(1);
-        httpLog.warning("A request is not handled, since its head is incomplete.");
-        exchange.sendError({error_kind::malformed_request, "the request's head is incomplete"});
+        m_parts.incompleteHeads.fetch_add(1);
+        const auto why = reasonOf(problem);
+        httpLog.warning("A request is not handled, since its head is incomplete. reason={}", why.text);
+        exchange.closeAfterResponse();
+        exchange.sendError(why);
     }
 
     void handle(http_exchange::private_data &data, http_exchange &exchange)
@@ -244,7 +173,7 @@
             return;
         }
         try {
-            m_handle(exchange);
+            m_parts.handle(exchange);
         } catch (const std::exception &error) {
             httpLog.error("A handler failed. path={} error={}", data.path, error.what());
             if (!exchange.hasBegun()) {
@@ -255,33 +184,24 @@
         }
     }
 
-    const http_server::handler &m_handle;
-    open_connections &m_connections;
-    pace_filter &m_pace;
-    body_memory &m_bodies;
+    server_parts &m_parts;
 };
 
 class exchange_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    exchange_handler_factory(const http_server::handler &handle, open_connections &connections, pace_filter &pace, body_memory &bodies)
-        : m_handle(handle)
-        , m_connections(connections)
-        , m_pace(pace)
-        , m_bodies(bodies)
+    explicit exchange_handler_factory(server_parts &parts)
+        : m_parts(parts)
     {
     }
 
     Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
     {
-        return new exchange_handler(m_handle, m_connections, m_pace, m_bodies);
+        return new exchange_handler(m_parts);
     }
 
 private:
-    const http_server::handler &m_handle;
-    open_connections &m_connections;
-    pace_filter &m_pace;
-    body_memory &m_bodies;
+    server_parts &m_parts;
 };
 
 class tracked_connection_factory : public Poco::Net::TCPServerConnectionFactory
@@ -311,10 +231,7 @@
 
 struct http_server::private_data
 {
-    handler handle;
-    open_connections connections;
-    Poco::AutoPtr<pace_filter> pace;
-    std::shared_ptr<body_memory> bodies;
+    server_parts parts;
     Poco::ThreadPool threads;
     /// Closed once the server has stopped accepting. Connections that wait in its backlog are then closed immediately, instead of when the
     /// process exits.
@@ -322,11 +239,21 @@
     std::unique_ptr<Poco::Net::TCPServer> server;
 
     private_data(const http_server_limits &limits, handler handler)
-        : handle(std::move(handler))
-        , pace(new pace_filter(limits.requestsPerSecond))
-        , bodies(limits.bodies ? limits.bodies : std::make_shared<body_memory>())
-        , threads("http", 2, limits.maximumThreads, 60, static_cast<int>(limits.threadStackBytes))
+        : threads("http", 2, limits.maximumThreads, 60, static_cast<int>(limits.threadStackBytes))
+        , listener(parts.rules)
     {
+        parts.handle = std::move(handler);
+        parts.bodies = limits.bodies ? limits.bodies : std::make_shared<body_memory>();
+        parts.rules.headTimeout = limits.requestTimeout;
+        parts.isFull = [this] { return server->queuedConnections() > 0; };
+        const auto places = limits.maximumThreads - sparePlaces(limits.maximumThreads);
+        parts.rules.makeRoom = [this, places] {
+            if (parts.isFull()) {
+                parts.connections.makeRoom(places - server->queuedConnections());
+            }
+        };
+        parts.filter = new new_connection_filter(limits.requestsPerSecond,
+                                                 [this, places] { parts.connections.makeRoom(places - server->queuedConnections() - 1); });
     }
 };
 
@@ -341,11 +268,10 @@
     parameters->setMaxQueued(limits.maximumQueued);
     parameters->setTimeout(timespanOf(limits.requestTimeout));
     parameters->setKeepAliveTimeout(timespanOf(limits.keepAliveTimeout));
-    const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers
-        = new exchange_handler_factory(d->handle, d->connections, *d->pace, *d->bodies);
+    const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers = new exchange_handler_factory(d->parts);
     d->server = std::make_unique<Poco::Net::TCPServer>(
-        new tracked_connection_factory(parameters, handlers, d->connections), d->threads, d->listener, parameters);
-    d->server->setConnectionFilter(d->pace);
+        new tracked_connection_factory(parameters, handlers, d->parts.connections), d->threads, d->listener, parameters);
+    d->server->setConnectionFilter(d->parts.filter);
     d->server->start();
 }
 
@@ -363,55 +289,43 @@
 // is closed as soon as it is idle.
 void http_server::finish()
 {
-    {
-        const std::lock_guard lock(d->connections.mutex);
-        d->connections.isFinishing = true;
-        for (auto *connection : d->connections.all) {
-            if (!connection->isBusy()) {
-                connection->stopReading();
-            }
-        }
-    }
+    d->parts.connections.finishIdle();
     d->server->stop();
     d->listener.close();
     // The thread of a connection that was accepted just before the stop adds it to the list only now, so the threads are waited for too.
-    std::unique_lock lock(d->connections.mutex);
-    while (!d->connections.all.empty() || d->server->currentThreads() > 0) {
-        d->connections.changed.wait_for(lock, finishPollPeriod);
-    }
+    while (!d->parts.connections.waitUntilEmpty(finishPollPeriod) || d->server->currentThreads() > 0) { }
+}
+
+void http_server::setHeadLimits(std::size_t size, duration timeout)
+{
+    d->parts.rules.headSize = size;
+    d->parts.rules.headTimeout = timeout;
 }
 
 int http_server::activeRequests() const
 {
-    return d->connections.active.load();
+    return d->parts.connections.active.load();
 }
 
 std::uint64_t http_server::incompleteHeads() const
 {
-    return d->connections.incompleteHeads.load();
+    return d->parts.incompleteHeads.load();
 }
 
 std::uint64_t http_server::connectionsClosedUnread() const
 {
-    return d->pace->closed();
+    return d->parts.filter->closed();
 }
 
 int http_server::openConnections() const
 {
-    const std::lock_guard lock(d->connections.mutex);
-    return static_cast<int>(d->connections.all.size());
+    return d->parts.connections.count();
 }
 
 void http_server::stopAll()
 {
     d->server->stop();
-    {
-        const std::lock_guard lock(d->connections.mutex);
-        d->connections.isFinishing = true;
-        for (auto *connection : d->connections.all) {
-            connection->shutDown();
-        }
-    }
+    d->parts.connections.shutDownAll();
     d->threads.joinAll();
 }
 
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -94,7 +94,8 @@
     std::shared_ptr<body_memory> bodies;
 };
 
-/// HTTP server that calls one handler for every request. Each connection has its own thread.
+/// HTTP server that calls one handler for every request. Each connection has its own thread. If almost all threads are in use, connections
+/// that wait for their clients are closed for new ones, first those that have sent no whole request for longest.
 class http_server
 {
 public:
@@ -111,13 +112,15 @@
     /// Shuts down gracefully: stops accepting, closes idle connections immediately and every other connection after its current request.
     /// Returns once all connections are closed. Requests that have not arrived by then are not read.
     void finish();
+    /// Limits the heads of requests that begin from now on, in bytes and from their first byte to their end.
+    void setHeadLimits(std::size_t size, duration timeout);
     /// The number of requests that are being handled.
     int activeRequests() const;
     /// The number of open connections, including idle ones.
     int openConnections() const;
     /// The number of connections that were closed unread because of http_server_limits::requestsPerSecond.
     std::uint64_t connectionsClosedUnread() const;
-    /// The number of requests whose connection ended inside their head. They are answered with 400 and not handled.
+    /// The number of requests whose head did not arrive completely within its limits. They are refused and not handled.
     std::uint64_t incompleteHeads() const;
     /// Stops accepting, closes all connections immediately and waits for their threads.
     void stopAll();
