Http: Deliver refusals that are sent before a body has ended

What callers saw: a reset in place of the 503 (or 401, 404, 413) of a request whose body had not been read to its end, so that a client did not learn that the request had not run nor when to come back.

Cause: the connection was closed with unread bytes, which resets it. Now the server ends its own side and discards what still arrives, for a second and 8 MiB at most, before it closes (RFC 9112, 9.6).

--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -134,6 +134,7 @@
         auto &connection = connectionOf(data.socket());
         try {
             if (connection.hasMetEnd()) {
+                connection.discardRestOnClose();
                 refuseIncompleteHead(exchange, connection.headProblem());
             } else if (!connection.enter(connection_phase::handling)) {
                 exchange.sendError({error_kind::overloaded, "the connection was needed for others"});
@@ -148,6 +149,9 @@
             httpLog.warning("A response could not be sent. error={}", error.what());
             exchange.abort();
         }
+        if (!data.isBodyComplete()) {
+            connection.discardRestOnClose();
+        }
         connection.endRequest();
         tracked.setBusy(false);
         m_parts.connections.active.fetch_sub(1);
