Settings, Entry, Daemon: Take the bound on bodies from the memory of the machine

What callers saw: nothing; the bound of 40 MiB fits a machine of 160 MB, but the platform's machines have 160 to 512 MB, and a process had a bound for each of its servers.

All servers of a process share the bound, also at the own interface (40 MiB there). Bodies that are held and given up, and connections that made room, are counted (vetchpost_bodies_bytes, vetchpost_bodies_given_up_total, vetchpost_connections_interrupted_total).

--- a/Libraries/Daemon/daemon.cpp
+++ b/Libraries/Daemon/daemon.cpp
@@ -34,17 +34,19 @@
     return makeIncarnation(static_cast<std::uint64_t>(calendarMilliseconds()), std::random_device()());
 }
 
-http_server_limits callerLimits(const daemon_settings &settings)
+http_server_limits callerLimits(const daemon_settings &settings, const std::shared_ptr<body_memory> &bodies)
 {
     http_server_limits limits;
+    limits.bodies = bodies;
     limits.maximumThreads = settings.maximumStreams;
     limits.maximumQueued = settings.maximumStreams;
     return limits;
 }
 
-http_server_limits fixedLimits(int threads)
+http_server_limits fixedLimits(int threads, const std::shared_ptr<body_memory> &bodies)
 {
     http_server_limits limits;
+    limits.bodies = bodies;
     limits.maximumThreads = threads;
     return limits;
 }
@@ -74,6 +76,7 @@
     caller_interface callers;
     operator_interface operators;
     timer_service timers;
+    std::shared_ptr<body_memory> bodies = std::make_shared<body_memory>();
     http_server peerServer;
     http_server operatorServer;
     http_server callerServer;
@@ -92,9 +95,10 @@
         , observations(settings, cluster, counters, observerWorkers, [this] { peers.exchangeNow(); })
         , callers(context, run)
         , operators(context, configurations, coordinator)
-        , peerServer(settings.peers, fixedLimits(peerThreads), [this](http_exchange &exchange) { peers.handle(exchange); })
-        , operatorServer(settings.operators, fixedLimits(operatorThreads), [this](http_exchange &exchange) { operators.handle(exchange); })
-        , callerServer(settings.callers, callerLimits(settings), [this](http_exchange &exchange) { callers.handle(exchange); })
+        , peerServer(settings.peers, fixedLimits(peerThreads, bodies), [this](http_exchange &exchange) { peers.handle(exchange); })
+        , operatorServer(
+              settings.operators, fixedLimits(operatorThreads, bodies), [this](http_exchange &exchange) { operators.handle(exchange); })
+        , callerServer(settings.callers, callerLimits(settings, bodies), [this](http_exchange &exchange) { callers.handle(exchange); })
     {
         registerCachedAnswerMethod(claims, peers);
     }
--- a/Libraries/Entry/daemon_metrics.cpp
+++ b/Libraries/Entry/daemon_metrics.cpp
@@ -36,7 +36,11 @@
           counters.addCounter("vetchpost_connections_closed_unread_total",
                               "New client connections that were closed unread since more requests came than this daemon can handle."))
     , m_incompleteHeads(counters.addCounter("vetchpost_incomplete_heads_total",
-                                            "Requests that were not handled since their connection ended inside their head."))
+                                            "Requests that were not handled since their head did not arrive completely."))
+    , m_connectionsInterrupted(
+          counters.addCounter("vetchpost_connections_interrupted_total", "Client connections that were closed to make room for others."))
+    , m_bodyBytes(counters.addGauge("vetchpost_bodies_bytes", "Bytes that requests hold of their bodies."))
+    , m_bodiesGivenUp(counters.addCounter("vetchpost_bodies_given_up_total", "Bodies that were refused for lack of memory."))
     , m_crashingRequests(
           counters.addGauge("vetchpost_crashing_requests_refused", "Requests that are refused because replicas ended while they ran them."))
     , m_replicasInBackoff(addConstrainedGauge(counters, "rest"))
@@ -67,7 +71,10 @@
     m_evacuatedRequests.set(status.evacuatedRequests);
     m_coldReplicas.set(status.coldReplicas);
     m_storeEra.set(static_cast<double>(status.storeEra));
+    m_bodyBytes.set(static_cast<double>(status.bodyBytes));
     const std::lock_guard lock(m_mutex);
+    raiseTo(m_connectionsInterrupted, status.connectionsInterrupted);
+    raiseTo(m_bodiesGivenUp, status.bodiesGivenUp);
     raiseTo(m_connectionsClosedUnread, status.connectionsClosedUnread);
     raiseTo(m_incompleteHeads, status.incompleteHeads);
     for (const auto &[part, count] : status.droppedLinesByPart) {
--- a/Libraries/Entry/daemon_metrics.h
+++ b/Libraries/Entry/daemon_metrics.h
@@ -47,8 +47,14 @@
     std::map<std::string, std::uint64_t> droppedLinesByPart;
     /// Client connections that were closed unread since the start.
     std::uint64_t connectionsClosedUnread = 0;
-    /// Requests of clients since the start whose connection ended inside their head.
+    /// Requests of clients since the start whose head did not arrive completely.
     std::uint64_t incompleteHeads = 0;
+    /// Client connections since the start that were closed to make room for others.
+    std::uint64_t connectionsInterrupted = 0;
+    /// Bytes that requests hold of their bodies.
+    std::size_t bodyBytes = 0;
+    /// Bodies since the start that were refused for lack of memory.
+    std::uint64_t bodiesGivenUp = 0;
 };
 
 /// Metrics that are computed when they are scraped. Safe to use from several threads.
@@ -69,6 +75,9 @@
     gauge m_requests;
     counter m_connectionsClosedUnread;
     counter m_incompleteHeads;
+    counter m_connectionsInterrupted;
+    gauge m_bodyBytes;
+    counter m_bodiesGivenUp;
     gauge m_crashingRequests;
     gauge m_replicasInBackoff;
     gauge m_rateLimitedReplicas;
--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -9,6 +9,7 @@
 #include "Libraries/Entry/dispatch_service.h"
 #include "Libraries/Entry/evacuation_status.h"
 #include "Libraries/Entry/request_handler.h"
+#include "Libraries/Entry/shutdown_task.h"
 #include "Libraries/Entry/tunnel_service.h"
 #include "Libraries/Platform/circuit_breaking_service.h"
 #include "Libraries/Platform/measured_store.h"
@@ -17,7 +18,6 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -50,42 +50,6 @@
 
 namespace {
 
-/// Runs work on its own thread while the process shuts down. The destructor does not wait for unfinished work: the exit of the process,
-/// shortly before the platform would kill it, cuts it off.
-class shutdown_task
-{
-public:
-    explicit shutdown_task(std::function<void()> work)
-        : m_isDone(std::make_shared<std::atomic<bool>>(false))
-        , m_thread([work = std::move(work), isDone = m_isDone] {
-            work();
-            *isDone = true;
-        })
-    {
-    }
-
-    ~shutdown_task()
-    {
-        if (*m_isDone) {
-            m_thread.join();
-        } else {
-            m_thread.detach();
-        }
-    }
-
-    shutdown_task(const shutdown_task &) = delete;
-    shutdown_task &operator=(const shutdown_task &) = delete;
-
-    bool isDone() const
-    {
-        return *m_isDone;
-    }
-
-private:
-    std::shared_ptr<std::atomic<bool>> m_isDone;
-    std::thread m_thread;
-};
-
 /// Returns the settings without an address for slot requests if slot dispatch is off. A switch in the settings goes before the contracts.
 entry_settings withDispatchDecided(entry_settings settings, const platform_features &features)
 {
@@ -125,6 +89,7 @@
     tunnel_service tunnels;
     relay_context relay;
     daemon_metrics exportedMetrics;
+    std::shared_ptr<body_memory> bodies;
     std::unique_ptr<http_server> clientServer;
     std::unique_ptr<http_server> readinessServer;
     std::unique_ptr<http_server> operatorServer;
@@ -197,6 +162,7 @@
                 counters,
                 [this](const instance_id &head) { assembly.reportStall(head); })
         , exportedMetrics(counters)
+        , bodies(std::make_shared<body_memory>(bodyMemoryLimit(settings)))
     {
         store.enableEvacuations(settings.evacuation);
         store.setConfirmationPolicy({settings.isKeyRevocationStrict, settings.isFirstStart});
@@ -289,6 +255,9 @@
         status.connections = static_cast<std::size_t>(clientServer->openConnections());
         status.connectionsClosedUnread = clientServer->connectionsClosedUnread();
         status.incompleteHeads = clientServer->incompleteHeads();
+        status.connectionsInterrupted = clientServer->connectionsInterrupted();
+        status.bodyBytes = bodies->used();
+        status.bodiesGivenUp = bodies->givenUp();
         status.requests = static_cast<std::size_t>(clientServer->activeRequests());
         status.crashingRequests = suspects.refused().size();
         const auto constrained = constraints.counts();
@@ -386,6 +355,7 @@
     limits.requestTimeout = headerTimeout;
     limits.keepAliveTimeout = keepAliveTimeout;
     limits.requestsPerSecond = requestsPerSecond(d->settings);
+    limits.bodies = d->bodies;
     d->clientServer
         = std::make_unique<http_server>(d->settings.callers, limits, [this](http_exchange &exchange) { d->serveClient(exchange); });
     limits.requestsPerSecond = 0;
--- a/Libraries/Http/accepted_connection.cpp
+++ b/Libraries/Http/accepted_connection.cpp
@@ -63,7 +63,7 @@
 int accepted_connection::receiveBytes(void *buffer, int length, int flags)
 {
     if (m_phase == connection_phase::idle && enter(connection_phase::head)) {
-        m_headDeadline = m_since + m_rules.headTimeout.load();
+        m_headDeadline = m_since + m_rules.heads->timeout.load();
         m_headSize = 0;
     }
     if (m_phase == connection_phase::idle || (m_phase == connection_phase::head && !waitForHead())) {
@@ -87,7 +87,7 @@
 /// Waits until more of the head can be read. Returns false if that is not allowed.
 bool accepted_connection::waitForHead()
 {
-    if (m_headSize >= m_rules.headSize) {
+    if (m_headSize >= m_rules.heads->size) {
         m_headProblem = head_problem::too_large;
         return false;
     }
--- a/Libraries/Http/accepted_connection.h
+++ b/Libraries/Http/accepted_connection.h
@@ -3,6 +3,7 @@
 
 #include "Libraries/Base/instant.h"
 #include "Libraries/Http/connection_eviction.h"
+#include "Libraries/Http/head_limits.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocketImpl.h>
@@ -10,6 +11,7 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <mutex>
 
 namespace vetchpost {
@@ -17,10 +19,7 @@
 /// What applies to all connections of one server.
 struct connection_rules
 {
-    /// The size of a head in bytes. May change at any time, like the next one.
-    std::atomic<std::size_t> headSize = 65536;
-    /// The time from the first byte of a head until it is complete.
-    std::atomic<duration> headTimeout = duration(6000);
+    std::shared_ptr<const head_limits> heads;
     /// Called from time to time while a connection waits for its client to finish a request. Closes connections if others need a place.
     std::function<void()> makeRoom;
 };
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -248,7 +248,7 @@
     {
         parts.handle = std::move(handler);
         parts.bodies = limits.bodies ? limits.bodies : std::make_shared<body_memory>();
-        parts.rules.headTimeout = limits.requestTimeout;
+        parts.rules.heads = limits.heads ? limits.heads : std::make_shared<head_limits>();
         parts.isFull = [this] { return server->queuedConnections() > 0; };
         const auto places = limits.maximumThreads - sparePlaces(limits.maximumThreads);
         parts.rules.makeRoom = [this, places] {
@@ -300,15 +300,14 @@
     while (!d->parts.connections.waitUntilEmpty(finishPollPeriod) || d->server->currentThreads() > 0) { }
 }
 
-void http_server::setHeadLimits(std::size_t size, duration timeout)
+int http_server::activeRequests() const
 {
-    d->parts.rules.headSize = size;
-    d->parts.rules.headTimeout = timeout;
+    return d->parts.connections.active.load();
 }
 
-int http_server::activeRequests() const
+std::uint64_t http_server::connectionsInterrupted() const
 {
-    return d->parts.connections.active.load();
+    return d->parts.connections.interrupted.load();
 }
 
 std::uint64_t http_server::incompleteHeads() const
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Libraries/Http/body_memory.h"
+#include "Libraries/Http/head_limits.h"
 #include "Libraries/Http/http_message.h"
 #include "Libraries/Http/tcp_connection.h"
 
@@ -90,6 +91,8 @@
     std::size_t threadStackBytes = 256U * 1024U;
     duration requestTimeout{10000};
     duration keepAliveTimeout{8000};
+    /// Empty for limits that stay as they are by default.
+    std::shared_ptr<const head_limits> heads;
     /// Bounds the bodies of this server's requests together with those of other servers that share it. Empty for a bound of its own.
     std::shared_ptr<body_memory> bodies;
 };
@@ -112,14 +115,14 @@
     /// Shuts down gracefully: stops accepting, closes idle connections immediately and every other connection after its current request.
     /// Returns once all connections are closed. Requests that have not arrived by then are not read.
     void finish();
-    /// Limits the heads of requests that begin from now on, in bytes and from their first byte to their end.
-    void setHeadLimits(std::size_t size, duration timeout);
     /// The number of requests that are being handled.
     int activeRequests() const;
     /// The number of open connections, including idle ones.
     int openConnections() const;
     /// The number of connections that were closed unread because of http_server_limits::requestsPerSecond.
     std::uint64_t connectionsClosedUnread() const;
+    /// The number of connections that were closed to make room for new ones.
+    std::uint64_t connectionsInterrupted() const;
     /// The number of requests whose head did not arrive completely within its limits. They are refused and not handled.
     std::uint64_t incompleteHeads() const;
     /// Stops accepting, closes all connections immediately and waits for their threads.
--- a/Libraries/Http/open_connections.cpp
+++ b/Libraries/Http/open_connections.cpp
@@ -68,7 +68,9 @@
             return;
         }
         // A connection that cannot be interrupted has just gone on.
-        open -= candidates[*index]->interrupt() ? 1 : 0;
+        const bool isInterrupted = candidates[*index]->interrupt();
+        open -= isInterrupted ? 1 : 0;
+        interrupted += isInterrupted ? 1 : 0;
         states[*index].phase = connection_phase::handling;
     }
 }
--- a/Libraries/Http/open_connections.h
+++ b/Libraries/Http/open_connections.h
@@ -38,6 +38,8 @@
     std::atomic<bool> isFinishing = false;
     /// The number of requests that are being handled.
     std::atomic<int> active = 0;
+    /// The number of connections that were closed by makeRoom().
+    std::atomic<std::uint64_t> interrupted = 0;
 
 private:
     friend class tracked_connection;
--- a/Libraries/Settings/entry_settings.cpp
+++ b/Libraries/Settings/entry_settings.cpp
@@ -95,6 +95,7 @@
     }
     // The smallest instances have a tenth of a core.
     settings.processorShare = reader.number("processor-share", 0.001, 1024, 1);
+    settings.memoryMb = reader.number("memory-mb", 1, 1048576, 160);
     if (reader.has("tunnels")) {
         settings.tunnelCapacity = static_cast<int>(reader.integer("tunnels", 0, 20000, 0));
     }
@@ -133,6 +134,13 @@
     return settings.tunnelCapacity.value_or(std::min(byProcessor, settings.maximumConnections));
 }
 
+std::size_t bodyMemoryLimit(const entry_settings &settings)
+{
+    constexpr double share = 0.25;
+    constexpr double bytesPerMebibyte = 1024 * 1024;
+    return static_cast<std::size_t>(settings.memoryMb * share * bytesPerMebibyte);
+}
+
 // Keys are part of the configuration and become stale with it. If the configuration were only read as often as configurationApply requires,
 // a daemon could refuse all requests during each read.
 duration configurationAgeLimit(const entry_settings &settings)
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -66,6 +66,8 @@
     std::optional<bool> dispatchSwitch;
     /// The share of a core that this daemon may use.
     double processorShare = 1;
+    /// The memory that this process may use, in MiB.
+    double memoryMb = 0;
     /// How many requests and tunnels this daemon bears at once while it carries tunnels for others; nothing if that follows from
     /// processorShare. 0 if it carries none.
     std::optional<int> tunnelCapacity;
@@ -91,6 +93,9 @@
 /// Returns how many requests and tunnels the daemon bears at once while it carries tunnels for others.
 int tunnelCapacity(const entry_settings &settings);
 
+/// Returns how many bytes the bodies of all requests together may use.
+std::size_t bodyMemoryLimit(const entry_settings &settings);
+
 /// Returns the highest age that the configuration of a daemon may reach: configurationApply, or keyRevocation if that is strict and
 /// shorter.
 duration configurationAgeLimit(const entry_settings &settings);
--- a/Tests/Http/testPlaces.cpp
+++ b/Tests/Http/testPlaces.cpp
@@ -38,16 +38,18 @@
         return m_address;
     }
 
-    http_server &server()
+    void setHeadLimits(std::size_t size, duration timeout)
     {
-        return m_server;
+        m_heads->size = size;
+        m_heads->timeout = timeout;
     }
 
 private:
-    static http_server_limits limits()
+    http_server_limits limits() const
     {
         http_server_limits limits;
         limits.maximumThreads = 4;
+        limits.heads = m_heads;
         return limits;
     }
 
@@ -62,6 +64,7 @@
     }
 
     endpoint m_address;
+    std::shared_ptr<head_limits> m_heads = std::make_shared<head_limits>();
     http_server m_server;
 };
 
@@ -112,7 +115,7 @@
 TEST_CASE("A head that does not end within its time as a whole is refused, however often bytes of it arrive")
 {
     small_server server;
-    server.server().setHeadLimits(16384, duration(400));
+    server.setHeadLimits(16384, duration(400));
     raw_client client(server.address());
     client.send("GET / HTTP/1.1\r\nHost: h\r\nX-Field: ");
     std::thread sender([&] {
@@ -134,7 +137,7 @@
 {
     small_server server;
     constexpr std::size_t limit = 4000;
-    server.server().setHeadLimits(limit, duration(1000));
+    server.setHeadLimits(limit, duration(1000));
     for (const auto size : {limit - 100, 3 * limit}) {
         raw_client client(server.address());
         std::string head = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
--- a/Tests/Settings/testEntrySettings.cpp
+++ b/Tests/Settings/testEntrySettings.cpp
@@ -51,6 +51,8 @@
     CHECK_FALSE(settings->digest.empty());
     CHECK(readEntrySettings(validSettings, "other.yaml", problems)->digest == settings->digest);
     CHECK(readEntrySettings(validSettings + "connections: 500\n", "entry.yaml", problems)->digest != settings->digest);
+    CHECK(bodyMemoryLimit(*settings) == 40U << 20U);
+    CHECK(bodyMemoryLimit(*readEntrySettings(validSettings + "memory-mb: 512\n", "entry.yaml", problems)) == 128U << 20U);
 }
 
 TEST_CASE("A daemon announces the address that it listens on to the others, unless the settings name another one")
@@ -74,6 +76,7 @@
     REQUIRE(unknown.size() == 1);
     CHECK(unknown.front().find("entry.yaml:13: nonsense") != std::string::npos);
     CHECK(problemsOf(validSettings + "connections: 1\n").size() == 1);
+    CHECK(problemsOf(validSettings + "memory-mb: 0\n").size() == 1);
     CHECK(problemsOf("- a list\n").size() == 1);
     auto broken = validSettings;
     broken.replace(broken.find("10.0.0.1:8223"), 13, "nowhere");
