Entry: Hold clients to the configuration's limits for heads

What callers saw: a client could send a head of any size, and take 6 s for each read of it, whatever the operator's Limits said.

Cause: MaxHeaderBytes and HeaderTimeoutMs were decoded and used nowhere. Each configuration in force now sets the head's size and its time as a whole; heads beyond them get 431 and 408. Bytes that have arrived in time are read however late that is.

testUnfinishedRequests fails without the change (20 KB of a head where 16 KB are allowed: no answer within 3 s) and passes with it. The default of memoryMb in the struct, which tests use, is 160 as well.

--- a/Libraries/Entry/entry_daemon.cpp
+++ b/Libraries/Entry/entry_daemon.cpp
@@ -90,6 +90,7 @@
     relay_context relay;
     daemon_metrics exportedMetrics;
     std::shared_ptr<body_memory> bodies;
+    std::shared_ptr<head_limits> clientHeads = std::make_shared<head_limits>();
     std::unique_ptr<http_server> clientServer;
     std::unique_ptr<http_server> readinessServer;
     std::unique_ptr<http_server> operatorServer;
@@ -216,6 +217,8 @@
             const auto routes = store.routes();
             const auto directory = store.directory();
             if (routes) {
+                clientHeads->size = routes->configuration().limits.headerBytes;
+                clientHeads->timeout = routes->configuration().limits.headerTimeout;
                 // Before the view shows a replica, so that no request is placed on a cold one without pacing.
                 constraints.cold().applyEntries(*directory, *routes);
             }
@@ -356,9 +359,11 @@
     limits.keepAliveTimeout = keepAliveTimeout;
     limits.requestsPerSecond = requestsPerSecond(d->settings);
     limits.bodies = d->bodies;
+    limits.heads = d->clientHeads;
     d->clientServer
         = std::make_unique<http_server>(d->settings.callers, limits, [this](http_exchange &exchange) { d->serveClient(exchange); });
     limits.requestsPerSecond = 0;
+    limits.heads.reset();
     limits.maximumThreads = readinessThreads;
     d->readinessServer
         = std::make_unique<http_server>(d->settings.readiness, limits, [this](http_exchange &exchange) { d->answerReadiness(exchange); });
--- a/Libraries/Settings/entry_settings.h
+++ b/Libraries/Settings/entry_settings.h
@@ -67,7 +67,7 @@
     /// The share of a core that this daemon may use.
     double processorShare = 1;
     /// The memory that this process may use, in MiB.
-    double memoryMb = 0;
+    double memoryMb = 160;
     /// How many requests and tunnels this daemon bears at once while it carries tunnels for others; nothing if that follows from
     /// processorShare. 0 if it carries none.
     std::optional<int> tunnelCapacity;
