Entry, Http: Read large bodies only for requests with a known route and key

Cause: the body was read before host, path and key were looked at, so that its rest is never parsed as the next request. That matters only where the connection is kept. The configuration in force when the body is complete decides once more, as before.

--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -39,8 +39,8 @@
 
 // Validation.
 
-/// Reads the head and the whole body of the request. The body is read before any answer is sent, so that the rest of a body is never parsed
-/// as the next request. Returns false if the request was refused.
+/// Reads the head and the whole body of the request. A small body is read before any answer is sent, so that its connection can be kept; a
+/// large one only for a request with a known route and key. Returns false if the request was refused.
 bool request_handler::readRequest()
 {
     if (m_context.isDraining || m_context.shouldCloseConnections(m_arrival)) {
@@ -60,10 +60,12 @@
     m_deadline = m_arrival + m_head.patience.value_or(defaultTimeout);
     const auto limits = m_view && m_view->routes ? m_view->routes->configuration().limits : client_limits();
     reason why;
-    auto body = m_exchange.readBody(limits.bodyBytes, limits.idleTimeout, why);
+    auto body = m_exchange.readBody(limits.bodyBytes, limits.idleTimeout, why, [this] { return findRoute() && authenticate(); });
     if (!body) {
-        m_exchange.closeAfterResponse();
-        refuse(why.kind, why.text);
+        if (!m_exchange.hasBegun()) {
+            m_exchange.closeAfterResponse();
+            refuse(why.kind, why.text);
+        }
         return false;
     }
     m_body = std::move(*body);
--- a/Libraries/Http/http_exchange.cpp
+++ b/Libraries/Http/http_exchange.cpp
@@ -71,7 +71,8 @@
     return result;
 }
 
-std::optional<std::string> http_exchange::readBody(std::size_t limit, duration timeout, reason &lastReason)
+std::optional<std::string>
+http_exchange::readBody(std::size_t limit, duration timeout, reason &lastReason, const std::function<bool()> &isAdmitted)
 {
     if (!d.body) {
         lastReason = d.framingProblem;
@@ -106,6 +107,9 @@
             lastReason = tooLarge;
             return std::nullopt;
         }
+        if (isAdmitted && body.size() <= freeBodyMemory && body.size() + piece.size() > freeBodyMemory && !isAdmitted()) {
+            return std::nullopt;
+        }
         if (!d.memory.append(body, piece, mostBytes, deadline)) {
             lastReason = {error_kind::overloaded, "there is no memory for the body"};
             return std::nullopt;
--- a/Libraries/Http/http_server.h
+++ b/Libraries/Http/http_server.h
@@ -40,8 +40,10 @@
     /// Reads the whole body. Returns nothing and sets \a lastReason to body_too_large if it has more than \a limit bytes, to slow_sender if
     /// it does not arrive within \a timeout, to overloaded if the process has no memory for it, or to malformed_request if the connection
     /// ends before it or its framing is invalid. The connection is then closed after the response, as it is if a handler does not read a
-    /// body. The body counts as held until the handler returns.
-    std::optional<std::string> readBody(std::size_t limit, duration timeout, reason &lastReason);
+    /// body. The body counts as held until the handler returns. Before more of it is kept than every request may have, \a isAdmitted
+    /// is called, unless it is empty; it returns false if the handler has refused the request, and nothing more is read then.
+    std::optional<std::string>
+    readBody(std::size_t limit, duration timeout, reason &lastReason, const std::function<bool()> &isAdmitted = {});
 
     /// Sets a header of the response. Must be called before the response begins.
     void setHeader(const std::string &name, const std::string &value);
