Http: Write no log line for each head beyond its limits

A crowd that comes back after each refusal would write a line to standard error each time, and a slow reader of it blocks the daemon. vetchpost_incomplete_heads_total counts such heads.

--- a/Libraries/Http/body_memory.cpp
+++ b/Libraries/Http/body_memory.cpp
@@ -51,6 +51,11 @@
     std::uint64_t givenUp = 0;
     std::vector<body_memory_entry *> entries;
 
+    explicit private_data(std::size_t size)
+        : limit(size)
+    {
+    }
+
     std::size_t lackingFor(const body_memory_entry &entry, std::size_t counted) const
     {
         const auto wanted = used - entry.reserved + counted;
--- a/Libraries/Http/http_server.cpp
+++ b/Libraries/Http/http_server.cpp
@@ -162,7 +162,10 @@
     {
         m_parts.incompleteHeads.fetch_add(1);
         const auto why = reasonOf(problem);
-        httpLog.warning("A request is not handled, since its head is incomplete. reason={}", why.text);
+        // Lines about clients that exceed limits could come at any rate.
+        if (problem == head_problem::ended) {
+            httpLog.warning("A request is not handled, since its head is incomplete.");
+        }
         exchange.closeAfterResponse();
         exchange.sendError(why);
     }
--- a/Tests/Http/testBodyMemory.cpp
+++ b/Tests/Http/testBodyMemory.cpp
@@ -127,7 +127,9 @@
     body_memory memory(8 * mebibyte);
     std::atomic<int> completed = 0;
     std::vector<std::thread> clients;
-    for (int i = 0; i < 12; ++i) {
+    constexpr int clientCount = 12;
+    clients.reserve(clientCount);
+    for (int i = 0; i < clientCount; ++i) {
         clients.emplace_back([&] {
             body_memory_share share(memory);
             std::string body;
