--- a/Libraries/Http/accepted_connection.h
+++ b/Libraries/Http/accepted_connection.h
@@ -82,9 +82,10 @@
     head_problem m_headProblem = head_problem::ended;
 
     mutable std::mutex m_mutex;
-    connection_phase m_phase = connection_phase::idle;
+    // Written under the mutex; atomic since poll() is also called on other threads.
+    std::atomic<connection_phase> m_phase = connection_phase::idle;
+    std::atomic<bool> m_hasServed = false;
     instant m_since = monotonicNow();
-    bool m_hasServed = false;
     std::atomic<bool> m_isInterrupted = false;
 };
 
