--- a/Tests/Processes/testClients.sh
+++ b/Tests/Processes/testClients.sh
@@ -35,6 +35,8 @@
 # ordinary NAME: prints the answer to one ordinary request.
 ordinary() { ask "$address" /fetch/record "$1"; }
 
+is_answered() { ordinary before | grep -q '"end":true'; }
+
 check_bounds() {
     lives || fail "the daemon ended $1"
     local memory count
@@ -63,7 +65,7 @@
     wait_for 20 "ready entry daemon" is_entry_ready 1
     daemon=${pids[entry-1]}
     address=$(entry_callers 1)
-    wait_for 20 "answer before the crowd" grep -q '"end":true' <(ordinary before)
+    wait_for 20 "answer before the crowd" is_answered
     descriptors_before=$(descriptors)
 }
 
