--- a/Tests/Processes/testClients.sh
+++ b/Tests/Processes/testClients.sh
@@ -57,6 +57,16 @@
     check_bounds "after the crowd"
 }
 
+# run_slow_heads_at ADDRESS PATH: checks that the path is answered at one of the daemon's other addresses beside a crowd of slow heads there.
+run_slow_heads_at() {
+    start_crowd --connections="$crowd_size" --head=100 --trickle-ms=1000 --returns=100000 "$1"
+    check_bounds "beside the crowd"
+    expect "$2 beside the crowd" "$(curl -s -m 30 -o /dev/null -w '%{http_code}' "http://$1$2")" 200
+    expect "an ordinary request beside the crowd" "$(ordinary beside)" '"end":true'
+    stop_crowd
+    check_bounds "after the crowd"
+}
+
 # start_one_entry: starts the stand-ins and one entry daemon.
 start_one_entry() {
     start_stand_ins
@@ -127,21 +137,11 @@
     ;;
 Readiness)
     start_one_entry
-    start_crowd --connections="$crowd_size" --head=100 --trickle-ms=1000 --returns=100000 "$(entry_readiness 1)"
-    check_bounds "beside the crowd"
-    expect "readiness beside the crowd" "$(curl -s -m 30 -o /dev/null -w '%{http_code}' "http://$(entry_readiness 1)/readyz")" 200
-    expect "an ordinary request beside the crowd" "$(ordinary beside)" '"end":true'
-    stop_crowd
-    check_bounds "after the crowd"
+    run_slow_heads_at "$(entry_readiness 1)" /readyz
     ;;
 Peers)
     start_one_entry
-    start_crowd --connections="$crowd_size" --head=100 --trickle-ms=1000 --returns=100000 "$(entry_peers 1)"
-    check_bounds "beside the crowd"
-    expect "the metrics beside the crowd" "$(curl -s -m 30 -o /dev/null -w '%{http_code}' "http://$(entry_peers 1)/metrics")" 200
-    expect "an ordinary request beside the crowd" "$(ordinary beside)" '"end":true'
-    stop_crowd
-    check_bounds "after the crowd"
+    run_slow_heads_at "$(entry_peers 1)" /metrics
     ;;
 Stop)
     start_one_entry
