Http: Take no answer for whole that ends with a connection which broke off during the upload

A replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the stream that a request is written to catches what its buffer throws and only sets its state, which nobody looked at. The failed write had taken the socket's error, which is reported once, so that the reader met what had arrived and then an orderly end: the end of a body that ends with its connection. The same line stood in four places (replicas, own calls, own streams, tunnels).

writeRequest() is now the one place that writes requests, and says whether all of one was written. After a partial one, a body that ends with its connection is broken from the start, since nothing tells a close from a reset any more. What is whole by its length or its chunks stays good (RFC 9112, section 9.5), and a head that says that the request has not run is still believed. Whether a request whose upload broke off may run again is decided by its route, as for each lost attempt.

Evidence: the stand-in (cut_answer_server) reads the beginning of an upload, answers, and closes or resets, at once or a moment later. Before the change 95 of 132 assertions of testHttp "*upload*" failed (five readers and a tunnel) and 39 of 80 of testPlatformAdapter "*upload*" (a whole daemon, routes that may run once, that may run again, streams); now none.

--- a/Libraries/Http/http_client.cpp
+++ b/Libraries/Http/http_client.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/Http/body_reader.h"
 #include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
+#include "Libraries/Http/request_writer.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -104,10 +105,9 @@
 {
     try {
         auto request = makeRequest(call, keepAlive);
-        auto &out = session.sendRequest(request);
-        out << call.sentBody() << std::flush;
+        const auto written = writeRequest(session, request, call.sentBody());
         const auto response = readResponseHead(session, monotonicNow() + call.receiveTimeout);
-        body_reader reader(session, decoderForResponse(response, call.method));
+        body_reader reader(session, decoderForResponse(response, call.method, written));
         std::string body;
         if (!readAll(reader, body, call.maximumReplySize, bodyDeadline(call), lastReason)) {
             return std::nullopt;
@@ -272,11 +272,11 @@
     }
     try {
         auto request = makeRequest(call, false);
-        d->session->sendRequest(request) << call.sentBody() << std::flush;
+        const auto written = writeRequest(*d->session, request, call.sentBody());
         const auto response = readResponseHead(*d->session, monotonicNow() + call.receiveTimeout);
         d->session->socket().setReceiveTimeout(timespanOf(call.receiveTimeout));
         d->restTimeout = call.receiveTimeout * bodyTimeouts;
-        d->reader.emplace(*d->session, decoderForResponse(response, call.method));
+        d->reader.emplace(*d->session, decoderForResponse(response, call.method, written));
         d->headers = headersOf(response);
         return response.getStatus();
     } catch (const Poco::TimeoutException &) {
--- a/Libraries/Http/http_tunnel.cpp
+++ b/Libraries/Http/http_tunnel.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Http/http_tunnel.h"
 
 #include "Libraries/Http/body_reader.h"
+#include "Libraries/Http/request_writer.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -29,8 +30,12 @@
         for (const auto &header : call.headers) {
             request.set(header.name, header.value);
         }
-        session.sendRequest(request) << std::flush;
+        const auto written = writeRequest(session, request, {});
         const auto response = readResponseHead(session, monotonicNow() + call.receiveTimeout);
+        if (written == written_request::partial) {
+            lastReason = {error_kind::backend_unreachable, "no tunnel through " + call.to.text() + ": the connection broke off"};
+            return std::nullopt;
+        }
         if (isSuccessStatus(response.getStatus())) {
             return tcp_connection(session.detachSocket());
         }
--- a/Libraries/Http/http_upstream.cpp
+++ b/Libraries/Http/http_upstream.cpp
@@ -3,6 +3,7 @@
 
 #include "Libraries/Http/message_framing.h"
 #include "Libraries/Http/poco_timespan.h"
+#include "Libraries/Http/request_writer.h"
 #include "Libraries/Http/response_head.h"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -32,6 +33,7 @@
 {
     std::unique_ptr<Poco::Net::HTTPClientSession> session;
     std::string method;
+    written_request written = written_request::whole;
     response_head_decoder head;
     /// When the first byte of the head arrived.
     std::optional<instant> headBegan;
@@ -170,7 +172,7 @@
         if (!call.sentBody().empty() || call.method == "POST" || call.method == "PUT") {
             request.setContentLength(static_cast<std::streamsize>(call.sentBody().size()));
         }
-        d->session->sendRequest(request) << call.sentBody() << std::flush;
+        d->written = writeRequest(*d->session, request, call.sentBody());
         return true;
     } catch (const std::exception &error) {
         lastReason = {error_kind::backend_lost, "the connection to " + call.to.text() + " failed: " + error.what()};
@@ -212,7 +214,7 @@
     }
     const auto &response = d->head.response();
     try {
-        d->decoder = decoderForResponse(response, d->method);
+        d->decoder = decoderForResponse(response, d->method, d->written);
     } catch (const Poco::Exception &error) {
         lastReason = {error_kind::backend_lost, "the response has an invalid head: " + error.displayText()};
         return std::nullopt;
--- a/Libraries/Http/message_framing.cpp
+++ b/Libraries/Http/message_framing.cpp
@@ -75,7 +75,7 @@
     return body_decoder(body_framing::length, *length);
 }
 
-body_decoder decoderForResponse(const Poco::Net::HTTPResponse &response, const std::string &method)
+body_decoder decoderForResponse(const Poco::Net::HTTPResponse &response, const std::string &method, written_request written)
 {
     constexpr int firstWithBody = 200;
     const bool hasNone = method == "HEAD" || response.getStatus() < firstWithBody
@@ -90,7 +90,12 @@
     if (response.hasContentLength()) {
         return body_decoder(body_framing::length, static_cast<std::uint64_t>(response.getContentLength64()));
     }
-    return body_decoder(body_framing::until_close);
+    body_decoder decoder(body_framing::until_close);
+    if (written == written_request::partial) {
+        // A socket reports a reset once. The write has taken that report, so that the reader would meet an orderly end.
+        decoder.fail();
+    }
+    return decoder;
 }
 
 } // namespace vetchpost
