Http: Reject answers whose status line is malformed

A replica in trouble sent an answer with the status 000, and callers got it as an answer: where a sound answer stood behind it, the 000 was skipped as an interim response; 600, 999, an unasked 101 and other versions (HTTP/9.9, HTTP/1., http/1.1) were passed on with the replica's stamp. 000, 001, 099 and 199 with a body were refused only by luck, since what follows an interim head was no head.

responseHeadProblem() now checks the bytes of each head, interim ones too, before POCO parses them: HTTP/1.x, three digits from 100 to 599, no 101 since no request asks for one, and no control characters in the reason phrase. The attempt is lost, what the head tells about the replica is not believed, and the log line names the rule.

Sound ones keep passing: an empty reason phrase or none, HTTP/1.0, bytes above 127, interim heads 100 and 102 to 199.

--- a/Libraries/Http/response_head.cpp
+++ b/Libraries/Http/response_head.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/response_head.h"
 
+#include "Libraries/Http/head_syntax.h"
+
 #include <Poco/Exception.h>
 
 #include <algorithm>
@@ -21,7 +23,7 @@
 bool isInterim(int status)
 {
     constexpr int firstFinal = 200;
-    return status < firstFinal && status != Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS;
+    return status < firstFinal;
 }
 
 } // namespace
@@ -127,6 +129,10 @@
         fail("it is too large");
         return;
     }
+    if (const auto problem = responseHeadProblem(std::string_view(m_bytes).substr(0, end)); !problem.empty()) {
+        fail(std::string(problem));
+        return;
+    }
     try {
         std::istringstream text(m_bytes.substr(0, end));
         m_response = Poco::Net::HTTPResponse();
