Http: Reject answers whose head has a line that is no field

A replica in trouble sent an answer in whose head the name of a field held a blank or a control byte. Callers got it as an answer, with that line passed on, or, where the name was that of a field of the framing, with a body that was not the replica's (`4\r\nbody\r\n0\r\n\r\n` for `body`).

Cause: POCO's parser skips the lines that it cannot read and takes some bytes out of names, so that a check of the parsed head comes too late; answers had no such check at all, requests had.

responseHeadProblem() now checks each line of the received bytes: a token and a colon, no folded line, and no control characters but tabs in the value. Such an attempt is lost, and neither Not-Executed nor another notice in that head is believed. isToken() moved there, so that both directions share it.

Sound ones keep passing, their values unchanged: any token as a name, empty values, tabs, bytes above 127, line feeds alone.

--- a/Libraries/Http/head_syntax.cpp
+++ b/Libraries/Http/head_syntax.cpp
@@ -23,10 +23,12 @@
     });
 }
 
-/// The first line without its line end.
-std::string_view firstLine(std::string_view text)
+/// Removes the first line from \a text and returns it without its line end.
+std::string_view takeLine(std::string_view &text)
 {
-    auto line = text.substr(0, text.find('\n'));
+    const auto end = std::min(text.find('\n'), text.size());
+    auto line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
     if (line.ends_with('\r')) {
         line.remove_suffix(1);
     }
@@ -56,11 +58,41 @@
     return isFieldText(reasonPhrase) ? "" : "its reason phrase has a control character";
 }
 
+std::string_view fieldLineProblem(std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return "a line has no colon";
+    }
+    if (!isToken(line.substr(0, colon))) {
+        return "the name of a field is no token";
+    }
+    return isFieldText(line.substr(colon + 1)) ? "" : "the value of a field has a control character";
+}
+
 } // namespace
 
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    const auto isTokenCharacter = [&](char character) {
+        return isDigit(character) || (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+            || punctuation.find(character) != std::string_view::npos;
+    };
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
 std::string_view responseHeadProblem(std::string_view head)
 {
-    return statusLineProblem(firstLine(head));
+    auto problem = statusLineProblem(takeLine(head));
+    while (problem.empty() && !head.empty()) {
+        const auto line = takeLine(head);
+        // The blank line ends the head.
+        if (!line.empty()) {
+            problem = fieldLineProblem(line);
+        }
+    }
+    return problem;
 }
 
 } // namespace vetchpost
--- a/Libraries/Http/message_framing.cpp
+++ b/Libraries/Http/message_framing.cpp
@@ -1,28 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Http/message_framing.h"
 
+#include "Libraries/Http/head_syntax.h"
+
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 
 #include <algorithm>
-#include <string_view>
 #include <vector>
 
 namespace vetchpost {
 
 namespace {
 
-/// Whether the text is a token of RFC 9110, as the name of a header must be.
-bool isToken(std::string_view text)
-{
-    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
-    const auto isTokenCharacter = [&](char character) {
-        return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
-            || punctuation.find(character) != std::string_view::npos;
-    };
-    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
-}
-
 /// The length that a Content-Length states; nothing if it is not a plain decimal number.
 std::optional<std::uint64_t> bodyLength(const std::string &text)
 {
--- a/Libraries/Http/response_head.cpp
+++ b/Libraries/Http/response_head.cpp
@@ -129,6 +129,7 @@
         fail("it is too large");
         return;
     }
+    // POCO skips the lines that it cannot read, so that a field of the framing may get lost.
     if (const auto problem = responseHeadProblem(std::string_view(m_bytes).substr(0, end)); !problem.empty()) {
         fail(std::string(problem));
         return;
--- a/Tests/Http/testBrokenHeads.cpp
+++ b/Tests/Http/testBrokenHeads.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Guards against answers with a malformed head that are taken for answers, and against sound ones that are not.
+#include "Libraries/Http/response_head.h"
 #include "Tests/Fakes/answer_readers.h"
 #include "Tests/Fakes/cut_answer_server.h"
 
@@ -12,6 +13,7 @@
 namespace {
 
 const std::string lengthAndBody = "Content-Length: 4\r\n\r\nbody";
+const std::string chunkedBody = "4\r\nbody\r\n0\r\n\r\n";
 const std::string soundStatus = "HTTP/1.1 200 OK\r\n";
 const std::string soundAnswer = soundStatus + lengthAndBody;
 
@@ -42,6 +44,14 @@
     return sendOnFreshConnection(call, why);
 }
 
+/// Why the head is invalid; empty if it is not.
+std::string problemOf(const std::string &head)
+{
+    response_head_decoder decoder;
+    decoder.consume(head);
+    return decoder.problem();
+}
+
 } // namespace
 
 TEST_CASE("An answer with an invalid status is rejected, also if a sound answer follows")
@@ -93,3 +103,52 @@
     }
     checkRejected("HTTP/1.1 199 Wait\r\n\r\nbody");
 }
+
+TEST_CASE("A blank, a control character or another byte that no name may have is rejected in the name of a field")
+{
+    for (const auto &byte : {" "s, "\t"s, "\0"s, "\x01"s, "\x1f"s, "\x7f"s, "("s, "\""s, "\x80"s, "\xff"s, "\r"s}) {
+        for (const auto &name : {"A" + byte + "b", "Ab" + byte, byte + "Ab"}) {
+            checkRejected(soundStatus + name + ": value\r\n" + lengthAndBody);
+            checkRejected("HTTP/1.1 103 Early Hints\r\n" + name + ": value\r\n\r\n" + soundAnswer);
+        }
+        checkRejected(soundStatus + "Content-Len" + byte + "gth: 4\r\n\r\nbody");
+        checkRejected(soundStatus + "Content-Length" + byte + ": 4\r\n\r\nbody");
+        checkRejected(soundStatus + "Transfer-Encoding" + byte + ": chunked\r\n\r\n" + chunkedBody);
+    }
+}
+
+TEST_CASE("A line of a head that is no field is rejected")
+{
+    for (const auto *line : {"no colon", ": value", "A: b\r\n folded", "A: b\r\n\tfolded", "\r"}) {
+        checkRejected(soundStatus + line + "\r\n" + lengthAndBody);
+        checkRejected(soundStatus + "Content-Length: 4\r\n" + line + "\r\n\r\nbody");
+    }
+}
+
+TEST_CASE("A control character in the value of a field is rejected")
+{
+    for (const auto &byte : {"\0"s, "\x01"s, "\x0b"s, "\r"s, "\x1f"s, "\x7f"s}) {
+        checkRejected(soundStatus + "A: b" + byte + "c\r\n" + lengthAndBody);
+    }
+}
+
+TEST_CASE("Sound fields are accepted, and their values arrive as they were sent")
+{
+    checkAccepted(soundStatus + "!#$%&'*+-.^_`|~09azAZ: value\r\n" + lengthAndBody);
+    checkAccepted("HTTP/1.1 200 OK\nA: b\nContent-Length: 4\n\nbody");
+    for (const auto *value : {"", "b", "b:c", "b\tc", "caf\xc3\xa9", "\x80\xff", "a, b; c=\"d\""}) {
+        const auto reply = replyTo(soundStatus + "A: " + value + " \r\n" + lengthAndBody);
+        REQUIRE(reply);
+        CHECK(reply->header("A") == value);
+        CHECK(reply->body == "body");
+    }
+}
+
+TEST_CASE("The problem of a head names the rule that it breaks")
+{
+    CHECK(problemOf(soundAnswer).empty());
+    CHECK(problemOf("HTTP/2.0 200 OK\r\n\r\n").find("version") != std::string::npos);
+    CHECK(problemOf("HTTP/1.1 000 Status\r\n\r\n").find("status") != std::string::npos);
+    CHECK(problemOf(soundStatus + "A b: c\r\n\r\n").find("name") != std::string::npos);
+    CHECK(problemOf(soundStatus + "A: b\x01\r\n\r\n").find("value") != std::string::npos);
+}
--- a/Tests/PlatformAdapter/testBrokenHeads.cpp
+++ b/Tests/PlatformAdapter/testBrokenHeads.cpp
@@ -67,6 +67,53 @@
     }
 }
 
+TEST_CASE("An answer with a blank or a control character in the name of a field does not reach the client")
+{
+    std::vector<broken_head> heads;
+    for (const auto &name : {"A b"s,
+                             "A "s,
+                             " A"s,
+                             "A\tb"s,
+                             "A\x05"
+                             "b"s,
+                             "\x05"
+                             "A"s,
+                             "A\0b"s,
+                             "A\x7f"s}) {
+        heads.push_back({"200 OK", name + ": value\r\n"});
+    }
+    checkNotRelayed(heads);
+}
+
+TEST_CASE("A field for the framing whose name has a blank or a control character leaves no body for the client")
+{
+    for (const auto &name : {"Transfer-Encoding "s, "Transfer-Encoding\x05"s, "Transfer-Enc\x05oding"s}) {
+        const auto answer = relayed("/once/", [&](const std::string &request) {
+            return "HTTP/1.1 200 OK\r\nAttempt-Id: " + headerOf(request, "Attempt-Id") + "\r\nServer-Stamp: s\r\n" + name
+                + ": chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+        });
+        CAPTURE(name);
+        CHECK(answer.status == 502);
+        CHECK(answer.body.find("body") == std::string::npos);
+    }
+}
+
+TEST_CASE("A refusal with a malformed head is not believed: a request that may run once goes to no other replica")
+{
+    const auto script = [](const std::string &request) {
+        return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + headerOf(request, "Attempt-Id")
+            + "\r\nNot-Executed: 1\r\nA b: c\r\nContent-Length: 0\r\n\r\n";
+    };
+    const scripted_replica one(script);
+    const scripted_replica two(script);
+    relay_fixture fixture;
+    fixture.addPlainReplica("p-1", one);
+    fixture.addPlainReplica("p-2", two);
+    fixture.start();
+    CHECK(fixture.sendRequest("/once/").status == 502);
+    CHECK(one.requests().size() + two.requests().size() == 1);
+}
+
 TEST_CASE("Another replica answers a request that may run again, after an answer with a malformed head")
 {
     std::atomic<bool> isFirst = true;
@@ -83,3 +130,13 @@
     CHECK(answer.status == 200);
     CHECK(answer.body == "answer");
 }
+
+TEST_CASE("An answer with unusual but valid fields reaches the client")
+{
+    const auto answer = relayed("/once/", [](const std::string &request) {
+        return answerWith(request, "200 ", "!#$%&'*+-.^_`|~: x\r\nEmpty:\r\nA: caf\xc3\xa9\tlatte\r\n");
+    });
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "answer");
+    CHECK(answer.header("A") == "caf\xc3\xa9\tlatte");
+}
