Http: Reject answers whose head does not determine where the body ends

Seen beside the malformed heads: answers with two lengths that differ reached callers with the first one's body (`bo` of `body`), a length `+4` was accepted, and with a Transfer-Encoding other than `chunked` alone (gzip, identity, twice, with a length, in HTTP/1.0) callers got raw chunks as the body or a framing that another recipient would not find.

Cause: decoderForRequest() checks what frames a message, decoderForResponse() took POCO's first value of each field.

An answer that fails is lost as backend_lost, with the rule in its reason.

--- a/Libraries/Http/http_client.cpp
+++ b/Libraries/Http/http_client.cpp
@@ -107,7 +107,11 @@
         auto request = makeRequest(call, keepAlive);
         const auto written = writeRequest(session, request, call.sentBody());
         const auto response = readResponseHead(session, monotonicNow() + call.receiveTimeout);
-        body_reader reader(session, decoderForResponse(response, call.method, written));
+        const auto decoder = decoderForResponse(response, call.method, written, lastReason);
+        if (!decoder) {
+            return std::nullopt;
+        }
+        body_reader reader(session, *decoder);
         std::string body;
         if (!readAll(reader, body, call.maximumReplySize, bodyDeadline(call), lastReason)) {
             return std::nullopt;
@@ -276,7 +280,11 @@
         const auto response = readResponseHead(*d->session, monotonicNow() + call.receiveTimeout);
         d->session->socket().setReceiveTimeout(timespanOf(call.receiveTimeout));
         d->restTimeout = call.receiveTimeout * bodyTimeouts;
-        d->reader.emplace(*d->session, decoderForResponse(response, call.method, written));
+        const auto decoder = decoderForResponse(response, call.method, written, lastReason);
+        if (!decoder) {
+            return std::nullopt;
+        }
+        d->reader.emplace(*d->session, *decoder);
         d->headers = headersOf(response);
         return response.getStatus();
     } catch (const Poco::TimeoutException &) {
--- a/Libraries/Http/http_upstream.cpp
+++ b/Libraries/Http/http_upstream.cpp
@@ -213,12 +213,11 @@
         return std::nullopt;
     }
     const auto &response = d->head.response();
-    try {
-        d->decoder = decoderForResponse(response, d->method, d->written);
-    } catch (const Poco::Exception &error) {
-        lastReason = {error_kind::backend_lost, "the response has an invalid head: " + error.displayText()};
+    const auto decoder = decoderForResponse(response, d->method, d->written, lastReason);
+    if (!decoder) {
         return std::nullopt;
     }
+    d->decoder = *decoder;
     d->received = d->head.takeRest();
     upstream_head head{response.getStatus(), response.getReason(), {}};
     for (const auto &[name, value] : response) {
--- a/Libraries/Http/message_framing.h
+++ b/Libraries/Http/message_framing.h
@@ -18,7 +18,9 @@
 std::optional<body_decoder> decoderForRequest(const Poco::Net::HTTPRequest &request, reason &lastReason);
 
 /// Returns the decoder for the body of the response to a request with this method, of which \a written was sent. After a partial one, a
-/// body that ends with its connection is broken.
-body_decoder decoderForResponse(const Poco::Net::HTTPResponse &response, const std::string &method, written_request written);
+/// body that ends with its connection is broken. Returns nothing and sets \a lastReason to backend_lost if the head does not determine
+/// unambiguously where the body ends.
+std::optional<body_decoder>
+decoderForResponse(const Poco::Net::HTTPResponse &response, const std::string &method, written_request written, reason &lastReason);
 
 } // namespace vetchpost
--- a/Tests/Http/testBrokenHeads.cpp
+++ b/Tests/Http/testBrokenHeads.cpp
@@ -152,3 +152,40 @@
     CHECK(problemOf(soundStatus + "A b: c\r\n\r\n").find("name") != std::string::npos);
     CHECK(problemOf(soundStatus + "A: b\x01\r\n\r\n").find("value") != std::string::npos);
 }
+
+TEST_CASE("An answer whose end its head does not determine unambiguously is rejected")
+{
+    for (const auto *fields : {"Content-Length: 2\r\nContent-Length: 4",
+                               "Content-Length: +4",
+                               "Content-Length: -4",
+                               "Content-Length: 4x",
+                               "Content-Length: 4, 2",
+                               "Content-Length: ",
+                               "Content-Length: 99999999999999999999"}) {
+        checkRejected(soundStatus + fields + "\r\n\r\nbody");
+    }
+    for (const auto *fields : {"Transfer-Encoding: chunked\r\nContent-Length: 14",
+                               "Transfer-Encoding: gzip",
+                               "Transfer-Encoding: gzip, chunked",
+                               "Transfer-Encoding: chunked, identity",
+                               "Transfer-Encoding: identity",
+                               "Transfer-Encoding: ",
+                               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"}) {
+        checkRejected(soundStatus + fields + "\r\n\r\n" + chunkedBody);
+    }
+    checkRejected("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedBody);
+}
+
+TEST_CASE("Sound framings are accepted")
+{
+    for (const auto &answer : {soundStatus + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+                               soundStatus + "Transfer-Encoding: Chunked\r\n\r\n" + chunkedBody,
+                               soundStatus + "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\nbody\r\n0\r\n\r\n",
+                               soundStatus + "\r\nbody"}) {
+        checkAccepted(answer);
+        CHECK(replyTo(answer)->body == "body");
+    }
+    CHECK(replyTo(soundStatus + "Content-Length: 4\r\n\r\n", "HEAD")->status == 200);
+    CHECK(replyTo("HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n")->status == 204);
+    CHECK(replyTo("HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n")->status == 304);
+}
