--- a/Tests/Http/testBrokenHeads.cpp
+++ b/Tests/Http/testBrokenHeads.cpp
@@ -5,6 +5,7 @@
 #include "Tests/Fakes/cut_answer_server.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace std::string_literals;
 using namespace vetchpost;
@@ -81,7 +82,7 @@
 TEST_CASE("A control character in the reason phrase is rejected")
 {
     for (const auto &byte : {"\0"s, "\x01"s, "\x0b"s, "\r"s, "\x7f"s}) {
-        checkRejected("HTTP/1.1 200 O" + byte + "K\r\n" + lengthAndBody);
+        checkRejected(fmt::format("HTTP/1.1 200 O{}K\r\n{}", byte, lengthAndBody));
     }
 }
 
@@ -98,8 +99,8 @@
 {
     for (const auto *status : {"100", "102", "103", "199"}) {
         const auto interim = "HTTP/1.1 "s + status + " Wait\r\n";
-        checkAccepted(interim + "\r\n" + soundAnswer);
-        checkAccepted(interim + "A: b\r\n\r\n" + interim + "\r\n" + soundAnswer);
+        checkAccepted(fmt::format("{}\r\n{}", interim, soundAnswer));
+        checkAccepted(fmt::format("{0}A: b\r\n\r\n{0}\r\n{1}", interim, soundAnswer));
     }
     checkRejected("HTTP/1.1 199 Wait\r\n\r\nbody");
 }
@@ -108,19 +109,19 @@
 {
     for (const auto &byte : {" "s, "\t"s, "\0"s, "\x01"s, "\x1f"s, "\x7f"s, "("s, "\""s, "\x80"s, "\xff"s, "\r"s}) {
         for (const auto &name : {"A" + byte + "b", "Ab" + byte, byte + "Ab"}) {
-            checkRejected(soundStatus + name + ": value\r\n" + lengthAndBody);
-            checkRejected("HTTP/1.1 103 Early Hints\r\n" + name + ": value\r\n\r\n" + soundAnswer);
+            checkRejected(fmt::format("{}{}: value\r\n{}", soundStatus, name, lengthAndBody));
+            checkRejected(fmt::format("HTTP/1.1 103 Early Hints\r\n{}: value\r\n\r\n{}", name, soundAnswer));
         }
-        checkRejected(soundStatus + "Content-Len" + byte + "gth: 4\r\n\r\nbody");
-        checkRejected(soundStatus + "Content-Length" + byte + ": 4\r\n\r\nbody");
-        checkRejected(soundStatus + "Transfer-Encoding" + byte + ": chunked\r\n\r\n" + chunkedBody);
+        checkRejected(fmt::format("{}Content-Len{}gth: 4\r\n\r\nbody", soundStatus, byte));
+        checkRejected(fmt::format("{}Content-Length{}: 4\r\n\r\nbody", soundStatus, byte));
+        checkRejected(fmt::format("{}Transfer-Encoding{}: chunked\r\n\r\n{}", soundStatus, byte, chunkedBody));
     }
 }
 
 TEST_CASE("A line of a head that is no field is rejected")
 {
     for (const auto *line : {"no colon", ": value", "A: b\r\n folded", "A: b\r\n\tfolded", "\r"}) {
-        checkRejected(soundStatus + line + "\r\n" + lengthAndBody);
+        checkRejected(fmt::format("{}{}\r\n{}", soundStatus, line, lengthAndBody));
         checkRejected(soundStatus + "Content-Length: 4\r\n" + line + "\r\n\r\nbody");
     }
 }
@@ -128,7 +129,7 @@
 TEST_CASE("A control character in the value of a field is rejected")
 {
     for (const auto &byte : {"\0"s, "\x01"s, "\x0b"s, "\r"s, "\x1f"s, "\x7f"s}) {
-        checkRejected(soundStatus + "A: b" + byte + "c\r\n" + lengthAndBody);
+        checkRejected(fmt::format("{}A: b{}c\r\n{}", soundStatus, byte, lengthAndBody));
     }
 }
 
@@ -137,7 +138,7 @@
     checkAccepted(soundStatus + "!#$%&'*+-.^_`|~09azAZ: value\r\n" + lengthAndBody);
     checkAccepted("HTTP/1.1 200 OK\nA: b\nContent-Length: 4\n\nbody");
     for (const auto *value : {"", "b", "b:c", "b\tc", "caf\xc3\xa9", "\x80\xff", "a, b; c=\"d\""}) {
-        const auto reply = replyTo(soundStatus + "A: " + value + " \r\n" + lengthAndBody);
+        const auto reply = replyTo(fmt::format("{}A: {} \r\n{}", soundStatus, value, lengthAndBody));
         REQUIRE(reply);
         CHECK(reply->header("A") == value);
         CHECK(reply->body == "body");
@@ -171,7 +172,7 @@
                                "Transfer-Encoding: identity",
                                "Transfer-Encoding: ",
                                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"}) {
-        checkRejected(soundStatus + fields + "\r\n\r\n" + chunkedBody);
+        checkRejected(fmt::format("{}{}\r\n\r\n{}", soundStatus, fields, chunkedBody));
     }
     checkRejected("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedBody);
 }
@@ -179,7 +180,7 @@
 TEST_CASE("Sound framings are accepted")
 {
     for (const auto &answer : {soundStatus + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
-                               soundStatus + "Transfer-Encoding: Chunked\r\n\r\n" + chunkedBody,
+                               fmt::format("{}Transfer-Encoding: Chunked\r\n\r\n{}", soundStatus, chunkedBody),
                                soundStatus + "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\nbody\r\n0\r\n\r\n",
                                soundStatus + "\r\nbody"}) {
         checkAccepted(answer);
