--- a/Tests/PlatformAdapter/scriptedReplica.cpp
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds pauseTime(100);
 constexpr std::chrono::milliseconds shortPauseTime(20);
 constexpr std::chrono::milliseconds restartTime(200);
+constexpr std::chrono::milliseconds slowExitTime(20);
+constexpr int pollStep = 1000;
 
 /// Whether the text contains the whole head and body of a request.
 bool isWhole(const std::string &request)
@@ -105,14 +107,18 @@
             connection.sendBytes(report.data(), static_cast<int>(report.size()));
             return;
         }
+        if (m_isExiting) {
+            return;
+        }
         {
             const std::lock_guard lock(m_mutex);
             m_requests.push_back(request);
         }
         const auto answer = m_answer(request);
         for (std::size_t start = 0; start < answer.size();) {
-            const auto end = std::min(answer.find_first_of(std::string{pauseMarker, shortPauseMarker, restartMarker, resetMarker}, start),
-                                      answer.size());
+            const auto end = std::min(
+                answer.find_first_of(std::string{pauseMarker, shortPauseMarker, restartMarker, slowRestartMarker, resetMarker}, start),
+                answer.size());
             if (end > start) {
                 connection.sendBytes(answer.data() + start, static_cast<int>(end - start));
             }
@@ -123,7 +129,11 @@
                 connection.close();
                 return;
             }
-            if (end < answer.size() && answer[end] == restartMarker) {
+            if (end < answer.size() && (answer[end] == restartMarker || answer[end] == slowRestartMarker)) {
+                if (answer[end] == slowRestartMarker) {
+                    connection.close();
+                    answerProbes();
+                }
                 restart(connection);
                 return;
             }
@@ -156,6 +166,19 @@
     return false;
 }
 
+/// Answers probes, and closes all other connections, for slowExitTime.
+void scripted_replica::answerProbes()
+{
+    const auto end = std::chrono::steady_clock::now() + slowExitTime;
+    m_isExiting = true;
+    while (std::chrono::steady_clock::now() < end) {
+        if (m_socket.poll(Poco::Timespan(pollStep), Poco::Net::Socket::SELECT_READ)) {
+            serve(m_socket.acceptConnection());
+        }
+    }
+    m_isExiting = false;
+}
+
 /// Closes the connection and the port, and opens the port again after restartTime.
 void scripted_replica::restart(Poco::Net::StreamSocket &connection)
 {
--- a/Tests/PlatformAdapter/scriptedReplica.h
+++ b/Tests/PlatformAdapter/scriptedReplica.h
@@ -24,6 +24,8 @@
 constexpr char resetMarker = '\x04';
 /// A character in a script's answer that makes the replica stop, and restart at its address after 200 ms.
 constexpr char restartMarker = '\x02';
+/// As restartMarker, but the port stays open for 20 ms after the connection has been closed, in which only probes are answered.
+constexpr char slowRestartMarker = '\x06';
 
 /// A replica on a loopback port that answers each request with the bytes that a script returns, then closes the connection.
 class scripted_replica
@@ -48,6 +50,7 @@
     void serve(Poco::Net::StreamSocket connection);
     bool pauseUnlessClosed(Poco::Net::StreamSocket &connection, std::chrono::milliseconds time);
     void restart(Poco::Net::StreamSocket &connection);
+    void answerProbes();
 
     script m_answer;
     const bool m_isConcurrent;
@@ -57,6 +60,7 @@
     std::vector<std::string> m_requests;
     std::optional<std::chrono::steady_clock::time_point> m_connectionClosedAt;
     std::atomic<bool> m_isStopping = false;
+    bool m_isExiting = false;
     std::vector<std::thread> m_connections;
     std::thread m_thread;
 };
