Tests: Show slow exits of replicas with real processes

The stand-in of the replicas takes `exit_ms`: the port of a replica that a request has crashed outlives that request's connection by this time. Without `exit_ms` the stand-in behaves as before.

--- a/Tests/StandIns/platform/replica_host.cpp
+++ b/Tests/StandIns/platform/replica_host.cpp
@@ -160,6 +160,9 @@
         const std::lock_guard lock(m_mutex);
         m_faults.deadlyPart = jsonString(json, "deadly_part");
     }
+    if (json.isMember("exit_ms")) {
+        m_faults.exitMs = json["exit_ms"].asInt64();
+    }
     setProbability("garble", m_faults.garble);
     setProbability("extra_bytes", m_faults.extraBytes);
     setProbability("retransmit", m_faults.retransmissions);
@@ -297,7 +300,7 @@
         const std::lock_guard lock(m_mutex);
         for (const auto &ended : m_crashedReplicas) {
             const auto &replica = m_simulation.replicas[ended.number];
-            if (replica.isAlive && replica.id == ended.id && ended.restartsAt > now) {
+            if (replica.isAlive && replica.id == ended.id && ended.endsAt <= now && ended.restartsAt > now) {
                 toEnd.push_back(ended.number);
             } else if (ended.restartsAt <= now) {
                 toStart.push_back(ended.number);
--- a/Tests/StandIns/platform/replica_host.h
+++ b/Tests/StandIns/platform/replica_host.h
@@ -32,6 +32,8 @@
     std::string deadlyBody;
     /// Prefix of the parts of prompts that crash each replica which begins to answer them; empty for none.
     std::string deadlyPart;
+    /// The time for which the port of a replica that a request has crashed outlives that request's connection.
+    std::atomic<std::int64_t> exitMs = 0;
 };
 
 struct host_options
@@ -103,6 +105,7 @@
     {
         std::size_t number;
         std::string id;
+        instant endsAt;
         instant restartsAt;
     };
 
--- a/Tests/StandIns/platform/replica_requests.cpp
+++ b/Tests/StandIns/platform/replica_requests.cpp
@@ -119,7 +119,8 @@
         }
         // A request for another instance has been answered before, and does not count.
         if (!bearsArrival(m_simulation, replica, monotonicNow())) {
-            m_crashedReplicas.push_back({number, replica.id, monotonicNow() + crashDowntime});
+            const auto now = monotonicNow();
+            m_crashedReplicas.push_back({number, replica.id, now, now + crashDowntime});
             status = unavailable;
         }
         flushEvents();
@@ -260,11 +261,14 @@
 {
     recordStart(request);
     recordEvent("ended_replica", request, nullptr, {});
+    const duration exitTime(m_faults.exitMs);
     {
         const std::lock_guard lock(m_mutex);
-        m_crashedReplicas.push_back({request.number, request.id, monotonicNow() + crashDowntime});
+        const auto now = monotonicNow();
+        m_crashedReplicas.push_back({request.number, request.id, now + exitTime, now + crashDowntime});
     }
-    return workFor(request, exchange, crashDowntime);
+    // The connection ends before the port.
+    return exitTime > duration() ? "crashed" : workFor(request, exchange, crashDowntime);
 }
 
 std::vector<http_header> replica_host::answerHeaders(const running_request &request)
