Tests: Try malformed heads at resumed and hedged streams and through a tunnel

Found on reading the change again: streams with a second side and tunnels were not tried with malformed heads, two cases built the same pair of replicas (now two_replicas), and a constant had no unit in its name. No assertion was changed.

--- a/Tests/Http/testBrokenHeads.cpp
+++ b/Tests/Http/testBrokenHeads.cpp
@@ -190,3 +190,15 @@
     CHECK(replyTo("HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n")->status == 204);
     CHECK(replyTo("HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n")->status == 304);
 }
+
+TEST_CASE("An answer with a malformed head is rejected through a tunnel, and a sound one accepted")
+{
+    for (const auto *lines : {"HTTP/1.1 000 Status", "HTTP/1.1 200 OK\r\nA b: c", "HTTP/1.1 200 OK\r\nA\x01: c"}) {
+        const auto answer = fmt::format("{}\r\n{}", lines, lengthAndBody);
+        const cut_answer_server server(answer, cut_end::close);
+        CAPTURE(answer);
+        CHECK_FALSE(tunnelTakesForWhole(callTo(server.address())));
+    }
+    const cut_answer_server sound(soundAnswer, cut_end::close);
+    CHECK(tunnelTakesForWhole(callTo(sound.address())));
+}
--- a/Tests/PlatformAdapter/scriptedReplica.cpp
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds shortPauseTime(20);
 constexpr std::chrono::milliseconds restartTime(200);
 constexpr std::chrono::milliseconds slowExitTime(20);
-constexpr int pollStep = 1000;
+constexpr int pollMicroseconds = 1000;
 
 /// Whether the text contains the whole head and body of a request.
 bool isWhole(const std::string &request)
@@ -172,7 +172,7 @@
     const auto end = std::chrono::steady_clock::now() + slowExitTime;
     m_isExiting = true;
     while (std::chrono::steady_clock::now() < end) {
-        if (m_socket.poll(Poco::Timespan(pollStep), Poco::Net::Socket::SELECT_READ)) {
+        if (m_socket.poll(Poco::Timespan(pollMicroseconds), Poco::Net::Socket::SELECT_READ)) {
             serve(m_socket.acceptConnection());
         }
     }
--- a/Tests/PlatformAdapter/testBrokenHeads.cpp
+++ b/Tests/PlatformAdapter/testBrokenHeads.cpp
@@ -31,6 +31,37 @@
     return fixture.sendRequest(path);
 }
 
+/// A daemon in front of two replicas that answer by the same script.
+class two_replicas
+{
+public:
+    explicit two_replicas(const scripted_replica::script &script)
+        : m_one(script, true)
+        , m_two(script, true)
+    {
+        m_fixture.addPlainReplica("p-1", m_one);
+        m_fixture.addPlainReplica("p-2", m_two);
+        m_fixture.addGroupHead("h-1", m_one);
+        m_fixture.addGroupHead("h-2", m_two);
+        m_fixture.start();
+    }
+
+    client_answer sendRequest(const std::string &path) const
+    {
+        return m_fixture.sendRequest(path);
+    }
+
+    std::size_t received() const
+    {
+        return m_one.requests().size() + m_two.requests().size();
+    }
+
+private:
+    scripted_replica m_one;
+    scripted_replica m_two;
+    relay_fixture m_fixture;
+};
+
 struct broken_head
 {
     std::string status;
@@ -104,14 +135,9 @@
         return "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + headerOf(request, "Attempt-Id")
             + "\r\nNot-Executed: 1\r\nA b: c\r\nContent-Length: 0\r\n\r\n";
     };
-    const scripted_replica one(script);
-    const scripted_replica two(script);
-    relay_fixture fixture;
-    fixture.addPlainReplica("p-1", one);
-    fixture.addPlainReplica("p-2", two);
-    fixture.start();
-    CHECK(fixture.sendRequest("/once/").status == 502);
-    CHECK(one.requests().size() + two.requests().size() == 1);
+    const two_replicas system(script);
+    CHECK(system.sendRequest("/once/").status == 502);
+    CHECK(system.received() == 1);
 }
 
 TEST_CASE("Another replica answers a request that may run again, after an answer with a malformed head")
@@ -120,13 +146,8 @@
     const auto script = [&](const std::string &request) {
         return isFirst.exchange(false) ? answerWith(request, "000", "") : plainAnswer(request, "answer");
     };
-    const scripted_replica one(script);
-    const scripted_replica two(script);
-    relay_fixture fixture;
-    fixture.addPlainReplica("p-1", one);
-    fixture.addPlainReplica("p-2", two);
-    fixture.start();
-    const auto answer = fixture.sendRequest("/again/");
+    const two_replicas system(script);
+    const auto answer = system.sendRequest("/again/");
     CHECK(answer.status == 200);
     CHECK(answer.body == "answer");
 }
@@ -140,3 +161,29 @@
     CHECK(answer.body == "answer");
     CHECK(answer.header("A") == "caf\xc3\xa9\tlatte");
 }
+
+TEST_CASE("A stream that is resumed or hedged by an answer with a malformed head is not whole without all of its events")
+{
+    // After its first event the first replica breaks off, or is silent until another one is asked.
+    for (const auto &end : {std::string(1, resetMarker), std::string(30, pauseMarker)}) {
+        for (const auto &head : {broken_head{"000", ""}, broken_head{"200 OK", "A b: c\r\n"}, broken_head{"200 OK", "A\x05: c\r\n"}}) {
+            std::atomic<int> seconds = 0;
+            const two_replicas system([&](const std::string &request) {
+                if (headerOf(request, "Last-Event-Id").empty()) {
+                    return streamHead(request, "s") + chunk(event(1)) + end;
+                }
+                ++seconds;
+                return fmt::format("HTTP/1.1 {}\r\nAttempt-Id: {}\r\nServer-Stamp: s\r\n{}Transfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+                                   head.status,
+                                   headerOf(request, "Attempt-Id"),
+                                   head.lines,
+                                   chunk(event(2)));
+            });
+            const auto answer = system.sendRequest("/stream/");
+            CAPTURE(end.size(), head.status, head.lines);
+            CHECK(seconds > 0);
+            CHECK((answer.status / 100 != 2 || !answer.isWhole));
+            CHECK(answer.body.find("id: 2") == std::string::npos);
+        }
+    }
+}
