Entry: Go on checking replicas that answer a probe after they lost a request

Cause: a process that crashes breaks its connections and closes its port one after the other. crash_guard probed once, right after the loss. "There" was final: only "unknown" was checked again, an entry was dropped at its first "there", and such a result served all losses of the next 500 ms, also those after it. The end was never counted, and the retry left for the next replica at once.

Change: a replica that was found alive is probed again for 1.6 s, at delays that double, until it has ended or has sent a part of an answer 250 ms or more after the loss; the losses at one replica share each probe. A result "there" holds only for losses before its probe began. A retry that may end one more replica (a part of the prompt may be the cause, the request has been lost twice, or is suspected) waits for the verdict, 250 ms after the loss at most. 1.6 s leave the 1.25 s that telling all daemons may take within the 3 s of the promise. late_end_found is logged.

Twins: replicas that reset connections and stay are not refused and get at most 8 probes a loss; one that answered others before it ended is no evidence.

--- a/Libraries/Entry/crash_guard.cpp
+++ b/Libraries/Entry/crash_guard.cpp
@@ -1,10 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Libraries/Entry/crash_guard.h"
 
+#include "Libraries/Base/event_log.h"
 #include "Libraries/Entry/crash_refusal_store.h"
 
 namespace vetchpost {
 
+namespace {
+
+constexpr event_log crashLog("crash");
+
+} // namespace
+
 struct crash_guard::private_data
 {
     const store_follower &store;
@@ -27,7 +34,7 @@
         , suspects(shared)
         , parts(promptParts)
         , livenessCheck(dialect, paths)
-        , pending(livenessCheck, [this](const request_loss &loss) { recordTermination(loss); })
+        , pending(livenessCheck, [this](const request_loss &loss) { recordLateTermination(loss); })
         , refusalStore(keyValue,
                        {[&peers] { return peers.isSource(); },
                         [&peers] { return peers.isSourceActive(); },
@@ -42,21 +49,28 @@
     {
     }
 
-    /// Records that a replica terminated while it had the request, unless the replica had announced that it leaves. Returns whether that
-    /// speaks fully against a part of the request's prompt.
-    bool recordTermination(const request_loss &loss)
+    /// Records that a replica terminated while it had the request, unless the replica had announced that it leaves.
+    void recordTermination(const request_loss &loss)
     {
         const auto &replica = loss.target.replica;
         if (hasAnnouncedLeaving(replica)) {
-            return false;
+            return;
         }
         const auto end = replicaEndOf(replica.value(), loss.target.incarnation.value());
         if (loss.request) {
             suspects.recordReplicaEnd(*loss.request, loss.organisation, end);
         }
-        const bool namesPart = parts.recordReplicaEnd(loss.attempt, end);
+        parts.recordReplicaEnd(loss.attempt, end);
         feed.syncTables();
-        return namesPart;
+    }
+
+    void recordLateTermination(const request_loss &loss)
+    {
+        crashLog.writeEssential("late_end_found",
+                                {{"identity", loss.request ? loss.request->value() : ""},
+                                 {"replica", loss.target.replica.value()},
+                                 {"after_ms", (monotonicNow() - loss.attempt.at).count()}});
+        recordTermination(loss);
     }
 
     /// Whether the replica had announced that it leaves. Such a replica has ended as planned, whatever it was running.
@@ -119,20 +133,32 @@
     return d->parts.refusedFor(parts);
 }
 
+bool crash_guard::isSuspected(const std::optional<request_identity> &request) const
+{
+    return request && d->suspects.isSuspected(*request);
+}
+
 // The request waits for the result, so that its next attempt takes this termination into account: a request that has ended
-// endsForRefusal replicas must not end another one. A port without a process refuses connections within a round trip.
+// endsForRefusal replicas must not end another one. A port without a process refuses connections within a round trip. A replica that
+// answers may be about to end: a process that crashes closes its connections and its port one after the other.
 loss_result crash_guard::recordLoss(const request_loss &loss)
 {
     loss_result result;
-    result.liveness = d->livenessCheck.probe(loss.target, loss.service);
+    result.mayNamePart = !d->hasAnnouncedLeaving(loss.target.replica) && d->parts.isFullEvidence(loss.attempt);
+    result.liveness = d->livenessCheck.probe(loss.target, loss.service, loss.attempt.at);
     if (result.liveness == replica_liveness::terminated) {
-        result.namesPart = d->recordTermination(loss);
-    } else if (result.liveness == replica_liveness::unknown && (loss.request || !loss.attempt.parts.shared.empty())) {
-        d->pending.add(loss);
+        d->recordTermination(loss);
+    } else if (loss.request || !loss.attempt.parts.shared.empty()) {
+        result.pending = d->pending.add(loss, result.liveness);
     }
     return result;
 }
 
+replica_liveness crash_guard::awaitLiveness(const pending_loss &pending, instant until)
+{
+    return d->pending.await(pending, until);
+}
+
 void crash_guard::recordAnswered(const std::optional<request_identity> &request, const request_parts &parts, instant begunAt)
 {
     if (request) {
--- a/Libraries/Entry/crash_guard.h
+++ b/Libraries/Entry/crash_guard.h
@@ -18,8 +18,10 @@
 struct loss_result
 {
     replica_liveness liveness = replica_liveness::unknown;
-    /// The replica has terminated, and a part of the request's prompt may be the cause.
-    bool namesPart = false;
+    /// If the replica has terminated, a part of the request's prompt may be the cause.
+    bool mayNamePart = false;
+    /// The further checks of a replica that was not found terminated.
+    std::shared_ptr<const pending_loss> pending;
 };
 
 /// Protects replicas from requests that crash every replica which runs them: identifies such requests under different request ids, finds
@@ -51,9 +53,13 @@
     std::optional<duration> refusedFor(const std::optional<request_identity> &request) const;
     /// The time for which a request will still be refused by the parts of its prompt; empty if it is not refused.
     std::optional<duration> refusedFor(const request_parts &parts) const;
+    /// Whether replicas have terminated while they ran the request since it was last answered.
+    bool isSuspected(const std::optional<request_identity> &request) const;
     /// Handles an attempt that was lost at a replica: checks whether the replica has terminated, and if so records that against the request
-    /// and the parts of its prompt.
+    /// and the parts of its prompt. A replica that has not terminated is checked further.
     loss_result recordLoss(const request_loss &loss);
+    /// Waits for the further checks of a loss, until \a until at the latest. Returns what was found last.
+    replica_liveness awaitLiveness(const pending_loss &pending, instant until);
     /// Records that the request was answered by a replica that began the answer at \a begunAt, so that it and its parts are no longer
     /// suspected.
     void recordAnswered(const std::optional<request_identity> &request, const request_parts &parts, instant begunAt);
--- a/Libraries/Entry/entry_view.h
+++ b/Libraries/Entry/entry_view.h
@@ -30,8 +30,10 @@
     std::atomic<std::int64_t> avoidedUntil = 0;
     /// Rejections since the backend last admitted a request.
     std::atomic<int> rejections = 0;
-    /// When bytes were last received from the backend (milliseconds of the monotonic clock).
+    /// When bytes were last received from the backend, or its first outstanding request was sent (milliseconds of the monotonic clock).
     std::atomic<std::int64_t> lastProgress = 0;
+    /// When a part of an answer was last received from the backend (milliseconds of the monotonic clock).
+    std::atomic<std::int64_t> lastAnswerPart = 0;
     /// When the coordinator last warned that the backend is likely to be stalled (milliseconds of the monotonic clock).
     std::atomic<std::int64_t> stallWarnedAt = 0;
 };
--- a/Libraries/Entry/pending_losses.cpp
+++ b/Libraries/Entry/pending_losses.cpp
@@ -4,36 +4,56 @@
 #include <algorithm>
 #include <condition_variable>
 #include <deque>
+#include <iterator>
 #include <mutex>
+#include <set>
 #include <thread>
+#include <tuple>
+#include <vector>
 
 namespace vetchpost {
 
 namespace {
 
-/// Checks are repeated, since a process that ends slowly keeps its port open for a while and accepts connections that it does not answer.
-constexpr duration checkPeriod(200);
+/// Checks are repeated, since a process that ends slowly keeps its port open for a while, and may answer or ignore connections meanwhile.
+/// The first follows soon, and each later one once the time since the loss has doubled.
+constexpr duration firstCheckDelay(25);
+/// A replica that does not answer may restart unseen between two checks, and is checked at least this often.
+constexpr duration unknownCheckPeriod(200);
+/// A replica that answers probes but no requests is checked for this time. All daemons have to know an end within 3 s, and telling them
+/// takes up to 1.3 s.
+constexpr duration aliveTimeout(1600);
 /// A replica restarts within some seconds after its end, and then reports another incarnation.
-constexpr duration checkTimeout(6000);
+constexpr duration unknownTimeout(6000);
+/// A process that is ending may still answer for this time.
+constexpr duration endingTime(250);
 /// A daemon holds some hundred requests, and those at one replica are lost together.
 constexpr std::size_t maximumPending = 256;
 
+/// Whether the replica has sent a part of an answer so long after the loss that it is not ending because of it. Must be called before the
+/// probe, which tells whether that was the same incarnation.
+bool hasAnsweredSince(const request_loss &loss)
+{
+    const instant answeredAt{duration(loss.target.load->lastAnswerPart.load())};
+    return answeredAt - loss.attempt.at >= endingTime;
+}
+
+bool isSameProcess(const backend &one, const backend &other)
+{
+    return one.replica == other.replica && one.incarnation == other.incarnation;
+}
+
 } // namespace
 
 struct pending_losses::private_data
 {
-    struct entry
-    {
-        request_loss loss;
-        instant since;
-    };
-
     replica_liveness_check &check;
     const std::function<void(const request_loss &)> didEnd;
     std::mutex mutex;
     std::condition_variable wake;
+    std::condition_variable didResolve;
     bool isStopping = false;
-    std::deque<entry> entries;
+    std::deque<std::shared_ptr<pending_loss>> entries;
     std::thread thread;
 
     private_data(replica_liveness_check &endCheck, std::function<void(const request_loss &)> endListener)
@@ -46,31 +66,80 @@
     {
         std::unique_lock lock(mutex);
         while (!isStopping) {
-            wake.wait(lock, [this] { return isStopping || !entries.empty(); });
-            wake.wait_for(lock, checkPeriod, [this] { return isStopping; });
-            if (isStopping) {
-                return;
+            const auto next = nextEntry();
+            const auto now = monotonicNow();
+            if (!next) {
+                wake.wait(lock);
+            } else if (next->nextCheck > now) {
+                wake.wait_for(lock, std::min(next->nextCheck - now, maxSteadyWait));
+            } else {
+                const auto losses = lossesAt(next->loss.target);
+                lock.unlock();
+                const auto answered = answeredSince(losses);
+                const auto found = check.probe(next->loss.target, next->loss.service, now);
+                if (found == replica_liveness::terminated) {
+                    std::for_each(losses.begin(), losses.end(), [this](const auto &entry) { didEnd(entry->loss); });
+                }
+                lock.lock();
+                for (const auto &entry : losses) {
+                    update(entry, found, answered.contains(entry));
+                }
             }
-            auto unresolved = std::exchange(entries, {});
-            lock.unlock();
-            checkAll(unresolved);
-            lock.lock();
-            entries.insert(entries.begin(), unresolved.begin(), unresolved.end());
         }
     }
 
-    /// Checks the replica of each entry, and removes the entries that are resolved or have timed out. Entries with the same replica share
-    /// one call.
-    void checkAll(std::deque<entry> &unresolved)
+    /// The entries with the same replica, which share one check. Requires the mutex to be held.
+    std::vector<std::shared_ptr<pending_loss>> lossesAt(const backend &target) const
     {
-        const auto now = monotonicNow();
-        std::erase_if(unresolved, [&](const entry &next) {
-            const auto found = check.probe(next.loss.target, next.loss.service);
-            if (found == replica_liveness::terminated) {
-                didEnd(next.loss);
-            }
-            return found != replica_liveness::unknown || now - next.since >= checkTimeout;
+        std::vector<std::shared_ptr<pending_loss>> losses;
+        std::copy_if(entries.begin(), entries.end(), std::back_inserter(losses), [&](const auto &entry) {
+            return isSameProcess(entry->loss.target, target);
         });
+        return losses;
+    }
+
+    static std::set<std::shared_ptr<pending_loss>> answeredSince(const std::vector<std::shared_ptr<pending_loss>> &losses)
+    {
+        std::set<std::shared_ptr<pending_loss>> answered;
+        std::copy_if(losses.begin(), losses.end(), std::inserter(answered, answered.end()), [](const auto &entry) {
+            return hasAnsweredSince(entry->loss);
+        });
+        return answered;
+    }
+
+    /// The entry that is to be checked next; nullptr if there is none. Replicas that answered go first, since a probe of one that does not
+    /// takes long. Requires the mutex to be held.
+    std::shared_ptr<pending_loss> nextEntry() const
+    {
+        const auto now = monotonicNow();
+        const auto rank = [&](const std::shared_ptr<pending_loss> &entry) {
+            return std::tuple(std::max(entry->nextCheck, now), entry->found == replica_liveness::unknown, entry->nextCheck);
+        };
+        const auto next = std::min_element(
+            entries.begin(), entries.end(), [&](const auto &left, const auto &right) { return rank(left) < rank(right); });
+        return next == entries.end() ? nullptr : *next;
+    }
+
+    /// Takes over the result of a check. Requires the mutex to be held.
+    void update(const std::shared_ptr<pending_loss> &entry, replica_liveness found, bool hasAnswered)
+    {
+        const auto now = monotonicNow();
+        const auto age = now - entry->loss.attempt.at;
+        const auto delay = found == replica_liveness::unknown ? std::min(age, unknownCheckPeriod) : age;
+        entry->found = found;
+        entry->nextCheck = now + std::max(delay, firstCheckDelay);
+        const bool isAlive = found == replica_liveness::alive && (hasAnswered || age >= aliveTimeout);
+        if (found == replica_liveness::terminated || isAlive || age >= unknownTimeout) {
+            std::erase(entries, entry);
+            resolve(*entry);
+        }
+    }
+
+    /// Ends the checks of an entry. Requires the mutex to be held.
+    void resolve(pending_loss &entry)
+    {
+        entry.isResolved = true;
+        didResolve.notify_all();
     }
 };
 
@@ -96,22 +165,35 @@
         d->isStopping = true;
     }
     d->wake.notify_all();
+    d->didResolve.notify_all();
     if (d->thread.joinable()) {
         d->thread.join();
     }
 }
 
-void pending_losses::add(const request_loss &loss)
+std::shared_ptr<const pending_loss> pending_losses::add(const request_loss &loss, replica_liveness found)
 {
+    auto added = std::make_shared<pending_loss>(pending_loss{loss, found, monotonicNow() + firstCheckDelay});
     {
         const std::lock_guard lock(d->mutex);
         if (d->entries.size() >= maximumPending) {
             // The oldest has been checked for longest.
+            d->resolve(*d->entries.front());
             d->entries.pop_front();
         }
-        d->entries.push_back({loss, monotonicNow()});
+        d->entries.push_back(added);
     }
     d->wake.notify_all();
+    return added;
+}
+
+replica_liveness pending_losses::await(const pending_loss &pending, instant until)
+{
+    std::unique_lock lock(d->mutex);
+    for (auto now = monotonicNow(); !pending.isResolved && !d->isStopping && now < until; now = monotonicNow()) {
+        d->didResolve.wait_for(lock, std::min(until - now, maxSteadyWait));
+    }
+    return pending.found;
 }
 
 } // namespace vetchpost
--- a/Libraries/Entry/replica_liveness_check.cpp
+++ b/Libraries/Entry/replica_liveness_check.cpp
@@ -10,7 +10,7 @@
 /// A port without a process refuses connections within a round trip. A replica that does not answer delays a lost request by no more than
 /// this.
 constexpr duration probeTimeout(100);
-/// The result of a probe is valid for all requests that the replica loses within this time.
+/// A terminated replica is known as such for all requests that it loses within this time.
 constexpr duration resultLifetime(500);
 /// An inconclusive probe is repeated sooner.
 constexpr duration unknownLifetime(150);
@@ -53,7 +53,8 @@
     return isReplaced || isRestarted ? replica_liveness::terminated : replica_liveness::alive;
 }
 
-replica_liveness replica_liveness_check::probe(const backend &target, const service_id &service)
+// A replica that was found alive may have ended since, so that result holds only for what was lost before the probe.
+replica_liveness replica_liveness_check::probe(const backend &target, const service_id &service, instant since)
 {
     std::shared_ptr<shared_probe> shared;
     {
@@ -70,7 +71,10 @@
     }
     const std::lock_guard lock(shared->mutex);
     const auto lifetime = shared->result == replica_liveness::unknown ? unknownLifetime : resultLifetime;
-    if (!shared->probedAt || monotonicNow() - *shared->probedAt >= lifetime) {
+    const bool isValid = shared->probedAt && monotonicNow() - *shared->probedAt < lifetime;
+    const bool isTooEarly = shared->result == replica_liveness::alive && shared->begunAt < since;
+    if (!isValid || isTooEarly) {
+        shared->begunAt = monotonicNow();
         shared->result = probeNow(target, service);
         shared->probedAt = monotonicNow();
     }
--- a/Libraries/Entry/replica_liveness_check.h
+++ b/Libraries/Entry/replica_liveness_check.h
@@ -31,13 +31,15 @@
     replica_liveness_check(const entry_dialect &dialect, replica_paths &paths);
 
     /// Probes the replica and waits for the result, for as long as a lost request may be delayed at most. Requests that the replica loses
-    /// within a short time share one probe.
-    replica_liveness probe(const backend &target, const service_id &service);
+    /// within a short time share one probe, but a result that the replica is alive only if its probe began at \a since or later.
+    replica_liveness probe(const backend &target, const service_id &service, instant since);
 
 private:
     struct shared_probe
     {
         std::mutex mutex;
+        /// When the last probe began and ended.
+        instant begunAt;
         std::optional<instant> probedAt;
         replica_liveness result = replica_liveness::unknown;
     };
--- a/Libraries/Entry/request_handler.cpp
+++ b/Libraries/Entry/request_handler.cpp
@@ -17,6 +17,9 @@
 constexpr duration defaultTimeout(30000);
 /// A starting daemon reads its configuration within this time, even a large one through a small instance's network link.
 constexpr duration firstConfigurationWait(300);
+/// A retry that might end another replica waits for this time until a replica that lost the request has ended. Processes that crash close
+/// their ports within it.
+constexpr duration lostReplicaWait(250);
 /// Weight of the newest value in an exponential moving average of answer times.
 constexpr double newestWeight = 0.2;
 
@@ -255,6 +258,7 @@
 {
     const auto now = monotonicNow();
     target.load->lastProgress = now.time_since_epoch().count();
+    target.load->lastAnswerPart = now.time_since_epoch().count();
     if (!std::exchange(m_hasProgress, true)) {
         // At least 1 ms, since 0 means that no answer time is known.
         const auto time = std::max(1.0, static_cast<double>((now - m_attemptStart).count()));
@@ -332,7 +336,25 @@
     loss.attempt.request = hashOf(loss.request ? loss.request->value() : m_head.requestId.value());
     const auto result = m_context.crashes.recordLoss(loss);
     m_replicaLiveness = result.liveness;
-    m_lossNamesPart = result.namesPart;
+    m_lossNamesPart = result.mayNamePart && result.liveness == replica_liveness::terminated;
+    m_losses.insert_or_assign(target.replica, result);
+}
+
+/// Waits for a moment until it is known whether the replicas that lost the request have terminated, if another attempt might end one more:
+/// a part of the prompt may be the cause, or the request has been lost or has ended replicas before.
+void request_handler::awaitLostReplicas()
+{
+    const bool mayNamePart = std::any_of(m_losses.begin(), m_losses.end(), [](const auto &loss) { return loss.second.mayNamePart; });
+    if (!mayNamePart && m_losses.size() < 2 && !m_context.crashes.isSuspected(identity())) {
+        return;
+    }
+    for (auto &[replica, loss] : m_losses) {
+        if (loss.pending) {
+            const auto until = std::min(loss.pending->loss.attempt.at + lostReplicaWait, deadline() - minimumTimeLeft);
+            loss.liveness = m_context.crashes.awaitLiveness(*loss.pending, until);
+        }
+        m_lossNamesPart = m_lossNamesPart || (loss.mayNamePart && loss.liveness == replica_liveness::terminated);
+    }
 }
 
 /// Records a success, which clears the request and the parts of its prompt of the suspicion of crashing replicas.
--- a/Libraries/Entry/request_handler.h
+++ b/Libraries/Entry/request_handler.h
@@ -8,6 +8,7 @@
 #include "Libraries/Http/http_server.h"
 #include "Libraries/Http/http_upstream.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,6 +68,7 @@
     request_parts parts() const;
     lost_stage lostStage() const;
     void recordLoss(const backend &target, lost_stage stage);
+    void awaitLostReplicas();
     void recordAnswered();
     std::optional<duration> refusedFor();
     bool mustWithdraw();
@@ -195,6 +197,8 @@
     std::optional<instant> m_headAt;
     /// The replica of the last attempt ended, and a part of the prompt may be the cause.
     bool m_lossNamesPart = false;
+    /// The losses of this request, by replica.
+    std::map<instance_id, loss_result> m_losses;
     /// When the replica last sent something in this attempt; the attempt's start before.
     instant m_lastReceived;
     /// Pieces of the replica's answer that have arrived in this attempt.
--- a/Libraries/Entry/request_placement.cpp
+++ b/Libraries/Entry/request_placement.cpp
@@ -333,6 +333,9 @@
     if (outcome == attempt_outcome::no_path) {
         return false;
     }
+    if (outcome == attempt_outcome::lost && m_route->mayRunAgain() && m_attempts < m_route->maximumAttempts) {
+        awaitLostReplicas();
+    }
     if (outcome == attempt_outcome::withdrawn || refusedFor()) {
         m_noRetryReason = "replicas have ended while running the same request";
         return false;
--- a/Libraries/Entry/shared_parts.cpp
+++ b/Libraries/Entry/shared_parts.cpp
@@ -84,6 +84,13 @@
         return identities.emplace(part.value(), identityOf(*digestKey, part)).first->second;
     }
 
+    /// How much the end of the replica at which the attempt was lost would speak against the part. Requires the mutex to be held.
+    int weightOfEnd(const lost_attempt &lost, const prompt_part &part) const
+    {
+        const auto answered = lastAnswerBegan(history, lost.parts.model, part, lost.at);
+        return weightOfLoss(lost.stage, answered ? std::optional(lost.at - *answered) : std::nullopt);
+    }
+
     /// Calls \a make, which changes the table, decides anew what is refused, and logs and counts what has changed, with the reason \a why.
     template <class Change>
     auto change(std::string_view why, const Change &make)
@@ -189,25 +196,30 @@
     return std::nullopt;
 }
 
-bool shared_parts::recordReplicaEnd(const lost_attempt &lost, replica_end end)
+bool shared_parts::isFullEvidence(const lost_attempt &lost)
+{
+    const std::lock_guard lock(d->mutex);
+    const auto &parts = lost.parts.shared;
+    return std::any_of(
+        parts.begin(), parts.end(), [&](const prompt_part &part) { return d->weightOfEnd(lost, part) >= fullEnd && d->identify(part); });
+}
+
+void shared_parts::recordReplicaEnd(const lost_attempt &lost, replica_end end)
 {
     if (lost.parts.shared.empty()) {
-        return false;
+        return;
     }
-    return d->change("a replica ended under it here", [&] {
+    d->change("a replica ended under it here", [&] {
         expireEntries(d->table, monotonicNow());
-        bool isFull = false;
         for (const auto &part : lost.parts.shared) {
-            const auto answered = lastAnswerBegan(d->history, lost.parts.model, part, lost.at);
-            const auto weight = weightOfLoss(lost.stage, answered ? std::optional(lost.at - *answered) : std::nullopt);
+            const auto weight = d->weightOfEnd(lost, part);
             const auto identity = weight > 0 ? d->identify(part) : std::nullopt;
             if (identity) {
                 d->ends.increment();
                 recordPartEnd(d->table, {lost.parts.model, *identity}, end, {weight, lost.at, lost.request});
-                isFull = isFull || weight >= fullEnd;
             }
         }
-        return isFull;
+        return true;
     });
 }
 
--- a/Libraries/Entry/shared_parts.h
+++ b/Libraries/Entry/shared_parts.h
@@ -51,8 +51,10 @@
     /// Returns for how much longer requests with these parts are refused; nothing if they are not. A refusal that has lasted for its time
     /// admits one request of one daemon, to see whether the model has been mended.
     std::optional<duration> refusedFor(const request_parts &parts);
-    /// Records that a replica ended with an attempt. Returns whether that speaks fully against one of its parts.
-    bool recordReplicaEnd(const lost_attempt &lost, replica_end end);
+    /// Whether the end of the replica at which the attempt was lost would speak fully against one of its parts.
+    bool isFullEvidence(const lost_attempt &lost);
+    /// Records that a replica ended with an attempt.
+    void recordReplicaEnd(const lost_attempt &lost, replica_end end);
     /// Records a whole answer that its replica began at \a begunAt, which clears the request's parts.
     void recordAnswer(const request_parts &parts, instant begunAt);
     /// Allows a part again for an operator. Returns false if it is not suspected.
--- a/Libraries/Entry/shared_suspects.cpp
+++ b/Libraries/Entry/shared_suspects.cpp
@@ -104,6 +104,13 @@
     return d->hasAny;
 }
 
+bool shared_suspects::isSuspected(const request_identity &request) const
+{
+    const std::lock_guard lock(d->mutex);
+    const auto found = d->table.suspects.find(request);
+    return found != d->table.suspects.end() && !found->second.ends.empty();
+}
+
 std::optional<duration> shared_suspects::refusedFor(const request_identity &request) const
 {
     const std::lock_guard lock(d->mutex);
--- a/Libraries/Entry/shared_suspects.h
+++ b/Libraries/Entry/shared_suspects.h
@@ -21,6 +21,8 @@
 
     /// Whether there is any suspect. While there is none, callers need not compute a request's identity.
     bool hasAny() const;
+    /// Whether replicas have ended while they ran the request since it was last cleared.
+    bool isSuspected(const request_identity &request) const;
     /// Returns for how much longer a request is refused; nothing if it is not.
     std::optional<duration> refusedFor(const request_identity &request) const;
     /// Records that a replica ended while it ran a request.
--- a/Tests/PlatformAdapter/scriptedReplica.cpp
+++ b/Tests/PlatformAdapter/scriptedReplica.cpp
@@ -70,6 +70,11 @@
     return m_requests;
 }
 
+std::size_t scripted_replica::probes() const
+{
+    return m_probes;
+}
+
 std::optional<std::chrono::steady_clock::time_point> scripted_replica::connectionClosedAt() const
 {
     const std::lock_guard lock(m_mutex);
@@ -103,6 +108,7 @@
             request.append(bytes.data(), static_cast<std::size_t>(count));
         }
         if (request.starts_with("GET /report ")) {
+            ++m_probes;
             const std::string report = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
             connection.sendBytes(report.data(), static_cast<int>(report.size()));
             return;
--- a/Tests/PlatformAdapter/scriptedReplica.h
+++ b/Tests/PlatformAdapter/scriptedReplica.h
@@ -42,6 +42,8 @@
     std::string address() const;
     /// The received requests of clients, each with head and body. Liveness probes are not included; they are answered without the script.
     std::vector<std::string> requests() const;
+    /// How many liveness probes have been answered.
+    std::size_t probes() const;
     /// When the daemon last closed a connection before the end of an answer; empty if it never did. Only detected during pauses.
     std::optional<std::chrono::steady_clock::time_point> connectionClosedAt() const;
 
@@ -59,6 +61,7 @@
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::optional<std::chrono::steady_clock::time_point> m_connectionClosedAt;
+    std::atomic<std::size_t> m_probes = 0;
     std::atomic<bool> m_isStopping = false;
     bool m_isExiting = false;
     std::vector<std::thread> m_connections;
--- a/Tests/Processes/testSlowExits.sh
+++ b/Tests/Processes/testSlowExits.sh
@@ -3,6 +3,7 @@
 # Requests with a part of a prompt that crashes replicas, whose ports outlive their connections by a moment.
 . "$(dirname "$0")/prepareEntry.sh"
 
+ends_for_refusal=3
 ends_until_known=5
 contact_seconds=3
 most_late=3
@@ -30,7 +31,12 @@
 done
 all=$(ends)
 echo "$known ends when the part must be known, $all in all"
-[ "$known" -ge "$ends_until_known" ] || fail "only $known replicas have ended"
+[ "$known" -ge "$ends_for_refusal" ] && [ "$known" -le "$ends_until_known" ] || fail "$known replicas have ended"
+passed=$((passed + 1))
+for number in 201 202 203; do
+    ask "$(entry_callers $((number % 3 + 1)))" /stream/report "deadly-$number" -m 8 -o /dev/null -w '%{http_code}\n' -H "Prompt-Prefix: dead:300,$number:400" \
+        -d "question $number"
+done | grep -cx 503 | grep -qx 3 || fail "not all daemons refuse the part"
 passed=$((passed + 1))
 [ $((all - known)) -le "$most_late" ] || fail "$((all - known)) requests reached replicas after the part had to be known"
 passed=$((passed + 1))
