Soak: Let the ports of replicas outlive the requests that end them

--exit-ms N keeps a replica's port and its other connections open for N ms after the connection of the request that ended it, as a process that crashes slowly does.

--- a/Meta/vetchpost.sh
+++ b/Meta/vetchpost.sh
@@ -19,7 +19,7 @@
   bench NAME       Run a benchmark: groups, requests, control, relay, assembly, repair, crashes, limits, dispatch, slots. The last lines are the results.
   fuzz [--seed N] [--steps N]
                    Run the fuzzers for longer, by default for 100000 steps.
-  soak [--seed N] [--seconds S] [--daemons N] [--replicas N] [--clients N] [--deadly N] [--deadly-parts N] [--notices N] [--evacuations N] [--outages N] [--isolations N] [--restores N] [--lost-withdrawals N] [--cold N] [--losses N] [--pauses N] [--pause-ms N] [--slots N] [--rejections N] [--waves] [--herd-kills N] [--rolls N] [--standstills N] [--cuts N] [--stale-settings] [--retry-slack N] [--heartbeat-ms N] [--calm] [--base-port N] [--keep DIR]
+  soak [--seed N] [--seconds S] [--daemons N] [--replicas N] [--clients N] [--deadly N] [--deadly-parts N] [--exit-ms N] [--notices N] [--evacuations N] [--outages N] [--isolations N] [--restores N] [--lost-withdrawals N] [--cold N] [--losses N] [--pauses N] [--pause-ms N] [--slots N] [--rejections N] [--waves] [--herd-kills N] [--rolls N] [--standstills N] [--cuts N] [--stale-settings] [--retry-slack N] [--heartbeat-ms N] [--calm] [--base-port N] [--keep DIR]
                    Run entry daemons under faults generated from the seed and check the promises; logs are kept in DIR.
   sanitize         Build and run the unit tests with the address, undefined-behaviour and thread sanitizers.
 EOF
--- a/Tests/Soak/soak.cpp
+++ b/Tests/Soak/soak.cpp
@@ -32,6 +32,7 @@
   --clients=<n>           Clients at a time [default: 20].
   --deadly=<n>            Requests that end each replica that runs them and are sent repeatedly [default: 0].
   --deadly-parts=<n>      Parts of prompts that end each replica which begins to answer them [default: 0].
+  --exit-ms=<n>           Time for which the port of a replica stays open after a request has ended it [default: 0].
   --notices=<n>           Times that a replica reports a rate limit, asks for a backoff or announces that it leaves [default: 0].
   --evacuations=<n>       Evacuations of one of two data centres, over which the replicas are then spread [default: 0].
   --outages=<n>           Series of outages of the store in quick succession, with daemons killed meanwhile [default: 0].
@@ -159,6 +160,7 @@
     options.clients = static_cast<int>(number("--clients"));
     options.deadlyRequests = static_cast<int>(number("--deadly"));
     options.deadlyParts = static_cast<int>(number("--deadly-parts"));
+    options.exitTime = duration(number("--exit-ms"));
     options.notices = static_cast<int>(number("--notices"));
     options.evacuations = static_cast<int>(number("--evacuations"));
     options.outages = static_cast<int>(number("--outages"));
--- a/Tests/Soak/soak_run.cpp
+++ b/Tests/Soak/soak_run.cpp
@@ -184,6 +184,7 @@
         scheduleRejections(begin);
         setFaults(m_cluster.replicaControl(), makeSwitch("deadly_body", m_options.deadlyRequests > 0 ? deadlyBodyPrefix : ""));
         setFaults(m_cluster.replicaControl(), makeSwitch("deadly_part", m_options.deadlyParts > 0 ? deadlyPartPrefix : ""));
+        setFaults(m_cluster.replicaControl(), makeSwitch("exit_ms", Json::Int64(m_options.exitTime.count())));
         const auto time = m_facts.faultsEndedAt - begin;
         const auto startClient = [this](int number, deadly_content deadly) {
             m_deadlyClients.push_back(
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -26,6 +26,8 @@
     /// The number of deadly parts of prompts: each ends every replica that begins to answer a request with it, and comes with requests of
     /// which no two are alike.
     int deadlyParts = 0;
+    /// How long the port of a replica stays open after a deadly request, whose connection ends at once.
+    duration exitTime{};
     /// How many times a replica reports a rate limit, asks for a backoff or announces that it leaves.
     int notices = 0;
     /// The number of evacuations of one of the two data centres.
