Entry: Read the time of a shared probe only while nobody else probes

ThreadSanitizer, testSlowExits on (x86-64): replica_liveness_check drops old results when it alone refers to them, and read the time of the probe without its mutex. That the count of references is one orders nothing: the thread that let go last may just have written the time. Further checks of replicas that answer make it more likely. The mutex is now taken there, unless somebody holds it. What remains are reports on the test's own replica, which closes its port while another of its threads may poll it (POCO is not instrumented).

--- a/Libraries/Entry/replica_liveness_check.cpp
+++ b/Libraries/Entry/replica_liveness_check.cpp
@@ -61,7 +61,9 @@
         const std::lock_guard lock(m_mutex);
         const auto now = monotonicNow();
         std::erase_if(m_probes, [&](const auto &entry) {
-            return entry.second.use_count() == 1 && entry.second->probedAt && now - *entry.second->probedAt >= resultLifetime;
+            const std::unique_lock probing(entry.second->mutex, std::try_to_lock);
+            const auto &probedAt = entry.second->probedAt;
+            return probing && entry.second.use_count() == 1 && probedAt && now - *probedAt >= resultLifetime;
         });
         auto &known = m_probes[{target.replica, target.incarnation}];
         if (!known) {
