Http: Don't take bytes above 127 for the end of a connection where char is signed

What callers saw, on x86-64 only: sound answers with a byte above 127 in a value or in the reason phrase counted as truncated at each reader of own calls and streams (stores, peers, engines, the own path), and so did a body whose last byte is above 127. arm64, where char is unsigned, showed none of it.

Cause: POCO's HTTPSession::get() returns a plain char as an int. A byte above 127 is negative there, and the readers took every negative value for the end. Readers through http_upstream (answers of replicas) take their bytes another way and are not concerned.

Change: the next byte is taken from the session's buffer once peek() has filled it; the end is an empty buffer, no value of a byte.

Not mended: POCO's own reader of request heads takes the byte 0xFF for the end in the same way where char is signed (by reading).

--- a/Libraries/Http/body_reader.cpp
+++ b/Libraries/Http/body_reader.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace vetchpost {
 
@@ -19,10 +20,13 @@
 class session_access : public Poco::Net::HTTPSession
 {
 public:
-    /// The next byte; negative at the end of the connection. Fills the session's buffer if that is empty.
-    static int nextByte(Poco::Net::HTTPSession &session)
+    /// The next byte; nothing at the end of the connection. Fills the session's buffer if that is empty. The session's own get() returns a
+    /// plain char, which may be signed: bytes above 127 are then negative, as the end is.
+    static std::optional<char> nextByte(Poco::Net::HTTPSession &session)
     {
-        return (session.*&session_access::get)();
+        (session.*&session_access::peek)();
+        char byte = 0;
+        return hasBuffered(session) && readInto(session, &byte, 1) == 1 ? std::optional(byte) : std::nullopt;
     }
 
     /// Reads at most \a size bytes from the session's buffer or, if that is empty, from the socket. 0 at the end of the connection.
@@ -56,12 +60,10 @@
         if (!session_access::hasBuffered(session)) {
             limitReads(session, deadline);
         }
-        const auto next = session_access::nextByte(session);
-        const auto byte = static_cast<char>(next);
-        if (next < 0) {
-            head.consumeEnd();
+        if (const auto byte = session_access::nextByte(session)) {
+            head.consume({&*byte, 1});
         } else {
-            head.consume({&byte, 1});
+            head.consumeEnd();
         }
     }
     if (head.current() == response_head_decoder::state::invalid) {
@@ -85,8 +87,8 @@
             int count = 0;
             if (wanted == 1) {
                 const auto byte = session_access::nextByte(m_session);
-                bytes[0] = static_cast<char>(byte);
-                count = byte < 0 ? 0 : 1;
+                bytes[0] = byte.value_or(0);
+                count = byte ? 1 : 0;
             } else if (wanted > 1) {
                 count = session_access::readInto(m_session, bytes.data(), wanted);
             }
--- a/Tests/Http/testBrokenHeads.cpp
+++ b/Tests/Http/testBrokenHeads.cpp
@@ -145,6 +145,19 @@
     }
 }
 
+TEST_CASE("A body whose last byte is above 127 is not taken for a truncated one")
+{
+    for (const std::string body : {"\xff", "\x80", "caf\xc3\xa9"}) {
+        const auto sized = fmt::format("{}Content-Length: {}\r\n\r\n{}", soundStatus, body.size(), body);
+        const auto chunked = fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n", soundStatus, body.size(), body);
+        for (const auto &answer : {sized, chunked}) {
+            const auto reply = replyTo(answer);
+            REQUIRE(reply);
+            CHECK(reply->body == body);
+        }
+    }
+}
+
 TEST_CASE("The problem of a head names the rule that it breaks")
 {
     CHECK(problemOf(soundAnswer).empty());
