Entry: Carry the time of a replica's last answer through a check instead of a set of entries

Checks of lost requests built a set of shared pointers to remember, across the probe, which entries' replicas had answered. What is read, and that it is read before the probe, stays.

--- a/Libraries/Entry/pending_losses.cpp
+++ b/Libraries/Entry/pending_losses.cpp
@@ -4,9 +4,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <deque>
-#include <iterator>
 #include <mutex>
-#include <set>
 #include <thread>
 #include <tuple>
 #include <vector>
@@ -30,23 +28,17 @@
 /// A daemon holds some hundred requests, and those at one replica are lost together.
 constexpr std::size_t maximumPending = 256;
 
-/// Whether the replica has sent a part of an answer so long after the loss that it is not ending because of it. Must be called before the
-/// probe, which tells whether that was the same incarnation.
-bool hasAnsweredSince(const request_loss &loss)
-{
-    const instant answeredAt{duration(loss.target.load->lastAnswerPart.load())};
-    return answeredAt - loss.attempt.at >= endingTime;
-}
-
-bool isSameProcess(const backend &one, const backend &other)
-{
-    return one.replica == other.replica && one.incarnation == other.incarnation;
-}
-
 } // namespace
 
 struct pending_losses::private_data
 {
+    struct checked_loss
+    {
+        std::shared_ptr<pending_loss> entry;
+        /// When the replica had last sent a part of an answer.
+        instant answeredAt;
+    };
+
     replica_liveness_check &check;
     const std::function<void(const request_loss &)> didEnd;
     std::mutex mutex;
@@ -75,38 +67,32 @@
             } else {
                 const auto losses = lossesAt(next->loss.target);
                 lock.unlock();
-                const auto answered = answeredSince(losses);
                 const auto found = check.probe(next->loss.target, next->loss.service, now);
                 if (found == replica_liveness::terminated) {
-                    std::for_each(losses.begin(), losses.end(), [this](const auto &entry) { didEnd(entry->loss); });
+                    std::for_each(losses.begin(), losses.end(), [this](const auto &checked) { didEnd(checked.entry->loss); });
                 }
                 lock.lock();
-                for (const auto &entry : losses) {
-                    update(entry, found, answered.contains(entry));
+                for (const auto &checked : losses) {
+                    update(checked, found);
                 }
             }
         }
     }
 
-    /// The entries with the same replica, which share one check. Requires the mutex to be held.
-    std::vector<std::shared_ptr<pending_loss>> lossesAt(const backend &target) const
+    /// The entries with the same replica, which share one check. Must be called before the probe, which tells whether the answers came from
+    /// the same incarnation. Requires the mutex to be held.
+    std::vector<checked_loss> lossesAt(const backend &target) const
     {
-        std::vector<std::shared_ptr<pending_loss>> losses;
-        std::copy_if(entries.begin(), entries.end(), std::back_inserter(losses), [&](const auto &entry) {
-            return isSameProcess(entry->loss.target, target);
-        });
+        std::vector<checked_loss> losses;
+        for (const auto &entry : entries) {
+            const auto &known = entry->loss.target;
+            if (known.replica == target.replica && known.incarnation == target.incarnation) {
+                losses.push_back({entry, instant(duration(known.load->lastAnswerPart.load()))});
+            }
+        }
         return losses;
     }
 
-    static std::set<std::shared_ptr<pending_loss>> answeredSince(const std::vector<std::shared_ptr<pending_loss>> &losses)
-    {
-        std::set<std::shared_ptr<pending_loss>> answered;
-        std::copy_if(losses.begin(), losses.end(), std::inserter(answered, answered.end()), [](const auto &entry) {
-            return hasAnsweredSince(entry->loss);
-        });
-        return answered;
-    }
-
     /// The entry that is to be checked next; nullptr if there is none. Replicas that answered go first, since a probe of one that does not
     /// takes long. Requires the mutex to be held.
     std::shared_ptr<pending_loss> nextEntry() const
@@ -121,13 +107,15 @@
     }
 
     /// Takes over the result of a check. Requires the mutex to be held.
-    void update(const std::shared_ptr<pending_loss> &entry, replica_liveness found, bool hasAnswered)
+    void update(const checked_loss &checked, replica_liveness found)
     {
+        const auto &entry = checked.entry;
         const auto now = monotonicNow();
         const auto age = now - entry->loss.attempt.at;
         const auto delay = found == replica_liveness::unknown ? std::min(age, unknownCheckPeriod) : age;
         entry->found = found;
         entry->nextCheck = now + std::max(delay, firstCheckDelay);
+        const bool hasAnswered = checked.answeredAt - entry->loss.attempt.at >= endingTime;
         const bool isAlive = found == replica_liveness::alive && (hasAnswered || age >= aliveTimeout);
         if (found == replica_liveness::terminated || isAlive || age >= unknownTimeout) {
             std::erase(entries, entry);
