Tests: Share the daemon in front of two replicas

testBrokenHeads had a second two_replicas beside that of testSilentReplica, with the same members but for how the script is chosen. One class in twoReplicas.h serves both; replicas_in_turn adds what testSilentReplica needs. arrivals() was the number of calls of the script, which is the number of requests received; the checks and their values are the same.

--- a/Tests/PlatformAdapter/testBrokenHeads.cpp
+++ b/Tests/PlatformAdapter/testBrokenHeads.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Guards against a client that gets an answer of a replica with a malformed head, and against notices in such a head that are believed.
-#include "Tests/PlatformAdapter/relayFixture.h"
+#include "Tests/PlatformAdapter/twoReplicas.h"
 
 using namespace std::string_literals;
 using namespace vetchpost;
@@ -31,37 +31,6 @@
     return fixture.sendRequest(path);
 }
 
-/// A daemon in front of two replicas that answer by the same script.
-class two_replicas
-{
-public:
-    explicit two_replicas(const scripted_replica::script &script)
-        : m_one(script, true)
-        , m_two(script, true)
-    {
-        m_fixture.addPlainReplica("p-1", m_one);
-        m_fixture.addPlainReplica("p-2", m_two);
-        m_fixture.addGroupHead("h-1", m_one);
-        m_fixture.addGroupHead("h-2", m_two);
-        m_fixture.start();
-    }
-
-    client_answer sendRequest(const std::string &path) const
-    {
-        return m_fixture.sendRequest(path);
-    }
-
-    std::size_t received() const
-    {
-        return m_one.requests().size() + m_two.requests().size();
-    }
-
-private:
-    scripted_replica m_one;
-    scripted_replica m_two;
-    relay_fixture m_fixture;
-};
-
 struct broken_head
 {
     std::string status;
--- a/Tests/PlatformAdapter/testSilentReplica.cpp
+++ b/Tests/PlatformAdapter/testSilentReplica.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Guards against answers that are lost because their replica was silent for a second: the request must not be given up there before another
 // replica has answered it.
-#include "Tests/PlatformAdapter/relayFixture.h"
+#include "Tests/PlatformAdapter/twoReplicas.h"
 
 using namespace vetchpost;
 using namespace vetchpost::test;
@@ -43,40 +43,21 @@
     return streamOf(request, "two");
 }
 
-/// Two replicas of each service, of which the first one that is asked answers by \a first and the other one by \a second.
-class two_replicas
+/// Answers the first request by \a first and all others by \a second.
+scripted_replica::script inTurn(scripted_replica::script first, scripted_replica::script second)
 {
-public:
-    two_replicas(scripted_replica::script first, scripted_replica::script second)
-        : m_script([this, first = std::move(first), second = std::move(second)](const std::string &request) {
-            return m_arrivals.fetch_add(1) == 0 ? first(request) : second(request);
-        })
-        , m_one(m_script)
-        , m_two(m_script)
-    {
-        m_fixture.addGroupHead("h-1", m_one);
-        m_fixture.addGroupHead("h-2", m_two);
-        m_fixture.addPlainReplica("p-1", m_one);
-        m_fixture.addPlainReplica("p-2", m_two);
-        m_fixture.start();
-    }
-
-    client_answer ask(const std::string &path) const
-    {
-        return m_fixture.sendRequest(path);
-    }
+    return [first = std::move(first), second = std::move(second), isFirst = std::make_shared<std::atomic<bool>>(true)](
+               const std::string &request) { return isFirst->exchange(false) ? first(request) : second(request); };
+}
 
-    int arrivals() const
+/// Two replicas, of which the first one that is asked answers by \a first and the other one by \a second.
+class replicas_in_turn : public two_replicas
+{
+public:
+    replicas_in_turn(scripted_replica::script first, scripted_replica::script second)
+        : two_replicas(inTurn(std::move(first), std::move(second)), false)
     {
-        return m_arrivals;
     }
-
-private:
-    std::atomic<int> m_arrivals = 0;
-    scripted_replica::script m_script;
-    scripted_replica m_one;
-    scripted_replica m_two;
-    relay_fixture m_fixture;
 };
 
 const std::string allEvents = event(1) + event(2) + event(3);
@@ -85,41 +66,41 @@
 
 TEST_CASE("A stream whose replica pauses is not cut when the second replica refuses it")
 {
-    const two_replicas replicas(pausedStream, refusalAnswer);
-    const auto answer = replicas.ask("/stream/");
+    const replicas_in_turn replicas(pausedStream, refusalAnswer);
+    const auto answer = replicas.sendRequest("/stream/");
     CHECK(answer.status == 200);
     CHECK(answer.isWhole);
     CHECK(answer.body == allEvents);
     CHECK(answer.header("Server-Stamp") == "one");
-    CHECK(replicas.arrivals() == 2);
+    CHECK(replicas.received() == 2);
 }
 
 TEST_CASE("A stream whose replica pauses is not cut when the second replica ends its connection")
 {
-    const two_replicas replicas(pausedStream, noAnswer);
-    const auto answer = replicas.ask("/stream/");
+    const replicas_in_turn replicas(pausedStream, noAnswer);
+    const auto answer = replicas.sendRequest("/stream/");
     CHECK(answer.isWhole);
     CHECK(answer.body == allEvents);
 }
 
 TEST_CASE("A stream whose first event is late is not failed when the second replica refuses it")
 {
-    const two_replicas replicas(lateStream, refusalAnswer);
-    const auto answer = replicas.ask("/stream/");
+    const replicas_in_turn replicas(lateStream, refusalAnswer);
+    const auto answer = replicas.sendRequest("/stream/");
     CHECK(answer.status == 200);
     CHECK(answer.isWhole);
     CHECK(answer.body == allEvents);
-    CHECK(replicas.arrivals() == 2);
+    CHECK(replicas.received() == 2);
 }
 
 TEST_CASE("A late answer to an idempotent request is not lost when the second replica refuses the request")
 {
     for (const auto &second : {scripted_replica::script(refusalAnswer), scripted_replica::script(noAnswer)}) {
-        const two_replicas replicas(latePlainAnswer, second);
-        const auto answer = replicas.ask("/again/");
+        const replicas_in_turn replicas(latePlainAnswer, second);
+        const auto answer = replicas.sendRequest("/again/");
         CHECK(answer.status == 200);
         CHECK(answer.body == "late");
-        CHECK(replicas.arrivals() == 2);
+        CHECK(replicas.received() == 2);
     }
 }
 
@@ -128,17 +109,17 @@
     const auto silentStream = [](const std::string &request) { return streamOf(request, "one", silence(24)); };
     const auto silentPlain = [](const std::string &request) { return silence(24) + plainAnswer(request, "late"); };
     {
-        const two_replicas replicas(silentStream, wholeStream);
+        const replicas_in_turn replicas(silentStream, wholeStream);
         const auto asked = monotonicNow();
-        const auto answer = replicas.ask("/stream/");
+        const auto answer = replicas.sendRequest("/stream/");
         CHECK(answer.isWhole);
         CHECK(answer.body == allEvents);
         CHECK(monotonicNow() - asked < duration(1500));
     }
     {
-        const two_replicas replicas(silentPlain, successAnswer);
+        const replicas_in_turn replicas(silentPlain, successAnswer);
         const auto asked = monotonicNow();
-        CHECK(replicas.ask("/again/").body == "answer");
+        CHECK(replicas.sendRequest("/again/").body == "answer");
         CHECK(monotonicNow() - asked < duration(1500));
     }
 }
@@ -147,11 +128,11 @@
 {
     const auto ending = [](const std::string &request) { return streamHead(request, "one") + chunk(event(1)) + silence(9); };
     const auto slow = [](const std::string &request) { return silence(4) + streamOf(request, "two"); };
-    const two_replicas replicas(ending, slow);
-    const auto answer = replicas.ask("/stream/");
+    const replicas_in_turn replicas(ending, slow);
+    const auto answer = replicas.sendRequest("/stream/");
     CHECK(answer.isWhole);
     CHECK(answer.body == allEvents);
-    CHECK(replicas.arrivals() == 2);
+    CHECK(replicas.received() == 2);
 }
 
 TEST_CASE("A server error of a silent replica is passed on only if the second replica does not succeed")
@@ -159,12 +140,12 @@
     const auto failing
         = [](const std::string &request) { return silence(8) + plainAnswer(request, "failure", "500 Internal Server Error"); };
     {
-        const two_replicas replicas(failing, [](const std::string &request) { return silence(8) + successAnswer(request); });
-        CHECK(replicas.ask("/again/").status == 200);
+        const replicas_in_turn replicas(failing, [](const std::string &request) { return silence(8) + successAnswer(request); });
+        CHECK(replicas.sendRequest("/again/").status == 200);
     }
     {
-        const two_replicas replicas(failing, noAnswer);
-        const auto answer = replicas.ask("/again/");
+        const replicas_in_turn replicas(failing, noAnswer);
+        const auto answer = replicas.sendRequest("/again/");
         CHECK(answer.status == 500);
         CHECK(answer.header("Server-Stamp") == "s");
     }
@@ -174,8 +155,8 @@
 {
     const auto lateRefusal = [](const std::string &request) { return silence(12) + refusalAnswer(request); };
     for (const auto *path : {"/again/", "/stream/"}) {
-        const two_replicas replicas(lateRefusal, refusalAnswer);
-        const auto answer = replicas.ask(path);
+        const replicas_in_turn replicas(lateRefusal, refusalAnswer);
+        const auto answer = replicas.sendRequest(path);
         CHECK(answer.status == 503);
         CHECK_FALSE(answer.header("Retry-After").empty());
     }
